--- a/src/bench/worlds/member_world.rs
+++ b/src/bench/worlds/member_world.rs
@@ -1,7 +1,9 @@
 use super::{Sabotage, WorldReport};
 use crate::intents::{ClusterConfig, ConfigKeeper};
 use crate::keys::{IncarnationId, NameKey, TimePoint};
-use crate::membership::{MemberState, MemberTable, MemberUpdate, ProbeMessage, TableOrder};
+use crate::membership::{
+    MemberState, MemberTable, MemberUpdate, ProbeMessage, TableOrder, ViewMark,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
@@ -128,7 +130,8 @@
         if after < before {
             self.report.note_broken(format!("host {place} went back from {before} to {after}"));
         }
-        self.hosts[place].table.set_config_version(after);
+        let view = ViewMark { config_version: after, fleet_revision: 0 };
+        self.hosts[place].table.set_view(view);
         let orders = self.hosts[place].table.push_news(3);
         self.carry_out(place, orders);
     }
@@ -175,7 +178,7 @@
         for order in orders {
             match order {
                 TableOrder::Send(to, message) => self.send(place, to, message),
-                TableOrder::FetchConfig(from) => {
+                TableOrder::FetchView(from) => {
                     let source = self.hosts.iter().position(|host| host.address == from);
                     let Some(source) = source.filter(|s| self.hosts[*s].alive) else { continue };
                     if !self.is_cut(place, source) {
--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -112,9 +112,8 @@
 
     async fn connect_within(address: SocketAddr, limit: Duration) -> Result<Sender> {
         let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(limit, connecting)
-            .await
-            .map_err(|_elapsed| Error::Timeout)??;
+        let stream =
+            tokio::time::timeout(limit, connecting).await.map_err(|_elapsed| Error::Timeout)??;
         stream.set_nodelay(true)?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -1,6 +1,7 @@
 use super::{ServerEntry, ServerStage, ServerState};
 use crate::keys::{ServerKey, TimePoint};
 use crate::routes::ServiceKey;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -24,6 +25,15 @@
     lapses_at: Option<TimePoint>,
 }
 
+/// The backend servers as one host hands them to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetNews {
+    /// Revision of the newest change in it.
+    pub revision: u64,
+    /// Each server, and in how many milliseconds it is dropped if its entry has lapsed.
+    pub servers: Vec<(ServerEntry, Option<u64>)>,
+}
+
 /// The backend servers as this host knows them.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
@@ -84,6 +94,30 @@
         self.revision = revision;
     }
 
+    /// What another host needs to have the same view.
+    pub fn news(&self, now: TimePoint) -> FleetNews {
+        let left = |at: TimePoint| u64::try_from(at.since(now).as_millis()).unwrap_or(u64::MAX);
+        let servers = self
+            .records
+            .values()
+            .map(|record| (record.entry.clone(), record.lapses_at.map(left)))
+            .collect();
+        FleetNews { revision: self.revision, servers }
+    }
+
+    /// Takes over another host's view, if it is newer.
+    pub fn adopt(&mut self, now: TimePoint, news: FleetNews) {
+        if news.revision <= self.revision {
+            return;
+        }
+        self.revision = news.revision;
+        self.records.clear();
+        for (entry, lapses_in) in news.servers {
+            let lapses_at = lapses_in.map(|millis| now + Duration::from_millis(millis));
+            self.records.insert(entry.key(), FleetRecord { entry, lapses_at });
+        }
+    }
+
     /// Drops servers whose entries did not come back in time; returns them.
     pub fn expire(&mut self, now: TimePoint) -> Vec<ServerEntry> {
         let due = |record: &FleetRecord| record.lapses_at.is_some_and(|at| now >= at);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,10 +2,12 @@
 //! passed in.
 //!
 //! Inputs are entries of the platform's store, read or watched, and outages of the store; the
-//! output is the list of servers that may get new work.
+//! output is the list of servers that may get new work. `watch_duty` says who asks the store.
 
 mod fleet_view;
 mod server_entry;
+mod watch_duty;
 
-pub use fleet_view::{FleetChange, FleetView};
+pub use fleet_view::{FleetChange, FleetNews, FleetView};
 pub use server_entry::{ServerEntry, ServerStage, ServerState};
+pub use watch_duty::{DutyView, WatchDuty, watch_duty};
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -5,12 +5,12 @@
 use super::engine_call::serve_engine;
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::plain_call::serve_plain;
+use crate::platform::{CallHead, ServerCall};
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use crate::platform::{CallHead, ServerCall};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -65,14 +65,14 @@
         return Err(CallEnd::Improper(StatusCode::BAD_REQUEST, "two_lengths"));
     }
     let routes = host.routes();
-    if routes.version == 0 {
+    if routes.version() == 0 {
         return Err(CallEnd::NotRun(NotRunReason::NotReady, NOT_READY_PAUSE));
     }
     let route = routes.find(&head.host, parts.uri.path()).cloned();
     let Some(route) = route else {
         return Err(CallEnd::Improper(StatusCode::NOT_FOUND, "no_route"));
     };
-    let body = read_body(body, routes.limits.body_bytes).await?;
+    let body = read_body(body, routes.limits().body_bytes).await?;
     let service = route.service_for(&head.request_id);
     let Some(spec) = routes.service(service).cloned() else {
         return Err(CallEnd::NotRun(NotRunReason::NoServer, NOT_READY_PAUSE));
@@ -110,16 +110,10 @@
 }
 
 /// The one line that tells how a request without a stream ended.
-pub(super) fn log_end(
-    host: &GatewayHost,
-    id: &str,
-    route: &str,
-    end: &CallEnd,
-    took: Duration,
-) {
+pub(super) fn log_end(host: &GatewayHost, id: &str, route: &str, end: &CallEnd, took: Duration) {
     let (config, fleet) = {
         let state = host.state();
-        (state.routes.version, state.fleet.revision())
+        (state.routes.version(), state.fleet.revision())
     };
     let (name, cause, status) = (end.name(), end.cause(), end.status().as_u16());
     let took = took.as_millis();
--- a/src/gateway/caller_loop.rs
+++ b/src/gateway/caller_loop.rs
@@ -35,7 +35,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=caller_socket cause=\"{error}\"");
     }
-    let limits = host.routes().limits;
+    let limits = host.routes().limits();
     let service = {
         let host = Arc::clone(&host);
         service_fn(move |request| answer_call(Arc::clone(&host), request))
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -2,6 +2,8 @@
 use crate::fleet::{FleetView, ServerEntry, ServerStage};
 use crate::host::lock;
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
+use crate::membership::{MemberState, MemberTable, MemberUpdate, ViewMark};
+use crate::peers::PeerClient;
 use crate::placement::{
     ChoiceKind, ChoiceView, LoadBoard, RetryWindow, ServerHealth, rank_servers,
 };
@@ -9,10 +11,12 @@
 use crate::routes::{RouteTable, ServiceKey};
 use crate::settings::GatewaySettings;
 use crate::telemetry::MetricBook;
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 /// How far a planned stop has come.
@@ -27,10 +31,12 @@
 }
 
 /// What a host believes and decides from.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct GatewayState {
     /// The configuration in force.
     pub routes: Arc<RouteTable>,
+    /// Revision of the store at which it was written.
+    pub routes_revision: u64,
     /// The backend servers.
     pub fleet: FleetView,
     /// Their load.
@@ -39,6 +45,35 @@
     pub health: HashMap<ServerKey, ServerHealth>,
     /// Repeats of each service's requests.
     pub retries: HashMap<ServiceKey, RetryWindow>,
+    /// The other hosts.
+    pub members: MemberTable,
+    /// When the store last answered this host, or another one that this one heard of.
+    store_heard_at: TimePoint,
+}
+
+impl GatewayState {
+    /// How new this host's view is; a host that has anything newer is asked for it.
+    pub fn view_mark(&self) -> ViewMark {
+        ViewMark { config_version: self.routes.version(), fleet_revision: self.fleet.revision() }
+    }
+
+    /// Time since the store last answered this host, or another one that it heard of.
+    pub fn store_age(&self, now: TimePoint) -> Duration {
+        now.since(self.store_heard_at)
+    }
+
+    /// The store answered some host `age` ago.
+    pub fn note_store_age(&mut self, now: TimePoint, age: Duration) {
+        self.store_heard_at = self.store_heard_at.max(now - age);
+    }
+
+    /// Addresses of all hosts ever heard of, dead ones included: after a cut, hosts that believe
+    /// each other dead still share what all of them may do together.
+    fn host_count(&self) -> usize {
+        let addresses: HashSet<SocketAddr> =
+            self.members.records().map(|record| record.update.address).collect();
+        addresses.len() + 1
+    }
 }
 
 /// Everything that one daemon on the platform knows.
@@ -54,21 +89,56 @@
     metrics: Mutex<MetricBook>,
     pub(super) pool: HttpPool,
     pub(super) store: StoreClient,
+    pub(super) peers: PeerClient,
+    pub(super) peers_address: SocketAddr,
+    pub(super) socket: Arc<UdpSocket>,
+    pub(super) fetching_view: AtomicBool,
+    pub(super) routes_away: AtomicBool,
+    pub(super) servers_away: AtomicBool,
     pub(super) stop: watch::Sender<StopPhase>,
     pub(super) in_flight: AtomicU64,
 }
 
 impl GatewayHost {
-    /// The state of a daemon that starts now.
-    pub fn new(settings: GatewaySettings) -> Self {
+    /// The state of a daemon that starts now, whose peers reach it at `peers_address`.
+    pub fn new(
+        settings: GatewaySettings,
+        peers_address: SocketAddr,
+        socket: Arc<UdpSocket>,
+    ) -> Self {
+        let incarnation = IncarnationId::at_start(SystemTime::now(), rand::random());
+        let own = MemberUpdate {
+            incarnation,
+            address: peers_address,
+            domain: NameKey::of(&settings.domain),
+            version: 0,
+            state: MemberState::Alive,
+        };
+        let seeds = settings.seeds.iter().copied().filter(|seed| *seed != peers_address).collect();
+        let state = GatewayState {
+            routes: Arc::default(),
+            routes_revision: 0,
+            fleet: FleetView::default(),
+            board: LoadBoard::default(),
+            health: HashMap::new(),
+            retries: HashMap::new(),
+            members: MemberTable::new(own, seeds, rand::random()),
+            store_heard_at: TimePoint::default(),
+        };
         Self {
-            incarnation: IncarnationId::at_start(SystemTime::now(), rand::random()),
+            incarnation,
             start: Instant::now(),
             serials: AtomicU64::new(rand::random::<u32>().into()),
-            state: Mutex::default(),
+            state: Mutex::new(state),
             metrics: Mutex::default(),
             pool: HttpPool::default(),
             store: StoreClient::new(settings.store),
+            peers: PeerClient::new(&settings.shared_key),
+            peers_address,
+            socket,
+            fetching_view: AtomicBool::new(false),
+            routes_away: AtomicBool::new(false),
+            servers_away: AtomicBool::new(false),
             stop: watch::Sender::new(StopPhase::Serving),
             in_flight: AtomicU64::new(0),
             settings,
@@ -120,13 +190,29 @@
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         let state = self.state();
-        let informed = state.routes.version > 0 && state.fleet.revision() > 0;
+        let informed = state.routes.version() > 0 && state.fleet.revision() > 0;
         informed && self.stop_phase() == StopPhase::Serving
     }
 
     /// Hosts that share what all of them may do together.
     pub(super) fn known_hosts(&self) -> usize {
-        LEAST_HOSTS
+        self.state().host_count().max(LEAST_HOSTS)
+    }
+
+    /// Adopts a configuration that is newer than the one in force; true if it is.
+    pub(super) fn adopt_routes(&self, revision: u64, table: RouteTable, source: &str) -> bool {
+        let mut state = self.state();
+        let (old, new) = (state.routes.version(), table.version());
+        if new <= old {
+            return false;
+        }
+        state.routes = Arc::new(table);
+        state.routes_revision = revision;
+        drop(state);
+        log::info!(
+            "event=config_adopted version={new} replaced={old} revision={revision} from={source}"
+        );
+        true
     }
 
     /// Servers of a service from best to worst.
@@ -145,8 +231,10 @@
             domain: self.domain(),
             salt: salt ^ self.incarnation.0,
         };
-        let candidates =
-            state.fleet.ready(service).filter(|server| stage.is_none_or(|s| server.stage == Some(s)));
+        let candidates = state
+            .fleet
+            .ready(service)
+            .filter(|server| stage.is_none_or(|s| server.stage == Some(s)));
         rank_servers(now, &view, kind, candidates).into_iter().cloned().collect()
     }
 
@@ -169,4 +257,4 @@
 }
 
 /// Hosts assumed before others are known.
-const LEAST_HOSTS: usize = 12;
+const LEAST_HOSTS: usize = 10;
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -1,14 +1,16 @@
 use super::caller_loop::serve_callers;
 use super::gateway_host::{GatewayHost, StopPhase};
+use super::peer_loop::run_peers;
 use super::ready_server::{QuestionKind, serve_questions};
 use super::view_loop::run_view;
 use crate::Result;
+use crate::peers::serve_peers;
 use crate::settings::GatewaySettings;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 
 /// The platform asks each second and takes a host out after two misses; until then callers still
 /// come and are served.
@@ -26,6 +28,8 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether callers may come.
     pub ready: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
 }
@@ -37,29 +41,41 @@
 pub async fn start_gateway(settings: GatewaySettings) -> Result<Gateway> {
     let callers_listener = TcpListener::bind(settings.callers_listen).await?;
     let ready_listener = TcpListener::bind(settings.ready_listen).await?;
+    let peers_listener = TcpListener::bind(settings.peers_listen).await?;
+    let peers = peers_listener.local_addr()?;
+    let socket = Arc::new(UdpSocket::bind(peers).await?);
     let metrics_listener = TcpListener::bind(settings.metrics_listen).await?;
     let callers = callers_listener.local_addr()?;
     let ready = ready_listener.local_addr()?;
     let metrics = metrics_listener.local_addr()?;
-    let host = Arc::new(GatewayHost::new(settings));
+    let host = Arc::new(GatewayHost::new(settings, peers, Arc::clone(&socket)));
+    let key = host.settings.shared_key.clone();
+    tokio::spawn(serve_peers(peers_listener, key, Arc::clone(&host)));
+    tokio::spawn(run_peers(Arc::clone(&host), socket));
     tokio::spawn(serve_callers(callers_listener, Arc::clone(&host)));
     tokio::spawn(serve_questions(ready_listener, Arc::clone(&host), QuestionKind::Ready));
     tokio::spawn(serve_questions(metrics_listener, Arc::clone(&host), QuestionKind::Metrics));
     tokio::spawn(run_view(Arc::clone(&host)));
     log::info!(
-        "event=started incarnation={} callers={callers} ready={ready} metrics={metrics}",
+        "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
     );
-    Ok(Gateway { host, callers, ready, metrics })
+    Ok(Gateway { host, callers, ready, peers, metrics })
 }
 
 impl GatewayHost {
     /// Stops as planned: callers are sent elsewhere first, then no more requests are read, and the
     /// process ends when those under way have ended or the platform's patience has.
-    pub async fn stop_gently(&self) {
+    pub async fn stop_gently(self: &Arc<Self>) {
         let began = tokio::time::Instant::now();
         let ends = began + self.settings.grace.saturating_sub(END_MARGIN);
         self.stop.send_replace(StopPhase::Leaving);
+        let farewell = {
+            let mut state = self.state();
+            state.members.leave();
+            state.members.push_news(usize::MAX)
+        };
+        self.carry_out(farewell);
         log::info!("event=stop_began in_flight={}", self.in_flight.load(Ordering::Relaxed));
         tokio::time::sleep(LEAVING_TIME.min(self.settings.grace / 2)).await;
         self.stop.send_replace(StopPhase::Closing);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,8 @@
 mod gateway_host;
 mod gateway_start;
 mod load_guard;
+mod peer_loop;
+mod peer_messages;
 mod plain_call;
 mod prompt_read;
 mod ready_server;
--- /dev/null
+++ b/src/gateway/peer_loop.rs
@@ -0,0 +1,255 @@
+//! Talks to the other daemons: membership, each host's load, and views that are newer.
+
+use super::gateway_host::GatewayHost;
+use super::peer_messages::{GatewayDatagram, GatewayReply, GatewayRequest, LoadNews};
+use crate::keys::mix_hash;
+use crate::membership::{MemberState, MemberUpdate, TableOrder};
+use crate::peers::{PeerHandler, open_datagram, seal_datagram};
+use crate::routes::RouteTable;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+const TICK: Duration = Duration::from_millis(50);
+/// The longest load news: 90 servers at about 15 bytes.
+const LONGEST_DATAGRAM: usize = 4096;
+const COMPARE_LIMIT: Duration = Duration::from_secs(2);
+/// A view comes within a round trip and the time to write some 50 KB.
+const VIEW_LIMIT: Duration = Duration::from_millis(800);
+/// How often a host tells its load.
+const LOAD_PERIOD: Duration = Duration::from_millis(200);
+/// Hosts of the own failure domain told each time; in a domain of 30 each hears every 1.5 s.
+const LOAD_NEAR: usize = 4;
+/// Hosts of other failure domains told each time; their bytes are priced.
+const LOAD_ABROAD: usize = 2;
+/// Unchanged loads are repeated only every so many periods.
+const QUIET_REPEAT: u64 = 4;
+/// Hosts told at once of a newly adopted view; each that adopts it tells as many.
+const VIEW_FAN_OUT: usize = 3;
+
+/// Runs everything between daemons.
+pub(super) async fn run_peers(host: Arc<GatewayHost>, socket: Arc<UdpSocket>) {
+    tokio::join!(
+        receive(Arc::clone(&host), Arc::clone(&socket)),
+        tick_members(Arc::clone(&host)),
+        tell_loads(host)
+    );
+}
+
+async fn receive(host: Arc<GatewayHost>, socket: Arc<UdpSocket>) {
+    let mut buffer = [0; LONGEST_DATAGRAM];
+    loop {
+        // An earlier datagram to a closed port may surface here as an error; it means nothing.
+        let Ok((length, address)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match open_datagram(&host.settings.shared_key, &buffer[..length]) {
+            Ok(GatewayDatagram::Probe(message)) => {
+                let now = host.now();
+                let orders = host.state().members.receive(now, &message);
+                host.carry_out(orders);
+            }
+            Ok(GatewayDatagram::Load(news)) => host.hear_load(news),
+            Err(error) => {
+                log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
+            }
+        }
+    }
+}
+
+async fn tick_members(host: Arc<GatewayHost>) {
+    let mut ticker = tokio::time::interval(TICK);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    for seed in host.settings.seeds.clone() {
+        if seed != host.peers_address && compare(&host, seed).await {
+            break;
+        }
+    }
+    loop {
+        ticker.tick().await;
+        let now = host.now();
+        let orders = host.state().members.tick(now);
+        host.carry_out(orders);
+    }
+}
+
+async fn compare(host: &Arc<GatewayHost>, address: SocketAddr) -> bool {
+    let news = host.state().members.full_news();
+    let request = GatewayRequest::Sync(news);
+    let reply = host.peers.call(address, &request, COMPARE_LIMIT).await;
+    let Ok(GatewayReply::Members(theirs)) = reply else {
+        return false;
+    };
+    let now = host.now();
+    let orders = host.state().members.merge_all(now, &theirs);
+    host.carry_out(orders);
+    true
+}
+
+async fn tell_loads(host: Arc<GatewayHost>) {
+    let mut ticker = tokio::time::interval(LOAD_PERIOD);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut round, mut told) = (0_u64, u64::MAX);
+    loop {
+        ticker.tick().await;
+        round += 1;
+        let changes = host.state().board.changes();
+        if changes == told && !round.is_multiple_of(QUIET_REPEAT) {
+            continue;
+        }
+        told = changes;
+        let news = GatewayDatagram::Load(host.own_load(round));
+        for target in host.load_targets(round) {
+            host.send(target, &news);
+        }
+    }
+}
+
+impl GatewayHost {
+    /// Carries out what the membership table wants done.
+    pub(super) fn carry_out(self: &Arc<Self>, orders: Vec<TableOrder>) {
+        for order in orders {
+            match order {
+                TableOrder::Send(address, message) => {
+                    self.send(address, &GatewayDatagram::Probe(message));
+                }
+                TableOrder::FetchView(address) => self.fetch_view(address),
+                TableOrder::Compare(address) => {
+                    let host = Arc::clone(self);
+                    tokio::spawn(async move { compare(&host, address).await });
+                }
+                TableOrder::Died(incarnation) => {
+                    log::info!("event=member_died incarnation={incarnation}");
+                }
+            }
+        }
+    }
+
+    fn send(&self, address: SocketAddr, message: &GatewayDatagram) {
+        match seal_datagram(&self.settings.shared_key, message) {
+            Ok(bytes) => {
+                self.metrics().add("gossip_sent_bytes", bytes.len() as u64);
+                // A full socket buffer loses a datagram as the network may; each is repeated.
+                drop(self.socket.try_send_to(&bytes, address));
+            }
+            Err(error) => log::warn!("event=datagram_unsendable cause=\"{error}\""),
+        }
+    }
+
+    fn hear_load(&self, news: LoadNews) {
+        let now = self.now();
+        let heard = Duration::from_millis(news.store_age_ms.into());
+        let mut state = self.state();
+        state.board.hear(now, news.incarnation, news.version, news.loads.into_iter().collect());
+        state.note_store_age(now, heard);
+    }
+
+    fn own_load(&self, version: u64) -> LoadNews {
+        let now = self.now();
+        let state = self.state();
+        LoadNews {
+            incarnation: self.incarnation,
+            version,
+            store_age_ms: u32::try_from(state.store_age(now).as_millis()).unwrap_or(u32::MAX),
+            loads: state.board.own().collect(),
+        }
+    }
+
+    /// Some hosts of the own failure domain and fewer of others, other ones each round.
+    fn load_targets(&self, round: u64) -> Vec<SocketAddr> {
+        let salt = mix_hash(self.incarnation.0, round);
+        let state = self.state();
+        let mut living: Vec<MemberUpdate> = state
+            .members
+            .records()
+            .map(|record| record.update)
+            .filter(|update| update.state != MemberState::Dead)
+            .collect();
+        living.sort_by_key(|update| mix_hash(salt, update.incarnation.0));
+        let (near, abroad): (Vec<_>, Vec<_>) =
+            living.into_iter().partition(|update| update.domain == self.domain());
+        let near = near.into_iter().take(LOAD_NEAR);
+        near.chain(abroad.into_iter().take(LOAD_ABROAD)).map(|update| update.address).collect()
+    }
+
+    /// Tells a few hosts at once that this one has a newer view.
+    pub(super) fn push_view(self: &Arc<Self>) {
+        let orders = {
+            let mut state = self.state();
+            let mark = state.view_mark();
+            state.members.set_view(mark);
+            state.members.push_news(VIEW_FAN_OUT)
+        };
+        self.carry_out(orders);
+    }
+
+    /// Fetches a newer view from another host, one at a time.
+    fn fetch_view(self: &Arc<Self>, address: SocketAddr) {
+        if self.fetching_view.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let host = Arc::clone(self);
+        tokio::spawn(async move {
+            host.fetch_view_from(address).await;
+            host.fetching_view.store(false, Ordering::Relaxed);
+        });
+    }
+
+    async fn fetch_view_from(self: &Arc<Self>, address: SocketAddr) {
+        let request = {
+            let state = self.state();
+            GatewayRequest::View {
+                routes_version: state.routes.version(),
+                fleet_revision: state.fleet.revision(),
+            }
+        };
+        match self.peers.call(address, &request, VIEW_LIMIT).await {
+            Ok(GatewayReply::View { routes, fleet }) => {
+                if let Some((revision, parts)) = routes {
+                    self.adopt_routes(revision, RouteTable::from(parts), "peer");
+                }
+                if let Some(news) = fleet {
+                    let now = self.now();
+                    let revision = news.revision;
+                    self.state().fleet.adopt(now, news);
+                    log::info!("event=servers_heard peer={address} revision={revision}");
+                }
+                self.push_view();
+            }
+            Ok(GatewayReply::Members(_)) => {
+                log::warn!("event=peer_answer_unexpected peer={address}");
+            }
+            Err(error) => log::info!("event=view_not_fetched peer={address} cause=\"{error}\""),
+        }
+    }
+}
+
+impl PeerHandler for GatewayHost {
+    type Request = GatewayRequest;
+    type Reply = GatewayReply;
+
+    async fn handle(self: Arc<Self>, request: GatewayRequest) -> GatewayReply {
+        match request {
+            GatewayRequest::Sync(news) => {
+                let now = self.now();
+                let (orders, ours) = {
+                    let mut state = self.state();
+                    (state.members.merge_all(now, &news), state.members.full_news())
+                };
+                self.carry_out(orders);
+                GatewayReply::Members(ours)
+            }
+            GatewayRequest::View { routes_version, fleet_revision } => {
+                let now = self.now();
+                let state = self.state();
+                let routes = (state.routes.version() > routes_version)
+                    .then(|| (state.routes_revision, state.routes.parts().clone()));
+                let fleet =
+                    (state.fleet.revision() > fleet_revision).then(|| state.fleet.news(now));
+                GatewayReply::View { routes, fleet }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/peer_messages.rs
@@ -0,0 +1,56 @@
+use crate::fleet::FleetNews;
+use crate::keys::{IncarnationId, ServerKey};
+use crate::membership::{MemberUpdate, ProbeMessage};
+use crate::placement::ServerLoad;
+use crate::routes::RouteParts;
+use serde::{Deserialize, Serialize};
+
+/// A datagram between daemons on the platform.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GatewayDatagram {
+    /// Membership.
+    Probe(ProbeMessage),
+    /// What the sender has under way.
+    Load(LoadNews),
+}
+
+/// One host's own work and how fresh its view is.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LoadNews {
+    /// Which life of the host.
+    pub incarnation: IncarnationId,
+    /// Rises with each that the host sends.
+    pub version: u64,
+    /// Milliseconds since the store last answered the sender, or a host that it heard of.
+    pub store_age_ms: u32,
+    /// Its work at each server where it has any.
+    pub loads: Vec<(ServerKey, ServerLoad)>,
+}
+
+/// A request between daemons on the platform.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GatewayRequest {
+    /// Compare membership.
+    Sync(Vec<MemberUpdate>),
+    /// What is newer than this.
+    View {
+        /// Version of the configuration that the sender has.
+        routes_version: u64,
+        /// Revision of the servers that the sender has.
+        fleet_revision: u64,
+    },
+}
+
+/// A reply between daemons on the platform.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GatewayReply {
+    /// All news about members.
+    Members(Vec<MemberUpdate>),
+    /// What is newer.
+    View {
+        /// The configuration and its revision in the store, if newer.
+        routes: Option<(u64, RouteParts)>,
+        /// The servers, if newer.
+        fleet: Option<FleetNews>,
+    },
+}
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -85,7 +85,9 @@
     // Only whole answers carry a signature; a prompt that was read has none.
     if status != StatusCode::OK {
         let (id, server) = (context.id(), &server.id);
-        log::info!("event=prompt_unread request={id} server={server} status={status} kind={kind:?}");
+        log::info!(
+            "event=prompt_unread request={id} server={server} status={status} kind={kind:?}"
+        );
         return Ok(None);
     }
     Ok(Some(decode_body(&body)?))
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -1,22 +1,28 @@
 use super::gateway_host::GatewayHost;
 use crate::Result;
-use crate::fleet::{FleetChange, ServerEntry};
+use crate::fleet::{DutyView, FleetChange, ServerEntry, WatchDuty, watch_duty};
+use crate::placement::rendezvous_owner;
 use crate::platform::{
     ROUTES_OBJECT, SERVERS_KIND, StoreObject, WatchAnswer, decode_change, decode_config,
     decode_server,
 };
 use crate::routes::RouteTable;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// A listing's page is answered within this; the store's usual answer takes some milliseconds.
 const LIST_LIMIT: Duration = Duration::from_millis(1000);
-/// How long one watch waits; each costs a call, and a silent one is doubted when it has passed.
+/// How long one watch waits. Each costs a call, and a store that fell silent is noticed when it has
+/// passed; bounds on adopting a change begin at 2 s.
 const WATCH_WAIT: Duration = Duration::from_millis(1500);
 /// How much longer than its wait a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(400);
-/// Pause after the store did not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// First pause after the store did not answer; doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+/// How often a host that does not watch looks whether it should.
+const DUTY_PERIOD: Duration = Duration::from_millis(100);
 /// How often entries that lapsed are looked through.
 const EXPIRE_PERIOD: Duration = Duration::from_millis(200);
 
@@ -36,6 +42,9 @@
     }
 }
 
+/// What the watcher of a failure domain is elected for.
+const STORE_WATCH: u64 = 0x5774_6368;
+
 /// Follows the configuration and the servers in the store, and lets lapsed entries go.
 pub(super) async fn run_view(host: Arc<GatewayHost>) {
     tokio::join!(
@@ -45,69 +54,117 @@
     );
 }
 
-/// Lists a kind and watches it from there; lists again when the history is lost.
-async fn follow(host: &GatewayHost, kind: FollowedKind) {
-    let mut revision = None;
-    let mut away = false;
+/// Follows a kind while that is this host's duty.
+async fn follow(host: &Arc<GatewayHost>, kind: FollowedKind) {
+    let mut pause = FIRST_PAUSE;
+    // Where the own watch goes on; nothing until it has begun.
+    let mut watched = None;
     loop {
-        let step = match revision {
+        if host.watch_duty(kind) == WatchDuty::Hear {
+            watched = None;
+            tokio::time::sleep(DUTY_PERIOD).await;
+            continue;
+        }
+        let from = watched.or_else(|| host.known_revision(kind));
+        let step = match from {
             None => list(host, kind).await.map(Some),
             Some(after) => watch(host, kind, after).await,
         };
         match step {
-            Ok(next) => {
-                if std::mem::take(&mut away) {
-                    log::info!("event=store_regained kind={}", kind.name());
-                }
-                note_heard(host, kind);
-                revision = next;
-            }
+            Ok(Some(next)) => watched = Some(next),
+            // The history is lost: whatever is known may lack changes.
+            Ok(None) => watched = list(host, kind).await.ok(),
             Err(error) => {
-                if !std::mem::replace(&mut away, true) {
-                    log::warn!("event=store_lost kind={} cause=\"{error}\"", kind.name());
-                }
-                if kind == FollowedKind::Servers {
-                    host.state().fleet.note_store_lost();
-                }
-                tokio::time::sleep(RETRY_PAUSE).await;
+                note_lost(host, kind, &error);
+                watched = None;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+                continue;
             }
         }
+        pause = FIRST_PAUSE;
+        note_heard(host, kind);
+    }
+}
+
+fn note_lost(host: &GatewayHost, kind: FollowedKind, error: &crate::Error) {
+    if !host.store_away(kind).swap(true, Ordering::Relaxed) {
+        log::warn!("event=store_lost kind={} cause=\"{error}\"", kind.name());
+    }
+    if kind == FollowedKind::Servers {
+        host.state().fleet.note_store_lost();
     }
 }
 
 fn note_heard(host: &GatewayHost, kind: FollowedKind) {
+    if host.store_away(kind).swap(false, Ordering::Relaxed) {
+        log::info!("event=store_regained kind={}", kind.name());
+    }
+    let now = host.now();
+    let mut state = host.state();
+    state.note_store_age(now, Duration::ZERO);
     if kind == FollowedKind::Servers {
-        let now = host.now();
-        host.state().fleet.note_store_heard(now);
+        state.fleet.note_store_heard(now);
     }
 }
 
-async fn list(host: &GatewayHost, kind: FollowedKind) -> Result<u64> {
+impl GatewayHost {
+    /// Whether this host asks the store for a kind itself, or hears it from others.
+    fn watch_duty(&self, kind: FollowedKind) -> WatchDuty {
+        let known = self.known_revision(kind).is_some();
+        let now = self.now();
+        let state = self.state();
+        let domain = self.domain();
+        let watcher = rendezvous_owner(STORE_WATCH, state.members.owners(domain));
+        watch_duty(&DutyView {
+            informed: known,
+            elected: watcher.is_some_and(|member| member.incarnation == self.incarnation),
+            store_age: state.store_age(now),
+            salt: self.incarnation.0,
+        })
+    }
+
+    /// Revision from which a watch of a kind goes on.
+    fn known_revision(&self, kind: FollowedKind) -> Option<u64> {
+        let state = self.state();
+        let revision = match kind {
+            FollowedKind::Routes => state.routes_revision,
+            FollowedKind::Servers => state.fleet.revision(),
+        };
+        (revision > 0).then_some(revision)
+    }
+
+    fn store_away(&self, kind: FollowedKind) -> &AtomicBool {
+        match kind {
+            FollowedKind::Routes => &self.routes_away,
+            FollowedKind::Servers => &self.servers_away,
+        }
+    }
+}
+
+async fn list(host: &Arc<GatewayHost>, kind: FollowedKind) -> Result<u64> {
     let listed = host.store.list(kind.name(), LIST_LIMIT).await?;
     note_heard(host, kind);
     match kind {
         FollowedKind::Routes => {
             for object in &listed.items {
-                adopt_routes(host, object);
+                adopt_object(host, object);
             }
         }
         FollowedKind::Servers => {
             let entries: Vec<ServerEntry> =
                 listed.items.iter().filter(|o| !o.deleting).filter_map(read_server).collect();
-            log::info!(
-                "event=servers_listed count={} revision={}",
-                entries.len(),
-                listed.revision
-            );
+            log::info!("event=servers_listed count={} revision={}", entries.len(), listed.revision);
             let now = host.now();
             host.state().fleet.replace_all(now, listed.revision, entries);
+            host.push_view();
         }
     }
     Ok(listed.revision)
 }
 
 /// Waits for changes; `None` if the history is lost.
-async fn watch(host: &GatewayHost, kind: FollowedKind, after: u64) -> Result<Option<u64>> {
+async fn watch(host: &Arc<GatewayHost>, kind: FollowedKind, after: u64) -> Result<Option<u64>> {
     let limit = WATCH_WAIT + WATCH_SLACK;
     let answer = host.store.watch(kind.name(), after, WATCH_WAIT, limit).await?;
     note_heard(host, kind);
@@ -119,7 +176,7 @@
         FollowedKind::Routes => {
             for (object, gone) in &changes {
                 if !gone {
-                    adopt_routes(host, object);
+                    adopt_object(host, object);
                 }
             }
         }
@@ -128,7 +185,7 @@
     Ok(Some(revision))
 }
 
-fn apply_changes(host: &GatewayHost, revision: u64, changes: &[(StoreObject, bool)]) {
+fn apply_changes(host: &Arc<GatewayHost>, revision: u64, changes: &[(StoreObject, bool)]) {
     let mut applied = Vec::new();
     for (object, gone) in changes {
         match decode_change(object, *gone) {
@@ -141,8 +198,12 @@
             }
         }
     }
+    if applied.is_empty() {
+        return;
+    }
     let now = host.now();
     host.state().fleet.apply(now, revision, applied);
+    host.push_view();
 }
 
 fn log_change(change: &FleetChange, id: &str, revision: u64) {
@@ -169,25 +230,21 @@
         .ok()
 }
 
-/// Adopts a configuration that is newer than the one in force.
-fn adopt_routes(host: &GatewayHost, object: &StoreObject) {
+/// Adopts a configuration that is newer than the one in force, and tells others.
+fn adopt_object(host: &Arc<GatewayHost>, object: &StoreObject) {
     if object.name != ROUTES_OBJECT.1 {
         return;
     }
-    let table: RouteTable = match decode_config(&object.spec) {
-        Ok(table) => table,
+    match decode_config(&object.spec) {
+        Ok(parts) => {
+            if host.adopt_routes(object.revision, RouteTable::from(parts), "store") {
+                host.push_view();
+            }
+        }
         Err(error) => {
             let revision = object.revision;
             log::error!("event=config_unreadable revision={revision} cause=\"{error}\"");
-            return;
         }
-    };
-    let mut state = host.state();
-    let (old, new) = (state.routes.version, table.version);
-    if new > old {
-        state.routes = Arc::new(table);
-        drop(state);
-        log::info!("event=config_adopted version={new} replaced={old} revision={}", object.revision);
     }
 }
 
--- a/src/host/config_loop.rs
+++ b/src/host/config_loop.rs
@@ -4,7 +4,7 @@
 use crate::Result;
 use crate::intents::ClusterConfig;
 use crate::keys::{NameKey, mix_hash};
-use crate::membership::TableOrder;
+use crate::membership::{TableOrder, ViewMark};
 use crate::peers::{PeerReply, PeerRequest};
 use crate::placement::rendezvous_rank;
 use crate::platform::{CONFIG_KEY, StoredObject};
@@ -111,7 +111,7 @@
         log::info!("event=config_adopted version={version}");
         let orders = {
             let mut members = lock(&self.members);
-            members.set_config_version(version);
+            members.set_view(ViewMark { config_version: version, fleet_revision: 0 });
             members.push_news(PUSH_FAN_OUT)
         };
         self.carry_out_orders(orders);
@@ -133,7 +133,7 @@
                         let _ = self.outbox.send((address, bytes));
                     }
                 }
-                TableOrder::FetchConfig(address) => self.fetch_config(address),
+                TableOrder::FetchView(address) => self.fetch_config(address),
                 TableOrder::Compare(address) => self.compare_members(address),
                 TableOrder::Died(incarnation) => {
                     log::info!("event=member_died incarnation={incarnation}");
--- a/src/host/gossip_loop.rs
+++ b/src/host/gossip_loop.rs
@@ -1,6 +1,7 @@
 //! Moves membership datagrams and works the table's clock.
 
 use super::host_state::{HostState, lock};
+use crate::membership::ProbeMessage;
 use crate::peers::{PeerReply, PeerRequest, open_datagram};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,7 +21,7 @@
         let Ok((length, address)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match open_datagram(&host.settings.shared_key, &buffer[..length]) {
+        match open_datagram::<ProbeMessage>(&host.settings.shared_key, &buffer[..length]) {
             Ok(message) => {
                 host.metrics().add("gossip_received_bytes", length as u64);
                 let orders = lock(&host.members).receive(host.now(), &message);
--- a/src/host/peer_desk.rs
+++ b/src/host/peer_desk.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 
 impl PeerHandler for HostState {
+    type Request = PeerRequest;
+    type Reply = PeerReply;
+
     async fn handle(self: Arc<Self>, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Quote(ask) => PeerReply::Offers(self.quote_here(&ask)),
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -1,5 +1,7 @@
 use super::probe_round::{Errand, OpenProbe};
-use super::{MemberRecord, MemberState, MemberUpdate, ProbeKind, ProbeMessage, TableOrder};
+use super::{
+    MemberRecord, MemberState, MemberUpdate, ProbeKind, ProbeMessage, TableOrder, ViewMark,
+};
 use crate::keys::{IncarnationId, NameKey, TimePoint, mix_hash};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,7 +17,7 @@
 #[derive(Debug)]
 pub struct MemberTable {
     pub(super) own: MemberUpdate,
-    pub(super) config_version: u64,
+    pub(super) view: ViewMark,
     pub(super) members: BTreeMap<IncarnationId, MemberRecord>,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) probes: Vec<OpenProbe>,
@@ -32,7 +34,7 @@
     pub fn new(own: MemberUpdate, seeds: Vec<SocketAddr>, salt: u64) -> Self {
         Self {
             own,
-            config_version: 0,
+            view: ViewMark::default(),
             members: BTreeMap::new(),
             seeds,
             probes: Vec::new(),
@@ -56,9 +58,9 @@
         self.own.version += 1;
     }
 
-    /// Sets the configuration version that this host tells others.
-    pub fn set_config_version(&mut self, version: u64) {
-        self.config_version = version;
+    /// Sets how new a view this host tells others to have.
+    pub fn set_view(&mut self, view: ViewMark) {
+        self.view = view;
     }
 
     /// All known hosts but this one.
@@ -99,8 +101,8 @@
         if let Some(record) = self.members.get_mut(&sender.incarnation) {
             record.heard_at = Some(now);
         }
-        if message.config_version > self.config_version {
-            orders.push(TableOrder::FetchConfig(sender.address));
+        if self.view.is_behind(message.view) {
+            orders.push(TableOrder::FetchView(sender.address));
         }
         if message.digest != self.digest() && now >= self.next_compare {
             self.next_compare = now + COMPARE_PAUSE;
@@ -259,7 +261,7 @@
             sender: self.own,
             sequence,
             kind,
-            config_version: self.config_version,
+            view: self.view,
             digest: self.digest(),
             updates,
         }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod probe_message;
 mod probe_round;
 mod table_order;
+mod view_mark;
 
 pub use member_record::MemberRecord;
 pub use member_state::MemberState;
@@ -17,3 +18,4 @@
 pub use member_update::MemberUpdate;
 pub use probe_message::{ProbeKind, ProbeMessage};
 pub use table_order::TableOrder;
+pub use view_mark::ViewMark;
--- a/src/membership/probe_message.rs
+++ b/src/membership/probe_message.rs
@@ -1,4 +1,4 @@
-use super::MemberUpdate;
+use super::{MemberUpdate, ViewMark};
 use crate::keys::IncarnationId;
 use serde::{Deserialize, Serialize};
 
@@ -24,8 +24,8 @@
     pub sequence: u32,
     /// What the datagram is for.
     pub kind: ProbeKind,
-    /// Newest configuration version that the sender has in force.
-    pub config_version: u64,
+    /// How new the sender's view is.
+    pub view: ViewMark,
     /// Digest of the hosts that the sender believes in; a differing one calls for a comparison.
     pub digest: u64,
     /// News about others.
--- a/src/membership/table_order.rs
+++ b/src/membership/table_order.rs
@@ -7,8 +7,8 @@
 pub enum TableOrder {
     /// Send a datagram.
     Send(SocketAddr, ProbeMessage),
-    /// A host has a newer configuration: fetch it.
-    FetchConfig(SocketAddr),
+    /// A host has a newer view: fetch it.
+    FetchView(SocketAddr),
     /// A host believes in other hosts than this one: compare whole tables with it.
     Compare(SocketAddr),
     /// A host died: its claims lapse and its books move.
--- a/src/peers/datagram.rs
+++ b/src/peers/datagram.rs
@@ -1,16 +1,17 @@
 use super::proof::keyed_hash;
 use super::{decode, encode};
-use crate::membership::ProbeMessage;
 use crate::{Error, Result};
 use hmac::Mac;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 const TAG_BYTES: usize = 16;
 
-/// Encodes a probe and signs it with the shared key.
+/// Encodes a message and signs it with the shared key.
 ///
 /// # Errors
 /// If it cannot be encoded.
-pub fn seal_datagram(key: &str, message: &ProbeMessage) -> Result<Vec<u8>> {
+pub fn seal_datagram<T: Serialize>(key: &str, message: &T) -> Result<Vec<u8>> {
     let mut bytes = encode(message)?;
     let mut hash = keyed_hash(key);
     hash.update(&bytes);
@@ -22,7 +23,7 @@
 ///
 /// # Errors
 /// [`Error::Unproven`] if the signature is wrong.
-pub fn open_datagram(key: &str, bytes: &[u8]) -> Result<ProbeMessage> {
+pub fn open_datagram<T: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T> {
     let split = bytes.len().checked_sub(TAG_BYTES).ok_or(Error::Unproven)?;
     let (body, tag) = bytes.split_at(split);
     let mut hash = keyed_hash(key);
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -1,9 +1,11 @@
 use super::proof::prove_as_client;
-use super::{PeerReply, PeerRequest, decode, encode};
+use super::{decode, encode};
 use crate::keys::TimePoint;
 use crate::{Error, Result};
 use bytes::Bytes;
 use h2::client::SendRequest;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -55,18 +57,22 @@
     ///
     /// # Errors
     /// If there is no connection, no reply in time, or a broken one.
-    pub async fn call(
+    pub async fn call<Q: Serialize, R: DeserializeOwned>(
         &self,
         address: SocketAddr,
-        request: &PeerRequest,
+        request: &Q,
         limit: Duration,
-    ) -> Result<PeerReply> {
+    ) -> Result<R> {
         let bytes = encode(request)?;
         let exchange = self.exchange(address, bytes);
         tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)?
     }
 
-    async fn exchange(&self, address: SocketAddr, bytes: Vec<u8>) -> Result<PeerReply> {
+    async fn exchange<R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        bytes: Vec<u8>,
+    ) -> Result<R> {
         let sender = self.sender(address).await?;
         let mut sender = sender.ready().await?;
         let request = http::Request::post("http://peer/call")
--- a/src/peers/peer_server.rs
+++ b/src/peers/peer_server.rs
@@ -1,9 +1,11 @@
 use super::proof::prove_as_server;
-use super::{MESSAGE_LIMIT, PeerReply, PeerRequest, decode, encode};
+use super::{MESSAGE_LIMIT, decode, encode};
 use crate::{Error, Result};
 use bytes::{Bytes, BytesMut};
 use h2::RecvStream;
 use h2::server::SendResponse;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -11,8 +13,13 @@
 
 /// Handles requests of other daemons.
 pub trait PeerHandler: Send + Sync + 'static {
+    /// What other daemons ask.
+    type Request: DeserializeOwned + Send;
+    /// What they are answered.
+    type Reply: Serialize + Send + Sync;
+
     /// Answers one request; dropped when the other side gives the call up.
-    fn handle(self: Arc<Self>, request: PeerRequest) -> impl Future<Output = PeerReply> + Send;
+    fn handle(self: Arc<Self>, request: Self::Request) -> impl Future<Output = Self::Reply> + Send;
 }
 
 /// Serves peers until the listener fails.
@@ -63,7 +70,7 @@
     mut respond: SendResponse<Bytes>,
     handler: Arc<H>,
 ) -> Result<()> {
-    let request: PeerRequest = match read_body(body).await.and_then(|bytes| decode(&bytes)) {
+    let request: H::Request = match read_body(body).await.and_then(|bytes| decode(&bytes)) {
         Ok(request) => request,
         Err(error) => {
             log::warn!("event=peer_frame_refused cause=\"{error}\"");
--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -1,10 +1,11 @@
 //! Decodes the operator's configuration.
 
 use crate::routes::{
-    EngineSpec, RequestLimits, Route, RouteKind, RouteTable, RouteTarget, ServiceKey, ServiceSpec,
+    EngineSpec, RequestLimits, Route, RouteKind, RouteParts, RouteTarget, ServiceKey, ServiceSpec,
 };
 use crate::{Error, Result};
 use serde::Deserialize;
+use std::sync::Arc;
 use std::time::Duration;
 
 #[derive(Debug, Deserialize)]
@@ -72,12 +73,16 @@
 ///
 /// # Errors
 /// If a field is missing or of another type.
-pub fn decode_config(spec: &serde_json::Value) -> Result<RouteTable> {
+pub fn decode_config(spec: &serde_json::Value) -> Result<RouteParts> {
     let wire = WireConfig::deserialize(spec)?;
-    let routes = wire.routes.into_iter().map(Route::try_from).collect::<Result<Vec<_>>>()?;
-    let services = wire.services.into_iter().map(ServiceSpec::from).collect();
-    let limits = wire.limits.map_or_else(RequestLimits::default, RequestLimits::from);
-    Ok(RouteTable::new(wire.version, limits, routes, services))
+    let routes = wire.routes.into_iter().map(|route| Route::try_from(route).map(Arc::new));
+    let services = wire.services.into_iter().map(|service| Arc::new(service.into()));
+    Ok(RouteParts {
+        version: wire.version,
+        limits: wire.limits.map_or_else(RequestLimits::default, RequestLimits::from),
+        routes: routes.collect::<Result<Vec<_>>>()?,
+        services: services.collect(),
+    })
 }
 
 impl TryFrom<WireRoute> for Route {
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -167,7 +167,9 @@
         return false;
     }
     let named = headers.get_all("connection").iter().filter_map(|value| value.to_str().ok());
-    !named.flat_map(|list| list.split(',')).any(|item| item.trim().eq_ignore_ascii_case(name.as_str()))
+    !named
+        .flat_map(|list| list.split(','))
+        .any(|item| item.trim().eq_ignore_ascii_case(name.as_str()))
 }
 
 /// How a backend server's answer head reads.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -151,7 +151,12 @@
     ///
     /// # Errors
     /// If the store gave no proper answer in time.
-    pub async fn read(&self, kind: &str, name: &str, limit: Duration) -> Result<Option<StoreObject>> {
+    pub async fn read(
+        &self,
+        kind: &str,
+        name: &str,
+        limit: Duration,
+    ) -> Result<Option<StoreObject>> {
         let (status, body) = self.get(&format!("{kind}/{name}"), limit).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(None);
--- a/src/routes/mod.rs
+++ b/src/routes/mod.rs
@@ -7,5 +7,5 @@
 
 pub use request_limits::RequestLimits;
 pub use route::{Route, RouteKind, RouteTarget};
-pub use route_table::RouteTable;
+pub use route_table::{RouteParts, RouteTable};
 pub use service_spec::{EngineSpec, ServiceKey, ServiceSpec};
--- a/src/routes/request_limits.rs
+++ b/src/routes/request_limits.rs
@@ -1,7 +1,8 @@
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Bounds on what a caller may send, set by the operator.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestLimits {
     /// Most bytes of a request head.
     pub head_bytes: usize,
--- a/src/routes/route.rs
+++ b/src/routes/route.rs
@@ -1,9 +1,10 @@
 use super::ServiceKey;
 use crate::keys::stable_hash;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// What may be repeated on a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// A request may run more than once.
     Safe,
@@ -14,7 +15,7 @@
 }
 
 /// A service that a route sends a part of its requests to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteTarget {
     /// The service.
     pub service: ServiceKey,
@@ -23,7 +24,7 @@
 }
 
 /// One route of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, for logs and metrics.
     pub name: String,
--- a/src/routes/route_table.rs
+++ b/src/routes/route_table.rs
@@ -1,38 +1,60 @@
 use super::{RequestLimits, Route, ServiceKey, ServiceSpec};
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// One version of the configuration; versions only rise.
-#[derive(Debug, Clone, Default)]
-pub struct RouteTable {
+/// One version of the configuration, as hosts hand it to each other.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct RouteParts {
     /// Its version; zero before the first configuration.
     pub version: u64,
     /// Bounds on requests.
     pub limits: RequestLimits,
+    /// All routes.
+    pub routes: Vec<Arc<Route>>,
+    /// All services.
+    pub services: Vec<Arc<ServiceSpec>>,
+}
+
+/// One version of the configuration, ready to be looked up; versions only rise.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    parts: RouteParts,
     by_host: HashMap<String, Vec<Arc<Route>>>,
-    services: HashMap<ServiceKey, Arc<ServiceSpec>>,
+    by_key: HashMap<ServiceKey, Arc<ServiceSpec>>,
 }
 
-impl RouteTable {
-    /// A table of checked routes and services.
-    pub fn new(
-        version: u64,
-        limits: RequestLimits,
-        routes: Vec<Route>,
-        services: Vec<ServiceSpec>,
-    ) -> Self {
+impl From<RouteParts> for RouteTable {
+    fn from(parts: RouteParts) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        for route in routes {
-            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        for route in &parts.routes {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(Arc::clone(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let services = services
-            .into_iter()
-            .map(|service| (ServiceKey::of(&service.name), Arc::new(service)))
-            .collect();
-        Self { version, limits, by_host, services }
+        let keyed =
+            |service: &Arc<ServiceSpec>| (ServiceKey::of(&service.name), Arc::clone(service));
+        let by_key = parts.services.iter().map(keyed).collect();
+        Self { parts, by_host, by_key }
+    }
+}
+
+impl RouteTable {
+    /// Its version; zero before the first configuration.
+    pub fn version(&self) -> u64 {
+        self.parts.version
+    }
+
+    /// Bounds on requests.
+    pub fn limits(&self) -> RequestLimits {
+        self.parts.limits
+    }
+
+    /// What another host needs to have the same table.
+    pub fn parts(&self) -> &RouteParts {
+        &self.parts
     }
 
     /// The route with the longest prefix of `path` among those of `host`.
@@ -44,11 +66,11 @@
 
     /// A service by its key.
     pub fn service(&self, key: ServiceKey) -> Option<&Arc<ServiceSpec>> {
-        self.services.get(&key)
+        self.by_key.get(&key)
     }
 
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = (ServiceKey, &Arc<ServiceSpec>)> {
-        self.services.iter().map(|(key, service)| (*key, service))
+        self.by_key.iter().map(|(key, service)| (*key, service))
     }
 }
--- a/src/routes/service_spec.rs
+++ b/src/routes/service_spec.rs
@@ -1,11 +1,12 @@
 use crate::keys::NameKey;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Key of a service.
 pub type ServiceKey = NameKey;
 
 /// What the operator says of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Its name.
     pub name: String,
@@ -16,7 +17,7 @@
 }
 
 /// What the operator says of the model engines of a service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests that one engine works on at a time.
     pub slots: u32,
