Pools follow the work under a lease; requests stay in their domain

Change: WorkMeter keeps fading sums of reads and streams, hosts tell each other theirs, and the slope over all hosts gives what a request takes of each pool. StagePlanner moves a server when the split is off by 0.9 of one for long enough; OrderLease gives one host at a time the right, with a rising fence in the store; servers that change are told to all hosts, since they grant holds but run nothing.

--- a/src/fleet/server_entry.rs
+++ b/src/fleet/server_entry.rs
@@ -48,8 +48,6 @@
     pub stage: Option<ServerStage>,
     /// Requests that it works on at a time.
     pub slots: u32,
-    /// Orders that it has taken since its start.
-    pub orders_taken: u64,
 }
 
 impl ServerEntry {
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -186,7 +186,7 @@
     runs: &mut RunCount,
 ) -> Result<OpenRun, OpenFailure> {
     let mut room = find_room(context, engine, after).await?;
-    let mut prompt = match read_prompt(context).await {
+    let mut prompt = match read_prompt(context, room.keep.server.domain).await {
         PromptEnd::Read(keep) => Some(keep),
         PromptEnd::NoReader => None,
         PromptEnd::Failed => return Err(OpenFailure::NotRun(NotRunReason::PromptNotRead)),
@@ -236,6 +236,10 @@
     let part = DecodePart { source: None, hold: keep.name(), after_event: after };
     let opened = run_at(context, server, part, runs).await;
     keep.used();
+    if let Err(OpenFailure::TurnedAway(_)) = &opened {
+        // It turns everything away, as when it changes its stage; it granted a hold all the same.
+        context.host.note_health(server, |health, now| health.note_silence(now));
+    }
     let (head, reader, first) = opened?;
     Ok(OpenRun { server: server.clone(), head, reader, first, load })
 }
@@ -267,7 +271,8 @@
     let began = context.host.now();
     loop {
         let kind = ChoiceKind::DecodeMemory(engine.memory_tokens);
-        let ranked = context.host.ranked(context.service, Some(ServerStage::Decode), kind);
+        let near = context.host.domain();
+        let ranked = context.host.ranked(context.service, Some(ServerStage::Decode), kind, near);
         if ranked.is_empty() {
             return Err(OpenFailure::NotRun(NotRunReason::NoServer));
         }
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -3,6 +3,7 @@
 use super::caller_loop::FlightGuard;
 use super::engine_call::{OpenRun, RunCount, may_run_again, open_stream};
 use crate::Result;
+use crate::keys::TimePoint;
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
 use bytes::Bytes;
@@ -68,6 +69,7 @@
 ) {
     let mut record = RelayRecord { last: context.head.last_event, ..RelayRecord::default() };
     let server = run.server.id.clone();
+    let began = context.host.now();
     let end = relay_runs(&context, &engine, run, runs, &events, &mut record).await;
     if end != StreamEnd::Whole && end != StreamEnd::CallerLeft {
         // The HTTP library drops what it has not written when a body fails.
@@ -75,6 +77,9 @@
         // If the caller has just left, there is nobody to tell.
         drop(events.send(Err(StreamCut)).await);
     }
+    if end == StreamEnd::Whole {
+        note_work(&context, &engine, began, record.events);
+    }
     log_stream(&context, &server, end, &record);
     drop(flight);
 }
@@ -182,6 +187,15 @@
     }
 }
 
+/// A whole stream took its prompt and, on average, half of its answer.
+fn note_work(context: &CallContext, engine: &EngineSpec, began: TimePoint, events: u64) {
+    let made = u32::try_from(events).unwrap_or(u32::MAX).saturating_mul(engine.tokens_per_event);
+    let tokens = context.head.tokens.prompt.saturating_add(made / 2);
+    let now = context.host.now();
+    let took = now.since(began);
+    context.host.state().work.entry(context.service).or_default().note_stream(now, tokens, took);
+}
+
 fn log_stream(context: &CallContext, server: &str, end: StreamEnd, record: &RelayRecord) {
     let first = record.first_after.unwrap_or_default();
     let route = &context.route.name;
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -5,7 +5,7 @@
 use crate::membership::{MemberState, MemberTable, MemberUpdate, ViewMark};
 use crate::peers::PeerClient;
 use crate::placement::{
-    ChoiceKind, ChoiceView, LoadBoard, RetryWindow, ServerHealth, rank_servers,
+    ChoiceKind, ChoiceView, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums, rank_servers,
 };
 use crate::platform::StoreClient;
 use crate::routes::{RouteTable, ServiceKey};
@@ -45,6 +45,14 @@
     pub health: HashMap<ServerKey, ServerHealth>,
     /// Repeats of each service's requests.
     pub retries: HashMap<ServiceKey, RetryWindow>,
+    /// What an average request of each service takes.
+    pub work: HashMap<ServiceKey, WorkMeter>,
+    /// The same, as other hosts said and when.
+    pub heard_work: HashMap<(IncarnationId, ServiceKey), (TimePoint, WorkSums)>,
+    /// Servers that this host ordered to change their stage and that have not done so.
+    pub ordered: HashMap<ServerKey, ServerStage>,
+    /// Servers that some host said so of, and when.
+    pub changing: HashMap<ServerKey, TimePoint>,
     /// The other hosts.
     pub members: MemberTable,
     /// When the store last answered this host, or another one that this one heard of.
@@ -67,6 +75,21 @@
         self.store_heard_at = self.store_heard_at.max(now - age);
     }
 
+    /// What requests of a service took lately, over all hosts.
+    pub fn work_sums(&self, now: TimePoint, service: ServiceKey) -> WorkSums {
+        let own = self.work.get(&service).map(|meter| meter.sums(now)).unwrap_or_default();
+        self.heard_work
+            .iter()
+            .filter(|((_, of), (at, _))| *of == service && now.since(*at) < WORK_NEWS_LIFE)
+            .fold(own, |sum, (_, (_, sums))| sum.plus(*sums))
+    }
+
+    /// Whether the server changes its stage: it grants holds then, but runs nothing.
+    pub fn is_changing(&self, now: TimePoint, key: ServerKey) -> bool {
+        let heard = self.changing.get(&key).is_some_and(|at| now.since(*at) < CHANGE_NEWS_LIFE);
+        heard || self.ordered.contains_key(&key)
+    }
+
     /// Addresses of all hosts ever heard of, dead ones included: after a cut, hosts that believe
     /// each other dead still share what all of them may do together.
     fn host_count(&self) -> usize {
@@ -76,6 +99,11 @@
     }
 }
 
+/// What another host's requests took is believed this long after it last said so.
+const WORK_NEWS_LIFE: Duration = Duration::from_secs(5);
+/// News of a change of stage are repeated every second and believed this long.
+const CHANGE_NEWS_LIFE: Duration = Duration::from_millis(2500);
+
 /// Everything that one daemon on the platform knows.
 #[derive(Debug)]
 pub struct GatewayHost {
@@ -92,6 +120,7 @@
     pub(super) peers: PeerClient,
     pub(super) peers_address: SocketAddr,
     pub(super) socket: Arc<UdpSocket>,
+    pub(super) load_serial: AtomicU64,
     pub(super) fetching_view: AtomicBool,
     pub(super) routes_away: AtomicBool,
     pub(super) servers_away: AtomicBool,
@@ -122,6 +151,10 @@
             board: LoadBoard::default(),
             health: HashMap::new(),
             retries: HashMap::new(),
+            work: HashMap::new(),
+            heard_work: HashMap::new(),
+            ordered: HashMap::new(),
+            changing: HashMap::new(),
             members: MemberTable::new(own, seeds, rand::random()),
             store_heard_at: TimePoint::default(),
         };
@@ -136,6 +169,7 @@
             peers: PeerClient::new(&settings.shared_key),
             peers_address,
             socket,
+            load_serial: AtomicU64::new(1),
             fetching_view: AtomicBool::new(false),
             routes_away: AtomicBool::new(false),
             servers_away: AtomicBool::new(false),
@@ -215,12 +249,13 @@
         true
     }
 
-    /// Servers of a service from best to worst.
+    /// Servers of a service from best to worst, best near a failure domain.
     pub(super) fn ranked(
         &self,
         service: ServiceKey,
         stage: Option<ServerStage>,
         kind: ChoiceKind,
+        near: NameKey,
     ) -> Vec<ServerEntry> {
         let now = self.now();
         let salt = self.serials.fetch_add(1, Ordering::Relaxed);
@@ -228,7 +263,7 @@
         let view = ChoiceView {
             board: &state.board,
             health: &state.health,
-            domain: self.domain(),
+            near,
             salt: salt ^ self.incarnation.0,
         };
         let candidates = state
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -2,6 +2,7 @@
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::peer_loop::run_peers;
 use super::ready_server::{QuestionKind, serve_questions};
+use super::stage_loop::run_stages;
 use super::view_loop::run_view;
 use crate::Result;
 use crate::peers::serve_peers;
@@ -56,6 +57,7 @@
     tokio::spawn(serve_questions(ready_listener, Arc::clone(&host), QuestionKind::Ready));
     tokio::spawn(serve_questions(metrics_listener, Arc::clone(&host), QuestionKind::Metrics));
     tokio::spawn(run_view(Arc::clone(&host)));
+    tokio::spawn(run_stages(Arc::clone(&host)));
     log::info!(
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod plain_call;
 mod prompt_read;
 mod ready_server;
+mod stage_loop;
 mod view_loop;
 
 pub use gateway_host::GatewayHost;
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -100,10 +100,7 @@
             continue;
         }
         told = changes;
-        let news = GatewayDatagram::Load(host.own_load(round));
-        for target in host.load_targets(round) {
-            host.send(target, &news);
-        }
+        host.tell_load(LOAD_NEAR, LOAD_ABROAD);
     }
 }
 
@@ -144,6 +141,25 @@
         let mut state = self.state();
         state.board.hear(now, news.incarnation, news.version, news.loads.into_iter().collect());
         state.note_store_age(now, heard);
+        for (service, sums) in news.work {
+            state.heard_work.insert((news.incarnation, service), (now, sums));
+        }
+        for key in news.changing {
+            state.changing.insert(key, now);
+        }
+    }
+
+    /// Tells all hosts at once, as when a server begins to change its stage.
+    pub(super) fn tell_everyone(&self) {
+        self.tell_load(usize::MAX, usize::MAX);
+    }
+
+    fn tell_load(&self, most_near: usize, most_abroad: usize) {
+        let serial = self.load_serial.fetch_add(1, Ordering::Relaxed);
+        let news = GatewayDatagram::Load(self.own_load(serial));
+        for target in self.load_targets(serial, most_near, most_abroad) {
+            self.send(target, &news);
+        }
     }
 
     fn own_load(&self, version: u64) -> LoadNews {
@@ -153,12 +169,14 @@
             incarnation: self.incarnation,
             version,
             store_age_ms: u32::try_from(state.store_age(now).as_millis()).unwrap_or(u32::MAX),
+            work: state.work.iter().map(|(key, meter)| (*key, meter.sums(now))).collect(),
+            changing: state.ordered.keys().copied().collect(),
             loads: state.board.own().collect(),
         }
     }
 
     /// Some hosts of the own failure domain and fewer of others, other ones each round.
-    fn load_targets(&self, round: u64) -> Vec<SocketAddr> {
+    fn load_targets(&self, round: u64, most_near: usize, most_abroad: usize) -> Vec<SocketAddr> {
         let salt = mix_hash(self.incarnation.0, round);
         let state = self.state();
         let mut living: Vec<MemberUpdate> = state
@@ -170,8 +188,8 @@
         living.sort_by_key(|update| mix_hash(salt, update.incarnation.0));
         let (near, abroad): (Vec<_>, Vec<_>) =
             living.into_iter().partition(|update| update.domain == self.domain());
-        let near = near.into_iter().take(LOAD_NEAR);
-        near.chain(abroad.into_iter().take(LOAD_ABROAD)).map(|update| update.address).collect()
+        let near = near.into_iter().take(most_near);
+        near.chain(abroad.into_iter().take(most_abroad)).map(|update| update.address).collect()
     }
 
     /// Tells a few hosts at once that this one has a newer view.
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -1,8 +1,8 @@
 use crate::fleet::FleetNews;
 use crate::keys::{IncarnationId, ServerKey};
 use crate::membership::{MemberUpdate, ProbeMessage};
-use crate::placement::ServerLoad;
-use crate::routes::RouteParts;
+use crate::placement::{ServerLoad, WorkSums};
+use crate::routes::{RouteParts, ServiceKey};
 use serde::{Deserialize, Serialize};
 
 /// A datagram between daemons on the platform.
@@ -23,6 +23,10 @@
     pub version: u64,
     /// Milliseconds since the store last answered the sender, or a host that it heard of.
     pub store_age_ms: u32,
+    /// Servers that it ordered to change their stage and that have not done so.
+    pub changing: Vec<ServerKey>,
+    /// What requests of each service took of it lately.
+    pub work: Vec<(ServiceKey, WorkSums)>,
     /// Its work at each server where it has any.
     pub loads: Vec<(ServerKey, ServerLoad)>,
 }
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -82,7 +82,8 @@
     if spent || context.left().is_zero() {
         return None;
     }
-    let ranked = context.host.ranked(context.service, None, ChoiceKind::Requests);
+    let ranked =
+        context.host.ranked(context.service, None, ChoiceKind::Requests, context.host.domain());
     let untried = ranked.into_iter().find(|server| !record.tried.contains(&server.key()))?;
     let repeat = record.sent > 0;
     if repeat && !context.host.take_repeats(context.service, 1) {
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -3,6 +3,7 @@
 use super::load_guard::LoadGuard;
 use crate::engines::SendLimits;
 use crate::fleet::{ServerEntry, ServerStage};
+use crate::keys::NameKey;
 use crate::placement::{ChoiceKind, ServerLoad};
 use crate::platform::{CallPart, PrefillResult, decode_body, read_answer};
 use crate::{Error, Result};
@@ -28,10 +29,10 @@
     Failed,
 }
 
-/// Has the prompt read by a prefill server.
-pub(super) async fn read_prompt(context: &CallContext) -> PromptEnd {
+/// Has the prompt read by a prefill server, best in the failure domain of its decode server.
+pub(super) async fn read_prompt(context: &CallContext, near: NameKey) -> PromptEnd {
     let kind = ChoiceKind::PromptQueue(FULL_QUEUE_TOKENS);
-    let ranked = context.host.ranked(context.service, Some(ServerStage::Prefill), kind);
+    let ranked = context.host.ranked(context.service, Some(ServerStage::Prefill), kind, near);
     if ranked.is_empty() {
         return PromptEnd::NoReader;
     }
@@ -63,10 +64,14 @@
     let _load = LoadGuard::new(&context.host, server.key(), load);
     context.host.note_health(server, |health, now| health.note_sent(now));
     let limit = READ_LIMIT.min(context.left());
+    let began = context.host.now();
     let exchange = ask_reader(context, server, limit);
     let read = tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)??;
     if read.is_some() {
         context.host.note_health(server, |health, now| health.note_success(now));
+        let now = context.host.now();
+        let took = now.since(began);
+        context.host.state().work.entry(context.service).or_default().note_read(now, tokens, took);
     }
     Ok(read)
 }
--- /dev/null
+++ b/src/gateway/stage_loop.rs
@@ -0,0 +1,239 @@
+//! Moves servers between the pools of a service: one host decides, under a lease in the store.
+
+use super::engine_hold::call_engine;
+use super::gateway_host::{GatewayHost, GatewayState, StopPhase};
+use crate::fleet::{ServerEntry, ServerStage};
+use crate::keys::{ServerKey, TimePoint};
+use crate::orders::{OrderLease, PoolSizes, StagePlanner};
+use crate::placement::rendezvous_owner;
+use crate::platform::{
+    EngineReport, LEASE_OBJECT, StageOrder, StoreWrite, decode_lease, decode_report, encode_lease,
+    report_call, stage_call,
+};
+use crate::routes::{EngineSpec, ServiceKey};
+use crate::{Error, Result};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+const STORE_LIMIT: Duration = Duration::from_millis(700);
+const ENGINE_LIMIT: Duration = Duration::from_millis(300);
+/// An order without effect is forgotten this long after the change should have been done: late
+/// ones are carried out up to 12 s later.
+const ORDER_MEMORY: Duration = Duration::from_secs(13);
+/// What the host that gives orders is elected for.
+const STAGE_ORDERS: u64 = 0x5374_6167;
+
+/// Servers that were ordered to change, until they have or the order is forgotten.
+type OpenOrders = HashMap<ServerKey, (ServerStage, TimePoint)>;
+
+#[derive(Debug, Default)]
+struct StageDesk {
+    lease: OrderLease,
+    planners: HashMap<ServiceKey, StagePlanner>,
+    open: OpenOrders,
+}
+
+/// A change that should be ordered.
+#[derive(Debug)]
+struct PlannedChange {
+    service: ServiceKey,
+    engine: EngineSpec,
+    server: ServerEntry,
+    to: ServerStage,
+}
+
+/// Looks now and then whether the pools fit the work.
+pub(super) async fn run_stages(host: Arc<GatewayHost>) {
+    let mut ticker = tokio::time::interval(LOOK_PERIOD);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut desk = StageDesk::default();
+    loop {
+        ticker.tick().await;
+        if !host.gives_orders() {
+            desk = StageDesk::default();
+            host.state().ordered.clear();
+            continue;
+        }
+        for change in host.plan_changes(&mut desk) {
+            if let Err(error) = host.order_change(&mut desk, &change).await {
+                let (server, to) = (&change.server.id, change.to.name());
+                log::info!("event=stage_not_ordered server={server} to={to} cause=\"{error}\"");
+                let planner = desk.planners.entry(change.service).or_default();
+                planner.note_tried(host.now());
+            }
+        }
+    }
+}
+
+impl GatewayHost {
+    /// Whether this host is the one that gives orders.
+    fn gives_orders(&self) -> bool {
+        if self.stop_phase() != StopPhase::Serving {
+            return false;
+        }
+        let owner = rendezvous_owner(STAGE_ORDERS, self.state().members.living());
+        owner.is_some_and(|member| member.incarnation == self.incarnation)
+    }
+
+    fn plan_changes(&self, desk: &mut StageDesk) -> Vec<PlannedChange> {
+        let now = self.now();
+        let mut state = self.state();
+        let state = &mut *state;
+        desk.open.retain(|key, (stage, at)| {
+            let there = state.fleet.entry(*key).is_some_and(|entry| entry.stage != Some(*stage));
+            there && now.since(*at) < ORDER_MEMORY
+        });
+        state.ordered.retain(|key, _| desk.open.contains_key(key));
+        let mut changes = Vec::new();
+        for (service, spec) in state.routes.services() {
+            let Some(engine) = &spec.engine else { continue };
+            let sums = state.work_sums(now, service);
+            let Some(work) = sums.request_work(engine.memory_tokens) else { continue };
+            let sizes = pool_sizes(state, now, service, &desk.open);
+            let planner = desk.planners.entry(service).or_default();
+            let Some(to) = planner.decide(now, sizes, work) else { continue };
+            if let Some(server) = best_to_change(state, now, service, to, &desk.open) {
+                log::info!(
+                    "event=stage_planned server={} to={} prefills={} decodes={} read_s={:.3} \
+                     decode_s={:.3}",
+                    server.id,
+                    to.name(),
+                    sizes.prefills,
+                    sizes.decodes,
+                    work.read_seconds,
+                    work.decode_seconds
+                );
+                changes.push(PlannedChange { service, engine: engine.clone(), server, to });
+            }
+        }
+        changes
+    }
+
+    async fn order_change(&self, desk: &mut StageDesk, change: &PlannedChange) -> Result<()> {
+        if desk.lease.is_waiting(self.now()) {
+            return Err(Error::Refused("the last holder's lease has not passed".to_owned()));
+        }
+        let report = self.ask_report(&change.server).await?;
+        if report.busy || report.stage == Some(change.to) {
+            return Err(Error::Refused("it changes already".to_owned()));
+        }
+        self.renew_lease(&mut desk.lease).await?;
+        let Some(fence) = desk.lease.fence(self.now()) else {
+            return Err(Error::Refused("no lease".to_owned()));
+        };
+        let order = StageOrder {
+            stage: change.to,
+            holder: &self.settings.host,
+            fence,
+            orders_taken: report.orders_taken,
+        };
+        let now = self.now();
+        desk.open.insert(change.server.key(), (change.to, now + change.engine.stage_change));
+        desk.planners.entry(change.service).or_default().note_tried(now);
+        let call = stage_call(&change.server, &order);
+        let answer = call_engine(self, &change.server, call, ENGINE_LIMIT).await;
+        let (server, to) = (&change.server.id, change.to.name());
+        match answer {
+            Ok((status, _)) => {
+                log::info!(
+                    "event=stage_ordered server={server} to={to} fence={fence} answer={status}"
+                );
+                if status.is_success() {
+                    self.state().ordered.insert(change.server.key(), change.to);
+                    self.tell_everyone();
+                } else {
+                    desk.open.remove(&change.server.key());
+                }
+            }
+            // It may have been taken, or may be carried out later: the open order stays.
+            Err(error) => {
+                log::info!(
+                    "event=stage_ordered server={server} to={to} fence={fence} cause=\"{error}\""
+                );
+            }
+        }
+        Ok(())
+    }
+
+    async fn ask_report(&self, server: &ServerEntry) -> Result<EngineReport> {
+        let (status, body) = call_engine(self, server, report_call(server), ENGINE_LIMIT).await?;
+        if !status.is_success() {
+            return Err(Error::Refused(format!("the engine answered {status} to a report")));
+        }
+        decode_report(&body)
+    }
+
+    /// Writes the next fence into the store.
+    async fn renew_lease(&self, lease: &mut OrderLease) -> Result<()> {
+        let (kind, name) = LEASE_OBJECT;
+        let object = self.store.read(kind, name, STORE_LIMIT).await?;
+        let held = object.as_ref().map(|object| decode_lease(&object.spec)).transpose()?;
+        let record = OrderLease::next_record(held.as_ref(), &self.settings.host);
+        let expected = object.map(|object| object.revision);
+        let sent_at = self.now();
+        let spec = encode_lease(&record);
+        let written = self.store.write(kind, name, expected, &spec, STORE_LIMIT).await;
+        match written {
+            StoreWrite::Written(_) => {
+                let now = self.now();
+                lease.note_written(sent_at, now, held.as_ref(), &record, self.settings.lease);
+                Ok(())
+            }
+            StoreWrite::Conflict => Err(Error::Refused("another host holds the lease".to_owned())),
+            StoreWrite::Refused => Err(Error::Refused("the store refused the lease".to_owned())),
+            StoreWrite::Lost => Err(Error::Timeout),
+        }
+    }
+}
+
+/// Servers of each pool; one that is changing counts for where it goes.
+fn pool_sizes(
+    state: &GatewayState,
+    now: TimePoint,
+    service: ServiceKey,
+    open: &OpenOrders,
+) -> PoolSizes {
+    let mut sizes = PoolSizes { prefills: 0, decodes: 0 };
+    for entry in state.fleet.ready(service).filter(|entry| takes_work(state, now, entry)) {
+        match open.get(&entry.key()).map_or(entry.stage, |(stage, _)| Some(*stage)) {
+            Some(ServerStage::Prefill) => sizes.prefills += 1,
+            Some(ServerStage::Decode) => sizes.decodes += 1,
+            None => {}
+        }
+    }
+    sizes
+}
+
+fn takes_work(state: &GatewayState, now: TimePoint, entry: &ServerEntry) -> bool {
+    state.health.get(&entry.key()).is_none_or(|health| health.admits(now))
+}
+
+/// The server of the other stage with the least work, best where its stage is most common.
+fn best_to_change(
+    state: &GatewayState,
+    now: TimePoint,
+    service: ServiceKey,
+    to: ServerStage,
+    open: &OpenOrders,
+) -> Option<ServerEntry> {
+    let from = match to {
+        ServerStage::Decode => ServerStage::Prefill,
+        ServerStage::Prefill => ServerStage::Decode,
+    };
+    let candidates: Vec<&ServerEntry> = state
+        .fleet
+        .ready_at(service, from)
+        .filter(|entry| !open.contains_key(&entry.key()) && takes_work(state, now, entry))
+        .collect();
+    let near = |entry: &ServerEntry| {
+        candidates.iter().filter(|other| other.domain == entry.domain).count()
+    };
+    let work = |entry: &ServerEntry| {
+        let load = state.board.total(now, entry.key());
+        load.memory_tokens + load.prompt_tokens
+    };
+    let best = candidates.iter().min_by_key(|entry| (std::cmp::Reverse(near(entry)), work(entry)));
+    best.map(|entry| (*entry).clone())
+}
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -73,18 +73,20 @@
         self.members.get(&incarnation)
     }
 
-    /// Hosts of `domain` that may own things: alive or merely suspected, this host included.
-    pub fn owners(&self, domain: NameKey) -> impl Iterator<Item = (u64, MemberUpdate)> {
+    /// Hosts that may own things: alive or merely suspected, this host included.
+    pub fn living(&self) -> impl Iterator<Item = (u64, MemberUpdate)> {
         let others = self.members.values().map(|record| record.update);
         std::iter::once(self.own)
             .chain(others)
-            .filter(move |update| {
-                update.domain == domain
-                    && matches!(update.state, MemberState::Alive | MemberState::Suspect)
-            })
+            .filter(|update| matches!(update.state, MemberState::Alive | MemberState::Suspect))
             .map(|update| (update.incarnation.0, update))
     }
 
+    /// Those of them in `domain`.
+    pub fn owners(&self, domain: NameKey) -> impl Iterator<Item = (u64, MemberUpdate)> {
+        self.living().filter(move |(_, update)| update.domain == domain)
+    }
+
     /// All news for a host that joins or compares notes.
     pub fn full_news(&self) -> Vec<MemberUpdate> {
         std::iter::once(self.own).chain(self.members.values().map(|r| r.update)).collect()
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -4,7 +4,11 @@
 //! or the rule that forbids one.
 
 mod order_desk;
+mod order_lease;
 mod orphan_sweep;
+mod stage_planner;
 
 pub use order_desk::{OrderDesk, ServerOrder, ServerView};
+pub use order_lease::{LeaseRecord, OrderLease};
 pub use orphan_sweep::OrphanSweep;
+pub use stage_planner::{PoolSizes, StagePlanner, wanted_prefills};
--- /dev/null
+++ b/src/orders/stage_planner.rs
@@ -0,0 +1,86 @@
+use crate::fleet::ServerStage;
+use crate::keys::TimePoint;
+use crate::placement::RequestWork;
+use std::time::Duration;
+
+/// Prefill gets this much more than its share of the work: its queue must stay short for the first
+/// event to be in time, while a full decode pool only refuses.
+const PREFILL_MARGIN: f64 = 1.12;
+/// Prefill servers beyond those wanted before one is given away.
+const SURPLUS_STEP: f64 = 0.9;
+/// Prefill servers below those wanted before one is taken back: less than that, decode servers
+/// that read prompts themselves make up for.
+const LACK_STEP: f64 = 0.9;
+/// Prefill servers that stay in any case, so that one may be lost.
+const LEAST_PREFILLS: usize = 2;
+/// Decode servers that stay in any case.
+const LEAST_DECODES: usize = 2;
+/// How long a surplus of prefill servers must last: a change costs a server for several seconds.
+const SURPLUS_DWELL: Duration = Duration::from_millis(1500);
+/// How long a lack must last: servers that crashed are mostly back in two to five seconds.
+const LACK_DWELL: Duration = Duration::from_millis(4500);
+/// Pause between two changes of a service, so that the first shows its effect.
+const CHANGE_PAUSE: Duration = Duration::from_secs(3);
+
+/// How many servers each pool of a service has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolSizes {
+    /// Prefill servers that take work.
+    pub prefills: usize,
+    /// Decode servers that take work.
+    pub decodes: usize,
+}
+
+/// Decides when a server of a service should change its stage.
+#[derive(Debug, Clone, Default)]
+pub struct StagePlanner {
+    off_since: Option<(ServerStage, TimePoint)>,
+    changed_at: Option<TimePoint>,
+}
+
+/// Prefill servers that a service should have for both pools to be loaded alike, as a fraction.
+pub fn wanted_prefills(sizes: PoolSizes, work: RequestWork) -> f64 {
+    let total = sizes.prefills + sizes.decodes;
+    let whole = work.read_seconds + work.decode_seconds;
+    if whole <= 0.0 || total < LEAST_PREFILLS + LEAST_DECODES {
+        return sizes.prefills as f64;
+    }
+    let wanted = work.read_seconds / whole * PREFILL_MARGIN * total as f64;
+    wanted.clamp(LEAST_PREFILLS as f64, (total - LEAST_DECODES) as f64)
+}
+
+impl StagePlanner {
+    /// The stage that one server should change to, if any.
+    ///
+    /// A change must bring the pools nearer to what is wanted by a clear step, or the next one
+    /// would undo it.
+    pub fn decide(
+        &mut self,
+        now: TimePoint,
+        sizes: PoolSizes,
+        work: RequestWork,
+    ) -> Option<ServerStage> {
+        let surplus = sizes.prefills as f64 - wanted_prefills(sizes, work);
+        let (to, dwell) = if surplus >= SURPLUS_STEP {
+            (ServerStage::Decode, SURPLUS_DWELL)
+        } else if surplus <= -LACK_STEP || sizes.prefills == 0 {
+            (ServerStage::Prefill, LACK_DWELL)
+        } else {
+            self.off_since = None;
+            return None;
+        };
+        let since = match self.off_since {
+            Some((stage, since)) if stage == to => since,
+            _ => now,
+        };
+        self.off_since = Some((to, since));
+        let rested = self.changed_at.is_none_or(|at| now.since(at) >= CHANGE_PAUSE);
+        (rested && now.since(since) >= dwell).then_some(to)
+    }
+
+    /// A change was ordered, or could not be.
+    pub fn note_tried(&mut self, now: TimePoint) {
+        self.changed_at = Some(now);
+        self.off_since = None;
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -25,6 +25,7 @@
 mod slot_book;
 mod slot_entry;
 mod waste_ledger;
+mod work_meter;
 
 pub use health_gate::HealthGate;
 pub use length_model::LengthModel;
@@ -48,3 +49,4 @@
 pub use slot_book::SlotBook;
 pub use slot_entry::{SlotClaim, SlotEntry, SlotUse};
 pub use waste_ledger::{WasteCause, WasteLedger};
+pub use work_meter::{RequestWork, WorkMeter, WorkSums};
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -3,9 +3,9 @@
 use crate::keys::{NameKey, ServerKey, TimePoint, mix_hash};
 use std::collections::HashMap;
 
-/// Another failure domain counts like this part of a full server: its bytes are priced, and memory
-/// moves take twice as long.
-const ABROAD: f64 = 0.08;
+/// Another failure domain counts like this part of a full server: what runs there is lost when the
+/// domains are cut apart, its bytes are priced, and memory moves take twice as long.
+const ABROAD: f64 = 0.3;
 /// Spreads equal choices of several hosts, as a part of a full server.
 const JITTER: f64 = 0.06;
 /// A server that only errs counts like this many full ones.
@@ -31,8 +31,8 @@
     pub board: &'a LoadBoard,
     /// Health of each server that was used.
     pub health: &'a HashMap<ServerKey, ServerHealth>,
-    /// This host's failure domain.
-    pub domain: NameKey,
+    /// The failure domain that the server should be in.
+    pub near: NameKey,
     /// Differs between requests and hosts.
     pub salt: u64,
 }
@@ -59,7 +59,7 @@
         ChoiceKind::PromptQueue(tokens) => part(load.prompt_tokens, tokens),
         ChoiceKind::Requests => part(load.requests, server.slots),
     };
-    let abroad = if server.domain == view.domain { 0.0 } else { ABROAD };
+    let abroad = if server.domain == view.near { 0.0 } else { ABROAD };
     let jitter = mix_hash(view.salt, key.0) as f64 / u64::MAX as f64 * JITTER;
     let health = view.health.get(&key);
     let errors = health.map_or(0.0, |health| health.error_share(now)) * ERRORS;
--- /dev/null
+++ b/src/placement/work_meter.rs
@@ -0,0 +1,130 @@
+use crate::keys::TimePoint;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Requests count half after this time, so that the means follow the traffic.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+/// Requests of each kind before the means are believed; fewer leave the slope of reads to chance.
+const LEAST_SAMPLES: f64 = 40.0;
+/// Least part of a read's mean pace that is believed to be its own work.
+const LEAST_SLOPE: f64 = 0.3;
+/// Part of a decode server's memory that running answers can fill, since each needs room for its
+/// whole length when it is admitted. Measured on the users' bench: about 0.85 at full load.
+const MEMORY_FILL: f64 = 0.85;
+
+/// Sums over the requests that ended lately; those of several hosts add up.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct WorkSums {
+    reads: f64,
+    prompt_tokens: f64,
+    prompt_squares: f64,
+    read_seconds: f64,
+    /// Sum of prompt tokens times seconds of their read.
+    read_products: f64,
+    streams: f64,
+    /// Sum of memory tokens times seconds of their stream.
+    memory_seconds: f64,
+}
+
+/// What an average request takes of each pool.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RequestWork {
+    /// Seconds of one prefill server.
+    pub read_seconds: f64,
+    /// Seconds of the whole memory of one decode server.
+    pub decode_seconds: f64,
+}
+
+/// One host's sums, fading with time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WorkMeter {
+    sums: WorkSums,
+    faded_at: TimePoint,
+}
+
+impl WorkMeter {
+    /// A prompt of `tokens` was read in `took`.
+    pub fn note_read(&mut self, now: TimePoint, tokens: u32, took: Duration) {
+        self.fade(now);
+        let (tokens, seconds) = (f64::from(tokens), took.as_secs_f64());
+        self.sums.reads += 1.0;
+        self.sums.prompt_tokens += tokens;
+        self.sums.prompt_squares += tokens * tokens;
+        self.sums.read_seconds += seconds;
+        self.sums.read_products += tokens * seconds;
+    }
+
+    /// A stream ended that took `tokens` of memory on average, for `took`.
+    pub fn note_stream(&mut self, now: TimePoint, tokens: u32, took: Duration) {
+        self.fade(now);
+        self.sums.streams += 1.0;
+        self.sums.memory_seconds += f64::from(tokens) * took.as_secs_f64();
+    }
+
+    /// The sums as they stand.
+    pub fn sums(&self, now: TimePoint) -> WorkSums {
+        let mut faded = *self;
+        faded.fade(now);
+        faded.sums
+    }
+
+    fn fade(&mut self, now: TimePoint) {
+        let halves = now.since(self.faded_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.sums = self.sums.times(0.5_f64.powf(halves));
+        self.faded_at = now;
+    }
+}
+
+impl WorkSums {
+    /// The sums of two hosts together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            reads: self.reads + other.reads,
+            prompt_tokens: self.prompt_tokens + other.prompt_tokens,
+            prompt_squares: self.prompt_squares + other.prompt_squares,
+            read_seconds: self.read_seconds + other.read_seconds,
+            read_products: self.read_products + other.read_products,
+            streams: self.streams + other.streams,
+            memory_seconds: self.memory_seconds + other.memory_seconds,
+        }
+    }
+
+    /// What an average request takes, once enough have ended.
+    pub fn request_work(&self, memory_tokens: u32) -> Option<RequestWork> {
+        if self.reads < LEAST_SAMPLES || self.streams < LEAST_SAMPLES {
+            return None;
+        }
+        let prompt = self.prompt_tokens / self.reads;
+        let memory = f64::from(memory_tokens.max(1)) * MEMORY_FILL;
+        Some(RequestWork {
+            read_seconds: self.seconds_per_token() * prompt,
+            decode_seconds: self.memory_seconds / self.streams / memory,
+        })
+    }
+
+    /// How much longer a read takes for each token more: what all reads wait for alike, as queues
+    /// and fixed costs, takes no server's time away from others.
+    fn seconds_per_token(&self) -> f64 {
+        let (tokens, seconds) = (self.prompt_tokens / self.reads, self.read_seconds / self.reads);
+        let variance = self.prompt_squares / self.reads - tokens * tokens;
+        let covariance = self.read_products / self.reads - tokens * seconds;
+        let whole = seconds / tokens.max(1.0);
+        if variance <= 0.0 {
+            return whole;
+        }
+        (covariance / variance).clamp(whole * LEAST_SLOPE, whole)
+    }
+
+    fn times(self, part: f64) -> Self {
+        Self {
+            reads: self.reads * part,
+            prompt_tokens: self.prompt_tokens * part,
+            prompt_squares: self.prompt_squares * part,
+            read_seconds: self.read_seconds * part,
+            read_products: self.read_products * part,
+            streams: self.streams * part,
+            memory_seconds: self.memory_seconds * part,
+        }
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 mod config_wire;
 mod engine_messages;
+mod lease_wire;
 mod names;
 mod object_client;
 mod request_wire;
@@ -17,6 +18,7 @@
     EngineReport, HoldGrant, PrefillResult, StageOrder, decode_body, decode_report,
     handle_drop_call, hold_call, hold_drop_call, report_call, stage_call,
 };
+pub use lease_wire::{LEASE_OBJECT, decode_lease, encode_lease};
 pub use names::READY_PATH;
 pub use object_client::{ObjectClient, StoredObject, WriteOutcome};
 pub use request_wire::{
--- a/src/platform/server_wire.rs
+++ b/src/platform/server_wire.rs
@@ -22,9 +22,6 @@
     #[serde(default)]
     state: String,
     stage: Option<String>,
-    /// Orders taken; not the heartbeat's number, which shares the name on other platforms.
-    #[serde(default)]
-    seq: u64,
 }
 
 /// Decodes one server's entry.
@@ -44,7 +41,6 @@
         state: if wire.state == "draining" { ServerState::Draining } else { ServerState::Ready },
         stage: wire.stage.as_deref().and_then(decode_stage),
         slots: wire.slots,
-        orders_taken: wire.seq,
     })
 }
 
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -21,7 +21,6 @@
         state,
         stage: None,
         slots: 4,
-        orders_taken: 0,
     }
 }
 
--- /dev/null
+++ b/tests/stage_orders.rs
@@ -0,0 +1,137 @@
+//! Pools that follow the work: what is wanted, when a change is ordered, and who may order.
+
+use rstest::rstest;
+use std::time::Duration;
+use tealcleat::fleet::ServerStage;
+use tealcleat::keys::TimePoint;
+use tealcleat::orders::{LeaseRecord, OrderLease, PoolSizes, StagePlanner, wanted_prefills};
+use tealcleat::placement::{RequestWork, WorkMeter};
+
+const LEASE: Duration = Duration::from_secs(3);
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+fn work(read_seconds: f64, decode_seconds: f64) -> RequestWork {
+    RequestWork { read_seconds, decode_seconds }
+}
+
+fn sizes(prefills: usize, decodes: usize) -> PoolSizes {
+    PoolSizes { prefills, decodes }
+}
+
+#[rstest]
+#[case::by_share(sizes(5, 7), work(0.1, 0.25), 3.84)]
+#[case::never_below_two(sizes(4, 8), work(0.001, 1.0), 2.0)]
+#[case::never_without_decode(sizes(4, 8), work(1.0, 0.001), 10.0)]
+#[case::too_few_servers(sizes(1, 2), work(0.1, 0.1), 1.0)]
+#[case::nothing_measured(sizes(3, 9), work(0.0, 0.0), 3.0)]
+fn wanted_prefills_follow(
+    #[case] sizes: PoolSizes,
+    #[case] work: RequestWork,
+    #[case] expected: f64,
+) {
+    let wanted = wanted_prefills(sizes, work);
+    assert!((wanted - expected).abs() < 0.01, "{wanted}");
+}
+
+#[test]
+fn surplus_given_away_after_its_dwell() {
+    let mut planner = StagePlanner::default();
+    let work = work(0.1, 0.25);
+    assert_eq!(planner.decide(at(0), sizes(5, 7), work), None);
+    assert_eq!(planner.decide(at(1400), sizes(5, 7), work), None);
+    assert_eq!(planner.decide(at(1600), sizes(5, 7), work), Some(ServerStage::Decode));
+}
+
+#[test]
+fn crashed_prefill_servers_may_return_first() {
+    let mut planner = StagePlanner::default();
+    let work = work(0.1, 0.25);
+    assert_eq!(planner.decide(at(0), sizes(2, 8), work), None);
+    assert_eq!(planner.decide(at(4000), sizes(2, 8), work), None);
+    assert_eq!(planner.decide(at(4100), sizes(4, 8), work), None);
+    assert_eq!(planner.decide(at(4600), sizes(2, 8), work), None, "a lack that begins again");
+    assert_eq!(planner.decide(at(9200), sizes(2, 8), work), Some(ServerStage::Prefill));
+}
+
+#[test]
+fn change_rests_before_the_next() {
+    let mut planner = StagePlanner::default();
+    let work = work(0.1, 0.25);
+    planner.note_tried(at(0));
+    assert_eq!(planner.decide(at(100), sizes(6, 6), work), None);
+    assert_eq!(planner.decide(at(2500), sizes(6, 6), work), None);
+    assert_eq!(planner.decide(at(3100), sizes(6, 6), work), Some(ServerStage::Decode));
+}
+
+#[test]
+fn small_difference_left_alone() {
+    let mut planner = StagePlanner::default();
+    for second in 0..30 {
+        let decided = planner.decide(at(second * 1000), sizes(4, 8), work(0.1, 0.25));
+        assert_eq!(decided, None);
+    }
+}
+
+#[test]
+fn reads_split_into_work_and_waiting() {
+    let mut meter = WorkMeter::default();
+    for read in 0..200_u32 {
+        let tokens = 1000 + read * 20;
+        // 30 microseconds a token, and 80 ms that every read waits alike.
+        let took = Duration::from_micros(80_000 + u64::from(tokens) * 30);
+        meter.note_read(at(u64::from(read)), tokens, took);
+        meter.note_stream(at(u64::from(read)), 4000, Duration::from_secs(3));
+    }
+    let work = meter.sums(at(200)).request_work(40_000).expect("enough ended");
+    assert!((work.read_seconds - 0.0897).abs() < 0.002, "{work:?}");
+    assert!((work.decode_seconds - 0.3 / 0.85).abs() < 0.001, "{work:?}");
+}
+
+#[test]
+fn few_requests_believed_by_nobody() {
+    let mut meter = WorkMeter::default();
+    for read in 0..10 {
+        meter.note_read(at(read), 1000, Duration::from_millis(50));
+        meter.note_stream(at(read), 4000, Duration::from_secs(3));
+    }
+    assert!(meter.sums(at(10)).request_work(40_000).is_none());
+}
+
+#[test]
+fn first_holder_orders_at_once_and_not_for_long() {
+    let mut lease = OrderLease::default();
+    let record = OrderLease::next_record(None, "a");
+    lease.note_written(at(0), at(10), None, &record, LEASE);
+    assert_eq!(lease.fence(at(500)), Some(1));
+    assert_eq!(lease.fence(at(1100)), None, "counted from when the write was sent");
+}
+
+#[test]
+fn takeover_waits_for_the_last_holder() {
+    let mut lease = OrderLease::default();
+    let held = LeaseRecord { holder: "a".to_owned(), fence: 7 };
+    let record = OrderLease::next_record(Some(&held), "b");
+    assert_eq!(record.fence, 8);
+    lease.note_written(at(0), at(10), Some(&held), &record, LEASE);
+    assert_eq!(lease.fence(at(20)), None);
+    assert!(lease.is_waiting(at(4400)));
+    assert!(!lease.is_waiting(at(4600)), "1 s of orders, the lease, and a margin have passed");
+    let next = OrderLease::next_record(Some(&record), "b");
+    lease.note_written(at(4600), at(4610), Some(&record), &next, LEASE);
+    assert_eq!(lease.fence(at(4700)), Some(9));
+}
+
+/// A second takeover in between: the wait begins anew for who comes back.
+#[test]
+fn former_holder_that_returns_waits_too() {
+    let mut lease = OrderLease::default();
+    let first = OrderLease::next_record(None, "a");
+    lease.note_written(at(0), at(10), None, &first, LEASE);
+    let other = OrderLease::next_record(Some(&first), "b");
+    let again = OrderLease::next_record(Some(&other), "a");
+    lease.note_written(at(900), at(910), Some(&other), &again, LEASE);
+    assert_eq!(lease.fence(at(920)), None);
+}
