Servers that were silent lately are left out of the choice but for trials

Ruled out: a shorter connect limit alone (links that lose packets need a second try). Change: rank_servers leaves out servers whose gate is open; the gate lets one trial through after its pause; a request without a server is refused at once.

--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -10,7 +10,7 @@
 const JITTER: f64 = 0.06;
 /// A server that only errs counts like this many full ones.
 const ERRORS: f64 = 3.0;
-/// A server that just refused a hold, or whose gate is open, comes after all others.
+/// A server that just refused a hold comes after all others.
 const LAST: f64 = 100.0;
 
 /// What a server is chosen for.
@@ -37,16 +37,19 @@
     pub salt: u64,
 }
 
-/// Orders candidates from best to worst; servers whose gate is open come last, so that a service
-/// is never given up as a whole.
+/// Orders candidates from best to worst. Those that were silent lately are left out but for one
+/// trial now and then: a request that would wait for them is refused at once instead.
 pub fn rank_servers<'a>(
     now: TimePoint,
     view: &ChoiceView<'_>,
     kind: ChoiceKind,
     candidates: impl Iterator<Item = &'a ServerEntry>,
 ) -> Vec<&'a ServerEntry> {
+    let admitted = |server: &&ServerEntry| {
+        view.health.get(&server.key()).is_none_or(|health| health.admits(now))
+    };
     let mut ranked: Vec<(f64, &ServerEntry)> =
-        candidates.map(|server| (score(now, view, kind, server), server)).collect();
+        candidates.filter(admitted).map(|server| (score(now, view, kind, server), server)).collect();
     ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
     ranked.into_iter().map(|(_, server)| server).collect()
 }
@@ -63,10 +66,9 @@
     let jitter = mix_hash(view.salt, key.0) as f64 / u64::MAX as f64 * JITTER;
     let health = view.health.get(&key);
     let errors = health.map_or(0.0, |health| health.error_share(now)) * ERRORS;
-    let closed = health.is_some_and(|health| !health.admits(now));
     let refused =
         matches!(kind, ChoiceKind::DecodeMemory(_)) && view.board.refused_lately(now, key);
-    let last = if closed { LAST } else { 0.0 } + if refused { LAST / 2.0 } else { 0.0 };
+    let last = if refused { LAST } else { 0.0 };
     fullness + abroad + jitter + errors + last
 }
 
