Six decode servers are asked in a round; wasted prompts are logged

Cause: in bursts a request asked three servers for memory, often the fullest ones by luck of stale news. Change: SERVERS_A_ROUND 6. A prompt that was read and not used is logged.

--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -25,7 +25,7 @@
 /// Pause between two rounds of asking for memory; about one answer ends in it.
 const ROOM_ROUND: Duration = Duration::from_millis(25);
 /// Decode servers asked for memory in one round.
-const SERVERS_A_ROUND: usize = 3;
+const SERVERS_A_ROUND: usize = 6;
 /// When a caller that found no memory may come back. Trials with 0.3, 1.2, 1.5, 2.5 and 4 s: the
 /// longest served most, since a burst lasts about that long.
 const NO_MEMORY_PAUSE: Duration = Duration::from_secs(4);
--- a/src/gateway/engine_hold.rs
+++ b/src/gateway/engine_hold.rs
@@ -60,7 +60,11 @@
     fn drop(&mut self) {
         let call = match self.thing.take() {
             Some(KeptThing::Hold(name)) => hold_drop_call(&self.server, &name),
-            Some(KeptThing::Handle(name)) => handle_drop_call(&self.server, &name),
+            Some(KeptThing::Handle(name)) => {
+                log::info!("event=prompt_wasted server={} handle={name}", self.server.id);
+                self.host.metrics().add("prompts_wasted", 1);
+                handle_drop_call(&self.server, &name)
+            }
             None => return,
         };
         let (host, server) = (Arc::clone(&self.host), self.server.clone());
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -48,8 +48,10 @@
     let admitted = |server: &&ServerEntry| {
         view.health.get(&server.key()).is_none_or(|health| health.admits(now))
     };
-    let mut ranked: Vec<(f64, &ServerEntry)> =
-        candidates.filter(admitted).map(|server| (score(now, view, kind, server), server)).collect();
+    let mut ranked: Vec<(f64, &ServerEntry)> = candidates
+        .filter(admitted)
+        .map(|server| (score(now, view, kind, server), server))
+        .collect();
     ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
     ranked.into_iter().map(|(_, server)| server).collect()
 }
