Settings are reloaded; a soak of real daemons with faults from outside

Ruled out: reloading listeners, names and keys (they need a restart; the log says which keys differ). Change: bounds, seeds and the log level are put in force when the file changes, with or without SIGHUP. bench/soak: daemons as processes, loopback proxies before every stand-in and each host's way to the store, twelve kinds of faults from a seed, checks of what callers and servers see, and a calm phase (all served, drained servers get nothing, a planned stop cuts nothing, nothing stays held).

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -28,6 +28,7 @@
 mod report_plot;
 mod service_server;
 pub mod site;
+pub mod soak;
 mod standin_plan;
 mod standin_set;
 mod weight_store;
--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -10,9 +10,9 @@
 mod store_objects;
 mod test_site;
 
-pub use site_caller::{CallerReply, SiteCall, call_site};
+pub use site_caller::{CallerReply, SiteCall, SiteConnection, call_site};
 pub use site_engine::{EngineFault, SiteEngine, SiteRun};
 pub use site_service::{ServiceFault, SiteService};
 pub use site_store::{SiteStore, StoreFault};
 pub use store_objects::StoreObjects;
-pub use test_site::{SitePlan, TestSite, config};
+pub use test_site::{SitePlan, StatedServer, TestSite, config};
--- a/src/bench/site/site_caller.rs
+++ b/src/bench/site/site_caller.rs
@@ -4,6 +4,8 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use std::net::SocketAddr;
 
 /// A request of a stand-in caller.
@@ -47,35 +49,67 @@
     }
 }
 
-/// Sends a request to a daemon on a connection of its own and reads the answer to its end.
-///
-/// # Errors
-/// If no head of an answer came.
-pub async fn call_site(address: SocketAddr, call: &SiteCall) -> Result<CallerReply> {
-    let mut builder = Request::builder()
-        .method(call.method)
-        .uri(&call.path)
-        .header("host", "books.example")
-        .header("x-request-id", &call.id);
-    for (name, value) in &call.headers {
-        builder = builder.header(*name, value);
+/// A caller's connection, kept for several requests.
+#[derive(Debug)]
+pub struct SiteConnection {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl SiteConnection {
+    /// Opens a connection to a daemon.
+    ///
+    /// # Errors
+    /// If it cannot be opened.
+    pub async fn open(address: SocketAddr) -> Result<Self> {
+        Ok(Self { sender: HttpPool::connect(address).await? })
+    }
+
+    /// Whether the daemon has not closed it.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends a request and reads the answer to its end.
+    ///
+    /// # Errors
+    /// If no head of an answer came.
+    pub async fn call(&mut self, call: &SiteCall) -> Result<CallerReply> {
+        let mut builder = Request::builder()
+            .method(call.method)
+            .uri(&call.path)
+            .header("host", "books.example")
+            .header("x-request-id", &call.id);
+        for (name, value) in &call.headers {
+            builder = builder.header(*name, value);
+        }
+        let body = Full::new(Bytes::from_static(call.body.as_bytes()));
+        let request = builder.body(body).map_err(|error| Error::Protocol(error.to_string()))?;
+        self.sender.ready().await?;
+        let (parts, body) = self.sender.send_request(request).await?.into_parts();
+        let (body, complete) = read_to_end(body).await;
+        Ok(CallerReply { status: parts.status, headers: parts.headers, body, complete })
     }
-    let body = Full::new(Bytes::from_static(call.body.as_bytes()));
-    let request = builder.body(body).map_err(|error| Error::Protocol(error.to_string()))?;
-    let mut sender = HttpPool::connect(address).await?;
-    let response = sender.send_request(request).await?;
-    let (parts, mut body) = response.into_parts();
+}
+
+async fn read_to_end(mut body: Incoming) -> (Bytes, bool) {
     let mut bytes = BytesMut::new();
-    let complete = loop {
+    loop {
         match body.frame().await {
-            None => break true,
-            Some(Err(_)) => break false,
+            None => return (bytes.freeze(), true),
+            Some(Err(_)) => return (bytes.freeze(), false),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     bytes.extend_from_slice(&data);
                 }
             }
         }
-    };
-    Ok(CallerReply { status: parts.status, headers: parts.headers, body: bytes.freeze(), complete })
+    }
+}
+
+/// Sends a request to a daemon on a connection of its own and reads the answer to its end.
+///
+/// # Errors
+/// If no head of an answer came.
+pub async fn call_site(address: SocketAddr, call: &SiteCall) -> Result<CallerReply> {
+    SiteConnection::open(address).await?.call(call).await
 }
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -11,9 +11,12 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
+/// Lives of what an engine keeps for others, as on the users' sites.
+const HOLD_LIFE: Duration = Duration::from_millis(2000);
+const HANDLE_LIFE: Duration = Duration::from_millis(500);
 /// Events before a cut have this long to leave.
 const CUT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -68,8 +71,10 @@
     pause: Duration,
     fault: Mutex<EngineFault>,
     runs: Mutex<Vec<SiteRun>>,
-    holds: Mutex<HashMap<String, u64>>,
-    handles: Mutex<HashMap<String, String>>,
+    /// Holds and when they lapse.
+    holds: Mutex<HashMap<String, Instant>>,
+    /// Results of prefills: the request, and when they lapse.
+    handles: Mutex<HashMap<String, (String, Instant)>>,
     orders: Mutex<Vec<(String, u64)>>,
     serials: AtomicU64,
     /// Prefill engines of the site, by address, from which results are fetched.
@@ -122,14 +127,16 @@
         lock(&self.runs).clone()
     }
 
-    /// Holds that were granted and neither used nor given back.
+    /// Holds that were granted and neither used nor given back, and have not lapsed.
     pub fn open_holds(&self) -> usize {
-        lock(&self.holds).len()
+        let now = Instant::now();
+        lock(&self.holds).values().filter(|lapses| now < **lapses).count()
     }
 
-    /// Results of prefills that were neither fetched nor given back.
+    /// Results of prefills that were neither fetched nor given back, and have not lapsed.
     pub fn open_handles(&self) -> usize {
-        lock(&self.handles).len()
+        let now = Instant::now();
+        lock(&self.handles).values().filter(|(_, lapses)| now < *lapses).count()
     }
 
     /// Orders that it took: who gave them, under which fence.
@@ -150,7 +157,7 @@
             return Ok(whole(503, "{}"));
         }
         let hold = self.serial();
-        lock(&self.holds).insert(hold.clone(), 1);
+        lock(&self.holds).insert(hold.clone(), Instant::now() + HOLD_LIFE);
         Ok(whole(200, json!({"hold": hold}).to_string()))
     }
 
@@ -174,7 +181,8 @@
     fn prefill(&self, request: &WholeRequest, id: &str) -> SiteAnswer {
         self.note_run(request, id, "prefill");
         let handle = self.serial();
-        lock(&self.handles).insert(handle.clone(), id.to_owned());
+        let lapses = Instant::now() + HANDLE_LIFE;
+        lock(&self.handles).insert(handle.clone(), (id.to_owned(), lapses));
         let body = json!({"kv_handle": handle, "tokens": 100, "version": 1}).to_string();
         Ok(signed(whole(200, body), id, None))
     }
@@ -201,7 +209,8 @@
             return false;
         };
         let engine = lock(&self.sources).get(address).cloned();
-        engine.is_some_and(|engine| lock(&engine.handles).remove(handle).as_deref() == Some(id))
+        let result = engine.and_then(|engine| lock(&engine.handles).remove(handle));
+        result.is_some_and(|(request, _)| request == id)
     }
 
     fn decode(self: &Arc<Self>, request: &WholeRequest, id: &str) -> SiteAnswer {
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -2,7 +2,7 @@
 use crate::Result;
 use crate::gateway::{Gateway, start_gateway};
 use crate::placement::RetryBounds;
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewayBounds, GatewaySettings};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +33,19 @@
     }
 }
 
+/// A backend server of a site, as its entry says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StatedServer {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: &'static str,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its stage, if it is an engine.
+    pub stage: Option<&'static str>,
+}
+
 /// A platform in a test's process: stand-ins, and real daemons before them.
 #[derive(Debug)]
 pub struct TestSite {
@@ -44,9 +57,12 @@
     pub decodes: Vec<Arc<SiteEngine>>,
     /// Servers of the plain service.
     pub services: Vec<Arc<SiteService>>,
+    /// All of them, as their entries say: prefill engines, decode engines, the plain service.
+    pub servers: Vec<StatedServer>,
     /// Daemons.
     pub hosts: Vec<Gateway>,
-    store_address: SocketAddr,
+    /// Where the store listens.
+    pub store_address: SocketAddr,
 }
 
 impl TestSite {
@@ -62,6 +78,7 @@
             prefills: Vec::new(),
             decodes: Vec::new(),
             services: Vec::new(),
+            servers: Vec::new(),
             hosts: Vec::new(),
             store_address,
         };
@@ -80,7 +97,7 @@
             let id = format!("i-prefill-{place}");
             let engine = Arc::new(SiteEngine::new(&id, "prefill", EVENTS, EVENT_PAUSE));
             let address = engine.serve().await?;
-            self.state_server(&id, "engines", address, Some("prefill"), "ready");
+            self.add_server(id, "engines", address, Some("prefill"));
             sources.push((address, Arc::clone(&engine)));
             self.prefills.push(engine);
         }
@@ -91,19 +108,30 @@
                 engine.add_source(*address, source);
             }
             let address = engine.serve().await?;
-            self.state_server(&id, "engines", address, Some("decode"), "ready");
+            self.add_server(id, "engines", address, Some("decode"));
             self.decodes.push(engine);
         }
         for place in 0..plan.services {
             let id = format!("i-service-{place}");
             let service = Arc::new(SiteService::new(&id));
             let address = service.serve().await?;
-            self.state_server(&id, "app", address, None, "ready");
+            self.add_server(id, "app", address, None);
             self.services.push(service);
         }
         Ok(())
     }
 
+    fn add_server(
+        &mut self,
+        id: String,
+        service: &'static str,
+        address: SocketAddr,
+        stage: Option<&'static str>,
+    ) {
+        self.state_server(&id, service, address, stage, "ready");
+        self.servers.push(StatedServer { id, service, address, stage });
+    }
+
     /// Writes a server's entry.
     pub fn state_server(
         &self,
@@ -169,9 +197,11 @@
         store,
         seeds,
         shared_key: "a-shared-key-of-tests".to_owned(),
-        grace: Duration::from_secs(8),
-        retries: RetryBounds { ratio: 0.2, slack: 200.0, window: Duration::from_secs(10) },
-        lease: Duration::from_secs(3),
+        bounds: GatewayBounds {
+            grace: Duration::from_secs(8),
+            retries: RetryBounds { ratio: 0.2, slack: 200.0, window: Duration::from_secs(10) },
+            lease: Duration::from_secs(3),
+        },
         log_level: log::LevelFilter::Info,
     })
 }
--- /dev/null
+++ b/src/bench/soak/mod.rs
@@ -0,0 +1,14 @@
+//! A randomised soak: real daemons as processes of their own, with faults injected from outside.
+//!
+//! Stand-ins run in this process, and loopback proxies lie between them and the daemons. What
+//! callers and backend servers see is checked while it runs and once more when all is calm.
+
+mod soak_caller;
+mod soak_check;
+mod soak_fault;
+mod soak_host;
+mod soak_proxy;
+mod soak_run;
+
+pub use soak_check::{SoakBreach, SoakReport};
+pub use soak_run::{SoakOptions, run_soak};
--- /dev/null
+++ b/src/bench/soak/soak_check.rs
@@ -0,0 +1,169 @@
+use crate::bench::site::{CallerReply, SiteEngine, SiteService};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Events of a whole stream.
+pub(super) const STREAM_EVENTS: u64 = 8;
+
+/// Routes that the soak's callers use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SoakRoute {
+    Stream,
+    Resume,
+    Safe,
+    Once,
+}
+
+impl SoakRoute {
+    pub const ALL: [Self; 4] = [Self::Stream, Self::Resume, Self::Safe, Self::Once];
+
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Stream => "stream",
+            Self::Resume => "resume",
+            Self::Safe => "safe",
+            Self::Once => "once",
+        }
+    }
+
+    /// Most runs of one request.
+    const fn most_runs(self) -> usize {
+        match self {
+            Self::Stream | Self::Once => 1,
+            Self::Resume | Self::Safe => 2,
+        }
+    }
+
+    const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resume)
+    }
+}
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SoakBreach {
+    /// The promise.
+    pub promise: &'static str,
+    /// The request or server, and what was seen.
+    pub detail: String,
+}
+
+/// What a soak saw.
+#[derive(Debug, Clone, Default)]
+pub struct SoakReport {
+    /// Requests sent.
+    pub asked: u64,
+    /// Requests whose answer was whole.
+    pub whole: u64,
+    /// Requests that were refused as not run.
+    pub refused: u64,
+    /// Requests that failed or were cut.
+    pub failed: u64,
+    /// Faults injected.
+    pub faults: u64,
+    /// Promises broken.
+    pub breaches: Vec<SoakBreach>,
+}
+
+/// One request and what its caller was told.
+#[derive(Debug, Clone)]
+pub(super) struct SoakRecord {
+    pub id: String,
+    pub route: SoakRoute,
+    /// The status, if a head came.
+    pub status: Option<u16>,
+}
+
+/// Checks an answer by itself, as its caller sees it.
+pub(super) fn check_reply(route: SoakRoute, id: &str, reply: &CallerReply) -> Option<SoakBreach> {
+    let breach =
+        |promise, detail: String| Some(SoakBreach { promise, detail: format!("{id}: {detail}") });
+    if reply.header("x-request-id") != id {
+        return breach("an answer belongs to its request", reply.header("x-request-id").to_owned());
+    }
+    if !reply.status.is_success() {
+        return None;
+    }
+    if route.is_stream() {
+        return check_events(id, reply);
+    }
+    let text = String::from_utf8_lossy(&reply.body);
+    if reply.complete && !text.ends_with(id) {
+        return breach("a success is the server's whole answer", text.into_owned());
+    }
+    None
+}
+
+fn check_events(id: &str, reply: &CallerReply) -> Option<SoakBreach> {
+    let events = reply.events();
+    let expected: Vec<u64> = (0..events.len() as u64).collect();
+    if events != expected {
+        let detail = format!("{id}: {events:?}");
+        return Some(SoakBreach { promise: "events come once and in order", detail });
+    }
+    if reply.complete && events.len() as u64 != STREAM_EVENTS {
+        let detail = format!("{id}: {} events", events.len());
+        return Some(SoakBreach { promise: "a stream that looks whole is whole", detail });
+    }
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    let foreign = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    let mut foreign = foreign.filter(|data| !data.starts_with(id));
+    foreign.next().map(|data| SoakBreach {
+        promise: "a stream has only its own events",
+        detail: format!("{id}: {data}"),
+    })
+}
+
+/// Checks what backend servers saw against what callers were told.
+pub(super) fn check_runs(
+    records: &[SoakRecord],
+    decodes: &[Arc<SiteEngine>],
+    services: &[Arc<SiteService>],
+) -> Vec<SoakBreach> {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    let decoded = decodes.iter().flat_map(|engine| engine.runs());
+    let decoded = decoded.filter(|run| run.stage == "decode").map(|run| run.request);
+    for id in decoded.chain(services.iter().flat_map(|service| service.runs())) {
+        *runs.entry(id).or_default() += 1;
+    }
+    let known: BTreeMap<&str, &SoakRecord> =
+        records.iter().map(|record| (record.id.as_str(), record)).collect();
+    let mut breaches = Vec::new();
+    for (id, count) in &runs {
+        let Some(record) = known.get(id.as_str()) else {
+            let detail = id.clone();
+            breaches.push(SoakBreach { promise: "servers run only what was asked", detail });
+            continue;
+        };
+        if *count > record.route.most_runs() {
+            let detail = format!("{id} on {}: {count} runs", record.route.name());
+            breaches.push(SoakBreach { promise: "runs are bounded by the route", detail });
+        }
+        if record.status == Some(503) {
+            let detail = format!("{id} on {}", record.route.name());
+            breaches.push(SoakBreach { promise: "what was refused did not run", detail });
+        }
+    }
+    breaches
+}
+
+/// Checks that orders came under rising fences, and each fence from one holder.
+pub(super) fn check_orders(engines: &[Arc<SiteEngine>]) -> Vec<SoakBreach> {
+    let mut holders: BTreeMap<u64, String> = BTreeMap::new();
+    let mut breaches = Vec::new();
+    for engine in engines {
+        let orders = engine.orders();
+        if orders.windows(2).any(|pair| pair[0].1 > pair[1].1) {
+            let detail = engine.id.clone();
+            breaches.push(SoakBreach { promise: "fences never fall", detail });
+        }
+        for (holder, fence) in orders {
+            let first = holders.entry(fence).or_insert_with(|| holder.clone());
+            if *first != holder {
+                let detail = format!("{fence}: {first} and {holder}");
+                breaches.push(SoakBreach { promise: "a fence has one holder", detail });
+            }
+        }
+    }
+    breaches
+}
--- /dev/null
+++ b/src/bench/soak/soak_fault.rs
@@ -0,0 +1,93 @@
+use super::soak_proxy::ProxyMode;
+use crate::bench::site::{EngineFault, ServiceFault, StoreFault};
+use rand::Rng;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+/// A fault of a soak, with the place where it strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SoakFault {
+    Store(StoreFault),
+    StoreForgets,
+    Engine(usize, EngineFault),
+    Service(usize, ServiceFault),
+    Link(usize, ProxyMode),
+    HostStore(usize, ProxyMode),
+    Kill(usize),
+    Stop(usize),
+    Pause(usize),
+    Reload(usize),
+    Configure,
+    DrainServer(usize),
+}
+
+/// How many there are of each thing that a fault may strike.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FaultPlaces {
+    pub engines: usize,
+    pub services: usize,
+    pub links: usize,
+    pub hosts: usize,
+}
+
+/// Draws the next fault and how long it lasts.
+pub(super) fn draw_fault(random: &mut StdRng, places: FaultPlaces) -> (SoakFault, Duration) {
+    let engine = random.random_range(0..places.engines);
+    let service = random.random_range(0..places.services);
+    let link = random.random_range(0..places.links);
+    let host = random.random_range(0..places.hosts);
+    let lasts = Duration::from_millis(random.random_range(50..1500));
+    let fault = match random.random_range(0..12) {
+        0 => SoakFault::Store(draw_store(random)),
+        1 => SoakFault::StoreForgets,
+        2 | 3 => SoakFault::Engine(engine, draw_engine(random)),
+        4 => SoakFault::Service(service, draw_service(random)),
+        5 => SoakFault::Link(link, draw_link(random)),
+        6 => SoakFault::HostStore(host, draw_link(random)),
+        7 => SoakFault::Kill(host),
+        8 => SoakFault::Stop(host),
+        9 => SoakFault::Pause(host),
+        10 => SoakFault::Configure,
+        _ if random.random_bool(0.5) => SoakFault::Reload(host),
+        _ => SoakFault::DrainServer(service),
+    };
+    (fault, lasts)
+}
+
+fn draw_store(random: &mut StdRng) -> StoreFault {
+    [StoreFault::Silent, StoreFault::Busy, StoreFault::TooMany, StoreFault::LoseWrites]
+        [random.random_range(0..4)]
+}
+
+fn draw_engine(random: &mut StdRng) -> EngineFault {
+    [
+        EngineFault::Full,
+        EngineFault::Silent,
+        EngineFault::LoseHandles,
+        EngineFault::FailRuns,
+        EngineFault::CutAfter(3),
+        EngineFault::StallAfter(2),
+        EngineFault::ForeignAnswer,
+        EngineFault::LoseOrders,
+    ][random.random_range(0..8)]
+}
+
+fn draw_service(random: &mut StdRng) -> ServiceFault {
+    [
+        ServiceFault::Full,
+        ServiceFault::FailRuns,
+        ServiceFault::LoseAnswers,
+        ServiceFault::ForeignAnswer,
+        ServiceFault::Unsigned,
+        ServiceFault::Silent,
+    ][random.random_range(0..6)]
+}
+
+fn draw_link(random: &mut StdRng) -> ProxyMode {
+    [
+        ProxyMode::Delay(Duration::from_millis(120)),
+        ProxyMode::Silent,
+        ProxyMode::DeafServer,
+        ProxyMode::Reset,
+    ][random.random_range(0..4)]
+}
--- /dev/null
+++ b/src/bench/soak/soak_run.rs
@@ -0,0 +1,371 @@
+use super::soak_caller::{SoakNotes, run_caller, soak_call};
+use super::soak_check::{SoakBreach, SoakReport, SoakRoute, check_orders, check_reply, check_runs};
+use super::soak_fault::{FaultPlaces, SoakFault, draw_fault};
+use super::soak_host::SoakHost;
+use super::soak_proxy::{ProxyMode, SoakProxy};
+use crate::bench::site::{
+    EngineFault, ServiceFault, SiteConnection, SitePlan, StoreFault, TestSite, call_site, config,
+};
+use crate::host::lock;
+use crate::{Error, Result};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Pause between two faults; most last longer, so that they overlap.
+const LONGEST_GAP_MS: u64 = 400;
+const LOOK: Duration = Duration::from_millis(20);
+/// Ends a soak that hangs; nothing is measured against it.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Servers that drain get no new work after this, when all is calm.
+const DRAIN_BOUND: Duration = Duration::from_millis(2000);
+
+/// How a soak is run.
+#[derive(Debug, Clone)]
+pub struct SoakOptions {
+    /// Draws faults and callers.
+    pub seed: u64,
+    /// How long faults are injected.
+    pub length: Duration,
+    /// Daemons.
+    pub hosts: usize,
+    /// Callers.
+    pub callers: usize,
+    /// Folder of the built programs.
+    pub programs: PathBuf,
+}
+
+struct SoakStage {
+    site: TestSite,
+    links: Vec<SoakProxy>,
+    store_links: Vec<SoakProxy>,
+    hosts: Vec<SoakHost>,
+    version: u64,
+}
+
+/// Runs a soak and tells what it saw.
+///
+/// # Errors
+/// If a program or socket cannot be started.
+pub async fn run_soak(options: &SoakOptions) -> Result<SoakReport> {
+    let name = format!("tealcleat-soak-{}-{}", std::process::id(), options.seed);
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder)?;
+    let mut stage = SoakStage::start(options, &folder).await?;
+    let notes = Arc::new(SoakNotes::default());
+    let addresses: Arc<Vec<SocketAddr>> =
+        Arc::new(stage.hosts.iter().map(|host| host.callers).collect());
+    let callers: Vec<_> = (0..options.callers)
+        .map(|place| {
+            let seed = options.seed.wrapping_mul(1000) + place as u64;
+            let name = format!("s{}-c{place}", options.seed);
+            tokio::spawn(run_caller(seed, name, Arc::clone(&addresses), Arc::clone(&notes)))
+        })
+        .collect();
+    let faults = stage.inject(options).await?;
+    stage.heal().await?;
+    notes.ended.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
+    }
+    let mut report = lock(&notes.report).clone();
+    report.faults = faults;
+    let calm = stage.check_calm(options.seed).await;
+    let mut records = lock(&notes.records).clone();
+    records.extend(calm.1);
+    report.breaches.extend(calm.0);
+    let site = &stage.site;
+    report.breaches.extend(check_runs(&records, &site.decodes, &site.services));
+    let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
+    report.breaches.extend(check_orders(&engines));
+    if report.breaches.is_empty() {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    Ok(report)
+}
+
+impl SoakStage {
+    async fn start(options: &SoakOptions, folder: &std::path::Path) -> Result<Self> {
+        let plan = SitePlan { prefills: 2, decodes: 3, services: 3, hosts: 0 };
+        let site = TestSite::start(plan).await?;
+        let mut links = Vec::new();
+        for server in &site.servers {
+            let link = SoakProxy::start(server.address).await?;
+            site.state_server(&server.id, server.service, link.address, server.stage, "ready");
+            links.push(link);
+        }
+        // Engines fetch each other's results at the addresses that daemons know.
+        for (server, link) in site.servers.iter().zip(&links) {
+            let source = site.prefills.iter().find(|engine| engine.id == server.id);
+            for decode in &site.decodes {
+                if let Some(source) = source {
+                    decode.add_source(link.address, source);
+                }
+            }
+        }
+        let mut stage =
+            Self { site, links, store_links: Vec::new(), hosts: Vec::new(), version: 1 };
+        let program = options.programs.join("tealcleatd");
+        for place in 0..options.hosts {
+            let store = SoakProxy::start(stage.site.store_address).await?;
+            let seeds: Vec<SocketAddr> = stage.hosts.iter().map(|host| host.peers).collect();
+            let name = format!("host-{place}");
+            let host = SoakHost::start(&program, folder, &name, store.address, &seeds)?;
+            stage.store_links.push(store);
+            stage.hosts.push(host);
+        }
+        stage.wait_ready().await?;
+        Ok(stage)
+    }
+
+    async fn inject(&mut self, options: &SoakOptions) -> Result<u64> {
+        let mut random = StdRng::seed_from_u64(options.seed);
+        let places = FaultPlaces {
+            engines: self.site.decodes.len() + self.site.prefills.len(),
+            services: self.site.services.len(),
+            links: self.links.len(),
+            hosts: self.hosts.len(),
+        };
+        let ends = tokio::time::Instant::now() + options.length;
+        let mut open: Vec<(SoakFault, tokio::time::Instant)> = Vec::new();
+        let mut count = 0;
+        while tokio::time::Instant::now() < ends {
+            let (fault, lasts) = draw_fault(&mut random, places);
+            self.begin(fault)?;
+            count += 1;
+            open.push((fault, tokio::time::Instant::now() + lasts));
+            let gap = random.random_range(0..LONGEST_GAP_MS);
+            tokio::time::sleep(Duration::from_millis(gap)).await;
+            let now = tokio::time::Instant::now();
+            let (due, rest): (Vec<_>, Vec<_>) = open.into_iter().partition(|(_, at)| *at <= now);
+            open = rest;
+            for (fault, _) in due {
+                self.end(fault)?;
+            }
+        }
+        Ok(count)
+    }
+
+    fn begin(&mut self, fault: SoakFault) -> Result<()> {
+        match fault {
+            SoakFault::Store(fault) => self.site.store.set_fault(fault),
+            SoakFault::StoreForgets => self.site.store.change(|objects| objects.compact()),
+            SoakFault::Engine(place, fault) => self.engine(place).set_fault(fault),
+            SoakFault::Service(place, fault) => self.site.services[place].set_fault(fault),
+            SoakFault::Link(place, mode) => self.links[place].set(mode),
+            SoakFault::HostStore(place, mode) => self.store_links[place].set(mode),
+            SoakFault::Kill(place) => self.hosts[place].signal("-KILL")?,
+            SoakFault::Stop(place) => self.hosts[place].signal("-TERM")?,
+            SoakFault::Pause(place) => self.hosts[place].signal("-STOP")?,
+            SoakFault::Reload(place) => self.hosts[place].signal("-HUP")?,
+            SoakFault::Configure => {
+                self.version += 3;
+                self.site.set_config(self.version, &config(self.version));
+            }
+            SoakFault::DrainServer(place) => self.state_service(place, "draining"),
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, fault: SoakFault) -> Result<()> {
+        match fault {
+            SoakFault::Store(_) => self.site.store.set_fault(StoreFault::None),
+            SoakFault::Engine(place, _) => self.engine(place).set_fault(EngineFault::None),
+            SoakFault::Service(place, _) => self.site.services[place].set_fault(ServiceFault::None),
+            SoakFault::Link(place, _) => self.links[place].set(ProxyMode::Pass),
+            SoakFault::HostStore(place, _) => self.store_links[place].set(ProxyMode::Pass),
+            SoakFault::Kill(place) | SoakFault::Stop(place) => {
+                if self.hosts[place].has_ended() {
+                    self.hosts[place].restart()?;
+                }
+            }
+            SoakFault::Pause(place) => self.hosts[place].signal("-CONT")?,
+            SoakFault::DrainServer(place) => self.state_service(place, "ready"),
+            SoakFault::StoreForgets | SoakFault::Reload(_) | SoakFault::Configure => {}
+        }
+        Ok(())
+    }
+
+    fn engine(&self, place: usize) -> &Arc<crate::bench::site::SiteEngine> {
+        let decodes = self.site.decodes.len();
+        self.site.decodes.get(place).unwrap_or_else(|| &self.site.prefills[place - decodes])
+    }
+
+    fn state_service(&self, place: usize, state: &str) {
+        let server = &self.site.servers[self.site.decodes.len() + self.site.prefills.len() + place];
+        let address =
+            self.links[self.site.decodes.len() + self.site.prefills.len() + place].address;
+        self.site.state_server(&server.id, server.service, address, server.stage, state);
+    }
+
+    /// Ends all faults and waits until everything serves.
+    async fn heal(&mut self) -> Result<()> {
+        self.site.store.set_fault(StoreFault::None);
+        for place in 0..self.site.decodes.len() + self.site.prefills.len() {
+            self.engine(place).set_fault(EngineFault::None);
+        }
+        for place in 0..self.site.services.len() {
+            self.site.services[place].set_fault(ServiceFault::None);
+            self.state_service(place, "ready");
+        }
+        for link in self.links.iter().chain(&self.store_links) {
+            link.set(ProxyMode::Pass);
+        }
+        for host in &mut self.hosts {
+            host.signal("-CONT")?;
+        }
+        self.wait_ready().await
+    }
+
+    /// Restarts what has ended, and waits until every daemon takes callers.
+    async fn wait_ready(&mut self) -> Result<()> {
+        let ends = tokio::time::Instant::now() + PATIENCE;
+        for host in &mut self.hosts {
+            loop {
+                if host.has_ended() {
+                    host.restart()?;
+                }
+                if is_ready(host.ready).await {
+                    break;
+                }
+                if tokio::time::Instant::now() > ends {
+                    return Err(Error::Refused(format!("{} never became ready", host.ready)));
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// When all is calm, everything is served, drained servers get nothing, a planned stop cuts
+    /// nothing, and nothing stays held.
+    async fn check_calm(
+        &mut self,
+        seed: u64,
+    ) -> (Vec<SoakBreach>, Vec<super::soak_check::SoakRecord>) {
+        let mut breaches = Vec::new();
+        let mut records = Vec::new();
+        for route in SoakRoute::ALL {
+            let served = self.served_in_the_end(seed, route, &mut records).await;
+            if !served {
+                let detail = route.name().to_owned();
+                breaches.push(SoakBreach { promise: "all is served after the faults", detail });
+            }
+        }
+        breaches.extend(self.check_drain(seed, &mut records).await);
+        breaches.extend(self.check_stop(seed, &mut records).await);
+        if !self.nothing_held().await {
+            let detail = "holds or results of prefills".to_owned();
+            breaches.push(SoakBreach { promise: "nothing stays held", detail });
+        }
+        (breaches, records)
+    }
+
+    async fn served_in_the_end(
+        &self,
+        seed: u64,
+        route: SoakRoute,
+        records: &mut Vec<super::soak_check::SoakRecord>,
+    ) -> bool {
+        let ends = tokio::time::Instant::now() + PATIENCE;
+        let mut serial = 0;
+        while tokio::time::Instant::now() < ends {
+            serial += 1;
+            let id = format!("s{seed}-calm-{}-{serial}", route.name());
+            let host = self.hosts[serial % self.hosts.len()].callers;
+            let reply = call_site(host, &soak_call(route, &id)).await;
+            let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
+            records.push(super::soak_check::SoakRecord { id: id.clone(), route, status });
+            let whole = reply.is_ok_and(|reply| {
+                reply.complete
+                    && reply.status.is_success()
+                    && check_reply(route, &id, &reply).is_none()
+            });
+            if whole {
+                return true;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        false
+    }
+
+    async fn check_drain(
+        &self,
+        seed: u64,
+        records: &mut Vec<super::soak_check::SoakRecord>,
+    ) -> Option<SoakBreach> {
+        self.state_service(0, "draining");
+        tokio::time::sleep(DRAIN_BOUND).await;
+        let before = self.site.services[0].runs().len();
+        for (place, host) in self.hosts.iter().enumerate() {
+            let id = format!("s{seed}-drain-{place}");
+            let route = SoakRoute::Once;
+            let reply = call_site(host.callers, &soak_call(route, &id)).await;
+            let status = reply.ok().map(|reply| reply.status.as_u16());
+            records.push(super::soak_check::SoakRecord { id, route, status });
+        }
+        let after = self.site.services[0].runs().len();
+        self.state_service(0, "ready");
+        let promise = "a draining server gets no new work";
+        (after > before).then(|| SoakBreach { promise, detail: format!("{} runs", after - before) })
+    }
+
+    /// A kept connection is used until the stopping daemon closes it: each request that was read
+    /// is answered.
+    async fn check_stop(
+        &mut self,
+        seed: u64,
+        records: &mut Vec<super::soak_check::SoakRecord>,
+    ) -> Option<SoakBreach> {
+        let host = &mut self.hosts[0];
+        let mut open = SiteConnection::open(host.callers).await.ok()?;
+        host.signal("-TERM").ok()?;
+        let mut serial = 0;
+        while open.is_open() {
+            serial += 1;
+            let id = format!("s{seed}-stop-{serial}");
+            let route = SoakRoute::Stream;
+            let reply = open.call(&soak_call(route, &id)).await;
+            let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
+            records.push(super::soak_check::SoakRecord { id: id.clone(), route, status });
+            match reply {
+                Ok(reply) if !reply.complete => {
+                    let promise = "a planned stop cuts nothing";
+                    return Some(SoakBreach { promise, detail: id });
+                }
+                // A request that crosses the close was not read.
+                Err(_) => break,
+                Ok(_) => {}
+            }
+        }
+        None
+    }
+
+    async fn nothing_held(&self) -> bool {
+        let ends = tokio::time::Instant::now() + PATIENCE;
+        while tokio::time::Instant::now() < ends {
+            let holds: usize = self.site.decodes.iter().map(|engine| engine.open_holds()).sum();
+            let handles: usize = self.site.prefills.iter().map(|e| e.open_handles()).sum();
+            if holds + handles == 0 {
+                return true;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        false
+    }
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let call = crate::bench::site::SiteCall {
+        method: "GET",
+        path: "/tealcleat/ready".to_owned(),
+        id: "ready".to_owned(),
+        headers: Vec::new(),
+        body: "",
+    };
+    call_site(address, &call).await.is_ok_and(|reply| reply.status.is_success())
+}
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -57,6 +57,25 @@
         #[bpaf(argument("N"), fallback(200_000))]
         steps: u64,
     },
+    /// Drive real daemons on the platform's stand-ins through faults from outside
+    #[bpaf(command("site-soak"))]
+    SiteSoak {
+        /// First seed
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Seeds, one after the other
+        #[bpaf(argument("N"), fallback(5))]
+        seeds: u64,
+        /// How long faults are injected
+        #[bpaf(argument("S"), fallback(8))]
+        seconds: u64,
+        /// Daemons
+        #[bpaf(argument("N"), fallback(3))]
+        hosts: usize,
+        /// Callers
+        #[bpaf(argument("N"), fallback(12))]
+        callers: usize,
+    },
     /// Measure what the daemon adds to a stream over a direct call
     #[bpaf(command)]
     Overhead {
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -1,9 +1,10 @@
 //! Runs one experiment.
 
 use crate::app::{Config, Measure};
-use crate::{demo, overhead, slopes, soak};
+use crate::{demo, overhead, site_soak, slopes, soak};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use tealcleat::bench::soak::SoakOptions;
 use tealcleat::bench::{Deployment, LoadOptions, LoadSummary, plot_comparison, run_load};
 use tealcleat::placement::PlacementPolicy;
 use tealcleat::settings::SourceText;
@@ -22,6 +23,12 @@
         Config::Report { plot, file } => report(file, plot.as_deref()),
         Config::Slopes { rows } => slopes::measure(&programs, rows),
         Config::Soak { seed, seeds, steps } => Ok(soak::run(*seed, *seeds, *steps)),
+        Config::SiteSoak { seed, seeds, seconds, hosts, callers } => {
+            let length = Duration::from_secs(*seconds);
+            let options =
+                SoakOptions { seed: *seed, length, hosts: *hosts, callers: *callers, programs };
+            site_soak::run(&options, *seeds)
+        }
         Config::Overhead { streams } => overhead::measure(&programs, *streams),
         Config::Demo => demo::run(&programs),
     }
--- a/src/bin/tealcleat-load/main.rs
+++ b/src/bin/tealcleat-load/main.rs
@@ -4,6 +4,7 @@
 mod controller;
 mod demo;
 mod overhead;
+mod site_soak;
 mod slopes;
 mod soak;
 
--- a/src/bin/tealcleatd/app.rs
+++ b/src/bin/tealcleatd/app.rs
@@ -3,7 +3,7 @@
 use bpaf::Bpaf;
 use std::path::PathBuf;
 use std::time::Duration;
-use tealcleat::gateway::start_gateway;
+use tealcleat::gateway::{GatewayHost, start_gateway};
 use tealcleat::host::{Daemon, start_daemon};
 use tealcleat::settings::{DaemonSettings, GatewaySettings, HostSettings, SourceText};
 use tealcleat::telemetry::{finish_logs, start_logs};
@@ -12,6 +12,8 @@
 
 const WORKERS: usize = 2;
 const DRAIN_LOOK: Duration = Duration::from_millis(100);
+/// The settings file may change without a signal; reading it costs a few microseconds.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// Where the users' platform says which settings file to read.
 const SETTINGS_VARIABLE: &str = "TEALCLEAT_NODE_FILE";
 
@@ -41,7 +43,9 @@
     let source = SourceText::read(&path)?;
     let result = match DaemonSettings::try_from(&source)? {
         DaemonSettings::Host(settings) => run_host(*settings),
-        DaemonSettings::Gateway(settings) => run_gateway(*settings),
+        DaemonSettings::Gateway(settings) => {
+            run_gateway(*settings, SettingsFile { path, text: source.text })
+        }
     };
     finish_logs();
     result
@@ -64,7 +68,7 @@
 }
 
 /// Its hosts have a quarter of a core: one thread does everything.
-fn run_gateway(settings: GatewaySettings) -> Result<()> {
+fn run_gateway(settings: GatewaySettings, file: SettingsFile) -> Result<()> {
     start_logs(&settings.host, settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
@@ -72,9 +76,12 @@
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let gateway = start_gateway(settings).await?;
+        let mut file = file;
+        let mut look = tokio::time::interval(SETTINGS_LOOK);
         loop {
             tokio::select! {
-                _ = hangup.recv() => log::info!("event=reload_asked"),
+                _ = hangup.recv() => file.reload(&gateway.host),
+                _ = look.tick() => file.reload(&gateway.host),
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
             }
@@ -84,6 +91,38 @@
     })
 }
 
+/// The settings file, as it was last read.
+struct SettingsFile {
+    path: PathBuf,
+    text: String,
+}
+
+impl SettingsFile {
+    /// Puts the file in force if it has changed; a wrong one leaves the settings as they are.
+    fn reload(&mut self, host: &GatewayHost) {
+        let source = match SourceText::read(&self.path) {
+            Ok(source) => source,
+            Err(error) => {
+                log::warn!("event=settings_unreadable cause=\"{error}\"");
+                return;
+            }
+        };
+        if source.text == self.text {
+            return;
+        }
+        self.text.clone_from(&source.text);
+        match GatewaySettings::try_from(&source) {
+            Ok(newer) => host.reload(&newer),
+            Err(Error::Settings(findings)) => {
+                for line in findings.lines() {
+                    log::error!("event=settings_wrong finding=\"{line}\"");
+                }
+            }
+            Err(error) => log::error!("event=settings_wrong cause=\"{error}\""),
+        }
+    }
+}
+
 async fn wait_for_stop(daemon: &Daemon) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -78,8 +78,8 @@
     let limit = head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
     {
         let mut state = host.state();
-        let bounds = &host.settings.retries;
-        state.retries.entry(service).or_default().note_request(began, bounds);
+        let bounds = state.bounds.retries;
+        state.retries.entry(service).or_default().note_request(began, &bounds);
     }
     let call = ServerCall::new(parts.method, &parts.uri, &parts.headers, body);
     Ok(CallContext {
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -9,7 +9,7 @@
 };
 use crate::platform::StoreClient;
 use crate::routes::{RouteTable, ServiceKey};
-use crate::settings::GatewaySettings;
+use crate::settings::{GatewayBounds, GatewaySettings};
 use crate::telemetry::MetricBook;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -33,6 +33,8 @@
 /// What a host believes and decides from.
 #[derive(Debug)]
 pub struct GatewayState {
+    /// Bounds of the settings.
+    pub bounds: GatewayBounds,
     /// The configuration in force.
     pub routes: Arc<RouteTable>,
     /// Revision of the store at which it was written.
@@ -107,7 +109,7 @@
 /// Everything that one daemon on the platform knows.
 #[derive(Debug)]
 pub struct GatewayHost {
-    /// Its settings.
+    /// Its settings at the start; bounds that may change are in the state.
     pub settings: GatewaySettings,
     /// This life of it.
     pub incarnation: IncarnationId,
@@ -145,6 +147,7 @@
         };
         let seeds = settings.seeds.iter().copied().filter(|seed| *seed != peers_address).collect();
         let state = GatewayState {
+            bounds: settings.bounds,
             routes: Arc::default(),
             routes_revision: 0,
             fleet: FleetView::default(),
@@ -221,6 +224,21 @@
         drop(stop.wait_for(|phase| *phase == StopPhase::Closing).await);
     }
 
+    /// Puts changed settings in force, as far as that goes without a restart.
+    pub fn reload(&self, newer: &GatewaySettings) {
+        let fixed = self.settings.fixed_changes(newer).join(",");
+        let own = self.peers_address;
+        let seeds = newer.seeds.iter().copied().filter(|seed| *seed != own).collect();
+        {
+            let mut state = self.state();
+            state.bounds = newer.bounds;
+            state.members.set_seeds(seeds);
+        }
+        log::set_max_level(newer.log_level);
+        let outcome = if fixed.is_empty() { "in_force" } else { "restart_needed" };
+        log::info!("event=settings_reloaded outcome={outcome} unchanged=\"{fixed}\"");
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         let state = self.state();
@@ -286,8 +304,9 @@
     /// Takes `count` repeats of a service's requests, if the bounds allow them.
     pub(super) fn take_repeats(&self, service: ServiceKey, count: u32) -> bool {
         let (now, hosts) = (self.now(), self.known_hosts());
-        let bounds = &self.settings.retries;
-        self.state().retries.entry(service).or_default().take(now, bounds, hosts, count)
+        let mut state = self.state();
+        let bounds = state.bounds.retries;
+        state.retries.entry(service).or_default().take(now, &bounds, hosts, count)
     }
 }
 
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -70,7 +70,8 @@
     /// process ends when those under way have ended or the platform's patience has.
     pub async fn stop_gently(self: &Arc<Self>) {
         let began = tokio::time::Instant::now();
-        let ends = began + self.settings.grace.saturating_sub(END_MARGIN);
+        let grace = self.state().bounds.grace;
+        let ends = began + grace.saturating_sub(END_MARGIN);
         self.stop.send_replace(StopPhase::Leaving);
         let farewell = {
             let mut state = self.state();
@@ -79,7 +80,7 @@
         };
         self.carry_out(farewell);
         log::info!("event=stop_began in_flight={}", self.in_flight.load(Ordering::Relaxed));
-        tokio::time::sleep(LEAVING_TIME.min(self.settings.grace / 2)).await;
+        tokio::time::sleep(LEAVING_TIME.min(grace / 2)).await;
         self.stop.send_replace(StopPhase::Closing);
         while self.in_flight.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < ends {
             tokio::time::sleep(DRAIN_LOOK).await;
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -178,7 +178,8 @@
         match written {
             StoreWrite::Written(_) => {
                 let now = self.now();
-                lease.note_written(sent_at, now, held.as_ref(), &record, self.settings.lease);
+                let length = self.state().bounds.lease;
+                lease.note_written(sent_at, now, held.as_ref(), &record, length);
                 Ok(())
             }
             StoreWrite::Conflict => Err(Error::Refused("another host holds the lease".to_owned())),
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -58,6 +58,11 @@
         self.own.version += 1;
     }
 
+    /// Replaces the hosts to begin with; those already known stay.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
     /// Sets how new a view this host tells others to have.
     pub fn set_view(&mut self, view: ViewMark) {
         self.view = view;
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -6,8 +6,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Bounds that the platform sets; a changed settings file puts new ones in force at once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GatewayBounds {
+    /// How long the platform waits between asking this process to stop and ending it.
+    pub grace: Duration,
+    /// Bounds on repeats, over all hosts.
+    pub retries: RetryBounds,
+    /// How long after one holder's last order no other may give one.
+    pub lease: Duration,
+}
+
 /// Settings of one daemon on the users' platform.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
     /// Name of this entry host.
     pub host: String,
@@ -27,12 +38,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Proves daemons to each other.
     pub shared_key: String,
-    /// How long the platform waits between asking this process to stop and ending it.
-    pub grace: Duration,
-    /// Bounds on repeats, over all hosts.
-    pub retries: RetryBounds,
-    /// How long after one holder's last order no other may give one.
-    pub lease: Duration,
+    /// Bounds that may change while the daemon runs.
+    pub bounds: GatewayBounds,
     /// `error`, `warn`, `info` or `debug`.
     pub log_level: log::LevelFilter,
 }
@@ -57,13 +64,7 @@
         store: reader.parsed("store", address, NOWHERE),
         seeds: reader.parsed_list("seeds", "IP addresses with port"),
         shared_key: reader.string("shared_key"),
-        grace: seconds(reader.decimal("grace_s", 0.0..=600.0, 8.0)),
-        retries: RetryBounds {
-            ratio: reader.decimal("retry_ratio", 0.0..=10.0, 0.1),
-            slack: reader.decimal("retry_slack", 0.0..=1e6, 10.0),
-            window: seconds(reader.decimal("retry_window_s", 1.0..=600.0, 10.0)),
-        },
-        lease: Duration::from_millis(reader.number("lease_ms", 0..=600_000, Some(3000))),
+        bounds: read_bounds(reader),
         log_level: read_level(reader),
     };
     if !settings.shared_key.is_empty() && settings.shared_key.len() < SHORTEST_KEY {
@@ -74,6 +75,35 @@
     settings
 }
 
+fn read_bounds(reader: &mut FieldReader<'_, '_>) -> GatewayBounds {
+    GatewayBounds {
+        grace: seconds(reader.decimal("grace_s", 0.0..=600.0, 8.0)),
+        retries: RetryBounds {
+            ratio: reader.decimal("retry_ratio", 0.0..=10.0, 0.1),
+            slack: reader.decimal("retry_slack", 0.0..=1e6, 10.0),
+            window: seconds(reader.decimal("retry_window_s", 1.0..=600.0, 10.0)),
+        },
+        lease: Duration::from_millis(reader.number("lease_ms", 0..=600_000, Some(3000))),
+    }
+}
+
+impl GatewaySettings {
+    /// Names of the keys that differ from `newer` and need a restart.
+    pub fn fixed_changes(&self, newer: &Self) -> Vec<&'static str> {
+        let changed = [
+            ("host", self.host != newer.host),
+            ("domain", self.domain != newer.domain),
+            ("callers_listen", self.callers_listen != newer.callers_listen),
+            ("ready_listen", self.ready_listen != newer.ready_listen),
+            ("peers_listen", self.peers_listen != newer.peers_listen),
+            ("metrics_listen", self.metrics_listen != newer.metrics_listen),
+            ("store", self.store != newer.store),
+            ("shared_key", self.shared_key != newer.shared_key),
+        ];
+        changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+}
+
 fn check_ports(reader: &mut FieldReader<'_, '_>, settings: &GatewaySettings) {
     let listeners = [
         ("callers_listen", settings.callers_listen),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,7 +10,7 @@
 
 pub use field_reader::FieldReader;
 pub use finding::Finding;
-pub use gateway_settings::GatewaySettings;
+pub use gateway_settings::{GatewayBounds, GatewaySettings};
 pub use host_settings::HostSettings;
 pub use settings_findings::SettingsFindings;
 pub use source_text::{DaemonSettings, SourceText, check_text};
--- a/src/telemetry/log_line.rs
+++ b/src/telemetry/log_line.rs
@@ -27,8 +27,11 @@
             ));
         })
         .level(log::LevelFilter::Warn)
-        .level_for("tealcleat", level)
+        // The crate's own level is the global one, which a reload may change.
+        .level_for("tealcleat", log::LevelFilter::Trace)
         .chain(Box::new(BoundedWriter::start()) as Box<dyn std::io::Write + Send>)
         .apply()
-        .map_err(|error| crate::Error::Refused(format!("logs: {error}")))
+        .map_err(|error| crate::Error::Refused(format!("logs: {error}")))?;
+    log::set_max_level(level);
+    Ok(())
 }
