--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -11,6 +11,7 @@
 use crate::Error;
 use crate::engines::SendLimits;
 use crate::fleet::{ServerEntry, ServerStage};
+use crate::keys::ServerKey;
 use crate::placement::{ChoiceKind, ServerLoad};
 use crate::platform::{AnswerKind, CallPart, DecodePart, answer_headers, read_answer};
 use crate::routes::EngineSpec;
@@ -78,9 +79,21 @@
     Unknown(&'static str),
 }
 
-/// How often a request was sent to run.
+/// What became of a request's runs so far.
 #[derive(Debug, Default)]
-pub(super) struct RunCount(u32);
+pub(super) struct RunRecord {
+    /// How often it was sent to run.
+    sent: u32,
+    /// Servers that lost a run; no further one is opened there.
+    lost: Vec<ServerKey>,
+}
+
+impl RunRecord {
+    /// A server broke a run off or fell silent.
+    pub fn note_lost(&mut self, server: ServerKey) {
+        self.lost.push(server);
+    }
+}
 
 /// Runs a request at a service of model engines and answers with its stream.
 pub(super) async fn serve_engine(context: Arc<CallContext>, flight: FlightGuard) -> CallerAnswer {
@@ -88,7 +101,7 @@
         let end = CallEnd::NotRun(NotRunReason::NoServer, NO_SERVER_PAUSE);
         return end.into_answer(context.id());
     };
-    let mut runs = RunCount::default();
+    let mut runs = RunRecord::default();
     match open_stream(&context, &engine, context.head.last_event, &mut runs).await {
         Ok(run) => stream_answer(context, engine, run, runs, flight),
         Err(end) => {
@@ -102,7 +115,7 @@
     context: Arc<CallContext>,
     engine: EngineSpec,
     run: OpenRun,
-    runs: RunCount,
+    runs: RunRecord,
     flight: FlightGuard,
 ) -> CallerAnswer {
     let (events, received) = tokio::sync::mpsc::channel(EVENTS_WAITING);
@@ -121,7 +134,7 @@
     context: &CallContext,
     engine: &EngineSpec,
     after: Option<u64>,
-    runs: &mut RunCount,
+    runs: &mut RunRecord,
 ) -> Result<OpenRun, CallEnd> {
     loop {
         let mut failure = match open_at_best(context, engine, after, runs).await {
@@ -155,9 +168,9 @@
 
 /// A run that failed is repeated where the route allows it, and the retry bounds do: reading the
 /// prompt again and running again count as one repeat each.
-pub(super) fn may_run_again(context: &CallContext, runs: &RunCount) -> bool {
+pub(super) fn may_run_again(context: &CallContext, runs: &RunRecord) -> bool {
     context.route.is_repeatable()
-        && runs.0 < context.route.most_servers
+        && runs.sent < context.route.most_servers
         && !context.left().is_zero()
         && context.host.take_repeats(context.service, 2)
 }
@@ -183,9 +196,9 @@
     context: &CallContext,
     engine: &EngineSpec,
     after: Option<u64>,
-    runs: &mut RunCount,
+    runs: &mut RunRecord,
 ) -> Result<OpenRun, OpenFailure> {
-    let mut room = find_room(context, engine, after).await?;
+    let mut room = find_room(context, engine, after, &runs.lost).await?;
     let mut prompt = match read_prompt(context, room.keep.server.domain).await {
         PromptEnd::Read(keep) => Some(keep),
         PromptEnd::NoReader => None,
@@ -220,7 +233,7 @@
     engine: &EngineSpec,
     after: Option<u64>,
     server: &ServerEntry,
-    runs: &mut RunCount,
+    runs: &mut RunRecord,
 ) -> Result<OpenRun, OpenFailure> {
     let turned_away = || OpenFailure::TurnedAway(server.clone());
     let late = context.age() > context.route.objective.mul_f64(SECOND_TRY_PART);
@@ -266,13 +279,16 @@
     context: &CallContext,
     engine: &EngineSpec,
     after: Option<u64>,
+    lost: &[ServerKey],
 ) -> Result<DecodeRoom, OpenFailure> {
     let tokens = needed_tokens(context, engine, after);
     let began = context.host.now();
     loop {
         let kind = ChoiceKind::DecodeMemory(engine.memory_tokens);
         let near = context.host.domain();
-        let ranked = context.host.ranked(context.service, Some(ServerStage::Decode), kind, near);
+        let mut ranked =
+            context.host.ranked(context.service, Some(ServerStage::Decode), kind, near);
+        ranked.retain(|server| !lost.contains(&server.key()));
         if ranked.is_empty() {
             return Err(OpenFailure::NotRun(NotRunReason::NoServer));
         }
@@ -318,11 +334,11 @@
     context: &CallContext,
     server: &ServerEntry,
     part: DecodePart<'_>,
-    runs: &mut RunCount,
+    runs: &mut RunRecord,
 ) -> Result<RunStart, OpenFailure> {
-    runs.0 += 1;
+    runs.sent += 1;
     context.host.note_health(server, |health, now| health.note_sent(now));
-    let may_repeat = context.route.is_repeatable() && runs.0 < context.route.most_servers;
+    let may_repeat = context.route.is_repeatable() && runs.sent < context.route.most_servers;
     let limit = if may_repeat { FIRST_EVENT_LIMIT.min(context.left()) } else { context.left() };
     let started = match tokio::time::timeout(limit, start_run(context, server, part)).await {
         Ok(started) => started,
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -1,7 +1,8 @@
 use super::call_context::CallContext;
+use super::call_end::CallEnd;
 use super::caller_body::StreamCut;
 use super::caller_loop::FlightGuard;
-use super::engine_call::{OpenRun, RunCount, may_run_again, open_stream};
+use super::engine_call::{OpenRun, RunRecord, may_run_again, open_stream};
 use crate::Result;
 use crate::keys::TimePoint;
 use crate::routes::EngineSpec;
@@ -15,6 +16,9 @@
 /// after about twice that.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
 
+/// A lost stream asks for room this long; callers give up after a gap of two seconds and more.
+const RESUME_LIMIT: Duration = Duration::from_millis(1500);
+const RESUME_PAUSE: Duration = Duration::from_millis(60);
 /// Before a stream is cut, events that were passed on have this long to leave for the caller.
 const CUT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -63,7 +67,7 @@
     context: Arc<CallContext>,
     engine: EngineSpec,
     run: OpenRun,
-    runs: RunCount,
+    runs: RunRecord,
     events: Sender<std::result::Result<Bytes, StreamCut>>,
     flight: FlightGuard,
 ) {
@@ -88,7 +92,7 @@
     context: &CallContext,
     engine: &EngineSpec,
     run: OpenRun,
-    mut runs: RunCount,
+    mut runs: RunRecord,
     events: &Sender<std::result::Result<Bytes, StreamCut>>,
     record: &mut RelayRecord,
 ) -> StreamEnd {
@@ -99,6 +103,7 @@
             RunEnd::Stream(end) => return end,
             RunEnd::ServerLost => {
                 context.host.note_health(&server, |health, now| health.note_silence(now));
+                runs.note_lost(server.key());
             }
         }
         if !may_run_again(context, &runs) {
@@ -106,7 +111,7 @@
         }
         let (id, after) = (context.id(), record.last.unwrap_or_default());
         log::info!("event=stream_resumed request={id} lost={} after={after}", server.id);
-        let opening = open_stream(context, engine, record.last, &mut runs);
+        let opening = open_again(context, engine, record.last, &mut runs);
         let opened = tokio::select! {
             opened = opening => opened,
             () = events.closed() => return StreamEnd::CallerLeft,
@@ -118,6 +123,25 @@
     }
 }
 
+/// Opens a further run; while there is only no room, it asks again as long as the caller may wait.
+async fn open_again(
+    context: &CallContext,
+    engine: &EngineSpec,
+    after: Option<u64>,
+    runs: &mut RunRecord,
+) -> std::result::Result<OpenRun, CallEnd> {
+    let began = context.host.now();
+    loop {
+        let opened = open_stream(context, engine, after, runs).await;
+        let refused = matches!(opened, Err(CallEnd::NotRun(..)));
+        let waited = context.host.now().since(began);
+        if !refused || waited > RESUME_LIMIT || context.left().is_zero() {
+            return opened;
+        }
+        tokio::time::sleep(RESUME_PAUSE).await;
+    }
+}
+
 async fn relay_run(
     context: &CallContext,
     engine: &EngineSpec,
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -141,6 +141,32 @@
     });
 }
 
+/// Incident inc-f409: a resumable stream was broken off because no server had room at once.
+#[test]
+fn cut_stream_waits_for_room_to_resume() {
+    runtime().block_on(async {
+        let site = Arc::new(TestSite::start(SitePlan::default()).await.expect("it starts"));
+        site.decodes[0].set_fault(EngineFault::StallAfter(3));
+        site.decodes[1].set_fault(EngineFault::Full);
+        let asking = Arc::clone(&site);
+        let caller = tokio::spawn(async move { ask(&asking, &call("POST", "resume", "r1")).await });
+        let ran = || engine_runs(&site, "r1").iter().any(|run| run.stage == "decode");
+        while !ran() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        // The stream falls silent and finds no room elsewhere; then there is some.
+        let lost = || engine_runs(&site, "r1").iter().any(|run| run.cancelled);
+        while !lost() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        site.decodes[1].set_fault(EngineFault::None);
+        let reply = caller.await.expect("it ends");
+        assert!(reply.complete);
+        assert_eq!(reply.events(), (0..8).collect::<Vec<u64>>());
+    });
+}
+
 #[test]
 fn failed_run_not_repeated() {
     runtime().block_on(async {
