--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -4,6 +4,7 @@
 //! callers and backend servers see is checked while it runs and once more when all is calm.
 
 mod soak_caller;
+mod soak_calm;
 mod soak_check;
 mod soak_fault;
 mod soak_host;
--- /dev/null
+++ b/src/bench/soak/soak_calm.rs
@@ -0,0 +1,121 @@
+//! What a soak checks when all faults have ended.
+
+use super::soak_caller::soak_call;
+use super::soak_check::{SoakBreach, SoakRecord, SoakRoute, check_reply};
+use super::soak_run::SoakStage;
+use crate::bench::site::{SiteConnection, call_site};
+use std::time::Duration;
+
+const LOOK: Duration = Duration::from_millis(20);
+/// Ends a check that hangs; nothing is measured against it.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Servers that drain get no new work after this, when all is calm.
+const DRAIN_BOUND: Duration = Duration::from_millis(2000);
+
+impl SoakStage {
+    /// When all is calm, everything is served, drained servers get nothing, a planned stop cuts
+    /// nothing, and nothing stays held.
+    pub async fn check_calm(&mut self, seed: u64) -> (Vec<SoakBreach>, Vec<SoakRecord>) {
+        let mut breaches = Vec::new();
+        let mut records = Vec::new();
+        for route in SoakRoute::ALL {
+            let served = self.served_in_the_end(seed, route, &mut records).await;
+            if !served {
+                let detail = route.name().to_owned();
+                breaches.push(SoakBreach { promise: "all is served after the faults", detail });
+            }
+        }
+        breaches.extend(self.check_drain(seed, &mut records).await);
+        breaches.extend(self.check_stop(seed, &mut records).await);
+        if !self.nothing_held().await {
+            let detail = "holds or results of prefills".to_owned();
+            breaches.push(SoakBreach { promise: "nothing stays held", detail });
+        }
+        (breaches, records)
+    }
+
+    async fn served_in_the_end(
+        &self,
+        seed: u64,
+        route: SoakRoute,
+        records: &mut Vec<SoakRecord>,
+    ) -> bool {
+        let ends = tokio::time::Instant::now() + PATIENCE;
+        let mut serial = 0;
+        while tokio::time::Instant::now() < ends {
+            serial += 1;
+            let id = format!("s{seed}-calm-{}-{serial}", route.name());
+            let host = self.hosts[serial % self.hosts.len()].callers;
+            let reply = call_site(host, &soak_call(route, &id)).await;
+            let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
+            records.push(SoakRecord { id: id.clone(), route, status });
+            let whole = reply.is_ok_and(|reply| {
+                reply.complete
+                    && reply.status.is_success()
+                    && check_reply(route, &id, &reply).is_none()
+            });
+            if whole {
+                return true;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        false
+    }
+
+    async fn check_drain(&self, seed: u64, records: &mut Vec<SoakRecord>) -> Option<SoakBreach> {
+        self.state_service(0, "draining");
+        tokio::time::sleep(DRAIN_BOUND).await;
+        let before = self.site.services[0].runs().len();
+        for (place, host) in self.hosts.iter().enumerate() {
+            let id = format!("s{seed}-drain-{place}");
+            let route = SoakRoute::Once;
+            let reply = call_site(host.callers, &soak_call(route, &id)).await;
+            let status = reply.ok().map(|reply| reply.status.as_u16());
+            records.push(SoakRecord { id, route, status });
+        }
+        let after = self.site.services[0].runs().len();
+        self.state_service(0, "ready");
+        let promise = "a draining server gets no new work";
+        (after > before).then(|| SoakBreach { promise, detail: format!("{} runs", after - before) })
+    }
+
+    /// A kept connection is used until the stopping daemon closes it: each request that was read
+    /// is answered.
+    async fn check_stop(&mut self, seed: u64, records: &mut Vec<SoakRecord>) -> Option<SoakBreach> {
+        let host = &mut self.hosts[0];
+        let mut open = SiteConnection::open(host.callers).await.ok()?;
+        host.signal("-TERM").ok()?;
+        let mut serial = 0;
+        while open.is_open() {
+            serial += 1;
+            let id = format!("s{seed}-stop-{serial}");
+            let route = SoakRoute::Stream;
+            let reply = open.call(&soak_call(route, &id)).await;
+            let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
+            records.push(SoakRecord { id: id.clone(), route, status });
+            match reply {
+                Ok(reply) if !reply.complete => {
+                    let promise = "a planned stop cuts nothing";
+                    return Some(SoakBreach { promise, detail: id });
+                }
+                // A request that crosses the close was not read.
+                Err(_) => break,
+                Ok(_) => {}
+            }
+        }
+        None
+    }
+
+    async fn nothing_held(&self) -> bool {
+        let ends = tokio::time::Instant::now() + PATIENCE;
+        while tokio::time::Instant::now() < ends {
+            let holds: usize = self.site.decodes.iter().map(|engine| engine.open_holds()).sum();
+            let handles: usize = self.site.prefills.iter().map(|e| e.open_handles()).sum();
+            if holds + handles == 0 {
+                return true;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        false
+    }
+}
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -1,10 +1,10 @@
-use super::soak_caller::{SoakNotes, run_caller, soak_call};
-use super::soak_check::{SoakBreach, SoakReport, SoakRoute, check_orders, check_reply, check_runs};
+use super::soak_caller::{SoakNotes, run_caller};
+use super::soak_check::{SoakReport, check_orders, check_runs};
 use super::soak_fault::{FaultPlaces, SoakFault, draw_fault};
 use super::soak_host::SoakHost;
 use super::soak_proxy::{ProxyMode, SoakProxy};
 use crate::bench::site::{
-    EngineFault, ServiceFault, SiteConnection, SitePlan, StoreFault, TestSite, call_site, config,
+    EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site, config,
 };
 use crate::host::lock;
 use crate::{Error, Result};
@@ -21,8 +21,6 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Ends a soak that hangs; nothing is measured against it.
 const PATIENCE: Duration = Duration::from_secs(60);
-/// Servers that drain get no new work after this, when all is calm.
-const DRAIN_BOUND: Duration = Duration::from_millis(2000);
 
 /// How a soak is run.
 #[derive(Debug, Clone)]
@@ -39,11 +37,11 @@
     pub programs: PathBuf,
 }
 
-struct SoakStage {
-    site: TestSite,
+pub(super) struct SoakStage {
+    pub site: TestSite,
     links: Vec<SoakProxy>,
     store_links: Vec<SoakProxy>,
-    hosts: Vec<SoakHost>,
+    pub hosts: Vec<SoakHost>,
     version: u64,
 }
 
@@ -195,7 +193,7 @@
         self.site.decodes.get(place).unwrap_or_else(|| &self.site.prefills[place - decodes])
     }
 
-    fn state_service(&self, place: usize, state: &str) {
+    pub fn state_service(&self, place: usize, state: &str) {
         let server = &self.site.servers[self.site.decodes.len() + self.site.prefills.len() + place];
         let address =
             self.links[self.site.decodes.len() + self.site.prefills.len() + place].address;
@@ -240,123 +238,6 @@
         }
         Ok(())
     }
-
-    /// When all is calm, everything is served, drained servers get nothing, a planned stop cuts
-    /// nothing, and nothing stays held.
-    async fn check_calm(
-        &mut self,
-        seed: u64,
-    ) -> (Vec<SoakBreach>, Vec<super::soak_check::SoakRecord>) {
-        let mut breaches = Vec::new();
-        let mut records = Vec::new();
-        for route in SoakRoute::ALL {
-            let served = self.served_in_the_end(seed, route, &mut records).await;
-            if !served {
-                let detail = route.name().to_owned();
-                breaches.push(SoakBreach { promise: "all is served after the faults", detail });
-            }
-        }
-        breaches.extend(self.check_drain(seed, &mut records).await);
-        breaches.extend(self.check_stop(seed, &mut records).await);
-        if !self.nothing_held().await {
-            let detail = "holds or results of prefills".to_owned();
-            breaches.push(SoakBreach { promise: "nothing stays held", detail });
-        }
-        (breaches, records)
-    }
-
-    async fn served_in_the_end(
-        &self,
-        seed: u64,
-        route: SoakRoute,
-        records: &mut Vec<super::soak_check::SoakRecord>,
-    ) -> bool {
-        let ends = tokio::time::Instant::now() + PATIENCE;
-        let mut serial = 0;
-        while tokio::time::Instant::now() < ends {
-            serial += 1;
-            let id = format!("s{seed}-calm-{}-{serial}", route.name());
-            let host = self.hosts[serial % self.hosts.len()].callers;
-            let reply = call_site(host, &soak_call(route, &id)).await;
-            let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
-            records.push(super::soak_check::SoakRecord { id: id.clone(), route, status });
-            let whole = reply.is_ok_and(|reply| {
-                reply.complete
-                    && reply.status.is_success()
-                    && check_reply(route, &id, &reply).is_none()
-            });
-            if whole {
-                return true;
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-        false
-    }
-
-    async fn check_drain(
-        &self,
-        seed: u64,
-        records: &mut Vec<super::soak_check::SoakRecord>,
-    ) -> Option<SoakBreach> {
-        self.state_service(0, "draining");
-        tokio::time::sleep(DRAIN_BOUND).await;
-        let before = self.site.services[0].runs().len();
-        for (place, host) in self.hosts.iter().enumerate() {
-            let id = format!("s{seed}-drain-{place}");
-            let route = SoakRoute::Once;
-            let reply = call_site(host.callers, &soak_call(route, &id)).await;
-            let status = reply.ok().map(|reply| reply.status.as_u16());
-            records.push(super::soak_check::SoakRecord { id, route, status });
-        }
-        let after = self.site.services[0].runs().len();
-        self.state_service(0, "ready");
-        let promise = "a draining server gets no new work";
-        (after > before).then(|| SoakBreach { promise, detail: format!("{} runs", after - before) })
-    }
-
-    /// A kept connection is used until the stopping daemon closes it: each request that was read
-    /// is answered.
-    async fn check_stop(
-        &mut self,
-        seed: u64,
-        records: &mut Vec<super::soak_check::SoakRecord>,
-    ) -> Option<SoakBreach> {
-        let host = &mut self.hosts[0];
-        let mut open = SiteConnection::open(host.callers).await.ok()?;
-        host.signal("-TERM").ok()?;
-        let mut serial = 0;
-        while open.is_open() {
-            serial += 1;
-            let id = format!("s{seed}-stop-{serial}");
-            let route = SoakRoute::Stream;
-            let reply = open.call(&soak_call(route, &id)).await;
-            let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
-            records.push(super::soak_check::SoakRecord { id: id.clone(), route, status });
-            match reply {
-                Ok(reply) if !reply.complete => {
-                    let promise = "a planned stop cuts nothing";
-                    return Some(SoakBreach { promise, detail: id });
-                }
-                // A request that crosses the close was not read.
-                Err(_) => break,
-                Ok(_) => {}
-            }
-        }
-        None
-    }
-
-    async fn nothing_held(&self) -> bool {
-        let ends = tokio::time::Instant::now() + PATIENCE;
-        while tokio::time::Instant::now() < ends {
-            let holds: usize = self.site.decodes.iter().map(|engine| engine.open_holds()).sum();
-            let handles: usize = self.site.prefills.iter().map(|e| e.open_handles()).sum();
-            if holds + handles == 0 {
-                return true;
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-        false
-    }
 }
 
 async fn is_ready(address: SocketAddr) -> bool {
--- /dev/null
+++ b/src/gateway/decode_room.rs
@@ -0,0 +1,97 @@
+//! Holds memory at a decode server before a prompt is read.
+
+use super::call_context::CallContext;
+use super::call_end::NotRunReason;
+use super::engine_hold::{EngineKeep, take_hold};
+use super::load_guard::LoadGuard;
+use crate::fleet::{ServerEntry, ServerStage};
+use crate::keys::ServerKey;
+use crate::placement::{ChoiceKind, ServerLoad};
+use crate::routes::EngineSpec;
+use std::time::Duration;
+
+/// Longest wait for memory at a decode server. Trials with 0, 60, 220 and 600 ms: 60 served most
+/// (../shared/platform-notes.md); callers sent away early come back while there is time.
+const ROOM_WAIT: Duration = Duration::from_millis(60);
+/// Pause between two rounds of asking for memory; about one answer ends in it.
+const ROOM_ROUND: Duration = Duration::from_millis(25);
+/// Decode servers asked for memory in one round.
+const SERVERS_A_ROUND: usize = 6;
+/// Memory held for a request at a decode server, and its place on the load board.
+#[derive(Debug)]
+pub(super) struct DecodeRoom {
+    pub keep: EngineKeep,
+    pub load: LoadGuard,
+}
+
+/// Puts a request on the load board.
+pub(super) fn decode_load(context: &CallContext, server: &ServerEntry) -> LoadGuard {
+    let memory_tokens = context.head.tokens.prompt;
+    let load = ServerLoad { requests: 1, memory_tokens, ..ServerLoad::default() };
+    LoadGuard::new(&context.host, server.key(), load)
+}
+
+/// Memory that a request is expected to take in the end: its prompt, and the answer as its caller
+/// estimates it.
+pub(super) fn needed_tokens(context: &CallContext, engine: &EngineSpec, after: Option<u64>) -> u32 {
+    let tokens = &context.head.tokens;
+    let made = after.map_or(0, |event| {
+        u32::try_from(event + 1).unwrap_or(u32::MAX).saturating_mul(engine.tokens_per_event)
+    });
+    let expected = tokens.hinted_output.unwrap_or(tokens.most_output / 2).min(tokens.most_output);
+    let whole = tokens.prompt.saturating_add(expected.max(made)).saturating_add(1);
+    whole.min(engine.memory_tokens)
+}
+
+/// Holds memory at the best decode server that has some, but not where a run was lost.
+pub(super) async fn find_room(
+    context: &CallContext,
+    engine: &EngineSpec,
+    after: Option<u64>,
+    lost: &[ServerKey],
+) -> Result<DecodeRoom, NotRunReason> {
+    let tokens = needed_tokens(context, engine, after);
+    let began = context.host.now();
+    loop {
+        let kind = ChoiceKind::DecodeMemory(engine.memory_tokens);
+        let near = context.host.domain();
+        let mut ranked =
+            context.host.ranked(context.service, Some(ServerStage::Decode), kind, near);
+        ranked.retain(|server| !lost.contains(&server.key()));
+        if ranked.is_empty() {
+            return Err(NotRunReason::NoServer);
+        }
+        for server in ranked.iter().take(SERVERS_A_ROUND) {
+            if let Some(room) = ask_room(context, engine, server, tokens).await {
+                return Ok(room);
+            }
+        }
+        if context.host.now().since(began) + ROOM_ROUND > ROOM_WAIT {
+            return Err(NotRunReason::NoMemory);
+        }
+        tokio::time::sleep(ROOM_ROUND).await;
+    }
+}
+
+async fn ask_room(
+    context: &CallContext,
+    engine: &EngineSpec,
+    server: &ServerEntry,
+    tokens: u32,
+) -> Option<DecodeRoom> {
+    let load = decode_load(context, server);
+    match take_hold(&context.host, server, tokens, engine.longest_hold).await {
+        Ok(Some(keep)) => Some(DecodeRoom { keep, load }),
+        Ok(None) => {
+            let now = context.host.now();
+            context.host.state().board.note_refused(now, server.key());
+            None
+        }
+        Err(error) => {
+            context.host.note_health(server, |health, now| health.note_silence(now));
+            let (id, server) = (context.id(), &server.id);
+            log::info!("event=hold_failed request={id} server={server} cause=\"{error}\"");
+            None
+        }
+    }
+}
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -3,16 +3,16 @@
 use super::call_route::log_end;
 use super::caller_body::{CallerAnswer, CallerBody};
 use super::caller_loop::FlightGuard;
-use super::engine_hold::{EngineKeep, take_hold};
+use super::decode_room::{decode_load, find_room, needed_tokens};
+use super::engine_hold::take_hold;
 use super::event_reader::EventReader;
 use super::event_relay::relay_events;
 use super::load_guard::LoadGuard;
 use super::prompt_read::{PromptEnd, read_prompt};
 use crate::Error;
 use crate::engines::SendLimits;
-use crate::fleet::{ServerEntry, ServerStage};
+use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
-use crate::placement::{ChoiceKind, ServerLoad};
 use crate::platform::{AnswerKind, CallPart, DecodePart, answer_headers, read_answer};
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
@@ -20,13 +20,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait for memory at a decode server. Trials with 0, 60, 220 and 600 ms: 60 served most
-/// (../shared/platform-notes.md); callers sent away early come back while there is time.
-const ROOM_WAIT: Duration = Duration::from_millis(60);
-/// Pause between two rounds of asking for memory; about one answer ends in it.
-const ROOM_ROUND: Duration = Duration::from_millis(25);
-/// Decode servers asked for memory in one round.
-const SERVERS_A_ROUND: usize = 6;
 /// When a caller that found no memory may come back. Trials with 0.3, 1.2, 1.5, 2.5 and 4 s: the
 /// longest served most, since a burst lasts about that long.
 const NO_MEMORY_PAUSE: Duration = Duration::from_secs(4);
@@ -44,13 +37,6 @@
 /// objective has not passed.
 const SECOND_TRY_PART: f64 = 0.8;
 
-/// Memory held for a request at a decode server, and its place on the load board.
-#[derive(Debug)]
-struct DecodeRoom {
-    keep: EngineKeep,
-    load: LoadGuard,
-}
-
 /// A run whose first event has arrived.
 #[derive(Debug)]
 pub(super) struct OpenRun {
@@ -198,7 +184,8 @@
     after: Option<u64>,
     runs: &mut RunRecord,
 ) -> Result<OpenRun, OpenFailure> {
-    let mut room = find_room(context, engine, after, &runs.lost).await?;
+    let mut room =
+        find_room(context, engine, after, &runs.lost).await.map_err(OpenFailure::NotRun)?;
     let mut prompt = match read_prompt(context, room.keep.server.domain).await {
         PromptEnd::Read(keep) => Some(keep),
         PromptEnd::NoReader => None,
@@ -257,76 +244,6 @@
     Ok(OpenRun { server: server.clone(), head, reader, first, load })
 }
 
-fn decode_load(context: &CallContext, server: &ServerEntry) -> LoadGuard {
-    let memory_tokens = context.head.tokens.prompt;
-    let load = ServerLoad { requests: 1, memory_tokens, ..ServerLoad::default() };
-    LoadGuard::new(&context.host, server.key(), load)
-}
-
-/// Memory that a request is expected to take in the end: its prompt, and the answer as its caller
-/// estimates it.
-fn needed_tokens(context: &CallContext, engine: &EngineSpec, after: Option<u64>) -> u32 {
-    let tokens = &context.head.tokens;
-    let made = after.map_or(0, |event| {
-        u32::try_from(event + 1).unwrap_or(u32::MAX).saturating_mul(engine.tokens_per_event)
-    });
-    let expected = tokens.hinted_output.unwrap_or(tokens.most_output / 2).min(tokens.most_output);
-    let whole = tokens.prompt.saturating_add(expected.max(made)).saturating_add(1);
-    whole.min(engine.memory_tokens)
-}
-
-async fn find_room(
-    context: &CallContext,
-    engine: &EngineSpec,
-    after: Option<u64>,
-    lost: &[ServerKey],
-) -> Result<DecodeRoom, OpenFailure> {
-    let tokens = needed_tokens(context, engine, after);
-    let began = context.host.now();
-    loop {
-        let kind = ChoiceKind::DecodeMemory(engine.memory_tokens);
-        let near = context.host.domain();
-        let mut ranked =
-            context.host.ranked(context.service, Some(ServerStage::Decode), kind, near);
-        ranked.retain(|server| !lost.contains(&server.key()));
-        if ranked.is_empty() {
-            return Err(OpenFailure::NotRun(NotRunReason::NoServer));
-        }
-        for server in ranked.iter().take(SERVERS_A_ROUND) {
-            if let Some(room) = ask_room(context, engine, server, tokens).await {
-                return Ok(room);
-            }
-        }
-        if context.host.now().since(began) + ROOM_ROUND > ROOM_WAIT {
-            return Err(OpenFailure::NotRun(NotRunReason::NoMemory));
-        }
-        tokio::time::sleep(ROOM_ROUND).await;
-    }
-}
-
-async fn ask_room(
-    context: &CallContext,
-    engine: &EngineSpec,
-    server: &ServerEntry,
-    tokens: u32,
-) -> Option<DecodeRoom> {
-    let load = decode_load(context, server);
-    match take_hold(&context.host, server, tokens, engine.longest_hold).await {
-        Ok(Some(keep)) => Some(DecodeRoom { keep, load }),
-        Ok(None) => {
-            let now = context.host.now();
-            context.host.state().board.note_refused(now, server.key());
-            None
-        }
-        Err(error) => {
-            context.host.note_health(server, |health, now| health.note_silence(now));
-            let (id, server) = (context.id(), &server.id);
-            log::info!("event=hold_failed request={id} server={server} cause=\"{error}\"");
-            None
-        }
-    }
-}
-
 type RunStart = ((StatusCode, HeaderMap), EventReader, Option<StreamEvent>);
 
 /// Sends a request to run and waits for its first event.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,13 +1,15 @@
 //! Gateway joins the decisions and the edges into the daemon that runs on the users' platform.
 //!
 //! A request takes one way through it: `caller_loop` reads it, `call_route` finds its service,
-//! `plain_call` or `engine_call` runs it, and `event_relay` passes a stream on.
+//! `plain_call` or `engine_call` runs it (`decode_room` holds memory, `prompt_read` has the prompt
+//! read), and `event_relay` passes a stream on.
 
 mod call_context;
 mod call_end;
 mod call_route;
 mod caller_body;
 mod caller_loop;
+mod decode_room;
 mod engine_call;
 mod engine_hold;
 mod event_reader;
