--- a/src/claims/claim_bucket.rs
+++ b/src/claims/claim_bucket.rs
@@ -6,7 +6,7 @@
 
 /// Writes of one bucket are at least this far apart: 8 buckets make 40 writes a second at most.
 const WRITE_SPACING: Duration = Duration::from_millis(200);
-/// A claim is kept this long; callers must not repeat a key later (docs/OPERATING.md).
+/// A claim is kept this long; callers must not repeat a key later (docs/OPERATIONS.md).
 const KEEP_SECONDS: u64 = 600;
 /// Claims waiting for the store beyond this are refused at once.
 const MOST_WAITING: usize = 2000;
--- a/src/intents/planner.rs
+++ b/src/intents/planner.rs
@@ -3,7 +3,7 @@
 };
 use crate::keys::stable_hash;
 
-/// Rate of the weight store, shared by all pulls (docs/OPERATING.md tells how to change it).
+/// Rate of the weight store, shared by all pulls (docs/OPERATIONS.md tells how to change it).
 const WEIGHT_STORE_BYTES_PER_SECOND: f64 = 2.0e9;
 
 /// Why an intent has no plan, or a plan is no longer valid.
--- /dev/null
+++ b/tests/server_choice.rs
@@ -0,0 +1,170 @@
+//! Which server a request goes to, what is believed of servers, and how many repeats are allowed.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use tealcleat::fleet::{ServerEntry, ServerStage, ServerState};
+use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
+use tealcleat::placement::{
+    ChoiceKind, ChoiceView, LoadBoard, RetryBounds, RetryWindow, ServerHealth, ServerLoad,
+    rank_servers,
+};
+
+const MEMORY: u32 = 10_000;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+fn server(id: &str, domain: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.to_owned(),
+        service: NameKey::of("engines"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: NameKey::of(domain),
+        state: ServerState::Ready,
+        stage: Some(ServerStage::Decode),
+        slots: 8,
+    }
+}
+
+fn memory(tokens: u32) -> ServerLoad {
+    ServerLoad { requests: 1, memory_tokens: tokens, prompt_tokens: 0 }
+}
+
+fn ranked(
+    now: TimePoint,
+    board: &LoadBoard,
+    health: &HashMap<ServerKey, ServerHealth>,
+    servers: &[ServerEntry],
+) -> Vec<String> {
+    let view = ChoiceView { board, health, near: NameKey::of("a"), salt: 7 };
+    let kind = ChoiceKind::DecodeMemory(MEMORY);
+    let order = rank_servers(now, &view, kind, servers.iter());
+    order.into_iter().map(|server| server.id.clone()).collect()
+}
+
+#[test]
+fn emptier_server_ranked_first() {
+    let servers = [server("full", "a"), server("empty", "a")];
+    let mut board = LoadBoard::default();
+    board.add(ServerKey::of("full"), memory(5000));
+    assert_eq!(ranked(at(0), &board, &HashMap::new(), &servers), ["empty", "full"]);
+}
+
+#[test]
+fn own_domain_ranked_first_unless_much_fuller() {
+    let servers = [server("near", "a"), server("far", "b")];
+    let mut board = LoadBoard::default();
+    board.add(ServerKey::of("near"), memory(2000));
+    assert_eq!(ranked(at(0), &board, &HashMap::new(), &servers), ["near", "far"]);
+    board.add(ServerKey::of("near"), memory(3000));
+    assert_eq!(ranked(at(0), &board, &HashMap::new(), &servers), ["far", "near"]);
+}
+
+#[test]
+fn refusing_server_ranked_last_for_a_while() {
+    let servers = [server("refused", "a"), server("other", "b")];
+    let mut board = LoadBoard::default();
+    board.note_refused(at(0), ServerKey::of("refused"));
+    assert_eq!(ranked(at(100), &board, &HashMap::new(), &servers), ["other", "refused"]);
+    assert_eq!(ranked(at(200), &board, &HashMap::new(), &servers), ["refused", "other"]);
+}
+
+/// Incident inc-c35b: requests waited for servers behind a cut before they were refused.
+#[test]
+fn silent_server_left_out_but_for_a_trial() {
+    let servers = [server("silent", "a")];
+    let board = LoadBoard::default();
+    let mut silent = ServerHealth::default();
+    silent.note_silence(at(0));
+    silent.note_silence(at(10));
+    let health = HashMap::from([(ServerKey::of("silent"), silent)]);
+    assert!(ranked(at(100), &board, &health, &servers).is_empty());
+    assert_eq!(ranked(at(600), &board, &health, &servers), ["silent"], "one trial");
+}
+
+#[test]
+fn erring_server_ranked_behind_and_forgiven_in_time() {
+    let servers = [server("errs", "a"), server("well", "a")];
+    let mut board = LoadBoard::default();
+    board.add(ServerKey::of("well"), memory(1500));
+    let mut errs = ServerHealth::default();
+    for answer in 0..6 {
+        errs.note_error(at(answer));
+    }
+    let health = HashMap::from([(ServerKey::of("errs"), errs)]);
+    assert_eq!(ranked(at(10), &board, &health, &servers), ["well", "errs"]);
+    assert_eq!(ranked(at(20_000), &board, &health, &servers), ["errs", "well"]);
+}
+
+#[test]
+fn others_load_believed_while_fresh() {
+    let servers = [server("busy", "a"), server("idle", "a")];
+    let mut board = LoadBoard::default();
+    let loads = HashMap::from([(ServerKey::of("busy"), memory(8000))]);
+    board.hear(at(0), IncarnationId(1), 5, loads);
+    board.hear(at(10), IncarnationId(1), 4, HashMap::new());
+    assert_eq!(ranked(at(1000), &board, &HashMap::new(), &servers), ["idle", "busy"]);
+    assert_eq!(board.total(at(1600), ServerKey::of("busy")), ServerLoad::default());
+}
+
+#[test]
+fn own_load_taken_off_again() {
+    let key = ServerKey::of("a");
+    let mut board = LoadBoard::default();
+    board.add(key, memory(100));
+    board.add(key, memory(50));
+    board.take(key, memory(100));
+    assert_eq!(board.total(at(0), key), memory(50));
+    board.take(key, memory(50));
+    assert_eq!(board.own().count(), 0);
+}
+
+fn bounds() -> RetryBounds {
+    RetryBounds { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) }
+}
+
+#[test]
+fn repeats_bounded_by_share_of_slack_and_ratio() {
+    let mut window = RetryWindow::default();
+    let taken = (0..100).filter(|_| window.take(at(0), &bounds(), 10, 1)).count();
+    assert_eq!(taken, 4, "a tenth of the slack");
+    for _ in 0..100 {
+        window.note_request(at(100), &bounds());
+    }
+    let taken = (0..100).filter(|_| window.take(at(200), &bounds(), 10, 1)).count();
+    assert_eq!(taken, 14, "0.2 of 100 requests with its margin of 0.7");
+}
+
+/// Whatever the hosts do alone, together they stay below the bound in every sliding window.
+#[test]
+fn repeats_of_all_hosts_bounded_in_every_window() {
+    let mut windows = vec![RetryWindow::default(); 10];
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for step in 0..4000_u64 {
+        let now = at(step * 10);
+        // A storm every five seconds: each request wants three repeats.
+        let busy = (step / 250).is_multiple_of(2);
+        let host = &mut windows[(step % 10) as usize];
+        if busy || step.is_multiple_of(20) {
+            host.note_request(now, &bounds());
+            requests.push(step * 10);
+        }
+        for _ in 0..3 {
+            if host.take(now, &bounds(), 10, 1) {
+                repeats.push(step * 10);
+            }
+        }
+    }
+    for end in (0..40_000_u64).step_by(250) {
+        let within = |times: &[u64], from: u64, to: u64| {
+            times.iter().filter(|time| **time >= from && **time < to).count() as f64
+        };
+        let from = end.saturating_sub(10_000);
+        let earlier = within(&requests, from.saturating_sub(10_000), from);
+        let middle = within(&requests, from.saturating_sub(5000), end.saturating_sub(5000));
+        let allowed = within(&requests, from, end).max(earlier).max(middle) * 0.2 + 40.0;
+        assert!(within(&repeats, from, end) <= allowed, "window ending at {end}");
+    }
+}
