--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -78,3 +78,37 @@
     }
     assert!(checked >= 4, "{checked} examples");
 }
+
+const GATEWAY: &str = r#"{
+  "kind": "gateway", "host": "gasan-1", "domain": "gasan",
+  "callers_listen": "127.0.0.1:7001", "ready_listen": "127.0.0.1:7002",
+  "peers_listen": "127.0.0.1:7003", "metrics_listen": "127.0.0.1:7004",
+  "store": "127.0.0.1:7000", "seeds": ["127.0.0.1:7005"],
+  "shared_key": "0123456789abcdef", "grace_s": 8, "retry_ratio": 0.2, "retry_slack": null,
+}"#;
+
+#[test]
+fn good_gateway_settings_have_no_findings() {
+    assert_eq!(lines(GATEWAY), Vec::<String>::new());
+}
+
+#[rstest]
+#[case::negative_ratio(&GATEWAY.replace("0.2", "-1"), &[
+    "f:6:66: retry_ratio must be a number from 0 to 10",
+])]
+#[case::text_for_number(&GATEWAY.replace("\"grace_s\": 8", "\"grace_s\": \"8\""), &[
+    "f:6:48: grace_s must be a number from 0 to 600",
+])]
+#[case::same_ports(&GATEWAY.replace("7002", "7001"), &[
+    "f:3:55: ready_listen must differ from callers_listen",
+])]
+#[case::unknown_key(&GATEWAY.replace("\"store\":", "\"stores\":"), &[
+    "f:1:1: store is missing",
+    "f:5:3: unknown key \"stores\"; did you mean \"store\"?",
+])]
+#[case::short_key(&GATEWAY.replace("0123456789abcdef", "short"), &[
+    "f:6:17: shared_key must have at least 16 characters",
+])]
+fn gateway_findings_named_with_place(#[case] text: &str, #[case] expected: &[&str]) {
+    assert_eq!(lines(text), expected);
+}
