Hosts that the store refuses are not elected to watch it; changing engines get no work

Ruled out: lost pushes between hosts (all adopted within 5 ms of the first). Change: a host whose call fails says so to all at once and with its load news; elections (watch, stage orders) leave such hosts out unless nobody else is left; it asks again 2 s after its last call. A watch waits 1 s instead of 1.5, so that a silent store is noticed and taken over within 2 s. Tests: fleet_view (new).

Cause 2: an engine that changes its stage grants holds and turns runs away. Change: StageChanges, looked at by rank_servers; the news are repeated while the change lasts. Both tests fail without the line in rank_servers.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,9 +5,13 @@
 //! output is the list of servers that may get new work. `watch_duty` says who asks the store.
 
 mod fleet_view;
+mod refused_hosts;
 mod server_entry;
+mod stage_changes;
 mod watch_duty;
 
 pub use fleet_view::{FleetChange, FleetNews, FleetView};
+pub use refused_hosts::RefusedHosts;
 pub use server_entry::{ServerEntry, ServerStage, ServerState};
+pub use stage_changes::StageChanges;
 pub use watch_duty::{DutyView, WatchDuty, watch_duty};
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -237,8 +237,10 @@
     let opened = run_at(context, server, part, runs).await;
     keep.used();
     if let Err(OpenFailure::TurnedAway(_)) = &opened {
-        // It turns everything away, as when it changes its stage; it granted a hold all the same.
-        context.host.note_health(server, |health, now| health.note_silence(now));
+        // It granted a hold and turned the run away twice: it changes its stage, and the host that
+        // ordered this has not said so.
+        let now = context.host.now();
+        context.host.state().changes.note_heard(now, server.key());
     }
     let (head, reader, first) = opened?;
     Ok(OpenRun { server: server.clone(), head, reader, first, load })
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,5 +1,5 @@
 use crate::engines::HttpPool;
-use crate::fleet::{FleetView, ServerEntry, ServerStage};
+use crate::fleet::{FleetView, RefusedHosts, ServerEntry, ServerStage, StageChanges};
 use crate::host::lock;
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 use crate::membership::{MemberState, MemberTable, MemberUpdate, ViewMark};
@@ -51,10 +51,10 @@
     pub work: HashMap<ServiceKey, WorkMeter>,
     /// The same, as other hosts said and when.
     pub heard_work: HashMap<(IncarnationId, ServiceKey), (TimePoint, WorkSums)>,
-    /// Servers that this host ordered to change their stage and that have not done so.
-    pub ordered: HashMap<ServerKey, ServerStage>,
-    /// Servers that some host said so of, and when.
-    pub changing: HashMap<ServerKey, TimePoint>,
+    /// Engines that change their stage.
+    pub changes: StageChanges,
+    /// Hosts that the store does not answer, this one included.
+    pub refused: RefusedHosts,
     /// The other hosts.
     pub members: MemberTable,
     /// When the store last answered this host, or another one that this one heard of.
@@ -86,12 +86,6 @@
             .fold(own, |sum, (_, (_, sums))| sum.plus(*sums))
     }
 
-    /// Whether the server changes its stage: it grants holds then, but runs nothing.
-    pub fn is_changing(&self, now: TimePoint, key: ServerKey) -> bool {
-        let heard = self.changing.get(&key).is_some_and(|at| now.since(*at) < CHANGE_NEWS_LIFE);
-        heard || self.ordered.contains_key(&key)
-    }
-
     /// Addresses of all hosts ever heard of, dead ones included: after a cut, hosts that believe
     /// each other dead still share what all of them may do together.
     fn host_count(&self) -> usize {
@@ -103,8 +97,6 @@
 
 /// What another host's requests took is believed this long after it last said so.
 const WORK_NEWS_LIFE: Duration = Duration::from_secs(5);
-/// News of a change of stage are repeated every second and believed this long.
-const CHANGE_NEWS_LIFE: Duration = Duration::from_millis(2500);
 
 /// Everything that one daemon on the platform knows.
 #[derive(Debug)]
@@ -156,8 +148,8 @@
             retries: HashMap::new(),
             work: HashMap::new(),
             heard_work: HashMap::new(),
-            ordered: HashMap::new(),
-            changing: HashMap::new(),
+            changes: StageChanges::default(),
+            refused: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             store_heard_at: TimePoint::default(),
         };
@@ -281,6 +273,7 @@
         let view = ChoiceView {
             board: &state.board,
             health: &state.health,
+            changes: &state.changes,
             near,
             salt: salt ^ self.incarnation.0,
         };
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -141,15 +141,16 @@
         let mut state = self.state();
         state.board.hear(now, news.incarnation, news.version, news.loads.into_iter().collect());
         state.note_store_age(now, heard);
+        state.refused.note(now, news.incarnation, news.store_refused);
         for (service, sums) in news.work {
             state.heard_work.insert((news.incarnation, service), (now, sums));
         }
         for key in news.changing {
-            state.changing.insert(key, now);
+            state.changes.note_heard(now, key);
         }
     }
 
-    /// Tells all hosts at once, as when a server begins to change its stage.
+    /// Tells all hosts at once, as while a server changes its stage.
     pub(super) fn tell_everyone(&self) {
         self.tell_load(usize::MAX, usize::MAX);
     }
@@ -168,9 +169,10 @@
         LoadNews {
             incarnation: self.incarnation,
             version,
+            store_refused: state.refused.is_refused(now, self.incarnation),
             store_age_ms: u32::try_from(state.store_age(now).as_millis()).unwrap_or(u32::MAX),
             work: state.work.iter().map(|(key, meter)| (*key, meter.sums(now))).collect(),
-            changing: state.ordered.keys().copied().collect(),
+            changing: state.changes.ordered().collect(),
             loads: state.board.own().collect(),
         }
     }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -23,6 +23,8 @@
     pub version: u64,
     /// Milliseconds since the store last answered the sender, or a host that it heard of.
     pub store_age_ms: u32,
+    /// The store refuses the sender, or does not answer it.
+    pub store_refused: bool,
     /// Servers that it ordered to change their stage and that have not done so.
     pub changing: Vec<ServerKey>,
     /// What requests of each service took of it lately.
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -53,10 +53,14 @@
         ticker.tick().await;
         if !host.gives_orders() {
             desk = StageDesk::default();
-            host.state().ordered.clear();
+            host.state().changes.retain_ordered(|_| false);
             continue;
         }
-        for change in host.plan_changes(&mut desk) {
+        let changes = host.plan_changes(&mut desk);
+        if host.state().changes.ordered().next().is_some() {
+            host.tell_everyone();
+        }
+        for change in changes {
             if let Err(error) = host.order_change(&mut desk, &change).await {
                 let (server, to) = (&change.server.id, change.to.name());
                 log::info!("event=stage_not_ordered server={server} to={to} cause=\"{error}\"");
@@ -73,7 +77,12 @@
         if self.stop_phase() != StopPhase::Serving {
             return false;
         }
-        let owner = rendezvous_owner(STAGE_ORDERS, self.state().members.living());
+        let now = self.now();
+        let able = {
+            let state = self.state();
+            state.refused.able(now, state.members.living())
+        };
+        let owner = rendezvous_owner(STAGE_ORDERS, able.into_iter());
         owner.is_some_and(|member| member.incarnation == self.incarnation)
     }
 
@@ -85,7 +94,7 @@
             let there = state.fleet.entry(*key).is_some_and(|entry| entry.stage != Some(*stage));
             there && now.since(*at) < ORDER_MEMORY
         });
-        state.ordered.retain(|key, _| desk.open.contains_key(key));
+        state.changes.retain_ordered(|key| desk.open.contains_key(&key));
         let mut changes = Vec::new();
         for (service, spec) in state.routes.services() {
             let Some(engine) = &spec.engine else { continue };
@@ -141,7 +150,7 @@
                     "event=stage_ordered server={server} to={to} fence={fence} answer={status}"
                 );
                 if status.is_success() {
-                    self.state().ordered.insert(change.server.key(), change.to);
+                    self.state().changes.note_ordered(change.server.key(), change.to);
                     self.tell_everyone();
                 } else {
                     desk.open.remove(&change.server.key());
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -1,6 +1,7 @@
 use super::gateway_host::GatewayHost;
 use crate::Result;
 use crate::fleet::{DutyView, FleetChange, ServerEntry, WatchDuty, watch_duty};
+use crate::keys::TimePoint;
 use crate::placement::rendezvous_owner;
 use crate::platform::{
     ROUTES_OBJECT, SERVERS_KIND, StoreObject, WatchAnswer, decode_change, decode_config,
@@ -14,9 +15,10 @@
 /// A listing's page is answered within this; the store's usual answer takes some milliseconds.
 const LIST_LIMIT: Duration = Duration::from_millis(1000);
 /// How long one watch waits. Each costs a call, and a store that fell silent is noticed when it has
-/// passed; bounds on adopting a change begin at 2 s.
-const WATCH_WAIT: Duration = Duration::from_millis(1500);
-/// How much longer than its wait a watch may take.
+/// passed with its slack. Another host must then have taken over within the 2 s in which a change
+/// has to be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// How much longer than its wait a watch may take; a slow store answers within 0.3 s.
 const WATCH_SLACK: Duration = Duration::from_millis(400);
 /// First pause after the store did not answer; doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -59,8 +61,9 @@
     let mut pause = FIRST_PAUSE;
     // Where the own watch goes on; nothing until it has begun.
     let mut watched = None;
+    let mut refused_at = None;
     loop {
-        if host.watch_duty(kind) == WatchDuty::Hear {
+        if host.watch_duty(kind, refused_at) == WatchDuty::Hear {
             watched = None;
             tokio::time::sleep(DUTY_PERIOD).await;
             continue;
@@ -76,6 +79,7 @@
             Ok(None) => watched = list(host, kind).await.ok(),
             Err(error) => {
                 note_lost(host, kind, &error);
+                refused_at = Some(host.now());
                 watched = None;
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -83,10 +87,12 @@
             }
         }
         pause = FIRST_PAUSE;
+        refused_at = None;
         note_heard(host, kind);
     }
 }
 
+/// The store refused this host or did not answer it: the others elect another watcher.
 fn note_lost(host: &GatewayHost, kind: FollowedKind, error: &crate::Error) {
     if !host.store_away(kind).swap(true, Ordering::Relaxed) {
         log::warn!("event=store_lost kind={} cause=\"{error}\"", kind.name());
@@ -94,6 +100,7 @@
     if kind == FollowedKind::Servers {
         host.state().fleet.note_store_lost();
     }
+    host.note_refused(true);
 }
 
 fn note_heard(host: &GatewayHost, kind: FollowedKind) {
@@ -101,29 +108,49 @@
         log::info!("event=store_regained kind={}", kind.name());
     }
     let now = host.now();
-    let mut state = host.state();
-    state.note_store_age(now, Duration::ZERO);
-    if kind == FollowedKind::Servers {
-        state.fleet.note_store_heard(now);
+    {
+        let mut state = host.state();
+        state.note_store_age(now, Duration::ZERO);
+        if kind == FollowedKind::Servers {
+            state.fleet.note_store_heard(now);
+        }
+    }
+    let away = [FollowedKind::Routes, FollowedKind::Servers]
+        .map(|kind| host.store_away(kind).load(Ordering::Relaxed));
+    if away == [false, false] {
+        host.note_refused(false);
     }
 }
 
 impl GatewayHost {
     /// Whether this host asks the store for a kind itself, or hears it from others.
-    fn watch_duty(&self, kind: FollowedKind) -> WatchDuty {
+    ///
+    /// `refused_at` is the time of its own last call, if that failed.
+    fn watch_duty(&self, kind: FollowedKind, refused_at: Option<TimePoint>) -> WatchDuty {
         let known = self.known_revision(kind).is_some();
         let now = self.now();
         let state = self.state();
         let domain = self.domain();
-        let watcher = rendezvous_owner(STORE_WATCH, state.members.owners(domain));
+        let able = state.refused.able(now, state.members.owners(domain));
+        let watcher = rendezvous_owner(STORE_WATCH, able.into_iter());
         watch_duty(&DutyView {
             informed: known,
             elected: watcher.is_some_and(|member| member.incarnation == self.incarnation),
             store_age: state.store_age(now),
+            refused_for: refused_at.map(|at| now.since(at)),
             salt: self.incarnation.0,
         })
     }
 
+    /// Notes whether the store refuses this host, and tells the others at once if that is new.
+    fn note_refused(&self, refused: bool) {
+        let now = self.now();
+        let is_new = self.state().refused.note(now, self.incarnation, refused);
+        if is_new {
+            self.tell_everyone();
+        }
+    }
+
     /// Revision from which a watch of a kind goes on.
     fn known_revision(&self, kind: FollowedKind) -> Option<u64> {
         let state = self.state();
@@ -257,6 +284,8 @@
         let lapsed = {
             let mut state = host.state();
             state.board.expire(now);
+            state.changes.expire(now);
+            state.refused.expire(now);
             state.fleet.expire(now)
         };
         for entry in lapsed {
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -1,5 +1,5 @@
 use super::{LoadBoard, ServerHealth};
-use crate::fleet::ServerEntry;
+use crate::fleet::{ServerEntry, StageChanges};
 use crate::keys::{NameKey, ServerKey, TimePoint, mix_hash};
 use std::collections::HashMap;
 
@@ -31,6 +31,8 @@
     pub board: &'a LoadBoard,
     /// Health of each server that was used.
     pub health: &'a HashMap<ServerKey, ServerHealth>,
+    /// Engines that change their stage.
+    pub changes: &'a StageChanges,
     /// The failure domain that the server should be in.
     pub near: NameKey,
     /// Differs between requests and hosts.
@@ -38,7 +40,8 @@
 }
 
 /// Orders candidates from best to worst. Those that were silent lately are left out but for one
-/// trial now and then: a request that would wait for them is refused at once instead.
+/// trial now and then: a request that would wait for them is refused at once instead. Engines that
+/// change their stage are left out: they would turn the run away after its prompt was read.
 pub fn rank_servers<'a>(
     now: TimePoint,
     view: &ChoiceView<'_>,
@@ -46,7 +49,9 @@
     candidates: impl Iterator<Item = &'a ServerEntry>,
 ) -> Vec<&'a ServerEntry> {
     let admitted = |server: &&ServerEntry| {
-        view.health.get(&server.key()).is_none_or(|health| health.admits(now))
+        let key = server.key();
+        let answers = view.health.get(&key).is_none_or(|health| health.admits(now));
+        answers && !view.changes.is_changing(now, key)
     };
     let mut ranked: Vec<(f64, &ServerEntry)> = candidates
         .filter(admitted)
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -3,9 +3,9 @@
 use rstest::rstest;
 use std::time::Duration;
 use tealcleat::fleet::{
-    DutyView, FleetChange, FleetView, ServerEntry, ServerState, WatchDuty, watch_duty,
+    DutyView, FleetChange, FleetView, RefusedHosts, ServerEntry, ServerState, WatchDuty, watch_duty,
 };
-use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 use tealcleat::membership::ViewMark;
 
 fn at(millis: u64) -> TimePoint {
@@ -107,21 +107,47 @@
 }
 
 #[rstest]
-#[case::elected(true, true, 0, WatchDuty::Watch)]
-#[case::uninformed(false, false, 0, WatchDuty::Watch)]
-#[case::calm(true, false, 1500, WatchDuty::Hear)]
-#[case::watcher_cut_off(true, false, 4400, WatchDuty::Doubt)]
+#[case::elected(true, true, 0, None, WatchDuty::Watch)]
+#[case::uninformed(false, false, 0, None, WatchDuty::Watch)]
+#[case::calm(true, false, 1500, None, WatchDuty::Hear)]
+#[case::watcher_cut_off(true, false, 4400, None, WatchDuty::Doubt)]
+#[case::refused_just_now(true, false, 500, Some(1900), WatchDuty::Hear)]
+#[case::refused_a_while_ago(true, false, 500, Some(2000), WatchDuty::Doubt)]
+#[case::refused_but_nobody_else(true, true, 500, Some(10), WatchDuty::Watch)]
 fn watch_duty_follows(
     #[case] informed: bool,
     #[case] elected: bool,
     #[case] store_age_ms: u64,
+    #[case] refused_for_ms: Option<u64>,
     #[case] expected: WatchDuty,
 ) {
     let store_age = Duration::from_millis(store_age_ms);
-    let view = DutyView { informed, elected, store_age, salt: 1234 };
+    let refused_for = refused_for_ms.map(Duration::from_millis);
+    let view = DutyView { informed, elected, store_age, refused_for, salt: 1234 };
     assert_eq!(watch_duty(&view), expected);
 }
 
+/// Bench: panelbridge-kr, the own day `storm`, seed 1 (CONFIG). The store turned the watchers of all
+/// three domains away; they stayed elected, and the others asked only every 2.5 s.
+#[test]
+fn refused_hosts_not_elected_while_others_are_answered() {
+    let mut refused = RefusedHosts::default();
+    let hosts = [IncarnationId(1), IncarnationId(2), IncarnationId(3)];
+    let able = |refused: &RefusedHosts, millis| -> Vec<u64> {
+        let candidates = hosts.iter().map(|host| (host.0, ()));
+        refused.able(at(millis), candidates).into_iter().map(|(host, ())| host).collect()
+    };
+    assert!(refused.note(at(0), hosts[0], true));
+    assert!(!refused.note(at(500), hosts[0], true), "nothing new");
+    assert_eq!(able(&refused, 600), [2, 3]);
+    refused.note(at(600), hosts[1], true);
+    refused.note(at(600), hosts[2], true);
+    assert_eq!(able(&refused, 700), [1, 2, 3], "somebody has to ask");
+    assert!(refused.note(at(800), hosts[0], false));
+    assert_eq!(able(&refused, 900), [1]);
+    assert_eq!(able(&refused, 6700), [1, 2, 3], "they do not repeat it");
+}
+
 /// A first version compared the newest revision of both parts: hosts whose list of servers was
 /// newer than the configuration never asked for it (bench: halvorsen-book scale-1, CONFIG).
 #[test]
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::time::Duration;
-use tealcleat::fleet::{ServerEntry, ServerStage, ServerState};
+use tealcleat::fleet::{ServerEntry, ServerStage, ServerState, StageChanges};
 use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 use tealcleat::placement::{
     ChoiceKind, ChoiceView, LoadBoard, RetryBounds, RetryWindow, ServerHealth, ServerLoad,
@@ -37,7 +37,17 @@
     health: &HashMap<ServerKey, ServerHealth>,
     servers: &[ServerEntry],
 ) -> Vec<String> {
-    let view = ChoiceView { board, health, near: NameKey::of("a"), salt: 7 };
+    ranked_beside(&StageChanges::default(), now, board, health, servers)
+}
+
+fn ranked_beside(
+    changes: &StageChanges,
+    now: TimePoint,
+    board: &LoadBoard,
+    health: &HashMap<ServerKey, ServerHealth>,
+    servers: &[ServerEntry],
+) -> Vec<String> {
+    let view = ChoiceView { board, health, changes, near: NameKey::of("a"), salt: 7 };
     let kind = ChoiceKind::DecodeMemory(MEMORY);
     let order = rank_servers(now, &view, kind, servers.iter());
     order.into_iter().map(|server| server.id.clone()).collect()
@@ -61,6 +71,30 @@
     assert_eq!(ranked(at(0), &board, &HashMap::new(), &servers), ["far", "near"]);
 }
 
+/// Bench: panelbridge-kr scale-1 wasted 12 prompts in 7 s at one engine that changed its stage.
+#[test]
+fn changing_server_left_out_while_its_host_says_so() {
+    let servers = [server("changing", "a"), server("other", "b")];
+    let (board, health) = (LoadBoard::default(), HashMap::new());
+    let mut changes = StageChanges::default();
+    changes.note_heard(at(0), ServerKey::of("changing"));
+    let order = |millis| ranked_beside(&changes, at(millis), &board, &health, &servers);
+    assert_eq!(order(10), ["other"]);
+    assert_eq!(order(2400), ["other"]);
+    assert_eq!(order(2600), ["changing", "other"], "nobody repeats it");
+}
+
+#[test]
+fn ordered_server_left_out_until_it_has_changed() {
+    let servers = [server("changing", "a"), server("other", "b")];
+    let (board, health) = (LoadBoard::default(), HashMap::new());
+    let mut changes = StageChanges::default();
+    changes.note_ordered(ServerKey::of("changing"), ServerStage::Prefill);
+    assert_eq!(ranked_beside(&changes, at(9000), &board, &health, &servers), ["other"]);
+    changes.retain_ordered(|_| false);
+    assert_eq!(ranked_beside(&changes, at(9000), &board, &health, &servers), ["changing", "other"]);
+}
+
 #[test]
 fn refusing_server_ranked_last_for_a_while() {
     let servers = [server("refused", "a"), server("other", "b")];
