--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -193,7 +193,7 @@
     let held_at = context.host.now();
     let mut prompt = match read_prompt(context, room.keep.server.domain).await {
         PromptEnd::Read(keep) => Some(keep),
-        PromptEnd::NoReader => None,
+        PromptEnd::LeftToDecode => None,
         PromptEnd::Failed => return Err(OpenFailure::NotRun(NotRunReason::PromptNotRead)),
     };
     if context.left().is_zero() {
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -271,6 +271,15 @@
         rank_servers(now, &view, kind, candidates).into_iter().cloned().collect()
     }
 
+    /// How long a prompt waits at a prefill server until those before it are read; zero while the
+    /// pace of reading is not known.
+    pub(super) fn prompt_wait(&self, service: ServiceKey, server: &ServerEntry) -> Duration {
+        let now = self.now();
+        let state = self.state();
+        let queue = state.board.total(now, server.key()).prompt_tokens;
+        state.work.get(&service).map(|meter| meter.read_time(queue)).unwrap_or_default()
+    }
+
     /// Changes what is known of a server's health.
     pub(super) fn note_health(
         &self,
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -4,7 +4,7 @@
 use crate::engines::SendLimits;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::NameKey;
-use crate::placement::{ChoiceKind, ServerLoad};
+use crate::placement::{ChoiceKind, PromptReader, ServerLoad, choose_reader};
 use crate::platform::{CallPart, PrefillResult, decode_body, read_answer};
 use crate::{Error, Result};
 use http::StatusCode;
@@ -23,8 +23,8 @@
 pub(super) enum PromptEnd {
     /// It lies in the memory of a prefill server.
     Read(EngineKeep),
-    /// There is no prefill server; a decode server reads the prompt itself.
-    NoReader,
+    /// No prefill server reads it in time; its decode server reads it itself.
+    LeftToDecode,
     /// All servers that were tried failed.
     Failed,
 }
@@ -33,8 +33,11 @@
 pub(super) async fn read_prompt(context: &CallContext, near: NameKey) -> PromptEnd {
     let kind = ChoiceKind::PromptQueue(FULL_QUEUE_TOKENS);
     let ranked = context.host.ranked(context.service, Some(ServerStage::Prefill), kind, near);
-    if ranked.is_empty() {
-        return PromptEnd::NoReader;
+    let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
+    if choose_reader(wait, context.route.objective) == PromptReader::Decode {
+        let wait = wait.map_or(-1, |wait| i64::try_from(wait.as_millis()).unwrap_or(i64::MAX));
+        log::info!("event=prompt_left_to_decode request={} wait_ms={wait}", context.id());
+        return PromptEnd::LeftToDecode;
     }
     for (place, server) in ranked.iter().take(MOST_READERS).enumerate() {
         // The first read may have taken long enough for this server to leave.
--- a/src/orders/stage_planner.rs
+++ b/src/orders/stage_planner.rs
@@ -6,10 +6,10 @@
 /// Prefill gets this much more than its share of the work: its queue must stay short for the first
 /// event to be in time, while a full decode pool only refuses.
 const PREFILL_MARGIN: f64 = 1.12;
-/// Prefill servers beyond those wanted before one is given away: what is left must bear the loss
-/// of half a server more, since a lost prefill server is missed for several seconds. With 0.9, a
-/// scale-in after a change left two of nine (panelbridge scale-1: worth 0.40 instead of 0.55).
-const SURPLUS_STEP: f64 = 1.5;
+/// Prefill servers beyond those wanted before one is given away: enough that what is left is not
+/// taken back at once (`LACK_STEP`). A larger step kept servers in reserve for losses; decode
+/// servers read prompts themselves meanwhile (`choose_reader`).
+const SURPLUS_STEP: f64 = 0.6;
 /// Prefill servers below those wanted before one is taken back.
 const LACK_STEP: f64 = 0.6;
 /// Prefill servers that stay in any case, so that one may be lost.
--- a/src/placement/work_meter.rs
+++ b/src/placement/work_meter.rs
@@ -5,7 +5,11 @@
 /// Requests count half after this time, so that the means follow the traffic.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 /// Requests of each kind before the means are believed; fewer leave the slope of reads to chance.
-const LEAST_SAMPLES: f64 = 40.0;
+/// With 40, the first change came 10 to 20 s after the start of the users' days.
+const LEAST_SAMPLES: f64 = 25.0;
+/// How far the best pace of reading moves towards that of each slower read, so that it follows
+/// servers that turn slow for good.
+const PACE_FORGETTING: f64 = 0.01;
 /// Least part of a read's mean pace that is believed to be its own work.
 const LEAST_SLOPE: f64 = 0.3;
 /// Part of a decode server's memory that running answers can fill, since each needs room for its
@@ -40,6 +44,8 @@
 pub struct WorkMeter {
     sums: WorkSums,
     faded_at: TimePoint,
+    /// Seconds for each token of the fastest reads lately: those that waited for no other.
+    best_pace: Option<f64>,
 }
 
 impl WorkMeter {
@@ -52,6 +58,14 @@
         self.sums.prompt_squares += tokens * tokens;
         self.sums.read_seconds += seconds;
         self.sums.read_products += tokens * seconds;
+        let pace = seconds / tokens.max(1.0);
+        let best = self.best_pace.map_or(pace, |best| best + (pace - best) * PACE_FORGETTING);
+        self.best_pace = Some(best.min(pace));
+    }
+
+    /// Time in which a prefill server reads `tokens`; zero until one has read something.
+    pub fn read_time(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(self.best_pace.unwrap_or_default() * f64::from(tokens))
     }
 
     /// A stream ended that took `tokens` of memory on average, for `took`.
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -7,6 +7,8 @@
 use tealcleat::bench::site::{
     CallerReply, EngineFault, ServiceFault, SiteCall, SitePlan, SiteRun, TestSite, call_site,
 };
+use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::placement::ServerLoad;
 use tokio::runtime::Runtime;
 
 fn runtime() -> Runtime {
@@ -146,6 +148,34 @@
     });
 }
 
+/// The queue of every prefill server is longer than half of the objective.
+#[test]
+fn late_prompt_read_by_its_decode_server() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        {
+            let mut state = site.hosts[0].host.state();
+            let queue = ServerLoad { prompt_tokens: 100_000, ..ServerLoad::default() };
+            for place in 0..site.prefills.len() {
+                state.board.add(ServerKey::of(&format!("i-prefill-{place}")), queue);
+            }
+            let meter = state.work.entry(NameKey::of("engines")).or_default();
+            for read in 0..100_u32 {
+                let tokens = 1000 + read * 20;
+                let took = Duration::from_micros(u64::from(tokens) * 30);
+                meter.note_read(TimePoint::default(), tokens, took);
+            }
+        }
+        let reply = ask(&site, &call("POST", "stream", "late")).await;
+        assert_eq!(reply.status, 200);
+        let runs = engine_runs(&site, "late");
+        assert_eq!(runs.len(), 1, "{runs:?}");
+        assert_eq!(runs[0].stage, "decode");
+        assert!(runs[0].held && !runs[0].fetched, "{runs:?}");
+        settled(&site).await;
+    });
+}
+
 #[test]
 fn cut_stream_looks_incomplete() {
     runtime().block_on(async {
