One client for the platform's store, and one stand-in of it

Cause: the project's own interface spoke a store protocol of its own (ObjectClient over ureq, a stand-in in bench/platform_server), the platform's path another one: two clients, two stand-ins, two ways to read a lost write. Change: the own interface keeps its configuration and claim buckets as objects of kinds of its own and calls them with StoreClient; host/config_store has the calls. A watch goes on from the store's revision, not the configuration's: with one history for all kinds, an old revision is soon forgotten. A bucket that cannot be encoded is refused with a log line; it was written as empty before, which would have dropped its claims. The stand-in store forgets all but 256 changes, refuses values over 1 MB and ends watches with 503 in an outage.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -23,7 +23,6 @@
 mod load_run;
 mod load_summary;
 mod load_tally;
-mod platform_server;
 mod prefill_engine;
 mod report_plot;
 mod service_server;
--- a/src/bench/site/site_store.rs
+++ b/src/bench/site/site_store.rs
@@ -12,6 +12,8 @@
 
 /// Objects on a page, as few as the users' stores give.
 const PAGE: usize = 3;
+/// As the users' store.
+const LONGEST_SPEC: usize = 1 << 20;
 const OBJECTS: &str = "/tealcleat/objects/";
 
 /// What the stand-in store does wrong.
@@ -79,8 +81,10 @@
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if self.fault() == StoreFault::Silent {
-                std::future::pending::<()>().await;
+            match self.fault() {
+                StoreFault::Silent => std::future::pending::<()>().await,
+                StoreFault::Busy => return Ok(whole(503, "{}")),
+                StoreFault::None | StoreFault::TooMany | StoreFault::LoseWrites => {}
             }
             let (events, at) = {
                 let objects = lock(&self.objects);
@@ -101,6 +105,9 @@
         self.writes.fetch_add(1, Ordering::Relaxed);
         let name = body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
         let spec = body["spec"].clone();
+        if spec.to_string().len() > LONGEST_SPEC {
+            return Ok(whole(413, "{}"));
+        }
         let end = {
             let mut objects = lock(&self.objects);
             if method == "POST" {
--- a/src/bench/site/store_objects.rs
+++ b/src/bench/site/store_objects.rs
@@ -1,6 +1,9 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
+/// Changes that are kept; as many as a watcher may miss before it lists again.
+const HISTORY: usize = 256;
+
 /// One object with the revision of its last change.
 #[derive(Debug, Clone, PartialEq)]
 struct HeldObject {
@@ -65,6 +68,9 @@
     }
 
     fn note(&mut self, kind: &str, name: &str, spec: Value, gone: bool) {
+        if self.history.len() >= HISTORY {
+            self.forgotten = self.history.remove(0).revision;
+        }
         self.history.push(HeldChange {
             revision: self.revision,
             kind: kind.to_owned(),
--- a/src/bench/standin_set.rs
+++ b/src/bench/standin_set.rs
@@ -2,8 +2,8 @@
 use super::engine_core::EngineCore;
 use super::engine_server::serve_engine;
 use super::kv_store::KvStore;
-use super::platform_server::{PlatformCore, serve_platform};
 use super::service_server::{ServiceCore, serve_service};
+use super::site::{SiteStore, StoreFault};
 use super::weight_store::WeightStore;
 use super::{FaultCommand, FaultKind, StandinPlan};
 use crate::Result;
@@ -50,7 +50,7 @@
 pub struct StandinSet {
     engines: HashMap<String, Arc<EngineCore>>,
     services: HashMap<String, Arc<ServiceCore>>,
-    platform: Arc<PlatformCore>,
+    platform: Arc<SiteStore>,
     weights: Arc<WeightStore>,
 }
 
@@ -58,7 +58,7 @@
     /// Switches a fault; false if there is no such target.
     pub fn switch(&self, command: &FaultCommand) -> bool {
         if command.target == "platform" {
-            self.platform.faults.switch(command.fault, command.on);
+            self.platform.set_fault(store_fault(command));
             return true;
         }
         if command.target == "weights" {
@@ -91,7 +91,8 @@
 
     /// What really happened so far.
     pub fn stats(&self) -> StandinStats {
-        let (platform_reads, platform_writes) = self.platform.counts();
+        let (calls, platform_writes) = self.platform.counts();
+        let platform_reads = calls - platform_writes;
         let mut stats = StandinStats { platform_reads, platform_writes, ..Default::default() };
         for (name, engine) in &self.engines {
             stats.prefills.extend(engine.prefill_log());
@@ -107,6 +108,16 @@
     }
 }
 
+/// The store does one thing wrong at a time; switching a fault off mends it.
+fn store_fault(command: &FaultCommand) -> StoreFault {
+    match command.fault {
+        FaultKind::Freeze if command.on => StoreFault::Silent,
+        FaultKind::Outage if command.on => StoreFault::Busy,
+        FaultKind::LoseAnswers if command.on => StoreFault::LoseWrites,
+        _ => StoreFault::None,
+    }
+}
+
 /// Starts stand-ins on free ports.
 ///
 /// # Errors
@@ -114,7 +125,7 @@
 pub async fn start_standins(plan: &StandinPlan) -> Result<(Arc<StandinSet>, StandinAddresses)> {
     let results = Arc::new(KvStore::default());
     let weights = Arc::new(WeightStore::default());
-    let platform = Arc::new(PlatformCore::default());
+    let platform = Arc::new(SiteStore::default());
     let mut set = StandinSet {
         engines: HashMap::new(),
         services: HashMap::new(),
@@ -123,7 +134,7 @@
     };
     let mut addresses = StandinAddresses {
         control: SocketAddr::from(([127, 0, 0, 1], 0)),
-        platform: serve_platform(Arc::clone(&set.platform))?,
+        platform: set.platform.serve().await?,
         engines: HashMap::new(),
         services: HashMap::new(),
     };
--- a/src/host/claim_desk.rs
+++ b/src/host/claim_desk.rs
@@ -3,15 +3,18 @@
 use crate::keys::{AttemptId, stable_hash};
 use crate::peers::{PeerReply, PeerRequest, decode, encode};
 use crate::placement::rendezvous_owner;
-use crate::platform::{StoredObject, WriteOutcome, bucket_key};
+use crate::platform::{CLAIMS_KIND, StoreObject, StoreWrite, bucket_name};
 use crate::{Error, Result};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// A store that serves answers within some milliseconds; one that does not is away.
+const STORE_LIMIT: Duration = Duration::from_millis(800);
 const CLAIM_LIMIT: Duration = Duration::from_millis(2500);
 const REMOTE_LIMIT: Duration = Duration::from_millis(2800);
 const NEXT_LOOK: Duration = Duration::from_millis(20);
@@ -37,7 +40,7 @@
             domains.sort_unstable();
             domains.dedup();
             let all = domains.into_iter().flat_map(|domain| members.owners(domain));
-            rendezvous_owner(stable_hash(bucket_key(bucket).as_bytes()), all)
+            rendezvous_owner(stable_hash(bucket_name(bucket).as_bytes()), all)
         };
         if let Some(batcher) = batcher
             && batcher.incarnation != self.incarnation
@@ -95,13 +98,12 @@
     }
 
     async fn carry_out(self: &Arc<Self>, bucket: u64, order: BucketOrder, lost: &mut u32) {
-        let key = bucket_key(bucket);
-        let platform = self.platform.clone();
+        let name = bucket_name(bucket);
         self.metrics().add("store_calls", 1);
         let verdicts = match order {
             BucketOrder::Read => {
-                let read = tokio::task::spawn_blocking(move || platform.read(&key)).await;
-                let parsed = read.map_err(|_join| Error::Timeout).and_then(|r| r).and_then(parse);
+                let read = self.store.read(CLAIMS_KIND, &name, STORE_LIMIT).await;
+                let parsed = read.and_then(parse);
                 let mut buckets = lock(&self.claims.buckets);
                 let entry = buckets.entry(bucket).or_default();
                 match parsed {
@@ -113,23 +115,20 @@
                 }
             }
             BucketOrder::Write { expected, value } => {
-                let text = to_text(&value);
-                let write = move || platform.write(&key, expected, &text);
-                let outcome =
-                    tokio::task::spawn_blocking(write).await.unwrap_or(WriteOutcome::Lost);
+                let outcome = self.write_bucket(&name, expected, &value).await;
                 let mut buckets = lock(&self.claims.buckets);
                 let entry = buckets.entry(bucket).or_default();
                 match outcome {
-                    WriteOutcome::Written(version) => {
+                    StoreWrite::Written(object) => {
                         *lost = 0;
-                        entry.on_written(version, value)
+                        entry.on_written(object.revision, value)
                     }
-                    WriteOutcome::Conflict => {
+                    StoreWrite::Conflict => {
                         entry.on_conflict();
                         Vec::new()
                     }
-                    WriteOutcome::Refused => after_loss(entry, lost, true),
-                    WriteOutcome::Lost => after_loss(entry, lost, false),
+                    StoreWrite::Refused => after_loss(entry, lost, true),
+                    StoreWrite::Lost => after_loss(entry, lost, false),
                 }
             }
         };
@@ -142,6 +141,21 @@
     }
 }
 
+impl HostState {
+    /// Writes a bucket whose version is still `expected`; zero if it must not exist yet.
+    async fn write_bucket(&self, name: &str, expected: u64, value: &BucketValue) -> StoreWrite {
+        let spec = match to_spec(value) {
+            Ok(spec) => spec,
+            Err(error) => {
+                log::error!("event=claims_unwritable bucket={name} cause=\"{error}\"");
+                return StoreWrite::Refused;
+            }
+        };
+        let expected = (expected > 0).then_some(expected);
+        self.store.write(CLAIMS_KIND, name, expected, &spec, STORE_LIMIT).await
+    }
+}
+
 fn after_loss(
     bucket: &mut ClaimBucket,
     lost: &mut u32,
@@ -156,15 +170,23 @@
     Vec::new()
 }
 
-fn parse(object: StoredObject) -> Result<(u64, BucketValue)> {
-    if object.version == 0 || object.value.is_empty() {
-        return Ok((object.version, BucketValue::default()));
-    }
-    let bytes =
-        STANDARD.decode(&object.value).map_err(|error| Error::Protocol(error.to_string()))?;
-    Ok((object.version, decode(&bytes)?))
+/// A bucket as it lies in the store: its value in the project's own encoding, as text.
+#[derive(Debug, Serialize, Deserialize)]
+struct BucketSpec {
+    value: String,
+}
+
+/// Version and contents of a bucket; version zero if there is none.
+fn parse(object: Option<StoreObject>) -> Result<(u64, BucketValue)> {
+    let Some(object) = object else {
+        return Ok((0, BucketValue::default()));
+    };
+    let spec = BucketSpec::deserialize(&object.spec)?;
+    let bytes = STANDARD.decode(&spec.value).map_err(|error| Error::Protocol(error.to_string()))?;
+    Ok((object.revision, decode(&bytes)?))
 }
 
-fn to_text(value: &BucketValue) -> String {
-    STANDARD.encode(encode(value).unwrap_or_default())
+fn to_spec(value: &BucketValue) -> Result<serde_json::Value> {
+    let value = STANDARD.encode(encode(value)?);
+    Ok(serde_json::to_value(BucketSpec { value })?)
 }
--- a/src/host/config_loop.rs
+++ b/src/host/config_loop.rs
@@ -1,13 +1,12 @@
 //! Learns confirmed configurations: from the store by a few watchers, from each other by the rest.
 
 use super::host_state::{HostState, lock};
-use crate::Result;
 use crate::intents::ClusterConfig;
 use crate::keys::{NameKey, mix_hash};
 use crate::membership::{TableOrder, ViewMark};
 use crate::peers::{PeerReply, PeerRequest};
 use crate::placement::rendezvous_rank;
-use crate::platform::{CONFIG_KEY, StoredObject};
+use crate::platform::INTENT_OBJECT;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -27,6 +26,8 @@
 /// Runs for as long as the daemon.
 pub(super) async fn run_config_loop(host: Arc<HostState>) {
     let mut last_read = None;
+    // Where the own watch goes on; nothing until the configuration was listed.
+    let mut position = None;
     loop {
         let now = host.now();
         let due = last_read.is_none_or(|at| now.since(at) >= READ_EVERY);
@@ -36,26 +37,21 @@
             continue;
         }
         last_read = Some(now);
-        let after = host.config().version;
-        let wait = if watches && after > 0 { WATCH_WAIT } else { Duration::ZERO };
-        let platform = host.platform.clone();
-        host.metrics().add("store_calls", 1);
-        let read = tokio::task::spawn_blocking(move || {
-            if wait.is_zero() {
-                platform.read(CONFIG_KEY)
-            } else {
-                platform.watch(CONFIG_KEY, after, wait)
+        let heard = match position {
+            Some(after) if watches && host.config().version > 0 => {
+                host.watch_config(after, WATCH_WAIT).await
             }
-        });
-        match read.await {
-            Ok(Ok(object)) => {
-                lock(&host.desk).note_store(host.now());
-                host.adopt_object(&object);
+            _ => host.list_config().await.map(|(_config, revision)| revision),
+        };
+        position = heard.as_ref().ok().copied();
+        match heard {
+            Ok(_) => {
                 if host.config().version == 0 {
                     tokio::time::sleep(PAUSE_AFTER_FAILURE / 4).await;
                 }
             }
-            _ => {
+            Err(error) => {
+                log::debug!("event=store_unanswered kind=config cause=\"{error}\"");
                 if host.config().version == 0 {
                     host.ask_neighbours().await;
                 }
@@ -69,7 +65,7 @@
 
 fn is_watcher(host: &HostState) -> bool {
     let members = lock(&host.members);
-    let thing = NameKey::of(CONFIG_KEY).0;
+    let thing = NameKey::of(INTENT_OBJECT.0).0;
     let own = rendezvous_rank(thing, host.incarnation.0);
     let ahead = members
         .owners(host.domain())
@@ -79,29 +75,6 @@
 }
 
 impl HostState {
-    /// Reads the configuration from the store now.
-    ///
-    /// # Errors
-    /// If the store gave no answer.
-    pub(super) async fn read_config(self: &Arc<Self>) -> Result<ClusterConfig> {
-        let platform = self.platform.clone();
-        self.metrics().add("store_calls", 1);
-        let read = tokio::task::spawn_blocking(move || platform.read(CONFIG_KEY)).await;
-        let object = read.map_err(|_join| crate::Error::Timeout)??;
-        lock(&self.desk).note_store(self.now());
-        self.adopt_object(&object);
-        parse_config(&object)
-    }
-
-    pub(super) fn adopt_object(self: &Arc<Self>, object: &StoredObject) {
-        match parse_config(object) {
-            Ok(config) => self.adopt_config(config),
-            Err(error) => {
-                log::error!("event=config_unreadable version={} cause=\"{error}\"", object.version);
-            }
-        }
-    }
-
     /// Puts a confirmed configuration in force if it is newer, and passes the news on.
     pub(super) fn adopt_config(self: &Arc<Self>, config: ClusterConfig) {
         let version = config.version;
@@ -177,16 +150,3 @@
         }
     }
 }
-
-/// Reads the configuration out of its object; its version is the object's.
-///
-/// # Errors
-/// If the object's value is not a configuration.
-pub(super) fn parse_config(object: &StoredObject) -> Result<ClusterConfig> {
-    if object.version == 0 {
-        return Ok(ClusterConfig::default());
-    }
-    let mut config: ClusterConfig = serde_json::from_str(&object.value)?;
-    config.version = object.version;
-    Ok(config)
-}
--- /dev/null
+++ b/src/host/config_store.rs
@@ -0,0 +1,84 @@
+//! The cluster configuration as an object of the platform's store.
+
+use super::host_state::{HostState, lock};
+use crate::Result;
+use crate::intents::ClusterConfig;
+use crate::platform::{INTENT_OBJECT, StoreObject, StoreWrite, WatchAnswer};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A store that serves answers within some milliseconds; one that does not is away.
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// How much longer than its wait a watch may take.
+const WATCH_SLACK: Duration = Duration::from_millis(1500);
+
+impl HostState {
+    /// Reads the configuration from the store now and puts it in force if it is newer.
+    ///
+    /// # Errors
+    /// If the store gave no proper answer.
+    pub(super) async fn read_config(self: &Arc<Self>) -> Result<ClusterConfig> {
+        self.list_config().await.map(|(config, _revision)| config)
+    }
+
+    /// The same; also the store's revision, from which a watch goes on.
+    ///
+    /// # Errors
+    /// If the store gave no proper answer.
+    pub(super) async fn list_config(self: &Arc<Self>) -> Result<(ClusterConfig, u64)> {
+        let (kind, name) = INTENT_OBJECT;
+        self.metrics().add("store_calls", 1);
+        let listed = self.store.list(kind, CALL_LIMIT).await?;
+        let object = listed.items.iter().find(|object| object.name == name);
+        let config = object.map(parse_config).transpose()?.unwrap_or_default();
+        lock(&self.desk).note_store(self.now());
+        self.adopt_config(config.clone());
+        Ok((config, listed.revision))
+    }
+
+    /// Waits up to `wait` for a configuration written after the revision `after`, puts it in force
+    /// and returns the revision from which to go on.
+    ///
+    /// # Errors
+    /// If the store gave no proper answer.
+    pub(super) async fn watch_config(self: &Arc<Self>, after: u64, wait: Duration) -> Result<u64> {
+        let (kind, name) = INTENT_OBJECT;
+        self.metrics().add("store_calls", 1);
+        let answer = self.store.watch(kind, after, wait, wait + WATCH_SLACK).await?;
+        let WatchAnswer::Changes(changes, revision) = answer else {
+            return self.list_config().await.map(|(_config, revision)| revision);
+        };
+        lock(&self.desk).note_store(self.now());
+        let newest = changes.iter().rev().find(|(object, gone)| object.name == name && !gone);
+        if let Some((object, _)) = newest {
+            self.adopt_config(parse_config(object)?);
+        }
+        Ok(revision)
+    }
+
+    /// Replaces the configuration `current` by `next`, if it still stands.
+    pub(super) async fn write_config(
+        &self,
+        current: &ClusterConfig,
+        next: &ClusterConfig,
+    ) -> StoreWrite {
+        let (kind, name) = INTENT_OBJECT;
+        self.metrics().add("store_calls", 1);
+        let spec = match serde_json::to_value(next) {
+            Ok(spec) => spec,
+            Err(error) => {
+                log::error!("event=config_unwritable cause=\"{error}\"");
+                return StoreWrite::Refused;
+            }
+        };
+        let expected = (current.version > 0).then_some(current.version);
+        self.store.write(kind, name, expected, &spec, CALL_LIMIT).await
+    }
+}
+
+/// Reads the configuration out of its object; its version is the object's revision.
+fn parse_config(object: &StoreObject) -> Result<ClusterConfig> {
+    let mut config: ClusterConfig = serde_json::from_value(object.spec.clone())?;
+    config.version = object.revision;
+    Ok(config)
+}
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -7,7 +7,7 @@
 use crate::orders::OrderDesk;
 use crate::peers::PeerClient;
 use crate::placement::{ReportTable, RetryBudget};
-use crate::platform::ObjectClient;
+use crate::platform::StoreClient;
 use crate::settings::HostSettings;
 use crate::telemetry::{MetricBook, SpanRecord, TraceBook, TraceParent};
 use std::collections::HashMap;
@@ -39,7 +39,7 @@
     pub(super) traces: Mutex<TraceBook>,
     pub(super) peers: PeerClient,
     pub(super) engines: EngineClient,
-    pub(super) platform: ObjectClient,
+    pub(super) store: StoreClient,
     pub(super) draining: AtomicBool,
     pub(super) in_flight: AtomicU64,
     pub(super) fetching_config: AtomicBool,
@@ -86,7 +86,7 @@
             traces: Mutex::default(),
             peers: PeerClient::new(&settings.shared_key),
             engines: EngineClient::default(),
-            platform: ObjectClient::new(settings.platform),
+            store: StoreClient::new(settings.platform),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             fetching_config: AtomicBool::new(false),
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -7,6 +7,7 @@
 mod completion_ask;
 mod completion_run;
 mod config_loop;
+mod config_store;
 mod daemon;
 mod decode_leg;
 mod gossip_loop;
--- a/src/host/plan_desk.rs
+++ b/src/host/plan_desk.rs
@@ -1,11 +1,10 @@
 //! Plans and confirms intents for operators.
 
-use super::config_loop::parse_config;
-use super::host_state::{HostState, lock};
+use super::host_state::HostState;
+use crate::Error;
 use crate::intents::{ClusterConfig, IntentSpec, PlanDraft, PlanRefusal, apply_plan, draft_plan};
-use crate::platform::{CONFIG_KEY, WriteOutcome};
+use crate::platform::StoreWrite;
 use crate::settings::SourceText;
-use crate::{Error, Result};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -46,7 +45,9 @@
             Err(answer) => return answer,
         };
         // The store knows the newest version; the one in force serves while it is away.
-        let _ = self.read_config_blocking();
+        if let Err(error) = self.runtime.block_on(self.read_config()) {
+            log::info!("event=planned_without_store cause=\"{error}\"");
+        }
         match draft_plan(&self.config(), &intent) {
             Ok(plan) => OperatorAnswer::Plan(plan),
             Err(refusal) => from_refusal(refusal),
@@ -62,7 +63,7 @@
         let change_id: u64 = rand::random();
         let mut last = "the store gave no answer".to_owned();
         for _ in 0..CONFIRM_TRIES {
-            let current = match self.read_config_blocking() {
+            let current = match self.runtime.block_on(self.read_config()) {
                 Ok(current) => current,
                 Err(error) => {
                     last = error.to_string();
@@ -78,35 +79,20 @@
                 Ok(next) => next,
                 Err(refusal) => return from_refusal(refusal),
             };
-            match self.write_config(&current, &next) {
-                WriteOutcome::Written(version) => {
+            match self.runtime.block_on(self.write_config(&current, &next)) {
+                StoreWrite::Written(object) => {
+                    let version = object.revision;
                     self.adopt_config(ClusterConfig { version, ..next });
                     log::info!("event=confirmed version={version} operator={:?}", intent.operator);
                     return OperatorAnswer::Confirmed(version);
                 }
-                WriteOutcome::Conflict => {}
-                WriteOutcome::Refused => last = "the store refused the write".to_owned(),
-                WriteOutcome::Lost => last = "the store's answer was lost".to_owned(),
+                StoreWrite::Conflict => {}
+                StoreWrite::Refused => last = "the store refused the write".to_owned(),
+                StoreWrite::Lost => last = "the store's answer was lost".to_owned(),
             }
         }
         OperatorAnswer::Unsettled(last)
     }
-
-    fn read_config_blocking(self: &Arc<Self>) -> Result<ClusterConfig> {
-        self.metrics().add("store_calls", 1);
-        let object = self.platform.read(CONFIG_KEY)?;
-        lock(&self.desk).note_store(self.now());
-        self.adopt_object(&object);
-        parse_config(&object)
-    }
-
-    fn write_config(&self, current: &ClusterConfig, next: &ClusterConfig) -> WriteOutcome {
-        self.metrics().add("store_calls", 1);
-        match serde_json::to_string(next) {
-            Ok(text) => self.platform.write(CONFIG_KEY, current.version, &text),
-            Err(_) => WriteOutcome::Refused,
-        }
-    }
 }
 
 fn read_intent(text: &str) -> std::result::Result<IntentSpec, OperatorAnswer> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,14 +1,10 @@
 //! Platform is the edge to the users' platform: it translates names, formats and calls into the
 //! project's types and back, and decides nothing.
-//!
-//! `object_client` speaks to the stand-in store of the project's own interface; there `ureq`
-//! serves, since every call is one short answer, and calls run on blocking threads.
 
 mod config_wire;
 mod engine_messages;
 mod lease_wire;
 mod names;
-mod object_client;
 mod request_wire;
 mod server_wire;
 mod store_client;
@@ -20,7 +16,6 @@
 };
 pub use lease_wire::{LEASE_OBJECT, decode_lease, encode_lease};
 pub use names::READY_PATH;
-pub use object_client::{ObjectClient, StoredObject, WriteOutcome};
 pub use request_wire::{
     AnswerKind, CallHead, CallPart, DecodePart, ServerCall, TokenCounts, answer_headers,
     own_headers, read_answer,
@@ -28,13 +23,16 @@
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server};
 pub use store_client::{ObjectList, StoreClient, StoreObject, StoreWrite, WatchAnswer};
 
-/// Key of the configuration object of the project's own interface.
-pub const CONFIG_KEY: &str = "tealcleat/config";
+/// Kind and name of the configuration that intents of the project's own interface make.
+pub const INTENT_OBJECT: (&str, &str) = ("tealcleat-config", "main");
+
+/// Kind of the claim buckets of the project's own interface.
+pub const CLAIMS_KIND: &str = "tealcleat-claims";
 
 /// Kind and name of the operator's configuration.
 pub const ROUTES_OBJECT: (&str, &str) = ("config", "main");
 
-/// Key of a claim bucket's object.
-pub fn bucket_key(bucket: u64) -> String {
-    format!("tealcleat/claims/{bucket}")
+/// Name of a claim bucket's object.
+pub fn bucket_name(bucket: u64) -> String {
+    format!("bucket-{bucket}")
 }
