A domain behind a cut is left out as a whole; so is an engine that turns reads away

Change: DomainGates; two servers of another domain that fall silent within a second, with no answer between, shut it until a trial is answered. The notes on a server are one enum (ServerNote) instead of closures.

--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -40,6 +40,8 @@
     StallAfter(u64),
     /// It answers with the id of another request.
     ForeignAnswer,
+    /// It changes its stage: it grants holds, but turns reads and runs away.
+    Changing,
     /// It takes orders, leaves them unanswered, and carries nothing out.
     LoseOrders,
 }
@@ -77,6 +79,7 @@
     handles: Mutex<HashMap<String, (String, Instant)>>,
     orders: Mutex<Vec<(String, u64)>>,
     serials: AtomicU64,
+    turned_away: AtomicU64,
     /// Prefill engines of the site, by address, from which results are fetched.
     sources: Mutex<HashMap<String, Arc<SiteEngine>>>,
 }
@@ -95,6 +98,7 @@
             handles: Mutex::default(),
             orders: Mutex::default(),
             serials: AtomicU64::new(1),
+            turned_away: AtomicU64::new(0),
             sources: Mutex::default(),
         }
     }
@@ -139,6 +143,11 @@
         lock(&self.handles).values().filter(|(_, lapses)| now < *lapses).count()
     }
 
+    /// Reads and runs that it turned away while it changed its stage.
+    pub fn turned_away(&self) -> u64 {
+        self.turned_away.load(Ordering::Relaxed)
+    }
+
     /// Orders that it took: who gave them, under which fence.
     pub fn orders(&self) -> Vec<(String, u64)> {
         lock(&self.orders).clone()
@@ -220,9 +229,7 @@
         if let Some(source) = header(request, "kv-from")
             && !self.fetch(source, id)
         {
-            let mut answer = whole(503, "");
-            answer.headers_mut().insert("x-not-run", http::HeaderValue::from_static("1"));
-            return Ok(signed(answer, id, None));
+            return Ok(refusal(id));
         }
         let place = self.note_run(request, id, "decode");
         if self.fault() == EngineFault::FailRuns {
@@ -287,6 +294,13 @@
     }
 }
 
+/// A refusal: the request did not run.
+fn refusal(id: &str) -> hyper::Response<super::site_http::SiteBody> {
+    let mut answer = whole(503, "");
+    answer.headers_mut().insert("x-not-run", http::HeaderValue::from_static("1"));
+    signed(answer, id, None)
+}
+
 /// Puts the request's id, and a signature if the answer is whole, on an answer.
 pub(super) fn signed(
     mut answer: hyper::Response<super::site_http::SiteBody>,
@@ -341,6 +355,10 @@
         if asked != self.stage() {
             return Ok(signed(whole(421, ""), &id, None));
         }
+        if self.fault() == EngineFault::Changing {
+            self.turned_away.fetch_add(1, Ordering::Relaxed);
+            return Ok(refusal(&id));
+        }
         if asked == "prefill" { self.prefill(&request, &id) } else { self.decode(&request, &id) }
     }
 }
--- a/src/gateway/decode_room.rs
+++ b/src/gateway/decode_room.rs
@@ -6,7 +6,7 @@
 use super::load_guard::LoadGuard;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::ServerKey;
-use crate::placement::{ChoiceKind, ServerLoad};
+use crate::placement::{ChoiceKind, ServerLoad, ServerNote};
 use crate::routes::EngineSpec;
 use std::time::Duration;
 
@@ -84,7 +84,12 @@
     tokens: u32,
 ) -> Option<DecodeRoom> {
     let load = decode_load(context, server);
-    match take_hold(&context.host, server, tokens, engine.longest_hold).await {
+    context.host.note_server(server, ServerNote::Sent);
+    let held = take_hold(&context.host, server, tokens, engine.longest_hold).await;
+    if held.is_ok() {
+        context.host.note_server(server, ServerNote::Answered);
+    }
+    match held {
         Ok(Some(keep)) => Some(DecodeRoom { keep, load }),
         Ok(None) => {
             let now = context.host.now();
@@ -92,7 +97,7 @@
             None
         }
         Err(error) => {
-            context.host.note_health(server, |health, now| health.note_silence(now));
+            context.host.note_server(server, ServerNote::Silent);
             let (id, server) = (context.id(), &server.id);
             log::info!("event=hold_failed request={id} server={server} cause=\"{error}\"");
             None
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -13,6 +13,7 @@
 use crate::engines::SendLimits;
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
+use crate::placement::ServerNote;
 use crate::platform::{AnswerKind, CallPart, DecodePart, answer_headers, read_answer};
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
@@ -265,18 +266,19 @@
     runs: &mut RunRecord,
 ) -> Result<RunStart, OpenFailure> {
     runs.sent += 1;
-    context.host.note_health(server, |health, now| health.note_sent(now));
+    context.host.note_server(server, ServerNote::Sent);
     let may_repeat = context.route.is_repeatable() && runs.sent < context.route.most_servers;
     let limit = if may_repeat { FIRST_EVENT_LIMIT.min(context.left()) } else { context.left() };
     let started = match tokio::time::timeout(limit, start_run(context, server, part)).await {
         Ok(started) => started,
         Err(_elapsed) => Err(OpenFailure::Unknown("no_first_event")),
     };
-    context.host.note_health(server, |health, now| match &started {
-        Ok(_) => health.note_success(now),
-        Err(OpenFailure::Unknown(_)) => health.note_silence(now),
-        Err(_) => health.note_error(now),
-    });
+    let note = match &started {
+        Ok(_) => ServerNote::Served,
+        Err(OpenFailure::Unknown(_)) => ServerNote::Silent,
+        Err(_) => ServerNote::Erred,
+    };
+    context.host.note_server(server, note);
     if let Err(failure) = &started {
         let (id, server) = (context.id(), &server.id);
         let name = match failure {
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -5,6 +5,7 @@
 use super::engine_call::{OpenRun, RunRecord, may_run_again, open_stream};
 use crate::Result;
 use crate::keys::TimePoint;
+use crate::placement::ServerNote;
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
 use bytes::Bytes;
@@ -102,7 +103,7 @@
         match relay_run(context, engine, run, events, record).await {
             RunEnd::Stream(end) => return end,
             RunEnd::ServerLost => {
-                context.host.note_health(&server, |health, now| health.note_silence(now));
+                context.host.note_server(&server, ServerNote::Silent);
                 runs.note_lost(server.key());
             }
         }
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -5,7 +5,8 @@
 use crate::membership::{MemberState, MemberTable, MemberUpdate, ViewMark};
 use crate::peers::PeerClient;
 use crate::placement::{
-    ChoiceKind, ChoiceView, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums, rank_servers,
+    ChoiceKind, ChoiceView, DomainGates, LoadBoard, RetryWindow, ServerHealth, ServerNote,
+    WorkMeter, WorkSums, rank_servers,
 };
 use crate::platform::StoreClient;
 use crate::routes::{RouteTable, ServiceKey};
@@ -45,6 +46,8 @@
     pub board: LoadBoard,
     /// Their health, as this host saw it.
     pub health: HashMap<ServerKey, ServerHealth>,
+    /// Other failure domains, as this host reaches them.
+    pub domains: DomainGates,
     /// Repeats of each service's requests.
     pub retries: HashMap<ServiceKey, RetryWindow>,
     /// What an average request of each service takes.
@@ -133,6 +136,7 @@
             fleet: FleetView::default(),
             board: LoadBoard::default(),
             health: HashMap::new(),
+            domains: DomainGates::default(),
             retries: HashMap::new(),
             work: HashMap::new(),
             heard_work: HashMap::new(),
@@ -260,6 +264,7 @@
         let view = ChoiceView {
             board: &state.board,
             health: &state.health,
+            domains: &state.domains,
             changes: &state.changes,
             near,
             salt: salt ^ self.incarnation.0,
@@ -280,14 +285,27 @@
         state.work.get(&service).map(|meter| meter.read_time(queue)).unwrap_or_default()
     }
 
-    /// Changes what is known of a server's health.
-    pub(super) fn note_health(
-        &self,
-        server: &ServerEntry,
-        note: impl FnOnce(&mut ServerHealth, TimePoint),
-    ) {
+    /// Takes note of what happened between this host and a server.
+    pub(super) fn note_server(&self, server: &ServerEntry, note: ServerNote) {
         let now = self.now();
-        note(self.state().health.entry(server.key()).or_default(), now);
+        let mut state = self.state();
+        state.health.entry(server.key()).or_default().note(now, note);
+        // Servers of the own domain are never behind a cut between domains.
+        if server.domain == self.domain() {
+            return;
+        }
+        match note {
+            ServerNote::Sent => state.domains.note_sent(now, server.domain),
+            ServerNote::Answered | ServerNote::Served | ServerNote::Erred => {
+                state.domains.note_answer(server.domain);
+            }
+            ServerNote::Silent => {
+                if state.domains.note_silence(now, server.domain, server.key()) {
+                    let domain = server.domain.0;
+                    log::warn!("event=domain_lost domain={domain:016x} server={}", server.id);
+                }
+            }
+        }
     }
 
     /// Takes `count` repeats of a service's requests, if the bounds allow them.
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -4,7 +4,7 @@
 use crate::engines::SendLimits;
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
-use crate::placement::{ChoiceKind, ServerLoad};
+use crate::placement::{ChoiceKind, ServerLoad, ServerNote};
 use crate::platform::{AnswerKind, CallPart, read_answer};
 use crate::{Error, Result};
 use std::time::Duration;
@@ -115,7 +115,7 @@
 ) -> AttemptEnd {
     let load = ServerLoad { requests: 1, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
-    context.host.note_health(server, |health, now| health.note_sent(now));
+    context.host.note_server(server, ServerNote::Sent);
     let repeatable = context.route.is_repeatable();
     let more = repeatable && record.sent + 1 < context.route.most_servers;
     let patience = context.route.objective * SILENCE_OBJECTIVES;
@@ -158,13 +158,12 @@
 }
 
 fn note_end(context: &CallContext, server: &ServerEntry, end: &AttemptEnd) {
-    context.host.note_health(server, |health, now| match end {
-        AttemptEnd::Answered(_) => health.note_success(now),
-        AttemptEnd::Failed(_) | AttemptEnd::NotRun | AttemptEnd::Unknown(_) => {
-            health.note_error(now);
-        }
-        AttemptEnd::NotSent | AttemptEnd::Silent => health.note_silence(now),
-    });
+    let note = match end {
+        AttemptEnd::Answered(_) => ServerNote::Served,
+        AttemptEnd::Failed(_) | AttemptEnd::NotRun | AttemptEnd::Unknown(_) => ServerNote::Erred,
+        AttemptEnd::NotSent | AttemptEnd::Silent => ServerNote::Silent,
+    };
+    context.host.note_server(server, note);
     let name = match end {
         AttemptEnd::Answered(_) => return,
         AttemptEnd::Failed(_) => "failed",
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -4,8 +4,8 @@
 use crate::engines::SendLimits;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::NameKey;
-use crate::placement::{ChoiceKind, PromptReader, ServerLoad, choose_reader};
-use crate::platform::{CallPart, PrefillResult, decode_body, read_answer};
+use crate::placement::{ChoiceKind, PromptReader, ServerLoad, ServerNote, choose_reader};
+use crate::platform::{AnswerKind, CallPart, PrefillResult, decode_body, read_answer};
 use crate::{Error, Result};
 use http::StatusCode;
 use std::time::Duration;
@@ -49,13 +49,20 @@
             break;
         }
         match read_at(context, server).await {
-            Ok(Some(result)) => {
+            Ok(ReadEnd::Read(result)) => {
                 let keep = EngineKeep::handle(&context.host, server.clone(), result);
                 return PromptEnd::Read(keep);
             }
-            Ok(None) => context.host.note_health(server, |health, now| health.note_error(now)),
+            Ok(ReadEnd::TurnedAway) => {
+                // Its queue is empty because it reads nothing: it changes its stage, and the host
+                // that ordered this has not said so, or is gone.
+                context.host.note_server(server, ServerNote::Erred);
+                let now = context.host.now();
+                context.host.state().changes.note_heard(now, server.key());
+            }
+            Ok(ReadEnd::Failed) => context.host.note_server(server, ServerNote::Erred),
             Err(error) => {
-                context.host.note_health(server, |health, now| health.note_silence(now));
+                context.host.note_server(server, ServerNote::Silent);
                 let (id, server) = (context.id(), &server.id);
                 log::info!("event=prompt_unread request={id} server={server} cause=\"{error}\"");
             }
@@ -64,18 +71,28 @@
     PromptEnd::Failed
 }
 
-/// Reads the prompt at one server; `None` if it answered without a result.
-async fn read_at(context: &CallContext, server: &ServerEntry) -> Result<Option<PrefillResult>> {
+/// How one server answered.
+#[derive(Debug)]
+enum ReadEnd {
+    Read(PrefillResult),
+    /// It did not read the prompt.
+    TurnedAway,
+    /// Its answer has no result.
+    Failed,
+}
+
+/// Reads the prompt at one server.
+async fn read_at(context: &CallContext, server: &ServerEntry) -> Result<ReadEnd> {
     let tokens = context.head.tokens.prompt;
     let load = ServerLoad { requests: 1, prompt_tokens: tokens, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
-    context.host.note_health(server, |health, now| health.note_sent(now));
+    context.host.note_server(server, ServerNote::Sent);
     let limit = READ_LIMIT.min(context.left());
     let began = context.host.now();
     let exchange = ask_reader(context, server, limit);
     let read = tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)??;
-    if read.is_some() {
-        context.host.note_health(server, |health, now| health.note_success(now));
+    if matches!(read, ReadEnd::Read(_)) {
+        context.host.note_server(server, ServerNote::Served);
         let now = context.host.now();
         let took = now.since(began);
         context.host.state().work.entry(context.service).or_default().note_read(now, tokens, took);
@@ -87,7 +104,7 @@
     context: &CallContext,
     server: &ServerEntry,
     limit: Duration,
-) -> Result<Option<PrefillResult>> {
+) -> Result<ReadEnd> {
     let request = context.call.to_server(server, limit, CallPart::Prefill);
     let limits = SendLimits { connect: CONNECT_LIMIT, ..SendLimits::default() };
     let response = context.host.pool.send_limited(server.address, request, limits).await?;
@@ -100,7 +117,8 @@
         log::info!(
             "event=prompt_unread request={id} server={server} status={status} kind={kind:?}"
         );
-        return Ok(None);
+        let turned_away = kind == AnswerKind::NotRun;
+        return Ok(if turned_away { ReadEnd::TurnedAway } else { ReadEnd::Failed });
     }
-    Ok(Some(decode_body(&body)?))
+    Ok(ReadEnd::Read(decode_body(&body)?))
 }
--- /dev/null
+++ b/src/placement/domain_gates.rs
@@ -0,0 +1,57 @@
+use super::HealthGate;
+use crate::keys::{NameKey, ServerKey, TimePoint};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Two servers of a domain that fall silent within this time, without an answer of any between,
+/// mean that the domain is cut off. A call behind a cut fails after 0.2 s.
+const SILENCE_WINDOW: Duration = Duration::from_millis(1000);
+
+#[derive(Debug, Clone, Default)]
+struct DomainGate {
+    gate: HealthGate,
+    /// The server that fell silent last, and when.
+    silent: Option<(ServerKey, TimePoint)>,
+    is_shut: bool,
+}
+
+/// Circuit breakers of whole failure domains.
+///
+/// Behind a cut, each server would have to fail twice before its own breaker opens, and each failure
+/// costs some request 0.2 s. Two silent servers shut their domain until a trial is answered.
+#[derive(Debug, Clone, Default)]
+pub struct DomainGates {
+    gates: HashMap<NameKey, DomainGate>,
+}
+
+impl DomainGates {
+    /// Whether servers of a domain may be offered work.
+    pub fn admits(&self, now: TimePoint, domain: NameKey) -> bool {
+        self.gates.get(&domain).is_none_or(|entry| !entry.is_shut || entry.gate.admits(now))
+    }
+
+    /// Work is sent; consumes the trial of a domain that was shut.
+    pub fn note_sent(&mut self, now: TimePoint, domain: NameKey) {
+        if let Some(entry) = self.gates.get_mut(&domain) {
+            entry.gate.note_sent(now);
+        }
+    }
+
+    /// A server of the domain answered, in whatever way.
+    pub fn note_answer(&mut self, domain: NameKey) {
+        self.gates.remove(&domain);
+    }
+
+    /// A server of the domain did not answer; true if that shuts the domain.
+    pub fn note_silence(&mut self, now: TimePoint, domain: NameKey, server: ServerKey) -> bool {
+        let entry = self.gates.entry(domain).or_default();
+        let second =
+            entry.silent.is_some_and(|(key, at)| key != server && now.since(at) < SILENCE_WINDOW);
+        entry.silent = Some((server, now));
+        if !second && !entry.is_shut {
+            return false;
+        }
+        entry.gate.trip(now);
+        !std::mem::replace(&mut entry.is_shut, true)
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -3,6 +3,7 @@
 //! Inputs are quotes, holds, starts, releases and load reports; orders are grants, refusals and
 //! cancellations. No machine here knows a socket or a clock.
 
+mod domain_gates;
 mod health_gate;
 mod length_model;
 mod link_lane;
@@ -28,6 +29,7 @@
 mod waste_ledger;
 mod work_meter;
 
+pub use domain_gates::DomainGates;
 pub use health_gate::HealthGate;
 pub use length_model::LengthModel;
 pub use link_lane::LinkLane;
@@ -45,7 +47,7 @@
 pub use retry_window::{RetryBounds, RetryWindow};
 pub use server_book::{LoadFacts, ServerBook};
 pub use server_choice::{ChoiceKind, ChoiceView, rank_servers};
-pub use server_health::ServerHealth;
+pub use server_health::{ServerHealth, ServerNote};
 pub use share_ledger::ShareLedger;
 pub use size_balance::SizeBalance;
 pub use slot_book::SlotBook;
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -1,4 +1,4 @@
-use super::{LoadBoard, ServerHealth};
+use super::{DomainGates, LoadBoard, ServerHealth};
 use crate::fleet::{ServerEntry, StageChanges};
 use crate::keys::{NameKey, ServerKey, TimePoint, mix_hash};
 use std::collections::HashMap;
@@ -31,6 +31,8 @@
     pub board: &'a LoadBoard,
     /// Health of each server that was used.
     pub health: &'a HashMap<ServerKey, ServerHealth>,
+    /// Failure domains that seem cut off.
+    pub domains: &'a DomainGates,
     /// Engines that change their stage.
     pub changes: &'a StageChanges,
     /// The failure domain that the server should be in.
@@ -51,7 +53,8 @@
     let admitted = |server: &&ServerEntry| {
         let key = server.key();
         let answers = view.health.get(&key).is_none_or(|health| health.admits(now));
-        answers && !view.changes.is_changing(now, key)
+        let reached = view.domains.admits(now, server.domain);
+        answers && reached && !view.changes.is_changing(now, key)
     };
     let mut ranked: Vec<(f64, &ServerEntry)> = candidates
         .filter(admitted)
--- a/src/placement/server_health.rs
+++ b/src/placement/server_health.rs
@@ -7,6 +7,21 @@
 /// The error share halves in this time without answers, so that a mended server is tried again.
 const SHARE_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// What happened between this host and a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerNote {
+    /// Something is sent.
+    Sent,
+    /// It answered a call that tells nothing of how it serves, as one for a hold.
+    Answered,
+    /// It served a request.
+    Served,
+    /// It answered, but with an error or a refusal.
+    Erred,
+    /// No connection, no answer in time, or a broken one.
+    Silent,
+}
+
 /// How a server answered lately: a circuit breaker for silence, an error share for the rest.
 #[derive(Debug, Clone, Default)]
 pub struct ServerHealth {
@@ -16,6 +31,17 @@
 }
 
 impl ServerHealth {
+    /// Takes note of what happened.
+    pub fn note(&mut self, now: TimePoint, note: ServerNote) {
+        match note {
+            ServerNote::Sent => self.note_sent(now),
+            ServerNote::Answered => self.note_given_up(),
+            ServerNote::Served => self.note_success(now),
+            ServerNote::Erred => self.note_error(now),
+            ServerNote::Silent => self.note_silence(now),
+        }
+    }
+
     /// Whether new work may be offered.
     pub fn admits(&self, now: TimePoint) -> bool {
         self.gate.admits(now)
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -148,6 +148,32 @@
     });
 }
 
+/// Bench: halvorsen-book inc-45b4. All hosts were restarted while an engine changed its stage; with
+/// its empty queue it was the first choice for 28 prompts. Holds are granted all the same.
+#[test]
+fn changing_engines_found_out_by_one_request() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        site.prefills[0].set_fault(EngineFault::Changing);
+        site.decodes[0].set_fault(EngineFault::Changing);
+        {
+            // The others are loaded, so that an error or two do not matter.
+            let mut state = site.hosts[0].host.state();
+            let queue = ServerLoad { prompt_tokens: 24_000, ..ServerLoad::default() };
+            state.board.add(ServerKey::of("i-prefill-1"), queue);
+            let memory = ServerLoad { memory_tokens: 200_000, ..ServerLoad::default() };
+            state.board.add(ServerKey::of("i-decode-1"), memory);
+        }
+        for number in 0..12 {
+            ask(&site, &call("POST", "stream", &format!("n{number}"))).await;
+        }
+        // A run is sent twice to its server: the first refusal may have been the prompt's.
+        assert!(site.prefills[0].turned_away() <= 1, "{}", site.prefills[0].turned_away());
+        assert!(site.decodes[0].turned_away() <= 2, "{}", site.decodes[0].turned_away());
+        settled(&site).await;
+    });
+}
+
 /// The queue of every prefill server is longer than half of the objective.
 #[test]
 fn late_prompt_read_by_its_decode_server() {
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -1,12 +1,13 @@
 //! Which server a request goes to, what is believed of servers, and how many repeats are allowed.
 
+use rstest::rstest;
 use std::collections::HashMap;
 use std::time::Duration;
 use tealcleat::fleet::{ServerEntry, ServerStage, ServerState, StageChanges};
 use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 use tealcleat::placement::{
-    ChoiceKind, ChoiceView, LoadBoard, RetryBounds, RetryWindow, ServerHealth, ServerLoad,
-    rank_servers,
+    ChoiceKind, ChoiceView, DomainGates, LoadBoard, RetryBounds, RetryWindow, ServerHealth,
+    ServerLoad, rank_servers,
 };
 
 const MEMORY: u32 = 10_000;
@@ -47,7 +48,9 @@
     health: &HashMap<ServerKey, ServerHealth>,
     servers: &[ServerEntry],
 ) -> Vec<String> {
-    let view = ChoiceView { board, health, changes, near: NameKey::of("a"), salt: 7 };
+    let domains = DomainGates::default();
+    let view =
+        ChoiceView { board, health, domains: &domains, changes, near: NameKey::of("a"), salt: 7 };
     let kind = ChoiceKind::DecodeMemory(MEMORY);
     let order = rank_servers(now, &view, kind, servers.iter());
     order.into_iter().map(|server| server.id.clone()).collect()
@@ -95,6 +98,40 @@
     assert_eq!(ranked_beside(&changes, at(9000), &board, &health, &servers), ["changing", "other"]);
 }
 
+/// Bench: panelbridge-kr scale-1, 188 holds of 0.2 s each went unanswered behind cuts.
+#[test]
+fn two_silent_servers_shut_their_domain() {
+    let far = NameKey::of("far");
+    let mut domains = DomainGates::default();
+    assert!(!domains.note_silence(at(0), far, ServerKey::of("a")));
+    assert!(domains.admits(at(10), far), "one server may have crashed");
+    assert!(domains.note_silence(at(200), far, ServerKey::of("b")));
+    assert!(!domains.admits(at(210), far));
+    assert!(domains.admits(at(210), NameKey::of("other")));
+    assert!(domains.admits(at(710), far), "a trial");
+    domains.note_sent(at(710), far);
+    assert!(!domains.admits(at(720), far), "only one");
+    assert!(!domains.note_silence(at(910), far, ServerKey::of("a")), "nothing new");
+    assert!(!domains.admits(at(1500), far), "the pause has doubled");
+    domains.note_answer(far);
+    assert!(domains.admits(at(1500), far));
+}
+
+#[rstest]
+#[case::same_server("a", 200, false)]
+#[case::much_later("b", 1200, false)]
+#[case::answer_between("b", 200, true)]
+fn domain_stays_open(#[case] second: &str, #[case] millis: u64, #[case] answered: bool) {
+    let far = NameKey::of("far");
+    let mut domains = DomainGates::default();
+    domains.note_silence(at(0), far, ServerKey::of("a"));
+    if answered {
+        domains.note_answer(far);
+    }
+    assert!(!domains.note_silence(at(millis), far, ServerKey::of(second)));
+    assert!(domains.admits(at(millis + 1), far));
+}
+
 #[test]
 fn refusing_server_ranked_last_for_a_while() {
     let servers = [server("refused", "a"), server("other", "b")];
