--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -2,16 +2,20 @@
 //!
 //! Each has switches for the faults that trials on the users' bench showed; none has a cost model.
 
+mod engine_fault;
 mod site_caller;
 mod site_engine;
 mod site_http;
+mod site_run;
 mod site_service;
 mod site_store;
 mod store_objects;
 mod test_site;
 
+pub use engine_fault::EngineFault;
 pub use site_caller::{CallerReply, SiteCall, SiteConnection, call_site};
-pub use site_engine::{EngineFault, SiteEngine, SiteRun};
+pub use site_engine::SiteEngine;
+pub use site_run::SiteRun;
 pub use site_service::{ServiceFault, SiteService};
 pub use site_store::{SiteStore, StoreFault};
 pub use store_objects::StoreObjects;
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -1,6 +1,8 @@
+use super::engine_fault::EngineFault;
 use super::site_http::{
-    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, serve_site, whole,
+    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, refusal, serve_site, signed, whole,
 };
+use super::site_run::SiteRun;
 use crate::Result;
 use crate::host::lock;
 use bytes::Bytes;
@@ -20,49 +22,6 @@
 /// Events before a cut have this long to leave.
 const CUT_PAUSE: Duration = Duration::from_millis(20);
 
-/// What a stand-in engine does wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum EngineFault {
-    /// Nothing.
-    #[default]
-    None,
-    /// It grants no holds, as when its memory is full.
-    Full,
-    /// It answers nothing.
-    Silent,
-    /// Results of prefills are gone when they are fetched.
-    LoseHandles,
-    /// It answers 500 to runs.
-    FailRuns,
-    /// It breaks streams off within the event after this many.
-    CutAfter(u64),
-    /// It makes this many events and then nothing.
-    StallAfter(u64),
-    /// It answers with the id of another request.
-    ForeignAnswer,
-    /// It changes its stage: it grants holds, but turns reads and runs away.
-    Changing,
-    /// It takes orders, leaves them unanswered, and carries nothing out.
-    LoseOrders,
-}
-
-/// One request that an engine worked on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SiteRun {
-    /// The request's id.
-    pub request: String,
-    /// `prefill` or `decode`.
-    pub stage: String,
-    /// It used the result of a prefill.
-    pub fetched: bool,
-    /// It used a hold.
-    pub held: bool,
-    /// The event that it continued after.
-    pub after: Option<u64>,
-    /// Its caller left before the end.
-    pub cancelled: bool,
-}
-
 /// A stand-in for a model engine.
 #[derive(Debug)]
 pub struct SiteEngine {
@@ -294,29 +253,6 @@
     }
 }
 
-/// A refusal: the request did not run.
-fn refusal(id: &str) -> hyper::Response<super::site_http::SiteBody> {
-    let mut answer = whole(503, "");
-    answer.headers_mut().insert("x-not-run", http::HeaderValue::from_static("1"));
-    signed(answer, id, None)
-}
-
-/// Puts the request's id, and a signature if the answer is whole, on an answer.
-pub(super) fn signed(
-    mut answer: hyper::Response<super::site_http::SiteBody>,
-    id: &str,
-    signer: Option<&str>,
-) -> hyper::Response<super::site_http::SiteBody> {
-    let headers = answer.headers_mut();
-    if let Ok(value) = http::HeaderValue::from_str(id) {
-        headers.insert("x-request-id", value);
-    }
-    if let Some(value) = signer.and_then(|signer| http::HeaderValue::from_str(signer).ok()) {
-        headers.insert("x-server-stamp", value);
-    }
-    answer
-}
-
 impl SiteHandler for SiteEngine {
     async fn answer(self: Arc<Self>, request: WholeRequest) -> SiteAnswer {
         if self.fault() == EngineFault::Silent {
--- a/src/bench/site/site_http.rs
+++ b/src/bench/site/site_http.rs
@@ -71,3 +71,26 @@
 pub(super) fn header<'a>(request: &'a WholeRequest, name: &str) -> Option<&'a str> {
     request.headers().get(name).and_then(|value| value.to_str().ok())
 }
+
+/// A refusal: the request did not run.
+pub(super) fn refusal(id: &str) -> hyper::Response<SiteBody> {
+    let mut answer = whole(503, "");
+    answer.headers_mut().insert("x-not-run", http::HeaderValue::from_static("1"));
+    signed(answer, id, None)
+}
+
+/// Puts the request's id, and a signature if the answer is whole, on an answer.
+pub(super) fn signed(
+    mut answer: hyper::Response<SiteBody>,
+    id: &str,
+    signer: Option<&str>,
+) -> hyper::Response<SiteBody> {
+    let headers = answer.headers_mut();
+    if let Ok(value) = http::HeaderValue::from_str(id) {
+        headers.insert("x-request-id", value);
+    }
+    if let Some(value) = signer.and_then(|signer| http::HeaderValue::from_str(signer).ok()) {
+        headers.insert("x-server-stamp", value);
+    }
+    answer
+}
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -1,6 +1,5 @@
-use super::site_engine::signed;
 use super::site_http::{
-    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, serve_site, whole,
+    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, serve_site, signed, whole,
 };
 use crate::Result;
 use crate::host::lock;
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -1,5 +1,5 @@
 use super::call_context::CallContext;
-use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
+use super::call_end::{CallEnd, NotRunReason};
 use super::call_route::log_end;
 use super::caller_body::{CallerAnswer, CallerBody};
 use super::caller_loop::FlightGuard;
@@ -9,12 +9,9 @@
 use super::event_relay::relay_events;
 use super::load_guard::LoadGuard;
 use super::prompt_read::{PromptEnd, read_prompt};
-use crate::Error;
-use crate::engines::SendLimits;
+use super::run_start::{OpenFailure, RunRecord, run_at};
 use crate::fleet::ServerEntry;
-use crate::keys::ServerKey;
-use crate::placement::ServerNote;
-use crate::platform::{AnswerKind, CallPart, DecodePart, answer_headers, read_answer};
+use crate::platform::{DecodePart, answer_headers};
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
 use http::{HeaderMap, Response, StatusCode};
@@ -30,10 +27,6 @@
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(200);
 /// When a caller may come back if no server takes work at all.
 const NO_SERVER_PAUSE: Duration = Duration::from_secs(1);
-/// A decode server that has the prompt makes its first event within a few steps; silence beyond
-/// this lets a repeatable request go elsewhere.
-const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1500);
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// A request turned away by its decode server is tried once more there while this part of its
 /// objective has not passed.
 const SECOND_TRY_PART: f64 = 0.8;
@@ -53,35 +46,6 @@
     pub load: LoadGuard,
 }
 
-/// Why a run did not open.
-#[derive(Debug)]
-enum OpenFailure {
-    /// Nothing ran: the request may be refused or sent again.
-    NotRun(NotRunReason),
-    /// The server turned it away with the prompt's result; it may read the prompt itself.
-    TurnedAway(ServerEntry),
-    /// The server ran it and failed.
-    Failed(ServerAnswer),
-    /// It may have run.
-    Unknown(&'static str),
-}
-
-/// What became of a request's runs so far.
-#[derive(Debug, Default)]
-pub(super) struct RunRecord {
-    /// How often it was sent to run.
-    sent: u32,
-    /// Servers that lost a run; no further one is opened there.
-    lost: Vec<ServerKey>,
-}
-
-impl RunRecord {
-    /// A server broke a run off or fell silent.
-    pub fn note_lost(&mut self, server: ServerKey) {
-        self.lost.push(server);
-    }
-}
-
 /// Runs a request at a service of model engines and answers with its stream.
 pub(super) async fn serve_engine(context: Arc<CallContext>, flight: FlightGuard) -> CallerAnswer {
     let Some(engine) = context.spec.engine.clone() else {
@@ -255,78 +219,3 @@
     let (head, reader, first) = opened?;
     Ok(OpenRun { server: server.clone(), head, reader, first, load })
 }
-
-type RunStart = ((StatusCode, HeaderMap), EventReader, Option<StreamEvent>);
-
-/// Sends a request to run and waits for its first event.
-async fn run_at(
-    context: &CallContext,
-    server: &ServerEntry,
-    part: DecodePart<'_>,
-    runs: &mut RunRecord,
-) -> Result<RunStart, OpenFailure> {
-    runs.sent += 1;
-    context.host.note_server(server, ServerNote::Sent);
-    let may_repeat = context.route.is_repeatable() && runs.sent < context.route.most_servers;
-    let limit = if may_repeat { FIRST_EVENT_LIMIT.min(context.left()) } else { context.left() };
-    let started = match tokio::time::timeout(limit, start_run(context, server, part)).await {
-        Ok(started) => started,
-        Err(_elapsed) => Err(OpenFailure::Unknown("no_first_event")),
-    };
-    let note = match &started {
-        Ok(_) => ServerNote::Served,
-        Err(OpenFailure::Unknown(_)) => ServerNote::Silent,
-        Err(_) => ServerNote::Erred,
-    };
-    context.host.note_server(server, note);
-    if let Err(failure) = &started {
-        let (id, server) = (context.id(), &server.id);
-        let name = match failure {
-            OpenFailure::NotRun(reason) => reason.name(),
-            OpenFailure::TurnedAway(_) => "turned_away",
-            OpenFailure::Failed(_) => "failed",
-            OpenFailure::Unknown(cause) => cause,
-        };
-        log::info!("event=run_not_opened request={id} server={server} cause={name}");
-    }
-    started
-}
-
-async fn start_run(
-    context: &CallContext,
-    server: &ServerEntry,
-    part: DecodePart<'_>,
-) -> Result<RunStart, OpenFailure> {
-    let request = context.call.to_server(server, context.left(), CallPart::Decode(part));
-    let limits = SendLimits { connect: CONNECT_LIMIT, ..SendLimits::default() };
-    let response = match context.host.pool.send_limited(server.address, request, limits).await {
-        Ok(response) => response,
-        Err(Error::NotSent(_)) => return Err(OpenFailure::TurnedAway(server.clone())),
-        Err(_) => return Err(OpenFailure::Unknown("server_broke_off")),
-    };
-    let kind = read_answer(&response, context.id());
-    let (parts, body) = response.into_parts();
-    match kind {
-        AnswerKind::Success => {
-            let mut reader = EventReader::new(body);
-            let first = reader.next().await;
-            let first = first.map_err(|_error| OpenFailure::Unknown("server_broke_off"))?;
-            Ok(((parts.status, parts.headers), reader, first))
-        }
-        AnswerKind::Foreign => {
-            body.discard();
-            Err(OpenFailure::Unknown("foreign_answer"))
-        }
-        AnswerKind::NotRun => {
-            // The connection is kept only if its answer is read to the end.
-            drop(body.read_all().await);
-            Err(OpenFailure::TurnedAway(server.clone()))
-        }
-        AnswerKind::Failed => {
-            let body = body.read_all().await;
-            let body = body.map_err(|_error| OpenFailure::Unknown("server_broke_off"))?;
-            let answer = ServerAnswer { status: parts.status, headers: parts.headers, body };
-            Err(OpenFailure::Failed(answer))
-        }
-    }
-}
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,18 +1,16 @@
+use super::gateway_state::GatewayState;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, ServerStage, StageChanges};
 use crate::host::lock;
-use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
-use crate::membership::{MemberState, MemberTable, MemberUpdate, ViewMark};
+use crate::keys::{IncarnationId, NameKey, TimePoint};
+use crate::membership::{MemberState, MemberTable, MemberUpdate};
 use crate::peers::PeerClient;
-use crate::placement::{
-    ChoiceKind, ChoiceView, DomainGates, LoadBoard, RetryWindow, ServerHealth, ServerNote,
-    WorkMeter, WorkSums, rank_servers,
-};
+use crate::placement::{ChoiceKind, ChoiceView, DomainGates, LoadBoard, ServerNote, rank_servers};
 use crate::platform::StoreClient;
 use crate::routes::{RouteTable, ServiceKey};
-use crate::settings::{GatewayBounds, GatewaySettings};
+use crate::settings::GatewaySettings;
 use crate::telemetry::MetricBook;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -31,64 +29,6 @@
     Closing,
 }
 
-/// What a host believes and decides from.
-#[derive(Debug)]
-pub struct GatewayState {
-    /// Bounds of the settings.
-    pub bounds: GatewayBounds,
-    /// The configuration in force.
-    pub routes: Arc<RouteTable>,
-    /// Revision of the store at which it was written.
-    pub routes_revision: u64,
-    /// The backend servers.
-    pub fleet: FleetView,
-    /// Their load.
-    pub board: LoadBoard,
-    /// Their health, as this host saw it.
-    pub health: HashMap<ServerKey, ServerHealth>,
-    /// Other failure domains, as this host reaches them.
-    pub domains: DomainGates,
-    /// Repeats of each service's requests.
-    pub retries: HashMap<ServiceKey, RetryWindow>,
-    /// What an average request of each service takes.
-    pub work: HashMap<ServiceKey, WorkMeter>,
-    /// The same, as other hosts said and when.
-    pub heard_work: HashMap<(IncarnationId, ServiceKey), (TimePoint, WorkSums)>,
-    /// Engines that change their stage.
-    pub changes: StageChanges,
-    /// Hosts that the store does not answer, this one included.
-    pub refused: RefusedHosts,
-    /// The other hosts.
-    pub members: MemberTable,
-}
-
-impl GatewayState {
-    /// How new this host's view is; a host that has anything newer is asked for it.
-    pub fn view_mark(&self) -> ViewMark {
-        ViewMark { config_version: self.routes.version(), fleet_revision: self.fleet.revision() }
-    }
-
-    /// What requests of a service took lately, over all hosts.
-    pub fn work_sums(&self, now: TimePoint, service: ServiceKey) -> WorkSums {
-        let own = self.work.get(&service).map(|meter| meter.sums(now)).unwrap_or_default();
-        self.heard_work
-            .iter()
-            .filter(|((_, of), (at, _))| *of == service && now.since(*at) < WORK_NEWS_LIFE)
-            .fold(own, |sum, (_, (_, sums))| sum.plus(*sums))
-    }
-
-    /// Addresses of all hosts ever heard of, dead ones included: after a cut, hosts that believe
-    /// each other dead still share what all of them may do together.
-    fn host_count(&self) -> usize {
-        let addresses: HashSet<SocketAddr> =
-            self.members.records().map(|record| record.update.address).collect();
-        addresses.len() + 1
-    }
-}
-
-/// What another host's requests took is believed this long after it last said so.
-const WORK_NEWS_LIFE: Duration = Duration::from_secs(5);
-
 /// Everything that one daemon on the platform knows.
 #[derive(Debug)]
 pub struct GatewayHost {
--- /dev/null
+++ b/src/gateway/gateway_state.rs
@@ -0,0 +1,68 @@
+use crate::fleet::{FleetView, RefusedHosts, StageChanges};
+use crate::keys::{IncarnationId, ServerKey, TimePoint};
+use crate::membership::{MemberTable, ViewMark};
+use crate::placement::{DomainGates, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums};
+use crate::routes::{RouteTable, ServiceKey};
+use crate::settings::GatewayBounds;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a host believes and decides from.
+#[derive(Debug)]
+pub struct GatewayState {
+    /// Bounds of the settings.
+    pub bounds: GatewayBounds,
+    /// The configuration in force.
+    pub routes: Arc<RouteTable>,
+    /// Revision of the store at which it was written.
+    pub routes_revision: u64,
+    /// The backend servers.
+    pub fleet: FleetView,
+    /// Their load.
+    pub board: LoadBoard,
+    /// Their health, as this host saw it.
+    pub health: HashMap<ServerKey, ServerHealth>,
+    /// Other failure domains, as this host reaches them.
+    pub domains: DomainGates,
+    /// Repeats of each service's requests.
+    pub retries: HashMap<ServiceKey, RetryWindow>,
+    /// What an average request of each service takes.
+    pub work: HashMap<ServiceKey, WorkMeter>,
+    /// The same, as other hosts said and when.
+    pub heard_work: HashMap<(IncarnationId, ServiceKey), (TimePoint, WorkSums)>,
+    /// Engines that change their stage.
+    pub changes: StageChanges,
+    /// Hosts that the store does not answer, this one included.
+    pub refused: RefusedHosts,
+    /// The other hosts.
+    pub members: MemberTable,
+}
+
+impl GatewayState {
+    /// How new this host's view is; a host that has anything newer is asked for it.
+    pub fn view_mark(&self) -> ViewMark {
+        ViewMark { config_version: self.routes.version(), fleet_revision: self.fleet.revision() }
+    }
+
+    /// What requests of a service took lately, over all hosts.
+    pub fn work_sums(&self, now: TimePoint, service: ServiceKey) -> WorkSums {
+        let own = self.work.get(&service).map(|meter| meter.sums(now)).unwrap_or_default();
+        self.heard_work
+            .iter()
+            .filter(|((_, of), (at, _))| *of == service && now.since(*at) < WORK_NEWS_LIFE)
+            .fold(own, |sum, (_, (_, sums))| sum.plus(*sums))
+    }
+
+    /// Addresses of all hosts ever heard of, dead ones included: after a cut, hosts that believe
+    /// each other dead still share what all of them may do together.
+    pub(super) fn host_count(&self) -> usize {
+        let addresses: HashSet<SocketAddr> =
+            self.members.records().map(|record| record.update.address).collect();
+        addresses.len() + 1
+    }
+}
+
+/// What another host's requests took is believed this long after it last said so.
+const WORK_NEWS_LIFE: Duration = Duration::from_secs(5);
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -1,7 +1,8 @@
 //! Moves servers between the pools of a service: one host decides, under a lease in the store.
 
 use super::engine_hold::call_engine;
-use super::gateway_host::{GatewayHost, GatewayState, StopPhase};
+use super::gateway_host::{GatewayHost, StopPhase};
+use super::gateway_state::GatewayState;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::{NameKey, ServerKey, TimePoint};
 use crate::orders::{OrderLease, PoolSizes, StagePlanner, servers_to_change};
