Tests of engines in a file of their own; one start of a member; news of ended hosts are forgotten

The two daemons made the same first MemberUpdate: MemberUpdate::started. heard_work kept the sums of each life of each host for ever; they go with the other news.

--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, ServerStage, StageChanges};
 use crate::host::lock;
 use crate::keys::{IncarnationId, NameKey, TimePoint};
-use crate::membership::{MemberState, MemberTable, MemberUpdate};
+use crate::membership::{MemberTable, MemberUpdate};
 use crate::peers::PeerClient;
 use crate::placement::{ChoiceKind, ChoiceView, DomainGates, LoadBoard, ServerNote, rank_servers};
 use crate::platform::StoreClient;
@@ -61,13 +61,8 @@
         socket: Arc<UdpSocket>,
     ) -> Self {
         let incarnation = IncarnationId::at_start(SystemTime::now(), rand::random());
-        let own = MemberUpdate {
-            incarnation,
-            address: peers_address,
-            domain: NameKey::of(&settings.domain),
-            version: 0,
-            state: MemberState::Alive,
-        };
+        let domain = NameKey::of(&settings.domain);
+        let own = MemberUpdate::started(incarnation, peers_address, domain);
         let seeds = settings.seeds.iter().copied().filter(|seed| *seed != peers_address).collect();
         let state = GatewayState {
             bounds: settings.bounds,
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -55,6 +55,14 @@
             .fold(own, |sum, (_, (_, sums))| sum.plus(*sums))
     }
 
+    /// Forgets what nobody repeats.
+    pub fn expire(&mut self, now: TimePoint) {
+        self.board.expire(now);
+        self.changes.expire(now);
+        self.refused.expire(now);
+        self.heard_work.retain(|_, (at, _)| now.since(*at) < WORK_NEWS_LIFE);
+    }
+
     /// Addresses of all hosts ever heard of, dead ones included: after a cut, hosts that believe
     /// each other dead still share what all of them may do together.
     pub(super) fn host_count(&self) -> usize {
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -274,9 +274,7 @@
         let now = host.now();
         let lapsed = {
             let mut state = host.state();
-            state.board.expire(now);
-            state.changes.expire(now);
-            state.refused.expire(now);
+            state.expire(now);
             state.fleet.expire(now)
         };
         for entry in lapsed {
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -3,7 +3,7 @@
 use crate::engines::EngineClient;
 use crate::intents::{ClusterConfig, ConfigKeeper};
 use crate::keys::{AttemptId, IncarnationId, NameKey, ServerKey, TimePoint};
-use crate::membership::{MemberState, MemberTable, MemberUpdate};
+use crate::membership::{MemberTable, MemberUpdate};
 use crate::orders::OrderDesk;
 use crate::peers::PeerClient;
 use crate::placement::{ReportTable, RetryBudget};
@@ -60,13 +60,8 @@
         outbox: tokio::sync::mpsc::UnboundedSender<(SocketAddr, Vec<u8>)>,
     ) -> Self {
         let incarnation = IncarnationId::at_start(SystemTime::now(), rand::random());
-        let own = MemberUpdate {
-            incarnation,
-            address: peers_address,
-            domain: NameKey::of(&settings.domain),
-            version: 0,
-            state: MemberState::Alive,
-        };
+        let domain = NameKey::of(&settings.domain);
+        let own = MemberUpdate::started(incarnation, peers_address, domain);
         let seeds = settings.seeds.iter().copied().filter(|seed| *seed != peers_address).collect();
         Self {
             incarnation,
--- a/src/membership/member_update.rs
+++ b/src/membership/member_update.rs
@@ -17,3 +17,10 @@
     /// What is believed.
     pub state: MemberState,
 }
+
+impl MemberUpdate {
+    /// What a host says of itself when it starts.
+    pub fn started(incarnation: IncarnationId, address: SocketAddr, domain: NameKey) -> Self {
+        Self { incarnation, address, domain, version: 0, state: MemberState::Alive }
+    }
+}
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -1,58 +1,18 @@
 //! Requests through a real daemon on the platform's stand-ins: what runs, how often, and what the
 //! caller is told.
 
-use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use tealcleat::bench::site::{
-    CallerReply, EngineFault, ServiceFault, SiteCall, SitePlan, SiteRun, TestSite, call_site,
-};
-use tealcleat::keys::{NameKey, ServerKey, TimePoint};
-use tealcleat::placement::ServerLoad;
-use tokio::runtime::Runtime;
+use tealcleat::bench::site::{EngineFault, ServiceFault, SitePlan, TestSite};
 
-fn runtime() -> Runtime {
-    tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build().expect("one")
-}
-
-fn call(method: &'static str, route: &str, id: &str) -> SiteCall {
-    SiteCall {
-        method,
-        path: format!("/{route}/x?y=1"),
-        id: id.to_owned(),
-        headers: vec![
-            ("x-deadline-ms", "15000".to_owned()),
-            ("x-token-count", "100,96".to_owned()),
-            ("x-model", "m".to_owned()),
-        ],
-        body: "prompt",
-    }
-}
-
-async fn ask(site: &TestSite, call: &SiteCall) -> CallerReply {
-    call_site(site.hosts[0].callers, call).await.expect("an answer")
-}
+mod site_common;
 
-fn engine_runs(site: &TestSite, id: &str) -> Vec<SiteRun> {
-    let engines = site.prefills.iter().chain(&site.decodes);
-    engines.flat_map(|engine| engine.runs()).filter(|run| run.request == id).collect()
-}
+use site_common::{ask, call, engine_runs, runtime, settled};
 
 fn service_runs(site: &TestSite, id: &str) -> usize {
     site.services.iter().flat_map(|service| service.runs()).filter(|run| run == id).count()
 }
 
-async fn settled(site: &TestSite) {
-    let kept = || {
-        let holds: usize = site.decodes.iter().map(|engine| engine.open_holds()).sum();
-        let handles: usize = site.prefills.iter().map(|engine| engine.open_handles()).sum();
-        holds + handles
-    };
-    while kept() > 0 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 #[test]
 fn stream_held_prefilled_and_whole() {
     runtime().block_on(async {
@@ -117,91 +77,6 @@
     });
 }
 
-/// Bench: halvorsen-book trouble-1 seed 1 (DRAIN). A prefill server did not answer for 1.2 s; the
-/// next one had begun to leave meanwhile and was asked all the same.
-#[rstest]
-#[case::prefill_servers("prefill")]
-#[case::decode_servers("decode")]
-fn server_that_left_during_a_slow_read_gets_nothing(#[case] leaving: &str) {
-    runtime().block_on(async {
-        let site = TestSite::start(SitePlan::default()).await.expect("a site");
-        for engine in &site.prefills {
-            engine.set_fault(EngineFault::Silent);
-        }
-        let slow = call("POST", "stream", "slow");
-        let asked = ask(&site, &slow);
-        let leave = async {
-            tokio::time::sleep(Duration::from_millis(150)).await;
-            for server in site.servers.iter().filter(|server| server.stage == Some(leaving)) {
-                let (id, service, address) = (&server.id, server.service, server.address);
-                site.state_server(id, service, address, server.stage, "draining");
-            }
-            for engine in &site.prefills {
-                engine.set_fault(EngineFault::None);
-            }
-        };
-        let (reply, ()) = tokio::join!(asked, leave);
-        assert_eq!(reply.status, 503);
-        let reached = engine_runs(&site, "slow").into_iter().filter(|run| run.stage == leaving);
-        assert_eq!(reached.count(), 0);
-        settled(&site).await;
-    });
-}
-
-/// Bench: halvorsen-book inc-45b4. All hosts were restarted while an engine changed its stage; with
-/// its empty queue it was the first choice for 28 prompts. Holds are granted all the same.
-#[test]
-fn changing_engines_found_out_by_one_request() {
-    runtime().block_on(async {
-        let site = TestSite::start(SitePlan::default()).await.expect("a site");
-        site.prefills[0].set_fault(EngineFault::Changing);
-        site.decodes[0].set_fault(EngineFault::Changing);
-        {
-            // The others are loaded, so that an error or two do not matter.
-            let mut state = site.hosts[0].host.state();
-            let queue = ServerLoad { prompt_tokens: 24_000, ..ServerLoad::default() };
-            state.board.add(ServerKey::of("i-prefill-1"), queue);
-            let memory = ServerLoad { memory_tokens: 200_000, ..ServerLoad::default() };
-            state.board.add(ServerKey::of("i-decode-1"), memory);
-        }
-        for number in 0..12 {
-            ask(&site, &call("POST", "stream", &format!("n{number}"))).await;
-        }
-        // A run is sent twice to its server: the first refusal may have been the prompt's.
-        assert!(site.prefills[0].turned_away() <= 1, "{}", site.prefills[0].turned_away());
-        assert!(site.decodes[0].turned_away() <= 2, "{}", site.decodes[0].turned_away());
-        settled(&site).await;
-    });
-}
-
-/// The queue of every prefill server is longer than half of the objective.
-#[test]
-fn late_prompt_read_by_its_decode_server() {
-    runtime().block_on(async {
-        let site = TestSite::start(SitePlan::default()).await.expect("a site");
-        {
-            let mut state = site.hosts[0].host.state();
-            let queue = ServerLoad { prompt_tokens: 100_000, ..ServerLoad::default() };
-            for place in 0..site.prefills.len() {
-                state.board.add(ServerKey::of(&format!("i-prefill-{place}")), queue);
-            }
-            let meter = state.work.entry(NameKey::of("engines")).or_default();
-            for read in 0..100_u32 {
-                let tokens = 1000 + read * 20;
-                let took = Duration::from_micros(u64::from(tokens) * 30);
-                meter.note_read(TimePoint::default(), tokens, took);
-            }
-        }
-        let reply = ask(&site, &call("POST", "stream", "late")).await;
-        assert_eq!(reply.status, 200);
-        let runs = engine_runs(&site, "late");
-        assert_eq!(runs.len(), 1, "{runs:?}");
-        assert_eq!(runs[0].stage, "decode");
-        assert!(runs[0].held && !runs[0].fetched, "{runs:?}");
-        settled(&site).await;
-    });
-}
-
 #[test]
 fn cut_stream_looks_incomplete() {
     runtime().block_on(async {
--- /dev/null
+++ b/tests/gateway_engines.rs
@@ -0,0 +1,97 @@
+//! Which engines a real daemon on the platform's stand-ins turns to while they leave, change their
+//! stage or have long queues.
+
+use rstest::rstest;
+use std::time::Duration;
+use tealcleat::bench::site::{EngineFault, SitePlan, TestSite};
+use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::placement::ServerLoad;
+
+mod site_common;
+
+use site_common::{ask, call, engine_runs, runtime, settled};
+
+/// Bench: halvorsen-book trouble-1 seed 1 (DRAIN). A prefill server did not answer for 1.2 s; the
+/// next one had begun to leave meanwhile and was asked all the same.
+#[rstest]
+#[case::prefill_servers("prefill")]
+#[case::decode_servers("decode")]
+fn server_that_left_during_a_slow_read_gets_nothing(#[case] leaving: &str) {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        for engine in &site.prefills {
+            engine.set_fault(EngineFault::Silent);
+        }
+        let slow = call("POST", "stream", "slow");
+        let asked = ask(&site, &slow);
+        let leave = async {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            for server in site.servers.iter().filter(|server| server.stage == Some(leaving)) {
+                let (id, service, address) = (&server.id, server.service, server.address);
+                site.state_server(id, service, address, server.stage, "draining");
+            }
+            for engine in &site.prefills {
+                engine.set_fault(EngineFault::None);
+            }
+        };
+        let (reply, ()) = tokio::join!(asked, leave);
+        assert_eq!(reply.status, 503);
+        let reached = engine_runs(&site, "slow").into_iter().filter(|run| run.stage == leaving);
+        assert_eq!(reached.count(), 0);
+        settled(&site).await;
+    });
+}
+
+/// Bench: halvorsen-book inc-45b4. All hosts were restarted while an engine changed its stage; with
+/// its empty queue it was the first choice for 28 prompts. Holds are granted all the same.
+#[test]
+fn changing_engines_found_out_by_one_request() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        site.prefills[0].set_fault(EngineFault::Changing);
+        site.decodes[0].set_fault(EngineFault::Changing);
+        {
+            // The others are loaded, so that an error or two do not matter.
+            let mut state = site.hosts[0].host.state();
+            let queue = ServerLoad { prompt_tokens: 24_000, ..ServerLoad::default() };
+            state.board.add(ServerKey::of("i-prefill-1"), queue);
+            let memory = ServerLoad { memory_tokens: 200_000, ..ServerLoad::default() };
+            state.board.add(ServerKey::of("i-decode-1"), memory);
+        }
+        for number in 0..12 {
+            ask(&site, &call("POST", "stream", &format!("n{number}"))).await;
+        }
+        // A run is sent twice to its server: the first refusal may have been the prompt's.
+        assert!(site.prefills[0].turned_away() <= 1, "{}", site.prefills[0].turned_away());
+        assert!(site.decodes[0].turned_away() <= 2, "{}", site.decodes[0].turned_away());
+        settled(&site).await;
+    });
+}
+
+/// The queue of every prefill server is longer than half of the objective.
+#[test]
+fn late_prompt_read_by_its_decode_server() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        {
+            let mut state = site.hosts[0].host.state();
+            let queue = ServerLoad { prompt_tokens: 100_000, ..ServerLoad::default() };
+            for place in 0..site.prefills.len() {
+                state.board.add(ServerKey::of(&format!("i-prefill-{place}")), queue);
+            }
+            let meter = state.work.entry(NameKey::of("engines")).or_default();
+            for read in 0..100_u32 {
+                let tokens = 1000 + read * 20;
+                let took = Duration::from_micros(u64::from(tokens) * 30);
+                meter.note_read(TimePoint::default(), tokens, took);
+            }
+        }
+        let reply = ask(&site, &call("POST", "stream", "late")).await;
+        assert_eq!(reply.status, 200);
+        let runs = engine_runs(&site, "late");
+        assert_eq!(runs.len(), 1, "{runs:?}");
+        assert_eq!(runs[0].stage, "decode");
+        assert!(runs[0].held && !runs[0].fetched, "{runs:?}");
+        settled(&site).await;
+    });
+}
