--- a/src/fleet/refused_hosts.rs
+++ b/src/fleet/refused_hosts.rs
@@ -31,18 +31,18 @@
     }
 
     /// The candidates that the store answers; all of them if it answers none.
-    pub fn able<T: Copy>(
+    pub fn answered<T: Copy>(
         &self,
         now: TimePoint,
         candidates: impl Iterator<Item = (u64, T)>,
     ) -> Vec<(u64, T)> {
         let all: Vec<(u64, T)> = candidates.collect();
-        let able: Vec<(u64, T)> = all
+        let answered: Vec<(u64, T)> = all
             .iter()
             .filter(|(host, _)| !self.is_refused(now, IncarnationId(*host)))
             .copied()
             .collect();
-        if able.is_empty() { all } else { able }
+        if answered.is_empty() { all } else { answered }
     }
 
     /// Forgets news that nobody repeats.
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -85,11 +85,11 @@
             return false;
         }
         let now = self.now();
-        let able = {
+        let answered = {
             let state = self.state();
-            state.refused.able(now, state.members.living())
+            state.refused.answered(now, state.members.living())
         };
-        let owner = rendezvous_owner(STAGE_ORDERS, able.into_iter());
+        let owner = rendezvous_owner(STAGE_ORDERS, answered.into_iter());
         owner.is_some_and(|member| member.incarnation == self.incarnation)
     }
 
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -122,8 +122,8 @@
         let now = self.now();
         let state = self.state();
         let domain = self.domain();
-        let able = state.refused.able(now, state.members.owners(domain));
-        let watcher = rendezvous_owner(STORE_WATCH, able.into_iter());
+        let answered = state.refused.answered(now, state.members.owners(domain));
+        let watcher = rendezvous_owner(STORE_WATCH, answered.into_iter());
         watch_duty(&DutyView {
             informed: known,
             elected: watcher.is_some_and(|member| member.incarnation == self.incarnation),
--- a/src/placement/domain_gates.rs
+++ b/src/placement/domain_gates.rs
@@ -12,13 +12,15 @@
     gate: HealthGate,
     /// The server that fell silent last, and when.
     silent: Option<(ServerKey, TimePoint)>,
-    is_shut: bool,
+    /// The breaker is open: the domain is left out but for trials.
+    is_open: bool,
 }
 
 /// Circuit breakers of whole failure domains.
 ///
 /// Behind a cut, each server would have to fail twice before its own breaker opens, and each failure
-/// costs some request 0.2 s. Two silent servers shut their domain until a trial is answered.
+/// costs some request 0.2 s. Two silent servers open the breaker of their domain until a trial is
+/// answered.
 #[derive(Debug, Clone, Default)]
 pub struct DomainGates {
     gates: HashMap<NameKey, DomainGate>,
@@ -27,10 +29,10 @@
 impl DomainGates {
     /// Whether servers of a domain may be offered work.
     pub fn admits(&self, now: TimePoint, domain: NameKey) -> bool {
-        self.gates.get(&domain).is_none_or(|entry| !entry.is_shut || entry.gate.admits(now))
+        self.gates.get(&domain).is_none_or(|entry| !entry.is_open || entry.gate.admits(now))
     }
 
-    /// Work is sent; consumes the trial of a domain that was shut.
+    /// Work is sent; consumes the trial of a half-open breaker.
     pub fn note_sent(&mut self, now: TimePoint, domain: NameKey) {
         if let Some(entry) = self.gates.get_mut(&domain) {
             entry.gate.note_sent(now);
@@ -42,16 +44,16 @@
         self.gates.remove(&domain);
     }
 
-    /// A server of the domain did not answer; true if that shuts the domain.
+    /// A server of the domain did not answer; true if that opens the breaker.
     pub fn note_silence(&mut self, now: TimePoint, domain: NameKey, server: ServerKey) -> bool {
         let entry = self.gates.entry(domain).or_default();
         let second =
             entry.silent.is_some_and(|(key, at)| key != server && now.since(at) < SILENCE_WINDOW);
         entry.silent = Some((server, now));
-        if !second && !entry.is_shut {
+        if !second && !entry.is_open {
             return false;
         }
         entry.gate.trip(now);
-        !std::mem::replace(&mut entry.is_shut, true)
+        !std::mem::replace(&mut entry.is_open, true)
     }
 }
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -157,19 +157,19 @@
 fn refused_hosts_not_elected_while_others_are_answered() {
     let mut refused = RefusedHosts::default();
     let hosts = [IncarnationId(1), IncarnationId(2), IncarnationId(3)];
-    let able = |refused: &RefusedHosts, millis| -> Vec<u64> {
+    let answered = |refused: &RefusedHosts, millis| -> Vec<u64> {
         let candidates = hosts.iter().map(|host| (host.0, ()));
-        refused.able(at(millis), candidates).into_iter().map(|(host, ())| host).collect()
+        refused.answered(at(millis), candidates).into_iter().map(|(host, ())| host).collect()
     };
     assert!(refused.note(at(0), hosts[0], true));
     assert!(!refused.note(at(500), hosts[0], true), "nothing new");
-    assert_eq!(able(&refused, 600), [2, 3]);
+    assert_eq!(answered(&refused, 600), [2, 3]);
     refused.note(at(600), hosts[1], true);
     refused.note(at(600), hosts[2], true);
-    assert_eq!(able(&refused, 700), [1, 2, 3], "somebody has to ask");
+    assert_eq!(answered(&refused, 700), [1, 2, 3], "somebody has to ask");
     assert!(refused.note(at(800), hosts[0], false));
-    assert_eq!(able(&refused, 900), [1]);
-    assert_eq!(able(&refused, 6700), [1, 2, 3], "they do not repeat it");
+    assert_eq!(answered(&refused, 900), [1]);
+    assert_eq!(answered(&refused, 6700), [1, 2, 3], "they do not repeat it");
 }
 
 /// A first version compared the newest revision of both parts: hosts whose list of servers was
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -100,7 +100,7 @@
 
 /// Bench: panelbridge-kr scale-1, 188 holds of 0.2 s each went unanswered behind cuts.
 #[test]
-fn two_silent_servers_shut_their_domain() {
+fn two_silent_servers_open_the_breaker_of_their_domain() {
     let far = NameKey::of("far");
     let mut domains = DomainGates::default();
     assert!(!domains.note_silence(at(0), far, ServerKey::of("a")));
