A request whose run may have begun is never refused as not run

Change: RunRecord notes that a run may have begun; a refusal after that becomes 502. Streams that have begun are not touched: they ask for room as before. Test: silent_run_never_refused_as_not_run fails before (503).

--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -56,12 +56,22 @@
     match open_stream(&context, &engine, context.head.last_event, &mut runs).await {
         Ok(run) => stream_answer(context, engine, run, runs, flight),
         Err(end) => {
+            let end = if runs.may_have_run { without_refusal(end) } else { end };
             log_end(&context.host, context.id(), &context.route.name, &end, context.age());
             end.into_answer(context.id())
         }
     }
 }
 
+/// The end of a request whose earlier run may have begun: a later attempt that was refused does not
+/// make it one that did not run.
+fn without_refusal(end: CallEnd) -> CallEnd {
+    match end {
+        CallEnd::NotRun(reason, _) => CallEnd::Unknown(reason.name()),
+        other => other,
+    }
+}
+
 fn stream_answer(
     context: Arc<CallContext>,
     engine: EngineSpec,
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -38,6 +38,8 @@
     pub sent: u32,
     /// Servers that lost a run; no further one is opened there.
     pub lost: Vec<ServerKey>,
+    /// One of its runs may have begun: the request as a whole can no longer be called not run.
+    pub may_have_run: bool,
 }
 
 impl RunRecord {
@@ -71,6 +73,8 @@
         Err(_) => ServerNote::Erred,
     };
     context.host.note_server(server, note);
+    runs.may_have_run |=
+        !matches!(&started, Err(OpenFailure::NotRun(_) | OpenFailure::TurnedAway(_)));
     if let Err(failure) = &started {
         let (id, server) = (context.id(), &server.id);
         let name = match failure {
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -68,6 +68,30 @@
     });
 }
 
+/// Soak, seed 406: the first run fell silent, there was no room for a second one, and the caller was
+/// told that its request had not run.
+#[test]
+fn silent_run_never_refused_as_not_run() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        for engine in &site.decodes {
+            engine.set_fault(EngineFault::StallAfter(0));
+        }
+        let silent = call("POST", "resume", "silent");
+        let fill = async {
+            while !engine_runs(&site, "silent").iter().any(|run| run.stage == "decode") {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            for engine in &site.decodes {
+                engine.set_fault(EngineFault::Full);
+            }
+        };
+        let (reply, ()) = tokio::join!(ask(&site, &silent), fill);
+        assert_eq!(reply.status, 502);
+        settled(&site).await;
+    });
+}
+
 /// The queue of every prefill server is longer than half of the objective.
 #[test]
 fn late_prompt_read_by_its_decode_server() {
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -8,6 +8,8 @@
 
 #[rstest]
 #[case::first(1)]
+// A run fell silent, a second one found no room, and the caller was told "not run".
+#[case::refused_after_a_run(406)]
 fn soak_keeps_promises(#[case] seed: u64) {
     let daemon = Path::new(env!("CARGO_BIN_EXE_tealcleatd"));
     let options = SoakOptions {
