The pools' work is known from streams as they begin; a server is taken back only for a whole one

Change: a stream counts as it begins, with its expected length at the pace that running streams show (PaceTimer, WorkMeter::note_pace); 8 samples; a surplus must last 0.5 s, a lack must be a whole server.

--- a/src/gateway/decode_room.rs
+++ b/src/gateway/decode_room.rs
@@ -7,16 +7,18 @@
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::ServerKey;
 use crate::placement::{ChoiceKind, ServerLoad, ServerNote};
+use crate::platform::TokenCounts;
 use crate::routes::EngineSpec;
 use std::time::Duration;
 
-/// Longest wait for memory at a decode server. Trials with 0, 60, 220 and 600 ms: 60 served most
-/// (../shared/platform-notes.md); callers sent away early come back while there is time.
+/// Longest wait for memory at a decode server, enough for a second round. Of 0, 60, 220 and 600 ms
+/// this served most: who waits longer mostly waits in vain, and then comes back later.
 const ROOM_WAIT: Duration = Duration::from_millis(60);
 /// Pause between two rounds of asking for memory; about one answer ends in it.
 const ROOM_ROUND: Duration = Duration::from_millis(25);
 /// Decode servers asked for memory in one round.
 const SERVERS_A_ROUND: usize = 6;
+
 /// Memory held for a request at a decode server, and its place on the load board.
 #[derive(Debug)]
 pub(super) struct DecodeRoom {
@@ -31,6 +33,11 @@
     LoadGuard::new(&context.host, server.key(), load)
 }
 
+/// Tokens that an answer is expected to have: its caller's estimate, or half of what is allowed.
+pub(super) fn expected_output(tokens: &TokenCounts) -> u32 {
+    tokens.hinted_output.unwrap_or(tokens.most_output / 2).min(tokens.most_output)
+}
+
 /// Memory that a request is expected to take in the end: its prompt, and the answer as its caller
 /// estimates it.
 pub(super) fn needed_tokens(context: &CallContext, engine: &EngineSpec, after: Option<u64>) -> u32 {
@@ -38,8 +45,8 @@
     let made = after.map_or(0, |event| {
         u32::try_from(event + 1).unwrap_or(u32::MAX).saturating_mul(engine.tokens_per_event)
     });
-    let expected = tokens.hinted_output.unwrap_or(tokens.most_output / 2).min(tokens.most_output);
-    let whole = tokens.prompt.saturating_add(expected.max(made)).saturating_add(1);
+    let output = expected_output(tokens).max(made);
+    let whole = tokens.prompt.saturating_add(output).saturating_add(1);
     whole.min(engine.memory_tokens)
 }
 
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -2,11 +2,11 @@
 use super::call_end::CallEnd;
 use super::caller_body::StreamCut;
 use super::caller_loop::FlightGuard;
+use super::decode_room::expected_output;
 use super::engine_call::{OpenRun, may_run_again, open_stream};
 use super::run_start::RunRecord;
 use crate::Result;
-use crate::keys::TimePoint;
-use crate::placement::ServerNote;
+use crate::placement::{PaceTimer, ServerNote};
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
 use bytes::Bytes;
@@ -75,7 +75,7 @@
 ) {
     let mut record = RelayRecord { last: context.head.last_event, ..RelayRecord::default() };
     let server = run.server.id.clone();
-    let began = context.host.now();
+    note_stream(&context);
     let end = relay_runs(&context, &engine, run, runs, &events, &mut record).await;
     if end != StreamEnd::Whole && end != StreamEnd::CallerLeft {
         // The HTTP library drops what it has not written when a body fails.
@@ -83,9 +83,6 @@
         // If the caller has just left, there is nobody to tell.
         drop(events.send(Err(StreamCut)).await);
     }
-    if end == StreamEnd::Whole {
-        note_work(&context, &engine, began, record.events);
-    }
     log_stream(&context, &server, end, &record);
     drop(flight);
 }
@@ -154,6 +151,7 @@
     let OpenRun { mut reader, first, mut load, .. } = run;
     let ends_at = context.host.instant(context.ends_at);
     let mut next = Ok(first);
+    let mut timer = PaceTimer::new(context.host.now());
     loop {
         let event = match next {
             Ok(Some(event)) => event,
@@ -169,6 +167,9 @@
             () = events.closed() => return RunEnd::Stream(StreamEnd::CallerLeft),
             () = tokio::time::sleep_until(ends_at) => return RunEnd::Stream(StreamEnd::TimedOut),
         };
+        if matches!(next, Ok(Some(_))) {
+            note_pace(context, engine, &mut timer);
+        }
     }
 }
 
@@ -213,13 +214,19 @@
     }
 }
 
-/// A whole stream took its prompt and, on average, half of its answer.
-fn note_work(context: &CallContext, engine: &EngineSpec, began: TimePoint, events: u64) {
-    let made = u32::try_from(events).unwrap_or(u32::MAX).saturating_mul(engine.tokens_per_event);
-    let tokens = context.head.tokens.prompt.saturating_add(made / 2);
-    let now = context.host.now();
-    let took = now.since(began);
-    context.host.state().work.entry(context.service).or_default().note_stream(now, tokens, took);
+/// Tells the work meter what the stream is expected to take.
+fn note_stream(context: &CallContext) {
+    let tokens = &context.head.tokens;
+    let (now, output) = (context.host.now(), expected_output(tokens));
+    let mut state = context.host.state();
+    state.work.entry(context.service).or_default().note_stream(now, tokens.prompt, output);
+}
+
+/// Tells the work meter the pace of a run, once a group of its events has come.
+fn note_pace(context: &CallContext, engine: &EngineSpec, timer: &mut PaceTimer) {
+    let Some((events, took)) = timer.note_event(context.host.now()) else { return };
+    let tokens = events.saturating_mul(engine.tokens_per_event);
+    context.host.state().work.entry(context.service).or_default().note_pace(tokens, took);
 }
 
 fn log_stream(context: &CallContext, server: &str, end: StreamEnd, record: &RelayRecord) {
--- a/src/orders/stage_planner.rs
+++ b/src/orders/stage_planner.rs
@@ -10,14 +10,17 @@
 /// taken back at once (`LACK_STEP`). A larger step kept servers in reserve for losses; decode
 /// servers read prompts themselves meanwhile (`choose_reader`).
 const SURPLUS_STEP: f64 = 0.6;
-/// Prefill servers below those wanted before one is taken back.
-const LACK_STEP: f64 = 0.6;
+/// Prefill servers below those wanted before one is taken back: a whole one, since decode servers
+/// can read prompts but not the reverse, and each change takes one away from them for seconds. With
+/// 0.6, pools swung with each burst and a tenth more requests found no memory.
+const LACK_STEP: f64 = 1.0;
 /// Prefill servers that stay in any case, so that one may be lost.
 const LEAST_PREFILLS: usize = 2;
 /// Decode servers that stay in any case.
 const LEAST_DECODES: usize = 2;
-/// How long a surplus of prefill servers must last: a change costs a server for several seconds.
-const SURPLUS_DWELL: Duration = Duration::from_millis(1500);
+/// How long a surplus of prefill servers must last: two looks in a row. What changes is idle, so
+/// haste costs little; each second of it is one more with a decode server.
+const SURPLUS_DWELL: Duration = Duration::from_millis(500);
 /// How long a lack must last: servers that crashed are mostly back in two to five seconds.
 const LACK_DWELL: Duration = Duration::from_millis(4500);
 /// Part of a surplus or lack that changes at once. What is wanted is an estimate, and follows the
--- a/src/placement/work_meter.rs
+++ b/src/placement/work_meter.rs
@@ -4,19 +4,22 @@
 
 /// Requests count half after this time, so that the means follow the traffic.
 const HALF_LIFE: Duration = Duration::from_secs(10);
-/// Requests of each kind before the means are believed; fewer leave the slope of reads to chance.
-/// With 40, the first change came 10 to 20 s after the start of the users' days.
-const LEAST_SAMPLES: f64 = 25.0;
+/// Reads, and streams begun, before the means are believed. At ten requests a second this is one
+/// second; waiting for 25 streams to end took eight, with a server too few for decoding.
+const LEAST_SAMPLES: f64 = 8.0;
+/// Weight of one timing in the pace of tokens: about the last fifty count, so that neither a stalled
+/// stream nor one full batch decides.
+const TOKEN_PACE_WEIGHT: f64 = 0.02;
 /// How far the best pace of reading moves towards that of each slower read, so that it follows
 /// servers that turn slow for good.
 const PACE_FORGETTING: f64 = 0.01;
 /// Least part of a read's mean pace that is believed to be its own work.
 const LEAST_SLOPE: f64 = 0.3;
 /// Part of a decode server's memory that running answers can fill, since each needs room for its
-/// whole length when it is admitted. Measured on the users' bench: about 0.85 at full load.
+/// whole length when it is admitted. Measured at full load: about 0.85.
 const MEMORY_FILL: f64 = 0.85;
 
-/// Sums over the requests that ended lately; those of several hosts add up.
+/// Sums over the prompts read and the streams begun lately; those of several hosts add up.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct WorkSums {
     reads: f64,
@@ -26,7 +29,7 @@
     /// Sum of prompt tokens times seconds of their read.
     read_products: f64,
     streams: f64,
-    /// Sum of memory tokens times seconds of their stream.
+    /// Sum of the memory tokens times the seconds that each stream is expected to take.
     memory_seconds: f64,
 }
 
@@ -46,6 +49,8 @@
     faded_at: TimePoint,
     /// Seconds for each token of the fastest reads lately: those that waited for no other.
     best_pace: Option<f64>,
+    /// Seconds for each token of the answers that run.
+    token_pace: Option<f64>,
 }
 
 impl WorkMeter {
@@ -68,11 +73,22 @@
         Duration::from_secs_f64(self.best_pace.unwrap_or_default() * f64::from(tokens))
     }
 
-    /// A stream ended that took `tokens` of memory on average, for `took`.
-    pub fn note_stream(&mut self, now: TimePoint, tokens: u32, took: Duration) {
+    /// A running stream made `tokens` in `took`.
+    pub fn note_pace(&mut self, tokens: u32, took: Duration) {
+        let pace = took.as_secs_f64() / f64::from(tokens.max(1));
+        let mean = self.token_pace.unwrap_or(pace);
+        self.token_pace = Some(mean + (pace - mean) * TOKEN_PACE_WEIGHT);
+    }
+
+    /// A stream began whose answer is expected to have `output` tokens: it takes its prompt and, on
+    /// average, half of its answer. Streams are counted as they begin, since the first to end are
+    /// the short ones; before the pace of tokens is known, they are not counted.
+    pub fn note_stream(&mut self, now: TimePoint, prompt: u32, output: u32) {
+        let Some(pace) = self.token_pace else { return };
         self.fade(now);
+        let memory = f64::from(prompt) + f64::from(output) / 2.0;
         self.sums.streams += 1.0;
-        self.sums.memory_seconds += f64::from(tokens) * took.as_secs_f64();
+        self.sums.memory_seconds += memory * f64::from(output) * pace;
     }
 
     /// The sums as they stand.
@@ -104,7 +120,7 @@
         }
     }
 
-    /// What an average request takes, once enough have ended.
+    /// What an average request takes, once enough have begun.
     pub fn request_work(&self, memory_tokens: u32) -> Option<RequestWork> {
         if self.reads < LEAST_SAMPLES || self.streams < LEAST_SAMPLES {
             return None;
