Operators count from logs how requests ended; a request's way through the gateway reads top-down

Cause: which requests earn nothing, when and why could be told only by scripts over the users' reports. Logs lacked where a run began, how long a stream paused, what a refusal was decided from. And four files of gateway/ imported each other in a circle (call_route, caller_loop, engine_call, event_relay). Change: `tealcleat account LOG...` (accounts/) counts requests by when they came, route and outcome, from nothing but log lines; runs that no line ended were lost with their host. New lines: run_opened (server, reader of the prompt, age) and no_room (tokens asked, servers, least used, memory); calls and streams state their objective and longest pause. FlightGuard, log_end and the opening of runs have files of their own, so imports run one way. Ruled out: counting in metrics instead: they cannot be split by second and cause afterwards.

--- a/src/bin/tealcleat/app.rs
+++ b/src/bin/tealcleat/app.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// Windows of an account: short enough to set a burst apart, long enough to hold several requests.
+const DEFAULT_WINDOW_S: u32 = 10;
+
 /// What the operator wants.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(
@@ -15,6 +18,7 @@
          tealcleat check examples/panelbridge/gasan-1.json\n  \
          tealcleat --at 127.0.0.1:7003 plan intent.json\n  \
          tealcleat --at 127.0.0.1:7003 confirm intent.json --base 4 --digest 81af\n  \
+         tealcleat account --window 2 host-1.log host-2.log\n  \
          tealcleat --at 127.0.0.1:7003 explain 4bf92f3577b34da6a3ce929d0e0e4736\n\
          \nExit codes: 0 done, 1 failed, 2 wrong usage, 3 refused, 4 not settled"
     )
@@ -78,6 +82,16 @@
         #[bpaf(positional("TRACE"))]
         trace: String,
     },
+    /// Count from hosts' logs how requests ended, by when they came, route and cause
+    #[bpaf(command)]
+    Account {
+        /// Length of a window in seconds
+        #[bpaf(argument("SECONDS"), fallback(DEFAULT_WINDOW_S))]
+        window: u32,
+        /// Log files of any hosts; - reads standard input
+        #[bpaf(positional("LOG"), some("name at least one log file"))]
+        files: Vec<PathBuf>,
+    },
     /// Stop a host without cutting off a request
     #[bpaf(command)]
     Drain,
--- a/src/bin/tealcleat/controller.rs
+++ b/src/bin/tealcleat/controller.rs
@@ -2,7 +2,10 @@
 
 use crate::app::{Command, Config};
 use crate::output;
-use std::path::Path;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use tealcleat::accounts::{CallAccount, LogRecord};
 use tealcleat::bench::operator_call;
 use tealcleat::host::{ConfirmAsk, HostStatus, OperatorAnswer};
 use tealcleat::settings::{SourceText, check_text};
@@ -58,6 +61,7 @@
             output::print_spans(&serde_json::from_str::<Vec<SpanRecord>>(text)?);
             Ok(())
         }),
+        Command::Account { window, files } => account(*window, files),
         Command::Drain => show(config, "POST", "/drain", |text| {
             let status: HostStatus = serde_json::from_str(text)?;
             println!("{} drains; {} requests in flight", status.host, status.in_flight);
@@ -73,6 +77,34 @@
     Ok(ExitStatus::Done)
 }
 
+/// Reads logs line by line; lines that are none of a host's own are counted and passed over.
+fn account(window: u32, files: &[PathBuf]) -> Result<ExitStatus> {
+    let mut account = CallAccount::new(window);
+    let (mut lines, mut known) = (0_u64, 0_u64);
+    for file in files {
+        for line in open_log(file)?.lines() {
+            lines += 1;
+            if let Ok(record) = LogRecord::try_from(line?.as_str()) {
+                known += 1;
+                account.note(&record);
+            }
+        }
+    }
+    output::print_account(&account.rows());
+    println!("{known} of {lines} lines were log lines of hosts");
+    Ok(ExitStatus::Done)
+}
+
+fn open_log(file: &Path) -> Result<Box<dyn BufRead>> {
+    if file.as_os_str() == "-" {
+        return Ok(Box::new(std::io::stdin().lock()));
+    }
+    let named = |error: std::io::Error| {
+        Error::Io(std::io::Error::new(error.kind(), format!("{}: {error}", file.display())))
+    };
+    Ok(Box::new(BufReader::new(File::open(file).map_err(named)?)))
+}
+
 fn ask(config: &Config, method: &str, path: &str, body: &str) -> Result<String> {
     let address = config.at.ok_or_else(|| Error::Refused("--at IP:PORT is missing".to_owned()))?;
     let key = config.key.as_deref().ok_or_else(|| {
--- a/src/bin/tealcleat/output.rs
+++ b/src/bin/tealcleat/output.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use tealcleat::Error;
+use tealcleat::accounts::AccountRow;
 use tealcleat::host::{HostStatus, OperatorAnswer};
 use tealcleat::telemetry::SpanRecord;
 
@@ -18,6 +19,15 @@
     }
 }
 
+/// Prints an account, a line for each window, route and way to end.
+pub fn print_account(rows: &[AccountRow]) {
+    println!("{:>8}  {:<24}  {:<32}  requests", "from s", "route", "ended");
+    for row in rows {
+        let (window, outcome) = (row.window, row.outcome.name());
+        println!("{window:>8}  {:<24}  {outcome:<32}  {}", row.route, row.requests);
+    }
+}
+
 /// Prints a plan or what became of a confirmation.
 pub fn print_answer(answer: &OperatorAnswer, file: &Path) {
     match answer {
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -1,8 +1,9 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason};
+use super::call_log::log_end;
 use super::caller_body::CallerAnswer;
-use super::caller_loop::FlightGuard;
 use super::engine_call::serve_engine;
+use super::flight_guard::FlightGuard;
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::plain_call::serve_plain;
 use crate::platform::{CallHead, ServerCall};
@@ -32,7 +33,7 @@
     let mut answer = match open_call(&host, head, parts, body).await {
         Ok(context) => run_call(context, flight).await,
         Err(end) => {
-            log_end(&host, &id, "-", &end, host.now().since(began));
+            log_end(&host, &id, None, &end, host.now().since(began));
             end.into_answer(&id)
         }
     };
@@ -47,7 +48,7 @@
         return serve_engine(Arc::new(context), flight).await;
     }
     let end = serve_plain(&context).await;
-    log_end(&context.host, context.id(), &context.route.name, &end, context.age());
+    log_end(&context.host, context.id(), Some(&context.route), &end, context.age());
     end.into_answer(context.id())
 }
 
@@ -109,18 +110,3 @@
         }
     }
 }
-
-/// The one line that tells how a request without a stream ended.
-pub(super) fn log_end(host: &GatewayHost, id: &str, route: &str, end: &CallEnd, took: Duration) {
-    let (config, fleet) = {
-        let state = host.state();
-        (state.routes.version(), state.fleet.revision())
-    };
-    let (name, cause, status) = (end.name(), end.cause(), end.status().as_u16());
-    let took = took.as_millis();
-    log::info!(
-        "event=call_ended request={id} route={route} outcome={name} cause={cause} status={status} \
-         took_ms={took} config={config} fleet={fleet}"
-    );
-    host.metrics().add(name, 1);
-}
--- a/src/gateway/caller_loop.rs
+++ b/src/gateway/caller_loop.rs
@@ -3,7 +3,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -57,20 +56,3 @@
         log::debug!("event=caller_connection_ended cause=\"{error}\"");
     }
 }
-
-/// Counts requests under way, so that a planned stop can wait for them.
-#[derive(Debug)]
-pub(super) struct FlightGuard(Arc<GatewayHost>);
-
-impl FlightGuard {
-    pub fn new(host: &Arc<GatewayHost>) -> Self {
-        host.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(host))
-    }
-}
-
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/src/gateway/decode_room.rs
+++ b/src/gateway/decode_room.rs
@@ -78,12 +78,28 @@
             }
         }
         if context.host.now().since(began) + ROOM_ROUND > ROOM_WAIT {
+            log_no_room(context, engine, tokens, ranked.len());
             return Err(NotRunReason::NoMemory);
         }
         tokio::time::sleep(ROOM_ROUND).await;
     }
 }
 
+/// What a refusal for want of memory was decided from: what was asked for, of how many servers, and
+/// the least that is known to be used at one of them (by this host and, as last heard, the others).
+fn log_no_room(context: &CallContext, engine: &EngineSpec, tokens: u32, servers: usize) {
+    let now = context.host.now();
+    let state = context.host.state();
+    let decodes = state.fleet.ready_at(context.service, ServerStage::Decode);
+    let used = decodes.map(|server| state.board.total(now, server.key()).memory_tokens).min();
+    log::info!(
+        "event=no_room request={} tokens={tokens} servers={servers} least_used={} memory={}",
+        context.id(),
+        used.unwrap_or_default(),
+        engine.memory_tokens
+    );
+}
+
 async fn ask_room(
     context: &CallContext,
     engine: &EngineSpec,
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -1,11 +1,12 @@
 use super::call_context::CallContext;
 use super::call_end::CallEnd;
 use super::caller_body::StreamCut;
-use super::caller_loop::FlightGuard;
 use super::decode_room::expected_output;
-use super::engine_call::{OpenRun, may_run_again, open_stream};
+use super::flight_guard::FlightGuard;
+use super::run_open::{OpenRun, may_run_again, open_stream};
 use super::run_start::RunRecord;
 use crate::Result;
+use crate::keys::TimePoint;
 use crate::placement::{PaceTimer, ServerNote};
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
@@ -62,6 +63,20 @@
     events: u64,
     last: Option<u64>,
     first_after: Option<Duration>,
+    /// When the last event was passed on, and the longest pause before one.
+    passed_at: Option<TimePoint>,
+    longest_pause: Duration,
+}
+
+impl RelayRecord {
+    /// An event is passed on.
+    fn note_event(&mut self, now: TimePoint, age: Duration) {
+        self.events += 1;
+        self.first_after.get_or_insert(age);
+        if let Some(last) = self.passed_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.since(last));
+        }
+    }
 }
 
 /// Passes a stream on to its caller, over as many runs as the route allows.
@@ -206,8 +221,7 @@
         }
     }
     record.last = event.number.or(record.last);
-    record.events += 1;
-    record.first_after.get_or_insert(context.age());
+    record.note_event(context.host.now(), context.age());
     match events.send(Ok(event.bytes)).await {
         Ok(()) => None,
         Err(_) => Some(RunEnd::Stream(StreamEnd::CallerLeft)),
@@ -234,12 +248,15 @@
     let route = &context.route.name;
     log::info!(
         "event=stream_ended request={} route={route} server={server} outcome={} events={} \
-         first_ms={} took_ms={}",
+         first_ms={} took_ms={} objective_ms={} pause_ms={} pause_limit_ms={}",
         context.id(),
         end.name(),
         record.events,
         first.as_millis(),
-        context.age().as_millis()
+        context.age().as_millis(),
+        context.route.objective.as_millis(),
+        record.longest_pause.as_millis(),
+        context.route.longest_pause.as_millis()
     );
     let mut metrics = context.host.metrics();
     metrics.add(end.name(), 1);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,11 +1,12 @@
 //! Gateway joins the decisions and the edges into the daemon that runs on the users' platform.
 //!
 //! A request takes one way through it: `caller_loop` reads it, `call_route` finds its service,
-//! `plain_call` or `engine_call` runs it (`decode_room` holds memory, `prompt_read` has the prompt
-//! read), and `event_relay` passes a stream on.
+//! `plain_call` or `engine_call` runs it (`run_open` opens a run: `decode_room` holds memory,
+//! `prompt_read` has the prompt read, `run_start` sends it), and `event_relay` passes a stream on.
 
 mod call_context;
 mod call_end;
+mod call_log;
 mod call_route;
 mod caller_body;
 mod caller_loop;
@@ -14,6 +15,7 @@
 mod engine_hold;
 mod event_reader;
 mod event_relay;
+mod flight_guard;
 mod gateway_host;
 mod gateway_start;
 mod gateway_state;
@@ -23,6 +25,7 @@
 mod plain_call;
 mod prompt_read;
 mod ready_server;
+mod run_open;
 mod run_start;
 mod stage_loop;
 mod stop_plan;
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -75,19 +75,36 @@
     context.host.note_server(server, note);
     runs.may_have_run |=
         !matches!(&started, Err(OpenFailure::NotRun(_) | OpenFailure::TurnedAway(_)));
-    if let Err(failure) = &started {
-        let (id, server) = (context.id(), &server.id);
-        let name = match failure {
-            OpenFailure::NotRun(reason) => reason.name(),
-            OpenFailure::TurnedAway(_) => "turned_away",
-            OpenFailure::Failed(_) => "failed",
-            OpenFailure::Unknown(cause) => cause,
-        };
-        log::info!("event=run_not_opened request={id} server={server} cause={name}");
-    }
+    log_start(context, server, part.source.is_some(), &started);
     started
 }
 
+/// The line that tells where a run began and who read its prompt, or why it did not begin.
+fn log_start(
+    context: &CallContext,
+    server: &ServerEntry,
+    prefilled: bool,
+    started: &Result<RunStart, OpenFailure>,
+) {
+    let (id, server) = (context.id(), &server.id);
+    let cause = match started {
+        Ok(_) => {
+            let reader = if prefilled { "prefill" } else { "decode" };
+            let (route, age) = (&context.route.name, context.age().as_millis());
+            log::info!(
+                "event=run_opened request={id} route={route} server={server} reader={reader} \
+                 age_ms={age}"
+            );
+            return;
+        }
+        Err(OpenFailure::NotRun(reason)) => reason.name(),
+        Err(OpenFailure::TurnedAway(_)) => "turned_away",
+        Err(OpenFailure::Failed(_)) => "failed",
+        Err(OpenFailure::Unknown(cause)) => cause,
+    };
+    log::info!("event=run_not_opened request={id} server={server} cause={cause}");
+}
+
 async fn start_run(
     context: &CallContext,
     server: &ServerEntry,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `orders`, `routes`, `fleet`); edges know sockets (`platform`, `engines`, `callers`, `peers`, `operators`); `host`
 //! joins them into the daemon, `gateway` into the daemon on the users' platform. Arrows point one way: edges know decisions, never the reverse.
 
+pub mod accounts;
 pub mod bench;
 pub mod callers;
 pub mod claims;
--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -27,6 +27,8 @@
     timeout_ms: f64,
     /// The objective; of a stream, that of its first event.
     slo_ms: f64,
+    /// The longest pause between two events of a stream.
+    gap_aim_ms: Option<f64>,
     service: Option<String>,
     #[serde(default)]
     split: Vec<WireTarget>,
@@ -105,6 +107,7 @@
             kind: decode_kind(&wire.kind),
             time_limit: millis(wire.timeout_ms),
             objective: millis(wire.slo_ms),
+            longest_pause: millis(wire.gap_aim_ms.unwrap_or_default()),
             most_servers: wire.attempts.unwrap_or(1).max(1),
             resumable: wire.can_resume,
             targets,
--- a/src/routes/route.rs
+++ b/src/routes/route.rs
@@ -38,6 +38,8 @@
     pub time_limit: Duration,
     /// Time within which an answer (of a stream, its first event) is in time.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is still in time; zero if none is set.
+    pub longest_pause: Duration,
     /// Most backend servers that one request may be sent to.
     pub most_servers: u32,
     /// A stream may continue on another server after its last event.
