Refusals of holds are no longer remembered

Ruled out: that it saves calls (hosts ask six servers a round, so the order decides little); that a rule hangs on it (none broken without it). Change: LoadBoard::note_refused and refused_lately are gone, and the place of such servers.

--- a/src/gateway/decode_room.rs
+++ b/src/gateway/decode_room.rs
@@ -114,11 +114,7 @@
     }
     match held {
         Ok(Some(keep)) => Some(DecodeRoom { keep, load }),
-        Ok(None) => {
-            let now = context.host.now();
-            context.host.state().board.note_refused(now, server.key());
-            None
-        }
+        Ok(None) => None,
         Err(error) => {
             context.host.note_server(server, ServerNote::Silent);
             let (id, server) = (context.id(), &server.id);
--- a/src/placement/load_board.rs
+++ b/src/placement/load_board.rs
@@ -6,9 +6,6 @@
 /// What another host said of its own work is believed this long; hosts repeat it several times a
 /// second while they have work.
 const NEWS_LIFE: Duration = Duration::from_millis(1500);
-/// A server that just refused a hold is asked last for this long, about the time in which one
-/// running answer of ten ends.
-const REFUSAL_MEMORY: Duration = Duration::from_millis(150);
 
 /// Work that one host has at one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -48,7 +45,6 @@
     own: HashMap<ServerKey, ServerLoad>,
     changes: u64,
     others: HashMap<IncarnationId, HostNews>,
-    refused: HashMap<ServerKey, TimePoint>,
 }
 
 impl LoadBoard {
@@ -100,7 +96,6 @@
     /// Forgets hosts that have been silent.
     pub fn expire(&mut self, now: TimePoint) {
         self.others.retain(|_, news| now.since(news.at) < NEWS_LIFE);
-        self.refused.retain(|_, at| now.since(*at) < REFUSAL_MEMORY);
     }
 
     /// Work of all hosts at one server, as far as it is known.
@@ -112,14 +107,4 @@
             .filter_map(|news| news.loads.get(&key))
             .fold(own, |sum, load| sum.plus(*load))
     }
-
-    /// The server refused a hold.
-    pub fn note_refused(&mut self, now: TimePoint, key: ServerKey) {
-        self.refused.insert(key, now);
-    }
-
-    /// Whether the server refused a hold just now.
-    pub fn refused_lately(&self, now: TimePoint, key: ServerKey) -> bool {
-        self.refused.get(&key).is_some_and(|at| now.since(*at) < REFUSAL_MEMORY)
-    }
 }
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -10,8 +10,6 @@
 const JITTER: f64 = 0.06;
 /// A server that only errs counts like this many full ones.
 const ERRORS: f64 = 3.0;
-/// A server that just refused a hold comes after all others.
-const LAST: f64 = 100.0;
 
 /// What a server is chosen for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,10 +74,7 @@
     let jitter = mix_hash(view.salt, key.0) as f64 / u64::MAX as f64 * JITTER;
     let health = view.health.get(&key);
     let errors = health.map_or(0.0, |health| health.error_share(now)) * ERRORS;
-    let refused =
-        matches!(kind, ChoiceKind::DecodeMemory(_)) && view.board.refused_lately(now, key);
-    let last = if refused { LAST } else { 0.0 };
-    fullness + abroad + jitter + errors + last
+    fullness + abroad + jitter + errors
 }
 
 fn part(used: u32, whole: u32) -> f64 {
