Orders that wait for a lease are no failed tries; changes under way are known to the next giver

Each host that became the giver of orders had to wait for the last one's lease (4.5 s), and each try in that time counted as a failed one: the planner paused for 3 s, the server was left for 10. Two givers also planned a change that was under way ("it changes already"), and paused for it. Change: ChangeOrders (orders/) keeps what is open and what failed; OrderOutcome tells a try from a wait; while a takeover waits nothing is planned; an engine that changes already counts for where it goes. A host that is elected again goes on waiting: a new desk had forgotten the wait. Tests: change_orders_* in tests/stage_orders.rs.

--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -4,8 +4,10 @@
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::gateway_state::GatewayState;
 use crate::fleet::{ServerEntry, ServerStage};
-use crate::keys::{NameKey, ServerKey, TimePoint};
-use crate::orders::{OrderLease, PoolSizes, StagePlanner, servers_to_change};
+use crate::keys::{NameKey, TimePoint};
+use crate::orders::{
+    ChangeOrders, OrderLease, OrderOutcome, PoolSizes, StagePlanner, servers_to_change,
+};
 use crate::placement::rendezvous_owner;
 use crate::platform::{
     EngineReport, LEASE_OBJECT, StageOrder, StoreWrite, decode_lease, decode_report, encode_lease,
@@ -21,24 +23,14 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
 const STORE_LIMIT: Duration = Duration::from_millis(700);
 const ENGINE_LIMIT: Duration = Duration::from_millis(300);
-/// An order without effect is forgotten this long after the change should have been done: late
-/// ones are carried out up to 12 s later.
-const ORDER_MEMORY: Duration = Duration::from_secs(13);
-/// A server that could not be ordered is left for this long, while others can be.
-const UNORDERED_REST: Duration = Duration::from_secs(10);
 /// What the host that gives orders is elected for.
 const STAGE_ORDERS: u64 = 0x5374_6167;
 
-/// Servers that were ordered to change, until they have or the order is forgotten.
-type OpenOrders = HashMap<ServerKey, (ServerStage, TimePoint)>;
-
 #[derive(Debug, Default)]
 struct StageDesk {
     lease: OrderLease,
     planners: HashMap<ServiceKey, StagePlanner>,
-    open: OpenOrders,
-    /// Servers that could not be ordered lately, and when.
-    unordered: HashMap<ServerKey, TimePoint>,
+    orders: ChangeOrders,
 }
 
 /// A change that should be ordered.
@@ -58,22 +50,21 @@
     loop {
         ticker.tick().await;
         if !host.gives_orders() {
-            desk = StageDesk::default();
+            // A takeover that waits goes on waiting if this host is elected again.
+            desk = StageDesk { lease: desk.lease, ..StageDesk::default() };
             host.state().changes.retain_ordered(|_| false);
             continue;
         }
+        if desk.lease.is_waiting(host.now()) {
+            continue;
+        }
         let changes = host.plan_changes(&mut desk);
         if host.state().changes.ordered().next().is_some() {
             host.tell_everyone();
         }
         for change in changes {
-            if let Err(error) = host.order_change(&mut desk, &change).await {
-                let (server, to) = (&change.server.id, change.to.name());
-                log::info!("event=stage_not_ordered server={server} to={to} cause=\"{error}\"");
-                let planner = desk.planners.entry(change.service).or_default();
-                planner.note_tried(host.now());
-                desk.unordered.insert(change.server.key(), host.now());
-            }
+            let outcome = host.order_change(&mut desk, &change).await;
+            host.note_outcome(&mut desk, &change, outcome);
         }
     }
 }
@@ -97,18 +88,14 @@
         let now = self.now();
         let mut state = self.state();
         let state = &mut *state;
-        desk.open.retain(|key, (stage, at)| {
-            let there = state.fleet.entry(*key).is_some_and(|entry| entry.stage != Some(*stage));
-            there && now.since(*at) < ORDER_MEMORY
-        });
-        state.changes.retain_ordered(|key| desk.open.contains_key(&key));
-        desk.unordered.retain(|_, at| now.since(*at) < UNORDERED_REST);
+        desk.orders.forget(now, |key| state.fleet.entry(key).map(|entry| entry.stage));
+        state.changes.retain_ordered(|key| desk.orders.heads_to(key).is_some());
         let mut changes = Vec::new();
         for (service, spec) in state.routes.services() {
             let Some(engine) = &spec.engine else { continue };
             let sums = state.work_sums(now, service);
             let Some(work) = sums.request_work(engine.memory_tokens) else { continue };
-            let sizes = pool_sizes(state, now, service, &desk.open);
+            let sizes = pool_sizes(state, now, service, &desk.orders);
             let planner = desk.planners.entry(service).or_default();
             let Some(to) = planner.decide(now, sizes, work) else { continue };
             let step = servers_to_change(sizes, work);
@@ -129,17 +116,50 @@
         changes
     }
 
-    async fn order_change(&self, desk: &mut StageDesk, change: &PlannedChange) -> Result<()> {
+    /// Takes note of what came of an order. Only what was really tried makes the planner pause: while
+    /// hosts restart in turn, each giver waits for the last one's lease, and pauses on top of that
+    /// left the pools as they were for 19 s.
+    fn note_outcome(
+        &self,
+        desk: &mut StageDesk,
+        change: &PlannedChange,
+        outcome: Result<OrderOutcome>,
+    ) {
+        let now = self.now();
+        let (key, server, to) = (change.server.key(), &change.server.id, change.to.name());
+        match outcome {
+            Ok(OrderOutcome::Sent) => {}
+            Ok(OrderOutcome::UnderWay) => {
+                log::info!("event=stage_under_way server={server} to={to}");
+                desk.orders.note_open(now, key, change.to, change.engine.stage_change);
+                self.state().changes.note_ordered(key, change.to);
+            }
+            Ok(OrderOutcome::LeaseWaits) => {
+                log::info!("event=stage_not_ordered server={server} to={to} cause=lease_waits");
+            }
+            Err(error) => {
+                log::info!("event=stage_not_ordered server={server} to={to} cause=\"{error}\"");
+                desk.planners.entry(change.service).or_default().note_tried(now);
+                desk.orders.note_failed(now, key);
+            }
+        }
+    }
+
+    async fn order_change(
+        &self,
+        desk: &mut StageDesk,
+        change: &PlannedChange,
+    ) -> Result<OrderOutcome> {
         if desk.lease.is_waiting(self.now()) {
-            return Err(Error::Refused("the last holder's lease has not passed".to_owned()));
+            return Ok(OrderOutcome::LeaseWaits);
         }
         let report = self.ask_report(&change.server).await?;
         if report.busy || report.stage == Some(change.to) {
-            return Err(Error::Refused("it changes already".to_owned()));
+            return Ok(OrderOutcome::UnderWay);
         }
         self.renew_lease(&mut desk.lease).await?;
         let Some(fence) = desk.lease.fence(self.now()) else {
-            return Err(Error::Refused("no lease".to_owned()));
+            return Ok(OrderOutcome::LeaseWaits);
         };
         let order = StageOrder {
             stage: change.to,
@@ -148,7 +168,7 @@
             orders_taken: report.orders_taken,
         };
         let now = self.now();
-        desk.open.insert(change.server.key(), (change.to, now + change.engine.stage_change));
+        desk.orders.note_open(now, change.server.key(), change.to, change.engine.stage_change);
         desk.planners.entry(change.service).or_default().note_tried(now);
         let call = stage_call(&change.server, &order);
         let answer = call_engine(self, &change.server, call, ENGINE_LIMIT).await;
@@ -162,7 +182,7 @@
                     self.state().changes.note_ordered(change.server.key(), change.to);
                     self.tell_everyone();
                 } else {
-                    desk.open.remove(&change.server.key());
+                    desk.orders.note_refused(change.server.key());
                 }
             }
             // It may have been taken, or may be carried out later: the open order stays.
@@ -172,7 +192,7 @@
                 );
             }
         }
-        Ok(())
+        Ok(OrderOutcome::Sent)
     }
 
     async fn ask_report(&self, server: &ServerEntry) -> Result<EngineReport> {
@@ -212,11 +232,11 @@
     state: &GatewayState,
     now: TimePoint,
     service: ServiceKey,
-    open: &OpenOrders,
+    orders: &ChangeOrders,
 ) -> PoolSizes {
     let mut sizes = PoolSizes { prefills: 0, decodes: 0 };
     for entry in state.fleet.ready(service).filter(|entry| takes_work(state, now, entry)) {
-        match open.get(&entry.key()).map_or(entry.stage, |(stage, _)| Some(*stage)) {
+        match orders.heads_to(entry.key()).or(entry.stage) {
             Some(ServerStage::Prefill) => sizes.prefills += 1,
             Some(ServerStage::Decode) => sizes.decodes += 1,
             None => {}
@@ -243,12 +263,10 @@
         ServerStage::Decode => ServerStage::Prefill,
         ServerStage::Prefill => ServerStage::Decode,
     };
-    let left_alone =
-        |key: &ServerKey| desk.open.contains_key(key) || desk.unordered.contains_key(key);
     let mut candidates: Vec<&ServerEntry> = state
         .fleet
         .ready_at(service, from)
-        .filter(|entry| !left_alone(&entry.key()) && takes_work(state, now, entry))
+        .filter(|entry| !desk.orders.leaves_alone(entry.key()) && takes_work(state, now, entry))
         .collect();
     let mut in_domain: HashMap<NameKey, usize> = HashMap::new();
     for entry in &candidates {
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -3,11 +3,13 @@
 //! Inputs are the configuration in force and a server's last report; the output is the next order,
 //! or the rule that forbids one.
 
+mod change_orders;
 mod order_desk;
 mod order_lease;
 mod orphan_sweep;
 mod stage_planner;
 
+pub use change_orders::{ChangeOrders, OrderOutcome};
 pub use order_desk::{OrderDesk, ServerOrder, ServerView};
 pub use order_lease::{LeaseRecord, OrderLease};
 pub use orphan_sweep::OrphanSweep;
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -3,9 +3,10 @@
 use rstest::rstest;
 use std::time::Duration;
 use tealcleat::fleet::ServerStage;
-use tealcleat::keys::TimePoint;
+use tealcleat::keys::{ServerKey, TimePoint};
 use tealcleat::orders::{
-    LeaseRecord, OrderLease, PoolSizes, StagePlanner, servers_to_change, wanted_prefills,
+    ChangeOrders, LeaseRecord, OrderLease, PoolSizes, StagePlanner, servers_to_change,
+    wanted_prefills,
 };
 use tealcleat::placement::{PaceTimer, PromptReader, RequestWork, WorkMeter, choose_reader};
 
@@ -228,6 +229,62 @@
     assert!(meter.sums(at(10)).request_work(40_000).is_none());
 }
 
+const CHANGE_TIME: Duration = Duration::from_secs(6);
+
+#[test]
+fn change_orders_kept_until_the_server_has_changed() {
+    let key = ServerKey::of("i-1");
+    let mut orders = ChangeOrders::default();
+    orders.note_open(at(0), key, ServerStage::Decode, CHANGE_TIME);
+    orders.forget(at(5000), |_| Some(Some(ServerStage::Prefill)));
+    assert_eq!(orders.heads_to(key), Some(ServerStage::Decode));
+    assert!(orders.leaves_alone(key));
+    orders.forget(at(6500), |_| Some(Some(ServerStage::Decode)));
+    assert_eq!(orders.heads_to(key), None);
+    assert!(!orders.leaves_alone(key));
+}
+
+#[rstest]
+#[case::without_effect(18_900, true)]
+#[case::too_old(19_100, false)]
+fn change_orders_forgotten_when_late(#[case] millis: u64, #[case] kept: bool) {
+    let key = ServerKey::of("i-1");
+    let mut orders = ChangeOrders::default();
+    orders.note_open(at(0), key, ServerStage::Decode, CHANGE_TIME);
+    orders.forget(at(millis), |_| Some(Some(ServerStage::Prefill)));
+    assert_eq!(orders.heads_to(key).is_some(), kept);
+}
+
+#[test]
+fn change_orders_of_a_server_that_left_forgotten() {
+    let key = ServerKey::of("i-1");
+    let mut orders = ChangeOrders::default();
+    orders.note_open(at(0), key, ServerStage::Decode, CHANGE_TIME);
+    orders.forget(at(100), |_| None);
+    assert!(!orders.leaves_alone(key));
+}
+
+#[test]
+fn change_orders_leave_failed_servers_for_a_while() {
+    let key = ServerKey::of("i-1");
+    let mut orders = ChangeOrders::default();
+    orders.note_failed(at(0), key);
+    orders.forget(at(9900), |_| Some(Some(ServerStage::Prefill)));
+    assert!(orders.leaves_alone(key));
+    assert_eq!(orders.heads_to(key), None, "it does not count for the other pool");
+    orders.forget(at(10_100), |_| Some(Some(ServerStage::Prefill)));
+    assert!(!orders.leaves_alone(key));
+}
+
+#[test]
+fn change_orders_drop_what_the_engine_refused() {
+    let key = ServerKey::of("i-1");
+    let mut orders = ChangeOrders::default();
+    orders.note_open(at(0), key, ServerStage::Decode, CHANGE_TIME);
+    orders.note_refused(key);
+    assert!(!orders.leaves_alone(key));
+}
+
 #[test]
 fn first_holder_orders_at_once_and_not_for_long() {
     let mut lease = OrderLease::default();
