--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -157,14 +157,7 @@
 
     fn note_run(&self, request: &WholeRequest, id: &str, stage: &str) -> usize {
         let mut runs = lock(&self.runs);
-        runs.push(SiteRun {
-            request: id.to_owned(),
-            stage: stage.to_owned(),
-            fetched: header(request, "kv-from").is_some(),
-            held: header(request, "hold").is_some(),
-            after: header(request, "last-event-id").and_then(|text| text.parse().ok()),
-            cancelled: false,
-        });
+        runs.push(SiteRun::of(request, id, stage));
         runs.len() - 1
     }
 
--- a/src/bench/site/site_run.rs
+++ b/src/bench/site/site_run.rs
@@ -1,3 +1,5 @@
+use super::site_http::{WholeRequest, header};
+
 /// One request that an engine worked on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SiteRun {
@@ -13,4 +15,42 @@
     pub after: Option<u64>,
     /// Its caller left before the end.
     pub cancelled: bool,
+    /// On whose account it ran.
+    pub caller: SeenCaller,
+}
+
+impl SiteRun {
+    /// The run that a request begins.
+    pub(super) fn of(request: &WholeRequest, id: &str, stage: &str) -> Self {
+        Self {
+            request: id.to_owned(),
+            stage: stage.to_owned(),
+            fetched: header(request, "kv-from").is_some(),
+            held: header(request, "hold").is_some(),
+            after: header(request, "last-event-id").and_then(|text| text.parse().ok()),
+            cancelled: false,
+            caller: SeenCaller::of(request, id),
+        }
+    }
+}
+
+/// What a backend server is told of the caller of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenCaller {
+    /// The request's id.
+    pub request: String,
+    /// The organisation that it runs for.
+    pub organisation: Option<String>,
+    /// The caller's key was passed on, which must never happen.
+    pub has_key: bool,
+}
+
+impl SeenCaller {
+    pub(super) fn of(request: &WholeRequest, id: &str) -> Self {
+        Self {
+            request: id.to_owned(),
+            organisation: header(request, "x-tenant").map(str::to_owned),
+            has_key: header(request, "authorization").is_some(),
+        }
+    }
 }
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -1,6 +1,7 @@
 use super::site_http::{
     BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, serve_site, signed, whole,
 };
+use super::site_run::SeenCaller;
 use crate::Result;
 use crate::host::lock;
 use std::net::SocketAddr;
@@ -32,7 +33,7 @@
     /// Id of this life of it.
     pub id: String,
     fault: Mutex<ServiceFault>,
-    runs: Mutex<Vec<String>>,
+    runs: Mutex<Vec<SeenCaller>>,
 }
 
 impl SiteService {
@@ -56,6 +57,11 @@
 
     /// Ids of the requests that it ran, oldest first.
     pub fn runs(&self) -> Vec<String> {
+        lock(&self.runs).iter().map(|caller| caller.request.clone()).collect()
+    }
+
+    /// What it was told of their callers.
+    pub fn callers(&self) -> Vec<SeenCaller> {
         lock(&self.runs).clone()
     }
 }
@@ -75,7 +81,7 @@
             answer.headers_mut().insert("x-not-run", http::HeaderValue::from_static("1"));
             return Ok(signed(answer, &id, None));
         }
-        lock(&self.runs).push(id.clone());
+        lock(&self.runs).push(SeenCaller::of(&request, &id));
         let body = format!("{} {id}", request.uri());
         match fault {
             ServiceFault::LoseAnswers => Err(BrokenOff),
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -1,6 +1,7 @@
 use super::{SiteEngine, SiteService, SiteStore};
 use crate::Result;
 use crate::gateway::{Gateway, start_gateway};
+use crate::limits::LimitBounds;
 use crate::placement::RetryBounds;
 use crate::settings::{GatewayBounds, GatewaySettings};
 use serde_json::{Value, json};
@@ -12,6 +13,8 @@
 /// Engines' answers in tests: enough to be cut in the middle.
 const EVENTS: u64 = 8;
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
+/// How long a key that was taken away may still be served.
+const REVOCATION: Duration = Duration::from_secs(5);
 const READY_LOOK: Duration = Duration::from_millis(10);
 
 /// How large a test's site is.
@@ -201,6 +204,13 @@
             grace: Duration::from_secs(8),
             retries: RetryBounds { ratio: 0.2, slack: 200.0, window: Duration::from_secs(10) },
             lease: Duration::from_secs(3),
+            revocation: Some(REVOCATION),
+            limits: LimitBounds {
+                window: Duration::from_secs(8),
+                over: 0.1,
+                slack: 4000.0,
+                domains: 1,
+            },
         },
         log_level: log::LevelFilter::Info,
     })
@@ -230,3 +240,17 @@
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000}})
 }
+
+/// The same with two organisations, of which the second one has a limit in tokens, and a route that needs
+/// no key.
+pub fn keyed_config(version: u64) -> Value {
+    let mut config = config(version);
+    config["routes"][2]["public"] = json!(true);
+    config["tenants"] = json!([
+        {"name": "hanbit", "keys": ["key-of-hanbit", "second-key-of-hanbit"], "priority": 1,
+            "unit": "token_report", "plain_tokens": 20, "rate_per_s": 0, "burst": 0},
+        {"name": "moonbook", "keys": ["key-of-moonbook"], "priority": 1, "unit": "token_report",
+            "plain_tokens": 20, "rate_per_s": 10, "burst": 800},
+    ]);
+    config
+}
--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -7,6 +7,12 @@
 /// spares the others.
 const DOUBT_SPREAD: Duration = Duration::from_millis(2000);
 
+/// A host whose configuration may be older than this asks for it itself: keys of callers are believed for
+/// 4.9 s, and neighbours know a younger one unless their watcher is gone.
+const UNSURE_AGE: Duration = Duration::from_millis(3200);
+/// Such hosts begin to ask spread over this time; the answers reach the others within half a second.
+const UNSURE_SPREAD: Duration = Duration::from_millis(1000);
+
 /// A host that the store refused, and that is not elected therefore, asks again this long after its
 /// last call, in a small failure domain.
 const REFUSED_PAUSE: Duration = Duration::from_millis(2000);
@@ -44,6 +50,8 @@
     pub elected: bool,
     /// Time since the store last answered any host that this one heard of.
     pub store_age: Duration,
+    /// How old its configuration may be, if keys of callers depend on that.
+    pub config_age: Option<Duration>,
     /// Time since its own last call, if that was refused or not answered.
     pub refused_for: Option<Duration>,
     /// Hosts of its failure domain, as far as it knows, itself included.
@@ -66,7 +74,9 @@
         Some(time) => time >= stretched(REFUSED_PAUSE, view.domain_hosts),
         None => {
             let spread = stretched(DOUBT_SPREAD, view.domain_hosts);
+            let unsure = UNSURE_AGE + part_of(UNSURE_SPREAD, view.salt);
             view.store_age > DOUBT_AGE + part_of(spread, view.salt)
+                || view.config_age.is_some_and(|age| age > unsure)
         }
     };
     if asks { WatchDuty::Doubt } else { WatchDuty::Hear }
--- /dev/null
+++ b/src/gateway/age_loop.rs
@@ -0,0 +1,99 @@
+//! Keeps this host's knowledge of the age of its configuration young: the watcher of the failure domain
+//! has it from the store, the others ask the watcher.
+
+use super::gateway_host::GatewayHost;
+use super::peer_messages::GatewayDatagram;
+use crate::keys::{TimePoint, mix_hash};
+use crate::membership::MemberUpdate;
+use crate::organisations::{AgeAnswer, AgeQuestion};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often the age is asked for. With the watcher's own age of up to 2 s, keys are believed for 2.4 s
+/// after the last contact with the store at least.
+const ASK_PERIOD: Duration = Duration::from_millis(500);
+/// A question without an answer after this time makes the host ask others as well.
+const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+/// So does an age of more than this: the watcher has lost the store, or is not the one that it seems.
+const DOUBT_AGE: Duration = Duration::from_millis(2600);
+
+/// Asks for the age of the configuration while keys depend on it.
+pub(super) async fn run_ages(host: Arc<GatewayHost>) {
+    let mut ticker = tokio::time::interval(ASK_PERIOD);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticker.tick().await;
+        let bounded = host.state().longest_config_age().is_some();
+        if bounded {
+            host.ask_ages();
+        }
+    }
+}
+
+impl GatewayHost {
+    /// Asks the watcher of the own failure domain, and others if that is in doubt.
+    pub(super) fn ask_ages(&self) {
+        let now = self.now();
+        for address in self.age_targets(now) {
+            let question = self.state().config_age.question(now);
+            self.send(address, &GatewayDatagram::AgeQuestion(question));
+        }
+    }
+
+    fn age_targets(&self, now: TimePoint) -> Vec<SocketAddr> {
+        let state = self.state();
+        let others = |member: &MemberUpdate| member.incarnation != self.incarnation;
+        let near: Vec<MemberUpdate> =
+            state.members.owners(self.domain()).map(|(_, member)| member).collect();
+        let watcher = state.refused.elect(now, near.iter().map(|member| member.incarnation));
+        let watcher = near.iter().copied().find(|member| Some(member.incarnation) == watcher);
+        let in_doubt = state.config_age.is_unanswered(now, ANSWER_LIMIT)
+            || state.config_age.age(now) > DOUBT_AGE;
+        let mut targets: Vec<MemberUpdate> = watcher.into_iter().filter(others).collect();
+        if in_doubt {
+            let salt = mix_hash(self.incarnation.0, now.0);
+            let rank = |member: &MemberUpdate| mix_hash(salt, member.incarnation.0);
+            targets.extend(near.iter().copied().filter(others).min_by_key(rank));
+            let abroad = state.members.reachable(now).filter(|host| host.domain != self.domain());
+            targets.extend(abroad.min_by_key(rank));
+        }
+        targets.into_iter().map(|member| member.address).collect()
+    }
+
+    /// Answers another host's question, if this host knows.
+    pub(super) fn answer_age(&self, from: SocketAddr, question: AgeQuestion) {
+        let answer = self.own_age(question);
+        if let Some(answer) = answer {
+            self.send(from, &GatewayDatagram::AgeAnswer(answer));
+        }
+    }
+
+    /// The answer to a question about the age of this host's configuration.
+    pub(super) fn own_age(&self, question: AgeQuestion) -> Option<AgeAnswer> {
+        let now = self.now();
+        let state = self.state();
+        state.config_age.answer(now, question, state.routes.version())
+    }
+
+    /// Takes over an answer; a host that has a newer configuration is asked for it.
+    pub(super) fn hear_age(self: &Arc<Self>, from: SocketAddr, answer: AgeAnswer) {
+        let version = {
+            let mut state = self.state();
+            let version = state.routes.version();
+            state.config_age.hear(answer, version);
+            version
+        };
+        if answer.version > version {
+            self.fetch_view(from);
+        } else {
+            self.age_heard.notify_waiters();
+        }
+    }
+
+    /// The store answered a question that left at `asked_at`: what it did not tell did not happen before.
+    pub(super) fn note_config_complete(&self, asked_at: TimePoint) {
+        self.state().config_age.note_complete(asked_at);
+        self.age_heard.notify_waiters();
+    }
+}
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -1,4 +1,5 @@
 use super::gateway_host::GatewayHost;
+use super::limit_desk::LimitCharge;
 use crate::keys::TimePoint;
 use crate::platform::{CallHead, ServerCall};
 use crate::routes::{Route, ServiceKey, ServiceSpec};
@@ -14,6 +15,8 @@
     pub spec: Arc<ServiceSpec>,
     pub head: CallHead,
     pub call: ServerCall,
+    /// What it cost its organisation, if that has a limit.
+    pub charge: Option<LimitCharge>,
     /// When its head had been read.
     pub began: TimePoint,
     /// When it must have its final answer: the caller's deadline or the route's limit.
--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -19,6 +19,10 @@
     TurnedAway,
     /// Its time ran out before it was sent.
     OutOfTime,
+    /// Whether its caller's key is still good cannot be told.
+    ConfigTooOld,
+    /// Whether its organisation is within its limit cannot be told.
+    LimitUnknown,
 }
 
 impl NotRunReason {
@@ -30,6 +34,8 @@
             Self::PromptNotRead => "prompt_not_read",
             Self::TurnedAway => "turned_away",
             Self::OutOfTime => "out_of_time",
+            Self::ConfigTooOld => "config_too_old",
+            Self::LimitUnknown => "limit_unknown",
         }
     }
 }
@@ -51,6 +57,8 @@
     Improper(StatusCode, &'static str),
     /// It certainly did not run; the caller may come back after the pause.
     NotRun(NotRunReason, Duration),
+    /// It did not run, since its organisation is at its limit; the pause is until that allows it.
+    OverLimit(Duration),
     /// It may have run, and there is no answer.
     Unknown(&'static str),
     /// Its time ran out while a server worked on it.
@@ -64,6 +72,7 @@
             Self::Answered(_) => "answered",
             Self::Improper(..) => "improper",
             Self::NotRun(..) => "not_run",
+            Self::OverLimit(_) => "over_limit",
             Self::Unknown(_) => "unknown",
             Self::TimedOut => "timed_out",
         }
@@ -75,6 +84,7 @@
             Self::Answered(_) => "server",
             Self::NotRun(reason, _) => reason.name(),
             Self::Improper(_, cause) | Self::Unknown(cause) => cause,
+            Self::OverLimit(_) => "organisation",
             Self::TimedOut => "time_limit",
         }
     }
@@ -85,6 +95,7 @@
             Self::Answered(answer) => answer.status,
             Self::Improper(status, _) => *status,
             Self::NotRun(..) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -95,7 +106,9 @@
         let status = self.status();
         let (headers, body) = match self {
             Self::Answered(answer) => (answer_headers(&answer.headers), answer.body),
-            Self::NotRun(_, pause) => (own_headers(id, Some(pause)), Bytes::new()),
+            Self::NotRun(_, pause) | Self::OverLimit(pause) => {
+                (own_headers(id, Some(pause)), Bytes::new())
+            }
             Self::Improper(..) | Self::Unknown(_) | Self::TimedOut => {
                 (own_headers(id, None), Bytes::new())
             }
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -2,10 +2,13 @@
 use super::call_end::{CallEnd, NotRunReason};
 use super::call_log::log_end;
 use super::caller_body::CallerAnswer;
+use super::caller_gate::let_in;
 use super::engine_call::serve_engine;
 use super::flight_guard::FlightGuard;
 use super::gateway_host::{GatewayHost, StopPhase};
+use super::limit_desk::{LimitCharge, charge};
 use super::plain_call::serve_plain;
+use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
@@ -27,7 +30,7 @@
 ) -> Result<CallerAnswer, Infallible> {
     let flight = FlightGuard::new(&host);
     let (parts, body) = request.into_parts();
-    let head = CallHead::read(&parts.headers, &parts.uri);
+    let head = CallHead::read(&parts.headers, &parts.uri, &host.key_hasher);
     let id = head.request_id.clone();
     let began = host.now();
     let mut answer = match open_call(&host, head, parts, body).await {
@@ -48,6 +51,9 @@
         return serve_engine(Arc::new(context), flight).await;
     }
     let end = serve_plain(&context).await;
+    if matches!(end, CallEnd::NotRun(..)) {
+        context.give_back();
+    }
     log_end(&context.host, context.id(), Some(&context.route), &end, context.age());
     end.into_answer(context.id())
 }
@@ -71,6 +77,7 @@
     let Some(route) = route else {
         return Err(CallEnd::Improper(StatusCode::NOT_FOUND, "no_route"));
     };
+    let organisation = let_in(host, &route, head.caller_key).await?;
     let body = read_body(body, routes.limits().body_bytes).await?;
     let service = route.service_for(&head.request_id);
     let Some(spec) = routes.service(service).cloned() else {
@@ -82,7 +89,12 @@
         let bounds = state.bounds.retries;
         state.retries.entry(service).or_default().note_request(began, &bounds);
     }
-    let call = ServerCall::new(parts.method, &parts.uri, &parts.headers, body);
+    let cost = organisation.as_deref().and_then(|org| cost(org, &head));
+    if let Some(cost) = cost {
+        charge(host, &head.request_id, cost).await?;
+    }
+    let organisation = organisation.as_deref();
+    let call = ServerCall::new(parts.method, &parts.uri, &parts.headers, organisation, body);
     Ok(CallContext {
         host: Arc::clone(host),
         route,
@@ -90,11 +102,18 @@
         spec,
         head,
         call,
+        charge: cost,
         began,
         ends_at: began + limit,
     })
 }
 
+/// What a request costs its organisation, if that has a limit.
+fn cost(organisation: &Organisation, head: &CallHead) -> Option<LimitCharge> {
+    let units = organisation.limit?.cost(head.tokens.stated_size());
+    Some(LimitCharge { org: organisation.key(), units })
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallEnd> {
     if body.size_hint().lower() > limit as u64 {
         return Err(CallEnd::Improper(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -21,6 +21,9 @@
         Ok(run) => stream_answer(context, engine, run, runs, flight),
         Err(end) => {
             let end = if runs.may_have_run { without_refusal(end) } else { end };
+            if matches!(end, CallEnd::NotRun(..)) {
+                context.give_back();
+            }
             log_end(&context.host, context.id(), Some(&context.route), &end, context.age());
             end.into_answer(context.id())
         }
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,9 +1,12 @@
 use super::gateway_state::GatewayState;
+use super::limit_waits::LimitWaits;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, ServerStage, StageChanges};
 use crate::host::lock;
 use crate::keys::{IncarnationId, NameKey, TimePoint};
+use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
+use crate::organisations::{ConfigAge, KeyHasher};
 use crate::peers::PeerClient;
 use crate::placement::{ChoiceKind, ChoiceView, DomainGates, LoadBoard, ServerNote, rank_servers};
 use crate::platform::StoreClient;
@@ -16,7 +19,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// How far a planned stop has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -76,6 +79,10 @@
     pub(super) peers: PeerClient,
     pub(super) peers_address: SocketAddr,
     pub(super) socket: Arc<UdpSocket>,
+    pub(super) key_hasher: KeyHasher,
+    /// Requests that wait for an answer about the age of the configuration.
+    pub(super) age_heard: Notify,
+    pub(super) limit_waits: LimitWaits,
     pub(super) load_serial: AtomicU64,
     pub(super) fetching_view: AtomicBool,
     pub(super) routes_away: AtomicBool,
@@ -99,6 +106,10 @@
             bounds: settings.bounds,
             routes: Arc::default(),
             routes_revision: 0,
+            config_age: ConfigAge::default(),
+            meter: LimitMeter::default(),
+            ledger: LimitLedger::default(),
+            silent: SilentOwners::default(),
             fleet: FleetView::default(),
             board: LoadBoard::default(),
             health: HashMap::new(),
@@ -121,6 +132,9 @@
             peers: PeerClient::new(&settings.shared_key),
             peers_address,
             socket,
+            key_hasher: KeyHasher::new(&settings.shared_key),
+            age_heard: Notify::new(),
+            limit_waits: LimitWaits::default(),
             load_serial: AtomicU64::new(1),
             fetching_view: AtomicBool::new(false),
             routes_away: AtomicBool::new(false),
@@ -188,11 +202,14 @@
         log::info!("event=settings_reloaded outcome={outcome} unchanged=\"{fixed}\"");
     }
 
-    /// Whether callers may be sent here.
+    /// Whether callers may be sent here: not to a host that would refuse them all, since it cannot tell
+    /// whose keys are still good.
     pub fn is_ready(&self) -> bool {
+        let now = self.now();
         let state = self.state();
         let informed = state.routes.version() > 0 && state.fleet.revision() > 0;
-        informed && self.stop_phase() == StopPhase::Serving
+        let permits = !state.is_config_too_old(now);
+        informed && permits && self.stop_phase() == StopPhase::Serving
     }
 
     /// Hosts that share what all of them may do together.
@@ -214,6 +231,7 @@
         }
         state.routes = Arc::new(table);
         state.routes_revision = revision;
+        state.cut_limits(self.now());
         drop(state);
         let source = source.name();
         log::info!(
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -1,5 +1,7 @@
+use super::age_loop::run_ages;
 use super::caller_loop::serve_callers;
 use super::gateway_host::{GatewayHost, StopPhase};
+use super::limit_desk::run_limits;
 use super::peer_loop::run_peers;
 use super::ready_server::{QuestionKind, serve_questions};
 use super::stage_loop::run_stages;
@@ -54,6 +56,8 @@
     tokio::spawn(serve_questions(metrics_listener, Arc::clone(&host), QuestionKind::Metrics));
     tokio::spawn(run_view(Arc::clone(&host)));
     tokio::spawn(run_stages(Arc::clone(&host)));
+    tokio::spawn(run_ages(Arc::clone(&host)));
+    tokio::spawn(run_limits(Arc::clone(&host)));
     log::info!(
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,6 +1,8 @@
 use crate::fleet::{FleetView, RefusedHosts, StageChanges};
 use crate::keys::{IncarnationId, ServerKey, TimePoint};
+use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, ViewMark};
+use crate::organisations::ConfigAge;
 use crate::placement::{DomainGates, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums};
 use crate::routes::{RouteTable, ServiceKey};
 use crate::settings::GatewayBounds;
@@ -18,6 +20,14 @@
     pub routes: Arc<RouteTable>,
     /// Revision of the store at which it was written.
     pub routes_revision: u64,
+    /// How old it may be.
+    pub config_age: ConfigAge,
+    /// What this host uses on account of organisations.
+    pub meter: LimitMeter,
+    /// What it grants to others as the owner of organisations' parts.
+    pub ledger: LimitLedger,
+    /// Owners that do not answer it.
+    pub silent: SilentOwners,
     /// The backend servers.
     pub fleet: FleetView,
     /// Their load.
@@ -46,6 +56,18 @@
         ViewMark { config_version: self.routes.version(), fleet_revision: self.fleet.revision() }
     }
 
+    /// The longest time for which keys of callers may be believed without a sign that the configuration
+    /// is the newest one; `None` if they need none or nothing bounds it.
+    pub fn longest_config_age(&self) -> Option<Duration> {
+        let bound = self.bounds.revocation.filter(|_| !self.routes.organisations().is_empty());
+        bound.map(|bound| bound.saturating_sub(REVOCATION_MARGIN))
+    }
+
+    /// Whether keys of callers cannot be believed any more.
+    pub fn is_config_too_old(&self, now: TimePoint) -> bool {
+        self.longest_config_age().is_some_and(|longest| self.config_age.age(now) > longest)
+    }
+
     /// What requests of a service took lately, over all hosts.
     pub fn work_sums(&self, now: TimePoint, service: ServiceKey) -> WorkSums {
         let own = self.work.get(&service).map(|meter| meter.sums(now)).unwrap_or_default();
@@ -60,6 +82,8 @@
         self.board.expire(now);
         self.changes.expire(now);
         self.refused.expire(now);
+        self.silent.expire(now);
+        self.ledger.expire(now);
         self.heard_work.retain(|_, (at, _)| now.since(*at) < WORK_NEWS_LIFE);
     }
 
@@ -72,5 +96,9 @@
     }
 }
 
+/// Keys are no longer believed this long before the bound on their revocation: clocks of two hosts run
+/// apart by less in that time.
+const REVOCATION_MARGIN: Duration = Duration::from_millis(100);
+
 /// What another host's requests took is believed this long after it last said so.
 const WORK_NEWS_LIFE: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/src/gateway/limit_desk.rs
@@ -0,0 +1,298 @@
+//! Asks the owners of organisations' parts for what requests cost, and answers as one of them.
+
+use super::call_context::CallContext;
+use super::call_end::{CallEnd, NotRunReason};
+use super::gateway_host::GatewayHost;
+use super::gateway_state::GatewayState;
+use super::peer_messages::GatewayDatagram;
+use super::run_open::refuse;
+use crate::keys::{IncarnationId, NameKey, OrgKey, TimePoint};
+use crate::limits::{
+    LimitAnswer, LimitAsk, LimitLoan, LimitShare, LoanAsk, OwnerChoice, choose_owner,
+};
+use crate::membership::{MemberState, MemberUpdate};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An owner in the same failure domain answers within a millisecond; after this time the question is
+/// sent once more, since datagrams are lost now and then.
+const FIRST_WAIT: Duration = Duration::from_millis(25);
+/// Then the owner counts as silent, and the host uses its own part.
+const SECOND_WAIT: Duration = Duration::from_millis(40);
+/// A host younger than this asks again while it finds no owner: after a loss of all hosts owners have no
+/// configuration yet. Of what hosts took alone then, an organisation at its limit had 0.7 s of its rate.
+const YOUNG_AGE: Duration = Duration::from_millis(1200);
+const YOUNG_PAUSE: Duration = Duration::from_millis(40);
+/// How often owners are told of use that no question told them.
+const TELL_LOOK: Duration = Duration::from_millis(250);
+/// Hosts that a failure domain is taken to have at least while this one knows fewer.
+const LEAST_HOSTS: usize = 10;
+
+/// What a request costs its organisation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct LimitCharge {
+    pub org: OrgKey,
+    pub units: u32,
+}
+
+/// Charges a request to its organisation, or refuses it.
+pub(super) async fn charge(
+    host: &Arc<GatewayHost>,
+    id: &str,
+    charge: LimitCharge,
+) -> Result<(), CallEnd> {
+    match host.ask_owner(charge).await {
+        OwnerReply::Granted => Ok(()),
+        OwnerReply::Refused(pause) => {
+            log::info!(
+                "event=over_limit request={id} org={:016x} units={} come_back_ms={}",
+                charge.org.0,
+                charge.units,
+                pause.as_millis()
+            );
+            Err(CallEnd::OverLimit(pause))
+        }
+        OwnerReply::Unknown => {
+            log::info!(
+                "event=limit_unknown request={id} org={:016x} units={}",
+                charge.org.0,
+                charge.units
+            );
+            Err(refuse(NotRunReason::LimitUnknown))
+        }
+    }
+}
+
+impl CallContext {
+    /// The request did not run: what it cost is given back.
+    pub fn give_back(&self) {
+        let Some(charge) = self.charge else { return };
+        let now = self.host.now();
+        self.host.state().meter.give_back(now, charge.org, charge.units);
+    }
+}
+
+/// What an owner says to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OwnerReply {
+    Granted,
+    /// It is over the limit; when it may come back.
+    Refused(Duration),
+    /// No owner can be reached, and this host's own part is used up.
+    Unknown,
+}
+
+impl GatewayHost {
+    async fn ask_owner(self: &Arc<Self>, charge: LimitCharge) -> OwnerReply {
+        let ask = {
+            let now = self.now();
+            self.state().meter.ask(now, charge.org, charge.units)
+        };
+        let mut answer = self.ask_once(&ask).await;
+        while answer.is_none() && self.is_young() {
+            tokio::time::sleep(YOUNG_PAUSE).await;
+            answer = self.ask_once(&ask).await;
+        }
+        let now = self.now();
+        let mut state = self.state();
+        let Some(answer) = answer else {
+            let Some(share) = state.alone_share(charge.org, self.domain()) else {
+                return OwnerReply::Granted;
+            };
+            let allowed = state.meter.use_alone(now, charge.org, charge.units, &share);
+            let (org, units) = (charge.org.0, charge.units);
+            log::info!("event=limit_alone org={org:016x} units={units} allowed={allowed}");
+            return if allowed { OwnerReply::Granted } else { OwnerReply::Unknown };
+        };
+        state.meter.hear(now, &answer, charge.units);
+        match answer.refused_ms {
+            None => OwnerReply::Granted,
+            Some(millis) => OwnerReply::Refused(Duration::from_millis(millis.into())),
+        }
+    }
+
+    /// Hosts that start together find each other within some hundred milliseconds.
+    fn is_young(&self) -> bool {
+        self.now().since(TimePoint::default()) < YOUNG_AGE
+    }
+
+    async fn ask_once(&self, ask: &LimitAsk) -> Option<LimitAnswer> {
+        let now = self.now();
+        let owner = self.state().owner(now, ask.org, self.domain());
+        match owner {
+            OwnerChoice::Own => self.grant(now, self.incarnation, ask),
+            OwnerChoice::Other(owner) => self.ask_other(owner, ask).await,
+            OwnerChoice::Unknown => None,
+        }
+    }
+
+    async fn ask_other(&self, owner: MemberUpdate, ask: &LimitAsk) -> Option<LimitAnswer> {
+        let mut answer = self.limit_waits.wait(ask.sequence);
+        for wait in [FIRST_WAIT, SECOND_WAIT] {
+            self.send(owner.address, &GatewayDatagram::LimitAsk(self.incarnation, *ask));
+            if let Ok(Ok(answer)) = tokio::time::timeout(wait, &mut answer).await {
+                return Some(answer);
+            }
+        }
+        let now = self.now();
+        log::info!("event=limit_owner_silent owner={} org={:016x}", owner.incarnation, ask.org.0);
+        self.state().silent.note(now, owner.incarnation);
+        None
+    }
+
+    /// Grants or refuses as the owner; nothing if the organisation has no limit here.
+    fn grant(&self, now: TimePoint, from: IncarnationId, ask: &LimitAsk) -> Option<LimitAnswer> {
+        let (answer, loan) = {
+            let mut state = self.state();
+            let share = state.domain_share(ask.org, self.domain())?;
+            let is_new = !state.ledger.has(ask.org);
+            let answer = state.ledger.receive(now, from, ask, &share);
+            if is_new {
+                log_account(ask, &share, &answer);
+            }
+            (answer, state.ledger.loan_wanted(now, ask.org, &share))
+        };
+        if let Some(loan) = loan {
+            self.ask_loan(now, loan);
+        }
+        Some(answer)
+    }
+
+    /// Answers another host's question as the owner.
+    pub(super) fn hear_limit_ask(&self, from: SocketAddr, host: IncarnationId, ask: &LimitAsk) {
+        let Some(answer) = self.grant(self.now(), host, ask) else { return };
+        if ask.sequence != 0 {
+            self.send(from, &GatewayDatagram::LimitAnswer(answer));
+        }
+    }
+
+    fn ask_loan(&self, now: TimePoint, loan: LoanAsk) {
+        for owner in self.other_owners(now, loan.org) {
+            self.send(owner.address, &GatewayDatagram::LoanAsk(loan));
+        }
+    }
+
+    fn other_owners(&self, now: TimePoint, org: OrgKey) -> Vec<MemberUpdate> {
+        let state = self.state();
+        let domains: HashSet<NameKey> =
+            state.members.reachable(now).map(|host| host.domain).collect();
+        let others = domains.into_iter().filter(|domain| *domain != self.domain());
+        let owners = others.map(|domain| state.owner(now, org, domain));
+        owners
+            .filter_map(|owner| match owner {
+                OwnerChoice::Other(owner) => Some(owner),
+                OwnerChoice::Own | OwnerChoice::Unknown => None,
+            })
+            .collect()
+    }
+
+    /// Lends to the owner of another failure domain.
+    pub(super) fn hear_loan_ask(&self, from: SocketAddr, ask: &LoanAsk) {
+        let now = self.now();
+        let loan = {
+            let mut state = self.state();
+            let Some(share) = state.domain_share(ask.org, self.domain()) else { return };
+            state.ledger.lend(now, ask, &share)
+        };
+        if let Some(loan) = loan {
+            self.send(from, &GatewayDatagram::LimitLoan(loan));
+        }
+    }
+
+    /// Takes over a loan.
+    pub(super) fn hear_loan(&self, loan: &LimitLoan) {
+        let now = self.now();
+        let mut state = self.state();
+        let Some(share) = state.domain_share(loan.org, self.domain()) else { return };
+        state.ledger.borrow(now, loan, &share);
+    }
+
+    fn tell_use(&self) {
+        let now = self.now();
+        let untold = self.state().meter.untold(now);
+        for ask in untold {
+            let owner = self.state().owner(now, ask.org, self.domain());
+            match owner {
+                OwnerChoice::Own => drop(self.grant(now, self.incarnation, &ask)),
+                OwnerChoice::Other(owner) => {
+                    self.send(owner.address, &GatewayDatagram::LimitAsk(self.incarnation, ask));
+                }
+                OwnerChoice::Unknown => {}
+            }
+        }
+    }
+}
+
+/// The line that tells what a new owner began with, and from where.
+fn log_account(ask: &LimitAsk, share: &LimitShare, answer: &LimitAnswer) {
+    let seen = ask.seen_level.is_some();
+    log::info!(
+        "event=limit_owned org={:016x} rate={:.0} burst={:.0} seen={seen} units={} left={}",
+        ask.org.0,
+        share.rate,
+        share.burst,
+        ask.units,
+        answer.level
+    );
+}
+
+/// Tells owners of use that they do not know of: given back, or taken while they were silent.
+pub(super) async fn run_limits(host: Arc<GatewayHost>) {
+    let mut ticker = tokio::time::interval(TELL_LOOK);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticker.tick().await;
+        host.tell_use();
+    }
+}
+
+impl GatewayState {
+    /// Who owns an organisation's part in a failure domain.
+    fn owner(&self, now: TimePoint, org: OrgKey, domain: NameKey) -> OwnerChoice {
+        let hosts = self.members.owners(domain).map(|(_, host)| host);
+        choose_owner(now, org, domain, self.members.own(), hosts, &self.silent)
+    }
+
+    /// What this host may hand out as the owner of an organisation's part: of the part of its failure
+    /// domain as much as the hosts that it sees there are of all that it ever saw there. The others may be
+    /// cut off, and have the rest.
+    fn domain_share(&self, org: OrgKey, domain: NameKey) -> Option<LimitShare> {
+        let limit = self.routes.organisations().organisation(org)?.limit?;
+        let share = LimitShare::of_domain(&limit, &self.bounds.limits);
+        let (seen, known) = self.domain_hosts(domain);
+        Some(share.part(seen, known))
+    }
+
+    /// What this host may use while it reaches no owner.
+    fn alone_share(&self, org: OrgKey, domain: NameKey) -> Option<LimitShare> {
+        let limit = self.routes.organisations().organisation(org)?.limit?;
+        let share = LimitShare::of_domain(&limit, &self.bounds.limits);
+        let (_, known) = self.domain_hosts(domain);
+        Some(share.of_host(known.max(LEAST_HOSTS)))
+    }
+
+    /// Hosts of a failure domain that are there, and all that this one ever heard of, itself included.
+    fn domain_hosts(&self, domain: NameKey) -> (usize, usize) {
+        let all = self.members.records().map(|record| record.update);
+        let all = all.chain(std::iter::once(self.members.own()));
+        let (mut seen, mut known) = (HashSet::new(), HashSet::new());
+        for host in all.filter(|host| host.domain == domain) {
+            known.insert(host.address);
+            if host.state != MemberState::Dead {
+                seen.insert(host.address);
+            }
+        }
+        (seen.len(), known.len())
+    }
+
+    /// A changed configuration may lower limits.
+    pub(super) fn cut_limits(&mut self, now: TimePoint) {
+        let (routes, bounds) = (Arc::clone(&self.routes), self.bounds.limits);
+        self.ledger.cut(now, |org| {
+            let limit = routes.organisations().organisation(org)?.limit?;
+            Some(LimitShare::of_domain(&limit, &bounds))
+        });
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,14 +1,17 @@
 //! Gateway joins the decisions and the edges into the daemon that runs on the users' platform.
 //!
 //! A request takes one way through it: `caller_loop` reads it, `call_route` finds its service,
+//! `caller_gate` lets its caller in, `limit_desk` charges its organisation,
 //! `plain_call` or `engine_call` runs it (`run_open` opens a run: `decode_room` holds memory,
 //! `prompt_read` has the prompt read, `run_start` sends it), and `event_relay` passes a stream on.
 
+mod age_loop;
 mod call_context;
 mod call_end;
 mod call_log;
 mod call_route;
 mod caller_body;
+mod caller_gate;
 mod caller_loop;
 mod decode_room;
 mod engine_call;
@@ -19,6 +22,8 @@
 mod gateway_host;
 mod gateway_start;
 mod gateway_state;
+mod limit_desk;
+mod limit_waits;
 mod load_guard;
 mod peer_loop;
 mod peer_messages;
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -48,6 +48,15 @@
             }
             Ok(GatewayDatagram::Load(news)) => host.hear_load(news),
             Ok(GatewayDatagram::Notice(notice)) => host.hear_notice(notice),
+            Ok(GatewayDatagram::AgeQuestion(question)) => host.answer_age(address, question),
+            Ok(GatewayDatagram::AgeAnswer(answer)) => host.hear_age(address, answer),
+            Ok(GatewayDatagram::LimitAsk(from, ask)) => host.hear_limit_ask(address, from, &ask),
+            Ok(GatewayDatagram::LimitAnswer(answer)) => {
+                // Nobody waits for one that comes late; the next question tells what was used.
+                host.limit_waits.end(answer);
+            }
+            Ok(GatewayDatagram::LoanAsk(ask)) => host.hear_loan_ask(address, &ask),
+            Ok(GatewayDatagram::LimitLoan(loan)) => host.hear_loan(&loan),
             Err(error) => {
                 log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
             }
@@ -131,7 +140,7 @@
         }
     }
 
-    fn send(&self, address: SocketAddr, message: &GatewayDatagram) {
+    pub(super) fn send(&self, address: SocketAddr, message: &GatewayDatagram) {
         match seal_datagram(&self.settings.shared_key, message) {
             Ok(bytes) => {
                 self.metrics().add("gossip_sent_bytes", bytes.len() as u64);
@@ -241,14 +250,15 @@
                 self.carry_out(orders);
                 GatewayReply::Members(ours)
             }
-            GatewayRequest::View { routes_version, fleet_revision } => {
+            GatewayRequest::View { routes_version, fleet_revision, age } => {
+                let age = self.own_age(age);
                 let now = self.now();
                 let state = self.state();
                 let routes = (state.routes.version() > routes_version)
                     .then(|| (state.routes_revision, state.routes.parts().clone()));
                 let fleet = (state.fleet.revision() > fleet_revision)
                     .then(|| state.fleet.news_since(now, fleet_revision));
-                GatewayReply::View { routes, fleet }
+                GatewayReply::View { routes, fleet, age }
             }
         }
     }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -1,6 +1,8 @@
 use crate::fleet::{FleetNews, ServerStage};
 use crate::keys::{IncarnationId, ServerKey};
+use crate::limits::{LimitAnswer, LimitAsk, LimitLoan, LoanAsk};
 use crate::membership::{MemberUpdate, ProbeMessage};
+use crate::organisations::{AgeAnswer, AgeQuestion};
 use crate::placement::{ServerLoad, WorkSums};
 use crate::routes::{RouteParts, ServiceKey};
 use serde::{Deserialize, Serialize};
@@ -14,6 +16,18 @@
     Load(LoadNews),
     /// What the others must know at once; small, since it goes to all of them.
     Notice(HostNotice),
+    /// How old is your configuration?
+    AgeQuestion(AgeQuestion),
+    /// So old.
+    AgeAnswer(AgeAnswer),
+    /// The sender asks the owner of an organisation's part, or tells it what it used.
+    LimitAsk(IncarnationId, LimitAsk),
+    /// The owner's answer.
+    LimitAnswer(LimitAnswer),
+    /// An owner asks that of another failure domain.
+    LoanAsk(LoanAsk),
+    /// Units lent to it.
+    LimitLoan(LimitLoan),
 }
 
 /// What a host knows that others must not wait for.
@@ -53,6 +67,8 @@
         routes_version: u64,
         /// Revision of the servers that the sender has.
         fleet_revision: u64,
+        /// How old is the configuration that is handed over?
+        age: AgeQuestion,
     },
 }
 
@@ -67,5 +83,7 @@
         routes: Option<(u64, RouteParts)>,
         /// The servers, if newer.
         fleet: Option<FleetNews>,
+        /// The age of the sender's configuration, if it knows it.
+        age: Option<AgeAnswer>,
     },
 }
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -93,7 +93,10 @@
 pub(super) fn refuse(reason: NotRunReason) -> CallEnd {
     let pause = match reason {
         NotRunReason::NoMemory => spread(NO_MEMORY_PAUSE),
-        NotRunReason::NoServer | NotRunReason::NotReady => spread(NO_SERVER_PAUSE),
+        NotRunReason::NoServer
+        | NotRunReason::NotReady
+        | NotRunReason::ConfigTooOld
+        | NotRunReason::LimitUnknown => spread(NO_SERVER_PAUSE),
         NotRunReason::PromptNotRead | NotRunReason::TurnedAway | NotRunReason::OutOfTime => {
             spread(TURNED_AWAY_PAUSE)
         }
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -84,6 +84,12 @@
             uninformed_for: (!known).then(|| now.since(TimePoint::default())),
             elected: watcher == Some(self.incarnation),
             store_age: state.fleet.store_age(now),
+            config_age: match kind {
+                FollowedKind::Routes => {
+                    state.longest_config_age().map(|_| state.config_age.age(now))
+                }
+                FollowedKind::Servers => None,
+            },
             refused_for: refused_at.map(|at| now.since(at)),
             domain_hosts: state.members.owners(domain).count(),
             salt: self.incarnation.0,
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -62,18 +62,30 @@
 
     async fn fetch_view_from(self: &Arc<Self>, address: SocketAddr) {
         let request = {
-            let state = self.state();
+            let now = self.now();
+            let mut state = self.state();
             GatewayRequest::View {
                 routes_version: state.routes.version(),
                 fleet_revision: state.fleet.revision(),
+                age: state.config_age.question(now),
             }
         };
         let informed = self.state().fleet.revision() > 0;
         let limit = if informed { CHANGES_LIMIT } else { WHOLE_VIEW_LIMIT };
         match self.peers.call(address, &request, limit).await {
-            Ok(GatewayReply::View { routes, fleet }) => {
+            Ok(GatewayReply::View { routes, fleet, age }) => {
                 if let Some((revision, parts)) = routes {
-                    self.adopt_routes(revision, RouteTable::from(parts), ViewSource::Peer);
+                    match RouteTable::try_from(parts) {
+                        Ok(table) => {
+                            self.adopt_routes(revision, table, ViewSource::Peer);
+                        }
+                        Err(error) => {
+                            log::error!("event=config_unreadable peer={address} cause=\"{error}\"");
+                        }
+                    }
+                }
+                if let Some(age) = age {
+                    self.hear_age(address, age);
                 }
                 if let Some(news) = fleet {
                     let now = self.now();
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -53,6 +53,7 @@
     {
         return Ok(revision);
     }
+    let asked_at = host.now();
     let listed = host.store.list(kind.name(), ListAge::Newest, LIST_LIMIT).await?;
     note_heard(host, kind);
     match kind {
@@ -60,6 +61,7 @@
             for object in &listed.items {
                 adopt_object(host, object);
             }
+            host.note_config_complete(asked_at);
         }
         FollowedKind::Servers => {
             replace_servers(host, &listed);
@@ -101,6 +103,7 @@
     after: u64,
 ) -> Result<Option<u64>> {
     let limit = WATCH_WAIT + WATCH_SLACK;
+    let asked_at = host.now();
     let answer = host.store.watch(kind.name(), after, WATCH_WAIT, limit).await?;
     note_heard(host, kind);
     let WatchAnswer::Changes(changes, revision) = answer else {
@@ -114,6 +117,7 @@
                     adopt_object(host, object);
                 }
             }
+            host.note_config_complete(asked_at);
         }
         FollowedKind::Servers => {
             apply_changes(host, revision, &changes);
@@ -174,9 +178,10 @@
     if object.name != ROUTES_OBJECT.1 {
         return;
     }
-    match decode_config(&object.spec) {
-        Ok(parts) => {
-            if host.adopt_routes(object.revision, RouteTable::from(parts), ViewSource::Store) {
+    let parts = decode_config(&object.spec, &host.key_hasher);
+    match parts.and_then(RouteTable::try_from) {
+        Ok(table) => {
+            if host.adopt_routes(object.revision, table, ViewSource::Store) {
                 host.push_view(ViewSource::Store);
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! tealcleat routes requests to a few huge, fragile model backend servers in two pools.
 //!
 //! Decisions are pure machines (`placement`, `streams`, `claims`, `membership`, `intents`,
-//! `orders`, `routes`, `fleet`); edges know sockets (`platform`, `engines`, `callers`, `peers`, `operators`); `host`
+//! `orders`, `routes`, `fleet`,
+//! `organisations`, `limits`); edges know sockets (`platform`, `engines`, `callers`, `peers`, `operators`); `host`
 //! joins them into the daemon, `gateway` into the daemon on the users' platform. Arrows point one way: edges know decisions, never the reverse.
 
 pub mod accounts;
@@ -16,9 +17,11 @@
 pub mod intents;
 pub mod invariant;
 pub mod keys;
+pub mod limits;
 pub mod membership;
 pub mod operators;
 pub mod orders;
+pub mod organisations;
 pub mod peers;
 pub mod placement;
 pub mod platform;
--- /dev/null
+++ b/src/limits/limit_meter.rs
@@ -0,0 +1,101 @@
+use super::{LimitAnswer, LimitAsk, LimitBucket, LimitShare};
+use crate::keys::{OrgKey, TimePoint};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// What an owner had left is told to its successor for this long.
+const SEEN_LIFE: Duration = Duration::from_secs(8);
+/// Units that were given back, or used without an owner, are told after this long at the latest.
+const TELL_PERIOD: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+struct OrgUse {
+    /// Units used since this host started.
+    used: i64,
+    /// What the owner was last told of that.
+    told: i64,
+    told_at: TimePoint,
+    /// What the owner had left, and when it said so.
+    seen: Option<(i32, TimePoint)>,
+    /// What may be used while no owner answers.
+    alone: LimitBucket,
+}
+
+/// What this host uses on account of organisations.
+#[derive(Debug, Default)]
+pub struct LimitMeter {
+    uses: HashMap<OrgKey, OrgUse>,
+    sequence: u32,
+}
+
+impl LimitMeter {
+    /// The question for `units`, which count as used until the owner refuses them.
+    pub fn ask(&mut self, now: TimePoint, org: OrgKey, units: u32) -> LimitAsk {
+        self.sequence = self.sequence.wrapping_add(1).max(1);
+        let sequence = self.sequence;
+        let account = self.account(now, org);
+        account.used += i64::from(units);
+        account.message(now, org, sequence, units)
+    }
+
+    /// The owner answered a question for `units`.
+    pub fn hear(&mut self, now: TimePoint, answer: &LimitAnswer, units: u32) {
+        let account = self.account(now, answer.org);
+        account.seen = Some((answer.level, now));
+        if answer.refused_ms.is_some() {
+            account.used -= i64::from(units);
+            account.told = account.used;
+        }
+    }
+
+    /// No owner answered a question for `units`: whether they may be used all the same, from this host's
+    /// own part. If not, they count as not used.
+    pub fn use_alone(
+        &mut self,
+        now: TimePoint,
+        org: OrgKey,
+        units: u32,
+        share: &LimitShare,
+    ) -> bool {
+        let account = self.account(now, org);
+        let allowed = account.alone.try_take(now, share, f64::from(units));
+        if !allowed {
+            account.used -= i64::from(units);
+        }
+        allowed
+    }
+
+    /// Units that were granted and not used, since their request did not run.
+    pub fn give_back(&mut self, now: TimePoint, org: OrgKey, units: u32) {
+        self.account(now, org).used -= i64::from(units);
+    }
+
+    /// Messages about use that owners do not know of yet.
+    pub fn untold(&mut self, now: TimePoint) -> Vec<LimitAsk> {
+        let due = |account: &OrgUse| {
+            account.used != account.told && now.since(account.told_at) >= TELL_PERIOD
+        };
+        let accounts = self.uses.iter_mut().filter(|(_, account)| due(account));
+        accounts.map(|(org, account)| account.message(now, *org, 0, 0)).collect()
+    }
+
+    fn account(&mut self, now: TimePoint, org: OrgKey) -> &mut OrgUse {
+        self.uses.entry(org).or_insert_with(|| OrgUse {
+            used: 0,
+            told: 0,
+            told_at: now,
+            seen: None,
+            alone: LimitBucket::new(now, 0.0),
+        })
+    }
+}
+
+impl OrgUse {
+    fn message(&mut self, now: TimePoint, org: OrgKey, sequence: u32, units: u32) -> LimitAsk {
+        self.told = self.used;
+        self.told_at = now;
+        let recent = self.seen.filter(|(_, at)| now.since(*at) < SEEN_LIFE);
+        let seen_level = recent.map(|(level, _)| level);
+        LimitAsk { sequence, org, used: self.used, units, seen_level }
+    }
+}
--- /dev/null
+++ b/src/organisations/mod.rs
@@ -0,0 +1,17 @@
+//! Organisations tells who may call: whose key a request carries, and whether the configuration that
+//! says so is known to be recent enough to rely on.
+//!
+//! Inputs are the configuration in force, the moment at which it was last known to be the newest one,
+//! and the key of a request; the output is an organisation, or why the request must not run.
+
+mod caller_key;
+mod caller_permission;
+mod config_age;
+mod org_directory;
+mod organisation;
+
+pub use caller_key::{KeyDigest, KeyHasher};
+pub use caller_permission::{CallerPermission, check_permission};
+pub use config_age::{AgeAnswer, AgeQuestion, ConfigAge};
+pub use org_directory::OrgDirectory;
+pub use organisation::{LimitUnit, OrgLimit, Organisation};
--- /dev/null
+++ b/src/organisations/org_directory.rs
@@ -0,0 +1,55 @@
+use super::{KeyDigest, Organisation};
+use crate::keys::OrgKey;
+use crate::{Error, Result};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// The organisations of one configuration, by the keys of their callers.
+#[derive(Debug, Clone, Default)]
+pub struct OrgDirectory {
+    by_key: HashMap<KeyDigest, Arc<Organisation>>,
+    by_name: HashMap<OrgKey, Arc<Organisation>>,
+}
+
+impl TryFrom<&[Arc<Organisation>]> for OrgDirectory {
+    type Error = Error;
+
+    /// Fails if a name stands twice, or if two organisations have a key in common: nobody could tell
+    /// which of them a caller belongs to.
+    fn try_from(organisations: &[Arc<Organisation>]) -> Result<Self> {
+        let mut directory = Self::default();
+        for organisation in organisations {
+            let name = &organisation.name;
+            let twin = directory.by_name.insert(organisation.key(), Arc::clone(organisation));
+            if twin.is_some() {
+                return Err(Error::Protocol(format!("organisation {name:?} stands twice")));
+            }
+            for digest in &organisation.keys {
+                let holder = directory.by_key.insert(*digest, Arc::clone(organisation));
+                if let Some(other) = holder.filter(|other| other.name != *name) {
+                    let other = &other.name;
+                    let text = format!("organisations {other:?} and {name:?} have a key in common");
+                    return Err(Error::Protocol(text));
+                }
+            }
+        }
+        Ok(directory)
+    }
+}
+
+impl OrgDirectory {
+    /// Whether callers need no keys, since there are no organisations.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// The organisation that a key belongs to.
+    pub fn holder(&self, digest: KeyDigest) -> Option<&Arc<Organisation>> {
+        self.by_key.get(&digest)
+    }
+
+    /// An organisation by its own key.
+    pub fn organisation(&self, key: OrgKey) -> Option<&Arc<Organisation>> {
+        self.by_name.get(&key)
+    }
+}
--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -1,9 +1,11 @@
 //! Decodes the operator's configuration.
 
+use crate::organisations::{KeyHasher, LimitUnit, OrgLimit, Organisation};
 use crate::routes::{
     EngineSpec, RequestLimits, Route, RouteKind, RouteParts, RouteTarget, ServiceKey, ServiceSpec,
 };
 use crate::{Error, Result};
+use http::HeaderValue;
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +18,30 @@
     #[serde(default)]
     services: Vec<WireService>,
     limits: Option<WireLimits>,
+    /// The organisations.
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Deserialize)]
+struct WireTenant {
+    name: String,
+    #[serde(default)]
+    keys: Vec<String>,
+    unit: Option<String>,
+    /// What a request without a stated size counts, where tokens are counted.
+    plain_tokens: Option<u32>,
+    /// Units a second over all hosts; zero for no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+impl std::fmt::Debug for WireTenant {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "WireTenant({:?}, {} keys)", self.name, self.keys.len())
+    }
 }
 
 #[derive(Debug, Deserialize)]
@@ -35,6 +61,9 @@
     attempts: Option<u32>,
     #[serde(default)]
     can_resume: bool,
+    /// Callers need no key.
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -73,20 +102,52 @@
 
 /// Decodes a configuration as it lies in the store.
 ///
+/// Callers' keys are hashed here; nothing beyond holds one.
+///
 /// # Errors
-/// If a field is missing or of another type.
-pub fn decode_config(spec: &serde_json::Value) -> Result<RouteParts> {
+/// If a field is missing or of another type, or a limit is not one.
+pub fn decode_config(spec: &serde_json::Value, hasher: &KeyHasher) -> Result<RouteParts> {
     let wire = WireConfig::deserialize(spec)?;
     let routes = wire.routes.into_iter().map(|route| Route::try_from(route).map(Arc::new));
     let services = wire.services.into_iter().map(|service| Arc::new(service.into()));
+    let organisations =
+        wire.tenants.iter().map(|tenant| decode_tenant(tenant, hasher).map(Arc::new));
+    let organisations = organisations.collect::<Result<Vec<_>>>()?;
     Ok(RouteParts {
         version: wire.version,
         limits: wire.limits.map_or_else(RequestLimits::default, RequestLimits::from),
         routes: routes.collect::<Result<Vec<_>>>()?,
         services: services.collect(),
+        organisations,
     })
 }
 
+fn decode_tenant(wire: &WireTenant, hasher: &KeyHasher) -> Result<Organisation> {
+    // Servers are told the name in a header.
+    if wire.name.is_empty() || HeaderValue::from_str(&wire.name).is_err() {
+        return Err(Error::Protocol(format!("{:?} is no name of an organisation", wire.name)));
+    }
+    let keys = wire.keys.iter().map(|key| hasher.digest(key)).collect();
+    Ok(Organisation { name: wire.name.clone(), keys, limit: decode_limit(wire)? })
+}
+
+fn decode_limit(wire: &WireTenant) -> Result<Option<OrgLimit>> {
+    let wrong = |what: &str| Error::Protocol(format!("organisation {:?} has {what}", wire.name));
+    let (rate, burst) = (wire.rate_per_s, wire.burst);
+    if !(rate.is_finite() && burst.is_finite() && rate >= 0.0 && burst >= 0.0) {
+        return Err(wrong("a limit that is no positive number"));
+    }
+    let unit = match wire.unit.as_deref() {
+        None => LimitUnit::Requests,
+        Some(TOKEN_UNIT) => LimitUnit::Tokens { plain: wire.plain_tokens.unwrap_or_default() },
+        Some(other) => return Err(wrong(&format!("the unknown unit {other:?}"))),
+    };
+    Ok((rate > 0.0).then_some(OrgLimit { rate, burst, unit }))
+}
+
+/// The unit of limits that count tokens.
+const TOKEN_UNIT: &str = "token_report";
+
 impl TryFrom<WireRoute> for Route {
     type Error = Error;
 
@@ -110,6 +171,7 @@
             longest_pause: millis(wire.gap_aim_ms.unwrap_or_default()),
             most_servers: wire.attempts.unwrap_or(1).max(1),
             resumable: wire.can_resume,
+            is_public: wire.public,
             targets,
         })
     }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -25,8 +25,17 @@
 /// Server that receives copies of the request's memory as it grows.
 pub const KV_BACKUP: &str = "kv-backup";
 
-/// Headers that only the router may set towards a backend server.
-pub const ROUTER_ONLY: [&str; 12] = [
+/// Carries a caller's key, after [`KEY_SCHEME`].
+pub const AUTHORIZATION: &str = "authorization";
+/// What stands before a caller's key.
+pub const KEY_SCHEME: &str = "Token ";
+/// Name of the organisation that a request runs for; always set by the router.
+pub const TENANT: &str = "x-tenant";
+
+/// Headers that only the router may set towards a backend server, or that are meant for it alone.
+pub const ROUTER_ONLY: [&str; 14] = [
+    AUTHORIZATION,
+    TENANT,
     EXPECT_INSTANCE,
     STAGE,
     KV_FROM,
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -2,6 +2,7 @@
 
 use super::names;
 use crate::fleet::ServerEntry;
+use crate::organisations::{KeyDigest, KeyHasher, Organisation};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode, Uri};
@@ -21,6 +22,14 @@
     pub hinted_output: Option<u32>,
 }
 
+impl TokenCounts {
+    /// The most tokens that the request may take, if it states its size.
+    pub fn stated_size(&self) -> Option<u32> {
+        let size = self.prompt.saturating_add(self.most_output);
+        (size > 0).then_some(size)
+    }
+}
+
 /// What the head of a caller's request says to the router.
 #[derive(Debug, Clone)]
 pub struct CallHead {
@@ -34,6 +43,8 @@
     pub tokens: TokenCounts,
     /// Number of the last event that the caller already has.
     pub last_event: Option<u64>,
+    /// The caller's key.
+    pub caller_key: Option<KeyDigest>,
 }
 
 /// Which part of a request a backend server is asked for.
@@ -69,7 +80,7 @@
 
 impl CallHead {
     /// Reads a head; fields that are missing or malformed are left out.
-    pub fn read(headers: &HeaderMap, uri: &Uri) -> Self {
+    pub fn read(headers: &HeaderMap, uri: &Uri, hasher: &KeyHasher) -> Self {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let number = |name: &str| text(name).and_then(|value| value.trim().parse::<f64>().ok());
         let host = uri.host().or_else(|| text("host")).unwrap_or_default();
@@ -81,10 +92,20 @@
                 .map(|value| Duration::from_secs_f64(value.min(MOST_MILLIS) / 1000.0)),
             tokens: read_tokens(text(names::TOKEN_COUNT), number(names::LENGTH_HINT)),
             last_event: text(names::LAST_EVENT).and_then(|value| value.trim().parse().ok()),
+            caller_key: read_key(headers, hasher),
         }
     }
 }
 
+/// A caller's key. Of a request with several nobody can tell whose it is: it counts as one with none.
+fn read_key(headers: &HeaderMap, hasher: &KeyHasher) -> Option<KeyDigest> {
+    let mut values = headers.get_all(names::AUTHORIZATION).iter();
+    let value = values.next()?.to_str().ok()?;
+    let is_only = values.next().is_none();
+    let key = value.strip_prefix(names::KEY_SCHEME).map(str::trim);
+    key.filter(|key| is_only && !key.is_empty()).map(|key| hasher.digest(key))
+}
+
 /// A day; longer deadlines mean the same.
 const MOST_MILLIS: f64 = 86_400_000.0;
 
@@ -100,13 +121,24 @@
 impl ServerCall {
     /// Takes over a caller's request, without what concerns its connection or only the router may
     /// say.
-    pub fn new(method: Method, uri: &Uri, headers: &HeaderMap, body: Bytes) -> Self {
+    ///
+    /// Servers are told the organisation that it runs for, whatever the caller said.
+    pub fn new(
+        method: Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        organisation: Option<&Organisation>,
+        body: Bytes,
+    ) -> Self {
         let path = uri.path_and_query().map_or("/", |path| path.as_str());
-        let headers = headers
+        let mut headers: HeaderMap = headers
             .iter()
             .filter(|(name, _)| is_end_to_end(headers, name) && !is_router_only(name))
             .map(|(name, value)| (name.clone(), value.clone()))
             .collect();
+        if let Some(organisation) = organisation {
+            set(&mut headers, names::TENANT, &organisation.name);
+        }
         Self { method, uri: Uri::try_from(path).unwrap_or_default(), headers, body }
     }
 
--- a/src/routes/route.rs
+++ b/src/routes/route.rs
@@ -44,6 +44,8 @@
     pub most_servers: u32,
     /// A stream may continue on another server after its last event.
     pub resumable: bool,
+    /// Its callers need no key of an organisation.
+    pub is_public: bool,
     /// Where the requests go; never empty.
     pub targets: Vec<RouteTarget>,
 }
--- a/src/routes/route_table.rs
+++ b/src/routes/route_table.rs
@@ -1,4 +1,6 @@
 use super::{RequestLimits, Route, ServiceKey, ServiceSpec};
+use crate::organisations::{OrgDirectory, Organisation};
+use crate::{Error, Result};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,6 +16,8 @@
     pub routes: Vec<Arc<Route>>,
     /// All services.
     pub services: Vec<Arc<ServiceSpec>>,
+    /// All organisations; callers need no keys if there are none.
+    pub organisations: Vec<Arc<Organisation>>,
 }
 
 /// One version of the configuration, ready to be looked up; versions only rise.
@@ -22,10 +26,13 @@
     parts: RouteParts,
     by_host: HashMap<String, Vec<Arc<Route>>>,
     by_key: HashMap<ServiceKey, Arc<ServiceSpec>>,
+    organisations: OrgDirectory,
 }
 
-impl From<RouteParts> for RouteTable {
-    fn from(parts: RouteParts) -> Self {
+impl TryFrom<RouteParts> for RouteTable {
+    type Error = Error;
+
+    fn try_from(parts: RouteParts) -> Result<Self> {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in &parts.routes {
             let host = route.host.to_ascii_lowercase();
@@ -37,7 +44,8 @@
         let keyed =
             |service: &Arc<ServiceSpec>| (ServiceKey::of(&service.name), Arc::clone(service));
         let by_key = parts.services.iter().map(keyed).collect();
-        Self { parts, by_host, by_key }
+        let organisations = OrgDirectory::try_from(&parts.organisations[..])?;
+        Ok(Self { parts, by_host, by_key, organisations })
     }
 }
 
@@ -69,6 +77,11 @@
         self.by_key.get(&key)
     }
 
+    /// The organisations.
+    pub fn organisations(&self) -> &OrgDirectory {
+        &self.organisations
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = (ServiceKey, &Arc<ServiceSpec>)> {
         self.by_key.iter().map(|(key, service)| (*key, service))
--- a/src/settings/field_reader.rs
+++ b/src/settings/field_reader.rs
@@ -99,6 +99,18 @@
         }
     }
 
+    /// A whole number within bounds that may be left out.
+    pub fn optional_number(
+        &mut self,
+        key: &'static str,
+        bounds: std::ops::RangeInclusive<u64>,
+    ) -> Option<u64> {
+        self.property(key).is_some().then(|| self.number(key, bounds, None)).or_else(|| {
+            self.asked.push(key);
+            None
+        })
+    }
+
     /// A number within bounds; `default` if left out.
     pub fn decimal(
         &mut self,
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -1,6 +1,7 @@
 use super::SourceText;
 use super::field_reader::{FieldReader, read_object};
 use super::host_settings::{NOWHERE, SHORTEST_KEY, read_level};
+use crate::limits::LimitBounds;
 use crate::placement::RetryBounds;
 use crate::{Error, Result};
 use std::net::SocketAddr;
@@ -15,6 +16,10 @@
     pub retries: RetryBounds,
     /// How long after one holder's last order no other may give one.
     pub lease: Duration,
+    /// How long after it was taken away a caller's key may still be served; `None` for no bound.
+    pub revocation: Option<Duration>,
+    /// How limits of organisations are measured, over all hosts.
+    pub limits: LimitBounds,
 }
 
 /// Settings of one daemon on the users' platform.
@@ -84,6 +89,15 @@
             window: seconds(reader.decimal("retry_window_s", 1.0..=600.0, 10.0)),
         },
         lease: Duration::from_millis(reader.number("lease_ms", 0..=600_000, Some(3000))),
+        revocation: reader
+            .optional_number("revocation_ms", 1000..=600_000)
+            .map(Duration::from_millis),
+        limits: LimitBounds {
+            window: seconds(reader.decimal("limit_window_s", 0.1..=3600.0, 10.0)),
+            over: reader.decimal("limit_over", 0.0..=10.0, 0.0),
+            slack: reader.decimal("limit_slack", 0.0..=1e12, 0.0),
+            domains: reader.strings("domains").len().max(1),
+        },
     }
 }
 
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -30,6 +30,7 @@
         uninformed_for: uninformed_for_ms.map(Duration::from_millis),
         elected,
         store_age: Duration::from_millis(store_age_ms),
+        config_age: None,
         refused_for: refused_for_ms.map(Duration::from_millis),
         domain_hosts: 3,
         salt: 1234,
@@ -54,6 +55,7 @@
                 uninformed_for: None,
                 elected: false,
                 store_age: now,
+                config_age: None,
                 refused_for: refused_at.map(|at| now - at),
                 domain_hosts,
                 salt: host as u64 * 7919,
@@ -122,3 +124,20 @@
     }
     assert_eq!(holders.len(), 4);
 }
+
+/// Keys of callers are believed for 4.9 s: a host whose neighbours know nothing younger asks itself before.
+#[rstest]
+#[case::young(3100, WatchDuty::Hear)]
+#[case::old(4300, WatchDuty::Doubt)]
+fn unsure_host_asks(#[case] config_age_ms: u64, #[case] expected: WatchDuty) {
+    let view = DutyView {
+        uninformed_for: None,
+        elected: false,
+        store_age: Duration::from_millis(300),
+        config_age: Some(Duration::from_millis(config_age_ms)),
+        refused_for: None,
+        domain_hosts: 30,
+        salt: 1234,
+    };
+    assert_eq!(watch_duty(&view), expected);
+}
