A prompt whose prefill server lost its answer is read by its decode server

Ruled out: a second prefill server, as it stood: it loses as many answers, and each lost read is paid for. The test fails on the code before (503).

--- a/src/bench/site/engine_fault.rs
+++ b/src/bench/site/engine_fault.rs
@@ -10,6 +10,8 @@
     Silent,
     /// Results of prefills are gone when they are fetched.
     LoseHandles,
+    /// It reads prompts and breaks off instead of answering.
+    LoseReads,
     /// It answers 500 to runs.
     FailRuns,
     /// It breaks streams off within the event after this many.
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -148,6 +148,9 @@
 
     fn prefill(&self, request: &WholeRequest, id: &str) -> SiteAnswer {
         self.note_run(request, id, "prefill");
+        if self.fault() == EngineFault::LoseReads {
+            return Err(BrokenOff);
+        }
         let handle = self.serial();
         let lapses = Instant::now() + HANDLE_LIFE;
         lock(&self.handles).insert(handle.clone(), (id.to_owned(), lapses));
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -17,6 +17,8 @@
 const FULL_QUEUE_TOKENS: u32 = 12_000;
 /// Prefill servers tried for one request.
 const MOST_READERS: usize = 2;
+/// A decode server still reads a prompt in time while no more than this part of the objective has passed.
+const OWN_READ_PART: f64 = 0.6;
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
 /// How reading a prompt ended.
@@ -62,15 +64,32 @@
                 let now = context.host.now();
                 context.host.state().changes.note_suspected(now, server.key());
             }
-            Ok(ReadEnd::Failed) => context.host.note_server(server, ServerNote::Erred),
+            Ok(ReadEnd::Failed) => {
+                context.host.note_server(server, ServerNote::Erred);
+                break;
+            }
             Err(error) => {
                 context.host.note_server(server, ServerNote::Silent);
                 let (id, server) = (context.id(), &server.id);
                 log::info!("event=prompt_unread request={id} server={server} cause=\"{error}\"");
+                break;
             }
         }
     }
-    PromptEnd::Failed
+    after_failure(context)
+}
+
+/// What becomes of a prompt that no prefill server read. Its decode server holds memory for it already and
+/// reads it in time, unless too much of the objective has passed; a second prefill server would read it
+/// for nothing as often as the first one did whose answer was lost.
+fn after_failure(context: &CallContext) -> PromptEnd {
+    let (age, objective) = (context.age(), context.route.objective);
+    if age > objective.mul_f64(OWN_READ_PART) {
+        return PromptEnd::Failed;
+    }
+    let (id, age) = (context.id(), age.as_millis());
+    log::info!("event=prompt_left_to_decode request={id} age_ms={age}");
+    PromptEnd::LeftToDecode
 }
 
 /// How one server answered.
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -68,6 +68,24 @@
     });
 }
 
+/// The decode server holds memory for the request already: where the answer of a prefill server is lost, it
+/// reads the prompt itself, and no other prefill server reads it for nothing.
+#[test]
+fn prompt_with_a_lost_answer_read_by_its_decode_server() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        for engine in &site.prefills {
+            engine.set_fault(EngineFault::LoseReads);
+        }
+        let reply = ask(&site, &call("POST", "stream", "r1")).await;
+        assert_eq!((reply.status.as_u16(), reply.complete), (200, true));
+        let runs = engine_runs(&site, "r1");
+        let stages: Vec<&str> = runs.iter().map(|run| run.stage.as_str()).collect();
+        assert_eq!(stages, ["prefill", "decode"]);
+        settled(&site).await;
+    });
+}
+
 /// Soak, seed 406: the first run fell silent, there was no room for a second one, and the caller was
 /// told that its request had not run.
 #[test]
