--- a/src/bench/worlds/limit_parts.rs
+++ b/src/bench/worlds/limit_parts.rs
@@ -114,6 +114,15 @@
     NameKey::of(&format!("domain-{place}"))
 }
 
+/// A request that waits for its owner's answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OpenAsk {
+    pub host: usize,
+    pub owner: IncarnationId,
+    pub ask: LimitAsk,
+    pub until: TimePoint,
+}
+
 /// What hosts send each other.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum ParcelBody {
--- a/src/bench/worlds/limit_world.rs
+++ b/src/bench/worlds/limit_world.rs
@@ -1,19 +1,18 @@
-use super::limit_parts::{LimitHost, Parcel, ParcelBody, UseWindow, WorldNet, domain_key};
+use super::limit_parts::{LimitHost, OpenAsk, ParcelBody, UseWindow, WorldNet};
 use super::{Sabotage, WorldReport};
-use crate::keys::{IncarnationId, NameKey, OrgKey, TimePoint};
-use crate::limits::{LimitAnswer, LimitAsk, LimitBounds, LimitShare, OwnerChoice, choose_owner};
-use crate::membership::MemberUpdate;
+use crate::keys::{OrgKey, TimePoint};
+use crate::limits::{LimitBounds, OwnerChoice};
 use crate::organisations::{LimitUnit, OrgLimit};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 
-const DOMAINS: usize = 3;
+pub(super) const DOMAINS: usize = 3;
 /// Hosts of a domain, by the seed.
 const DOMAIN_HOSTS: [usize; 2] = [10, 29];
 const STEP: Duration = Duration::from_millis(10);
 /// An owner that has not answered by then counts as silent.
-const ANSWER_LIMIT: Duration = Duration::from_millis(60);
+pub(super) const ANSWER_LIMIT: Duration = Duration::from_millis(60);
 const TELL_STEPS: u64 = 25;
 const MEET_STEPS: u64 = 10;
 /// Steps between two faults, on average.
@@ -22,35 +21,26 @@
 const REQUEST_UNITS: std::ops::RangeInclusive<u32> = 2_000..=12_000;
 /// Units a second of small and large organisations: of the large ones the tolerance is the smaller part.
 const RATES: [f64; 3] = [36_000.0, 80_000.0, 186_000.0];
-const BOUNDS: LimitBounds =
+pub(super) const BOUNDS: LimitBounds =
     LimitBounds { window: Duration::from_secs(8), over: 0.1, slack: 140_000.0, domains: DOMAINS };
 /// What callers ask for at most times, and while one organisation sends many times its usual, as parts of
 /// its limit.
 const USUAL_LOAD: f64 = 0.55;
 const HOT_LOAD: f64 = 4.0;
 
-/// A request that waits for its owner's answer.
-#[derive(Debug, Clone, Copy)]
-struct OpenAsk {
-    host: usize,
-    owner: IncarnationId,
-    ask: LimitAsk,
-    until: TimePoint,
-}
-
 #[derive(Debug)]
-struct LimitWorld {
-    rng: StdRng,
-    now: TimePoint,
+pub(super) struct LimitWorld {
+    pub rng: StdRng,
+    pub now: TimePoint,
     turn: u64,
-    hosts: Vec<LimitHost>,
-    net: WorldNet,
-    open: Vec<OpenAsk>,
-    window: UseWindow,
-    limit: OrgLimit,
+    pub hosts: Vec<LimitHost>,
+    pub net: WorldNet,
+    pub open: Vec<OpenAsk>,
+    pub window: UseWindow,
+    pub limit: OrgLimit,
     load: f64,
-    sabotage: Sabotage,
-    report: WorldReport,
+    pub sabotage: Sabotage,
+    pub report: WorldReport,
 }
 
 /// Runs the world of one organisation's limit: hosts of three failure domains that grant, borrow and tell,
@@ -82,7 +72,7 @@
     world.report
 }
 
-fn org() -> OrgKey {
+pub(super) fn org() -> OrgKey {
     OrgKey::of("moonbook")
 }
 
@@ -169,145 +159,6 @@
         self.ask_owner(place, ask);
     }
 
-    fn ask_owner(&mut self, place: usize, ask: LimitAsk) {
-        match self.owner(place, self.hosts[place].update.domain) {
-            OwnerChoice::Own => {
-                let answer = self.grant(place, self.hosts[place].update.incarnation, &ask);
-                self.hear(place, &ask, &answer);
-            }
-            OwnerChoice::Other(owner) => {
-                let until = self.now + ANSWER_LIMIT;
-                self.open.push(OpenAsk { host: place, owner: owner.incarnation, ask, until });
-                self.send(place, owner, ParcelBody::Ask(ask));
-            }
-            OwnerChoice::Unknown => self.use_alone(place, &ask),
-        }
-    }
-
-    fn place_of(&self, host: MemberUpdate) -> usize {
-        usize::try_from(host.incarnation.0).unwrap_or_default() % self.hosts.len()
-    }
-
-    fn owner(&self, place: usize, domain: NameKey) -> OwnerChoice {
-        let host = &self.hosts[place];
-        let living = host.living(self.now, domain);
-        let (age, own) = (host.age(self.now), host.update.incarnation);
-        choose_owner(age, org(), own, host.is_alone(), living.into_iter(), &host.silent)
-    }
-
-    fn share(&self, place: usize) -> LimitShare {
-        let share = LimitShare::of_domain(&self.limit, &BOUNDS);
-        let (seen, known) = self.hosts[place].domain_hosts(self.now);
-        if self.sabotage == Sabotage::OwnWholePart { share } else { share.part(seen, known) }
-    }
-
-    fn grant(&mut self, place: usize, from: IncarnationId, ask: &LimitAsk) -> LimitAnswer {
-        let (share, age) = (self.share(place), self.hosts[place].age(self.now));
-        let domain = self.hosts[place].update.domain;
-        let lenders: Vec<MemberUpdate> = (0..DOMAINS)
-            .map(domain_key)
-            .filter(|other| *other != domain)
-            .filter_map(|domain| match self.owner(place, domain) {
-                OwnerChoice::Other(owner) => Some(owner),
-                OwnerChoice::Own | OwnerChoice::Unknown => None,
-            })
-            .collect();
-        let is_settled = self.hosts[place].is_settled(self.now, BOUNDS.window);
-        let ledger = &mut self.hosts[place].ledger;
-        let answer = ledger.receive(age, from, ask, &share, is_settled);
-        let loans = ledger.loans_wanted(age, org(), &share, lenders.len());
-        for (lender, loan) in lenders.into_iter().zip(loans) {
-            self.send(place, lender, ParcelBody::LoanAsk(loan));
-        }
-        answer
-    }
-
-    fn send(&mut self, place: usize, to: MemberUpdate, body: ParcelBody) {
-        let from = self.hosts[place].update;
-        let delay = Duration::from_millis(self.rng.random_range(0..25));
-        let lost = self.rng.random_bool(0.02);
-        if !lost {
-            self.net.post(Parcel { due: self.now + delay, from, to, body });
-        }
-    }
-
-    fn deliver(&mut self, parcel: Parcel) {
-        let place = self.place_of(parcel.to);
-        let from = self.place_of(parcel.from);
-        let host = &self.hosts[place];
-        if host.update.incarnation != parcel.to.incarnation || !self.net.is_open(from, place) {
-            return;
-        }
-        if host.suspended_until > self.now {
-            // It lies in the socket's buffer until the host goes on.
-            return self.net.post(Parcel { due: host.suspended_until, ..parcel });
-        }
-        let age = host.age(self.now);
-        let share = self.share(place);
-        match parcel.body {
-            ParcelBody::Ask(ask) => {
-                let answer = self.grant(place, parcel.from.incarnation, &ask);
-                self.send(place, parcel.from, ParcelBody::Answer(answer));
-            }
-            ParcelBody::Answer(answer) => {
-                let waits = |open: &OpenAsk| {
-                    open.host == place
-                        && open.ask.sequence == answer.sequence
-                        && open.owner == parcel.from.incarnation
-                };
-                if let Some(at) = self.open.iter().position(waits) {
-                    let open = self.open.swap_remove(at);
-                    self.hear(place, &open.ask, &answer);
-                }
-            }
-            ParcelBody::LoanAsk(ask) => {
-                let loan = self.hosts[place].ledger.lend(age, &ask, &share);
-                if let Some(loan) = loan {
-                    self.send(place, parcel.from, ParcelBody::Loan(loan));
-                }
-            }
-            ParcelBody::Loan(loan) => self.hosts[place].ledger.borrow(age, &loan, &share),
-        }
-    }
-
-    fn hear(&mut self, place: usize, ask: &LimitAsk, answer: &LimitAnswer) {
-        let age = self.hosts[place].age(self.now);
-        self.hosts[place].meter.hear(age, answer, ask.units);
-        if answer.refused_ms.is_none() {
-            self.admit(ask.units);
-        }
-    }
-
-    fn use_alone(&mut self, place: usize, ask: &LimitAsk) {
-        let age = self.hosts[place].age(self.now);
-        let (_, known) = self.hosts[place].domain_hosts(self.now);
-        let share = LimitShare::of_domain(&self.limit, &BOUNDS);
-        if self.hosts[place].meter.use_alone(age, org(), ask.units, &share, known) {
-            self.admit(ask.units);
-        }
-    }
-
-    fn admit(&mut self, units: u32) {
-        self.report.done += u64::from(units);
-        self.window.note(self.now, units);
-    }
-
-    fn give_up_asks(&mut self) {
-        let now = self.now;
-        let (late, open): (Vec<OpenAsk>, Vec<OpenAsk>) =
-            self.open.drain(..).partition(|open| now >= open.until);
-        self.open = open;
-        for ask in late {
-            let host = &mut self.hosts[ask.host];
-            // The process that asked may be another one by now.
-            if host.runs(now) {
-                let age = host.age(now);
-                host.silent.note(age, ask.owner);
-                self.use_alone(ask.host, &ask.ask);
-            }
-        }
-    }
-
     fn tell(&mut self) {
         for place in 0..self.hosts.len() {
             if !self.hosts[place].runs(self.now) {
--- a/src/bench/worlds/mod.rs
+++ b/src/bench/worlds/mod.rs
@@ -6,6 +6,7 @@
 
 mod claim_parts;
 mod claim_world;
+mod limit_exchange;
 mod limit_parts;
 mod limit_world;
 mod member_world;
--- a/src/gateway/decode_room.rs
+++ b/src/gateway/decode_room.rs
@@ -3,8 +3,8 @@
 use super::call_context::CallContext;
 use super::call_end::NotRunReason;
 use super::engine_hold::{EngineKeep, take_hold};
-use super::gateway_host::ServerWish;
 use super::load_guard::LoadGuard;
+use super::server_ranking::ServerWish;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::ServerKey;
 use crate::placement::{ChoiceKind, RoomSearch, RoomStep, ServerLoad, ServerNote};
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,23 +1,23 @@
 use super::gateway_state::GatewayState;
 use super::limit_waits::LimitWaits;
 use crate::engines::HttpPool;
-use crate::fleet::{FleetView, RefusedHosts, ServerEntry, ServerStage, StageChanges};
+use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges};
 use crate::host::lock;
 use crate::keys::{IncarnationId, NameKey, TimePoint};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::organisations::{ConfigAge, KeyHasher};
 use crate::peers::PeerClient;
-use crate::placement::{ChoiceKind, ChoiceView, DomainGates, LoadBoard, ServerNote, rank_servers};
+use crate::placement::{DomainGates, LoadBoard, ServerNote};
 use crate::platform::StoreClient;
 use crate::routes::{RouteTable, ServiceKey};
 use crate::settings::GatewaySettings;
 use crate::telemetry::MetricBook;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Instant, SystemTime};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
@@ -50,19 +50,6 @@
     }
 }
 
-/// What servers are ranked for.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct ServerWish {
-    /// The stage that they must have, of a service of model engines.
-    pub stage: Option<ServerStage>,
-    /// What makes one better than another.
-    pub kind: ChoiceKind,
-    /// The failure domain that they should be in.
-    pub near: NameKey,
-    /// Part of a full server that another failure domain counts.
-    pub abroad: f64,
-}
-
 /// Everything that one daemon on the platform knows.
 #[derive(Debug)]
 pub struct GatewayHost {
@@ -71,7 +58,7 @@
     /// This life of it.
     pub incarnation: IncarnationId,
     start: Instant,
-    serials: AtomicU64,
+    pub(super) serials: AtomicU64,
     state: Mutex<GatewayState>,
     metrics: Mutex<MetricBook>,
     pub(super) pool: HttpPool,
@@ -240,38 +227,6 @@
         true
     }
 
-    /// Servers of a service from best to worst.
-    pub(super) fn ranked(&self, service: ServiceKey, wish: &ServerWish) -> Vec<ServerEntry> {
-        let now = self.now();
-        let salt = self.serials.fetch_add(1, Ordering::Relaxed);
-        let warm = self.pool.warm_addresses();
-        let mut state = self.state();
-        state.board.expire(now);
-        let view = ChoiceView {
-            board: &state.board,
-            health: &state.health,
-            domains: &state.domains,
-            changes: &state.changes,
-            warm: &warm,
-            near: wish.near,
-            abroad: wish.abroad,
-            salt: salt ^ self.incarnation.0,
-        };
-        let candidates = state
-            .fleet
-            .ready(service)
-            .filter(|server| wish.stage.is_none_or(|stage| server.stage == Some(stage)));
-        rank_servers(now, &view, wish.kind, candidates).into_iter().cloned().collect()
-    }
-
-    /// How long a prompt waits at a prefill server until those before it are read; zero while the
-    /// pace of reading is not known.
-    pub(super) fn prompt_wait(&self, service: ServiceKey, server: &ServerEntry) -> Duration {
-        let state = self.state();
-        let queue = state.board.total(server.key()).prompt_tokens;
-        state.work.get(&service).map(|meter| meter.read_time(queue)).unwrap_or_default()
-    }
-
     /// Takes note of what happened between this host and a server.
     pub(super) fn note_server(&self, server: &ServerEntry, note: ServerNote) {
         let now = self.now();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod ready_server;
 mod run_open;
 mod run_start;
+mod server_ranking;
 mod stage_loop;
 mod stage_orders;
 mod stop_plan;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,7 +1,7 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
-use super::gateway_host::ServerWish;
 use super::load_guard::LoadGuard;
+use super::server_ranking::ServerWish;
 use crate::engines::SendLimits;
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -1,7 +1,7 @@
 use super::call_context::CallContext;
 use super::engine_hold::EngineKeep;
-use super::gateway_host::ServerWish;
 use super::load_guard::LoadGuard;
+use super::server_ranking::ServerWish;
 use crate::engines::SendLimits;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::NameKey;
--- /dev/null
+++ b/src/gateway/server_ranking.rs
@@ -0,0 +1,56 @@
+//! Ranks backend servers by what this host knows of them.
+
+use super::gateway_host::GatewayHost;
+use crate::fleet::{ServerEntry, ServerStage};
+use crate::keys::NameKey;
+use crate::placement::{ChoiceKind, ChoiceView, rank_servers};
+use crate::routes::ServiceKey;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// What servers are ranked for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct ServerWish {
+    /// The stage that they must have, of a service of model engines.
+    pub stage: Option<ServerStage>,
+    /// What makes one better than another.
+    pub kind: ChoiceKind,
+    /// The failure domain that they should be in.
+    pub near: NameKey,
+    /// Part of a full server that another failure domain counts.
+    pub abroad: f64,
+}
+
+impl GatewayHost {
+    /// Servers of a service from best to worst.
+    pub(super) fn ranked(&self, service: ServiceKey, wish: &ServerWish) -> Vec<ServerEntry> {
+        let now = self.now();
+        let salt = self.serials.fetch_add(1, Ordering::Relaxed);
+        let warm = self.pool.warm_addresses();
+        let mut state = self.state();
+        state.board.expire(now);
+        let view = ChoiceView {
+            board: &state.board,
+            health: &state.health,
+            domains: &state.domains,
+            changes: &state.changes,
+            warm: &warm,
+            near: wish.near,
+            abroad: wish.abroad,
+            salt: salt ^ self.incarnation.0,
+        };
+        let candidates = state
+            .fleet
+            .ready(service)
+            .filter(|server| wish.stage.is_none_or(|stage| server.stage == Some(stage)));
+        rank_servers(now, &view, wish.kind, candidates).into_iter().cloned().collect()
+    }
+
+    /// How long a prompt waits at a prefill server until those before it are read; zero while the
+    /// pace of reading is not known.
+    pub(super) fn prompt_wait(&self, service: ServiceKey, server: &ServerEntry) -> Duration {
+        let state = self.state();
+        let queue = state.board.total(server.key()).prompt_tokens;
+        state.work.get(&service).map(|meter| meter.read_time(queue)).unwrap_or_default()
+    }
+}
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -1,4 +1,4 @@
-//! Which server a request goes to, what is believed of servers, and how many repeats are allowed.
+//! Which server a request goes to, and what is believed of servers.
 
 use rstest::rstest;
 use std::collections::{HashMap, HashSet};
@@ -6,8 +6,7 @@
 use tealcleat::fleet::{ServerEntry, ServerStage, ServerState, StageChanges};
 use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 use tealcleat::placement::{
-    ABROAD, ChoiceKind, ChoiceView, DomainGates, LoadBoard, RetryBounds, RetryWindow, ServerHealth,
-    ServerLoad, rank_servers,
+    ABROAD, ChoiceKind, ChoiceView, DomainGates, LoadBoard, ServerHealth, ServerLoad, rank_servers,
 };
 
 const MEMORY: u32 = 10_000;
@@ -276,52 +275,3 @@
     board.take(key, memory(50));
     assert_eq!(board.own().count(), 0);
 }
-
-fn bounds() -> RetryBounds {
-    RetryBounds { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) }
-}
-
-#[test]
-fn repeats_bounded_by_share_of_slack_and_ratio() {
-    let mut window = RetryWindow::default();
-    let taken = (0..100).filter(|_| window.take(at(0), &bounds(), 10, 1)).count();
-    assert_eq!(taken, 4, "a tenth of the slack");
-    for _ in 0..100 {
-        window.note_request(at(100), &bounds());
-    }
-    let taken = (0..100).filter(|_| window.take(at(200), &bounds(), 10, 1)).count();
-    assert_eq!(taken, 14, "0.2 of 100 requests with its margin of 0.7");
-}
-
-/// Whatever the hosts do alone, together they stay below the bound in every sliding window.
-#[test]
-fn repeats_of_all_hosts_bounded_in_every_window() {
-    let mut windows = vec![RetryWindow::default(); 10];
-    let mut requests = Vec::new();
-    let mut repeats = Vec::new();
-    for step in 0..4000_u64 {
-        let now = at(step * 10);
-        // A storm every five seconds: each request wants three repeats.
-        let busy = (step / 250).is_multiple_of(2);
-        let host = &mut windows[(step % 10) as usize];
-        if busy || step.is_multiple_of(20) {
-            host.note_request(now, &bounds());
-            requests.push(step * 10);
-        }
-        for _ in 0..3 {
-            if host.take(now, &bounds(), 10, 1) {
-                repeats.push(step * 10);
-            }
-        }
-    }
-    for end in (0..40_000_u64).step_by(250) {
-        let within = |times: &[u64], from: u64, to: u64| {
-            times.iter().filter(|time| **time >= from && **time < to).count() as f64
-        };
-        let from = end.saturating_sub(10_000);
-        let earlier = within(&requests, from.saturating_sub(10_000), from);
-        let middle = within(&requests, from.saturating_sub(5000), end.saturating_sub(5000));
-        let allowed = within(&requests, from, end).max(earlier).max(middle) * 0.2 + 40.0;
-        assert!(within(&repeats, from, end) <= allowed, "window ending at {end}");
-    }
-}
