--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -2,7 +2,6 @@
 
 use rstest::rstest;
 use std::collections::{HashMap, HashSet};
-use std::time::Duration;
 use tealcleat::fleet::{ServerEntry, ServerStage, ServerState, StageChanges};
 use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 use tealcleat::placement::{
