--- a/src/limits/limit_share.rs
+++ b/src/limits/limit_share.rs
@@ -3,10 +3,10 @@
 
 /// Part of the tolerance that owners grant as if it belonged to the limit. A limit that is divided over
 /// domains refuses requests that the whole would allow: one prompt is more than a small part's burst.
-const GRANTED_PART: f64 = 0.75;
+const GRANTED_PART: f64 = 0.65;
 /// Part of the tolerance that new owners may hand out together without knowing what was used before them.
 /// The rest is left for requests that reach their server late, and hosts that reach no owner.
-const FIRST_PART: f64 = 0.05;
+const FIRST_PART: f64 = 0.1;
 
 /// Hosts that a failure domain is taken to have at least by one that knows fewer.
 const LEAST_HOSTS: usize = 10;
