A host that has just started gives no orders to engines

A host younger than 3 s planned and ordered without having taken office, from the first requests, which had all waited. Ruled out: the wait for the lease (it was written anew by each of them). Change: no orders, and no office, before a host is 8 s old; callers come ten seconds after a site's machines start.

--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -4,7 +4,9 @@
 use super::gateway_state::GatewayState;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::{NameKey, TimePoint};
-use crate::orders::{ChangeOrders, OrderLease, PoolSizes, StagePlanner, servers_to_change};
+use crate::orders::{
+    ChangeOrders, OrderLease, PoolSizes, StagePlanner, may_give_orders, servers_to_change,
+};
 use crate::routes::{EngineSpec, ServiceKey};
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -16,10 +18,6 @@
 /// believes it for 7 s, so this is for lost datagrams. With news at every look the
 /// busiest of 300 hosts sent and got 835 kB a second, with every fourth 244.
 const REPEAT_LOOKS: u32 = 4;
-/// A host younger than this does not take the office before it has something to order. Hosts that
-/// start together each believe for a moment to be the oldest; one that wrote the lease then made the
-/// right one wait for 4.5 s with its first orders.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// How long a change is expected to take that another host ordered: an idle engine's change.
 const CHANGE_TIME: Duration = Duration::from_secs(6);
 /// Orders that go out side by side under one fence: each report and order takes 0.3 s at most, and a
@@ -59,7 +57,10 @@
             host.state().changes.retain_ordered(|_| false);
             continue;
         }
-        if !desk.in_office && host.now().since(TimePoint::default()) >= SETTLE_TIME {
+        if !may_give_orders(host.now().since(TimePoint::default())) {
+            continue;
+        }
+        if !desk.in_office {
             host.take_office(&mut desk).await;
         }
         if desk.lease.is_waiting(host.now()) {
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -13,4 +13,6 @@
 pub use order_desk::{OrderDesk, ServerOrder, ServerView};
 pub use order_lease::{LeaseRecord, OrderLease};
 pub use orphan_sweep::OrphanSweep;
-pub use stage_planner::{PoolSizes, StagePlanner, servers_to_change, wanted_prefills};
+pub use stage_planner::{
+    PoolSizes, StagePlanner, may_give_orders, servers_to_change, wanted_prefills,
+};
--- a/src/orders/stage_planner.rs
+++ b/src/orders/stage_planner.rs
@@ -33,6 +33,12 @@
 /// Pause between two changes of a service, so that the first shows its effect.
 const CHANGE_PAUSE: Duration = Duration::from_secs(3);
 
+/// A host younger than this gives no orders. Hosts that start together each believe for a moment to be the
+/// oldest, and know only the first requests, which all waited: after a loss of all of 300 hosts 446 changes
+/// were ordered, 315 of them in one second. The pools fitted before, and a site's callers come ten seconds
+/// after its machines start.
+const YOUNG_GIVER: Duration = Duration::from_secs(8);
+
 /// How many servers each pool of a service has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolSizes {
@@ -49,6 +55,11 @@
     changed_at: Option<TimePoint>,
 }
 
+/// Whether a host that started `age` ago knows enough of the work to change the pools.
+pub fn may_give_orders(age: Duration) -> bool {
+    age >= YOUNG_GIVER
+}
+
 /// Prefill servers that a service should have for both pools to be loaded alike, as a fraction.
 pub fn wanted_prefills(sizes: PoolSizes, work: RequestWork) -> f64 {
     let total = sizes.prefills + sizes.decodes;
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -5,8 +5,8 @@
 use tealcleat::fleet::{ServerStage, StageChanges};
 use tealcleat::keys::{NameKey, ServerKey, TimePoint};
 use tealcleat::orders::{
-    ChangeOrders, LeaseRecord, OrderLease, PoolSizes, StagePlanner, servers_to_change,
-    wanted_prefills,
+    ChangeOrders, LeaseRecord, OrderLease, PoolSizes, StagePlanner, may_give_orders,
+    servers_to_change, wanted_prefills,
 };
 use tealcleat::placement::{PromptReader, RequestWork, choose_reader};
 
@@ -24,6 +24,16 @@
     PoolSizes { prefills, decodes }
 }
 
+/// All of 300 hosts restarted: the oldest of them ordered 315 changes in one second, from reads that had waited
+/// for all the others.
+#[rstest]
+#[case::just_started(0, false)]
+#[case::first_requests(7900, false)]
+#[case::before_callers_come_to_a_new_site(8000, true)]
+fn giver_knows_the_work_first(#[case] age_ms: u64, #[case] expected: bool) {
+    assert_eq!(may_give_orders(Duration::from_millis(age_ms)), expected);
+}
+
 #[rstest]
 #[case::by_share(sizes(5, 7), work(0.1, 0.25), 3.84)]
 #[case::never_below_two(sizes(4, 8), work(0.001, 1.0), 2.0)]
