--- a/src/bench/worlds/limit_exchange.rs
+++ b/src/bench/worlds/limit_exchange.rs
@@ -44,6 +44,16 @@
 
     pub fn grant(&mut self, place: usize, from: IncarnationId, ask: &LimitAsk) -> LimitAnswer {
         let (share, age) = (self.share(place), self.hosts[place].age(self.now));
+        let is_settled = self.hosts[place].is_settled(self.now, BOUNDS.window);
+        let ledger = &mut self.hosts[place].ledger;
+        let answer = ledger.receive(age, from, ask, &share, is_settled);
+        if ledger.wants_loan(age, org(), &share) {
+            self.ask_loans(place, &share);
+        }
+        answer
+    }
+
+    fn ask_loans(&mut self, place: usize, share: &LimitShare) {
         let domain = self.hosts[place].update.domain;
         let lenders: Vec<MemberUpdate> = (0..DOMAINS)
             .map(domain_key)
@@ -53,14 +63,11 @@
                 OwnerChoice::Own | OwnerChoice::Unknown => None,
             })
             .collect();
-        let is_settled = self.hosts[place].is_settled(self.now, BOUNDS.window);
-        let ledger = &mut self.hosts[place].ledger;
-        let answer = ledger.receive(age, from, ask, &share, is_settled);
-        let loans = ledger.loans_wanted(age, org(), &share, lenders.len());
+        let age = self.hosts[place].age(self.now);
+        let loans = self.hosts[place].ledger.ask_loans(age, org(), share, lenders.len());
         for (lender, loan) in lenders.into_iter().zip(loans) {
             self.send(place, lender, ParcelBody::LoanAsk(loan));
         }
-        answer
     }
 
     pub fn send(&mut self, place: usize, to: MemberUpdate, body: ParcelBody) {
--- a/src/gateway/age_loop.rs
+++ b/src/gateway/age_loop.rs
@@ -47,20 +47,17 @@
 
     fn age_targets(&self, now: TimePoint) -> Vec<SocketAddr> {
         let state = self.state();
-        let others = |member: &MemberUpdate| member.incarnation != self.incarnation;
-        let near: Vec<MemberUpdate> =
-            state.members.owners(self.domain()).map(|(_, member)| member).collect();
-        let watcher = state.watcher(now, self.domain());
-        let watcher = near.iter().copied().find(|member| Some(member.incarnation) == watcher);
+        let watcher = state.watcher(now, self.domain()).filter(|host| *host != self.incarnation);
+        let watcher = watcher.and_then(|host| state.members.record(host));
         let in_doubt = state.config_age.is_unanswered(now, ANSWER_LIMIT)
             || state.config_age.age(now) > DOUBT_AGE;
-        let mut targets: Vec<MemberUpdate> = watcher.into_iter().filter(others).collect();
+        let mut targets: Vec<MemberUpdate> =
+            watcher.map(|record| record.update).into_iter().collect();
         if in_doubt {
             let salt = mix_hash(self.incarnation.0, now.0);
-            let rank = |member: &MemberUpdate| mix_hash(salt, member.incarnation.0);
-            targets.extend(near.iter().copied().filter(others).min_by_key(rank));
+            targets.extend(state.near_member(salt));
             let abroad = state.members.reachable(now).filter(|host| host.domain != self.domain());
-            targets.extend(abroad.min_by_key(rank));
+            targets.extend(abroad.min_by_key(|host| mix_hash(salt, host.incarnation.0)));
         }
         targets.into_iter().map(|member| member.address).collect()
     }
--- a/src/gateway/call_log.rs
+++ b/src/gateway/call_log.rs
@@ -1,8 +1,21 @@
+use super::call_context::CallContext;
 use super::call_end::CallEnd;
+use super::caller_body::CallerAnswer;
 use super::gateway_host::GatewayHost;
 use crate::routes::Route;
 use std::time::Duration;
 
+impl CallContext {
+    /// Ends a request that has no stream: what it cost is given back if it did not run.
+    pub fn close(&self, end: CallEnd) -> CallerAnswer {
+        if matches!(end, CallEnd::NotRun(..)) {
+            self.give_back();
+        }
+        log_end(&self.host, self.id(), Some(&self.route), &end, self.age());
+        end.into_answer(self.id())
+    }
+}
+
 /// The one line that tells how a request without a stream ended; `route` if it was on one.
 pub(super) fn log_end(
     host: &GatewayHost,
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -51,11 +51,7 @@
         return serve_engine(Arc::new(context), flight).await;
     }
     let end = serve_plain(&context).await;
-    if matches!(end, CallEnd::NotRun(..)) {
-        context.give_back();
-    }
-    log_end(&context.host, context.id(), Some(&context.route), &end, context.age());
-    end.into_answer(context.id())
+    context.close(end)
 }
 
 /// Finds the route of a request and reads its body.
--- a/src/gateway/caller_gate.rs
+++ b/src/gateway/caller_gate.rs
@@ -21,9 +21,11 @@
 ) -> Result<Option<Arc<Organisation>>, CallEnd> {
     let mut permission = permission_now(host, route, digest);
     if permission == CallerPermission::AskFirst {
+        // Listens before it asks. All that wait are woken by the first answer; without one they are decided
+        // on as it stands.
+        let heard = host.age_heard.notified();
         host.ask_ages();
-        // All that wait are woken by the first answer; without one they are decided on as it stands.
-        drop(tokio::time::timeout(AGE_WAIT, host.age_heard.notified()).await);
+        drop(tokio::time::timeout(AGE_WAIT, heard).await);
         permission = permission_now(host, route, digest);
     }
     match permission {
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -1,6 +1,5 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason};
-use super::call_log::log_end;
 use super::caller_body::{CallerAnswer, CallerBody};
 use super::event_relay::relay_events;
 use super::flight_guard::FlightGuard;
@@ -19,14 +18,7 @@
     let mut runs = RunRecord::default();
     match open_stream(&context, &engine, context.head.last_event, &mut runs).await {
         Ok(run) => stream_answer(context, engine, run, runs, flight),
-        Err(end) => {
-            let end = if runs.may_have_run { without_refusal(end) } else { end };
-            if matches!(end, CallEnd::NotRun(..)) {
-                context.give_back();
-            }
-            log_end(&context.host, context.id(), Some(&context.route), &end, context.age());
-            end.into_answer(context.id())
-        }
+        Err(end) => context.close(if runs.may_have_run { without_refusal(end) } else { end }),
     }
 }
 
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,7 +1,7 @@
 use crate::fleet::{FleetView, RefusedHosts, StageChanges};
-use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
+use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint, mix_hash};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
-use crate::membership::{MemberTable, ViewMark};
+use crate::membership::{MemberTable, MemberUpdate, ViewMark};
 use crate::organisations::ConfigAge;
 use crate::placement::{DomainGates, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums};
 use crate::routes::{RouteTable, ServiceKey};
@@ -56,6 +56,14 @@
         ViewMark { config_version: self.routes.version(), fleet_revision: self.fleet.revision() }
     }
 
+    /// Another living host of the own failure domain; which one differs with `salt`.
+    pub fn near_member(&self, salt: u64) -> Option<MemberUpdate> {
+        let own = self.members.own();
+        let near = self.members.owners(own.domain).map(|(_, member)| member);
+        let others = near.filter(|member| member.incarnation != own.incarnation);
+        others.min_by_key(|member| mix_hash(salt, member.incarnation.0))
+    }
+
     /// The host that asks the store for a failure domain.
     pub fn watcher(&self, now: TimePoint, domain: NameKey) -> Option<IncarnationId> {
         let hosts = self.members.owners(domain).map(|(_, member)| member.incarnation);
--- a/src/gateway/limit_desk.rs
+++ b/src/gateway/limit_desk.rs
@@ -41,7 +41,7 @@
     id: &str,
     charge: LimitCharge,
 ) -> Result<(), CallEnd> {
-    match host.ask_owner(charge).await {
+    match host.ask_owner(id, charge).await {
         OwnerReply::Granted => Ok(()),
         OwnerReply::Refused(pause) => {
             log::info!(
@@ -83,7 +83,7 @@
 }
 
 impl GatewayHost {
-    async fn ask_owner(self: &Arc<Self>, charge: LimitCharge) -> OwnerReply {
+    async fn ask_owner(self: &Arc<Self>, id: &str, charge: LimitCharge) -> OwnerReply {
         let ask = {
             let now = self.now();
             self.state().meter.ask(now, charge.org, charge.units)
@@ -102,7 +102,9 @@
             let (_, hosts) = state.domain_hosts(self.domain());
             let allowed = state.meter.use_alone(now, charge.org, charge.units, &share, hosts);
             let (org, units) = (charge.org.0, charge.units);
-            log::info!("event=limit_alone org={org:016x} units={units} allowed={allowed}");
+            log::info!(
+                "event=limit_alone request={id} org={org:016x} units={units} allowed={allowed}"
+            );
             return if allowed { OwnerReply::Granted } else { OwnerReply::Unknown };
         };
         state.meter.hear(now, &answer, charge.units);
@@ -143,8 +145,7 @@
 
     /// Grants or refuses as the owner; nothing if the organisation has no limit here.
     fn grant(&self, now: TimePoint, from: IncarnationId, ask: &LimitAsk) -> Option<LimitAnswer> {
-        let lenders = self.other_owners(now, ask.org);
-        let (answer, loans) = {
+        let (answer, share, is_short) = {
             let mut state = self.state();
             let share = state.domain_share(ask.org, self.domain())?;
             let is_new = !state.ledger.has(ask.org);
@@ -153,12 +154,20 @@
             if is_new {
                 log_account(ask, &share, &answer);
             }
-            (answer, state.ledger.loans_wanted(now, ask.org, &share, lenders.len()))
+            (answer, share, state.ledger.wants_loan(now, ask.org, &share))
         };
+        if is_short {
+            self.ask_loans(now, ask.org, &share);
+        }
+        Some(answer)
+    }
+
+    fn ask_loans(&self, now: TimePoint, org: OrgKey, share: &LimitShare) {
+        let lenders = self.other_owners(now, org);
+        let loans = self.state().ledger.ask_loans(now, org, share, lenders.len());
         for (owner, loan) in lenders.iter().zip(loans) {
             self.send(owner.address, &GatewayDatagram::LoanAsk(loan));
         }
-        Some(answer)
     }
 
     /// Answers another host's question as the owner.
@@ -268,10 +277,8 @@
 
     /// Hosts of a failure domain that are there, and all that this one ever heard of, itself included.
     fn domain_hosts(&self, domain: NameKey) -> (usize, usize) {
-        let all = self.members.records().map(|record| record.update);
-        let all = all.chain(std::iter::once(self.members.own()));
         let (mut seen, mut known) = (HashSet::new(), HashSet::new());
-        for host in all.filter(|host| host.domain == domain) {
+        for host in self.members.all().filter(|host| host.domain == domain) {
             known.insert(host.address);
             if host.state != MemberState::Dead {
                 seen.insert(host.address);
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -85,7 +85,8 @@
     seeds.rotate_left(first);
     for seed in seeds {
         if seed != host.peers_address && compare(host, seed).await {
-            host.fetch_view(host.near_member().unwrap_or(seed));
+            let near = host.state().near_member(host.incarnation.0);
+            host.fetch_view(near.map_or(seed, |member| member.address));
             return;
         }
     }
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -28,7 +28,7 @@
     Read(EngineKeep),
     /// No prefill server reads it in time; its decode server reads it itself.
     LeftToDecode,
-    /// All servers that were tried failed.
+    /// No prefill server read it, and too much of its objective has passed for its decode server to.
     Failed,
 }
 
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -2,7 +2,6 @@
 
 use super::gateway_host::{GatewayHost, ViewSource};
 use super::peer_messages::{GatewayReply, GatewayRequest};
-use crate::keys::mix_hash;
 use crate::routes::RouteTable;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,16 +22,6 @@
 const VIEW_ABROAD: usize = 2;
 
 impl GatewayHost {
-    /// Some living host of the own failure domain.
-    pub(super) fn near_member(&self) -> Option<SocketAddr> {
-        let state = self.state();
-        let near = state.members.owners(self.domain());
-        let others = near.filter(|(_, member)| member.incarnation != self.incarnation);
-        others
-            .min_by_key(|(host, _)| mix_hash(self.incarnation.0, *host))
-            .map(|(_, member)| member.address)
-    }
-
     /// Tells a few hosts at once that this one has a newer view, from the store or from a peer.
     pub(super) fn push_view(self: &Arc<Self>, source: ViewSource) {
         let abroad = match source {
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -103,7 +103,7 @@
 /// A slow store answers within 0.3 s.
 const READ_LIMIT: Duration = Duration::from_millis(500);
 /// Routes and organisations up to which a configuration is read anew each time: at about 250 bytes each
-/// 75 KB, 10 ms of work for a small host. A larger one is watched, and known to be up to 2.5 s old.
+/// 75 KB, 10 ms of work for a small host (reckoned). A larger one is watched, and known to be up to 2.5 s old.
 const MOST_READ_ENTRIES: usize = 300;
 
 impl GatewayHost {
--- /dev/null
+++ b/src/keys/keyed_hash.rs
@@ -0,0 +1,13 @@
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// A hash that only those who share a key can make.
+pub type KeyedHash = Hmac<Sha256>;
+
+/// Makes the keyed hash of a key of any length.
+pub fn keyed_hash(key: &str) -> KeyedHash {
+    match KeyedHash::new_from_slice(key.as_bytes()) {
+        Ok(hash) => hash,
+        Err(error) => unreachable!("any key length is valid: {error}"),
+    }
+}
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -2,11 +2,13 @@
 
 mod attempt_id;
 mod incarnation_id;
+mod keyed_hash;
 mod name_key;
 mod time_point;
 
 pub use attempt_id::AttemptId;
 pub use incarnation_id::IncarnationId;
+pub use keyed_hash::{KeyedHash, keyed_hash};
 pub use name_key::{NameKey, OrgKey, ServerKey};
 pub use time_point::TimePoint;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,9 @@
 //! tealcleat routes requests to a few huge, fragile model backend servers in two pools.
 //!
 //! Decisions are pure machines (`placement`, `streams`, `claims`, `membership`, `intents`,
-//! `orders`, `routes`, `fleet`,
-//! `organisations`, `limits`); edges know sockets (`platform`, `engines`, `callers`, `peers`, `operators`); `host`
-//! joins them into the daemon, `gateway` into the daemon on the users' platform. Arrows point one way: edges know decisions, never the reverse.
+//! `orders`, `routes`, `fleet`, `organisations`, `limits`); edges know sockets (`platform`, `engines`,
+//! `callers`, `peers`, `operators`); `host` joins them into the daemon, `gateway` into the daemon on the
+//! users' platform. Arrows point one way: edges know decisions, never the reverse.
 
 pub mod accounts;
 pub mod bench;
--- a/src/limits/limit_ledger.rs
+++ b/src/limits/limit_ledger.rs
@@ -87,9 +87,15 @@
         })
     }
 
-    /// Asks each of `lenders` other domains for a part of what is missing, if the organisation's bucket is
-    /// low and none was asked lately.
-    pub fn loans_wanted(
+    /// Whether an organisation's bucket is low and no other domain was asked for a loan lately.
+    pub fn wants_loan(&mut self, now: TimePoint, org: OrgKey, share: &LimitShare) -> bool {
+        let Some(account) = self.accounts.get_mut(&org) else { return false };
+        let lately = account.loans_asked_at.is_some_and(|at| now.since(at) < LOAN_PAUSE);
+        !lately && account.bucket.level(now, share) <= share.burst * SHORT_PART
+    }
+
+    /// Asks each of `lenders` other domains for a part of what is missing to the burst.
+    pub fn ask_loans(
         &mut self,
         now: TimePoint,
         org: OrgKey,
@@ -97,11 +103,10 @@
         lenders: usize,
     ) -> Vec<LoanAsk> {
         let Some(account) = self.accounts.get_mut(&org) else { return Vec::new() };
-        let missing = share.burst - account.bucket.level(now, share);
-        let lately = account.loans_asked_at.is_some_and(|at| now.since(at) < LOAN_PAUSE);
-        if missing < share.burst * (1.0 - SHORT_PART) || lately || lenders == 0 {
+        if lenders == 0 {
             return Vec::new();
         }
+        let missing = share.burst - account.bucket.level(now, share);
         account.loans_asked_at = Some(now);
         account.open_loans.retain(|(_, at)| now.since(*at) < LOAN_LIFE);
         let units = (missing / lenders as f64) as u32;
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -78,6 +78,11 @@
         self.view = view;
     }
 
+    /// The news about every known host, dead ones and this one included.
+    pub fn all(&self) -> impl Iterator<Item = MemberUpdate> {
+        std::iter::once(self.own).chain(self.members.values().map(|record| record.update))
+    }
+
     /// All known hosts but this one.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values()
@@ -95,9 +100,7 @@
 
     /// Hosts that may own things: alive or merely suspected, this host included.
     pub fn living(&self) -> impl Iterator<Item = (u64, MemberUpdate)> {
-        let others = self.members.values().map(|record| record.update);
-        std::iter::once(self.own)
-            .chain(others)
+        self.all()
             .filter(|update| matches!(update.state, MemberState::Alive | MemberState::Suspect))
             .map(|update| (update.incarnation.0, update))
     }
@@ -128,7 +131,7 @@
 
     /// All news for a host that joins or compares notes.
     pub fn full_news(&self) -> Vec<MemberUpdate> {
-        std::iter::once(self.own).chain(self.members.values().map(|r| r.update)).collect()
+        self.all().collect()
     }
 
     /// Handles a datagram whose sender proved the shared key.
--- a/src/membership/table_spread.rs
+++ b/src/membership/table_spread.rs
@@ -73,9 +73,7 @@
 
     /// Digest of the hosts believed in; suspicion passes and is left out.
     pub(super) fn digest(&self) -> u64 {
-        let others = self.members.values().map(|record| record.update);
-        others
-            .chain(std::iter::once(self.own))
+        self.all()
             .filter(|update| update.state != MemberState::Dead)
             .fold(0, |sum, update| sum ^ mix_hash(update.incarnation.0, 1))
     }
--- a/src/organisations/caller_key.rs
+++ b/src/organisations/caller_key.rs
@@ -1,6 +1,6 @@
-use hmac::{Hmac, Mac};
+use crate::keys::{KeyedHash, keyed_hash};
+use hmac::Mac;
 use serde::{Deserialize, Serialize};
-use sha2::Sha256;
 
 const DIGEST_BYTES: usize = 16;
 
@@ -23,7 +23,7 @@
 
 /// Makes digests of callers' keys, the same on all hosts that share a key.
 #[derive(Clone)]
-pub struct KeyHasher(Hmac<Sha256>);
+pub struct KeyHasher(KeyedHash);
 
 impl std::fmt::Debug for KeyHasher {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -34,10 +34,7 @@
 impl KeyHasher {
     /// A hasher for hosts that share `shared_key`.
     pub fn new(shared_key: &str) -> Self {
-        let mut hash = match Hmac::<Sha256>::new_from_slice(shared_key.as_bytes()) {
-            Ok(hash) => hash,
-            Err(error) => unreachable!("any key length is valid: {error}"),
-        };
+        let mut hash = keyed_hash(shared_key);
         hash.update(PURPOSE);
         Self(hash)
     }
--- a/src/peers/datagram.rs
+++ b/src/peers/datagram.rs
@@ -1,5 +1,5 @@
-use super::proof::keyed_hash;
 use super::{decode, encode};
+use crate::keys::keyed_hash;
 use crate::{Error, Result};
 use hmac::Mac;
 use serde::Serialize;
--- a/src/peers/proof.rs
+++ b/src/peers/proof.rs
@@ -1,6 +1,6 @@
+use crate::keys::{KeyedHash, keyed_hash};
 use crate::{Error, Result};
-use hmac::{Hmac, Mac};
-use sha2::Sha256;
+use hmac::Mac;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -9,16 +9,6 @@
 const PROOF_BYTES: usize = 32;
 const PROOF_TIMEOUT: Duration = Duration::from_millis(1500);
 
-pub(super) type KeyedHash = Hmac<Sha256>;
-
-/// Makes the keyed hash of a key of any length.
-pub(super) fn keyed_hash(key: &str) -> KeyedHash {
-    match KeyedHash::new_from_slice(key.as_bytes()) {
-        Ok(hash) => hash,
-        Err(error) => unreachable!("any key length is valid: {error}"),
-    }
-}
-
 fn proof(key: &str, side: &[u8], client: &[u8], server: &[u8]) -> KeyedHash {
     let mut hash = keyed_hash(key);
     hash.update(side);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -141,7 +141,8 @@
     let (mut lender, mut borrower) = (LimitLedger::default(), LimitLedger::default());
     lender.receive(at(0), FIRST_HOST, &ask(0, 0), &SHARE, true);
     borrower.receive(at(0), SECOND_HOST, &ask(1800, 1800), &SHARE, true);
-    let wanted = borrower.loans_wanted(at(0), org(), &SHARE, 1)[0];
+    assert!(borrower.wants_loan(at(0), org(), &SHARE));
+    let wanted = borrower.ask_loans(at(0), org(), &SHARE, 1)[0];
     assert_eq!(wanted.units, 1800);
     let loan = lender.lend(at(0), &wanted, &SHARE).expect("it has some");
     // A lender keeps half of its burst.
@@ -151,7 +152,7 @@
     assert_eq!(borrower.receive(at(10), SECOND_HOST, &ask(1800, 0), &SHARE, true).level, 1210);
     assert_eq!(lender.lend(at(0), &wanted, &SHARE), None);
     // It asks again only after a pause.
-    assert!(borrower.loans_wanted(at(100), org(), &SHARE, 1).is_empty());
+    assert!(!borrower.wants_loan(at(100), org(), &SHARE));
 }
 
 #[rstest]
@@ -168,7 +169,8 @@
     let mut ledger = LimitLedger::default();
     let still = LimitShare { rate: 0.0, ..SHARE };
     ledger.receive(at(0), FIRST_HOST, &ask(1800, 1800), &still, true);
-    let wanted = ledger.loans_wanted(at(0), org(), &still, 2);
+    assert!(ledger.wants_loan(at(0), org(), &still));
+    let wanted = ledger.ask_loans(at(0), org(), &still, 2);
     assert_eq!(wanted.iter().map(|ask| ask.units).collect::<Vec<u32>>(), [900, 900]);
     for sequence in sequences {
         let loan = LimitLoan { sequence: *sequence, org: org(), units: 500 };
--- a/tests/worlds.rs
+++ b/tests/worlds.rs
@@ -49,10 +49,12 @@
     assert_eq!(world(9, 4000, Sabotage::None), world(9, 4000, Sabotage::None));
 }
 
-/// Seeds that once broke the limit. Seeds 3 and 6: hosts took the next one for the owner while the first one
-/// did not answer. Seeds 43 and 64: all hosts restarted, and a third of them were cut off a second later.
+/// Seeds that break the limit when a mend is taken back: 1, if hosts take the next one for the owner while the
+/// first does not answer; 4, 14 and 43, if owners that know nothing begin with a fifth of the tolerance; 43 and
+/// 64, if hosts without an owner let in a request in advance whatever that had left. Seeds 3 and 6 broke it in
+/// an earlier shape of the world.
 #[rstest]
-fn limit_kept_where_it_was_broken(#[values(3, 6, 43, 64)] seed: u64) {
+fn limit_kept_where_it_was_broken(#[values(1, 3, 4, 6, 14, 43, 64)] seed: u64) {
     let report = run_limit_world(seed, 20_000, Sabotage::None);
     assert_eq!(report.broken, Vec::<String>::new());
 }
