Sight: a line for each answer that is not the asked request's

No change of what is decided. event=answer_of_another tells the purpose of the call, whose answer came and how many calls its connection had carried; answers_of_others counts them.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
+    /// Calls that it has carried.
+    calls: u32,
     since: Instant,
     /// How long its server keeps it.
     keep: Duration,
@@ -84,12 +86,12 @@
         limits: SendLimits,
     ) -> Result<Response<PooledBody>> {
         let mut request = request;
-        while let Some(mut sender) = self.take_idle(address, limits.rested) {
+        while let Some((mut sender, calls)) = self.take_idle(address, limits.rested) {
             if sender.ready().await.is_err() {
                 continue;
             }
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.wrap(address, sender, response)),
+                Ok(response) => return Ok(self.wrap(address, sender, calls + 1, response)),
                 // A message handed back was never sent: the server had closed the connection.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -101,7 +103,7 @@
             .await
             .map_err(|error| Error::NotSent(error.to_string()))?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.wrap(address, sender, response)),
+            Ok(response) => Ok(self.wrap(address, sender, 1, response)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Error::NotSent(error.into_error().to_string())),
                 None => Err(error.into_error().into()),
@@ -138,7 +140,7 @@
     }
 
     /// The connection that rested least, unless it has rested for too long.
-    fn take_idle(&self, address: SocketAddr, rested: Duration) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr, rested: Duration) -> Option<(Sender, u32)> {
         let mut idle = self.idle.lock().ok()?;
         let kept = idle.get_mut(&address)?;
         kept.retain(IdleConnection::is_usable);
@@ -146,18 +148,19 @@
         if newest.since.elapsed() > rested {
             return None;
         }
-        kept.pop().map(|connection| connection.sender)
+        kept.pop().map(|connection| (connection.sender, connection.calls))
     }
 
     fn wrap(
         &self,
         address: SocketAddr,
         sender: Sender,
+        calls: u32,
         response: Response<Incoming>,
     ) -> Response<PooledBody> {
         let keep = stated_keep(response.headers());
         let back = keep.map(|keep| (Arc::clone(&self.idle), address, sender, keep));
-        response.map(|incoming| PooledBody { incoming, back })
+        response.map(|incoming| PooledBody { incoming, back, calls })
     }
 }
 
@@ -183,6 +186,7 @@
 pub struct PooledBody {
     incoming: Incoming,
     back: Option<(IdleConnections, SocketAddr, Sender, Duration)>,
+    calls: u32,
 }
 
 impl PooledBody {
@@ -194,6 +198,11 @@
         Ok(self.collect().await?.to_bytes())
     }
 
+    /// Calls that its connection has carried, this one included.
+    pub fn calls(&self) -> u32 {
+        self.calls
+    }
+
     /// Closes the connection instead of keeping it for other calls.
     pub fn discard(mut self) {
         self.back = None;
@@ -205,7 +214,8 @@
         {
             let senders = idle.entry(address).or_default();
             if senders.len() < IDLE_PER_ADDRESS && !sender.is_closed() {
-                senders.push(IdleConnection { sender, since: Instant::now(), keep });
+                let (since, calls) = (Instant::now(), self.calls);
+                senders.push(IdleConnection { sender, calls, since, keep });
             }
         }
     }
--- a/src/gateway/engine_hold.rs
+++ b/src/gateway/engine_hold.rs
@@ -1,3 +1,4 @@
+use super::answer_log::{CallPurpose, note_owner};
 use super::gateway_host::GatewayHost;
 use crate::engines::SendLimits;
 use crate::fleet::ServerEntry;
@@ -106,6 +107,7 @@
     let exchange = async {
         let limits = SendLimits { connect: limit, ..SendLimits::default() };
         let response = host.pool.send_limited(server.address, call, limits).await?;
+        note_owner(host, server, CallPurpose::Control, "", &response);
         let status = response.status();
         Ok((status, response.into_body().read_all().await?))
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! `prompt_read` has the prompt read, `run_start` sends it), and `event_relay` passes a stream on.
 
 mod age_loop;
+mod answer_log;
 mod call_context;
 mod call_end;
 mod call_log;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,3 +1,4 @@
+use super::answer_log::{CallPurpose, note_owner};
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
 use super::load_guard::LoadGuard;
@@ -140,6 +141,7 @@
     let limits = SendLimits { connect: CONNECT_LIMIT, rested };
     let request = context.call.to_server(server, context.left(), CallPart::Whole);
     let response = context.host.pool.send_limited(server.address, request, limits).await?;
+    note_owner(&context.host, server, CallPurpose::Plain, context.id(), &response);
     let kind = read_answer(&response, context.id());
     let (parts, body) = response.into_parts();
     if kind == AnswerKind::Foreign {
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -1,3 +1,4 @@
+use super::answer_log::{CallPurpose, note_owner};
 use super::call_context::CallContext;
 use super::engine_hold::EngineKeep;
 use super::load_guard::LoadGuard;
@@ -129,6 +130,7 @@
     let request = context.call.to_server(server, limit, CallPart::Prefill);
     let limits = SendLimits { connect: CONNECT_LIMIT, ..SendLimits::default() };
     let response = context.host.pool.send_limited(server.address, request, limits).await?;
+    note_owner(&context.host, server, CallPurpose::Read, context.id(), &response);
     let kind = read_answer(&response, context.id());
     let status = response.status();
     let body = response.into_body().read_all().await?;
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -1,5 +1,6 @@
 //! Sends a request to run at one decode server.
 
+use super::answer_log::{CallPurpose, note_owner};
 use super::call_context::CallContext;
 use super::call_end::{NotRunReason, ServerAnswer};
 use super::event_reader::EventReader;
@@ -117,6 +118,7 @@
         Err(Error::NotSent(_)) => return Err(OpenFailure::TurnedAway(server.clone())),
         Err(_) => return Err(OpenFailure::Unknown("server_broke_off")),
     };
+    note_owner(&context.host, server, CallPurpose::Run, context.id(), &response);
     let kind = read_answer(&response, context.id());
     let (parts, body) = response.into_parts();
     match kind {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -18,8 +18,8 @@
 pub use lease_wire::{LEASE_OBJECT, decode_lease, encode_lease};
 pub use names::READY_PATH;
 pub use request_wire::{
-    AnswerKind, CallHead, CallPart, DecodePart, ServerCall, TokenCounts, answer_headers,
-    own_headers, read_answer,
+    AnswerKind, AnswerOwner, CallHead, CallPart, DecodePart, ServerCall, TokenCounts,
+    answer_headers, answer_owner, own_headers, read_answer,
 };
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server};
 pub use store_client::{ListAge, ObjectList, StoreClient, StoreObject, StoreWrite, WatchAnswer};
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -217,6 +217,26 @@
     Foreign,
 }
 
+/// Whose answer a backend server's answer says it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerOwner {
+    /// The request's that it was taken for.
+    Asked,
+    /// Another request's.
+    Another,
+    /// It names no request.
+    Unnamed,
+}
+
+/// Reads whose answer it is that came for the request `id`.
+pub fn answer_owner(response: &Response<impl Sized>, id: &str) -> AnswerOwner {
+    match response.headers().get(names::REQUEST_ID) {
+        Some(value) if value.as_bytes() == id.as_bytes() => AnswerOwner::Asked,
+        Some(_) => AnswerOwner::Another,
+        None => AnswerOwner::Unnamed,
+    }
+}
+
 /// Reads what a backend server's answer to the request `id` means.
 pub fn read_answer(response: &Response<impl Sized>, id: &str) -> AnswerKind {
     let headers = response.headers();
