--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -10,6 +10,7 @@
 mod site_service;
 mod site_store;
 mod store_objects;
+mod stutter_link;
 mod test_site;
 
 pub use engine_fault::EngineFault;
@@ -19,4 +20,5 @@
 pub use site_service::{ServiceFault, SiteService};
 pub use site_store::{SiteStore, StoreFault};
 pub use store_objects::StoreObjects;
+pub use stutter_link::{StutterLink, StutterPlan};
 pub use test_site::{SitePlan, StatedServer, TestSite, config, keyed_config};
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -164,28 +164,29 @@
         runs.len() - 1
     }
 
-    /// Fetches the result of a prefill; false if it is gone.
-    fn fetch(&self, source: &str, id: &str) -> bool {
+    /// Fetches the result of a prefill and tells whose prompt it is; `None` if it is gone. As on the
+    /// users' platform, nobody checks whose result it should be.
+    fn fetch(&self, source: &str) -> Option<String> {
         if self.fault() == EngineFault::LoseHandles {
-            return false;
+            return None;
         }
-        let Some((address, handle)) = source.split_once('/') else {
-            return false;
-        };
-        let engine = lock(&self.sources).get(address).cloned();
-        let result = engine.and_then(|engine| lock(&engine.handles).remove(handle));
-        result.is_some_and(|(request, _)| request == id)
+        let (address, handle) = source.split_once('/')?;
+        let engine = lock(&self.sources).get(address).cloned()?;
+        let (request, lapses) = lock(&engine.handles).remove(handle)?;
+        (Instant::now() < lapses).then_some(request)
     }
 
     fn decode(self: &Arc<Self>, request: &WholeRequest, id: &str) -> SiteAnswer {
         if let Some(hold) = header(request, "hold") {
             lock(&self.holds).remove(hold);
         }
-        if let Some(source) = header(request, "kv-from")
-            && !self.fetch(source, id)
-        {
-            return Ok(refusal(id));
-        }
+        let prompt = match header(request, "kv-from") {
+            None => id.to_owned(),
+            Some(source) => match self.fetch(source) {
+                Some(owner) => owner,
+                None => return Ok(refusal(id)),
+            },
+        };
         let place = self.note_run(request, id, "decode");
         if self.fault() == EngineFault::FailRuns {
             return Ok(signed(whole(500, "failed"), id, Some(&self.id)));
@@ -194,7 +195,7 @@
             .and_then(|text| text.parse().ok())
             .map_or(0, |n: u64| n + 1);
         let (events, received) = mpsc::channel(1);
-        tokio::spawn(Arc::clone(self).make_events(id.to_owned(), first, place, events));
+        tokio::spawn(Arc::clone(self).make_events(prompt, first, place, events));
         let stream = StreamBody::new(EventFeed(received)).boxed_unsync();
         let answered = if self.fault() == EngineFault::ForeignAnswer { "another" } else { id };
         Ok(signed(hyper::Response::new(stream), answered, Some(&self.id)))
@@ -202,13 +203,13 @@
 
     async fn make_events(
         self: Arc<Self>,
-        id: String,
+        prompt: String,
         first: u64,
         place: usize,
         events: mpsc::Sender<std::result::Result<Frame<Bytes>, BrokenOff>>,
     ) {
         for number in first..self.events {
-            let text = format!("id: {number}\ndata: {id} {number}\n\n");
+            let text = format!("id: {number}\ndata: {prompt} {number}\n\n");
             let made = number - first;
             let sent = match self.fault() {
                 EngineFault::CutAfter(most) if made >= most => {
--- /dev/null
+++ b/src/bench/site/stutter_link.rs
@@ -0,0 +1,167 @@
+use crate::Result;
+use crate::host::lock;
+use bytes::{Bytes, BytesMut};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Which answers a stuttering server gives twice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StutterPlan {
+    /// Answers to requests whose head holds this text, in lower case.
+    pub request_has: &'static str,
+    /// How many of them.
+    pub times: u32,
+}
+
+/// A loopback link before a stand-in that makes it stutter.
+///
+/// The second copy of an answer leaves when the next request on its connection has arrived, ahead of that
+/// request's own answer; from then on the connection is one answer behind, as it is with a server whose
+/// work takes longer than the pause between two requests.
+#[derive(Debug, Clone)]
+pub struct StutterLink {
+    /// Where it listens.
+    pub address: SocketAddr,
+    plan: Arc<Mutex<StutterPlan>>,
+}
+
+impl StutterLink {
+    /// Starts a link to `target` that passes everything on until it is told to stutter.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn start(target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let plan = Arc::new(Mutex::new(StutterPlan { request_has: "", times: 0 }));
+        let link = Self { address, plan };
+        let serving = link.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let link = serving.clone();
+                // Whoever breaks off first ends both sides.
+                tokio::spawn(async move { drop(link.carry(near, target).await) });
+            }
+        });
+        Ok(link)
+    }
+
+    /// Gives the next answers that `plan` names twice.
+    pub fn stutter(&self, plan: StutterPlan) {
+        *lock(&self.plan) = plan;
+    }
+
+    /// Answers that are still to be given twice.
+    pub fn left(&self) -> u32 {
+        lock(&self.plan).times
+    }
+
+    async fn carry(&self, mut near: TcpStream, target: SocketAddr) -> Result<()> {
+        let mut far = TcpStream::connect(target).await?;
+        far.set_nodelay(true)?;
+        near.set_nodelay(true)?;
+        // The copy, or the answer, that is behind.
+        let mut late: Option<Bytes> = None;
+        while let Some(request) = read_message(&mut near, None).await? {
+            if let Some(earlier) = late.take() {
+                near.write_all(&earlier).await?;
+                far.write_all(&request).await?;
+                late = read_message(&mut far, None).await?;
+                continue;
+            }
+            far.write_all(&request).await?;
+            let Some(answer) = read_message(&mut far, Some(&mut near)).await? else {
+                return Ok(());
+            };
+            if self.is_doubled(&request) {
+                late = Some(answer);
+            }
+        }
+        Ok(())
+    }
+
+    fn is_doubled(&self, request: &[u8]) -> bool {
+        let mut plan = lock(&self.plan);
+        let text = String::from_utf8_lossy(request).to_ascii_lowercase();
+        let doubled = plan.times > 0 && text.contains(plan.request_has);
+        if doubled {
+            plan.times -= 1;
+        }
+        doubled
+    }
+}
+
+/// How a message's body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    Length(usize),
+    LastChunk,
+    Close,
+}
+
+/// Reads a message to its end, and passes it on as it comes; `None` if the connection has ended.
+async fn read_message(
+    from: &mut (impl AsyncRead + Unpin),
+    mut onward: Option<&mut TcpStream>,
+) -> Result<Option<Bytes>> {
+    let mut bytes = BytesMut::new();
+    while !is_whole(&bytes) {
+        let before = bytes.len();
+        if from.read_buf(&mut bytes).await? == 0 {
+            let closes = body_end(&bytes).is_some_and(|(_, end)| end == BodyEnd::Close);
+            return Ok(closes.then(|| bytes.freeze()));
+        }
+        if let Some(onward) = onward.as_deref_mut() {
+            onward.write_all(&bytes[before..]).await?;
+        }
+    }
+    Ok(Some(bytes.freeze()))
+}
+
+fn is_whole(message: &[u8]) -> bool {
+    match body_end(message) {
+        None | Some((_, BodyEnd::Close)) => false,
+        Some((head, BodyEnd::Length(length))) => message.len() >= head + length,
+        Some((head, BodyEnd::LastChunk)) => holds_last_chunk(&message[head..]),
+    }
+}
+
+/// Length of a message's head and how its body ends, once the head is there.
+fn body_end(message: &[u8]) -> Option<(usize, BodyEnd)> {
+    let text = String::from_utf8_lossy(message).to_ascii_lowercase();
+    let head = &text[..text.find("\r\n\r\n")?];
+    let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    let end = if field("transfer-encoding:").is_some_and(|value| value.contains("chunked")) {
+        BodyEnd::LastChunk
+    } else if let Some(length) = field("content-length:") {
+        BodyEnd::Length(length.parse().unwrap_or_default())
+    } else if head.starts_with("http/") {
+        BodyEnd::Close
+    } else {
+        BodyEnd::Length(0)
+    };
+    Some((head.len() + 4, end))
+}
+
+/// Whether a chunked body holds its last chunk.
+fn holds_last_chunk(body: &[u8]) -> bool {
+    let mut rest = body;
+    loop {
+        let Some(line) = rest.windows(2).position(|pair| pair == b"\r\n") else {
+            return false;
+        };
+        let digits = String::from_utf8_lossy(&rest[..line]).into_owned();
+        let Ok(size) = usize::from_str_radix(digits.trim(), 16) else {
+            return false;
+        };
+        let Some(next) = rest.get(line + 2 + size + 2..) else {
+            return false;
+        };
+        if size == 0 {
+            return true;
+        }
+        rest = next;
+    }
+}
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -1,9 +1,9 @@
-use super::{SiteEngine, SiteService, SiteStore};
-use crate::Result;
+use super::{SiteEngine, SiteService, SiteStore, StutterLink};
 use crate::gateway::{Gateway, start_gateway};
 use crate::limits::LimitBounds;
 use crate::placement::RetryBounds;
 use crate::settings::{GatewayBounds, GatewaySettings};
+use crate::{Error, Result};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -152,6 +152,23 @@
         self.store.change(|objects| objects.set("servers", id, entry));
     }
 
+    /// Puts a link that can stutter before a server of this site, and names the link's address in its entry.
+    ///
+    /// # Errors
+    /// If no port can be bound, or there is no such server.
+    pub async fn link(&self, id: &str) -> Result<StutterLink> {
+        let server = self.servers.iter().find(|server| server.id == id);
+        let server = server.ok_or_else(|| Error::Refused(format!("there is no server {id}")))?;
+        let link = StutterLink::start(server.address).await?;
+        if let Some(engine) = self.prefills.iter().find(|engine| engine.id == id) {
+            for decode in &self.decodes {
+                decode.add_source(link.address, engine);
+            }
+        }
+        self.state_server(id, server.service, link.address, server.stage, "ready");
+        Ok(link)
+    }
+
     /// Writes a configuration.
     pub fn set_config(&self, version: u64, config: &Value) {
         let mut config = config.clone();
