Answers of backend servers are believed only with proof that they belong to their call

Cause: the answer to a read carries the request's id and no signature, so read_answer called each of them foreign and ask_reader went by the status alone. A late second answer to one read was taken for the next one's, and its connection was kept, one answer behind: from then on each read got the result of the one before, which no server checks. Class: what arrives on a kept connection is believed without proof that it belongs to the call; whether it is looked at was left to each of five callers of the pool, and two of them (reads, the router's own calls) did not.

Change: the pool asks for a proof with each call and gives an answer out only with it: the request's own id, looked at in one place; for answers that have none, that they have none and that their reader knows them by what they say; for orders, whose answer is a bare status, a connection of their own. A connection is kept only when the reader says that the answer was whole and the one asked for, so forgetting it costs a connection and never a mix-up. The same id never goes twice over one connection. An answer without an id counts only on a connection's first call. A hold that was granted before is a late copy. The pool is four files now, one job each.

--- a/src/engines/engine_client.rs
+++ b/src/engines/engine_client.rs
@@ -1,6 +1,6 @@
 use super::{
-    CancelCall, CancelDone, DecodeCall, EngineLoad, HttpPool, LineStream, PooledBody, PrefillCall,
-    PrefillDone, ResumeCall,
+    AnswerProof, CancelCall, CancelDone, DecodeCall, EngineLoad, HttpPool, LineStream, PooledBody,
+    PrefillCall, PrefillDone, ResumeCall, SendLimits,
 };
 use crate::orders::ServerOrder;
 use crate::{Error, Result};
@@ -72,7 +72,7 @@
             .body(Full::default())
             .map_err(|error| Error::Protocol(error.to_string()))?;
         self.limit(async {
-            let response = self.pool.send(address, request).await?;
+            let response = self.send(address, request).await?;
             let bytes = read_bytes(response).await?;
             self.report_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
             Ok(serde_json::from_slice(&bytes)?)
@@ -93,6 +93,15 @@
         self.limit(self.ask(address, "/v1/orders", order)).await
     }
 
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>> {
+        let limits = SendLimits::default();
+        self.pool.send(address, request, AnswerProof::OwnConnection, limits).await
+    }
+
     async fn limit<T>(&self, call: impl Future<Output = Result<T>>) -> Result<T> {
         tokio::time::timeout(SHORT_CALL, call).await.map_err(|_elapsed| Error::Timeout)?
     }
@@ -119,7 +128,7 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(serde_json::to_vec(call)?)))
             .map_err(|error| Error::Protocol(error.to_string()))?;
-        let response = self.pool.send(address, request).await?;
+        let response = self.send(address, request).await?;
         if response.status().is_success() {
             return Ok(response);
         }
--- /dev/null
+++ b/src/engines/idle_connections.rs
@@ -0,0 +1,121 @@
+use bytes::Bytes;
+use http::HeaderMap;
+use http::header::HeaderValue;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const IDLE_PER_ADDRESS: usize = 64;
+/// Assumed of a server that does not say how long it keeps idle connections.
+const UNSTATED_KEEP: Duration = Duration::from_secs(2);
+/// A connection is given up this long before its server closes it, for a request on the way.
+const KEEP_MARGIN: Duration = Duration::from_millis(700);
+/// Calls after which a connection is closed, so that it can remember the ids of all of them.
+const MOST_CALLS: u32 = 256;
+
+pub(super) type CallSender = SendRequest<Full<Bytes>>;
+
+/// A connection and what it has carried.
+#[derive(Debug)]
+pub(super) struct PooledConnection {
+    pub sender: CallSender,
+    /// Calls that it has carried.
+    pub calls: u32,
+    /// Ids of those that had one.
+    ids: HashSet<HeaderValue>,
+}
+
+impl PooledConnection {
+    pub fn new(sender: CallSender) -> Self {
+        Self { sender, calls: 0, ids: HashSet::new() }
+    }
+
+    /// It carries a call.
+    pub fn note_call(&mut self, id: Option<HeaderValue>) {
+        self.calls += 1;
+        self.ids.extend(id);
+    }
+
+    /// Whether an answer on it can be told from those to earlier calls: the id of a call that is sent
+    /// again, as when a server turned it away, does not tell its two answers apart.
+    fn may_carry(&self, id: Option<&HeaderValue>) -> bool {
+        id.is_none_or(|id| !self.ids.contains(id))
+    }
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: PooledConnection,
+    since: Instant,
+    /// How long its server keeps it.
+    keep: Duration,
+}
+
+impl IdleConnection {
+    /// Whether its server keeps it long enough for one more request.
+    fn is_usable(&self) -> bool {
+        self.since.elapsed() + KEEP_MARGIN.min(self.keep / 2) < self.keep
+    }
+}
+
+/// Connections that rest between calls, by address.
+#[derive(Debug, Clone, Default)]
+pub(super) struct IdleConnections {
+    kept: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+}
+
+impl IdleConnections {
+    /// The connection that rested least and has not carried `id`, unless it has rested for too long.
+    pub fn take(
+        &self,
+        address: SocketAddr,
+        rested: Duration,
+        id: Option<&HeaderValue>,
+    ) -> Option<PooledConnection> {
+        let mut all = self.kept.lock().ok()?;
+        let kept = all.get_mut(&address)?;
+        kept.retain(IdleConnection::is_usable);
+        let place = kept.iter().rposition(|idle| idle.connection.may_carry(id))?;
+        if kept[place].since.elapsed() > rested {
+            return None;
+        }
+        Some(kept.remove(place).connection)
+    }
+
+    /// Keeps a connection for as long as its server does.
+    pub fn put(&self, address: SocketAddr, connection: PooledConnection, keep: Duration) {
+        let Ok(mut all) = self.kept.lock() else { return };
+        let kept = all.entry(address).or_default();
+        let is_spent = connection.sender.is_closed() || connection.calls >= MOST_CALLS;
+        if !is_spent && kept.len() < IDLE_PER_ADDRESS {
+            kept.push(IdleConnection { connection, since: Instant::now(), keep });
+        }
+    }
+
+    /// Addresses to which a kept connection can be used now.
+    pub fn addresses(&self) -> HashSet<SocketAddr> {
+        let Ok(all) = self.kept.lock() else { return HashSet::new() };
+        let warm = |kept: &Vec<IdleConnection>| kept.iter().any(IdleConnection::is_usable);
+        all.iter().filter(|(_, kept)| warm(kept)).map(|(address, _)| *address).collect()
+    }
+}
+
+/// How long a server keeps the connection of this answer; `None` if it closes it.
+pub(super) fn stated_keep(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    if text("connection").is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        return None;
+    }
+    let Some(stated) = text("keep-alive") else {
+        return Some(UNSTATED_KEEP);
+    };
+    let digits: String = stated
+        .chars()
+        .skip_while(|character| !character.is_ascii_digit())
+        .take_while(char::is_ascii_digit)
+        .collect();
+    Some(digits.parse().map_or(UNSTATED_KEEP, Duration::from_secs))
+}
--- a/src/engines/line_stream.rs
+++ b/src/engines/line_stream.rs
@@ -33,7 +33,10 @@
                 return Err(Error::Protocol("a line is too long".to_owned()));
             }
             match self.body.frame().await {
-                None => return Ok(None),
+                None => {
+                    self.body.keep_connection();
+                    return Ok(None);
+                }
                 Some(frame) => {
                     if let Ok(data) = frame?.into_data() {
                         self.buffer.extend_from_slice(&data);
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -3,15 +3,20 @@
 //! `hyper` serves here instead of `ureq`, because a stream that waits for its next token must be
 //! cancellable at once.
 
+mod answer_proof;
 mod engine_client;
 mod engine_wire;
 mod http_pool;
+mod idle_connections;
 mod line_stream;
+mod pooled_body;
 
+pub use answer_proof::{AnswerOwner, AnswerProof};
 pub use engine_client::EngineClient;
 pub use engine_wire::{
     CacheEvent, CacheEvents, CancelCall, CancelDone, DecodeCall, EngineLoad, PrefillCall,
     PrefillDone, ResumeCall, StreamEvent,
 };
-pub use http_pool::{HttpPool, PooledBody, SendLimits};
+pub use http_pool::{HttpPool, SendLimits};
 pub use line_stream::LineStream;
+pub use pooled_body::PooledBody;
--- /dev/null
+++ b/src/engines/pooled_body.rs
@@ -0,0 +1,77 @@
+use super::idle_connections::{IdleConnections, PooledConnection};
+use crate::Result;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// Where a connection goes back to.
+#[derive(Debug)]
+pub(super) struct WayBack {
+    pub idle: IdleConnections,
+    pub address: SocketAddr,
+    pub connection: PooledConnection,
+    pub keep: Duration,
+}
+
+/// A response body. Its connection is closed unless the reader says that the answer was the one asked for.
+#[derive(Debug)]
+pub struct PooledBody {
+    incoming: Incoming,
+    back: Option<WayBack>,
+    ended: bool,
+}
+
+impl PooledBody {
+    pub(super) fn new(incoming: Incoming, back: Option<WayBack>) -> Self {
+        Self { incoming, back, ended: false }
+    }
+
+    /// Reads the whole body of an answer that is known to be the one asked for.
+    ///
+    /// # Errors
+    /// If the connection breaks first.
+    pub async fn read_all(self) -> Result<Bytes> {
+        self.read_as(|bytes| Ok(bytes.clone())).await
+    }
+
+    /// Reads the whole body; the connection is kept only if `read` knows it as the answer asked for.
+    ///
+    /// # Errors
+    /// If the connection breaks first, or `read` fails.
+    pub async fn read_as<T>(mut self, read: impl FnOnce(&Bytes) -> Result<T>) -> Result<T> {
+        let bytes = (&mut self).collect().await?.to_bytes();
+        let value = read(&bytes)?;
+        self.keep_connection();
+        Ok(value)
+    }
+
+    /// The answer was whole and the one asked for: its connection may carry further calls.
+    pub fn keep_connection(&mut self) {
+        if let Some(back) = self.back.take().filter(|_| self.ended) {
+            back.idle.put(back.address, back.connection, back.keep);
+        }
+    }
+}
+
+impl Body for PooledBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        self.ended |= matches!(polled, Poll::Ready(None));
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // Bodies are always polled to `None`, so that their end is known.
+        false
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,6 +1,8 @@
 //! The one error type of the library.
 
+use crate::engines::AnswerOwner;
 use crate::settings::SettingsFindings;
+use http::StatusCode;
 
 /// Result of any fallible operation in this crate.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -22,6 +24,15 @@
     NotSent(String),
     /// The request was refused, with the reason given.
     Refused(String),
+    /// The answer that came may belong to another call, so nothing is known of this one.
+    Foreign {
+        /// Whose answer it says it is.
+        owner: AnswerOwner,
+        /// Its status.
+        status: StatusCode,
+        /// Calls that its connection had carried, this one included.
+        calls: u32,
+    },
 }
 
 impl std::fmt::Display for Error {
@@ -34,6 +45,9 @@
             Self::Timeout => write!(f, "no answer in time"),
             Self::NotSent(text) => write!(f, "not sent: {text}"),
             Self::Refused(text) => write!(f, "refused: {text}"),
+            Self::Foreign { owner, status, calls } => {
+                write!(f, "the answer {status} to call {calls} of a connection is {owner:?}")
+            }
         }
     }
 }
--- a/src/gateway/engine_hold.rs
+++ b/src/gateway/engine_hold.rs
@@ -1,6 +1,5 @@
-use super::answer_log::{CallPurpose, note_owner};
 use super::gateway_host::GatewayHost;
-use crate::engines::SendLimits;
+use super::server_call::{CallPurpose, call_engine};
 use crate::fleet::ServerEntry;
 use crate::platform::{
     HoldGrant, PrefillResult, decode_body, handle_drop_call, hold_call, hold_drop_call,
@@ -8,8 +7,6 @@
 use crate::{Error, Result};
 use bytes::Bytes;
 use http::StatusCode;
-use http_body_util::Full;
-use hyper::Request;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -70,7 +67,9 @@
         };
         let (host, server) = (Arc::clone(&self.host), self.server.clone());
         tokio::spawn(async move {
-            if let Err(error) = call_engine(&host, &server, call, GIVE_BACK_LIMIT).await {
+            let purpose = CallPurpose::Control;
+            let given = call_engine(&host, &server, purpose, call, GIVE_BACK_LIMIT, |_, _| Ok(()));
+            if let Err(error) = given.await {
                 log::debug!("event=give_back_failed server={} cause=\"{error}\"", server.id);
             }
         });
@@ -85,31 +84,34 @@
     life: Duration,
 ) -> Result<Option<EngineKeep>> {
     let call = hold_call(server, tokens, life);
-    let (status, body) = call_engine(host, server, call, HOLD_LIMIT).await?;
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    let purpose = CallPurpose::Control;
+    let read = |status, body: &Bytes| read_grant(host, server, status, body);
+    let grant = call_engine(host, server, purpose, call, HOLD_LIMIT, read).await?;
+    let Some(grant) = grant else {
         return Ok(None);
-    }
-    if !status.is_success() {
-        return Err(Error::Refused(format!("the engine answered {status} to a hold")));
-    }
-    let grant: HoldGrant = decode_body(&body)?;
+    };
     let thing = Some(KeptThing::Hold(grant.hold));
     Ok(Some(EngineKeep { host: Arc::clone(host), server: server.clone(), thing }))
 }
 
-/// Calls an engine for the router's own purposes and reads the whole answer.
-pub(super) async fn call_engine(
+/// Reads the answer to a hold. A grant that was made before is a late copy of that answer.
+fn read_grant(
     host: &GatewayHost,
     server: &ServerEntry,
-    call: Request<Full<Bytes>>,
-    limit: Duration,
-) -> Result<(StatusCode, Bytes)> {
-    let exchange = async {
-        let limits = SendLimits { connect: limit, ..SendLimits::default() };
-        let response = host.pool.send_limited(server.address, call, limits).await?;
-        note_owner(host, server, CallPurpose::Control, "", &response);
-        let status = response.status();
-        Ok((status, response.into_body().read_all().await?))
-    };
-    tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)?
+    status: StatusCode,
+    body: &Bytes,
+) -> Result<Option<HoldGrant>> {
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(None);
+    }
+    if !status.is_success() {
+        return Err(Error::Refused(format!("the engine answered {status} to a hold")));
+    }
+    let grant: HoldGrant = decode_body(body)?;
+    if !host.state().grants.note(server.key(), &grant.hold) {
+        let (server, hold) = (&server.id, &grant.hold);
+        log::info!("event=hold_granted_before server={server} hold={hold}");
+        return Err(Error::Protocol("the engine granted a hold twice".to_owned()));
+    }
+    Ok(Some(grant))
 }
--- a/src/gateway/event_reader.rs
+++ b/src/gateway/event_reader.rs
@@ -33,7 +33,10 @@
                         self.splitter.push(&data);
                     }
                 }
-                None if self.splitter.rest().is_empty() => return Ok(None),
+                None if self.splitter.rest().is_empty() => {
+                    self.body.keep_connection();
+                    return Ok(None);
+                }
                 None => return Err(Error::Protocol("the stream ended within an event".to_owned())),
             }
         }
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -8,7 +8,7 @@
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::organisations::{ConfigAge, KeyHasher};
 use crate::peers::PeerClient;
-use crate::placement::{DomainGates, LoadBoard, ServerNote};
+use crate::placement::{DomainGates, GrantBook, LoadBoard, ServerNote};
 use crate::platform::StoreClient;
 use crate::routes::{RouteTable, ServiceKey};
 use crate::settings::GatewaySettings;
@@ -99,6 +99,7 @@
             silent: SilentOwners::default(),
             fleet: FleetView::default(),
             board: LoadBoard::default(),
+            grants: GrantBook::default(),
             health: HashMap::new(),
             domains: DomainGates::default(),
             retries: HashMap::new(),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -3,7 +3,9 @@
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate, ViewMark};
 use crate::organisations::ConfigAge;
-use crate::placement::{DomainGates, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums};
+use crate::placement::{
+    DomainGates, GrantBook, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums,
+};
 use crate::routes::{RouteTable, ServiceKey};
 use crate::settings::GatewayBounds;
 use std::collections::{HashMap, HashSet};
@@ -32,6 +34,8 @@
     pub fleet: FleetView,
     /// Their load.
     pub board: LoadBoard,
+    /// Holds that engines granted to this host.
+    pub grants: GrantBook,
     /// Their health, as this host saw it.
     pub health: HashMap<ServerKey, ServerHealth>,
     /// Other failure domains, as this host reaches them.
@@ -94,6 +98,7 @@
     /// Forgets what nobody repeats.
     pub fn expire(&mut self, now: TimePoint) {
         self.board.expire(now);
+        self.grants.retain(|server| self.fleet.entry(server).is_some());
         self.changes.expire(now);
         self.refused.expire(now);
         self.silent.expire(now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,6 @@
 //! `prompt_read` has the prompt read, `run_start` sends it), and `event_relay` passes a stream on.
 
 mod age_loop;
-mod answer_log;
 mod call_context;
 mod call_end;
 mod call_log;
@@ -33,6 +32,7 @@
 mod ready_server;
 mod run_open;
 mod run_start;
+mod server_call;
 mod server_ranking;
 mod stage_loop;
 mod stage_orders;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,9 +1,8 @@
-use super::answer_log::{CallPurpose, note_owner};
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
 use super::load_guard::LoadGuard;
+use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerWish;
-use crate::engines::SendLimits;
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
 use crate::placement::{ABROAD, ChoiceKind, ServerLoad, ServerNote};
@@ -11,8 +10,6 @@
 use crate::{Error, Result};
 use std::time::Duration;
 
-/// Connections come up within two round trips; a server that needs longer is silent.
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Requests that must not be repeated go on a connection that answered this recently.
 const FRESH_CONNECTION: Duration = Duration::from_millis(1500);
 /// A repeatable request is tried elsewhere after this many objectives without an answer.
@@ -126,6 +123,7 @@
     let end = match tokio::time::timeout(limit, exchange(context, server)).await {
         Ok(Ok(end)) => end,
         Ok(Err(Error::NotSent(_))) => AttemptEnd::NotSent,
+        Ok(Err(Error::Foreign { .. })) => AttemptEnd::Unknown("foreign_answer"),
         Ok(Err(error)) => {
             log::debug!("event=server_broke_off server={} cause=\"{error}\"", server.id);
             AttemptEnd::Unknown("server_broke_off")
@@ -138,15 +136,12 @@
 
 async fn exchange(context: &CallContext, server: &ServerEntry) -> Result<AttemptEnd> {
     let rested = if context.route.is_repeatable() { Duration::MAX } else { FRESH_CONNECTION };
-    let limits = SendLimits { connect: CONNECT_LIMIT, rested };
-    let request = context.call.to_server(server, context.left(), CallPart::Whole);
-    let response = context.host.pool.send_limited(server.address, request, limits).await?;
-    note_owner(&context.host, server, CallPurpose::Plain, context.id(), &response);
-    let kind = read_answer(&response, context.id());
+    let (purpose, left) = (CallPurpose::Plain, context.left());
+    let response = send_request(context, server, purpose, left, CallPart::Whole, rested).await?;
+    let kind = read_answer(&response);
     let (parts, body) = response.into_parts();
-    if kind == AnswerKind::Foreign {
-        body.discard();
-        return Ok(AttemptEnd::Unknown("foreign_answer"));
+    if kind == AnswerKind::Improper {
+        return Ok(AttemptEnd::Unknown("improper_answer"));
     }
     if kind == AnswerKind::NotRun {
         body.read_all().await?;
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -1,9 +1,8 @@
-use super::answer_log::{CallPurpose, note_owner};
 use super::call_context::CallContext;
 use super::engine_hold::EngineKeep;
 use super::load_guard::LoadGuard;
+use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerWish;
-use crate::engines::SendLimits;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::NameKey;
 use crate::placement::{ABROAD, ChoiceKind, PromptReader, ServerLoad, ServerNote, choose_reader};
@@ -20,7 +19,6 @@
 const MOST_READERS: usize = 2;
 /// A decode server still reads a prompt in time while no more than this part of the objective has passed.
 const OWN_READ_PART: f64 = 0.6;
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
 /// How reading a prompt ended.
 #[derive(Debug)]
@@ -127,15 +125,16 @@
     server: &ServerEntry,
     limit: Duration,
 ) -> Result<ReadEnd> {
-    let request = context.call.to_server(server, limit, CallPart::Prefill);
-    let limits = SendLimits { connect: CONNECT_LIMIT, ..SendLimits::default() };
-    let response = context.host.pool.send_limited(server.address, request, limits).await?;
-    note_owner(&context.host, server, CallPurpose::Read, context.id(), &response);
-    let kind = read_answer(&response, context.id());
+    // No server checks whose result it hands over: one that was taken from another request's answer
+    // would be that request's prompt.
+    let (purpose, part) = (CallPurpose::Read, CallPart::Prefill);
+    let response = send_request(context, server, purpose, limit, part, Duration::MAX).await?;
+    let kind = read_answer(&response);
     let status = response.status();
-    let body = response.into_body().read_all().await?;
+    let body = response.into_body();
     // Only whole answers carry a signature; a prompt that was read has none.
     if status != StatusCode::OK {
+        body.read_all().await?;
         let (id, server) = (context.id(), &server.id);
         log::info!(
             "event=prompt_unread request={id} server={server} status={status} kind={kind:?}"
@@ -143,5 +142,6 @@
         let turned_away = kind == AnswerKind::NotRun;
         return Ok(if turned_away { ReadEnd::TurnedAway } else { ReadEnd::Failed });
     }
-    Ok(ReadEnd::Read(decode_body(&body)?))
+    let result = body.read_as(|bytes| decode_body(bytes)).await?;
+    Ok(ReadEnd::Read(result))
 }
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -1,11 +1,10 @@
 //! Sends a request to run at one decode server.
 
-use super::answer_log::{CallPurpose, note_owner};
 use super::call_context::CallContext;
 use super::call_end::{NotRunReason, ServerAnswer};
 use super::event_reader::EventReader;
+use super::server_call::{CallPurpose, send_request};
 use crate::Error;
-use crate::engines::SendLimits;
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
 use crate::placement::ServerNote;
@@ -17,7 +16,6 @@
 /// A decode server that has the prompt makes its first event within a few steps; silence beyond
 /// this lets a repeatable request go elsewhere.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1500);
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
 /// Why a run did not open.
 #[derive(Debug)]
@@ -111,15 +109,15 @@
     server: &ServerEntry,
     part: DecodePart<'_>,
 ) -> Result<RunStart, OpenFailure> {
-    let request = context.call.to_server(server, context.left(), CallPart::Decode(part));
-    let limits = SendLimits { connect: CONNECT_LIMIT, ..SendLimits::default() };
-    let response = match context.host.pool.send_limited(server.address, request, limits).await {
+    let (purpose, left, part) = (CallPurpose::Run, context.left(), CallPart::Decode(part));
+    let sent = send_request(context, server, purpose, left, part, Duration::MAX).await;
+    let response = match sent {
         Ok(response) => response,
         Err(Error::NotSent(_)) => return Err(OpenFailure::TurnedAway(server.clone())),
+        Err(Error::Foreign { .. }) => return Err(OpenFailure::Unknown("foreign_answer")),
         Err(_) => return Err(OpenFailure::Unknown("server_broke_off")),
     };
-    note_owner(&context.host, server, CallPurpose::Run, context.id(), &response);
-    let kind = read_answer(&response, context.id());
+    let kind = read_answer(&response);
     let (parts, body) = response.into_parts();
     match kind {
         AnswerKind::Success => {
@@ -128,10 +126,7 @@
             let first = first.map_err(|_error| OpenFailure::Unknown("server_broke_off"))?;
             Ok(((parts.status, parts.headers), reader, first))
         }
-        AnswerKind::Foreign => {
-            body.discard();
-            Err(OpenFailure::Unknown("foreign_answer"))
-        }
+        AnswerKind::Improper => Err(OpenFailure::Unknown("improper_answer")),
         AnswerKind::NotRun => {
             // The connection is kept only if its answer is read to the end.
             drop(body.read_all().await);
--- /dev/null
+++ b/src/gateway/server_call.rs
@@ -0,0 +1,113 @@
+//! Sends calls to backend servers: what proves each answer, and what is told of those without proof.
+
+use super::call_context::CallContext;
+use super::gateway_host::GatewayHost;
+use crate::engines::{AnswerProof, PooledBody, SendLimits};
+use crate::fleet::ServerEntry;
+use crate::platform::{CallPart, REQUEST_ID};
+use crate::{Error, Result};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
+use std::time::Duration;
+
+/// A new connection to a server within a site comes up within two round trips.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// What a backend server is called for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CallPurpose {
+    /// Reading a prompt.
+    Read,
+    /// Making tokens.
+    Run,
+    /// A whole request of a plain service.
+    Plain,
+    /// Holds, reports and what is given back.
+    Control,
+    /// Orders to an engine.
+    Order,
+}
+
+impl CallPurpose {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Run => "run",
+            Self::Plain => "plain",
+            Self::Control => "control",
+            Self::Order => "order",
+        }
+    }
+
+    /// Requests of callers are told apart by their ids. Answers to the router's own calls have none; that
+    /// to an order says nothing but a status, and a wrong one would be believed.
+    const fn proof(self) -> AnswerProof {
+        match self {
+            Self::Read | Self::Run | Self::Plain => AnswerProof::Id(REQUEST_ID),
+            Self::Control => AnswerProof::Contents(REQUEST_ID),
+            Self::Order => AnswerProof::OwnConnection,
+        }
+    }
+}
+
+/// Sends a caller's request to a backend server.
+///
+/// # Errors
+/// As [`send_call`].
+pub(super) async fn send_request(
+    context: &CallContext,
+    server: &ServerEntry,
+    purpose: CallPurpose,
+    left: Duration,
+    part: CallPart<'_>,
+    rested: Duration,
+) -> Result<Response<PooledBody>> {
+    let request = context.call.to_server(server, left, part);
+    let limits = SendLimits { connect: CONNECT_LIMIT, rested };
+    send_call(&context.host, server, purpose, request, limits).await
+}
+
+/// Calls an engine for the router's own purposes; `read` knows the answer by what it says.
+///
+/// # Errors
+/// If there was no answer within `limit`, or `read` fails.
+pub(super) async fn call_engine<T>(
+    host: &GatewayHost,
+    server: &ServerEntry,
+    purpose: CallPurpose,
+    call: Request<Full<Bytes>>,
+    limit: Duration,
+    read: impl FnOnce(StatusCode, &Bytes) -> Result<T>,
+) -> Result<T> {
+    let exchange = async {
+        let limits = SendLimits { connect: limit, ..SendLimits::default() };
+        let response = send_call(host, server, purpose, call, limits).await?;
+        let status = response.status();
+        response.into_body().read_as(|body| read(status, body)).await
+    };
+    tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)?
+}
+
+async fn send_call(
+    host: &GatewayHost,
+    server: &ServerEntry,
+    purpose: CallPurpose,
+    request: Request<Full<Bytes>>,
+    limits: SendLimits,
+) -> Result<Response<PooledBody>> {
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let sent = host.pool.send(server.address, request, purpose.proof(), limits).await;
+    if let Err(Error::Foreign { owner, status, calls }) = &sent {
+        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+        log::info!(
+            "event=answer_of_another request={id} server={} call={} owner={owner:?} \
+             status={} connection_calls={calls}",
+            server.id,
+            purpose.name(),
+            status.as_u16()
+        );
+        host.metrics().add("answers_of_others", 1);
+    }
+    sent
+}
--- a/src/gateway/stage_orders.rs
+++ b/src/gateway/stage_orders.rs
@@ -1,7 +1,7 @@
 //! Gives orders to engines: asks them, writes the fence, and sends the orders side by side.
 
-use super::engine_hold::call_engine;
 use super::gateway_host::GatewayHost;
+use super::server_call::{CallPurpose, call_engine};
 use super::stage_loop::{PlannedChange, StageDesk};
 use crate::fleet::ServerEntry;
 use crate::orders::OrderLease;
@@ -71,8 +71,8 @@
         let order =
             StageOrder { stage: change.to, holder: &self.settings.host, fence, orders_taken };
         let call = stage_call(&change.server, &order);
-        let (status, _) = call_engine(self, &change.server, call, ENGINE_LIMIT).await?;
-        Ok(status)
+        let (server, purpose) = (&change.server, CallPurpose::Order);
+        call_engine(self, server, purpose, call, ENGINE_LIMIT, |status, _| Ok(status)).await
     }
 
     fn note_answer(
@@ -120,11 +120,14 @@
     }
 
     async fn ask_report(&self, server: &ServerEntry) -> Result<EngineReport> {
-        let (status, body) = call_engine(self, server, report_call(server), ENGINE_LIMIT).await?;
-        if !status.is_success() {
-            return Err(Error::Refused(format!("the engine answered {status} to a report")));
-        }
-        decode_report(&body)
+        let (purpose, call) = (CallPurpose::Control, report_call(server));
+        call_engine(self, server, purpose, call, ENGINE_LIMIT, |status, body| {
+            if !status.is_success() {
+                return Err(Error::Refused(format!("the engine answered {status} to a report")));
+            }
+            decode_report(body)
+        })
+        .await
     }
 
     /// Writes the next fence into the store.
--- a/src/host/plain_call.rs
+++ b/src/host/plain_call.rs
@@ -4,7 +4,7 @@
 use super::in_flight::InFlight;
 use super::once_call::read_answer;
 use crate::claims::KeptAnswer;
-use crate::engines::HttpPool;
+use crate::engines::{AnswerProof, HttpPool, SendLimits};
 use crate::intents::ServiceSpec;
 use crate::telemetry::TraceParent;
 use crate::{Error, Result};
@@ -42,7 +42,9 @@
             .header("traceparent", trace.to_string())
             .body(Full::new(body.clone()))
             .map_err(|error| Error::Protocol(error.to_string()))?;
-        let call = async { read_answer(POOL.send(address, request).await?).await };
+        // Services echo nothing by which a late second answer could be told from the next call's.
+        let (proof, limits) = (AnswerProof::OwnConnection, SendLimits::default());
+        let call = async { read_answer(POOL.send(address, request, proof, limits).await?).await };
         match tokio::time::timeout(CALL_LIMIT, call).await {
             Ok(Ok(answer)) => {
                 host.note_span(trace, "service", began, format!("server={address}"));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,6 +4,7 @@
 //! cancellations. No machine here knows a socket or a clock.
 
 mod domain_gates;
+mod grant_book;
 mod health_gate;
 mod length_model;
 mod link_lane;
@@ -32,6 +33,7 @@
 mod work_meter;
 
 pub use domain_gates::DomainGates;
+pub use grant_book::GrantBook;
 pub use health_gate::HealthGate;
 pub use length_model::LengthModel;
 pub use link_lane::LinkLane;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -16,10 +16,10 @@
     handle_drop_call, hold_call, hold_drop_call, report_call, stage_call,
 };
 pub use lease_wire::{LEASE_OBJECT, decode_lease, encode_lease};
-pub use names::READY_PATH;
+pub use names::{READY_PATH, REQUEST_ID};
 pub use request_wire::{
-    AnswerKind, AnswerOwner, CallHead, CallPart, DecodePart, ServerCall, TokenCounts,
-    answer_headers, answer_owner, own_headers, read_answer,
+    AnswerKind, CallHead, CallPart, DecodePart, ServerCall, TokenCounts, answer_headers,
+    own_headers, read_answer,
 };
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server};
 pub use store_client::{ListAge, ObjectList, StoreClient, StoreObject, StoreWrite, WatchAnswer};
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -1,6 +1,7 @@
 //! The platform's spellings of headers and paths.
 
-/// Names a request; echoed by every answer of a backend server.
+/// Names a request; every answer to one carries it back. Answers to the router's own calls have none,
+/// also where the call had.
 pub const REQUEST_ID: &str = "x-request-id";
 /// Milliseconds that the sender will still wait.
 pub const DEADLINE: &str = "x-deadline-ms";
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -204,7 +204,7 @@
         .any(|item| item.trim().eq_ignore_ascii_case(name.as_str()))
 }
 
-/// How a backend server's answer head reads.
+/// How the head of a backend server's own answer to a request reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerKind {
     /// A signed success.
@@ -213,48 +213,21 @@
     NotRun,
     /// The server ran the request and failed.
     Failed,
-    /// It belongs to another request, or is no proper answer.
-    Foreign,
+    /// A success without a signature, or of an encoded body.
+    Improper,
 }
 
-/// Whose answer a backend server's answer says it is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AnswerOwner {
-    /// The request's that it was taken for.
-    Asked,
-    /// Another request's.
-    Another,
-    /// It names no request.
-    Unnamed,
-}
-
-/// Reads whose answer it is that came for the request `id`.
-pub fn answer_owner(response: &Response<impl Sized>, id: &str) -> AnswerOwner {
-    match response.headers().get(names::REQUEST_ID) {
-        Some(value) if value.as_bytes() == id.as_bytes() => AnswerOwner::Asked,
-        Some(_) => AnswerOwner::Another,
-        None => AnswerOwner::Unnamed,
-    }
-}
-
-/// Reads what a backend server's answer to the request `id` means.
-pub fn read_answer(response: &Response<impl Sized>, id: &str) -> AnswerKind {
+/// Reads what a backend server's answer means that is known to belong to the request.
+pub fn read_answer(response: &Response<impl Sized>) -> AnswerKind {
     let headers = response.headers();
-    let echoed = headers.get(names::REQUEST_ID).map(HeaderValue::as_bytes);
-    if echoed.is_some_and(|value| value != id.as_bytes()) {
-        return AnswerKind::Foreign;
-    }
     let status = response.status();
     if status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(names::NOT_RUN) {
         return AnswerKind::NotRun;
     }
-    if echoed.is_none() {
-        return AnswerKind::Foreign;
-    }
     if status.is_success() {
         let encoded = headers.contains_key("content-encoding");
         let signed = headers.contains_key(names::STAMP);
-        return if signed && !encoded { AnswerKind::Success } else { AnswerKind::Foreign };
+        return if signed && !encoded { AnswerKind::Success } else { AnswerKind::Improper };
     }
     AnswerKind::Failed
 }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -2,7 +2,7 @@
 
 use super::names;
 use super::store_wire::{WireEvents, WireList, WireObject};
-use crate::engines::{HttpPool, SendLimits};
+use crate::engines::{AnswerProof, HttpPool, SendLimits};
 use crate::{Error, Result};
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
@@ -220,8 +220,9 @@
             headers.insert("host", host);
         }
         let exchange = async {
-            let response =
-                self.pool.send_limited(self.address, request, SendLimits::default()).await?;
+            let proof = AnswerProof::Contents(names::REQUEST_ID);
+            let limits = SendLimits::default();
+            let response = self.pool.send(self.address, request, proof, limits).await?;
             let status = response.status();
             Ok((status, response.into_body().read_all().await?))
         };
