A stream is whole only if its end was said, and holds only numbered events

The end of the channel between the task that passes events on and the one that writes to the caller counted as the end of the stream; an event without a number passed unchecked, so the head of a second answer behind one without a length reached the caller as an event.

Change: the end of a stream is a message of its own; without it the caller's connection is broken off. An event without a number loses its run.

Before: stream_without_what_is_none_of_its_events failed in both cases (the stray bytes in the caller's stream). After: both pass. With the check of ids sent twice switched off, pool_sends_an_id_once fails (/first for /second).

--- a/src/bench/site/engine_fault.rs
+++ b/src/bench/site/engine_fault.rs
@@ -18,6 +18,8 @@
     CutAfter(u64),
     /// It makes this many events and then nothing.
     StallAfter(u64),
+    /// In runs from the beginning, something that is none of the stream's events comes after this many.
+    StrayAfter(u64),
     /// It answers with the id of another request.
     ForeignAnswer,
     /// It changes its stage: it grants holds, but turns reads and runs away.
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -225,6 +225,10 @@
                     lock(&self.runs)[place].cancelled = true;
                     return;
                 }
+                EngineFault::StrayAfter(most) if first == 0 && made == most => {
+                    let stray = format!("HTTP/1.1 200 OK\r\ndata: stray\r\n\r\n{text}");
+                    events.send(Ok(Frame::data(Bytes::from(stray)))).await
+                }
                 _ => events.send(Ok(Frame::data(Bytes::from(text)))).await,
             };
             if sent.is_err() {
--- a/src/gateway/caller_body.rs
+++ b/src/gateway/caller_body.rs
@@ -21,13 +21,23 @@
 
 impl std::error::Error for StreamCut {}
 
+/// A part of a stream on its way to its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum StreamPart {
+    /// A whole event.
+    Event(Bytes),
+    /// There are no more events. A stream is whole only if this came: whatever else ends the task that
+    /// passes events on breaks the stream off.
+    End,
+}
+
 /// Body of an answer to a caller.
 #[derive(Debug)]
 pub(super) enum CallerBody {
     /// It is all there.
     Whole(Option<Bytes>),
     /// Events as they arrive.
-    Events(Receiver<Result<Bytes, StreamCut>>),
+    Events(Receiver<StreamPart>),
 }
 
 impl Body for CallerBody {
@@ -40,9 +50,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Events(events) => {
-                events.poll_recv(cx).map(|event| event.map(|event| event.map(Frame::data)))
-            }
+            Self::Events(parts) => parts.poll_recv(cx).map(|part| match part {
+                Some(StreamPart::Event(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamPart::End) => None,
+                None => Some(Err(StreamCut)),
+            }),
         }
     }
 
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -1,6 +1,6 @@
 use super::call_context::CallContext;
 use super::call_end::CallEnd;
-use super::caller_body::StreamCut;
+use super::caller_body::StreamPart;
 use super::decode_room::expected_output;
 use super::flight_guard::FlightGuard;
 use super::run_open::{OpenRun, may_run_again, open_stream};
@@ -10,7 +10,6 @@
 use crate::placement::{PaceTimer, ServerNote};
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
-use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
@@ -85,19 +84,21 @@
     engine: EngineSpec,
     run: OpenRun,
     runs: RunRecord,
-    events: Sender<std::result::Result<Bytes, StreamCut>>,
+    events: Sender<StreamPart>,
     flight: FlightGuard,
 ) {
     let mut record = RelayRecord { last: context.head.last_event, ..RelayRecord::default() };
     let server = run.server.id.clone();
     note_stream(&context);
     let end = relay_runs(&context, &engine, run, runs, &events, &mut record).await;
-    if end != StreamEnd::Whole && end != StreamEnd::CallerLeft {
-        // The HTTP library drops what it has not written when a body fails.
-        tokio::time::sleep(CUT_PAUSE).await;
+    match end {
         // If the caller has just left, there is nobody to tell.
-        drop(events.send(Err(StreamCut)).await);
+        StreamEnd::Whole => drop(events.send(StreamPart::End).await),
+        StreamEnd::CallerLeft => {}
+        // The HTTP library drops what it has not written when a body fails.
+        StreamEnd::TimedOut | StreamEnd::Broken => tokio::time::sleep(CUT_PAUSE).await,
     }
+    drop(events);
     log_stream(&context, &server, end, &record);
     drop(flight);
 }
@@ -107,7 +108,7 @@
     engine: &EngineSpec,
     run: OpenRun,
     mut runs: RunRecord,
-    events: &Sender<std::result::Result<Bytes, StreamCut>>,
+    events: &Sender<StreamPart>,
     record: &mut RelayRecord,
 ) -> StreamEnd {
     let mut run = run;
@@ -160,7 +161,7 @@
     context: &CallContext,
     engine: &EngineSpec,
     run: OpenRun,
-    events: &Sender<std::result::Result<Bytes, StreamCut>>,
+    events: &Sender<StreamPart>,
     record: &mut RelayRecord,
 ) -> RunEnd {
     let OpenRun { mut reader, first, mut load, .. } = run;
@@ -200,14 +201,19 @@
     next.map_err(|_elapsed| crate::Error::Timeout)?
 }
 
-/// Passes an event on if it is the next one; one that the caller has is dropped.
+/// Passes an event on if it is the next one; one that the caller has is dropped. Without a number it is none
+/// of the stream's: the head of a second answer, behind one that has no length, reads as such an event.
 async fn pass_on(
     context: &CallContext,
     event: StreamEvent,
-    events: &Sender<std::result::Result<Bytes, StreamCut>>,
+    events: &Sender<StreamPart>,
     record: &mut RelayRecord,
 ) -> Option<RunEnd> {
-    if let (Some(number), Some(last)) = (event.number, record.last) {
+    let Some(number) = event.number else {
+        log::warn!("event=stream_stray request={} bytes={}", context.id(), event.bytes.len());
+        return Some(RunEnd::ServerLost);
+    };
+    if let Some(last) = record.last {
         if number <= last {
             return None;
         }
@@ -220,9 +226,9 @@
             return Some(RunEnd::ServerLost);
         }
     }
-    record.last = event.number.or(record.last);
+    record.last = Some(number);
     record.note_event(context.host.now(), context.age());
-    match events.send(Ok(event.bytes)).await {
+    match events.send(StreamPart::Event(event.bytes)).await {
         Ok(()) => None,
         Err(_) => Some(RunEnd::Stream(StreamEnd::CallerLeft)),
     }
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -7,7 +7,16 @@
 //! the prompt of the one before. Cause: the answer to a read was not checked for whose it is. What proves it:
 //! in these tests the stand-in's events name the prompt that they were made from.
 
-use tealcleat::bench::site::{CallerReply, SitePlan, StutterLink, StutterPlan, TestSite};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use rstest::rstest;
+use tealcleat::bench::site::{
+    CallerReply, EngineFault, SitePlan, SiteService, StutterLink, StutterPlan, TestSite,
+};
+use tealcleat::engines::{AnswerProof, HttpPool, SendLimits};
+use tealcleat::keys::NameKey;
+use tealcleat::placement::GrantBook;
 
 mod site_common;
 
@@ -47,3 +56,56 @@
         assert_eq!(link.left(), 0, "nothing was answered twice");
     });
 }
+
+/// A request that was turned away is sent to the same server again, with the same id: a copy of the first
+/// answer has that id, too.
+#[test]
+fn pool_sends_an_id_once_over_one_connection() {
+    runtime().block_on(async {
+        let service = std::sync::Arc::new(SiteService::new("i-1"));
+        let link = StutterLink::start(service.serve().await.expect("an address")).await;
+        let link = link.expect("a link");
+        link.stutter(StutterPlan { request_has: "/first", times: 1 });
+        let pool = HttpPool::default();
+        for path in ["/first", "/second", "/third"] {
+            let request = Request::builder().uri(path).header("x-request-id", "the-same");
+            let request = request.body(Full::new(Bytes::new())).expect("a request");
+            let (proof, limits) = (AnswerProof::Id("x-request-id"), SendLimits::default());
+            let answer = pool.send(link.address, request, proof, limits).await.expect("an answer");
+            let body = answer.into_body().read_all().await.expect("a body");
+            assert_eq!(body, format!("{path} the-same"));
+        }
+        assert_eq!(link.left(), 0, "nothing was answered twice");
+    });
+}
+
+/// Answers to holds have no id; each hold has a name that its server gives once.
+#[test]
+fn grant_book_knows_a_hold_that_was_granted_before() {
+    let (one, other) = (NameKey::of("one"), NameKey::of("other"));
+    let mut book = GrantBook::default();
+    assert!(book.note(one, "h1"));
+    assert!(book.note(one, "h2"));
+    assert!(!book.note(one, "h1"));
+    assert!(book.note(other, "h1"), "servers name their holds by themselves");
+    book.retain(|server| server != one);
+    assert!(book.note(one, "h1"), "a server that is gone is forgotten");
+}
+
+/// What is no event of a stream, as the head of a second answer behind one without a length, never reaches
+/// its caller: the run is lost, and a stream that may be resumed goes on after its last event.
+#[rstest]
+#[case::not_resumable("stream", false)]
+#[case::resumable("resume", true)]
+fn stream_without_what_is_none_of_its_events(#[case] route: &str, #[case] whole: bool) {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        for engine in &site.decodes {
+            engine.set_fault(EngineFault::StrayAfter(3));
+        }
+        let reply = ask(&site, &call("POST", route, "r1")).await;
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        assert!(!text.contains("stray") && !text.contains("HTTP/1.1"), "{text}");
+        assert_eq!(reply.complete, whole);
+    });
+}
