--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -6,6 +6,7 @@
 use crate::host::lock;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// What a stand-in server of a plain service does wrong.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -23,6 +24,8 @@
     ForeignAnswer,
     /// It answers without its signature.
     Unsigned,
+    /// It works on each request for this long.
+    Slow(Duration),
     /// It answers nothing.
     Silent,
 }
@@ -82,6 +85,9 @@
             return Ok(signed(answer, &id, None));
         }
         lock(&self.runs).push(SeenCaller::of(&request, &id));
+        if let ServiceFault::Slow(time) = fault {
+            tokio::time::sleep(time).await;
+        }
         let body = format!("{} {id}", request.uri());
         match fault {
             ServiceFault::LoseAnswers => Err(BrokenOff),
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -67,8 +67,9 @@
 
 impl GatewayHost {
     /// Stops as planned: callers are sent elsewhere first, then no more requests are read, and the
-    /// process ends when those under way have ended or the platform's patience has.
-    pub async fn stop_gently(self: &Arc<Self>) {
+    /// process ends when those under way have ended or the platform's patience has. Returns how many are
+    /// cut off by its end.
+    pub async fn stop_gently(self: &Arc<Self>) -> u64 {
         let began = tokio::time::Instant::now();
         let plan = StopPlan::new(self.state().bounds.grace);
         let ends = began + plan.ends;
@@ -87,6 +88,8 @@
         }
         // Answers that were just finished still leave their sockets.
         tokio::time::sleep(DRAIN_LOOK).await;
-        log::info!("event=stopped in_flight={}", self.in_flight.load(Ordering::Relaxed));
+        let cut = self.in_flight.load(Ordering::Relaxed);
+        log::info!("event=stopped in_flight={cut}");
+        cut
     }
 }
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -2,9 +2,13 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use tealcleat::bench::site::{SiteCall, SiteConnection, SitePlan, TestSite};
+use tealcleat::bench::site::{ServiceFault, SiteCall, SiteConnection, SitePlan, TestSite};
 use tealcleat::gateway::{StopPhase, StopPlan};
 
+mod site_common;
+
+use site_common::runtime;
+
 const GRACE: Duration = Duration::from_secs(8);
 
 fn stream(id: &str) -> SiteCall {
@@ -70,3 +74,53 @@
         assert!(host.is_ready());
     });
 }
+
+/// What was seen: a host that was stopped as planned read a request, passed it on and ended without its answer.
+/// How it came about: the request arrived in the very turn in which the host closed its connections; it looked
+/// once whether a request was under way, and read this one after that. What proved it: of 45 plays of one day
+/// requests were lost in just those 11 whose host wrote in_flight=1 as it stopped.
+///
+/// The hosts' only thread is kept busy while they should close, and each gets a request meanwhile.
+#[test]
+fn stopping_daemons_answer_what_they_read_last() {
+    let outside = runtime();
+    let daemons = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let daemons = daemons.expect("a runtime");
+    let plan = SitePlan { hosts: 0, services: 1, ..SitePlan::default() };
+    let mut site = outside.block_on(TestSite::start(plan)).expect("a site");
+    site.services[0].set_fault(ServiceFault::Slow(SERVICE_TIME));
+    daemons.block_on(async {
+        for _ in 0..STOPPED_HOSTS {
+            site.add_host().await.expect("a host");
+        }
+        site.wait_ready().await;
+    });
+    let closes_after = StopPlan::new(GRACE).leaving;
+    for (place, gateway) in site.hosts.iter().enumerate() {
+        let address = gateway.callers;
+        outside.spawn(async move {
+            let mut open = SiteConnection::open(address).await.expect("it accepts");
+            tokio::time::sleep(closes_after).await;
+            // A request that crosses the close was not read.
+            drop(open.call(&plain(&format!("r{place}"))).await);
+        });
+    }
+    let cut = daemons.block_on(async {
+        tokio::spawn(async move {
+            tokio::time::sleep(closes_after.saturating_sub(BUSY_TIME / 2)).await;
+            std::thread::sleep(BUSY_TIME);
+        });
+        let stops = site.hosts.iter().map(|gateway| gateway.host.stop_gently());
+        futures_util::future::join_all(stops).await
+    });
+    assert_eq!(cut, [0; STOPPED_HOSTS], "requests cut off");
+}
+
+const STOPPED_HOSTS: usize = 12;
+/// Longer than a host that sees nothing under way waits before it ends.
+const SERVICE_TIME: Duration = Duration::from_millis(150);
+const BUSY_TIME: Duration = Duration::from_millis(100);
+
+fn plain(id: &str) -> SiteCall {
+    SiteCall { method: "GET", path: "/safe/x".to_owned(), body: "", ..stream(id) }
+}
