A stopping host looks again before it ends, and refuses what is read after that

Change: the first look for requests under way comes one pause after the connections were told to close, and what is read once the end has begun is refused as not run instead of being passed on. Also: a connection that is taken after the close is told of it as well.

--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -66,7 +66,7 @@
         return Err(CallEnd::Improper(StatusCode::BAD_REQUEST, "no_request_id"));
     }
     let routes = host.routes();
-    if routes.version() == 0 {
+    if routes.version() == 0 || host.stop_phase() == StopPhase::Ending {
         return Err(CallEnd::NotRun(NotRunReason::NotReady, NOT_READY_PAUSE));
     }
     let route = routes.find(&head.host, parts.uri.path()).cloned();
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -28,8 +28,10 @@
     Serving,
     /// The platform is told to send no more callers; those that come are still served.
     Leaving,
-    /// No more requests are read; those under way end.
+    /// Connections are closed; requests under way end, and what was read meanwhile.
     Closing,
+    /// The process ends; what is still read is refused.
+    Ending,
 }
 
 /// Where a newer view came from.
@@ -172,7 +174,7 @@
     pub(super) async fn closing(&self) {
         let mut stop = self.stop.subscribe();
         // The sender lives as long as this host: the wait ends only with the phase.
-        drop(stop.wait_for(|phase| *phase == StopPhase::Closing).await);
+        drop(stop.wait_for(|phase| *phase >= StopPhase::Closing).await);
     }
 
     /// Puts changed settings in force, as far as that goes without a restart.
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -83,9 +83,13 @@
         log::info!("event=stop_began in_flight={}", self.in_flight.load(Ordering::Relaxed));
         tokio::time::sleep(plan.leaving).await;
         self.stop.send_replace(StopPhase::Closing);
+        // A connection that is told to close may have a request to read in the same turn, so that only a
+        // later look can see that nothing is under way.
+        tokio::time::sleep(DRAIN_LOOK).await;
         while self.in_flight.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < ends {
             tokio::time::sleep(DRAIN_LOOK).await;
         }
+        self.stop.send_replace(StopPhase::Ending);
         // Answers that were just finished still leave their sockets.
         tokio::time::sleep(DRAIN_LOOK).await;
         let cut = self.in_flight.load(Ordering::Relaxed);
