The own interface's answers that arrive twice or end too early, shown by failing tests

Cause, as in the incident on the users' platform: what arrives on a kept connection is believed without proof that it belongs to the call, and what ends is taken for whole. All eleven tests fail on the code as it is.

engine_answers, one answer given twice before each: - prefill: prompt number 2's stream has the first tokens of prompt number 1's; - decode and resume: prompt number 1's stream is prompt number 0's; - order: fence 3 counts as obeyed by an engine that obeyed 5; - cancel: an attempt that was never held counts as held; - load: the report on events after 6 is the one on events after 5; - plain service: /page/1 gets the answer to /page/0.

answer_ends: a stream that ends within a line, one that ends before its last event, a cut stream of the stand-in, and a caller's answer whose task ended after two tokens all look complete.

Change: only what the tests need: links before stand-in engines, and the caller's body as a public type. Conclusion: the class is there on the own interface too.

--- a/src/bench/kv_store.rs
+++ b/src/bench/kv_store.rs
@@ -28,6 +28,7 @@
 #[derive(Debug, Default)]
 pub struct KvStore {
     results: Mutex<HashMap<(SocketAddr, u64), KvResult>>,
+    links: Mutex<HashMap<SocketAddr, SocketAddr>>,
 }
 
 impl KvStore {
@@ -40,15 +41,30 @@
         results.insert((source, handle), result);
     }
 
+    /// Lets the engine at `source` be reached at `link` too.
+    pub fn add_link(&self, link: SocketAddr, source: SocketAddr) {
+        if let Ok(mut links) = self.links.lock() {
+            links.insert(link, source);
+        }
+    }
+
     /// A result, alive or not.
     pub fn get(&self, source: SocketAddr, handle: u64) -> Option<KvResult> {
+        let source = self.engine_at(source);
         self.results.lock().ok()?.get(&(source, handle)).cloned()
     }
 
     /// Drops a result that was transferred.
     pub fn take(&self, source: SocketAddr, handle: u64) {
+        let source = self.engine_at(source);
         if let Ok(mut results) = self.results.lock() {
             results.remove(&(source, handle));
         }
     }
+
+    /// The engine that is reached at an address.
+    fn engine_at(&self, address: SocketAddr) -> SocketAddr {
+        let engine = self.links.lock().ok().and_then(|links| links.get(&address).copied());
+        engine.unwrap_or(address)
+    }
 }
--- a/src/bench/standin_set.rs
+++ b/src/bench/standin_set.rs
@@ -3,7 +3,7 @@
 use super::engine_server::serve_engine;
 use super::kv_store::KvStore;
 use super::service_server::{ServiceCore, serve_service};
-use super::site::{SiteStore, StoreFault};
+use super::site::{SiteStore, StoreFault, StutterLink};
 use super::weight_store::WeightStore;
 use super::{FaultCommand, FaultKind, StandinPlan};
 use crate::intents::ServerRole;
@@ -106,6 +106,18 @@
         self.engines.get(engine).is_some_and(|engine| engine.role() == ServerRole::Prefill)
     }
 
+    /// A link to an engine, which is then reached at the link's address as well.
+    ///
+    /// # Errors
+    /// If there is no such engine, or no port can be bound.
+    pub async fn link(&self, engine: &str) -> Result<StutterLink> {
+        let engine = self.engines.get(engine);
+        let engine = engine.ok_or_else(|| Error::Refused("there is no such engine".to_owned()))?;
+        let link = StutterLink::start(engine.address).await?;
+        engine.results.add_link(link.address, engine.address);
+        Ok(link)
+    }
+
     /// What really happened so far.
     pub fn stats(&self) -> StandinStats {
         let (calls, platform_writes) = self.platform.counts();
--- a/src/callers/answer_body.rs
+++ b/src/callers/answer_body.rs
@@ -10,7 +10,7 @@
 
 /// An answer as server-sent events; each token leaves when it arrives.
 #[derive(Debug)]
-pub(super) struct AnswerBody {
+pub struct AnswerBody {
     request: String,
     first: Option<AnswerPart>,
     parts: UnboundedReceiver<AnswerPart>,
@@ -18,6 +18,7 @@
 }
 
 impl AnswerBody {
+    /// The answer to `request`, whose parts come by `parts`; the first one is there already.
     pub fn new(request: String, first: AnswerPart, parts: UnboundedReceiver<AnswerPart>) -> Self {
         Self { request, first: Some(first), parts, ended: false }
     }
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -11,6 +11,7 @@
 mod completion_route;
 mod service_route;
 
+pub use answer_body::AnswerBody;
 pub use caller_error::{CallerError, ErrorOutcome};
 pub use caller_server::serve_callers;
 pub use completion_body::CompletionBody;
--- /dev/null
+++ b/tests/answer_ends.rs
@@ -0,0 +1,105 @@
+//! Answers that end before they are whole.
+//!
+//! What was seen: callers of model services got answers that were not whole. How it can come about: the task
+//! that makes an answer ends early, by a panic or a stop, and the end of its channel was written to the
+//! caller as the end of the answer; or an engine's stream ends within a line or before its last event, and
+//! its reader took that for the end. Cause: what ends was taken for whole, though both protocols have an
+//! explicit end. What proves it: in these tests that explicit end never comes.
+
+mod engine_common;
+
+use bytes::Bytes;
+use engine_common::{DECODE, LinkedEngines, read_all, runtime};
+use http_body_util::BodyExt;
+use std::net::SocketAddr;
+use tealcleat::bench::{FaultCommand, FaultKind, StandinSet};
+use tealcleat::callers::AnswerBody;
+use tealcleat::engines::{EngineClient, ResumeCall, StreamEvent};
+use tealcleat::host::AnswerPart;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+fn cut(set: &StandinSet) {
+    let target = DECODE.to_owned();
+    assert!(set.switch(&FaultCommand { target, fault: FaultKind::CutStreams, on: true }));
+}
+
+#[test]
+fn cut_stream_looks_broken() {
+    runtime().block_on(async {
+        let engines = LinkedEngines::start().await;
+        let mut lines = engines.stream("a stream that is cut").await.expect("a stream");
+        let first = lines.next::<StreamEvent>().await.expect("an event");
+        assert_eq!(first, Some(StreamEvent::Imported));
+        cut(&engines.set);
+        let (events, ended) = read_all(&mut lines).await;
+        assert!(!events.iter().any(|event| matches!(event, StreamEvent::Done { .. })));
+        assert!(ended.is_err(), "a stream without its last event ended well");
+    });
+}
+
+/// An engine that answers every call with `body` as a whole answer.
+async fn engine_answering(body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let read = stream.read(&mut request).await.expect("a request");
+            let request = String::from_utf8_lossy(&request[..read]).into_owned();
+            // Like any engine of this interface it sends the call's id back.
+            let id = request.lines().find(|line| line.starts_with("tealcleat-call:"));
+            let id = id.map_or(String::new(), |line| format!("{line}\r\n"));
+            let length = body.len();
+            let head = format!("HTTP/1.1 200 OK\r\n{id}content-length: {length}\r\n\r\n");
+            stream.write_all(format!("{head}{body}").as_bytes()).await.expect("it is read");
+        }
+    });
+    address
+}
+
+#[test]
+fn stream_that_ends_within_a_line_looks_broken() {
+    runtime().block_on(async {
+        let address = engine_answering("\"imported\"\n{\"token\":{\"index\":0,").await;
+        let call = ResumeCall { attempt: "a".to_owned(), next_index: 0 };
+        let resumed = EngineClient::default().resume(address, &call).await;
+        let (events, ended) = read_all(&mut resumed.expect("a stream")).await;
+        assert_eq!(events, [StreamEvent::Imported]);
+        assert!(ended.is_err(), "half a line passed for the end");
+    });
+}
+
+#[test]
+fn stream_that_ends_without_its_last_event_looks_broken() {
+    runtime().block_on(async {
+        let address = engine_answering("\"imported\"\n").await;
+        let call = ResumeCall { attempt: "a".to_owned(), next_index: 0 };
+        let resumed = EngineClient::default().resume(address, &call).await;
+        let (events, ended) = read_all(&mut resumed.expect("a stream")).await;
+        assert_eq!(events, [StreamEvent::Imported]);
+        assert!(ended.is_err(), "a stream without its last event ended well");
+    });
+}
+
+/// The body of an answer whose first token came, then `parts`, then the end of the task that makes it.
+async fn body_of(parts: Vec<AnswerPart>) -> Option<Bytes> {
+    let (sink, receiver) = tokio::sync::mpsc::unbounded_channel();
+    for part in parts {
+        sink.send(part).expect("it is received");
+    }
+    drop(sink);
+    let first = AnswerPart::Token("first".to_owned());
+    let body = AnswerBody::new("r-1".to_owned(), first, receiver);
+    body.collect().await.ok().map(|collected| collected.to_bytes())
+}
+
+#[test]
+fn answer_whose_task_ended_early_looks_broken() {
+    runtime().block_on(async {
+        let cut = body_of(vec![AnswerPart::Token("second".to_owned())]).await;
+        assert_eq!(cut, None, "an answer without its end looks complete");
+        let whole = body_of(vec![AnswerPart::Done("stop".to_owned())]).await.expect("it is whole");
+        assert!(whole.ends_with(b"data: [DONE]\n\n"));
+    });
+}
--- /dev/null
+++ b/tests/engine_answers.rs
@@ -0,0 +1,216 @@
+//! Answers of the own interface's backend servers that arrive twice, the second time late.
+//!
+//! What was seen: on the users' platform a caller's stream was made from another caller's prompt, since
+//! a server that stutters gives an answer twice and the second one was taken for the answer to the next
+//! call on its connection. How it comes about here: model engines and plain services of the own interface
+//! were called on kept connections too. Cause: nothing in an answer told whose it is. What proves it: in
+//! these tests an answer shows the prompt, path, fence or number that it was made for.
+
+mod common;
+mod engine_common;
+
+use common::{LocalFleet, PATIENCE};
+use engine_common::{LinkedEngines, MODEL, MOST_TOKENS, prefill_call, read_all, runtime};
+use std::time::Duration;
+use tealcleat::bench::site::{StutterLink, StutterPlan};
+use tealcleat::bench::{answer_tokens, http_call, prompt_hash};
+use tealcleat::engines::{ResumeCall, StreamEvent};
+use tealcleat::intents::ServerRole;
+use tealcleat::orders::ServerOrder;
+
+fn order(fence: u64) -> ServerOrder {
+    let models = vec![format!("{MODEL}@1")];
+    ServerOrder { fence, role: ServerRole::Decode, models, draining: false }
+}
+
+fn once(request_has: &'static str) -> StutterPlan {
+    StutterPlan { request_has, times: 1 }
+}
+
+fn tokens(events: &[StreamEvent]) -> Vec<String> {
+    let text = |event: &StreamEvent| match event {
+        StreamEvent::Token { text, .. } => Some(text.clone()),
+        _ => None,
+    };
+    events.iter().filter_map(text).collect()
+}
+
+/// A fleet whose engines and plain service are reached over links.
+struct LinkedFleet {
+    fleet: LocalFleet,
+    prefills: Vec<StutterLink>,
+    service: StutterLink,
+}
+
+impl LinkedFleet {
+    fn start() -> Self {
+        let mut fleet = LocalFleet::unconfigured();
+        let mut prefills = Vec::new();
+        let service = fleet.addresses.services.values().next().expect("a service")[0];
+        let service = fleet.runtime.block_on(StutterLink::start(service)).expect("a link");
+        for servers in fleet.addresses.services.values_mut() {
+            *servers = vec![service.address];
+        }
+        for (name, address) in &mut fleet.addresses.engines {
+            if name.contains("prefill") {
+                let link = fleet.runtime.block_on(fleet.set.link(name)).expect("a link");
+                *address = link.address;
+                prefills.push(link);
+            }
+        }
+        let intent = fleet.deployment.intent(&fleet.addresses);
+        let version = fleet.confirm(0, &intent);
+        fleet.wait_ready(version);
+        Self { fleet, prefills, service }
+    }
+
+    /// The first tokens of a stream; its caller leaves then.
+    fn first_tokens(&self, prompt: &str) -> Vec<String> {
+        let caller = self.fleet.caller();
+        let address = self.fleet.daemons[0].callers;
+        let asked = caller.complete(address, "hanbit", prompt, PATIENCE, Some(FIRST_TOKENS));
+        let seen = self.fleet.runtime.block_on(asked);
+        assert_eq!(seen.status, 200, "{prompt}: {seen:?}");
+        seen.tokens
+    }
+}
+
+/// Enough to tell one prompt's answer from another's.
+const FIRST_TOKENS: usize = 3;
+
+#[test]
+fn stream_made_from_its_own_prompt_after_a_prefill_answered_twice() {
+    let linked = LinkedFleet::start();
+    for link in &linked.prefills {
+        link.stutter(once("post /v1/prefill"));
+    }
+    for number in 0..16 {
+        let prompt = format!("prompt number {number}");
+        let own = answer_tokens(prompt_hash(&prompt), MOST_TOKENS);
+        assert_eq!(linked.first_tokens(&prompt), own[..FIRST_TOKENS], "{prompt}");
+    }
+    assert!(linked.prefills.iter().any(|link| link.left() == 0), "nothing was answered twice");
+    linked.fleet.wait_empty();
+}
+
+#[test]
+fn plain_answer_is_its_own_after_one_given_twice() {
+    let linked = LinkedFleet::start();
+    let (fleet, service) = (&linked.fleet, fleet_service(&linked.fleet));
+    linked.service.stutter(once("get /page"));
+    let headers = [("tealcleat-organisation", "hanbit"), ("tealcleat-class", "interactive")];
+    for number in 0..4 {
+        let path = format!("/page/{number}");
+        let url = format!("http://{}/s/{service}{path}", fleet.daemons[0].callers);
+        let (status, text) = http_call("GET", &url, &headers, "").expect("an answer");
+        assert_eq!(status, 200, "{text}");
+        let answer: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        assert_eq!(answer["path"], path);
+    }
+    assert_eq!(linked.service.left(), 0, "nothing was answered twice");
+}
+
+fn fleet_service(fleet: &LocalFleet) -> String {
+    fleet.addresses.services.keys().next().expect("a service").clone()
+}
+
+#[test]
+fn decode_stream_is_its_own_after_one_given_twice() {
+    runtime().block_on(async {
+        let engines = LinkedEngines::start().await;
+        engines.decode.stutter(once("post /v1/decode"));
+        let mut streamed = 0;
+        for number in 0..4 {
+            let prompt = format!("prompt number {number}");
+            let own = answer_tokens(prompt_hash(&prompt), MOST_TOKENS);
+            // A call that met an answer of another one fails; what it gets is never another's.
+            let Ok(mut lines) = engines.stream(&prompt).await else { continue };
+            let (events, ended) = read_all(&mut lines).await;
+            assert_eq!(tokens(&events), own, "{prompt}");
+            assert!(ended.is_ok(), "{ended:?}");
+            streamed += 1;
+        }
+        assert_eq!(engines.decode.left(), 0, "nothing was answered twice");
+        assert_eq!(streamed, 3, "only the call that met another one's answer fails");
+    });
+}
+
+#[test]
+fn resumed_stream_is_its_own_after_one_given_twice() {
+    runtime().block_on(async {
+        let engines = LinkedEngines::start().await;
+        let prompts: Vec<String> = (0..4).map(|number| format!("prompt number {number}")).collect();
+        for prompt in &prompts {
+            // Its reader leaves at once; the engine goes on with the stream.
+            drop(engines.stream(prompt).await.expect("a stream"));
+        }
+        engines.decode.stutter(once("post /v1/resume"));
+        let mut resumed = 0;
+        for prompt in &prompts {
+            let own = answer_tokens(prompt_hash(prompt), MOST_TOKENS);
+            let call = ResumeCall { attempt: prefill_call(prompt).attempt, next_index: 4 };
+            let address = engines.decode.address;
+            let Ok(mut lines) = engines.client.resume(address, &call).await else { continue };
+            let (events, ended) = read_all(&mut lines).await;
+            assert_eq!(tokens(&events), own[4..], "{prompt}");
+            assert!(ended.is_ok(), "{ended:?}");
+            resumed += 1;
+        }
+        assert_eq!(engines.decode.left(), 0, "nothing was answered twice");
+        assert_eq!(resumed, 3, "only the call that met another one's answer fails");
+    });
+}
+
+#[test]
+fn order_behind_its_fence_is_refused_after_one_answered_twice() {
+    runtime().block_on(async {
+        let engines = LinkedEngines::start().await;
+        let address = engines.decode.address;
+        engines.decode.stutter(once("post /v1/orders"));
+        engines.client.order(address, &order(5)).await.expect("the first order is obeyed");
+        assert_eq!(engines.decode.left(), 0, "nothing was answered twice");
+        for fence in [3, 4] {
+            let result = engines.client.order(address, &order(fence)).await;
+            assert!(result.is_err(), "fence {fence} was behind 5: {result:?}");
+        }
+        engines.client.order(address, &order(6)).await.expect("the newest order is obeyed");
+    });
+}
+
+#[test]
+fn cancel_says_what_was_held_after_one_answered_twice() {
+    runtime().block_on(async {
+        let engines = LinkedEngines::start().await;
+        let address = engines.decode.address;
+        let _stream = engines.stream("a stream that is cancelled").await.expect("a stream");
+        let held = prefill_call("a stream that is cancelled").attempt;
+        engines.decode.stutter(once("post /v1/cancel"));
+        assert!(engines.client.cancel(address, held).await.expect("an answer").held);
+        assert_eq!(engines.decode.left(), 0, "nothing was answered twice");
+        let other = engines.client.cancel(address, "never held".to_owned()).await;
+        assert!(!other.is_ok_and(|done| done.held), "it took another cancel's answer");
+        let again = engines.client.cancel(address, "never held".to_owned()).await;
+        assert!(!again.expect("an answer").held);
+    });
+}
+
+#[test]
+fn load_report_answers_its_own_question_after_one_given_twice() {
+    runtime().block_on(async {
+        let engines = LinkedEngines::start().await;
+        let address = engines.decode.address;
+        // The first snapshot is there when events after a number are told.
+        while engines.client.load(address, 1).await.expect("a report").cache.next != 1 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        engines.decode.stutter(once("get /v1/load"));
+        let mut reported = 0;
+        for after in [5, 6, 7, 8] {
+            let Ok(load) = engines.client.load(address, after).await else { continue };
+            assert_eq!(load.cache.next, after);
+            reported += 1;
+        }
+        assert_eq!(engines.decode.left(), 0, "nothing was answered twice");
+        assert_eq!(reported, 3, "only the call that met another one's answer fails");
+    });
+}
--- /dev/null
+++ b/tests/engine_common/mod.rs
@@ -0,0 +1,74 @@
+//! Stand-in engines in the test's process, reached by the daemons' own client over links that stutter.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::sync::Arc;
+use tealcleat::bench::site::StutterLink;
+use tealcleat::bench::{Deployment, DeploymentKind, StandinSet, start_standins};
+use tealcleat::engines::{DecodeCall, EngineClient, LineStream, PrefillCall, StreamEvent};
+use tokio::runtime::Runtime;
+
+pub const PREFILL: &str = "gasan-prefill-1";
+pub const DECODE: &str = "gasan-decode-1";
+pub const MODEL: &str = "inkmind";
+pub const MOST_TOKENS: u32 = 160;
+
+/// Stand-ins, and a client that reaches one engine of each role over links that can stutter.
+pub struct LinkedEngines {
+    pub set: Arc<StandinSet>,
+    pub client: EngineClient,
+    pub prefill: StutterLink,
+    pub decode: StutterLink,
+}
+
+impl LinkedEngines {
+    pub async fn start() -> Self {
+        let plan = Deployment::new(DeploymentKind::Small).standins();
+        let (set, _) = start_standins(&plan).await.expect("the stand-ins start");
+        let prefill = set.link(PREFILL).await.expect("a link");
+        let decode = set.link(DECODE).await.expect("a link");
+        Self { set, client: EngineClient::default(), prefill, decode }
+    }
+
+    /// Reads a prompt and opens the stream of its answer.
+    pub async fn stream(&self, prompt: &str) -> tealcleat::Result<LineStream> {
+        let call = prefill_call(prompt);
+        let done = self.client.prefill(self.prefill.address, &call).await?;
+        let call = DecodeCall {
+            attempt: call.attempt,
+            request: call.request,
+            source: self.prefill.address,
+            handle: done.handle,
+            next_index: 0,
+            max_tokens: MOST_TOKENS,
+        };
+        self.client.decode(self.decode.address, &call).await
+    }
+}
+
+pub fn runtime() -> Runtime {
+    Runtime::new().expect("a runtime starts")
+}
+
+pub fn prefill_call(prompt: &str) -> PrefillCall {
+    PrefillCall {
+        attempt: format!("attempt of {prompt}"),
+        request: format!("request of {prompt}"),
+        model: MODEL.to_owned(),
+        adapter: None,
+        prompt: prompt.to_owned(),
+        generated: Vec::new(),
+    }
+}
+
+/// What came of a stream, and whether it ended well.
+pub async fn read_all(lines: &mut LineStream) -> (Vec<StreamEvent>, tealcleat::Result<()>) {
+    let mut events = Vec::new();
+    loop {
+        match lines.next::<StreamEvent>().await {
+            Ok(Some(event)) => events.push(event),
+            Ok(None) => return (events, Ok(())),
+            Err(error) => return (events, Err(error)),
+        }
+    }
+}
