On the own interface too, answers are believed only with proof, and ends only if they were said

Ruled out: an attempt's name as the id (an attempt is cancelled up to four times and resumed twice, so it does not tell those answers apart); a kept connection for plain services (third parties, which send nothing back); an error event instead of a broken connection where the task of an answer is gone (nobody knows there what the caller may conclude).

Change: - each call to a model engine has a random id of its own in a header, which the engine sends back; the pool checks it. Answers of others are logged and counted (tealcleat_answers_of_others_total); - both ways to a plain service are one exchange on a connection of its own; an answer whose end only the connection's end tells is whole only if its contents are; - a stream of an engine is whole only after its last event; half a line, or an end before it, is an error; - a caller's stream whose task is gone breaks off instead of ending; - the stand-in engines send ids back, break the connection of a stream that they cut, as their fault says, and state how long they keep a connection, so that the tests meet kept ones also on a slow machine; - a direct stream that failed counts as failed in the overhead measurement. In the tests, next() has no type any more; the one of prefills also asserts that a copy came for another call.

--- a/src/bench/engine_server.rs
+++ b/src/bench/engine_server.rs
@@ -1,13 +1,16 @@
 use super::decode_engine;
 use super::engine_core::EngineCore;
 use super::prefill_engine::prefill;
-use crate::engines::{CancelCall, CancelDone, DecodeCall, PrefillCall, ResumeCall, StreamEvent};
+use crate::engines::{
+    CALL_ID, CancelCall, CancelDone, DecodeCall, PrefillCall, ResumeCall, StreamEvent,
+};
 use crate::intents::ServerRole;
 use crate::orders::ServerOrder;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -16,11 +19,14 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
-type EngineResponse = Response<UnsyncBoxBody<Bytes, Infallible>>;
+/// Engines close no resting connection; a minute is longer than their callers let one rest.
+const KEPT: &str = "timeout=60";
+
+type EngineResponse = Response<UnsyncBoxBody<Bytes, std::io::Error>>;
 
 /// Serves one engine until the process ends.
 pub(super) async fn serve_engine(listener: TcpListener, engine: Arc<EngineCore>) {
@@ -39,18 +45,30 @@
     }
 }
 
+/// Answers a call, sends its id back, and says how long the connection is kept.
 async fn answer(
     engine: Arc<EngineCore>,
     request: Request<Incoming>,
 ) -> Result<EngineResponse, Infallible> {
+    let id = request.headers().get(CALL_ID).cloned();
+    let mut response = respond(engine, request).await;
+    let headers = response.headers_mut();
+    headers.insert("keep-alive", HeaderValue::from_static(KEPT));
+    if let Some(id) = id {
+        headers.insert(CALL_ID, id);
+    }
+    Ok(response)
+}
+
+async fn respond(engine: Arc<EngineCore>, request: Request<Incoming>) -> EngineResponse {
     let path = request.uri().path().to_owned();
     let query = request.uri().query().unwrap_or("").to_owned();
     engine.faults.thawed().await;
     let Ok(body) = request.into_body().collect().await else {
-        return Ok(refuse(StatusCode::BAD_REQUEST, "broken body"));
+        return refuse(StatusCode::BAD_REQUEST, "broken body");
     };
     let body = body.to_bytes();
-    Ok(match path.as_str() {
+    match path.as_str() {
         "/v1/load" => {
             let after = query.strip_prefix("after=").and_then(|text| text.parse().ok());
             json(&engine.report(after.unwrap_or(u64::MAX)))
@@ -72,7 +90,7 @@
             .await
         }
         _ => refuse(StatusCode::NOT_FOUND, "no such call"),
-    })
+    }
 }
 
 async fn with<T: DeserializeOwned>(
@@ -105,7 +123,7 @@
     let held = decode_engine::begin(&engine, call);
     let (sender, receiver) = unbounded_channel();
     tokio::spawn(decode_engine::follow(engine, attempt, held, next_index, sender));
-    Response::new(UnsyncBoxBody::new(EventBody { receiver }))
+    Response::new(UnsyncBoxBody::new(EventBody { receiver, ended: false }))
 }
 
 fn resume(engine: Arc<EngineCore>, call: ResumeCall) -> EngineResponse {
@@ -114,40 +132,52 @@
     };
     let (sender, receiver) = unbounded_channel();
     tokio::spawn(decode_engine::follow(engine, call.attempt, held, call.next_index, sender));
-    Response::new(UnsyncBoxBody::new(EventBody { receiver }))
+    Response::new(UnsyncBoxBody::new(EventBody { receiver, ended: false }))
 }
 
 fn json(value: &impl Serialize) -> EngineResponse {
-    let bytes = serde_json::to_vec(value).unwrap_or_default();
-    Response::new(UnsyncBoxBody::new(Full::new(Bytes::from(bytes))))
+    match serde_json::to_vec(value) {
+        Ok(bytes) => whole(bytes),
+        Err(error) => refuse(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
 }
 
 fn refuse(status: StatusCode, text: &str) -> EngineResponse {
-    let body = UnsyncBoxBody::new(Full::new(Bytes::from(text.to_owned())));
-    let mut response = Response::new(body);
+    let mut response = whole(text.as_bytes().to_vec());
     *response.status_mut() = status;
     response
 }
 
-/// Events as JSON lines.
+fn whole(bytes: Vec<u8>) -> EngineResponse {
+    let body = Full::new(Bytes::from(bytes)).map_err(|never| match never {});
+    Response::new(UnsyncBoxBody::new(body))
+}
+
+/// Events as JSON lines; a stream that ends without its last event breaks its connection.
 struct EventBody {
     receiver: UnboundedReceiver<StreamEvent>,
+    ended: bool,
 }
 
 impl Body for EventBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = std::io::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.receiver.poll_recv(cx).map(|event| {
-            event.map(|event| {
-                let mut line = serde_json::to_vec(&event).unwrap_or_default();
-                line.push(b'\n');
-                Ok(Frame::data(Bytes::from(line)))
-            })
-        })
+    ) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
+        let event = ready!(self.receiver.poll_recv(cx));
+        let Some(event) = event else {
+            let was_cut = !std::mem::replace(&mut self.ended, true);
+            let error = || Err(std::io::Error::other("the stream was cut"));
+            return Poll::Ready(was_cut.then(error));
+        };
+        self.ended |= event.is_last();
+        let line = serde_json::to_vec(&event).map_err(std::io::Error::from);
+        Poll::Ready(Some(line.map(|mut line| {
+            line.push(b'\n');
+            Frame::data(Bytes::from(line))
+        })))
     }
 }
--- a/src/bin/tealcleat-load/overhead.rs
+++ b/src/bin/tealcleat-load/overhead.rs
@@ -126,14 +126,18 @@
     };
     let mut lines = client.decode(decode, &call).await?;
     let (mut first, mut gaps, mut last) = (None, Vec::new(), began);
-    while let Some(event) = lines.next::<StreamEvent>().await? {
-        if let StreamEvent::Token { .. } = event {
-            let now = Instant::now();
-            match first {
-                None => first = Some(now - began),
-                Some(_) => gaps.push(now - last),
+    while let Some(event) = lines.next().await? {
+        match event {
+            StreamEvent::Imported | StreamEvent::Done { .. } => {}
+            StreamEvent::Failed { reason } => return Err(Error::Refused(reason)),
+            StreamEvent::Token { .. } => {
+                let now = Instant::now();
+                match first {
+                    None => first = Some(now - began),
+                    Some(_) => gaps.push(now - last),
+                }
+                last = now;
             }
-            last = now;
         }
     }
     first.map(|first| (first, gaps)).ok_or(Error::Timeout)
--- a/src/callers/answer_body.rs
+++ b/src/callers/answer_body.rs
@@ -1,14 +1,14 @@
 use super::CallerError;
+use crate::Error;
 use crate::host::AnswerPart;
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
 use serde_json::json;
-use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-/// An answer as server-sent events; each token leaves when it arrives.
+/// An answer as server-sent events; each token leaves when it arrives. Without its last part it breaks off.
 #[derive(Debug)]
 pub struct AnswerBody {
     request: String,
@@ -47,22 +47,26 @@
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if self.ended {
             return Poll::Ready(None);
         }
         let part = match self.first.take() {
             Some(part) => Some(part),
-            None => match self.parts.poll_recv(cx) {
-                Poll::Ready(part) => part,
-                Poll::Pending => return Poll::Pending,
-            },
+            None => ready!(self.parts.poll_recv(cx)),
         };
-        Poll::Ready(part.map(|part| Ok(Frame::data(self.event(part)))))
+        let Some(part) = part else {
+            // The task that makes the answer is gone, by a panic or a stop. The body must break off here:
+            // the end of the channel would reach the caller as the end of a whole answer.
+            log::warn!("event=answer_cut request={}", self.request);
+            self.ended = true;
+            return Poll::Ready(Some(Err(Error::Cut)));
+        };
+        Poll::Ready(Some(Ok(Frame::data(self.event(part)))))
     }
 }
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -16,17 +16,18 @@
 pub use caller_server::serve_callers;
 pub use completion_body::CompletionBody;
 
+use crate::Error;
 use bytes::Bytes;
-use http_body_util::Full;
 use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
 use hyper::{Response, StatusCode};
 
 /// A response to a caller.
-pub(crate) type CallerResponse = Response<UnsyncBoxBody<Bytes, std::convert::Infallible>>;
+pub(crate) type CallerResponse = Response<UnsyncBoxBody<Bytes, Error>>;
 
 /// A whole response with a body of the given type.
 pub(crate) fn whole_response(status: StatusCode, kind: &str, body: Bytes) -> CallerResponse {
-    let boxed = UnsyncBoxBody::new(Full::new(body));
+    let boxed = UnsyncBoxBody::new(Full::new(body).map_err(|never| match never {}));
     let mut response = Response::new(boxed);
     *response.status_mut() = status;
     if let Ok(value) = kind.parse() {
--- a/src/engines/engine_client.rs
+++ b/src/engines/engine_client.rs
@@ -1,6 +1,6 @@
 use super::{
-    AnswerProof, CancelCall, CancelDone, DecodeCall, EngineLoad, HttpPool, LineStream, PooledBody,
-    PrefillCall, PrefillDone, ResumeCall, SendLimits,
+    AnswerProof, CALL_ID, CancelCall, CancelDone, DecodeCall, EngineLoad, HttpPool, LineStream,
+    PooledBody, PrefillCall, PrefillDone, ResumeCall, SendLimits,
 };
 use crate::orders::ServerOrder;
 use crate::{Error, Result};
@@ -21,6 +21,7 @@
 pub struct EngineClient {
     pool: HttpPool,
     report_bytes: Arc<AtomicU64>,
+    foreign_answers: Arc<AtomicU64>,
 }
 
 impl EngineClient {
@@ -64,18 +65,13 @@
     /// # Errors
     /// If the engine gave no answer.
     pub async fn load(&self, address: SocketAddr, cache_after: u64) -> Result<EngineLoad> {
-        let uri = format!("/v1/load?after={cache_after}");
-        let request = Request::builder()
-            .method(Method::GET)
-            .uri(uri)
-            .header("host", address.to_string())
-            .body(Full::default())
-            .map_err(|error| Error::Protocol(error.to_string()))?;
+        let path = format!("/v1/load?after={cache_after}");
         self.limit(async {
-            let response = self.send(address, request).await?;
-            let bytes = read_bytes(response).await?;
-            self.report_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-            Ok(serde_json::from_slice(&bytes)?)
+            let response = self.send(Method::GET, address, &path, Bytes::new()).await?;
+            let read = |bytes: &Bytes| Ok((serde_json::from_slice(bytes)?, bytes.len()));
+            let (load, length) = response.into_body().read_as(read).await?;
+            self.report_bytes.fetch_add(length as u64, Ordering::Relaxed);
+            Ok(load)
         })
         .await
     }
@@ -85,6 +81,11 @@
         self.report_bytes.load(Ordering::Relaxed)
     }
 
+    /// Answers so far that were not the ones asked for.
+    pub fn foreign_answers(&self) -> u64 {
+        self.foreign_answers.load(Ordering::Relaxed)
+    }
+
     /// Sends a fenced order.
     ///
     /// # Errors
@@ -93,15 +94,6 @@
         self.limit(self.ask(address, "/v1/orders", order)).await
     }
 
-    async fn send(
-        &self,
-        address: SocketAddr,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<PooledBody>> {
-        let limits = SendLimits::default();
-        self.pool.send(address, request, AnswerProof::OwnConnection, limits).await
-    }
-
     async fn limit<T>(&self, call: impl Future<Output = Result<T>>) -> Result<T> {
         tokio::time::timeout(SHORT_CALL, call).await.map_err(|_elapsed| Error::Timeout)?
     }
@@ -112,7 +104,8 @@
         path: &str,
         call: &(impl Serialize + Sync),
     ) -> Result<T> {
-        read_json(self.post(address, path, call).await?).await
+        let body = self.post(address, path, call).await?.into_body();
+        body.read_as(|bytes| Ok(serde_json::from_slice(bytes)?)).await
     }
 
     async fn post(
@@ -120,33 +113,48 @@
         address: SocketAddr,
         path: &str,
         call: &(impl Serialize + Sync),
+    ) -> Result<Response<PooledBody>> {
+        let body = Bytes::from(serde_json::to_vec(call)?);
+        self.send(Method::POST, address, path, body).await
+    }
+
+    /// Sends a call and checks that a success came for it.
+    async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
     ) -> Result<Response<PooledBody>> {
         let request = Request::builder()
-            .method(Method::POST)
+            .method(method)
             .uri(path)
             .header("host", address.to_string())
             .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(serde_json::to_vec(call)?)))
+            // A new one for each call: an attempt is cancelled and resumed more than once, and its name
+            // would not tell those answers apart.
+            .header(CALL_ID, rand::random::<u64>())
+            .body(Full::new(body))
             .map_err(|error| Error::Protocol(error.to_string()))?;
-        let response = self.send(address, request).await?;
-        if response.status().is_success() {
-            return Ok(response);
+        let (proof, limits) = (AnswerProof::Id(CALL_ID), SendLimits::default());
+        let sent = self.pool.send(address, request, proof, limits).await;
+        if let Err(error @ Error::Foreign { .. }) = &sent {
+            log::info!("event=answer_of_another server={address} call={path} cause=\"{error}\"");
+            self.foreign_answers.fetch_add(1, Ordering::Relaxed);
         }
-        let status = response.status();
-        let text = response.into_body().read_all().await.unwrap_or_default();
-        Err(Error::Refused(format!("{status}: {}", String::from_utf8_lossy(&text))))
+        check_status(sent?).await
     }
 }
 
-async fn read_json<T: DeserializeOwned>(response: Response<PooledBody>) -> Result<T> {
-    Ok(serde_json::from_slice(&read_bytes(response).await?)?)
-}
-
-async fn read_bytes(response: Response<PooledBody>) -> Result<Bytes> {
+async fn check_status(response: Response<PooledBody>) -> Result<Response<PooledBody>> {
     let status = response.status();
-    let bytes = response.into_body().read_all().await?;
-    if !status.is_success() {
-        return Err(Error::Refused(format!("{status}: {}", String::from_utf8_lossy(&bytes))));
+    if status.is_success() {
+        return Ok(response);
     }
-    Ok(bytes)
+    let read = response.into_body().read_all().await;
+    let reason = read.map_or_else(
+        |error| error.to_string(),
+        |bytes| String::from_utf8_lossy(&bytes).into_owned(),
+    );
+    Err(Error::Refused(format!("{status}: {reason}")))
 }
--- a/src/engines/engine_wire.rs
+++ b/src/engines/engine_wire.rs
@@ -2,6 +2,9 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Header with the id of a call; an engine sends it back with its answer, whatever the answer is.
+pub const CALL_ID: &str = "tealcleat-call";
+
 /// Asks a prefill engine to read a prompt.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PrefillCall {
@@ -101,6 +104,16 @@
     },
 }
 
+impl StreamEvent {
+    /// Whether a stream is whole with it.
+    pub const fn is_last(&self) -> bool {
+        match self {
+            Self::Imported | Self::Token { .. } => false,
+            Self::Done { .. } | Self::Failed { .. } => true,
+        }
+    }
+}
+
 /// A change of a prefill engine's prefix cache.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -1,7 +1,8 @@
 //! Engines is the edge to backend servers: model engines and plain services, by HTTP.
 //!
 //! `hyper` serves here instead of `ureq`, because a stream that waits for its next token must be
-//! cancellable at once.
+//! cancellable at once. Each call to a model engine has an id of its own in the header [`CALL_ID`], which
+//! the engine sends back; servers that send nothing back get a connection for each call.
 
 mod answer_proof;
 mod engine_client;
@@ -14,7 +15,7 @@
 pub use answer_proof::{AnswerOwner, AnswerProof};
 pub use engine_client::EngineClient;
 pub use engine_wire::{
-    CacheEvent, CacheEvents, CancelCall, CancelDone, DecodeCall, EngineLoad, PrefillCall,
+    CALL_ID, CacheEvent, CacheEvents, CancelCall, CancelDone, DecodeCall, EngineLoad, PrefillCall,
     PrefillDone, ResumeCall, StreamEvent,
 };
 pub use http_pool::{HttpPool, SendLimits};
--- a/src/error.rs
+++ b/src/error.rs
@@ -24,6 +24,8 @@
     NotSent(String),
     /// The request was refused, with the reason given.
     Refused(String),
+    /// An answer ended, and nothing shows that it is whole.
+    Cut,
     /// The answer that came may belong to another call, so nothing is known of this one.
     Foreign {
         /// Whose answer it says it is.
@@ -45,6 +47,7 @@
             Self::Timeout => write!(f, "no answer in time"),
             Self::NotSent(text) => write!(f, "not sent: {text}"),
             Self::Refused(text) => write!(f, "refused: {text}"),
+            Self::Cut => write!(f, "the answer ended before it was known to be whole"),
             Self::Foreign { owner, status, calls } => {
                 write!(f, "the answer {status} to call {calls} of a connection is {owner:?}")
             }
--- a/src/host/decode_leg.rs
+++ b/src/host/decode_leg.rs
@@ -64,7 +64,7 @@
     let mut resumes = 0;
     loop {
         let event = tokio::select! {
-            event = tokio::time::timeout(stall, lines.next::<StreamEvent>()) => event,
+            event = tokio::time::timeout(stall, lines.next()) => event,
             () = answer.sink.closed() => return caller_left(host, answer, result),
         };
         match event {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -27,6 +27,7 @@
 mod poll_loop;
 mod prefill_leg;
 mod reports_attempt;
+mod service_call;
 mod status_report;
 mod ticket_call;
 
--- a/src/host/once_call.rs
+++ b/src/host/once_call.rs
@@ -3,14 +3,15 @@
 use super::host_state::{HostState, lock};
 use super::in_flight::InFlight;
 use super::once_ask::{OnceAnswer, OnceAsk};
+use super::service_call::call_service;
 use super::ticket_call::run_by_ticket;
 use crate::claims::{ClaimAsk, ClaimKey, ClaimRecord, ClaimVerdict, KeptAnswer, Presented};
-use crate::engines::{HttpPool, PooledBody};
+use crate::engines::HttpPool;
 use crate::keys::AttemptId;
 use crate::peers::{PeerReply, PeerRequest};
 use crate::{Error, Result};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -119,9 +120,12 @@
         let sent = tokio::time::timeout(RUN_LIMIT, send(sender, address, ask, attempt)).await;
         host.note_span(ask.trace, "service", began, format!("attempt={attempt} server={address}"));
         let mut book = lock(&host.outcomes);
-        match sent {
-            Ok(Ok(answer)) => book.note_answer(key, attempt, answer),
-            _ => book.note_unknown(key, attempt),
+        match sent.map_err(|_elapsed| Error::Timeout).and_then(|answer| answer) {
+            Ok(answer) => book.note_answer(key, attempt, answer),
+            Err(error) => {
+                log::info!("event=once_call_unknown attempt={attempt} cause=\"{error}\"");
+                book.note_unknown(key, attempt);
+            }
         }
         return;
     }
@@ -132,7 +136,7 @@
 }
 
 async fn send(
-    mut sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
+    sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
     address: SocketAddr,
     ask: &OnceAsk,
     attempt: AttemptId,
@@ -145,10 +149,7 @@
         .header("traceparent", ask.trace.to_string())
         .body(Full::new(Bytes::from(ask.body.clone())))
         .map_err(|error| Error::Protocol(error.to_string()))?;
-    let response = sender.send_request(request).await?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await?.to_bytes().to_vec();
-    Ok(KeptAnswer { status, body })
+    call_service(sender, request).await
 }
 
 impl HostState {
@@ -172,10 +173,3 @@
         presented
     }
 }
-
-/// A body read whole, for calls that are not streamed.
-pub(super) async fn read_answer(response: http::Response<PooledBody>) -> Result<KeptAnswer> {
-    let status = response.status().as_u16();
-    let body = response.into_body().read_all().await?.to_vec();
-    Ok(KeptAnswer { status, body })
-}
--- a/src/host/plain_call.rs
+++ b/src/host/plain_call.rs
@@ -2,19 +2,18 @@
 
 use super::host_state::HostState;
 use super::in_flight::InFlight;
-use super::once_call::read_answer;
+use super::service_call::call_service;
 use crate::claims::KeptAnswer;
-use crate::engines::{AnswerProof, HttpPool, SendLimits};
+use crate::engines::HttpPool;
 use crate::intents::ServiceSpec;
 use crate::telemetry::TraceParent;
 use crate::{Error, Result};
 use bytes::Bytes;
 use http_body_util::Full;
-use std::sync::{Arc, LazyLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 const CALL_LIMIT: Duration = Duration::from_secs(10);
-static POOL: LazyLock<HttpPool> = LazyLock::new(HttpPool::default);
 
 /// Forwards a call that may be repeated; tries each server of the service once.
 ///
@@ -42,9 +41,7 @@
             .header("traceparent", trace.to_string())
             .body(Full::new(body.clone()))
             .map_err(|error| Error::Protocol(error.to_string()))?;
-        // Services echo nothing by which a late second answer could be told from the next call's.
-        let (proof, limits) = (AnswerProof::OwnConnection, SendLimits::default());
-        let call = async { read_answer(POOL.send(address, request, proof, limits).await?).await };
+        let call = async { call_service(HttpPool::connect(address).await?, request).await };
         match tokio::time::timeout(CALL_LIMIT, call).await {
             Ok(Ok(answer)) => {
                 host.note_span(trace, "service", began, format!("server={address}"));
--- /dev/null
+++ b/src/host/service_call.rs
@@ -0,0 +1,38 @@
+//! One exchange with a server of a plain service.
+
+use crate::claims::KeptAnswer;
+use crate::{Error, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, Response};
+use serde::de::IgnoredAny;
+
+/// Sends a call on a connection that carries no other one, and reads the whole answer.
+///
+/// Services send nothing back by which a late second answer could be told from the next call's, so a
+/// kept connection could give one caller's answer to another.
+///
+/// # Errors
+/// [`Error::Cut`] if the answer may not be whole; any error if the call may have run.
+pub(super) async fn call_service(
+    mut sender: SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Result<KeptAnswer> {
+    let response = sender.send_request(request).await?;
+    let status = response.status().as_u16();
+    let states_end = states_end(&response);
+    let body = response.into_body().collect().await?.to_bytes().to_vec();
+    // Where only the end of the connection ends an answer, one that broke off looks the same.
+    if !states_end && serde_json::from_slice::<IgnoredAny>(&body).is_err() {
+        return Err(Error::Cut);
+    }
+    Ok(KeptAnswer { status, body })
+}
+
+/// Whether a connection that breaks off within the answer shows.
+fn states_end(response: &Response<Incoming>) -> bool {
+    let is_chunked = response.headers().contains_key(http::header::TRANSFER_ENCODING);
+    is_chunked || response.body().size_hint().exact().is_some()
+}
--- a/src/host/status_report.rs
+++ b/src/host/status_report.rs
@@ -110,6 +110,8 @@
         text.push_str(&format!("tealcleat_peer_calls_total {calls}\n"));
         let reports = self.engines.report_bytes();
         text.push_str(&format!("tealcleat_report_bytes_total {reports}\n"));
+        let foreign = self.engines.foreign_answers();
+        text.push_str(&format!("tealcleat_answers_of_others_total {foreign}\n"));
         text
     }
 
--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -31,7 +31,7 @@
     runtime().block_on(async {
         let engines = LinkedEngines::start().await;
         let mut lines = engines.stream("a stream that is cut").await.expect("a stream");
-        let first = lines.next::<StreamEvent>().await.expect("an event");
+        let first = lines.next().await.expect("an event");
         assert_eq!(first, Some(StreamEvent::Imported));
         cut(&engines.set);
         let (events, ended) = read_all(&mut lines).await;
--- a/tests/engine_answers.rs
+++ b/tests/engine_answers.rs
@@ -64,6 +64,14 @@
         Self { fleet, prefills, service }
     }
 
+    /// Answers that the first host met and that were not the ones it had asked for.
+    fn answers_of_others(&self) -> u64 {
+        let metrics = self.fleet.host(0).metrics_text();
+        let mut lines = metrics.lines();
+        let count = lines.find_map(|line| line.strip_prefix("tealcleat_answers_of_others_total "));
+        count.expect("a counter").parse().expect("a number")
+    }
+
     /// The first tokens of a stream; its caller leaves then.
     fn first_tokens(&self, prompt: &str) -> Vec<String> {
         let caller = self.fleet.caller();
@@ -90,6 +98,7 @@
         assert_eq!(linked.first_tokens(&prompt), own[..FIRST_TOKENS], "{prompt}");
     }
     assert!(linked.prefills.iter().any(|link| link.left() == 0), "nothing was answered twice");
+    assert!(linked.answers_of_others() > 0, "no copy came for another call");
     linked.fleet.wait_empty();
 }
 
--- a/tests/engine_common/mod.rs
+++ b/tests/engine_common/mod.rs
@@ -65,7 +65,7 @@
 pub async fn read_all(lines: &mut LineStream) -> (Vec<StreamEvent>, tealcleat::Result<()>) {
     let mut events = Vec::new();
     loop {
-        match lines.next::<StreamEvent>().await {
+        match lines.next().await {
             Ok(Some(event)) => events.push(event),
             Ok(None) => return (events, Ok(())),
             Err(error) => return (events, Err(error)),
