--- a/src/engines/answer_proof.rs
+++ b/src/engines/answer_proof.rs
@@ -67,6 +67,16 @@
         let status = response.status();
         if is_own { Ok(()) } else { Err(Error::Foreign { owner, status, calls }) }
     }
+
+    /// Whether the answer to a further call on the connection of this one could prove itself: a server that
+    /// sends no id back gets a connection for each call.
+    pub(super) fn allows_more<T>(self, response: &Response<T>) -> bool {
+        match self {
+            Self::Id(header) => response.headers().contains_key(header),
+            Self::Contents(_) => true,
+            Self::OwnConnection => false,
+        }
+    }
 }
 
 fn owner<T>(header: &str, id: Option<&HeaderValue>, response: &Response<T>) -> AnswerOwner {
--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -135,10 +135,7 @@
             .check(id.as_ref(), connection.calls + 1, &response)
             .inspect_err(|_| self.idle.note_foreign(address))?;
         connection.note_call(id);
-        let keep = match proof {
-            AnswerProof::OwnConnection => None,
-            AnswerProof::Id(_) | AnswerProof::Contents(_) => stated_keep(response.headers()),
-        };
+        let keep = proof.allows_more(&response).then(|| stated_keep(response.headers())).flatten();
         let idle = self.idle.clone();
         let back = keep.map(|keep| WayBack { idle, address, connection, keep });
         Ok(response.map(|incoming| PooledBody::new(incoming, back)))
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -93,6 +93,22 @@
     });
 }
 
+/// The first answer of a connection needs no id; the next one would, so there is none.
+#[test]
+fn pool_gives_a_server_without_ids_a_connection_for_each_call() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        let link = StutterLink::start(site.store_address).await.expect("a link");
+        let pool = HttpPool::default();
+        for place in 0..3 {
+            let path = "/tealcleat/objects/config/main";
+            let answer = send(&pool, link.address, path, &format!("r{place}")).await;
+            assert!(answer.is_ok(), "{place}: {answer:?}");
+        }
+        assert_eq!(link.connections(), 3);
+    });
+}
+
 /// A server that gave one answer twice has mostly given others twice as well: connections that were kept to it
 /// before are not used.
 #[test]
