--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -3,6 +3,7 @@
 //! Each has switches for the faults that trials on the users' bench showed; none has a cost model.
 
 mod engine_fault;
+mod object_body;
 mod site_caller;
 mod site_engine;
 mod site_http;
--- a/src/bench/site/site_http.rs
+++ b/src/bench/site/site_http.rs
@@ -67,6 +67,23 @@
     response
 }
 
+/// A part of a query with its percent-encoded bytes decoded.
+pub(super) fn percent_decoded(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let digits = part.get(..2).and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        match digits {
+            Some(byte) => {
+                bytes.push(byte);
+                bytes.extend_from_slice(&part.as_bytes()[2..]);
+            }
+            None => bytes.extend_from_slice(part.as_bytes()),
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// A header's text.
 pub(super) fn header<'a>(request: &'a WholeRequest, name: &str) -> Option<&'a str> {
     request.headers().get(name).and_then(|value| value.to_str().ok())
--- a/src/bench/site/site_store.rs
+++ b/src/bench/site/site_store.rs
@@ -1,8 +1,10 @@
-use super::site_http::{BrokenOff, SiteAnswer, SiteHandler, WholeRequest, serve_site, whole};
+use super::site_http::{
+    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, percent_decoded, serve_site, whole,
+};
 use super::store_objects::{PutEnd, StoreObjects};
 use crate::Result;
 use crate::host::lock;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -85,7 +87,7 @@
 
     /// The contents of an object.
     pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
-        lock(&self.objects).get(kind, name).map(|object| object["spec"].clone())
+        lock(&self.objects).spec(kind, name)
     }
 
     fn fault(&self) -> StoreFault {
@@ -104,15 +106,12 @@
                 | StoreFault::BusyBetweenPages
                 | StoreFault::LoseWrites => {}
             }
-            let (events, at) = {
-                let objects = lock(&self.objects);
-                (objects.changes(kind, after), objects.revision())
-            };
-            let Some(events) = events else {
+            let answer = lock(&self.objects).changes(kind, after);
+            let Some((body, tells)) = answer else {
                 return Ok(whole(410, "{}"));
             };
-            if !events.is_empty() || tokio::time::Instant::now() >= until {
-                return Ok(whole(200, json!({"events": events, "at": at}).to_string()));
+            if tells || tokio::time::Instant::now() >= until {
+                return Ok(whole(200, body));
             }
             // Whichever comes first, the loop looks again.
             drop(tokio::time::timeout_at(until, changed).await);
@@ -141,8 +140,8 @@
             return Err(BrokenOff);
         }
         Ok(match end {
-            PutEnd::Written(object) => whole(200, object.to_string()),
-            PutEnd::Conflict(object) => whole(409, object.to_string()),
+            PutEnd::Written(object) => whole(200, object),
+            PutEnd::Conflict(object) => whole(409, object),
             PutEnd::Missing => whole(404, "{}"),
         })
     }
@@ -170,7 +169,7 @@
             uri.query().unwrap_or("").split('&').filter_map(|pair| pair.split_once('=')).collect();
         if let Some((kind, name)) = target.split_once('/') {
             let object = lock(&self.objects).get(kind, name);
-            return Ok(object.map_or(whole(404, "{}"), |object| whole(200, object.to_string())));
+            return Ok(object.map_or(whole(404, "{}"), |object| whole(200, object)));
         }
         if let Some(after) = query.get("watch") {
             let wait = query.get("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -178,16 +177,16 @@
             return self.watch(target, after, Duration::from_millis(wait)).await;
         }
         let lists = self.lists.fetch_add(1, Ordering::Relaxed);
-        let after = query.get("after").copied().unwrap_or("");
+        let after = percent_decoded(query.get("after").copied().unwrap_or(""));
         let refuses = self.fault() == StoreFault::BusyBetweenPages && lists.is_multiple_of(2);
         if refuses && !after.is_empty() {
             return Ok(whole(429, "{}"));
         }
         let held = lock(&self.stale).clone().filter(|_| query.contains_key("stale"));
         let page = match held {
-            Some(objects) => objects.page(target, after, PAGE),
-            None => lock(&self.objects).page(target, after, PAGE),
+            Some(objects) => objects.page(target, &after, PAGE),
+            None => lock(&self.objects).page(target, &after, PAGE),
         };
-        Ok(whole(200, page.to_string()))
+        Ok(whole(200, page))
     }
 }
--- a/src/bench/site/store_objects.rs
+++ b/src/bench/site/store_objects.rs
@@ -1,4 +1,5 @@
-use serde_json::{Value, json};
+use super::object_body::{ObjectBody, wrapped};
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 /// Changes that are kept; as many as a watcher may miss before it lists again.
@@ -8,7 +9,7 @@
 #[derive(Debug, Clone, PartialEq)]
 struct HeldObject {
     revision: u64,
-    spec: Value,
+    body: ObjectBody,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -16,15 +17,15 @@
     revision: u64,
     kind: String,
     name: String,
-    spec: Value,
+    body: ObjectBody,
     gone: bool,
 }
 
-/// What became of a conditional write.
+/// What became of a conditional write; objects are given as they stand in an answer.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum PutEnd {
-    Written(Value),
-    Conflict(Value),
+    Written(Vec<u8>),
+    Conflict(Vec<u8>),
     Missing,
 }
 
@@ -46,10 +47,25 @@
 
     /// Creates or replaces an object.
     pub fn set(&mut self, kind: &str, name: &str, spec: Value) {
+        self.hold(kind, name, ObjectBody::Spec(spec));
+    }
+
+    /// Creates or replaces an object whose contents may be no JSON, or no text at all.
+    pub fn set_raw_spec(&mut self, kind: &str, name: &str, spec: &[u8]) {
+        self.hold(kind, name, ObjectBody::RawSpec(spec.to_vec()));
+    }
+
+    /// Creates or replaces an object that stands in answers as these bytes, without the store's own
+    /// metadata. It has its place among the others by `name`.
+    pub fn set_raw_item(&mut self, kind: &str, name: &str, item: &[u8]) {
+        self.hold(kind, name, ObjectBody::RawItem(item.to_vec()));
+    }
+
+    fn hold(&mut self, kind: &str, name: &str, body: ObjectBody) {
         self.revision += 1;
         let key = (kind.to_owned(), name.to_owned());
-        self.objects.insert(key, HeldObject { revision: self.revision, spec: spec.clone() });
-        self.note(kind, name, spec, false);
+        self.objects.insert(key, HeldObject { revision: self.revision, body: body.clone() });
+        self.note(kind, name, body, false);
     }
 
     /// Removes an object.
@@ -57,7 +73,7 @@
         let removed = self.objects.remove(&(kind.to_owned(), name.to_owned()));
         if let Some(object) = removed {
             self.revision += 1;
-            self.note(kind, name, object.spec, true);
+            self.note(kind, name, object.body, true);
         }
     }
 
@@ -67,7 +83,7 @@
         self.forgotten = self.revision;
     }
 
-    fn note(&mut self, kind: &str, name: &str, spec: Value, gone: bool) {
+    fn note(&mut self, kind: &str, name: &str, body: ObjectBody, gone: bool) {
         if self.history.len() >= HISTORY {
             self.forgotten = self.history.remove(0).revision;
         }
@@ -75,41 +91,53 @@
             revision: self.revision,
             kind: kind.to_owned(),
             name: name.to_owned(),
-            spec,
+            body,
             gone,
         });
     }
 
     /// A page of a listing.
-    pub(super) fn page(&self, kind: &str, after: &str, most: usize) -> Value {
-        let mut items: Vec<Value> = self
+    pub(super) fn page(&self, kind: &str, after: &str, most: usize) -> Vec<u8> {
+        let mut items: Vec<Vec<u8>> = self
             .objects
             .iter()
             .filter(|((of, name), _)| of == kind && name.as_str() > after)
-            .map(|((_, name), object)| object_json(name, object.revision, &object.spec))
+            .map(|((_, name), object)| object.body.item(name, object.revision))
             .collect();
         let more = items.len() > most;
         items.truncate(most);
-        json!({"items": items, "more": more, "at": self.revision})
+        let at = self.revision;
+        wrapped("{\"items\":[", &items.join(&b","[..]), &format!("],\"more\":{more},\"at\":{at}}}"))
     }
 
     /// One object.
-    pub(super) fn get(&self, kind: &str, name: &str) -> Option<Value> {
+    pub(super) fn get(&self, kind: &str, name: &str) -> Option<Vec<u8>> {
         let object = self.objects.get(&(kind.to_owned(), name.to_owned()))?;
-        Some(object_json(name, object.revision, &object.spec))
+        Some(object.body.item(name, object.revision))
     }
 
-    /// Changes of a kind after a revision; `None` if they are forgotten.
-    pub(super) fn changes(&self, kind: &str, after: u64) -> Option<Vec<Value>> {
+    /// An object's contents, if they are JSON.
+    pub(super) fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        match &self.objects.get(&(kind.to_owned(), name.to_owned()))?.body {
+            ObjectBody::Spec(spec) => Some(spec.clone()),
+            ObjectBody::RawSpec(_) | ObjectBody::RawItem(_) => None,
+        }
+    }
+
+    /// The answer to a watch on a kind after a revision and whether it tells anything; `None` if the
+    /// changes are forgotten.
+    pub(super) fn changes(&self, kind: &str, after: u64) -> Option<(Vec<u8>, bool)> {
         if after < self.forgotten {
             return None;
         }
         let fresh = |change: &&HeldChange| change.kind == kind && change.revision > after;
         let events = self.history.iter().filter(fresh).map(|change| {
-            let object = object_json(&change.name, change.revision, &change.spec);
-            json!({"object": object, "gone": change.gone})
+            let object = change.body.item(&change.name, change.revision);
+            wrapped("{\"object\":", &object, &format!(",\"gone\":{}}}", change.gone))
         });
-        Some(events.collect())
+        let events: Vec<Vec<u8>> = events.collect();
+        let end = format!("],\"at\":{}}}", self.revision);
+        Some((wrapped("{\"events\":[", &events.join(&b","[..]), &end), !events.is_empty()))
     }
 
     /// Creates an object that must not exist.
@@ -133,9 +161,3 @@
         PutEnd::Written(self.get(kind, name).unwrap_or_default())
     }
 }
-
-fn object_json(name: &str, revision: u64, spec: &Value) -> Value {
-    let metadata =
-        json!({"name": name, "revision": revision, "made": 1, "finalizers": [], "deleting": false});
-    json!({"metadata": metadata, "spec": spec, "status": null})
-}
