An entry that cannot be read, or is not complete, names no server; all others hold

Cause: a page or a watch's answer was decoded as one JSON value, so that one item of another shape, or one byte that is no UTF-8, lost all of it: the host kept no list, or lost its watch and asked again. The entry's decoder let fields default (zone, slots, state), took every state but `draining` for ready and every unknown stage for none, and read a list of values by its order. A change that could not be decoded was passed over, with the server of before still in use and the revision where it was. `after` went into the query as it is.

Ruled out: decoding a page with its bad bytes replaced, since an entry whose zone holds a replaced byte would then be used, and bytes outside of texts would still lose the page; raw values of serde_json, which refuse bytes that are no UTF-8 and values that are no JSON.

Change: `json_parts` cuts an answer into its items without reading them, and `store_wire` decodes each by itself; of one that cannot be read the name and revision are kept if they can be. `server_wire` asks for service, address, zone (not empty), slots, a known state, a known stage or none, and a whole `born` if there is one; names that a header cannot carry as plain text name no server. `FleetChange::Unusable` takes a known server out of use at once, near an outage too, and the revision goes on. `list_walk` goes on behind the last readable name, percent-encoded; a page without a readable name ends the listing, which is then not whole and removes nobody. Each unreadable object is logged once for each change. For the project's own configuration object an unreadable one is an error, as before.

An item whose own brackets or quotes are not closed still loses its page: where it ends cannot be told.

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -19,6 +19,8 @@
     Stated(ServerEntry),
     /// Its entry is gone.
     Removed(ServerKey),
+    /// Its entry is there, but names no server to use.
+    Unusable(ServerKey),
 }
 
 /// Removals remembered to tell hosts that are behind; one that missed more gets a whole view. At
@@ -107,10 +109,7 @@
             entries.iter().map(ServerEntry::key).collect();
         let missing: Vec<ServerKey> =
             self.records.keys().filter(|key| !listed.contains(key)).copied().collect();
-        if self.revision == 0 {
-            self.known_since = revision;
-        }
-        self.revision = revision;
+        self.go_on_to(revision);
         for key in missing {
             self.remove(now, key);
         }
@@ -124,15 +123,23 @@
         if revision < self.revision {
             return;
         }
-        self.revision = revision;
+        self.go_on_to(revision);
         for change in changes {
             match change {
                 FleetChange::Stated(entry) => self.state(entry),
                 FleetChange::Removed(key) => self.remove(now, key),
+                FleetChange::Unusable(key) => self.drop_now(key),
             }
         }
     }
 
+    fn go_on_to(&mut self, revision: u64) {
+        if self.revision == 0 {
+            self.known_since = revision;
+        }
+        self.revision = revision;
+    }
+
     /// What another host needs that has the view of revision `since`: the changes after it, or all
     /// if they are no longer known one by one.
     ///
@@ -255,10 +262,13 @@
                 record.lapses_at = Some(end);
                 record.changed_at = revision;
             }
-            None => {
-                self.records.remove(&key);
-                self.note_removed(key, revision);
-            }
+            None => self.drop_now(key),
+        }
+    }
+
+    fn drop_now(&mut self, key: ServerKey) {
+        if self.records.remove(&key).is_some() {
+            self.note_removed(key, self.revision);
         }
     }
 
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,5 +1,6 @@
 use super::gateway_state::GatewayState;
 use super::limit_waits::LimitWaits;
+use super::unreadable_objects::UnreadableObjects;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges};
 use crate::host::lock;
@@ -107,6 +108,7 @@
             changes: StageChanges::default(),
             refused: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
+            unreadable: UnreadableObjects::default(),
         };
         Self {
             incarnation,
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,3 +1,4 @@
+use super::unreadable_objects::UnreadableObjects;
 use crate::fleet::{FleetView, RefusedHosts, StageChanges};
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint, mix_hash};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
@@ -48,6 +49,8 @@
     pub refused: RefusedHosts,
     /// The other hosts.
     pub members: MemberTable,
+    /// Objects of the store that cannot be read, as far as they were logged.
+    pub unreadable: UnreadableObjects,
 }
 
 impl GatewayState {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,7 +38,9 @@
 mod stage_orders;
 mod stop_plan;
 mod store_contact;
+mod unreadable_objects;
 mod view_loop;
+mod view_servers;
 mod view_spread;
 mod view_store;
 
@@ -46,3 +48,4 @@
 pub use gateway_start::{Gateway, start_gateway};
 pub use gateway_state::GatewayState;
 pub use stop_plan::StopPlan;
+pub use unreadable_objects::UnreadableObjects;
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -2,11 +2,11 @@
 
 use super::gateway_host::{GatewayHost, ViewSource};
 use super::store_contact::{FollowedKind, note_heard};
+use super::view_servers::{apply_changes, logged, logged_name, replace_servers};
 use crate::Result;
-use crate::fleet::{FleetChange, ServerEntry};
 use crate::platform::{
-    ListAge, ObjectList, ROUTES_OBJECT, SERVERS_KIND, StoreObject, WatchAnswer, decode_change,
-    decode_config, decode_server,
+    ListAge, ROUTES_OBJECT, SERVERS_KIND, StoreEvent, StoreObject, UnreadableObject, WatchAnswer,
+    decode_config,
 };
 use crate::routes::RouteTable;
 use std::sync::Arc;
@@ -61,6 +61,9 @@
             for object in &listed.items {
                 adopt_object(host, object);
             }
+            for object in &listed.unreadable {
+                note_unreadable(host, object);
+            }
             host.note_config_complete(asked_at);
         }
         FollowedKind::Servers => {
@@ -88,14 +91,6 @@
     Ok(Some(revision))
 }
 
-fn replace_servers(host: &GatewayHost, listed: &ObjectList) {
-    let entries: Vec<ServerEntry> =
-        listed.items.iter().filter(|object| !object.deleting).filter_map(read_server).collect();
-    log::info!("event=servers_listed count={} revision={}", entries.len(), listed.revision);
-    let now = host.now();
-    host.state().fleet.replace_all(now, listed.revision, entries);
-}
-
 /// How often the configuration is read where keys of callers depend on its age: the reading host knows it
 /// to be at most this old, and the others 0.5 s more. A watch proves no more than that nothing had changed
 /// when it began, a second ago, and costs as many calls.
@@ -147,9 +142,11 @@
     };
     match kind {
         FollowedKind::Routes => {
-            for (object, gone) in &changes {
-                if !gone {
-                    adopt_object(host, object);
+            for event in &changes {
+                match event {
+                    StoreEvent::Stated(object) => adopt_object(host, object),
+                    StoreEvent::Unreadable(object) => note_unreadable(host, object),
+                    StoreEvent::Gone(_) => {}
                 }
             }
             host.note_config_complete(asked_at);
@@ -164,48 +161,13 @@
     Ok(Some(revision))
 }
 
-fn apply_changes(host: &Arc<GatewayHost>, revision: u64, changes: &[(StoreObject, bool)]) {
-    let mut applied = Vec::new();
-    for (object, gone) in changes {
-        match decode_change(object, *gone) {
-            Ok(change) => {
-                log_change(&change, &object.name, revision);
-                applied.push(change);
-            }
-            Err(error) => {
-                log::warn!("event=server_unreadable server={} cause=\"{error}\"", object.name);
-            }
-        }
-    }
-    if applied.is_empty() {
-        return;
+/// Logs an object beside the configuration that cannot be read, once for each change.
+fn note_unreadable(host: &GatewayHost, object: &UnreadableObject) {
+    if host.state().unreadable.note(object) {
+        let (name, revision) = (logged_name(object), object.revision);
+        let cause = logged(&object.cause);
+        log::warn!("event=config_unreadable name={name} revision={revision} cause=\"{cause}\"");
     }
-    let now = host.now();
-    host.state().fleet.apply(now, revision, applied);
-}
-
-fn log_change(change: &FleetChange, id: &str, revision: u64) {
-    match change {
-        FleetChange::Stated(entry) => {
-            let stage = entry.stage.map_or("none", crate::fleet::ServerStage::name);
-            let (state, domain) = (entry.state, entry.domain.0);
-            log::info!(
-                "event=server_stated server={id} state={state:?} stage={stage} \
-                 domain={domain:016x} revision={revision}"
-            );
-        }
-        FleetChange::Removed(_) => {
-            log::info!("event=server_removed server={id} revision={revision}");
-        }
-    }
-}
-
-fn read_server(object: &StoreObject) -> Option<ServerEntry> {
-    decode_server(object)
-        .inspect_err(|error| {
-            log::warn!("event=server_unreadable server={} cause=\"{error}\"", object.name);
-        })
-        .ok()
 }
 
 /// Adopts a configuration that is newer than the one in force, and tells others.
--- a/src/host/config_store.rs
+++ b/src/host/config_store.rs
@@ -1,9 +1,11 @@
 //! The cluster configuration as an object of the platform's store.
 
 use super::host_state::{HostState, lock};
-use crate::Result;
 use crate::intents::ClusterConfig;
-use crate::platform::{INTENT_OBJECT, ListAge, StoreObject, StoreWrite, WatchAnswer};
+use crate::platform::{
+    INTENT_OBJECT, ListAge, StoreEvent, StoreObject, StoreWrite, UnreadableObject, WatchAnswer,
+};
+use crate::{Error, Result};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +31,9 @@
         let (kind, name) = INTENT_OBJECT;
         self.metrics().add("store_calls", 1);
         let listed = self.store.list(kind, ListAge::Newest, CALL_LIMIT).await?;
+        if let Some(object) = listed.unreadable.iter().find(|object| is_named(object, name)) {
+            return Err(Error::Protocol(object.cause.clone()));
+        }
         let object = listed.items.iter().find(|object| object.name == name);
         let config = object.map(parse_config).transpose()?.unwrap_or_default();
         lock(&self.desk).note_store(self.now());
@@ -49,9 +54,17 @@
             return self.list_config().await.map(|(_config, revision)| revision);
         };
         lock(&self.desk).note_store(self.now());
-        let newest = changes.iter().rev().find(|(object, gone)| object.name == name && !gone);
-        if let Some((object, _)) = newest {
-            self.adopt_config(parse_config(object)?);
+        for event in changes.iter().rev() {
+            match event {
+                StoreEvent::Stated(object) if object.name == name => {
+                    self.adopt_config(parse_config(object)?);
+                    break;
+                }
+                StoreEvent::Unreadable(object) if is_named(object, name) => {
+                    return Err(Error::Protocol(object.cause.clone()));
+                }
+                StoreEvent::Stated(_) | StoreEvent::Gone(_) | StoreEvent::Unreadable(_) => {}
+            }
         }
         Ok(revision)
     }
@@ -76,6 +89,10 @@
     }
 }
 
+fn is_named(object: &UnreadableObject, name: &str) -> bool {
+    object.name.as_deref() == Some(name)
+}
+
 /// Reads the configuration out of its object; its version is the object's revision.
 fn parse_config(object: &StoreObject) -> Result<ClusterConfig> {
     let mut config: ClusterConfig = serde_json::from_value(object.spec.clone())?;
--- /dev/null
+++ b/src/platform/list_walk.rs
@@ -0,0 +1,72 @@
+//! Puts the pages of a listing together.
+
+use super::store_object::ObjectList;
+use super::store_wire::ListPage;
+
+/// A listing under way.
+#[derive(Debug)]
+pub(super) struct ListWalk {
+    list: ObjectList,
+    /// The next page begins behind this name.
+    after: String,
+    is_first: bool,
+}
+
+impl ListWalk {
+    pub fn new() -> Self {
+        let list = ObjectList {
+            items: Vec::new(),
+            unreadable: Vec::new(),
+            is_whole: false,
+            revision: u64::MAX,
+        };
+        Self { list, after: String::new(), is_first: true }
+    }
+
+    /// Whether no page was read yet.
+    pub fn is_first(&self) -> bool {
+        self.is_first
+    }
+
+    /// The name behind which the next page begins, as it stands in a query.
+    pub fn after(&self) -> String {
+        query_text(&self.after)
+    }
+
+    /// Takes a page over; true if a further one is to be read.
+    ///
+    /// The next page begins behind the last name that can be read: items without one that stand behind
+    /// it come again. A page with no name at all would come again for ever, and ends the listing.
+    pub fn take(&mut self, page: ListPage) -> bool {
+        self.is_first = false;
+        self.list.revision = self.list.revision.min(page.revision);
+        self.list.items.extend(page.items);
+        self.list.unreadable.extend(page.unreadable);
+        self.list.is_whole = !page.more;
+        match page.last_name {
+            Some(name) if page.more && name != self.after => {
+                self.after = name;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub fn into_list(self) -> ObjectList {
+        self.list
+    }
+}
+
+/// A text in which all bytes that may have a meaning in a query are percent-encoded.
+fn query_text(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,11 +3,14 @@
 
 mod config_wire;
 mod engine_messages;
+mod json_parts;
 mod lease_wire;
+mod list_walk;
 mod names;
 mod request_wire;
 mod server_wire;
 mod store_client;
+mod store_object;
 mod store_wire;
 
 pub use config_wire::decode_config;
@@ -21,8 +24,9 @@
     AnswerKind, AnswerOwner, CallHead, CallPart, DecodePart, ServerCall, TokenCounts,
     answer_headers, answer_owner, own_headers, read_answer,
 };
-pub use server_wire::{SERVERS_KIND, decode_change, decode_server};
-pub use store_client::{ListAge, ObjectList, StoreClient, StoreObject, StoreWrite, WatchAnswer};
+pub use server_wire::{SERVERS_KIND, decode_change, decode_server, decode_servers};
+pub use store_client::{ListAge, StoreClient, StoreWrite, WatchAnswer};
+pub use store_object::{ObjectList, StoreEvent, StoreObject, UnreadableObject};
 
 /// Kind and name of the configuration that intents of the project's own interface make.
 pub const INTENT_OBJECT: (&str, &str) = ("tealcleat-config", "main");
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -1,7 +1,9 @@
 //! Calls the platform's store.
 
+use super::list_walk::ListWalk;
 use super::names;
-use super::store_wire::{WireEvents, WireList, WireObject};
+use super::store_object::{ObjectList, StoreEvent, StoreObject, UnreadableObject};
+use super::store_wire::{decode_events, decode_object, decode_page};
 use crate::engines::{HttpPool, SendLimits};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -18,19 +20,6 @@
 /// Tries of one page: 1.2 s in all, longer than a store's second of calls.
 const PAGE_TRIES: u32 = 5;
 
-/// An object of the store.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StoreObject {
-    /// Its name within its kind.
-    pub name: String,
-    /// Revision of its last change.
-    pub revision: u64,
-    /// It is being removed.
-    pub deleting: bool,
-    /// Contents.
-    pub spec: Value,
-}
-
 /// How new a listing must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListAge {
@@ -40,21 +29,11 @@
     Stale,
 }
 
-/// All objects of a kind.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ObjectList {
-    /// The objects.
-    pub items: Vec<StoreObject>,
-    /// Revision of the store at which the oldest part of them was read; what came after it is told by
-    /// a watch.
-    pub revision: u64,
-}
-
 /// What a watch brought.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WatchAnswer {
-    /// Changes, oldest first, each with whether the object is gone, and the revision to go on from.
-    Changes(Vec<(StoreObject, bool)>, u64),
+    /// Changes, oldest first, and the revision to go on from.
+    Changes(Vec<StoreEvent>, u64),
     /// The store no longer knows what came after the revision asked for: list again.
     HistoryLost,
 }
@@ -90,28 +69,22 @@
     /// # Errors
     /// If the store gave no proper answer in time.
     pub async fn list(&self, kind: &str, age: ListAge, limit: Duration) -> Result<ObjectList> {
-        let mut list = ObjectList { items: Vec::new(), revision: u64::MAX };
+        let mut walk = ListWalk::new();
         let stale = match age {
             ListAge::Newest => "",
             ListAge::Stale => "stale=1&",
         };
-        let mut after = String::new();
         loop {
-            let target = format!("{kind}?{stale}after={after}");
-            let is_first = list.items.is_empty();
-            let body = if is_first {
+            let target = format!("{kind}?{stale}after={}", walk.after());
+            let body = if walk.is_first() {
                 let (status, body) = self.get(&target, limit).await?;
                 check_status(status)?;
                 body
             } else {
                 self.further_page(&target, limit).await?
             };
-            let page: WireList = serde_json::from_slice(&body)?;
-            list.revision = list.revision.min(page.at);
-            list.items.extend(page.items.into_iter().map(StoreObject::from));
-            match list.items.last() {
-                Some(last) if page.more => after.clone_from(&last.name),
-                _ => return Ok(list),
+            if !walk.take(decode_page(&body)?) {
+                return Ok(walk.into_list());
             }
         }
     }
@@ -147,8 +120,8 @@
             return Ok(None);
         }
         check_status(status)?;
-        let wire: WireObject = serde_json::from_slice(&body)?;
-        Ok(Some(wire.into()))
+        let object = decode_object(&body).map_err(|object| Error::Protocol(object.cause))?;
+        Ok(Some(object))
     }
 
     /// Waits up to `wait` for changes of a kind after `revision`.
@@ -168,9 +141,8 @@
             return Ok(WatchAnswer::HistoryLost);
         }
         check_status(status)?;
-        let wire: WireEvents = serde_json::from_slice(&body)?;
-        let changes = wire.events.into_iter().map(|event| (event.object.into(), event.gone));
-        Ok(WatchAnswer::Changes(changes.collect(), wire.at))
+        let (events, revision) = decode_events(&body)?;
+        Ok(WatchAnswer::Changes(events, revision))
     }
 
     /// Writes an object if its revision is still `expected`; `None` if it must not exist yet.
@@ -246,10 +218,10 @@
     match status {
         StatusCode::CONFLICT | StatusCode::NOT_FOUND => StoreWrite::Conflict,
         status if is_busy(status) => StoreWrite::Refused,
-        status if status.is_success() => match serde_json::from_slice::<WireObject>(body) {
-            Ok(wire) => StoreWrite::Written(wire.into()),
-            Err(error) => {
-                log::warn!("event=store_answer_unreadable cause=\"{error}\"");
+        status if status.is_success() => match decode_object(body) {
+            Ok(object) => StoreWrite::Written(object),
+            Err(UnreadableObject { cause, .. }) => {
+                log::warn!("event=store_answer_unreadable cause=\"{cause}\"");
                 StoreWrite::Lost
             }
         },
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -1,58 +1,154 @@
-//! The store's answers as they come.
+//! Decodes the store's answers, each object by itself.
 
-use super::store_client::StoreObject;
+use super::json_parts::{split_array, split_object};
+use super::store_object::{StoreEvent, StoreObject, UnreadableObject};
+use crate::{Error, Result};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 #[derive(Debug, Deserialize)]
-pub(super) struct WireMetadata {
+struct WireMetadata {
     #[serde(default)]
-    pub name: String,
+    name: String,
     #[serde(default)]
-    pub revision: u64,
+    revision: u64,
     #[serde(default)]
-    pub deleting: bool,
+    deleting: bool,
 }
 
 #[derive(Debug, Deserialize)]
-pub(super) struct WireObject {
-    pub metadata: WireMetadata,
+struct WireObject {
+    metadata: WireMetadata,
     #[serde(default)]
-    pub spec: Value,
+    spec: Value,
 }
 
-#[derive(Debug, Deserialize)]
-pub(super) struct WireList {
-    #[serde(default)]
-    pub items: Vec<WireObject>,
-    #[serde(default)]
+/// One page of a listing.
+#[derive(Debug)]
+pub(super) struct ListPage {
+    pub items: Vec<StoreObject>,
+    pub unreadable: Vec<UnreadableObject>,
+    /// The last name on it that can be read.
+    pub last_name: Option<String>,
+    /// There are further pages.
     pub more: bool,
     /// Revision of the store.
-    pub at: u64,
+    pub revision: u64,
 }
 
-#[derive(Debug, Deserialize)]
-pub(super) struct WireEvent {
-    pub object: WireObject,
-    #[serde(default)]
-    pub gone: bool,
+/// Decodes a page of a listing.
+///
+/// # Errors
+/// If the page as a whole is no JSON object, or lacks what belongs to no item.
+pub(super) fn decode_page(body: &[u8]) -> Result<ListPage> {
+    let members = split_object(body)?;
+    let mut page = ListPage {
+        items: Vec::new(),
+        unreadable: Vec::new(),
+        last_name: None,
+        more: optional(&members, "more")?.unwrap_or_default(),
+        revision: required(&members, "at")?,
+    };
+    for item in elements(&members, "items")? {
+        match decode_item(item) {
+            Ok(object) => {
+                page.last_name = Some(object.name.clone());
+                page.items.push(object);
+            }
+            Err(object) => {
+                page.last_name = object.name.clone().or(page.last_name);
+                page.unreadable.push(object);
+            }
+        }
+    }
+    Ok(page)
 }
 
-#[derive(Debug, Deserialize)]
-pub(super) struct WireEvents {
-    #[serde(default)]
-    pub events: Vec<WireEvent>,
-    /// Revision to continue from.
-    pub at: u64,
-}
-
-impl From<WireObject> for StoreObject {
-    fn from(wire: WireObject) -> Self {
-        Self {
-            name: wire.metadata.name,
-            revision: wire.metadata.revision,
-            deleting: wire.metadata.deleting,
-            spec: wire.spec,
-        }
+/// Decodes the answer to a watch: the events, oldest first, and the revision to go on from.
+///
+/// # Errors
+/// If the answer as a whole is no JSON object, or lacks what belongs to no event.
+pub(super) fn decode_events(body: &[u8]) -> Result<(Vec<StoreEvent>, u64)> {
+    let members = split_object(body)?;
+    let events = elements(&members, "events")?.into_iter().map(decode_event).collect();
+    Ok((events, required(&members, "at")?))
+}
+
+/// Decodes one object.
+///
+/// # Errors
+/// If it cannot be read; what can be is in the error.
+pub(super) fn decode_object(text: &[u8]) -> std::result::Result<StoreObject, UnreadableObject> {
+    read_object(text).map_err(|error| unreadable(text, &error))
+}
+
+/// Decodes one object among others, which only its name tells apart.
+fn decode_item(text: &[u8]) -> std::result::Result<StoreObject, UnreadableObject> {
+    let object = decode_object(text)?;
+    if object.name.is_empty() {
+        return Err(unreadable(text, &Error::Protocol("an object without a name".to_owned())));
+    }
+    Ok(object)
+}
+
+fn decode_event(text: &[u8]) -> StoreEvent {
+    let members = split_object(text).unwrap_or_default();
+    let object = find(&members, "object").unwrap_or_default();
+    let gone = optional::<bool>(&members, "gone").map(Option::unwrap_or_default);
+    match (gone, decode_item(object)) {
+        (Err(error), _) => StoreEvent::Unreadable(unreadable(object, &error)),
+        (Ok(false), Ok(object)) => StoreEvent::Stated(object),
+        (Ok(true), Ok(object)) => StoreEvent::Gone(object.name),
+        (Ok(true), Err(UnreadableObject { name: Some(name), .. })) => StoreEvent::Gone(name),
+        (Ok(_), Err(object)) => StoreEvent::Unreadable(object),
+    }
+}
+
+fn read_object(text: &[u8]) -> Result<StoreObject> {
+    let value: Value = serde_json::from_slice(text)?;
+    // A list in place of an object would be read by the order of its values.
+    if !value.is_object() || value.get("metadata").is_some_and(Value::is_array) {
+        return Err(Error::Protocol("no object with metadata".to_owned()));
     }
+    let wire = WireObject::deserialize(value)?;
+    Ok(StoreObject {
+        name: wire.metadata.name,
+        revision: wire.metadata.revision,
+        deleting: wire.metadata.deleting,
+        spec: wire.spec,
+    })
+}
+
+/// What can be read of an object that cannot be read as a whole.
+fn unreadable(text: &[u8], error: &Error) -> UnreadableObject {
+    let members = split_object(text).unwrap_or_default();
+    let metadata = find(&members, "metadata").and_then(|text| split_object(text).ok());
+    let metadata = metadata.unwrap_or_default();
+    let name: Option<String> = optional(&metadata, "name").unwrap_or_default();
+    let revision = optional(&metadata, "revision").unwrap_or_default();
+    UnreadableObject {
+        name: name.filter(|name| !name.is_empty()),
+        revision: revision.unwrap_or_default(),
+        cause: error.to_string(),
+    }
+}
+
+type Members<'a> = [(String, &'a [u8])];
+
+fn find<'a>(members: &Members<'a>, name: &str) -> Option<&'a [u8]> {
+    members.iter().find(|(known, _)| known == name).map(|(_, value)| *value)
+}
+
+fn elements<'a>(members: &Members<'a>, name: &str) -> Result<Vec<&'a [u8]>> {
+    find(members, name).map_or_else(|| Ok(Vec::new()), split_array)
+}
+
+fn optional<T: DeserializeOwned>(members: &Members<'_>, name: &str) -> Result<Option<T>> {
+    find(members, name).map(serde_json::from_slice).transpose().map_err(Error::from)
+}
+
+fn required<T: DeserializeOwned>(members: &Members<'_>, name: &str) -> Result<T> {
+    optional(members, name)?
+        .ok_or_else(|| Error::Protocol(format!("an answer of the store lacks {name:?}")))
 }
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -35,6 +35,40 @@
     view
 }
 
+/// An entry that names no server to use is no lapse: no outage keeps its server.
+#[test]
+fn unusable_entry_takes_effect_at_once_near_an_outage() {
+    let mut view = view_of(&["a", "b"]);
+    view.note_store_heard(at(0), Duration::ZERO);
+    view.note_store_heard(at(5000), Duration::ZERO);
+    view.apply(at(5010), 12, vec![FleetChange::Unusable(ServerKey::of("a"))]);
+    assert_eq!(ready_ids(&view), ["b"]);
+    assert_eq!(view.revision(), 12);
+    let news = view.news_since(at(5020), 10);
+    assert_eq!(news.removed, [(ServerKey::of("a"), 12)]);
+}
+
+/// A listing that lacks a server keeps it near an outage, unless the entry is there and unusable.
+#[test]
+fn unusable_entry_of_a_listing_ends_a_lapse() {
+    let mut view = view_of(&["a", "b"]);
+    view.note_store_heard(at(0), Duration::ZERO);
+    view.note_store_heard(at(5000), Duration::ZERO);
+    view.replace_all(at(5010), 12, Vec::new());
+    assert_eq!(ready_ids(&view), ["a", "b"]);
+    view.apply(at(5010), 12, vec![FleetChange::Unusable(ServerKey::of("a"))]);
+    assert_eq!(ready_ids(&view), ["b"]);
+}
+
+#[test]
+fn unusable_entry_of_an_unknown_server_moves_the_revision_on() {
+    let mut view = view_of(&["a"]);
+    view.apply(at(100), 12, vec![FleetChange::Unusable(ServerKey::of("c"))]);
+    assert_eq!(ready_ids(&view), ["a"]);
+    assert_eq!(view.revision(), 12);
+    assert_eq!(view.news_since(at(100), 10).removed, []);
+}
+
 #[test]
 fn removal_in_calm_takes_effect_at_once() {
     let mut view = view_of(&["a", "b"]);
--- /dev/null
+++ b/tests/unreadable_objects.rs
@@ -0,0 +1,36 @@
+//! Unreadable objects are logged once for each change.
+
+use tealcleat::gateway::UnreadableObjects;
+use tealcleat::platform::UnreadableObject;
+
+fn object(name: Option<&str>, revision: u64, cause: &str) -> UnreadableObject {
+    UnreadableObject { name: name.map(str::to_owned), revision, cause: cause.to_owned() }
+}
+
+#[test]
+fn object_is_new_once_for_each_change() {
+    let mut objects = UnreadableObjects::default();
+    assert!(objects.note(&object(Some("a"), 7, "no state")));
+    assert!(!objects.note(&object(Some("a"), 7, "no state")), "a listing names it again");
+    assert!(objects.note(&object(Some("a"), 8, "no state")), "it changed");
+    assert!(objects.note(&object(Some("b"), 7, "no state")));
+}
+
+#[test]
+fn nameless_objects_are_told_apart_by_what_is_wrong() {
+    let mut objects = UnreadableObjects::default();
+    assert!(objects.note(&object(None, 0, "no object")));
+    assert!(!objects.note(&object(None, 0, "no object")));
+    assert!(objects.note(&object(None, 0, "no text")));
+}
+
+/// Another writer may make any number of them.
+#[test]
+fn memory_is_bounded() {
+    let mut objects = UnreadableObjects::default();
+    for revision in 0..100_000 {
+        assert!(objects.note(&object(Some("a"), revision, "no state")));
+        assert!(!objects.note(&object(Some("a"), revision, "no state")));
+    }
+    assert!(objects.note(&object(Some("a"), 0, "no state")), "the oldest is still remembered");
+}
