A listing whose names lead in a circle ends

Cause: a page begins behind the last name that was read. If items at the ends of pages bear names that lead back to each other's page, the listing asked for the same pages for ever; only a page that led to itself ended it.

Ruled out: asking for names that rise, since the order in which a store lists names is its own.

Change: each name leads to a page once. The listing then is not whole, and servers that it lacks hold.

Before: paging_ends_where_names_lead_in_a_circle failed, its wait of 8 s elapsed. After: it passes, with all of foreign_lists (12), foreign_entries (87) and gateway_start (4). Formatter and linter are clean.

--- a/src/platform/list_walk.rs
+++ b/src/platform/list_walk.rs
@@ -2,6 +2,7 @@
 
 use super::store_object::ObjectList;
 use super::store_wire::ListPage;
+use std::collections::HashSet;
 
 /// A listing under way.
 #[derive(Debug)]
@@ -9,10 +10,13 @@
     list: ObjectList,
     /// The next page begins behind this name.
     after: String,
+    /// All names behind which a page began.
+    passed: HashSet<String>,
     is_first: bool,
 }
 
 impl ListWalk {
+    /// A listing of which nothing was read yet.
     pub fn new() -> Self {
         let list = ObjectList {
             items: Vec::new(),
@@ -20,7 +24,7 @@
             is_whole: false,
             revision: u64::MAX,
         };
-        Self { list, after: String::new(), is_first: true }
+        Self { list, after: String::new(), passed: HashSet::new(), is_first: true }
     }
 
     /// Whether no page was read yet.
@@ -36,7 +40,8 @@
     /// Takes a page over; true if a further one is to be read.
     ///
     /// The next page begins behind the last name that can be read: items without one that stand behind
-    /// it come again. A page with no name at all would come again for ever, and ends the listing.
+    /// it come again. A page without any name, or whose last name has led to a page before, would come
+    /// again for ever, and ends the listing.
     pub fn take(&mut self, page: ListPage) -> bool {
         self.is_first = false;
         self.list.revision = self.list.revision.min(page.revision);
@@ -44,7 +49,7 @@
         self.list.unreadable.extend(page.unreadable);
         self.list.is_whole = !page.more;
         match page.last_name {
-            Some(name) if page.more && name != self.after => {
+            Some(name) if page.more && self.passed.insert(name.clone()) => {
                 self.after = name;
                 true
             }
@@ -52,6 +57,7 @@
         }
     }
 
+    /// What the pages held.
     pub fn into_list(self) -> ObjectList {
         self.list
     }
--- a/tests/foreign_lists.rs
+++ b/tests/foreign_lists.rs
@@ -68,6 +68,30 @@
     });
 }
 
+/// Two items that stand at the ends of pages bear names that lead back to each other's page.
+#[test]
+fn paging_ends_where_names_lead_in_a_circle() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan { services: 0, ..servers_alone() }).await.expect("one");
+        let named = |name: &str| {
+            format!("{{\"metadata\":{{\"name\":\"{name}\",\"revision\":1}},\"spec\":{{}}}}")
+                .into_bytes()
+        };
+        site.store.change(|objects| {
+            for name in ["a-0", "a-1", "n-0", "n-1", "z-0"] {
+                objects.set_raw_spec(SERVERS_KIND, name, b"{}");
+            }
+            objects.set_raw_item(SERVERS_KIND, "a-2", &named("m"));
+            objects.set_raw_item(SERVERS_KIND, "n-2", &named("a"));
+        });
+        let listed = list(&site).await;
+        assert!(!listed.is_whole);
+        for name in ["a-0", "a-1", "n-0", "n-1"] {
+            assert!(listed.items.iter().any(|object| object.name == name), "{name}");
+        }
+    });
+}
+
 /// A name that another writer chose may hold signs that have a meaning in a query.
 #[rstest]
 #[case::space("i-service-1 x")]
