A test that a list near an outage keeps no server with an unreadable entry

Cause: a trial, in which the line that takes listed but unusable servers out of use was left out in the worktree and put back, failed no test of the daemon: without an outage a list takes them out as missing ones.

Change: tests/foreign_lists.rs lists near an outage of the store; the missing server is kept, the unreadable one is not. The doc of `ObjectList::is_whole` names the circle of names as well.

Before, with that line left out in the same way: foreign_lists 12 passed, 1 failed (the new one). After, with the line: 13 passed.

--- a/src/platform/store_object.rs
+++ b/src/platform/store_object.rs
@@ -55,8 +55,8 @@
     pub items: Vec<StoreObject>,
     /// Those that cannot; one without a name may stand twice.
     pub unreadable: Vec<UnreadableObject>,
-    /// Whether it reaches to the end. Behind a page on which no name can be read, no further one can be
-    /// asked for.
+    /// Whether it reaches to the end. Behind a page on which no name can be read, or whose last name has
+    /// led to a page before, no further one can be asked for.
     pub is_whole: bool,
     /// Revision of the store at which the oldest part of them was read; what came after it is told by
     /// a watch.
--- a/tests/foreign_lists.rs
+++ b/tests/foreign_lists.rs
@@ -1,6 +1,7 @@
 //! Listings of the store whose pages hold entries that cannot be read.
 
 use rstest::rstest;
+use std::time::Duration;
 use tealcleat::bench::site::{SitePlan, TestSite};
 use tealcleat::platform::{ListAge, ObjectList, SERVERS_KIND, StoreClient};
 
@@ -145,6 +146,28 @@
     });
 }
 
+/// Near an outage of the store a server whose entry is missing is kept, but not one whose entry is there
+/// and cannot be read.
+#[test]
+fn list_near_an_outage_keeps_no_server_with_an_unreadable_entry() {
+    /// Far enough ahead that the grace for lapses outlasts the test.
+    const OUTAGE: Duration = Duration::from_secs(600);
+    const MISSING: &str = "i-service-1";
+    runtime().block_on(async {
+        let site = site_of(1).await;
+        let host = &site.hosts[0].host;
+        let back_at = host.now() + OUTAGE;
+        host.state().fleet.note_store_heard(back_at, Duration::ZERO);
+        site.store.change(|objects| {
+            objects.set_raw_spec(SERVERS_KIND, KNOWN, b"\"\xff\"");
+            objects.remove(SERVERS_KIND, MISSING);
+            objects.compact();
+        });
+        wait_until("the server stays in use", || !knows(&site, KNOWN)).await;
+        assert!(knows(&site, MISSING));
+    });
+}
+
 /// A page that is cut off is no list.
 #[test]
 fn page_that_is_cut_off_is_an_error() {
