--- a/src/platform/server_wire.rs
+++ b/src/platform/server_wire.rs
@@ -19,8 +19,17 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// Of its software.
+    #[expect(dead_code, reason = "only its type is looked at")]
+    version: String,
     slots: u32,
     state: String,
+    /// How much longer it is slow after its start.
+    #[expect(dead_code, reason = "only its type is looked at")]
+    cold_left_ms: f64,
+    /// Changes that it has told of itself.
+    #[expect(dead_code, reason = "only its type is looked at")]
+    seq: u64,
     stage: Option<String>,
     /// Unix milliseconds of the server's start.
     #[serde(default, deserialize_with = "whole_number")]
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -71,6 +71,13 @@
 #[case::state_capital(Holds("state", b"\"Ready\""))]
 #[case::state_object(Holds("state", b"{\"ready\":null}"))]
 #[case::state_flag(Holds("state", b"true"))]
+#[case::version_missing(LeftOut("version"))]
+#[case::version_number(Holds("version", b"1"))]
+#[case::cold_time_missing(LeftOut("cold_left_ms"))]
+#[case::cold_time_text(Holds("cold_left_ms", b"\"0\""))]
+#[case::seq_missing(LeftOut("seq"))]
+#[case::seq_text(Holds("seq", b"\"0\""))]
+#[case::seq_negative(Holds("seq", b"-1"))]
 #[case::stage_unknown(Holds("stage", b"\"rank\""))]
 #[case::stage_empty(Holds("stage", b"\"\""))]
 #[case::stage_number(Holds("stage", b"1"))]
@@ -122,6 +129,9 @@
         && is_count
         && matches!(text("state"), Some("ready" | "draining"))
         && is_stage
+        && text("version").is_some()
+        && spec.get("cold_left_ms").is_some_and(Value::is_number)
+        && spec.get("seq").is_some_and(Value::is_u64)
         && spec.get("born").is_none_or(Value::is_u64)
 }
 
