Lives of a server: stand-ins that restart under their id, and failing tests

All that a host believes of a server is kept under its id.

Ruled out: tests of the pure machines alone; that a restarted server is used at once is seen only on a real daemon, so that the stand-ins restart (same or another address; connections break; holds, handles, orders and their count are gone). Stand-ins say `born` from their first restart on, so that existing tests stay those of a platform without it.

Change: stand-in engines and services restart; a hold counts as used only if the engine knows it; `born` is decoded from entries and reports, and used by nothing yet.

--- /dev/null
+++ b/src/bench/site/life_switch.rs
@@ -0,0 +1,54 @@
+use std::net::SocketAddr;
+use tokio::sync::watch;
+
+/// Where a stand-in server listens after a restart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RestartPlace {
+    /// Where it did before.
+    Same,
+    /// On another free port; the former one is closed.
+    Other,
+}
+
+/// One life of a stand-in server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct StandinLife {
+    /// Unix millisecond of its start; a stand-in says none until it is restarted.
+    pub born: Option<u64>,
+    pub address: Option<SocketAddr>,
+}
+
+/// The present life of a stand-in server; connections end with the life that accepted them.
+#[derive(Debug, Default)]
+pub(super) struct LifeSwitch {
+    life: watch::Sender<StandinLife>,
+}
+
+impl LifeSwitch {
+    /// The present life.
+    pub fn now(&self) -> StandinLife {
+        *self.life.borrow()
+    }
+
+    /// The server listens at `address` from now on.
+    pub fn move_to(&self, address: SocketAddr) {
+        self.life.send_modify(|life| life.address = Some(address));
+    }
+
+    /// A new life begins.
+    pub fn begin(&self, born: u64) {
+        self.life.send_modify(|life| life.born = Some(born));
+    }
+
+    /// Waits until `life` is over.
+    pub async fn ended(&self, life: StandinLife) {
+        // The sender lives as long as this switch: the wait ends only with the life.
+        drop(self.life.subscribe().wait_for(|now| *now != life).await);
+    }
+
+    /// Waits until the server no longer listens at `address`.
+    pub async fn left(&self, address: SocketAddr) {
+        // As above.
+        drop(self.life.subscribe().wait_for(|now| now.address != Some(address)).await);
+    }
+}
--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -3,9 +3,13 @@
 //! Each has switches for the faults that trials on the users' bench showed; none has a cost model.
 
 mod engine_fault;
+mod engine_memory;
+mod event_feed;
+mod life_switch;
 mod site_caller;
 mod site_engine;
 mod site_http;
+mod site_restart;
 mod site_run;
 mod site_service;
 mod site_store;
@@ -14,6 +18,7 @@
 mod test_site;
 
 pub use engine_fault::EngineFault;
+pub use life_switch::RestartPlace;
 pub use site_caller::{CallerReply, SiteCall, SiteConnection, call_site};
 pub use site_engine::SiteEngine;
 pub use site_run::{SeenCaller, SiteRun};
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -1,6 +1,10 @@
 use super::engine_fault::EngineFault;
+use super::engine_memory::EngineMemory;
+use super::event_feed::{EventFeed, EventSender, cut_within};
+use super::life_switch::{LifeSwitch, RestartPlace};
 use super::site_http::{
-    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, refusal, serve_site, signed, whole,
+    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, refusal, restart_site, serve_site,
+    signed, whole,
 };
 use super::site_run::SiteRun;
 use crate::Result;
@@ -8,37 +12,29 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Lives of what an engine keeps for others, as on the users' sites.
-const HOLD_LIFE: Duration = Duration::from_millis(2000);
-const HANDLE_LIFE: Duration = Duration::from_millis(500);
-/// Events before a cut have this long to leave.
-const CUT_PAUSE: Duration = Duration::from_millis(20);
-
 /// A stand-in for a model engine.
 #[derive(Debug)]
 pub struct SiteEngine {
-    /// Id of this life of it.
+    /// Its id, the same in all of its lives.
     pub id: String,
+    lives: LifeSwitch,
     stage: Mutex<String>,
     events: u64,
     pause: Duration,
     fault: Mutex<EngineFault>,
     runs: Mutex<Vec<SiteRun>>,
-    /// Holds and when they lapse.
-    holds: Mutex<HashMap<String, Instant>>,
-    /// Results of prefills: the request, and when they lapse.
-    handles: Mutex<HashMap<String, (String, Instant)>>,
-    orders: Mutex<Vec<(String, u64)>>,
+    memory: Mutex<EngineMemory>,
     serials: AtomicU64,
     turned_away: AtomicU64,
+    reports: AtomicU64,
     /// Prefill engines of the site, by address, from which results are fetched.
     sources: Mutex<HashMap<String, Arc<SiteEngine>>>,
 }
@@ -48,16 +44,16 @@
     pub fn new(id: &str, stage: &str, events: u64, pause: Duration) -> Self {
         Self {
             id: id.to_owned(),
+            lives: LifeSwitch::default(),
             stage: Mutex::new(stage.to_owned()),
             events,
             pause,
             fault: Mutex::default(),
             runs: Mutex::default(),
-            holds: Mutex::default(),
-            handles: Mutex::default(),
-            orders: Mutex::default(),
+            memory: Mutex::default(),
             serials: AtomicU64::new(1),
             turned_away: AtomicU64::new(0),
+            reports: AtomicU64::new(0),
             sources: Mutex::default(),
         }
     }
@@ -70,6 +66,23 @@
         serve_site(Arc::clone(self)).await
     }
 
+    /// Starts the engine again under its id: its connections break, and it holds, knows and counts
+    /// nothing of before. Returns where it listens.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn restart(self: &Arc<Self>, born: u64, place: RestartPlace) -> Result<SocketAddr> {
+        let address = restart_site(self, born, place).await?;
+        *lock(&self.memory) = EngineMemory::default();
+        self.set_fault(EngineFault::None);
+        Ok(address)
+    }
+
+    /// When its present life began, if it says so.
+    pub fn born(&self) -> Option<u64> {
+        self.lives.now().born
+    }
+
     /// Names an engine from which results can be fetched.
     pub fn add_source(&self, address: SocketAddr, engine: &Arc<Self>) {
         lock(&self.sources).insert(address.to_string(), Arc::clone(engine));
@@ -92,14 +105,12 @@
 
     /// Holds that were granted and neither used nor given back, and have not lapsed.
     pub fn open_holds(&self) -> usize {
-        let now = Instant::now();
-        lock(&self.holds).values().filter(|lapses| now < **lapses).count()
+        lock(&self.memory).open_holds()
     }
 
     /// Results of prefills that were neither fetched nor given back, and have not lapsed.
     pub fn open_handles(&self) -> usize {
-        let now = Instant::now();
-        lock(&self.handles).values().filter(|(_, lapses)| now < *lapses).count()
+        lock(&self.memory).open_handles()
     }
 
     /// Reads and runs that it turned away while it changed its stage.
@@ -107,9 +118,14 @@
         self.turned_away.load(Ordering::Relaxed)
     }
 
+    /// Times that it was asked for its report, over all of its lives.
+    pub fn reports(&self) -> u64 {
+        self.reports.load(Ordering::Relaxed)
+    }
+
     /// Orders that it took: who gave them, under which fence.
     pub fn orders(&self) -> Vec<(String, u64)> {
-        lock(&self.orders).clone()
+        lock(&self.memory).orders().to_vec()
     }
 
     fn fault(&self) -> EngineFault {
@@ -125,18 +141,23 @@
             return Ok(whole(503, "{}"));
         }
         let hold = self.serial();
-        lock(&self.holds).insert(hold.clone(), Instant::now() + HOLD_LIFE);
+        lock(&self.memory).add_hold(&hold);
         Ok(whole(200, json!({"hold": hold}).to_string()))
     }
 
+    fn report(&self) -> SiteAnswer {
+        self.reports.fetch_add(1, Ordering::Relaxed);
+        let report = lock(&self.memory).report(&self.stage(), self.born());
+        Ok(whole(200, report.to_string()))
+    }
+
     fn order(&self, request: &WholeRequest) -> SiteAnswer {
-        let order: serde_json::Value = serde_json::from_slice(request.body()).unwrap_or_default();
+        let order: Value = serde_json::from_slice(request.body()).unwrap_or_default();
         let fence = order["fence"].as_u64().unwrap_or_default();
-        let holder = order["holder"].as_str().unwrap_or_default().to_owned();
-        if lock(&self.orders).iter().any(|(_, seen)| *seen > fence) {
+        let holder = order["holder"].as_str().unwrap_or_default();
+        if !lock(&self.memory).take_order(holder, fence) {
             return Ok(whole(412, "{}"));
         }
-        lock(&self.orders).push((holder, fence));
         if self.fault() == EngineFault::LoseOrders {
             return Err(BrokenOff);
         }
@@ -152,8 +173,7 @@
             return Err(BrokenOff);
         }
         let handle = self.serial();
-        let lapses = Instant::now() + HANDLE_LIFE;
-        lock(&self.handles).insert(handle.clone(), (id.to_owned(), lapses));
+        lock(&self.memory).add_handle(&handle, id);
         let body = json!({"kv_handle": handle, "tokens": 100, "version": 1}).to_string();
         Ok(signed(whole(200, body), id, None))
     }
@@ -172,14 +192,12 @@
         }
         let (address, handle) = source.split_once('/')?;
         let engine = lock(&self.sources).get(address).cloned()?;
-        let (request, lapses) = lock(&engine.handles).remove(handle)?;
-        (Instant::now() < lapses).then_some(request)
+        lock(&engine.memory).take_handle(handle)
     }
 
     fn decode(self: &Arc<Self>, request: &WholeRequest, id: &str) -> SiteAnswer {
-        if let Some(hold) = header(request, "hold") {
-            lock(&self.holds).remove(hold);
-        }
+        let hold = header(request, "hold");
+        let held = hold.is_some_and(|hold| lock(&self.memory).drop_hold(hold));
         let prompt = match header(request, "kv-from") {
             None => id.to_owned(),
             Some(source) => match self.fetch(source) {
@@ -188,6 +206,7 @@
             },
         };
         let place = self.note_run(request, id, "decode");
+        lock(&self.runs)[place].held = held;
         if self.fault() == EngineFault::FailRuns {
             return Ok(signed(whole(500, "failed"), id, Some(&self.id)));
         }
@@ -206,18 +225,14 @@
         prompt: String,
         first: u64,
         place: usize,
-        events: mpsc::Sender<std::result::Result<Frame<Bytes>, BrokenOff>>,
+        events: EventSender,
     ) {
         for number in first..self.events {
             let text = format!("id: {number}\ndata: {prompt} {number}\n\n");
             let made = number - first;
             let sent = match self.fault() {
                 EngineFault::CutAfter(most) if made >= most => {
-                    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
-                    drop(events.send(Ok(Frame::data(half))).await);
-                    // The HTTP library drops what it has not written when a body fails.
-                    tokio::time::sleep(CUT_PAUSE).await;
-                    drop(events.send(Err(BrokenOff)).await);
+                    cut_within(&events, &text).await;
                     return;
                 }
                 EngineFault::StallAfter(most) if made >= most => {
@@ -236,21 +251,11 @@
     }
 }
 
-/// A stream of events from a channel.
-struct EventFeed(mpsc::Receiver<std::result::Result<Frame<Bytes>, BrokenOff>>);
-
-impl futures_core::Stream for EventFeed {
-    type Item = std::result::Result<Frame<Bytes>, BrokenOff>;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        self.0.poll_recv(cx)
+impl SiteHandler for SiteEngine {
+    fn lives(&self) -> Option<&LifeSwitch> {
+        Some(&self.lives)
     }
-}
 
-impl SiteHandler for SiteEngine {
     async fn answer(self: Arc<Self>, request: WholeRequest) -> SiteAnswer {
         if self.fault() == EngineFault::Silent {
             std::future::pending::<()>().await;
@@ -263,22 +268,18 @@
             return self.take_hold();
         }
         if let Some(hold) = path.strip_prefix("/tealcleat/hold-drop/") {
-            lock(&self.holds).remove(hold);
+            lock(&self.memory).drop_hold(hold);
             return Ok(whole(200, "{}"));
         }
         if let Some(handle) = path.strip_prefix("/tealcleat/kv-handle/") {
-            lock(&self.handles).remove(handle);
+            lock(&self.memory).take_handle(handle);
             return Ok(whole(200, "{}"));
         }
         if path == "/tealcleat/order" {
             return self.order(&request);
         }
         if path == "/tealcleat/report" {
-            let running = lock(&self.holds).len();
-            let orders = lock(&self.orders).len();
-            let body = json!({"stage": self.stage(), "models": [], "busy": false, "seq": orders,
-                "waiting": 0, "running": running, "kv_used": 0, "kv_total": 1000, "handles": 0});
-            return Ok(whole(200, body.to_string()));
+            return self.report();
         }
         let Some(id) = header(&request, "x-request-id").map(str::to_owned) else {
             return Ok(whole(400, ""));
--- a/src/bench/site/site_http.rs
+++ b/src/bench/site/site_http.rs
@@ -1,4 +1,5 @@
-use crate::Result;
+use super::life_switch::{LifeSwitch, RestartPlace, StandinLife};
+use crate::{Error, Result};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -8,7 +9,7 @@
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// What a stand-in does with a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,27 +33,84 @@
 /// Answers the requests of a stand-in.
 pub(super) trait SiteHandler: Send + Sync + 'static {
     fn answer(self: Arc<Self>, request: WholeRequest) -> impl Future<Output = SiteAnswer> + Send;
+
+    /// Its lives, if it can be restarted.
+    fn lives(&self) -> Option<&LifeSwitch> {
+        None
+    }
 }
 
-/// Serves a stand-in on a free port until the runtime ends.
+/// Serves a stand-in on a free port until the runtime ends, or it moves to another one.
 pub(super) async fn serve_site<H: SiteHandler>(handler: Arc<H>) -> Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
+    if let Some(lives) = handler.lives() {
+        lives.move_to(address);
+    }
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let handler = Arc::clone(&handler);
-            tokio::spawn(async move {
-                let service = service_fn(move |request| answer(Arc::clone(&handler), request));
-                let connection = hyper::server::conn::http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service);
-                // A caller that leaves is part of every test.
-                drop(connection.await);
-            });
+        tokio::select! {
+            () = accept_all(&listener, &handler) => {}
+            () = left(&*handler, address) => {}
         }
     });
     Ok(address)
 }
 
+/// Begins a new life of a stand-in, and returns where it listens.
+pub(super) async fn restart_site<H: SiteHandler>(
+    handler: &Arc<H>,
+    born: u64,
+    place: RestartPlace,
+) -> Result<SocketAddr> {
+    let never = || Error::Refused("the stand-in has not been served".to_owned());
+    let lives = handler.lives().ok_or_else(never)?;
+    let address = match place {
+        RestartPlace::Same => lives.now().address.ok_or_else(never)?,
+        RestartPlace::Other => serve_site(Arc::clone(handler)).await?,
+    };
+    lives.begin(born);
+    Ok(address)
+}
+
+async fn accept_all<H: SiteHandler>(listener: &TcpListener, handler: &Arc<H>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let life = handler.lives().map(LifeSwitch::now);
+        tokio::spawn(serve_stream(Arc::clone(handler), stream, life));
+    }
+}
+
+async fn serve_stream<H: SiteHandler>(
+    handler: Arc<H>,
+    stream: TcpStream,
+    life: Option<StandinLife>,
+) {
+    let answering = Arc::clone(&handler);
+    let service = service_fn(move |request| answer(Arc::clone(&answering), request));
+    let connection =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // A caller that leaves is part of every test.
+        ended = connection => drop(ended),
+        () = ended(&*handler, life) => {}
+    }
+}
+
+/// Waits until a life of a stand-in is over.
+async fn ended<H: SiteHandler>(handler: &H, life: Option<StandinLife>) {
+    match (handler.lives(), life) {
+        (Some(lives), Some(life)) => lives.ended(life).await,
+        _ => std::future::pending().await,
+    }
+}
+
+/// Waits until a stand-in no longer listens at `address`.
+async fn left<H: SiteHandler>(handler: &H, address: SocketAddr) {
+    match handler.lives() {
+        Some(lives) => lives.left(address).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn answer<H: SiteHandler>(handler: Arc<H>, request: Request<Incoming>) -> SiteAnswer {
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(|_error| BrokenOff)?.to_bytes();
--- /dev/null
+++ b/src/bench/site/site_restart.rs
@@ -0,0 +1,64 @@
+//! Starts servers of a site again under the ids that they had.
+
+use super::{RestartPlace, SiteEngine, StatedServer, TestSite};
+use crate::{Error, Result};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Unix milliseconds: when the first restarted server of a site begins its life, and how much later each
+/// further one does.
+const FIRST_RESTART: u64 = 1_700_000_000_000;
+const RESTART_GAP: u64 = 1000;
+
+impl TestSite {
+    /// Starts a server of this site again under its id, which crashes it first, and writes its new entry;
+    /// returns when its new life began.
+    ///
+    /// # Errors
+    /// If no port can be bound, or there is no such server.
+    pub async fn restart(&self, id: &str, place: RestartPlace) -> Result<u64> {
+        let server = self.server(id)?;
+        let born = FIRST_RESTART + self.restarts.fetch_add(1, Ordering::Relaxed) * RESTART_GAP;
+        let address = if let Some(engine) = self.engine(id) {
+            engine.restart(born, place).await?
+        } else {
+            let service = self.services.iter().find(|service| service.id == id);
+            service.ok_or_else(|| unknown_server(id))?.restart(born, place).await?
+        };
+        self.add_source(id, address);
+        let stage = self.engine(id).map(|engine| engine.stage());
+        self.state_server(id, server.service, address, stage.as_deref(), "ready");
+        Ok(born)
+    }
+
+    fn server(&self, id: &str) -> Result<&StatedServer> {
+        let server = self.servers.iter().find(|server| server.id == id);
+        server.ok_or_else(|| unknown_server(id))
+    }
+
+    fn engine(&self, id: &str) -> Option<&Arc<SiteEngine>> {
+        self.prefills.iter().chain(&self.decodes).find(|engine| engine.id == id)
+    }
+
+    /// When the present life of a server began, if it says so.
+    pub(super) fn born(&self, id: &str) -> Option<u64> {
+        if let Some(engine) = self.engine(id) {
+            return engine.born();
+        }
+        self.services.iter().find(|service| service.id == id)?.born()
+    }
+
+    /// Decode engines reach a prefill engine at `address`.
+    fn add_source(&self, id: &str, address: SocketAddr) {
+        if let Some(engine) = self.prefills.iter().find(|engine| engine.id == id) {
+            for decode in &self.decodes {
+                decode.add_source(address, engine);
+            }
+        }
+    }
+}
+
+fn unknown_server(id: &str) -> Error {
+    Error::Refused(format!("there is no server {id}"))
+}
--- a/src/bench/site/site_run.rs
+++ b/src/bench/site/site_run.rs
@@ -9,7 +9,7 @@
     pub stage: String,
     /// It used the result of a prefill.
     pub fetched: bool,
-    /// It used a hold.
+    /// It used a hold that the engine knew.
     pub held: bool,
     /// The event that it continued after.
     pub after: Option<u64>,
@@ -26,7 +26,7 @@
             request: id.to_owned(),
             stage: stage.to_owned(),
             fetched: header(request, "kv-from").is_some(),
-            held: header(request, "hold").is_some(),
+            held: false,
             after: header(request, "last-event-id").and_then(|text| text.parse().ok()),
             cancelled: false,
             caller: SeenCaller::of(request, id),
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -1,5 +1,7 @@
+use super::life_switch::{LifeSwitch, RestartPlace};
 use super::site_http::{
-    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, serve_site, signed, whole,
+    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, restart_site, serve_site, signed,
+    whole,
 };
 use super::site_run::SeenCaller;
 use crate::Result;
@@ -30,8 +32,9 @@
 /// A stand-in for one server of a plain service.
 #[derive(Debug)]
 pub struct SiteService {
-    /// Id of this life of it.
+    /// Its id, the same in all of its lives.
     pub id: String,
+    lives: LifeSwitch,
     fault: Mutex<ServiceFault>,
     runs: Mutex<Vec<SeenCaller>>,
 }
@@ -39,7 +42,12 @@
 impl SiteService {
     /// A server without faults.
     pub fn new(id: &str) -> Self {
-        Self { id: id.to_owned(), fault: Mutex::default(), runs: Mutex::default() }
+        Self {
+            id: id.to_owned(),
+            lives: LifeSwitch::default(),
+            fault: Mutex::default(),
+            runs: Mutex::default(),
+        }
     }
 
     /// Serves it on a free port.
@@ -50,6 +58,21 @@
         serve_site(Arc::clone(self)).await
     }
 
+    /// Starts the server again under its id: its connections break. Returns where it listens.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn restart(self: &Arc<Self>, born: u64, place: RestartPlace) -> Result<SocketAddr> {
+        let address = restart_site(self, born, place).await?;
+        self.set_fault(ServiceFault::None);
+        Ok(address)
+    }
+
+    /// When its present life began, if it says so.
+    pub fn born(&self) -> Option<u64> {
+        self.lives.now().born
+    }
+
     /// Switches a fault on, or all off.
     pub fn set_fault(&self, fault: ServiceFault) {
         *lock(&self.fault) = fault;
@@ -67,6 +90,10 @@
 }
 
 impl SiteHandler for SiteService {
+    fn lives(&self) -> Option<&LifeSwitch> {
+        Some(&self.lives)
+    }
+
     async fn answer(self: Arc<Self>, request: WholeRequest) -> SiteAnswer {
         let fault = *lock(&self.fault);
         if fault == ServiceFault::Silent {
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 const NOWHERE: &str = "127.0.0.1:0";
@@ -66,6 +67,7 @@
     pub hosts: Vec<Gateway>,
     /// Where the store listens.
     pub store_address: SocketAddr,
+    pub(super) restarts: AtomicU64,
 }
 
 impl TestSite {
@@ -84,6 +86,7 @@
             servers: Vec::new(),
             hosts: Vec::new(),
             store_address,
+            restarts: AtomicU64::new(0),
         };
         site.start_servers(plan).await?;
         site.set_config(1, &config(1));
@@ -149,6 +152,9 @@
         if let Some(stage) = stage {
             entry["stage"] = json!(stage);
         }
+        if let Some(born) = self.born(id) {
+            entry["born"] = json!(born);
+        }
         self.store.change(|objects| objects.set("servers", id, entry));
     }
 
--- a/src/fleet/server_entry.rs
+++ b/src/fleet/server_entry.rs
@@ -43,8 +43,10 @@
 /// A backend server's entry in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
-    /// Id of this life of the server; another life has another id.
+    /// Its id, which it keeps when it starts again.
     pub id: String,
+    /// Unix millisecond at which this life of it began; servers of older platforms do not say.
+    pub born: Option<u64>,
     /// The service that it runs.
     pub service: ServiceKey,
     /// Where it listens.
--- a/src/platform/engine_messages.rs
+++ b/src/platform/engine_messages.rs
@@ -31,6 +31,8 @@
 /// An engine's load, some hundred milliseconds old.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
+    /// Unix millisecond at which this life of it began; engines of older platforms do not say.
+    pub born: Option<u64>,
     /// Its stage.
     pub stage: Option<ServerStage>,
     /// It carries out an order.
@@ -47,6 +49,7 @@
 
 #[derive(Debug, Deserialize)]
 struct WireReport {
+    born: Option<u64>,
     stage: Option<String>,
     #[serde(default)]
     busy: bool,
@@ -113,6 +116,7 @@
 pub fn decode_report(body: &[u8]) -> Result<EngineReport> {
     let wire: WireReport = serde_json::from_slice(body)?;
     Ok(EngineReport {
+        born: wire.born,
         stage: wire.stage.as_deref().and_then(decode_stage),
         busy: wire.busy,
         orders_taken: wire.seq,
--- a/src/platform/server_wire.rs
+++ b/src/platform/server_wire.rs
@@ -14,6 +14,7 @@
 #[derive(Debug, Deserialize)]
 struct WireServer {
     service: String,
+    born: Option<u64>,
     address: SocketAddr,
     #[serde(default)]
     zone: String,
@@ -35,6 +36,7 @@
     }
     Ok(ServerEntry {
         id: object.name.clone(),
+        born: wire.born,
         service: ServiceKey::of(&wire.service),
         address: wire.address,
         domain: NameKey::of(&wire.zone),
--- /dev/null
+++ b/tests/fleet_lives.rs
@@ -0,0 +1,217 @@
+//! Lives of a server under one id: which one counts, for new work, in what hosts tell each other, and for
+//! orders.
+
+use rstest::rstest;
+use std::time::Duration;
+use tealcleat::fleet::{
+    FleetChange, FleetView, ServerEntry, ServerStage, ServerState, StageChanges,
+};
+use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::orders::ChangeOrders;
+
+const CHANGE_TIME: Duration = Duration::from_secs(6);
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+/// An engine that does not say when its life began.
+fn server(id: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.to_owned(),
+        born: None,
+        service: NameKey::of("engines"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: NameKey::of("a"),
+        state: ServerState::Ready,
+        stage: Some(ServerStage::Prefill),
+        slots: 4,
+    }
+}
+
+/// A server whose life began at `born`.
+fn life(id: &str, born: u64) -> ServerEntry {
+    ServerEntry { born: Some(born), ..server(id) }
+}
+
+fn view_of_life(id: &str, born: u64) -> FleetView {
+    let mut view = FleetView::default();
+    view.replace_all(at(0), 10, vec![life(id, born)]);
+    view
+}
+
+/// When the lives began that a view has under an id.
+fn births(view: &FleetView, id: &str) -> Vec<Option<u64>> {
+    view.entries().filter(|entry| entry.id == id).map(|entry| entry.born).collect()
+}
+
+fn outage(view: &mut FleetView) {
+    view.note_store_heard(at(100), Duration::ZERO);
+    view.note_store_heard(at(5000), Duration::ZERO);
+}
+
+#[test]
+fn key_without_a_start_is_that_of_the_id() {
+    assert_eq!(server("a").key(), ServerKey::of("a"));
+}
+
+#[test]
+fn keys_of_two_lives_differ() {
+    assert_ne!(life("a", 100).key(), life("a", 200).key());
+    assert_ne!(life("a", 100).key(), server("a").key());
+    assert_ne!(life("a", 100).key(), life("b", 100).key());
+}
+
+/// A server may begin to say when it started, with a newer software.
+#[rstest]
+#[case::both_say_it(Some(100))]
+#[case::first_start_said(None)]
+fn later_life_replaces_the_former_one(#[case] born: Option<u64>) {
+    let former = ServerEntry { born, ..server("a") };
+    let mut view = FleetView::default();
+    view.replace_all(at(0), 10, vec![former.clone()]);
+    view.apply(at(100), 11, vec![FleetChange::Stated(life("a", 200))]);
+    assert_eq!(births(&view, "a"), [Some(200)]);
+    assert!(!view.is_ready(former.key()), "a choice made earlier");
+    assert!(view.entry(former.key()).is_none());
+    assert!(view.is_ready(life("a", 200).key()));
+}
+
+#[test]
+fn draining_life_replaced_by_one_that_is_ready() {
+    let mut view = view_of_life("a", 100);
+    let leaving = ServerEntry { state: ServerState::Draining, ..life("a", 100) };
+    view.apply(at(100), 11, vec![FleetChange::Stated(leaving)]);
+    view.apply(at(200), 12, vec![FleetChange::Stated(life("a", 200))]);
+    assert!(view.is_ready(life("a", 200).key()));
+}
+
+#[rstest]
+#[case::earlier(Some(100))]
+#[case::without_a_start(None)]
+fn earlier_life_changes_nothing(#[case] born: Option<u64>) {
+    let late = ServerEntry { born, state: ServerState::Draining, ..life("a", 100) };
+    let mut view = view_of_life("a", 200);
+    view.apply(at(100), 11, vec![FleetChange::Stated(late.clone())]);
+    assert_eq!(births(&view, "a"), [Some(200)]);
+    assert!(view.is_ready(life("a", 200).key()));
+    view.replace_all(at(200), 12, vec![late]);
+    assert_eq!(births(&view, "a"), [Some(200)]);
+    assert!(view.is_ready(life("a", 200).key()));
+    assert!(view.news_since(at(300), 10).servers.is_empty(), "nothing to tell");
+}
+
+#[test]
+fn removal_takes_whatever_life_is_known() {
+    let mut view = view_of_life("a", 200);
+    view.apply(at(100), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    assert!(births(&view, "a").is_empty());
+    assert!(!view.is_ready(life("a", 200).key()));
+}
+
+#[test]
+fn lapsed_server_that_returns_with_another_start_is_another_life() {
+    let mut view = view_of_life("a", 100);
+    outage(&mut view);
+    view.apply(at(5010), 12, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    assert!(view.is_ready(life("a", 100).key()), "it may come back");
+    view.apply(at(5500), 13, vec![FleetChange::Stated(life("a", 200))]);
+    assert_eq!(births(&view, "a"), [Some(200)]);
+    assert!(!view.is_ready(life("a", 100).key()));
+    assert!(view.expire(at(9000)).is_empty(), "the new life has not lapsed");
+}
+
+#[test]
+fn lapsed_server_that_returns_with_its_start_is_the_same_life() {
+    let mut view = view_of_life("a", 100);
+    outage(&mut view);
+    view.replace_all(at(5010), 12, Vec::new());
+    view.replace_all(at(5500), 13, vec![life("a", 100)]);
+    assert!(view.is_ready(life("a", 100).key()));
+    assert!(view.expire(at(9000)).is_empty());
+}
+
+#[test]
+fn lapse_ends_whatever_life_is_known() {
+    let mut view = view_of_life("a", 100);
+    outage(&mut view);
+    view.apply(at(5010), 12, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    assert_eq!(view.expire(at(9000)), [life("a", 100)]);
+    let mut behind = view_of_life("a", 100);
+    behind.adopt(at(9000), view.news_since(at(9000), 10));
+    assert!(births(&behind, "a").is_empty());
+}
+
+#[test]
+fn partial_news_replace_the_former_life() {
+    let mut first = view_of_life("a", 100);
+    let mut second = view_of_life("a", 100);
+    first.apply(at(100), 11, vec![FleetChange::Stated(life("a", 200))]);
+    let news = first.news_since(at(200), second.revision());
+    assert!(news.is_partial);
+    assert!(news.removed.is_empty(), "the id is still there");
+    second.adopt(at(200), news);
+    assert_eq!(births(&second, "a"), [Some(200)]);
+    assert!(!second.is_ready(life("a", 100).key()));
+}
+
+#[test]
+fn partial_news_remove_whatever_life_is_known() {
+    let mut first = view_of_life("a", 200);
+    let mut second = view_of_life("a", 100);
+    first.apply(at(100), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    second.adopt(at(200), first.news_since(at(200), 10));
+    assert!(births(&second, "a").is_empty());
+}
+
+/// A server that went, and started again: the host that missed both hears of one change.
+#[test]
+fn partial_news_of_a_server_that_went_and_started_again() {
+    let mut first = view_of_life("a", 100);
+    let mut second = view_of_life("a", 100);
+    first.apply(at(100), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    first.apply(at(200), 12, vec![FleetChange::Stated(life("a", 200))]);
+    let news = first.news_since(at(300), 10);
+    assert_eq!((news.servers.len(), news.removed.len()), (1, 0));
+    second.adopt(at(300), news);
+    assert_eq!(births(&second, "a"), [Some(200)]);
+}
+
+/// The other host has listed the store after a late write of the former life, and never knew the new one.
+#[rstest]
+#[case::whole_view(0)]
+#[case::changes(10)]
+fn news_of_an_earlier_life_change_nothing(#[case] since: u64) {
+    let mut first = view_of_life("a", 100);
+    first.apply(at(100), 12, vec![FleetChange::Stated(life("b", 50))]);
+    let late = ServerEntry { slots: 9, ..life("a", 100) };
+    first.apply(at(200), 13, vec![FleetChange::Stated(late)]);
+    let mut second = view_of_life("a", 200);
+    second.adopt(at(300), first.news_since(at(300), since));
+    assert_eq!(births(&second, "a"), [Some(200)]);
+    assert_eq!(births(&second, "b"), [Some(50)]);
+    assert!(second.is_ready(life("a", 200).key()));
+}
+
+/// An order that was open, a rest after one that failed, a change that another host ordered and a suspicion
+/// are all of the life that ended.
+#[test]
+fn orders_of_a_former_life_not_counted_for_the_next() {
+    let (former, next) = (life("i-1", 100), life("i-1", 200));
+    let mut fleet = FleetView::default();
+    fleet.replace_all(at(0), 10, vec![former.clone()]);
+    let mut orders = ChangeOrders::default();
+    orders.note_open(at(0), former.key(), ServerStage::Decode, CHANGE_TIME);
+    orders.note_failed(at(0), former.key());
+    let mut changes = StageChanges::default();
+    changes.note_ordered(former.key(), ServerStage::Decode);
+    changes.note_heard(at(0), former.key(), ServerStage::Decode);
+    changes.note_suspected(at(0), former.key());
+    assert!(changes.is_changing(at(10), &former));
+    fleet.apply(at(20), 11, vec![FleetChange::Stated(next.clone())]);
+    orders.forget(at(30), |key| fleet.entry(key).map(|entry| entry.stage));
+    assert_eq!(orders.open_count(), 0);
+    assert_eq!(orders.heads_to(next.key()), None);
+    assert!(!orders.leaves_alone(next.key()));
+    assert!(!changes.is_changing(at(30), &next));
+}
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -12,6 +12,7 @@
 fn server(id: &str, state: ServerState) -> ServerEntry {
     ServerEntry {
         id: id.to_owned(),
+        born: None,
         service: NameKey::of("app"),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: NameKey::of("a"),
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -17,6 +17,7 @@
 fn server(id: &str, domain: &str) -> ServerEntry {
     ServerEntry {
         id: id.to_owned(),
+        born: None,
         service: NameKey::of("engines"),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: NameKey::of(domain),
--- /dev/null
+++ b/tests/server_lives.rs
@@ -0,0 +1,261 @@
+//! Servers that start again under the id that they had, before a real daemon on the platform's stand-ins:
+//! what was believed of the former life says nothing of the new one.
+
+use rstest::rstest;
+use std::time::Duration;
+use tealcleat::bench::site::{EngineFault, RestartPlace, SiteEngine, SitePlan, TestSite};
+use tealcleat::fleet::{FleetView, ServerEntry, ServerStage};
+use tealcleat::keys::{NameKey, ServerKey};
+use tealcleat::placement::ServerLoad;
+
+mod site_common;
+
+use site_common::{ask, call, engine_runs, runtime, settled};
+
+const LOOK: Duration = Duration::from_millis(5);
+/// A load that makes another server the better choice, and one far above that.
+const SOME_MEMORY: u32 = 50_000;
+const MUCH_MEMORY: u32 = 200_000;
+
+/// A site with one daemon, all of whose servers say when their lives began.
+async fn born_site(plan: SitePlan) -> TestSite {
+    let mut site = TestSite::start(SitePlan { hosts: 0, ..plan }).await.expect("a site");
+    for server in &site.servers {
+        site.restart(&server.id, RestartPlace::Same).await.expect("a restart");
+    }
+    for _ in 0..plan.hosts {
+        site.add_host().await.expect("a host");
+    }
+    site.wait_ready().await;
+    site
+}
+
+fn find(fleet: &FleetView, id: &str) -> Option<ServerEntry> {
+    fleet.entries().find(|entry| entry.id == id).cloned()
+}
+
+fn key_of(site: &TestSite, id: &str) -> ServerKey {
+    find(&site.hosts[0].host.state().fleet, id).expect("an entry").key()
+}
+
+/// Restarts a server and waits until all daemons know its new life.
+async fn restart(site: &TestSite, id: &str, place: RestartPlace) {
+    let born = site.restart(id, place).await.expect("a restart");
+    for gateway in &site.hosts {
+        while find(&gateway.host.state().fleet, id).and_then(|entry| entry.born) != Some(born) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+/// The breaker of the only server is open when it comes back.
+#[rstest]
+#[case::same_address(RestartPlace::Same)]
+#[case::other_address(RestartPlace::Other)]
+fn restarted_server_not_left_out_for_its_former_life(#[case] place: RestartPlace) {
+    runtime().block_on(async {
+        let site = born_site(SitePlan { services: 1, ..SitePlan::default() }).await;
+        let host = &site.hosts[0].host;
+        let key = key_of(&site, "i-service-0");
+        for _ in 0..8 {
+            let now = host.now();
+            host.state().health.entry(key).or_default().note_silence(now);
+        }
+        restart(&site, "i-service-0", place).await;
+        let reply = ask(&site, &call("GET", "safe", "r1")).await;
+        assert_eq!(reply.status, 200);
+        assert_eq!(site.services[0].runs(), ["r1"]);
+    });
+}
+
+/// What other hosts or this one have at the former life is gone with it: the new life is the best choice.
+#[test]
+fn restarted_server_free_of_the_load_of_its_former_life() {
+    runtime().block_on(async {
+        let site = born_site(SitePlan::default()).await;
+        let keys = [key_of(&site, "i-decode-0"), key_of(&site, "i-decode-1")];
+        for (key, memory_tokens) in keys.into_iter().zip([MUCH_MEMORY, SOME_MEMORY]) {
+            let load = ServerLoad { memory_tokens, ..ServerLoad::default() };
+            site.hosts[0].host.state().board.add(key, load);
+        }
+        restart(&site, "i-decode-0", RestartPlace::Same).await;
+        let reply = ask(&site, &call("POST", "stream", "r1")).await;
+        assert_eq!(reply.status, 200);
+        assert_eq!(site.decodes[0].runs().len(), 1, "it was not chosen");
+        settled(&site).await;
+    });
+}
+
+/// The former life turned a read away, and was ordered to change its stage.
+#[test]
+fn restarted_engine_free_of_the_changes_of_its_former_life() {
+    runtime().block_on(async {
+        let site = born_site(SitePlan { prefills: 1, decodes: 1, ..SitePlan::default() }).await;
+        let host = &site.hosts[0].host;
+        let keys = [key_of(&site, "i-prefill-0"), key_of(&site, "i-decode-0")];
+        {
+            let now = host.now();
+            let mut state = host.state();
+            state.changes.note_suspected(now, keys[0]);
+            state.changes.note_heard(now, keys[0], ServerStage::Decode);
+            state.changes.note_heard(now, keys[1], ServerStage::Prefill);
+        }
+        restart(&site, "i-prefill-0", RestartPlace::Same).await;
+        restart(&site, "i-decode-0", RestartPlace::Same).await;
+        let reply = ask(&site, &call("POST", "stream", "r1")).await;
+        assert_eq!(reply.status, 200);
+        let stages: Vec<String> =
+            engine_runs(&site, "r1").into_iter().map(|run| run.stage).collect();
+        assert_eq!(stages, ["prefill", "decode"]);
+        settled(&site).await;
+    });
+}
+
+/// The only decode server crashes in the middle of a stream and is back: its new life, which lost no run,
+/// goes on with it.
+#[rstest]
+#[case::same_address(RestartPlace::Same)]
+#[case::other_address(RestartPlace::Other)]
+fn lost_stream_resumed_at_the_next_life_of_its_server(#[case] place: RestartPlace) {
+    runtime().block_on(async {
+        let site = born_site(SitePlan { decodes: 1, ..SitePlan::default() }).await;
+        site.decodes[0].set_fault(EngineFault::StallAfter(3));
+        let resumed = call("POST", "resume", "r1");
+        let crash = async {
+            while site.decodes[0].runs().is_empty() {
+                tokio::time::sleep(LOOK).await;
+            }
+            // Three events, of which the last one has to be on its way.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            restart(&site, "i-decode-0", place).await;
+        };
+        let (reply, ()) = tokio::join!(ask(&site, &resumed), crash);
+        assert_eq!((reply.status.as_u16(), reply.complete), (200, true));
+        assert_eq!(reply.events(), (0..8).collect::<Vec<u64>>());
+        let after: Vec<Option<u64>> = site.decodes[0].runs().iter().map(|run| run.after).collect();
+        assert_eq!(after, [None, Some(2)]);
+        settled(&site).await;
+    });
+}
+
+/// While a prompt is read, the decode server that holds memory for it starts again, and then the prefill
+/// server breaks off: the prompt is left to the decode server, whose new life knows no such hold.
+#[test]
+fn hold_of_a_former_life_not_used() {
+    runtime().block_on(async {
+        let plan = SitePlan { prefills: 1, decodes: 1, ..SitePlan::default() };
+        let site = born_site(plan).await;
+        site.prefills[0].set_fault(EngineFault::Silent);
+        let slow = call("POST", "stream", "r1");
+        let back = async {
+            while site.decodes[0].open_holds() == 0 {
+                tokio::time::sleep(LOOK).await;
+            }
+            restart(&site, "i-decode-0", RestartPlace::Same).await;
+            restart(&site, "i-prefill-0", RestartPlace::Same).await;
+        };
+        let (reply, ()) = tokio::join!(ask(&site, &slow), back);
+        assert_eq!((reply.status.as_u16(), reply.complete), (200, true));
+        let held: Vec<bool> = engine_runs(&site, "r1").iter().map(|run| run.held).collect();
+        assert_eq!(held, [true], "its hold was not one of this life");
+        settled(&site).await;
+    });
+}
+
+/// An entry of a former life that the store shows later than that of its successor (its write was done
+/// late) changes nothing.
+#[test]
+fn late_entry_of_a_former_life_changes_nothing() {
+    runtime().block_on(async {
+        let site = born_site(SitePlan { services: 1, ..SitePlan::default() }).await;
+        let host = &site.hosts[0].host;
+        let former = site.store.spec("servers", "i-service-0").expect("an entry");
+        restart(&site, "i-service-0", RestartPlace::Other).await;
+        let known = find(&host.state().fleet, "i-service-0");
+        let mut seen = 0;
+        site.store.change(|objects| {
+            objects.set("servers", "i-service-0", former);
+            seen = objects.revision();
+        });
+        while host.state().fleet.revision() < seen {
+            tokio::time::sleep(LOOK).await;
+        }
+        assert_eq!(find(&host.state().fleet, "i-service-0"), known);
+        let reply = ask(&site, &call("GET", "safe", "r1")).await;
+        assert_eq!(reply.status, 200);
+    });
+}
+
+/// The daemon that does not watch the store hears of the new life from the other one.
+#[test]
+fn new_life_known_to_hosts_that_hear_of_it() {
+    runtime().block_on(async {
+        let site = born_site(SitePlan { hosts: 3, ..SitePlan::default() }).await;
+        let former = key_of(&site, "i-decode-0");
+        restart(&site, "i-decode-0", RestartPlace::Other).await;
+        for gateway in &site.hosts {
+            let state = gateway.host.state();
+            let lives = state.fleet.entries().filter(|entry| entry.id == "i-decode-0");
+            assert_eq!(lives.count(), 1);
+            assert!(!state.fleet.is_ready(former), "the former life is gone");
+        }
+    });
+}
+
+/// All engines that may be ordered to change their stage have started again, and their entries do not say
+/// so yet: their reports do. Nothing is ordered by the plan for the former lives; once the entries say so
+/// too, the new lives are ordered.
+#[test]
+fn restarted_engines_not_ordered_by_plans_for_their_former_lives() {
+    runtime().block_on(async {
+        let site = born_site(SitePlan { prefills: 6, ..SitePlan::default() }).await;
+        for engine in &site.prefills {
+            let born = engine.born().expect("a start") + 1_000_000;
+            engine.restart(born, RestartPlace::Same).await.expect("a restart");
+        }
+        note_little_to_read(&site);
+        let sum = |count: fn(&SiteEngine) -> u64| {
+            site.prefills.iter().map(|engine| count(engine)).sum::<u64>()
+        };
+        // The next engine is asked after the first one was passed over, or was ordered and a rest has passed.
+        while sum(SiteEngine::reports) < 2 {
+            tokio::time::sleep(LOOK).await;
+        }
+        assert_eq!(sum(|engine| engine.orders().len() as u64), 0);
+        for server in site.servers.iter().filter(|server| server.stage == Some("prefill")) {
+            site.state_server(&server.id, server.service, server.address, server.stage, "ready");
+        }
+        while sum(|engine| engine.orders().len() as u64) == 0 {
+            tokio::time::sleep(LOOK).await;
+        }
+    });
+}
+
+/// Makes the first daemon believe that far fewer prefill servers are needed than there are.
+fn note_little_to_read(site: &TestSite) {
+    let host = &site.hosts[0].host;
+    let now = host.now();
+    let mut state = host.state();
+    let meter = state.work.entry(NameKey::of("engines")).or_default();
+    meter.note_pace(100, Duration::from_secs(1));
+    for _ in 0..500 {
+        meter.note_read(now, 1000, Duration::from_millis(10));
+        meter.note_stream(now, 10_000, 1000);
+    }
+}
+
+/// Platforms of older pages do not say when a life began: there is one life of an id.
+#[test]
+fn server_that_does_not_say_its_start_keeps_one_life() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("a site");
+        let key = ServerKey::of("i-decode-0");
+        assert!(site.hosts[0].host.state().fleet.is_ready(key));
+        let server = site.servers.iter().find(|server| server.id == "i-decode-0").expect("one");
+        site.state_server("i-decode-0", server.service, server.address, server.stage, "draining");
+        while site.hosts[0].host.state().fleet.is_ready(key) {
+            tokio::time::sleep(LOOK).await;
+        }
+        assert!(site.hosts[0].host.state().fleet.entry(key).is_some());
+    });
+}
