--- a/src/gateway/engine_hold.rs
+++ b/src/gateway/engine_hold.rs
@@ -56,6 +56,10 @@
 
 impl Drop for EngineKeep {
     fn drop(&mut self) {
+        // Another life of the server keeps nothing of it, and may have given its name to something else.
+        if self.host.has_restarted(&self.server) {
+            return;
+        }
         let call = match self.thing.take() {
             Some(KeptThing::Hold(name)) => hold_drop_call(&self.server, &name),
             Some(KeptThing::Handle(name)) => {
--- a/src/gateway/view_servers.rs
+++ b/src/gateway/view_servers.rs
@@ -2,7 +2,7 @@
 
 use super::gateway_host::GatewayHost;
 use crate::fleet::{FleetChange, ServerStage};
-use crate::keys::ServerKey;
+use crate::keys::IdKey;
 use crate::platform::{ObjectList, StoreEvent, UnreadableObject, decode_change, decode_servers};
 
 /// Signs of a name or a cause that are logged; another writer may have made them as long as an object.
@@ -19,14 +19,16 @@
     let unusable = note_all(host, &unreadable);
     let now = host.now();
     let mut state = host.state();
-    if whole {
-        state.fleet.replace_all(now, revision, entries);
+    let lives = if whole {
+        state.fleet.replace_all(now, revision, entries)
     } else {
         // The listing says nothing of the servers behind its end: they hold.
         let stated = entries.into_iter().map(FleetChange::Stated).collect();
-        state.fleet.apply(now, revision, stated);
-    }
+        state.fleet.apply(now, revision, stated)
+    };
     state.fleet.apply(now, revision, unusable);
+    drop(state);
+    host.note_lives(revision, &lives);
 }
 
 fn note_all(host: &GatewayHost, unreadable: &[UnreadableObject]) -> Vec<FleetChange> {
@@ -49,7 +51,8 @@
         }
     }
     let now = host.now();
-    host.state().fleet.apply(now, revision, applied);
+    let lives = host.state().fleet.apply(now, revision, applied);
+    host.note_lives(revision, &lives);
 }
 
 fn log_change(change: &FleetChange, event: &StoreEvent, revision: u64) {
@@ -82,7 +85,7 @@
         let cause = logged(&object.cause);
         log::warn!("event=server_unreadable server={name} revision={revision} cause=\"{cause}\"");
     }
-    object.name.as_deref().map(|name| FleetChange::Unusable(ServerKey::of(name)))
+    object.name.as_deref().map(|name| FleetChange::Unusable(IdKey::of(name)))
 }
 
 /// The name of an unreadable object in a line of the log.
