--- a/src/engines/answer_proof.rs
+++ b/src/engines/answer_proof.rs
@@ -58,13 +58,14 @@
             }
             Self::Contents(_) | Self::OwnConnection => AnswerOwner::Asked,
         };
-        // Before the first answer of a connection there was none that could come late.
+        let status = response.status();
+        // Before the first answer of a connection there was none that could come late; a success names its
+        // call all the same.
         let is_own = match owner {
             AnswerOwner::Asked => true,
-            AnswerOwner::Unnamed => calls == 1,
+            AnswerOwner::Unnamed => calls == 1 && !status.is_success(),
             AnswerOwner::Another => false,
         };
-        let status = response.status();
         if is_own { Ok(()) } else { Err(Error::Foreign { owner, status, calls }) }
     }
 
--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpStream;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A kept connection that rests is ready at once; one that is not by now is given up for another, which
+/// costs less than a round trip to a server.
+const READY_LIMIT: Duration = Duration::from_millis(20);
 
 /// How a request may be sent.
 #[derive(Debug, Clone, Copy)]
@@ -55,7 +58,9 @@
         let id = proof.expected_id(&request);
         let mut request = request;
         while let Some(mut kept) = self.take_kept(address, proof, limits, id.as_ref()) {
-            if kept.sender.ready().await.is_err() {
+            // One that still sends the body of an earlier call, answered early, is no use to this one.
+            let ready = tokio::time::timeout(READY_LIMIT, kept.sender.ready()).await;
+            if !matches!(ready, Ok(Ok(()))) {
                 continue;
             }
             match kept.sender.try_send_request(request).await {
@@ -134,10 +139,10 @@
         proof
             .check(id.as_ref(), connection.calls + 1, &response)
             .inspect_err(|_| self.idle.note_foreign(address))?;
-        connection.note_call(id);
+        connection.note_call(id.as_ref());
         let keep = proof.allows_more(&response).then(|| stated_keep(response.headers())).flatten();
         let idle = self.idle.clone();
         let back = keep.map(|keep| WayBack { idle, address, connection, keep });
-        Ok(response.map(|incoming| PooledBody::new(incoming, back)))
+        Ok(PooledBody::new(response, back))
     }
 }
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,3 +1,4 @@
+use crate::keys::stable_hash;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::HeaderValue;
@@ -29,8 +30,9 @@
     pub sender: CallSender,
     /// Calls that it has carried.
     pub calls: u32,
-    /// Ids of those that had one.
-    ids: HashSet<HeaderValue>,
+    /// Hashes of the ids of those that had one: an id itself would keep the buffer that its request was read
+    /// into, 4 KB or more of a caller's connection.
+    ids: HashSet<u64>,
 }
 
 impl PooledConnection {
@@ -39,15 +41,15 @@
     }
 
     /// It carries a call.
-    pub fn note_call(&mut self, id: Option<HeaderValue>) {
+    pub fn note_call(&mut self, id: Option<&HeaderValue>) {
         self.calls += 1;
-        self.ids.extend(id);
+        self.ids.extend(id.map(|id| stable_hash(id.as_bytes())));
     }
 
     /// Whether an answer on it can be told from those to earlier calls: the id of a call that is sent
     /// again, as when a server turned it away, does not tell its two answers apart.
     fn may_carry(&self, id: Option<&HeaderValue>) -> bool {
-        id.is_none_or(|id| !self.ids.contains(id))
+        id.is_none_or(|id| !self.ids.contains(&stable_hash(id.as_bytes())))
     }
 }
 
@@ -122,11 +124,15 @@
         kept.foreign_at = Some(Instant::now());
     }
 
-    /// Addresses to which a kept connection can be used now.
+    /// Addresses to which a kept connection can be used now; those that can't be used any more are closed.
     pub fn addresses(&self) -> HashSet<SocketAddr> {
-        let Ok(servers) = self.servers.lock() else { return HashSet::new() };
-        let warm = |kept: &KeptConnections| kept.idle.iter().any(IdleConnection::is_usable);
-        servers.iter().filter(|(_, kept)| warm(kept)).map(|(address, _)| *address).collect()
+        let Ok(mut servers) = self.servers.lock() else { return HashSet::new() };
+        servers.retain(|_, kept| {
+            kept.idle.retain(IdleConnection::is_usable);
+            !kept.idle.is_empty() || !kept.is_trusted()
+        });
+        let warm = servers.iter().filter(|(_, kept)| !kept.idle.is_empty());
+        warm.map(|(address, _)| *address).collect()
     }
 }
 
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -20,4 +20,4 @@
 };
 pub use http_pool::{HttpPool, SendLimits};
 pub use line_stream::LineStream;
-pub use pooled_body::PooledBody;
+pub use pooled_body::{PooledBody, states_end};
--- a/src/engines/pooled_body.rs
+++ b/src/engines/pooled_body.rs
@@ -1,7 +1,9 @@
 use super::idle_connections::{IdleConnections, PooledConnection};
 use crate::Result;
 use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::{Body, Frame, Incoming};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -22,12 +24,19 @@
 pub struct PooledBody {
     incoming: Incoming,
     back: Option<WayBack>,
+    states_end: bool,
     ended: bool,
 }
 
 impl PooledBody {
-    pub(super) fn new(incoming: Incoming, back: Option<WayBack>) -> Self {
-        Self { incoming, back, ended: false }
+    pub(super) fn new(response: Response<Incoming>, back: Option<WayBack>) -> Response<Self> {
+        let states_end = states_end(&response);
+        response.map(|incoming| Self { incoming, back, states_end, ended: false })
+    }
+
+    /// Whether the answer says where it ends, and not only the end of its connection.
+    pub fn states_end(&self) -> bool {
+        self.states_end
     }
 
     /// Reads the whole body of an answer that is known to be the one asked for.
@@ -57,6 +66,12 @@
     }
 }
 
+/// Whether an answer says where it ends: if it breaks off before, that shows.
+pub fn states_end(response: &Response<Incoming>) -> bool {
+    let is_chunked = response.headers().contains_key(TRANSFER_ENCODING);
+    is_chunked || response.body().size_hint().exact().is_some()
+}
+
 impl Body for PooledBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -6,7 +6,7 @@
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
 use crate::placement::{ABROAD, ChoiceKind, ServerLoad, ServerNote};
-use crate::platform::{AnswerKind, CallPart, read_answer};
+use crate::platform::{AnswerKind, CallPart, holds_answer, read_answer};
 use crate::{Error, Result};
 use std::time::Duration;
 
@@ -147,7 +147,11 @@
         body.read_all().await?;
         return Ok(AttemptEnd::NotRun);
     }
+    let states_end = body.states_end();
     let body = body.read_all().await?;
+    if !states_end && holds_answer(&body) {
+        return Ok(AttemptEnd::Unknown("answer_with_another"));
+    }
     let answer = ServerAnswer { status: parts.status, headers: parts.headers, body };
     Ok(if kind == AnswerKind::Success {
         AttemptEnd::Answered(answer)
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -64,7 +64,9 @@
             for object in &listed.unreadable {
                 note_unreadable(host, object);
             }
-            host.note_config_complete(asked_at);
+            if listed.is_whole && !listed.unreadable.iter().any(hides_config) {
+                host.note_config_complete(asked_at);
+            }
         }
         FollowedKind::Servers => {
             replace_servers(host, &listed);
@@ -142,14 +144,20 @@
     };
     match kind {
         FollowedKind::Routes => {
+            let mut is_known = true;
             for event in &changes {
                 match event {
                     StoreEvent::Stated(object) => adopt_object(host, object),
-                    StoreEvent::Unreadable(object) => note_unreadable(host, object),
+                    StoreEvent::Unreadable(object) => {
+                        is_known &= !hides_config(object);
+                        note_unreadable(host, object);
+                    }
                     StoreEvent::Gone(_) => {}
                 }
             }
-            host.note_config_complete(asked_at);
+            if is_known {
+                host.note_config_complete(asked_at);
+            }
         }
         FollowedKind::Servers => {
             apply_changes(host, revision, &changes);
@@ -161,6 +169,11 @@
     Ok(Some(revision))
 }
 
+/// Whether an object that cannot be read may be the newest configuration.
+fn hides_config(object: &UnreadableObject) -> bool {
+    object.name.as_deref().is_none_or(|name| name == ROUTES_OBJECT.1)
+}
+
 /// Logs an object beside the configuration that cannot be read, once for each change.
 fn note_unreadable(host: &GatewayHost, object: &UnreadableObject) {
     if host.state().unreadable.note(object) {
--- a/src/host/service_call.rs
+++ b/src/host/service_call.rs
@@ -1,12 +1,12 @@
 //! One exchange with a server of a plain service.
 
 use crate::claims::KeptAnswer;
+use crate::engines::states_end;
 use crate::{Error, Result};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::Request;
 use hyper::client::conn::http1::SendRequest;
-use hyper::{Request, Response};
 use serde::de::IgnoredAny;
 
 /// Sends a call on a connection that carries no other one, and reads the whole answer.
@@ -30,9 +30,3 @@
     }
     Ok(KeptAnswer { status, body })
 }
-
-/// Whether a connection that breaks off within the answer shows.
-fn states_end(response: &Response<Incoming>) -> bool {
-    let is_chunked = response.headers().contains_key(http::header::TRANSFER_ENCODING);
-    is_chunked || response.body().size_hint().exact().is_some()
-}
--- a/src/platform/engine_messages.rs
+++ b/src/platform/engine_messages.rs
@@ -50,10 +50,9 @@
 #[derive(Debug, Deserialize)]
 struct WireReport {
     born: Option<u64>,
-    stage: Option<String>,
-    #[serde(default)]
+    /// Without this and the next two an answer is no report, but a late copy of another one.
+    stage: String,
     busy: bool,
-    #[serde(default)]
     seq: u64,
     #[serde(default)]
     waiting: u32,
@@ -117,7 +116,7 @@
     let wire: WireReport = serde_json::from_slice(body)?;
     Ok(EngineReport {
         born: wire.born,
-        stage: wire.stage.as_deref().and_then(decode_stage),
+        stage: decode_stage(&wire.stage),
         busy: wire.busy,
         orders_taken: wire.seq,
         waiting: wire.waiting,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -22,7 +22,7 @@
 pub use names::{READY_PATH, REQUEST_ID};
 pub use request_wire::{
     AnswerKind, CallHead, CallPart, DecodePart, ServerCall, TokenCounts, answer_headers,
-    own_headers, read_answer,
+    holds_answer, own_headers, read_answer,
 };
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server, decode_servers};
 pub use store_client::{ListAge, StoreClient, StoreWrite, WatchAnswer};
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -232,6 +232,22 @@
     AnswerKind::Failed
 }
 
+/// Whether a whole answer of a backend server stands in the body of another one.
+///
+/// An answer without a length ends with its connection, and whatever else comes there counts to it: the late
+/// second answer to an earlier request went to the caller of a later one in this way.
+pub fn holds_answer(body: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(body).to_ascii_lowercase();
+    text.match_indices(STATUS_LINE).any(|(place, _)| {
+        let rest = &text[place..];
+        let head = rest.split("\r\n\r\n").next().unwrap_or(rest);
+        head.contains(names::REQUEST_ID)
+    })
+}
+
+/// What the head of an answer begins with.
+const STATUS_LINE: &str = "http/1.";
+
 /// Headers of a backend server's answer that its caller gets.
 pub fn answer_headers(headers: &HeaderMap) -> HeaderMap {
     headers
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -55,13 +55,12 @@
 #[derive(Debug, Clone)]
 pub struct StoreClient {
     address: SocketAddr,
-    pool: HttpPool,
 }
 
 impl StoreClient {
     /// A client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, pool: HttpPool::default() }
+        Self { address }
     }
 
     /// Lists all objects of a kind, page by page; each page may take `limit`.
@@ -70,6 +69,8 @@
     /// If the store gave no proper answer in time.
     pub async fn list(&self, kind: &str, age: ListAge, limit: Duration) -> Result<ObjectList> {
         let mut walk = ListWalk::new();
+        // Pages share connections within one listing only: the copy of an older listing's page would pass.
+        let pages = HttpPool::default();
         let stale = match age {
             ListAge::Newest => "",
             ListAge::Stale => "stale=1&",
@@ -81,7 +82,7 @@
                 check_status(status)?;
                 decode_page(&body)?
             } else {
-                self.further_page(&target, &walk, limit).await?
+                self.further_page(&pages, &target, &walk, limit).await?
             };
             if !walk.take(page) {
                 return Ok(walk.into_list());
@@ -93,6 +94,7 @@
     /// and the page asked for again, or hundreds of hosts that start together never get to the end.
     async fn further_page(
         &self,
+        pages: &HttpPool,
         target: &str,
         walk: &ListWalk,
         limit: Duration,
@@ -102,7 +104,8 @@
         for _ in 0..PAGE_TRIES {
             let is_shared = proof != AnswerProof::OwnConnection;
             let read = |status, body: &Bytes| read_page(status, body, walk, is_shared);
-            match self.call(Method::GET, target, Bytes::new(), proof, limit, read).await {
+            let request = self.request(Method::GET, target, Bytes::new())?;
+            match self.send(pages, request, proof, limit, read).await {
                 Ok(Some(page)) => return Ok(page),
                 Ok(None) => {
                     tokio::time::sleep(pause).await;
@@ -196,20 +199,13 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes)> {
-        let proof = AnswerProof::OwnConnection;
-        self.call(method, target, body, proof, limit, |status, body| Ok((status, body.clone())))
-            .await
+        let request = self.request(method, target, body)?;
+        let (pool, proof) = (HttpPool::default(), AnswerProof::OwnConnection);
+        let read = |status, body: &Bytes| Ok((status, body.clone()));
+        self.send(&pool, request, proof, limit, read).await
     }
 
-    async fn call<T>(
-        &self,
-        method: Method,
-        target: &str,
-        body: Bytes,
-        proof: AnswerProof,
-        limit: Duration,
-        read: impl FnOnce(StatusCode, &Bytes) -> Result<T>,
-    ) -> Result<T> {
+    fn request(&self, method: Method, target: &str, body: Bytes) -> Result<Request<Full<Bytes>>> {
         let uri = format!("{}{target}", names::OBJECTS_PATH);
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
@@ -220,9 +216,20 @@
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             headers.insert("host", host);
         }
+        Ok(request)
+    }
+
+    async fn send<T>(
+        &self,
+        pool: &HttpPool,
+        request: Request<Full<Bytes>>,
+        proof: AnswerProof,
+        limit: Duration,
+        read: impl FnOnce(StatusCode, &Bytes) -> Result<T>,
+    ) -> Result<T> {
         let exchange = async {
             let limits = SendLimits::default();
-            let response = self.pool.send(self.address, request, proof, limits).await?;
+            let response = pool.send(self.address, request, proof, limits).await?;
             let status = response.status();
             response.into_body().read_as(|body| read(status, body)).await
         };
