--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -237,16 +237,15 @@
                 }
                 EngineFault::StallAfter(most) if made >= most => {
                     events.closed().await;
-                    lock(&self.runs)[place].cancelled = true;
-                    return;
+                    false
                 }
                 EngineFault::StrayAfter(most) if first == 0 && made == most => {
                     let stray = format!("HTTP/1.1 200 OK\r\ndata: stray\r\n\r\n{text}");
-                    events.send(Ok(Frame::data(Bytes::from(stray)))).await
+                    events.send(Ok(Frame::data(Bytes::from(stray)))).await.is_ok()
                 }
-                _ => events.send(Ok(Frame::data(Bytes::from(text)))).await,
+                _ => events.send(Ok(Frame::data(Bytes::from(text)))).await.is_ok(),
             };
-            if sent.is_err() {
+            if !sent {
                 lock(&self.runs)[place].cancelled = true;
                 return;
             }
@@ -288,8 +287,7 @@
         let Some(id) = header(&request, "x-request-id").map(str::to_owned) else {
             return Ok(whole(400, ""));
         };
-        let asked =
-            if header(&request, "x-stage") == Some("prefill") { "prefill" } else { "decode" };
+        let asked = header(&request, "x-stage").unwrap_or("decode");
         if asked != self.stage() {
             return Ok(signed(whole(421, ""), &id, None));
         }
--- a/tests/entry_common/mod.rs
+++ b/tests/entry_common/mod.rs
@@ -38,6 +38,14 @@
     wait_until("the host is never ready", || host.is_ready()).await;
 }
 
+/// Waits until the first daemon's view is as new as the store.
+pub async fn reach_revision(site: &TestSite) {
+    let mut revision = 0;
+    site.store.change(|objects| revision = objects.revision());
+    let host = &site.hosts[0].host;
+    wait_until("the revision stays", || host.state().fleet.revision() >= revision).await;
+}
+
 /// Whether the first daemon knows a server.
 pub fn knows(site: &TestSite, id: &str) -> bool {
     site.hosts[0].host.state().fleet.entry(ServerKey::of(id)).is_some()
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -10,7 +10,8 @@
 
 use entry_common::FieldChange::{self, Holds, LeftOut};
 use entry_common::{
-    FOREIGN, KNOWN, add_ready_host, assert_servers, changed_spec, knows, site_of, wait_until,
+    FOREIGN, KNOWN, add_ready_host, assert_servers, changed_spec, knows, reach_revision, site_of,
+    wait_until,
 };
 use site_common::{ask, call, runtime};
 
@@ -82,10 +83,7 @@
     runtime().block_on(async {
         let site = site_of(1).await;
         site.store.change(|objects| objects.set_raw_item(SERVERS_KIND, FOREIGN, b"null"));
-        let mut revision = 0;
-        site.store.change(|objects| revision = objects.revision());
-        let host = &site.hosts[0].host;
-        wait_until("the revision stays", || host.state().fleet.revision() >= revision).await;
+        reach_revision(&site).await;
         assert_servers(&site, None);
     });
 }
--- a/tests/foreign_lists.rs
+++ b/tests/foreign_lists.rs
@@ -8,7 +8,9 @@
 mod entry_common;
 mod site_common;
 
-use entry_common::{KNOWN, LONGEST_WAIT, assert_servers, knows, site_of, wait_until};
+use entry_common::{
+    KNOWN, LONGEST_WAIT, assert_servers, knows, reach_revision, site_of, wait_until,
+};
 use site_common::runtime;
 
 async fn list(site: &TestSite) -> ObjectList {
@@ -124,10 +126,7 @@
             }
             objects.compact();
         });
-        let mut revision = 0;
-        site.store.change(|objects| revision = objects.revision());
-        let host = &site.hosts[0].host;
-        wait_until("the revision stays", || host.state().fleet.revision() >= revision).await;
+        reach_revision(&site).await;
         assert_servers(&site, None);
     });
 }
