--- a/src/bench/soak/soak_answer.rs
+++ b/src/bench/soak/soak_answer.rs
@@ -15,8 +15,9 @@
     Unframed,
     /// They have no length, and are given again at once.
     UnframedTwice,
-    /// They have no length, and their connection ends in the middle of them.
-    UnframedCut,
+    /// They have no length, and their connection is reset in the middle of them. One that is closed there
+    /// cannot be told from a whole one, and the platform counts it as such.
+    UnframedReset,
     /// Their connection is reset in the middle of them.
     ResetMidway,
 }
@@ -28,7 +29,7 @@
         Self::CopyBehind,
         Self::Unframed,
         Self::UnframedTwice,
-        Self::UnframedCut,
+        Self::UnframedReset,
         Self::ResetMidway,
     ];
 }
--- a/src/bench/soak/soak_stutter.rs
+++ b/src/bench/soak/soak_stutter.rs
@@ -1,6 +1,7 @@
 //! A loopback link before a backend server that knows where answers begin and end.
 
 use super::soak_answer::{AnswerFault, without_length};
+use super::soak_proxy::reset;
 use crate::Result;
 use crate::bench::site::message_end;
 use bytes::{Bytes, BytesMut};
@@ -65,7 +66,8 @@
     let (near_read, to) = near.into_split();
     let (from, far_write) = far.into_split();
     let (asked, asks) = watch::channel(());
-    let pump = AnswerPump { from, to, buffer: BytesMut::new(), faults, asks, late: None, random };
+    let buffer = BytesMut::new();
+    let pump = AnswerPump { from, to, buffer, faults, asks, late: None, is_reset: false, random };
     // When one way ends, both sockets are dropped: that breaks the other way off.
     tokio::select! {
         ended = pass_requests(near_read, far_write, asked) => ended,
@@ -113,6 +115,8 @@
     /// Changes when bytes of requests have arrived.
     asks: watch::Receiver<()>,
     late: Option<LateCopy>,
+    /// The connection ends with a reset.
+    is_reset: bool,
     random: StdRng,
 }
 
@@ -129,6 +133,9 @@
                 break;
             }
         }
+        if self.is_reset {
+            reset(self.to);
+        }
         Ok(())
     }
 
@@ -172,10 +179,10 @@
             Some(AnswerFault::UnframedTwice) => {
                 self.give_unframed(|answer| [&answer[..], &answer[..]].concat().into()).await
             }
-            Some(AnswerFault::UnframedCut) => {
-                self.give_unframed(|answer| answer.slice(..cut_place(&answer))).await
+            Some(AnswerFault::UnframedReset) => {
+                self.give_reset(|answer| without_length(&answer)).await
             }
-            Some(AnswerFault::ResetMidway) => self.give_reset().await,
+            Some(AnswerFault::ResetMidway) => self.give_reset(|answer| answer).await,
         }
     }
 
@@ -201,10 +208,12 @@
         Ok(false)
     }
 
-    async fn give_reset(&mut self) -> Result<bool> {
+    /// Gives the first part of what `alter` makes of an answer, and resets the connection.
+    async fn give_reset(&mut self, alter: impl FnOnce(Bytes) -> Bytes) -> Result<bool> {
         if let Some(answer) = self.read_answer().await? {
+            let answer = alter(answer);
             self.to.write_all(&answer[..cut_place(&answer)]).await?;
-            self.to.as_ref().set_zero_linger()?;
+            self.is_reset = true;
         }
         Ok(false)
     }
