--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -1,7 +1,9 @@
 //! Calls the platform's store.
 
+use super::list_walk::ListWalk;
 use super::names;
-use super::store_wire::{WireEvents, WireList, WireObject};
+use super::store_object::{ObjectList, StoreEvent, StoreObject, UnreadableObject};
+use super::store_wire::{ListPage, decode_events, decode_object, decode_page};
 use crate::engines::{AnswerProof, HttpPool, SendLimits};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -18,19 +20,6 @@
 /// Tries of one page: 1.2 s in all, longer than a store's second of calls.
 const PAGE_TRIES: u32 = 5;
 
-/// An object of the store.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StoreObject {
-    /// Its name within its kind.
-    pub name: String,
-    /// Revision of its last change.
-    pub revision: u64,
-    /// It is being removed.
-    pub deleting: bool,
-    /// Contents.
-    pub spec: Value,
-}
-
 /// How new a listing must be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListAge {
@@ -40,21 +29,11 @@
     Stale,
 }
 
-/// All objects of a kind.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ObjectList {
-    /// The objects.
-    pub items: Vec<StoreObject>,
-    /// Revision of the store at which the oldest part of them was read; what came after it is told by
-    /// a watch.
-    pub revision: u64,
-}
-
 /// What a watch brought.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WatchAnswer {
-    /// Changes, oldest first, each with whether the object is gone, and the revision to go on from.
-    Changes(Vec<(StoreObject, bool)>, u64),
+    /// Changes, oldest first, and the revision to go on from.
+    Changes(Vec<StoreEvent>, u64),
     /// The store no longer knows what came after the revision asked for: list again.
     HistoryLost,
 }
@@ -90,44 +69,51 @@
     /// # Errors
     /// If the store gave no proper answer in time.
     pub async fn list(&self, kind: &str, age: ListAge, limit: Duration) -> Result<ObjectList> {
-        let mut list = ObjectList { items: Vec::new(), revision: u64::MAX };
+        let mut walk = ListWalk::new();
         let stale = match age {
             ListAge::Newest => "",
             ListAge::Stale => "stale=1&",
         };
-        let mut after = String::new();
         loop {
-            let target = format!("{kind}?{stale}after={after}");
-            let is_first = list.items.is_empty();
-            let body = if is_first {
+            let target = format!("{kind}?{stale}after={}", walk.after());
+            let page = if walk.is_first() {
                 let (status, body) = self.get(&target, limit).await?;
                 check_status(status)?;
-                body
+                decode_page(&body)?
             } else {
-                self.further_page(&target, limit).await?
+                self.further_page(&target, &walk, limit).await?
             };
-            let page: WireList = serde_json::from_slice(&body)?;
-            list.revision = list.revision.min(page.at);
-            list.items.extend(page.items.into_iter().map(StoreObject::from));
-            match list.items.last() {
-                Some(last) if page.more => after.clone_from(&last.name),
-                _ => return Ok(list),
+            if !walk.take(page) {
+                return Ok(walk.into_list());
             }
         }
     }
 
     /// Reads a page after the first one. A store that is at its rate refuses some: what was read is kept
     /// and the page asked for again, or hundreds of hosts that start together never get to the end.
-    async fn further_page(&self, target: &str, limit: Duration) -> Result<Bytes> {
+    async fn further_page(
+        &self,
+        target: &str,
+        walk: &ListWalk,
+        limit: Duration,
+    ) -> Result<ListPage> {
         let mut pause = PAGE_PAUSE;
+        let mut proof = AnswerProof::Contents(names::REQUEST_ID);
         for _ in 0..PAGE_TRIES {
-            let (status, body) = self.get(target, limit).await?;
-            if !is_busy(status) {
-                check_status(status)?;
-                return Ok(body);
+            let is_shared = proof != AnswerProof::OwnConnection;
+            let read = |status, body: &Bytes| read_page(status, body, walk, is_shared);
+            match self.call(Method::GET, target, Bytes::new(), proof, limit, read).await {
+                Ok(Some(page)) => return Ok(page),
+                Ok(None) => {
+                    tokio::time::sleep(pause).await;
+                    pause *= 2;
+                }
+                Err(Error::Protocol(cause)) if is_shared => {
+                    log::info!("event=store_page_repeated cause=\"{cause}\"");
+                    proof = AnswerProof::OwnConnection;
+                }
+                Err(error) => return Err(error),
             }
-            tokio::time::sleep(pause).await;
-            pause *= 2;
         }
         Err(Error::Refused("the store stayed busy in the middle of a listing".to_owned()))
     }
@@ -147,8 +133,8 @@
             return Ok(None);
         }
         check_status(status)?;
-        let wire: WireObject = serde_json::from_slice(&body)?;
-        Ok(Some(wire.into()))
+        let object = decode_object(&body).map_err(|object| Error::Protocol(object.cause))?;
+        Ok(Some(object))
     }
 
     /// Waits up to `wait` for changes of a kind after `revision`.
@@ -168,9 +154,8 @@
             return Ok(WatchAnswer::HistoryLost);
         }
         check_status(status)?;
-        let wire: WireEvents = serde_json::from_slice(&body)?;
-        let changes = wire.events.into_iter().map(|event| (event.object.into(), event.gone));
-        Ok(WatchAnswer::Changes(changes.collect(), wire.at))
+        let (events, revision) = decode_events(&body)?;
+        Ok(WatchAnswer::Changes(events, revision))
     }
 
     /// Writes an object if its revision is still `expected`; `None` if it must not exist yet.
@@ -191,7 +176,7 @@
             Some(_) => (Method::PUT, format!("{kind}/{name}")),
             None => (Method::POST, kind.to_owned()),
         };
-        match self.call(method, &target, Bytes::from(body), limit).await {
+        match self.call_once(method, &target, Bytes::from(body), limit).await {
             Ok((status, body)) => read_write(status, &body),
             Err(Error::NotSent(_)) => StoreWrite::Refused,
             Err(_) => StoreWrite::Lost,
@@ -199,16 +184,32 @@
     }
 
     async fn get(&self, target: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
-        self.call(Method::GET, target, Bytes::new(), limit).await
+        self.call_once(Method::GET, target, Bytes::new(), limit).await
     }
 
-    async fn call(
+    /// Calls the store on a connection of its own: its answers name neither call nor kind, and the copy of
+    /// an earlier one would be believed, as a lease or claim that was not written.
+    async fn call_once(
         &self,
         method: Method,
         target: &str,
         body: Bytes,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes)> {
+        let proof = AnswerProof::OwnConnection;
+        self.call(method, target, body, proof, limit, |status, body| Ok((status, body.clone())))
+            .await
+    }
+
+    async fn call<T>(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+        proof: AnswerProof,
+        limit: Duration,
+        read: impl FnOnce(StatusCode, &Bytes) -> Result<T>,
+    ) -> Result<T> {
         let uri = format!("{}{target}", names::OBJECTS_PATH);
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
@@ -220,11 +221,10 @@
             headers.insert("host", host);
         }
         let exchange = async {
-            let proof = AnswerProof::Contents(names::REQUEST_ID);
             let limits = SendLimits::default();
             let response = self.pool.send(self.address, request, proof, limits).await?;
             let status = response.status();
-            Ok((status, response.into_body().read_all().await?))
+            response.into_body().read_as(|body| read(status, body)).await
         };
         // Dropping the call closes its connection, so that a late answer meets nobody.
         tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)?
@@ -236,6 +236,25 @@
     matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
 }
 
+/// Reads a page after the first one; `None` if the store did nothing. These pages share a connection, since
+/// a listing of 3,000 servers has 61 of them: the copy of an earlier one is known by its names.
+fn read_page(
+    status: StatusCode,
+    body: &Bytes,
+    walk: &ListWalk,
+    is_shared: bool,
+) -> Result<Option<ListPage>> {
+    if is_busy(status) {
+        return Ok(None);
+    }
+    check_status(status)?;
+    let page = decode_page(body)?;
+    if is_shared && walk.has_read(&page) {
+        return Err(Error::Protocol("a page that was read before".to_owned()));
+    }
+    Ok(Some(page))
+}
+
 fn check_status(status: StatusCode) -> Result<()> {
     if status.is_success() {
         return Ok(());
@@ -247,10 +266,10 @@
     match status {
         StatusCode::CONFLICT | StatusCode::NOT_FOUND => StoreWrite::Conflict,
         status if is_busy(status) => StoreWrite::Refused,
-        status if status.is_success() => match serde_json::from_slice::<WireObject>(body) {
-            Ok(wire) => StoreWrite::Written(wire.into()),
-            Err(error) => {
-                log::warn!("event=store_answer_unreadable cause=\"{error}\"");
+        status if status.is_success() => match decode_object(body) {
+            Ok(object) => StoreWrite::Written(object),
+            Err(UnreadableObject { cause, .. }) => {
+                log::warn!("event=store_answer_unreadable cause=\"{cause}\"");
                 StoreWrite::Lost
             }
         },
