--- a/src/bench/site/stutter_link.rs
+++ b/src/bench/site/duplicate_link.rs
@@ -7,37 +7,37 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Which answers a stuttering server gives twice.
+/// Which answers are given twice.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StutterPlan {
+pub struct DuplicatePlan {
     /// Answers to requests whose head holds this text, in lower case.
     pub request_has: &'static str,
     /// How many of them.
     pub times: u32,
 }
 
-/// A loopback link before a stand-in that makes it stutter.
+/// A loopback link before a stand-in that can give its answers twice.
 ///
 /// The second copy of an answer leaves when the next request on its connection has arrived, ahead of that
 /// request's own answer; from then on the connection is one answer behind, as it is with a server whose
 /// work takes longer than the pause between two requests.
 #[derive(Debug, Clone)]
-pub struct StutterLink {
+pub struct DuplicateLink {
     /// Where it listens.
     pub address: SocketAddr,
-    plan: Arc<Mutex<StutterPlan>>,
+    plan: Arc<Mutex<DuplicatePlan>>,
     connections: Arc<AtomicU32>,
 }
 
-impl StutterLink {
-    /// Starts a link to `target` that passes everything on until it is told to stutter.
+impl DuplicateLink {
+    /// Starts a link to `target` that passes everything on until it is told otherwise.
     ///
     /// # Errors
     /// If no port can be bound.
     pub async fn start(target: SocketAddr) -> Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let plan = Arc::new(Mutex::new(StutterPlan { request_has: "", times: 0 }));
+        let plan = Arc::new(Mutex::new(DuplicatePlan { request_has: "", times: 0 }));
         let link = Self { address, plan, connections: Arc::default() };
         let serving = link.clone();
         tokio::spawn(async move {
@@ -52,7 +52,7 @@
     }
 
     /// Gives the next answers that `plan` names twice.
-    pub fn stutter(&self, plan: StutterPlan) {
+    pub fn duplicate(&self, plan: DuplicatePlan) {
         *lock(&self.plan) = plan;
     }
 
--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each has switches for the faults that trials on the users' bench showed; none has a cost model.
 
+mod duplicate_link;
 mod engine_fault;
 mod engine_memory;
 mod event_feed;
@@ -15,9 +16,10 @@
 mod site_service;
 mod site_store;
 mod store_objects;
-mod stutter_link;
 mod test_site;
 
+pub(in crate::bench) use duplicate_link::message_end;
+pub use duplicate_link::{DuplicateLink, DuplicatePlan};
 pub use engine_fault::EngineFault;
 pub use life_switch::RestartPlace;
 pub use site_caller::{CallerReply, SiteCall, SiteConnection, call_site};
@@ -26,6 +28,4 @@
 pub use site_service::{ServiceFault, SiteService};
 pub use site_store::{SiteStore, StoreFault};
 pub use store_objects::StoreObjects;
-pub(in crate::bench) use stutter_link::message_end;
-pub use stutter_link::{StutterLink, StutterPlan};
 pub use test_site::{SitePlan, StatedServer, TestSite, config, keyed_config};
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -1,4 +1,4 @@
-use super::{SiteEngine, SiteService, SiteStore, StutterLink};
+use super::{DuplicateLink, SiteEngine, SiteService, SiteStore};
 use crate::gateway::{Gateway, start_gateway};
 use crate::limits::LimitBounds;
 use crate::placement::RetryBounds;
@@ -158,14 +158,14 @@
         self.store.change(|objects| objects.set("servers", id, entry));
     }
 
-    /// Puts a link that can stutter before a server of this site, and names the link's address in its entry.
+    /// Puts a link that can give answers twice before a server of this site, and names the link's address in its entry.
     ///
     /// # Errors
     /// If no port can be bound, or there is no such server.
-    pub async fn link(&self, id: &str) -> Result<StutterLink> {
+    pub async fn link(&self, id: &str) -> Result<DuplicateLink> {
         let server = self.servers.iter().find(|server| server.id == id);
         let server = server.ok_or_else(|| Error::Refused(format!("there is no server {id}")))?;
-        let link = StutterLink::start(server.address).await?;
+        let link = DuplicateLink::start(server.address).await?;
         if let Some(engine) = self.prefills.iter().find(|engine| engine.id == id) {
             for decode in &self.decodes {
                 decode.add_source(link.address, engine);
--- a/src/bench/soak/soak_stutter.rs
+++ b/src/bench/soak/answer_link.rs
@@ -25,12 +25,12 @@
 
 /// A link that passes everything on until its server's answers are to go wrong.
 #[derive(Debug)]
-pub(super) struct SoakStutter {
+pub(super) struct AnswerLink {
     pub address: SocketAddr,
     fault: watch::Sender<Option<AnswerFault>>,
 }
 
-impl SoakStutter {
+impl AnswerLink {
     /// Starts a link to `target`; `seed` draws which answers go wrong.
     pub async fn start(target: SocketAddr, seed: u64) -> Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -3,6 +3,7 @@
 //! Stand-ins run in this process, and loopback proxies lie between them and the daemons. What
 //! callers and backend servers see is checked while it runs and once more when all is calm.
 
+mod answer_link;
 mod soak_answer;
 mod soak_burst;
 mod soak_caller;
@@ -13,7 +14,6 @@
 mod soak_inject;
 mod soak_proxy;
 mod soak_run;
-mod soak_stutter;
 mod soak_trace;
 
 pub use soak_check::{SoakBreach, SoakReport};
--- a/src/bench/soak/soak_fault.rs
+++ b/src/bench/soak/soak_fault.rs
@@ -100,7 +100,7 @@
     ][random.random_range(0..4)]
 }
 
-/// Draws what is wrong with answers: half of the draws are servers that stutter.
+/// Draws what is wrong with answers: half of the draws are answers given twice.
 fn draw_answer(random: &mut StdRng) -> AnswerFault {
     if random.random_bool(0.5) {
         return if random.random_bool(0.5) {
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -55,7 +55,7 @@
         self.trace.note_restart(place)?;
         let id = &self.site.servers[place].id;
         self.site.begin_life(id, RestartPlace::Same).await?;
-        self.site.state_life(id, self.stutters[place].address)
+        self.site.state_life(id, self.answer_links[place].address)
     }
 
     fn places(&self) -> FaultPlaces {
@@ -88,9 +88,9 @@
             SoakFault::Engine(place, fault) => self.engine(place).set_fault(fault),
             SoakFault::Service(place, fault) => self.site.services[place].set_fault(fault),
             SoakFault::Link(place, mode) => self.links[place].set(mode),
-            SoakFault::Answers(place, fault) => self.stutters[place].set(Some(fault)),
+            SoakFault::Answers(place, fault) => self.answer_links[place].set(Some(fault)),
             SoakFault::HostStore(place, mode) => self.store_links[place].set(mode),
-            SoakFault::StoreAnswers(place, fault) => self.store_stutters[place].set(Some(fault)),
+            SoakFault::StoreAnswers(place, fault) => self.store_answers[place].set(Some(fault)),
             SoakFault::Kill(place) => self.hosts[place].signal("-KILL")?,
             SoakFault::Stop(place) => self.hosts[place].signal("-TERM")?,
             SoakFault::Pause(place) => self.hosts[place].signal("-STOP")?,
@@ -111,9 +111,9 @@
             SoakFault::Engine(place, _) => self.engine(place).set_fault(EngineFault::None),
             SoakFault::Service(place, _) => self.site.services[place].set_fault(ServiceFault::None),
             SoakFault::Link(place, _) => self.links[place].set(ProxyMode::Pass),
-            SoakFault::Answers(place, _) => self.stutters[place].set(None),
+            SoakFault::Answers(place, _) => self.answer_links[place].set(None),
             SoakFault::HostStore(place, _) => self.store_links[place].set(ProxyMode::Pass),
-            SoakFault::StoreAnswers(place, _) => self.store_stutters[place].set(None),
+            SoakFault::StoreAnswers(place, _) => self.store_answers[place].set(None),
             SoakFault::Kill(place) | SoakFault::Stop(place) => {
                 if !self.hosts[place].has_ended() {
                     return Ok(false);
@@ -138,7 +138,7 @@
     pub fn state_service(&self, place: usize, state: &str) {
         let place = self.site.decodes.len() + self.site.prefills.len() + place;
         let server = &self.site.servers[place];
-        let address = self.stutters[place].address;
+        let address = self.answer_links[place].address;
         self.site.state_server(&server.id, server.service, address, server.stage, state);
     }
 }
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -1,8 +1,8 @@
+use super::answer_link::AnswerLink;
 use super::soak_caller::{SoakNotes, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
 use super::soak_host::SoakHost;
 use super::soak_proxy::{ProxyMode, SoakProxy};
-use super::soak_stutter::SoakStutter;
 use super::soak_trace::SoakTrace;
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
 use crate::host::lock;
@@ -39,11 +39,11 @@
     /// Before each server.
     pub links: Vec<SoakProxy>,
     /// Before each server's link: where daemons reach it.
-    pub stutters: Vec<SoakStutter>,
+    pub answer_links: Vec<AnswerLink>,
     /// Before the store, one for each host.
     pub store_links: Vec<SoakProxy>,
     /// Before each of these: where its host reaches the store.
-    pub store_stutters: Vec<SoakStutter>,
+    pub store_answers: Vec<AnswerLink>,
     pub hosts: Vec<SoakHost>,
     /// Of the configuration.
     pub version: u64,
@@ -97,30 +97,30 @@
         let plan = SitePlan { prefills: 2, decodes: 3, services: 3, hosts: 0 };
         let site = TestSite::start(plan).await?;
         let mut links = Vec::new();
-        let mut stutters = Vec::new();
+        let mut answer_links = Vec::new();
         for (server, place) in site.servers.iter().zip(0..) {
             let link = SoakProxy::start(server.address).await?;
             let seed = options.seed.wrapping_mul(SERVER_SEEDS) + place;
-            let stutter = SoakStutter::start(link.address, seed).await?;
-            site.state_server(&server.id, server.service, stutter.address, server.stage, "ready");
+            let answers = AnswerLink::start(link.address, seed).await?;
+            site.state_server(&server.id, server.service, answers.address, server.stage, "ready");
             links.push(link);
-            stutters.push(stutter);
+            answer_links.push(answers);
         }
         // Engines fetch each other's results at the addresses that daemons know.
-        for (server, stutter) in site.servers.iter().zip(&stutters) {
+        for (server, answers) in site.servers.iter().zip(&answer_links) {
             let source = site.prefills.iter().find(|engine| engine.id == server.id);
             for decode in &site.decodes {
                 if let Some(source) = source {
-                    decode.add_source(stutter.address, source);
+                    decode.add_source(answers.address, source);
                 }
             }
         }
         let mut stage = Self {
             site,
             links,
-            stutters,
+            answer_links,
             store_links: Vec::new(),
-            store_stutters: Vec::new(),
+            store_answers: Vec::new(),
             hosts: Vec::new(),
             version: 1,
             trace: SoakTrace::create(folder)?,
@@ -129,12 +129,12 @@
         for place in 0..options.hosts {
             let link = SoakProxy::start(stage.site.store_address).await?;
             let seed = options.seed.wrapping_mul(SERVER_SEEDS) + (stage.links.len() + place) as u64;
-            let store = SoakStutter::start(link.address, seed).await?;
+            let store = AnswerLink::start(link.address, seed).await?;
             let seeds: Vec<SocketAddr> = stage.hosts.iter().map(|host| host.peers).collect();
             let name = format!("host-{place}");
             let host = SoakHost::start(&program, folder, &name, store.address, &seeds)?;
             stage.store_links.push(link);
-            stage.store_stutters.push(store);
+            stage.store_answers.push(store);
             stage.hosts.push(host);
         }
         stage.wait_ready().await?;
@@ -154,8 +154,8 @@
         for link in self.links.iter().chain(&self.store_links) {
             link.set(ProxyMode::Pass);
         }
-        for stutter in self.stutters.iter().chain(&self.store_stutters) {
-            stutter.set(None);
+        for answers in self.answer_links.iter().chain(&self.store_answers) {
+            answers.set(None);
         }
         for host in &mut self.hosts {
             host.signal("-CONT")?;
--- a/src/bench/standin_set.rs
+++ b/src/bench/standin_set.rs
@@ -3,7 +3,7 @@
 use super::engine_server::serve_engine;
 use super::kv_store::KvStore;
 use super::service_server::{ServiceCore, serve_service};
-use super::site::{SiteStore, StoreFault, StutterLink};
+use super::site::{DuplicateLink, SiteStore, StoreFault};
 use super::weight_store::WeightStore;
 use super::{FaultCommand, FaultKind, StandinPlan};
 use crate::intents::ServerRole;
@@ -110,10 +110,10 @@
     ///
     /// # Errors
     /// If there is no such engine, or no port can be bound.
-    pub async fn link(&self, engine: &str) -> Result<StutterLink> {
+    pub async fn link(&self, engine: &str) -> Result<DuplicateLink> {
         let engine = self.engines.get(engine);
         let engine = engine.ok_or_else(|| Error::Refused("there is no such engine".to_owned()))?;
-        let link = StutterLink::start(engine.address).await?;
+        let link = DuplicateLink::start(engine.address).await?;
         engine.results.add_link(link.address, engine.address);
         Ok(link)
     }
--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -1,6 +1,6 @@
 use super::answer_proof::AnswerProof;
 use super::idle_connections::{CallSender, IdleConnections, PooledConnection, stated_keep};
-use super::pooled_body::{PooledBody, WayBack};
+use super::pooled_body::{PooledBody, ReturnPath};
 use crate::{Error, Result};
 use bytes::Bytes;
 use http::header::HeaderValue;
@@ -142,7 +142,7 @@
         connection.note_call(id.as_ref());
         let keep = proof.allows_more(&response).then(|| stated_keep(response.headers())).flatten();
         let idle = self.idle.clone();
-        let back = keep.map(|keep| WayBack { idle, address, connection, keep });
+        let back = keep.map(|keep| ReturnPath { idle, address, connection, keep });
         Ok(PooledBody::new(response, back))
     }
 }
--- a/src/engines/pooled_body.rs
+++ b/src/engines/pooled_body.rs
@@ -12,7 +12,7 @@
 
 /// Where a connection goes back to.
 #[derive(Debug)]
-pub(super) struct WayBack {
+pub(super) struct ReturnPath {
     pub idle: IdleConnections,
     pub address: SocketAddr,
     pub connection: PooledConnection,
@@ -23,13 +23,13 @@
 #[derive(Debug)]
 pub struct PooledBody {
     incoming: Incoming,
-    back: Option<WayBack>,
+    back: Option<ReturnPath>,
     states_end: bool,
     ended: bool,
 }
 
 impl PooledBody {
-    pub(super) fn new(response: Response<Incoming>, back: Option<WayBack>) -> Response<Self> {
+    pub(super) fn new(response: Response<Incoming>, back: Option<ReturnPath>) -> Response<Self> {
         let states_end = states_end(&response);
         response.map(|incoming| Self { incoming, back, states_end, ended: false })
     }
--- a/tests/engine_answers.rs
+++ b/tests/engine_answers.rs
@@ -1,7 +1,7 @@
 //! Answers of the own interface's backend servers that arrive twice, the second time late.
 //!
 //! What was seen: on the users' platform a caller's stream was made from another caller's prompt, since
-//! a server that stutters gives an answer twice and the second one was taken for the answer to the next
+//! a server gave an answer twice and the second one was taken for the answer to the next
 //! call on its connection. How it comes about here: model engines and plain services of the own interface
 //! were called on kept connections too. Cause: nothing in an answer told whose it is. What proves it: in
 //! these tests an answer shows the prompt, path, fence or number that it was made for.
@@ -12,7 +12,7 @@
 use common::{LocalFleet, PATIENCE};
 use engine_common::{LinkedEngines, MODEL, MOST_TOKENS, prefill_call, read_all, runtime};
 use std::time::Duration;
-use tealcleat::bench::site::{StutterLink, StutterPlan};
+use tealcleat::bench::site::{DuplicateLink, DuplicatePlan};
 use tealcleat::bench::{answer_tokens, http_call, prompt_hash};
 use tealcleat::engines::{ResumeCall, StreamEvent};
 use tealcleat::intents::ServerRole;
@@ -23,8 +23,8 @@
     ServerOrder { fence, role: ServerRole::Decode, models, draining: false }
 }
 
-fn once(request_has: &'static str) -> StutterPlan {
-    StutterPlan { request_has, times: 1 }
+fn once(request_has: &'static str) -> DuplicatePlan {
+    DuplicatePlan { request_has, times: 1 }
 }
 
 fn tokens(events: &[StreamEvent]) -> Vec<String> {
@@ -38,8 +38,8 @@
 /// A fleet whose engines and plain service are reached over links.
 struct LinkedFleet {
     fleet: LocalFleet,
-    prefills: Vec<StutterLink>,
-    service: StutterLink,
+    prefills: Vec<DuplicateLink>,
+    service: DuplicateLink,
 }
 
 impl LinkedFleet {
@@ -47,7 +47,7 @@
         let mut fleet = LocalFleet::unconfigured();
         let mut prefills = Vec::new();
         let service = fleet.addresses.services.values().next().expect("a service")[0];
-        let service = fleet.runtime.block_on(StutterLink::start(service)).expect("a link");
+        let service = fleet.runtime.block_on(DuplicateLink::start(service)).expect("a link");
         for servers in fleet.addresses.services.values_mut() {
             *servers = vec![service.address];
         }
@@ -90,7 +90,7 @@
 fn stream_made_from_its_own_prompt_after_a_prefill_answered_twice() {
     let linked = LinkedFleet::start();
     for link in &linked.prefills {
-        link.stutter(once("post /v1/prefill"));
+        link.duplicate(once("post /v1/prefill"));
     }
     for number in 0..16 {
         let prompt = format!("prompt number {number}");
@@ -106,7 +106,7 @@
 fn plain_answer_is_its_own_after_one_given_twice() {
     let linked = LinkedFleet::start();
     let (fleet, service) = (&linked.fleet, fleet_service(&linked.fleet));
-    linked.service.stutter(once("get /page"));
+    linked.service.duplicate(once("get /page"));
     let headers = [("tealcleat-organisation", "hanbit"), ("tealcleat-class", "interactive")];
     for number in 0..4 {
         let path = format!("/page/{number}");
@@ -127,7 +127,7 @@
 fn decode_stream_is_its_own_after_one_given_twice() {
     runtime().block_on(async {
         let engines = LinkedEngines::start().await;
-        engines.decode.stutter(once("post /v1/decode"));
+        engines.decode.duplicate(once("post /v1/decode"));
         let mut streamed = 0;
         for number in 0..4 {
             let prompt = format!("prompt number {number}");
@@ -153,7 +153,7 @@
             // Its reader leaves at once; the engine goes on with the stream.
             drop(engines.stream(prompt).await.expect("a stream"));
         }
-        engines.decode.stutter(once("post /v1/resume"));
+        engines.decode.duplicate(once("post /v1/resume"));
         let mut resumed = 0;
         for prompt in &prompts {
             let own = answer_tokens(prompt_hash(prompt), MOST_TOKENS);
@@ -175,7 +175,7 @@
     runtime().block_on(async {
         let engines = LinkedEngines::start().await;
         let address = engines.decode.address;
-        engines.decode.stutter(once("post /v1/orders"));
+        engines.decode.duplicate(once("post /v1/orders"));
         engines.client.order(address, &order(5)).await.expect("the first order is obeyed");
         for fence in [3, 4] {
             let result = engines.client.order(address, &order(fence)).await;
@@ -193,7 +193,7 @@
         let address = engines.decode.address;
         let _stream = engines.stream("a stream that is cancelled").await.expect("a stream");
         let held = prefill_call("a stream that is cancelled").attempt;
-        engines.decode.stutter(once("post /v1/cancel"));
+        engines.decode.duplicate(once("post /v1/cancel"));
         assert!(engines.client.cancel(address, held).await.expect("an answer").held);
         let other = engines.client.cancel(address, "never held".to_owned()).await;
         assert!(!other.is_ok_and(|done| done.held), "it took another cancel's answer");
@@ -212,7 +212,7 @@
         while engines.client.load(address, 1).await.expect("a report").cache.next != 1 {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        engines.decode.stutter(once("get /v1/load"));
+        engines.decode.duplicate(once("get /v1/load"));
         let mut reported = 0;
         for after in [5, 6, 7, 8] {
             let Ok(load) = engines.client.load(address, after).await else { continue };
--- a/tests/engine_common/mod.rs
+++ b/tests/engine_common/mod.rs
@@ -1,9 +1,9 @@
-//! Stand-in engines in the test's process, reached by the daemons' own client over links that stutter.
+//! Stand-in engines in the test's process, reached by the daemons' own client over links that can give answers twice.
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::sync::Arc;
-use tealcleat::bench::site::StutterLink;
+use tealcleat::bench::site::DuplicateLink;
 use tealcleat::bench::{Deployment, DeploymentKind, StandinSet, start_standins};
 use tealcleat::engines::{DecodeCall, EngineClient, LineStream, PrefillCall, StreamEvent};
 use tokio::runtime::Runtime;
@@ -13,12 +13,12 @@
 pub const MODEL: &str = "inkmind";
 pub const MOST_TOKENS: u32 = 160;
 
-/// Stand-ins, and a client that reaches one engine of each role over links that can stutter.
+/// Stand-ins, and a client that reaches one engine of each role over links that can give answers twice.
 pub struct LinkedEngines {
     pub set: Arc<StandinSet>,
     pub client: EngineClient,
-    pub prefill: StutterLink,
-    pub decode: StutterLink,
+    pub prefill: DuplicateLink,
+    pub decode: DuplicateLink,
 }
 
 impl LinkedEngines {
--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -1,4 +1,4 @@
-//! Backend servers that stutter: they give an answer twice, the second time late, on a connection that was
+//! Backend servers that give an answer twice, the second time late, on a connection that was
 //! kept and has carried the next request meanwhile.
 //!
 //! What was seen: callers of model services got streams that were made from another caller's prompt. How it
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tealcleat::bench::site::{
-    CallerReply, EngineFault, SitePlan, SiteService, StutterLink, StutterPlan, TestSite,
+    CallerReply, DuplicateLink, DuplicatePlan, EngineFault, SitePlan, SiteService, TestSite,
 };
 use tealcleat::engines::{AnswerProof, HttpPool, SendLimits};
 use tealcleat::keys::NameKey;
@@ -27,8 +27,8 @@
 
 use site_common::{ask, call, runtime};
 
-/// A site with one prefill server, which is reached over a link that can stutter.
-async fn stuttering_site() -> (TestSite, StutterLink) {
+/// A site with one prefill server, which is reached over a link that can give answers twice.
+async fn duplicating_site() -> (TestSite, DuplicateLink) {
     let plan = SitePlan { prefills: 1, decodes: 1, services: 1, hosts: 0 };
     let mut site = TestSite::start(plan).await.expect("a site");
     let link = site.link("i-prefill-0").await.expect("a link");
@@ -50,8 +50,8 @@
 #[test]
 fn stream_made_from_its_own_prompt_after_a_read_answered_twice() {
     runtime().block_on(async {
-        let (site, link) = stuttering_site().await;
-        link.stutter(StutterPlan { request_has: "x-stage: prefill", times: 1 });
+        let (site, link) = duplicating_site().await;
+        link.duplicate(DuplicatePlan { request_has: "x-stage: prefill", times: 1 });
         for number in 0..8 {
             let id = format!("r{number}");
             let reply = ask(&site, &call("POST", "stream", &id)).await;
@@ -63,11 +63,11 @@
 }
 
 /// A plain server behind a link that gives the answer to `/first` twice.
-async fn stuttering_service() -> StutterLink {
+async fn duplicating_service() -> DuplicateLink {
     let service = Arc::new(SiteService::new("i-1"));
     let address = service.serve().await.expect("an address");
-    let link = StutterLink::start(address).await.expect("a link");
-    link.stutter(StutterPlan { request_has: "/first", times: 1 });
+    let link = DuplicateLink::start(address).await.expect("a link");
+    link.duplicate(DuplicatePlan { request_has: "/first", times: 1 });
     link
 }
 
@@ -85,7 +85,7 @@
 #[test]
 fn pool_sends_an_id_once_over_one_connection() {
     runtime().block_on(async {
-        let link = stuttering_service().await;
+        let link = duplicating_service().await;
         let pool = HttpPool::default();
         for path in ["/first", "/second", "/third"] {
             let body = send(&pool, link.address, path, "the-same").await.expect("an answer");
@@ -101,7 +101,7 @@
 fn pool_believes_refusals_without_an_id_on_new_connections() {
     runtime().block_on(async {
         let site = TestSite::start(SitePlan::default()).await.expect("a site");
-        let link = StutterLink::start(site.store_address).await.expect("a link");
+        let link = DuplicateLink::start(site.store_address).await.expect("a link");
         let pool = HttpPool::default();
         for place in 0..3 {
             let missing = "/tealcleat/objects/config/none";
@@ -118,7 +118,7 @@
 #[test]
 fn pool_takes_no_answer_to_a_request_for_one_to_its_own_call() {
     runtime().block_on(async {
-        let link = stuttering_service().await;
+        let link = duplicating_service().await;
         let pool = HttpPool::default();
         send(&pool, link.address, "/first", "r1").await.expect("an answer");
         let own = Request::builder().uri("/own").body(Full::new(Bytes::new())).expect("a request");
@@ -132,7 +132,7 @@
 #[test]
 fn pool_gives_a_call_without_proof_a_connection_for_itself() {
     runtime().block_on(async {
-        let link = stuttering_service().await;
+        let link = duplicating_service().await;
         let pool = HttpPool::default();
         send(&pool, link.address, "/first", "r1").await.expect("an answer");
         for place in 0..2 {
@@ -150,9 +150,9 @@
 /// A server that gave one answer twice has mostly given others twice as well: connections that were kept to it
 /// before are not used.
 #[test]
-fn pool_leaves_kept_connections_of_a_server_that_stutters() {
+fn pool_leaves_kept_connections_of_a_server_with_duplicate_answers() {
     runtime().block_on(async {
-        let link = stuttering_service().await;
+        let link = duplicating_service().await;
         let pool = HttpPool::default();
         let (one, other) = tokio::join!(
             send(&pool, link.address, "/a", "r1"),
--- a/tests/store_answers.rs
+++ b/tests/store_answers.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
-use tealcleat::bench::site::{SiteStore, StutterLink, StutterPlan};
+use tealcleat::bench::site::{DuplicateLink, DuplicatePlan, SiteStore};
 use tealcleat::platform::{ListAge, StoreClient, StoreWrite};
 
 mod site_common;
@@ -17,13 +17,13 @@
 
 const LIMIT: Duration = Duration::from_secs(10);
 
-/// A store with two objects of a kind, and a client that reaches it over a link that can stutter.
-async fn stuttering_store() -> (Arc<SiteStore>, StutterLink, StoreClient) {
+/// A store with two objects of a kind, and a client that reaches it over a link that can give answers twice.
+async fn duplicating_store() -> (Arc<SiteStore>, DuplicateLink, StoreClient) {
     let store = Arc::new(SiteStore::default());
     let address = store.serve().await.expect("an address");
     store.change(|objects| objects.set("claims", "a", json!({"of": "a"})));
     store.change(|objects| objects.set("claims", "b", json!({"of": "b"})));
-    let link = StutterLink::start(address).await.expect("a link");
+    let link = DuplicateLink::start(address).await.expect("a link");
     let client = StoreClient::new(link.address);
     (store, link, client)
 }
@@ -31,8 +31,8 @@
 #[test]
 fn store_read_brings_its_own_object_after_one_given_twice() {
     runtime().block_on(async {
-        let (_store, link, client) = stuttering_store().await;
-        link.stutter(StutterPlan { request_has: "claims/a", times: 1 });
+        let (_store, link, client) = duplicating_store().await;
+        link.duplicate(DuplicatePlan { request_has: "claims/a", times: 1 });
         for name in ["a", "b"] {
             let object = client.read("claims", name, LIMIT).await.expect("an answer");
             assert_eq!(object.map(|object| object.name).as_deref(), Some(name));
@@ -44,8 +44,8 @@
 #[test]
 fn store_write_that_was_refused_is_no_write_after_one_answered_twice() {
     runtime().block_on(async {
-        let (_store, link, client) = stuttering_store().await;
-        link.stutter(StutterPlan { request_has: "post ", times: 1 });
+        let (_store, link, client) = duplicating_store().await;
+        link.duplicate(DuplicatePlan { request_has: "post ", times: 1 });
         let made = client.write("claims", "c", None, &json!({"of": "c"}), LIMIT).await;
         assert!(matches!(made, StoreWrite::Written(_)), "{made:?}");
         let refused = client.write("claims", "a", Some(9999), &json!({"of": "x"}), LIMIT).await;
@@ -57,8 +57,8 @@
 #[test]
 fn store_list_brings_its_own_kind_after_one_given_twice() {
     runtime().block_on(async {
-        let (_store, link, client) = stuttering_store().await;
-        link.stutter(StutterPlan { request_has: "objects/config", times: 1 });
+        let (_store, link, client) = duplicating_store().await;
+        link.duplicate(DuplicatePlan { request_has: "objects/config", times: 1 });
         let none = client.list("config", ListAge::Newest, LIMIT).await.expect("an answer");
         assert!(none.items.is_empty());
         let claims = client.list("claims", ListAge::Newest, LIMIT).await.expect("an answer");
@@ -72,11 +72,11 @@
 #[test]
 fn store_listing_holds_no_page_of_the_one_before() {
     runtime().block_on(async {
-        let (store, link, client) = stuttering_store().await;
+        let (store, link, client) = duplicating_store().await;
         for number in 0..9 {
             store.change(|objects| objects.set("many", &format!("many-{number}"), json!(number)));
         }
-        link.stutter(StutterPlan { request_has: "after=many-5", times: 1 });
+        link.duplicate(DuplicatePlan { request_has: "after=many-5", times: 1 });
         for _ in 0..2 {
             let list = client.list("many", ListAge::Newest, LIMIT).await.expect("an answer");
             assert_eq!(list.items.len(), 9);
