--- a/src/gateway/engine_hold.rs
+++ b/src/gateway/engine_hold.rs
@@ -56,18 +56,20 @@
 
 impl Drop for EngineKeep {
     fn drop(&mut self) {
+        let Some(thing) = self.thing.take() else {
+            return;
+        };
         // Another life of the server keeps nothing of it, and may have given its name to something else.
         if self.host.has_restarted(&self.server) {
             return;
         }
-        let call = match self.thing.take() {
-            Some(KeptThing::Hold(name)) => hold_drop_call(&self.server, &name),
-            Some(KeptThing::Handle(name)) => {
+        let call = match thing {
+            KeptThing::Hold(name) => hold_drop_call(&self.server, &name),
+            KeptThing::Handle(name) => {
                 log::info!("event=prompt_wasted server={} handle={name}", self.server.id);
                 self.host.metrics().add("prompts_wasted", 1);
                 handle_drop_call(&self.server, &name)
             }
-            None => return,
         };
         let (host, server) = (Arc::clone(&self.host), self.server.clone());
         tokio::spawn(async move {
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -68,7 +68,8 @@
     send_call(&context.host, server, purpose, request, limits).await
 }
 
-/// Calls an engine for the router's own purposes; `read` knows the answer by what it says.
+/// Calls an engine for the router's own purposes; `read` knows the answer by what it says, as far as it says
+/// something: a bare refusal of a hold, and the answer to what is given back, are believed as they are.
 ///
 /// # Errors
 /// If there was no answer within `limit`, or `read` fails.
