Logs name a request's contents where a server broke off under it

Cause: the hypotheses of the incident could not be told apart, since no line named what two requests with different ids have in common. Change: a request has a key of its contents (method, host, path, caller's organisation, body), the same on all hosts that share a key; the lines run_not_opened, attempt_ended, prompt_unread and the new run_lost name it. No decision uses it. Conclusion: whether the same request stood at each server that ended can be read from the logs.

--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -1,6 +1,6 @@
 use super::gateway_host::GatewayHost;
 use super::limit_desk::LimitCharge;
-use crate::keys::TimePoint;
+use crate::keys::{RequestKey, TimePoint};
 use crate::platform::{CallHead, ServerCall};
 use crate::routes::{Route, ServiceKey, ServiceSpec};
 use std::sync::Arc;
@@ -14,6 +14,8 @@
     pub service: ServiceKey,
     pub spec: Arc<ServiceSpec>,
     pub head: CallHead,
+    /// The same for each attempt at this request, by whichever host.
+    pub contents: RequestKey,
     pub call: ServerCall,
     /// What it cost its organisation, if that has a limit.
     pub charge: Option<LimitCharge>,
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -8,6 +8,7 @@
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::limit_desk::{LimitCharge, charge};
 use super::plain_call::serve_plain;
+use crate::keys::RequestContents;
 use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
 use bytes::Bytes;
@@ -90,6 +91,13 @@
         charge(host, &head.request_id, cost).await?;
     }
     let organisation = organisation.as_deref();
+    let contents = host.request_hasher.key(&RequestContents {
+        method: parts.method.as_str(),
+        host: &head.host,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        caller: organisation.map(Organisation::key),
+        body: &body,
+    });
     let call = ServerCall::new(parts.method, &parts.uri, &parts.headers, organisation, body);
     Ok(CallContext {
         host: Arc::clone(host),
@@ -97,6 +105,7 @@
         service,
         spec,
         head,
+        contents,
         call,
         charge: cost,
         began,
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -117,6 +117,7 @@
         match relay_run(context, engine, run, events, record).await {
             RunEnd::Stream(end) => return end,
             RunEnd::ServerLost => {
+                log_lost(context, &server.id, record);
                 context.host.note_server(&server, ServerNote::Silent);
                 runs.note_lost(server.key());
             }
@@ -138,6 +139,12 @@
     }
 }
 
+/// The line that tells under which request a server broke a run off that had begun, or fell silent.
+fn log_lost(context: &CallContext, server: &str, record: &RelayRecord) {
+    let (id, contents, events) = (context.id(), context.contents, record.events);
+    log::info!("event=run_lost request={id} contents={contents} server={server} events={events}");
+}
+
 /// Opens a further run; while there is only no room, it asks again as long as the caller may wait.
 async fn open_again(
     context: &CallContext,
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -4,7 +4,7 @@
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges};
 use crate::host::lock;
-use crate::keys::{IncarnationId, NameKey, TimePoint};
+use crate::keys::{IncarnationId, NameKey, RequestHasher, TimePoint};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::organisations::{ConfigAge, KeyHasher};
@@ -70,6 +70,7 @@
     pub(super) peers_address: SocketAddr,
     pub(super) socket: Arc<UdpSocket>,
     pub(super) key_hasher: KeyHasher,
+    pub(super) request_hasher: RequestHasher,
     /// Requests that wait for an answer about the age of the configuration.
     pub(super) age_heard: Notify,
     pub(super) limit_waits: LimitWaits,
@@ -125,6 +126,7 @@
             peers_address,
             socket,
             key_hasher: KeyHasher::new(&settings.shared_key),
+            request_hasher: RequestHasher::new(&settings.shared_key),
             age_heard: Notify::new(),
             limit_waits: LimitWaits::default(),
             load_serial: AtomicU64::new(1),
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -175,6 +175,8 @@
         AttemptEnd::Unknown(cause) => cause,
         AttemptEnd::Silent => "silent",
     };
-    let id = context.id();
-    log::info!("event=attempt_ended request={id} server={} outcome={name}", server.id);
+    let (id, contents, server) = (context.id(), context.contents, &server.id);
+    log::info!(
+        "event=attempt_ended request={id} contents={contents} server={server} outcome={name}"
+    );
 }
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -69,8 +69,11 @@
             }
             Err(error) => {
                 context.host.note_server(server, ServerNote::Silent);
-                let (id, server) = (context.id(), &server.id);
-                log::info!("event=prompt_unread request={id} server={server} cause=\"{error}\"");
+                let (id, contents, server) = (context.id(), context.contents, &server.id);
+                log::info!(
+                    "event=prompt_unread request={id} contents={contents} server={server} \
+                     cause=\"{error}\""
+                );
                 break;
             }
         }
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -101,7 +101,10 @@
         Err(OpenFailure::Failed(_)) => "failed",
         Err(OpenFailure::Unknown(cause)) => cause,
     };
-    log::info!("event=run_not_opened request={id} server={server} cause={cause}");
+    let contents = context.contents;
+    log::info!(
+        "event=run_not_opened request={id} contents={contents} server={server} cause={cause}"
+    );
 }
 
 async fn start_run(
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -4,12 +4,14 @@
 mod incarnation_id;
 mod keyed_hash;
 mod name_key;
+mod request_key;
 mod time_point;
 
 pub use attempt_id::AttemptId;
 pub use incarnation_id::IncarnationId;
 pub use keyed_hash::{KeyedHash, keyed_hash};
 pub use name_key::{IdKey, NameKey, OrgKey, ServerKey};
+pub use request_key::{RequestContents, RequestHasher, RequestKey};
 pub use time_point::TimePoint;
 
 /// 64-bit FNV-1a hash; stable across hosts and versions, unlike the standard hasher.
