--- a/src/bench/site/life_switch.rs
+++ b/src/bench/site/life_switch.rs
@@ -16,6 +16,8 @@
     /// Unix millisecond of its start; a stand-in says none until it is restarted.
     pub born: Option<u64>,
     pub address: Option<SocketAddr>,
+    /// It has crashed: it listens nowhere until it starts again.
+    pub is_down: bool,
 }
 
 /// The present life of a stand-in server; connections end with the life that accepted them.
@@ -37,7 +39,21 @@
 
     /// A new life begins.
     pub fn begin(&self, born: u64) {
-        self.life.send_modify(|life| life.born = Some(born));
+        self.life.send_modify(|life| {
+            life.born = Some(born);
+            life.is_down = false;
+        });
+    }
+
+    /// The server crashes: its connections break, and further ones are refused.
+    pub fn crash(&self) {
+        self.life.send_modify(|life| life.is_down = true);
+    }
+
+    /// Waits until the server has crashed.
+    pub async fn crashed(&self) {
+        // The sender lives as long as this switch: the wait ends only with a crash.
+        drop(self.life.subscribe().wait_for(|life| life.is_down).await);
     }
 
     /// Waits until `life` is over.
@@ -49,6 +65,7 @@
     /// Waits until the server no longer listens at `address`.
     pub async fn left(&self, address: SocketAddr) {
         // As above.
-        drop(self.life.subscribe().wait_for(|now| now.address != Some(address)).await);
+        let elsewhere = |now: &StandinLife| now.is_down || now.address != Some(address);
+        drop(self.life.subscribe().wait_for(elsewhere).await);
     }
 }
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -3,8 +3,8 @@
 use super::event_feed::{EventFeed, EventSender, cut_within};
 use super::life_switch::{LifeSwitch, RestartPlace};
 use super::site_http::{
-    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, refusal, restart_site, serve_site,
-    signed, whole,
+    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, crash_server, header, is_crashing, refusal,
+    restart_site, serve_site, signed, whole,
 };
 use super::site_run::SiteRun;
 use crate::Result;
@@ -83,6 +83,11 @@
         self.lives.now().born
     }
 
+    /// Waits until it has crashed.
+    pub async fn crashed(&self) {
+        self.lives.crashed().await;
+    }
+
     /// Names an engine from which results can be fetched.
     pub fn add_source(&self, address: SocketAddr, engine: &Arc<Self>) {
         lock(&self.sources).insert(address.to_string(), Arc::clone(engine));
@@ -195,7 +200,7 @@
         lock(&engine.memory).take_handle(handle)
     }
 
-    fn decode(self: &Arc<Self>, request: &WholeRequest, id: &str) -> SiteAnswer {
+    async fn decode(self: &Arc<Self>, request: &WholeRequest, id: &str) -> SiteAnswer {
         let hold = header(request, "hold");
         let held = hold.is_some_and(|hold| lock(&self.memory).drop_hold(hold));
         let prompt = match header(request, "kv-from") {
@@ -207,6 +212,9 @@
         };
         let place = self.note_run(request, id, "decode");
         lock(&self.runs)[place].held = held;
+        if is_crashing(request) {
+            return crash_server(&self.lives).await;
+        }
         if self.fault() == EngineFault::FailRuns {
             return Ok(signed(whole(500, "failed"), id, Some(&self.id)));
         }
@@ -295,6 +303,9 @@
             self.turned_away.fetch_add(1, Ordering::Relaxed);
             return Ok(refusal(&id));
         }
-        if asked == "prefill" { self.prefill(&request, &id) } else { self.decode(&request, &id) }
+        match asked {
+            "prefill" => self.prefill(&request, &id),
+            _ => self.decode(&request, &id).await,
+        }
     }
 }
--- a/src/bench/site/site_http.rs
+++ b/src/bench/site/site_http.rs
@@ -9,8 +9,12 @@
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
+const ANYWHERE: &str = "127.0.0.1:0";
+const LISTEN_PAUSE: Duration = Duration::from_millis(20);
+
 /// What a stand-in does with a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct BrokenOff;
@@ -27,6 +31,23 @@
 pub(super) type SiteAnswer = std::result::Result<Response<SiteBody>, BrokenOff>;
 pub(super) type SiteBody = UnsyncBoxBody<Bytes, BrokenOff>;
 
+/// Contents that crash each stand-in server which begins to run them begin so.
+const CRASHING: &[u8] = b"crash";
+/// How long a server works on such a request before it crashes.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
+/// Whether a request crashes the server that runs it.
+pub(super) fn is_crashing(request: &WholeRequest) -> bool {
+    request.body().starts_with(CRASHING)
+}
+
+/// Runs a crashing request: its connection and all others of the server break.
+pub(super) async fn crash_server(lives: &LifeSwitch) -> SiteAnswer {
+    tokio::time::sleep(CRASH_DELAY).await;
+    lives.crash();
+    Err(BrokenOff)
+}
+
 /// A request that was read to its end.
 pub(super) type WholeRequest = Request<Bytes>;
 
@@ -42,18 +63,32 @@
 
 /// Serves a stand-in on a free port until the runtime ends, or it moves to another one.
 pub(super) async fn serve_site<H: SiteHandler>(handler: Arc<H>) -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let listener = TcpListener::bind(ANYWHERE).await?;
     let address = listener.local_addr()?;
     if let Some(lives) = handler.lives() {
         lives.move_to(address);
     }
+    accept_at(handler, listener, address);
+    Ok(address)
+}
+
+fn accept_at<H: SiteHandler>(handler: Arc<H>, listener: TcpListener, address: SocketAddr) {
     tokio::spawn(async move {
         tokio::select! {
             () = accept_all(&listener, &handler) => {}
             () = left(&*handler, address) => {}
         }
     });
-    Ok(address)
+}
+
+/// Listens where a crashed stand-in did. Another socket may use the port for a moment.
+async fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(LISTEN_PAUSE).await;
+    }
 }
 
 /// Begins a new life of a stand-in, and returns where it listens.
@@ -64,11 +99,20 @@
 ) -> Result<SocketAddr> {
     let never = || Error::Refused("the stand-in has not been served".to_owned());
     let lives = handler.lives().ok_or_else(never)?;
-    let address = match place {
-        RestartPlace::Same => lives.now().address.ok_or_else(never)?,
-        RestartPlace::Other => serve_site(Arc::clone(handler)).await?,
+    let life = lives.now();
+    let former = life.address.ok_or_else(never)?;
+    let listener = match place {
+        RestartPlace::Same if !life.is_down => {
+            lives.begin(born);
+            return Ok(former);
+        }
+        RestartPlace::Same => listen_again(former).await,
+        RestartPlace::Other => TcpListener::bind(ANYWHERE).await?,
     };
+    let address = listener.local_addr()?;
+    lives.move_to(address);
     lives.begin(born);
+    accept_at(Arc::clone(handler), listener, address);
     Ok(address)
 }
 
--- a/src/bench/site/site_restart.rs
+++ b/src/bench/site/site_restart.rs
@@ -40,6 +40,20 @@
         Ok((born, address))
     }
 
+    /// Waits until a server of this site has crashed.
+    ///
+    /// # Errors
+    /// If there is no such server.
+    pub async fn crashed(&self, id: &str) -> Result<()> {
+        if let Some(engine) = self.engine(id) {
+            engine.crashed().await;
+            return Ok(());
+        }
+        let service = self.services.iter().find(|service| service.id == id);
+        service.ok_or_else(|| unknown_server(id))?.crashed().await;
+        Ok(())
+    }
+
     /// Writes the entry of a server's present life, which is reached at `address`.
     ///
     /// # Errors
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -1,7 +1,7 @@
 use super::life_switch::{LifeSwitch, RestartPlace};
 use super::site_http::{
-    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, header, restart_site, serve_site, signed,
-    whole,
+    BrokenOff, SiteAnswer, SiteHandler, WholeRequest, crash_server, header, is_crashing,
+    restart_site, serve_site, signed, whole,
 };
 use super::site_run::SeenCaller;
 use crate::Result;
@@ -76,6 +76,11 @@
         self.lives.now().born
     }
 
+    /// Waits until it has crashed.
+    pub async fn crashed(&self) {
+        self.lives.crashed().await;
+    }
+
     /// Switches a fault on, or all off.
     pub fn set_fault(&self, fault: ServiceFault) {
         *lock(&self.fault) = fault;
@@ -112,6 +117,9 @@
             return Ok(signed(answer, &id, None));
         }
         lock(&self.runs).push(SeenCaller::of(&request, &id));
+        if is_crashing(&request) {
+            return crash_server(&self.lives).await;
+        }
         if let ServiceFault::Slow(time) = fault {
             tokio::time::sleep(time).await;
         }
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -188,6 +188,18 @@
     /// If a port cannot be bound.
     pub async fn add_host(&mut self) -> Result<()> {
         let seeds = self.hosts.iter().map(|host| host.peers).collect();
+        self.add_host_knowing(seeds).await
+    }
+
+    /// Starts one more daemon, which hears of no other one and is not heard of.
+    ///
+    /// # Errors
+    /// If a port cannot be bound.
+    pub async fn add_lone_host(&mut self) -> Result<()> {
+        self.add_host_knowing(Vec::new()).await
+    }
+
+    async fn add_host_knowing(&mut self, seeds: Vec<SocketAddr>) -> Result<()> {
         let settings = gateway_settings(self.hosts.len(), self.store_address, seeds)?;
         self.hosts.push(start_gateway(settings).await?);
         Ok(())
