Requests that crash servers are held back on all hosts

Cause: what a request did to a server was known within one call; the next return of it, at this host or another, was sent on as if it were new. Class: what is learned of a request dies with the call, and with the host. Ruled out: a breaker of servers (each crash is of another server, and one that is back is sound); counting crashes alone (who shared a server's crash would be refused, and who comes again and again with the same contents collects them). Change: a server that broke off under a request is asked for 30 ms later, or its entry tells: if it has ended, the host notes who was there. Crash records spread between hosts as news (bounded, told on, repeated for hosts that were cut off) and lie in one object of the store, which one watcher in each failure domain writes and watches. A request is held back from three crashes on that no other request explains better; a whole answer speaks for it, on all hosts. It is refused before it is charged, asked for before each send, with the time at which this is forgotten (10 min).

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -1,5 +1,7 @@
 use super::answer_proof::AnswerProof;
-use super::idle_connections::{CallSender, IdleConnections, PooledConnection, stated_keep};
+use super::idle_connections::{
+    CallSender, IdleConnections, PooledConnection, UNSTATED_KEEP, stated_keep,
+};
 use super::pooled_body::{PooledBody, ReturnPath};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -98,6 +100,16 @@
         Self::connect_within(address, CONNECT_TIMEOUT).await
     }
 
+    /// Opens a connection and keeps it for the next call.
+    ///
+    /// # Errors
+    /// If it could not be opened within `limit`.
+    pub async fn warm(&self, address: SocketAddr, limit: Duration) -> Result<()> {
+        let connection = PooledConnection::new(Self::connect_within(address, limit).await?);
+        self.idle.put(address, connection, UNSTATED_KEEP);
+        Ok(())
+    }
+
     async fn connect_within(address: SocketAddr, limit: Duration) -> Result<CallSender> {
         let connecting = TcpStream::connect(address);
         let stream =
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -11,7 +11,7 @@
 
 const IDLE_PER_ADDRESS: usize = 64;
 /// Assumed of a server that does not say how long it keeps idle connections.
-const UNSTATED_KEEP: Duration = Duration::from_secs(2);
+pub(super) const UNSTATED_KEEP: Duration = Duration::from_secs(2);
 /// A connection is given up this long before its server closes it, for a request on the way.
 const KEEP_MARGIN: Duration = Duration::from_millis(700);
 /// How long after an answer without proof no connection to its server is kept: one that gives an answer
--- a/src/error.rs
+++ b/src/error.rs
@@ -37,6 +37,26 @@
     },
 }
 
+impl Error {
+    /// Whether the other side broke off in the middle of a call.
+    pub fn is_break_off(&self) -> bool {
+        match self {
+            Self::Io(_) | Self::Protocol(_) | Self::Cut => true,
+            Self::Settings(_)
+            | Self::Unproven
+            | Self::Timeout
+            | Self::NotSent(_)
+            | Self::Refused(_)
+            | Self::Foreign { .. } => false,
+        }
+    }
+
+    /// Whether nobody listened at the other side's address.
+    pub fn is_refused_connection(&self) -> bool {
+        matches!(self, Self::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 impl std::fmt::Display for Error {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -23,6 +23,8 @@
     ConfigTooOld,
     /// Whether its organisation is within its limit cannot be told.
     LimitUnknown,
+    /// Servers crashed under it.
+    HeldBack,
 }
 
 impl NotRunReason {
@@ -36,6 +38,7 @@
             Self::OutOfTime => "out_of_time",
             Self::ConfigTooOld => "config_too_old",
             Self::LimitUnknown => "limit_unknown",
+            Self::HeldBack => "crashes_servers",
         }
     }
 }
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -8,9 +8,11 @@
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::limit_desk::{LimitCharge, charge};
 use super::plain_call::serve_plain;
-use crate::keys::RequestContents;
+use super::run_open::refuse;
+use crate::keys::{RequestContents, RequestKey};
 use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
+use crate::quarantine::CrashEvidence;
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -86,10 +88,6 @@
         let bounds = state.bounds.retries;
         state.retries.entry(service).or_default().note_request(began, &bounds);
     }
-    let cost = organisation.as_deref().and_then(|org| cost(org, &head));
-    if let Some(cost) = cost {
-        charge(host, &head.request_id, cost).await?;
-    }
     let organisation = organisation.as_deref();
     let contents = host.request_hasher.key(&RequestContents {
         method: parts.method.as_str(),
@@ -98,6 +96,14 @@
         caller: organisation.map(Organisation::key),
         body: &body,
     });
+    if let Some(evidence) = host.held_back(contents) {
+        log_held_back(&head.request_id, contents, &evidence);
+        return Err(refuse(NotRunReason::HeldBack));
+    }
+    let cost = organisation.and_then(|org| cost(org, &head));
+    if let Some(cost) = cost {
+        charge(host, &head.request_id, cost).await?;
+    }
     let call = ServerCall::new(parts.method, &parts.uri, &parts.headers, organisation, body);
     Ok(CallContext {
         host: Arc::clone(host),
@@ -113,6 +119,17 @@
     })
 }
 
+/// The line that tells why a request was refused that servers crashed under.
+fn log_held_back(id: &str, contents: RequestKey, evidence: &CrashEvidence) {
+    log::info!(
+        "event=request_held_back request={id} contents={contents} crashes={} unexplained={} \
+         companion={}",
+        evidence.crashes,
+        evidence.unexplained,
+        evidence.has_companion
+    );
+}
+
 /// What a request costs its organisation, if that has a limit.
 fn cost(organisation: &Organisation, head: &CallHead) -> Option<LimitCharge> {
     let units = organisation.limit?.cost(head.tokens.stated_size());
--- /dev/null
+++ b/src/gateway/crash_watch.rs
@@ -0,0 +1,125 @@
+//! Finds out which servers crashed under which requests, and holds back requests that crash servers.
+
+use super::call_context::CallContext;
+use super::gateway_host::GatewayHost;
+use crate::Error;
+use crate::fleet::ServerEntry;
+use crate::keys::{RequestKey, ServerKey};
+use crate::quarantine::CrashEvidence;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause before a server that broke off is asked for: a process that ends closes its sockets one after the other.
+const ASK_PAUSE: Duration = Duration::from_millis(30);
+/// A server whose process has ended refuses connections within a round trip.
+const ASK_LIMIT: Duration = Duration::from_millis(250);
+
+impl CallContext {
+    /// The call to a server ended with `error`: if the server broke off in the middle, it may have crashed under
+    /// this request.
+    pub fn note_failure(&self, server: &ServerEntry, error: &Error) {
+        if error.is_break_off() {
+            self.host.note_break_off(server, self.contents);
+        }
+    }
+
+    /// A server answered this request whole.
+    pub fn note_answered(&self) {
+        let now = self.host.now();
+        self.host.state().crashes.note_served(now, self.contents);
+    }
+
+    /// Whether this request crashes the servers that run it. Asked before each send: a request under way learns of
+    /// what it did elsewhere.
+    pub fn is_held_back(&self) -> bool {
+        self.host.state().crashes.holds(self.contents)
+    }
+}
+
+impl GatewayHost {
+    /// A request came; returns what speaks against it if it is held back.
+    pub(super) fn held_back(&self, request: RequestKey) -> Option<CrashEvidence> {
+        let now = self.now();
+        let mut state = self.state();
+        if !state.crashes.holds(request) {
+            return None;
+        }
+        state.crashes.note_return(now, request);
+        Some(state.crashes.evidence(request))
+    }
+
+    fn note_break_off(self: &Arc<Self>, server: &ServerEntry, request: RequestKey) {
+        let (now, key) = (self.now(), server.key());
+        let is_first = {
+            let mut state = self.state();
+            if state.crashes.has_crashed(key) {
+                drop(state);
+                self.note_crash(key, &server.id, &[request], "known");
+                return;
+            }
+            // A server that leaves as planned may end while a request is still there.
+            state.fleet.is_ready(key) && state.break_offs.note(now, key, request)
+        };
+        if is_first {
+            let (host, server) = (Arc::clone(self), server.clone());
+            tokio::spawn(async move { host.ask_server(&server).await });
+        }
+    }
+
+    /// Asks whether a server that broke off is still there. If it is, it has lost a connection, or hides behind
+    /// something that accepts connections for it: then its entry tells later.
+    async fn ask_server(&self, server: &ServerEntry) {
+        tokio::time::sleep(ASK_PAUSE).await;
+        match self.pool.warm(server.address, ASK_LIMIT).await {
+            Err(error) if error.is_refused_connection() => {
+                let requests = self.state().break_offs.confirm(server.key());
+                self.note_crash(server.key(), &server.id, &requests, "connection_refused");
+            }
+            Ok(()) => log::info!("event=server_asked server={} outcome=reached", server.id),
+            Err(error) => {
+                log::info!(
+                    "event=server_asked server={} outcome=unknown cause=\"{error}\"",
+                    server.id
+                );
+            }
+        }
+    }
+
+    /// Notes crashes of servers that were in doubt and whose entries went or name another life.
+    pub(super) fn settle_break_offs(&self) {
+        let now = self.now();
+        let crashed = {
+            let mut state = self.state();
+            let state = &mut *state;
+            let fleet = &state.fleet;
+            state.break_offs.settle(now, |key| fleet.entry(key).is_none())
+        };
+        for (server, requests) in crashed {
+            self.note_crash(server, "-", &requests, "entry_gone");
+        }
+    }
+
+    fn note_crash(&self, server: ServerKey, id: &str, requests: &[RequestKey], sign: &str) {
+        let now = self.now();
+        for request in requests {
+            let (is_new, evidence) = {
+                let mut state = self.state();
+                let is_new = state.crashes.note_crash(now, server, *request);
+                (is_new, state.crashes.evidence(*request))
+            };
+            if !is_new {
+                continue;
+            }
+            self.metrics().add("crashes_noted", 1);
+            let life = server.0;
+            log::info!(
+                "event=server_crashed server={id} life={life:016x} contents={request} sign={sign} \
+                 crashes={} unexplained={} companion={} held_back={}",
+                evidence.crashes,
+                evidence.unexplained,
+                evidence.has_companion,
+                evidence.is_enough()
+            );
+        }
+    }
+}
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -1,5 +1,5 @@
 use super::call_context::CallContext;
-use super::call_end::CallEnd;
+use super::call_end::{CallEnd, NotRunReason};
 use super::caller_body::StreamPart;
 use super::decode_room::expected_output;
 use super::flight_guard::FlightGuard;
@@ -155,7 +155,10 @@
     let began = context.host.now();
     loop {
         let opened = open_stream(context, engine, after, runs).await;
-        let refused = matches!(opened, Err(CallEnd::NotRun(..)));
+        let refused = matches!(
+            opened,
+            Err(CallEnd::NotRun(reason, _)) if reason != NotRunReason::HeldBack
+        );
         let waited = context.host.now().since(began);
         if !refused || waited > RESUME_LIMIT || context.left().is_zero() {
             return opened;
@@ -171,15 +174,21 @@
     events: &Sender<StreamPart>,
     record: &mut RelayRecord,
 ) -> RunEnd {
-    let OpenRun { mut reader, first, mut load, .. } = run;
+    let OpenRun { server, mut reader, first, mut load, .. } = run;
     let ends_at = context.host.instant(context.ends_at);
     let mut next = Ok(first);
     let mut timer = PaceTimer::new(context.host.now());
     loop {
         let event = match next {
             Ok(Some(event)) => event,
-            Ok(None) => return RunEnd::Stream(StreamEnd::Whole),
-            Err(_) => return RunEnd::ServerLost,
+            Ok(None) => {
+                context.note_answered();
+                return RunEnd::Stream(StreamEnd::Whole);
+            }
+            Err(error) => {
+                context.note_failure(&server, &error);
+                return RunEnd::ServerLost;
+            }
         };
         load.grow(engine.tokens_per_event);
         if let Some(end) = pass_on(context, event, events, record).await {
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -11,6 +11,7 @@
 use crate::peers::PeerClient;
 use crate::placement::{DomainGates, GrantBook, LoadBoard, ServerNote};
 use crate::platform::StoreClient;
+use crate::quarantine::{BreakOffs, CrashBook};
 use crate::routes::{RouteTable, ServiceKey};
 use crate::settings::GatewaySettings;
 use crate::telemetry::MetricBook;
@@ -110,6 +111,9 @@
             work: HashMap::new(),
             heard_work: HashMap::new(),
             changes: StageChanges::default(),
+            break_offs: BreakOffs::default(),
+            crashes: CrashBook::default(),
+            crashes_revision: None,
             refused: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             unreadable: UnreadableObjects::default(),
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -1,5 +1,7 @@
 use super::age_loop::run_ages;
 use super::caller_loop::serve_callers;
+use super::crash_news::run_crash_news;
+use super::crash_store::run_crash_store;
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::limit_desk::run_limits;
 use super::peer_loop::run_peers;
@@ -58,6 +60,8 @@
     tokio::spawn(run_stages(Arc::clone(&host)));
     tokio::spawn(run_ages(Arc::clone(&host)));
     tokio::spawn(run_limits(Arc::clone(&host)));
+    tokio::spawn(run_crash_news(Arc::clone(&host)));
+    tokio::spawn(run_crash_store(Arc::clone(&host)));
     log::info!(
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -7,6 +7,7 @@
 use crate::placement::{
     DomainGates, GrantBook, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums,
 };
+use crate::quarantine::{BreakOffs, CrashBook};
 use crate::routes::{RouteTable, ServiceKey};
 use crate::settings::GatewayBounds;
 use std::collections::{HashMap, HashSet};
@@ -49,6 +50,12 @@
     pub heard_work: HashMap<(IncarnationId, ServiceKey), (TimePoint, WorkSums)>,
     /// Engines that change their stage.
     pub changes: StageChanges,
+    /// Servers that broke connections off and may have crashed.
+    pub break_offs: BreakOffs,
+    /// Servers that crashed, and under which requests.
+    pub crashes: CrashBook,
+    /// Revision of the store's copy of the crashes; `None` if it has none.
+    pub crashes_revision: Option<u64>,
     /// Hosts that the store does not answer, this one included.
     pub refused: RefusedHosts,
     /// The other hosts.
@@ -103,6 +110,7 @@
         self.board.expire(now);
         self.grants.retain(|server| self.fleet.entry(server).is_some());
         self.changes.expire(now);
+        self.crashes.expire(now);
         self.refused.expire(now);
         self.silent.expire(now);
         self.ledger.expire(now);
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -57,6 +57,7 @@
             }
             Ok(GatewayDatagram::LoanAsk(ask)) => host.hear_loan_ask(address, &ask),
             Ok(GatewayDatagram::LimitLoan(loan)) => host.hear_loan(&loan),
+            Ok(GatewayDatagram::Crashes(report)) => host.hear_crashes(&report),
             Err(error) => {
                 log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
             }
@@ -93,15 +94,20 @@
 }
 
 async fn compare(host: &Arc<GatewayHost>, address: SocketAddr) -> bool {
-    let news = host.state().members.full_news();
-    let request = GatewayRequest::Sync(news);
+    let request = {
+        let now = host.now();
+        let state = host.state();
+        let (members, crashes) = (state.members.full_news(), state.crashes.whole_report(now));
+        GatewayRequest::Sync { members, crashes }
+    };
     let reply = host.peers.call(address, &request, COMPARE_LIMIT).await;
-    let Ok(GatewayReply::Members(theirs)) = reply else {
+    let Ok(GatewayReply::Members { members, crashes }) = reply else {
         return false;
     };
     let now = host.now();
-    let orders = host.state().members.merge_all(now, &theirs);
+    let orders = host.state().members.merge_all(now, &members);
     host.carry_out(orders);
+    host.hear_crashes(&crashes);
     true
 }
 
@@ -219,7 +225,12 @@
     }
 
     /// Some hosts of the own failure domain and fewer of others, other ones each round.
-    fn load_targets(&self, round: u64, most_near: usize, most_abroad: usize) -> Vec<SocketAddr> {
+    pub(super) fn load_targets(
+        &self,
+        round: u64,
+        most_near: usize,
+        most_abroad: usize,
+    ) -> Vec<SocketAddr> {
         let salt = mix_hash(self.incarnation.0, round);
         let state = self.state();
         let mut living: Vec<MemberUpdate> = state
@@ -242,14 +253,16 @@
 
     async fn handle(self: Arc<Self>, request: GatewayRequest) -> GatewayReply {
         match request {
-            GatewayRequest::Sync(news) => {
+            GatewayRequest::Sync { members, crashes } => {
                 let now = self.now();
-                let (orders, ours) = {
-                    let mut state = self.state();
-                    (state.members.merge_all(now, &news), state.members.full_news())
-                };
+                self.hear_crashes(&crashes);
+                let mut state = self.state();
+                let orders = state.members.merge_all(now, &members);
+                let (members, crashes) =
+                    (state.members.full_news(), state.crashes.whole_report(now));
+                drop(state);
                 self.carry_out(orders);
-                GatewayReply::Members(ours)
+                GatewayReply::Members { members, crashes }
             }
             GatewayRequest::View { routes_version, fleet_revision, age } => {
                 let age = self.own_age(age);
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -4,6 +4,7 @@
 use crate::membership::{MemberUpdate, ProbeMessage};
 use crate::organisations::{AgeAnswer, AgeQuestion};
 use crate::placement::{ServerLoad, WorkSums};
+use crate::quarantine::CrashReport;
 use crate::routes::{RouteParts, ServiceKey};
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +29,8 @@
     LoanAsk(LoanAsk),
     /// Units lent to it.
     LimitLoan(LimitLoan),
+    /// Servers that crashed, and under which requests.
+    Crashes(CrashReport),
 }
 
 /// What a host knows that others must not wait for.
@@ -59,8 +62,13 @@
 /// A request between daemons on the platform.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum GatewayRequest {
-    /// Compare membership.
-    Sync(Vec<MemberUpdate>),
+    /// Compare membership, and what is known of crashes.
+    Sync {
+        /// All news about members.
+        members: Vec<MemberUpdate>,
+        /// Crashes.
+        crashes: CrashReport,
+    },
     /// What is newer than this.
     View {
         /// Version of the configuration that the sender has.
@@ -75,8 +83,13 @@
 /// A reply between daemons on the platform.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum GatewayReply {
-    /// All news about members.
-    Members(Vec<MemberUpdate>),
+    /// The same of the answering host.
+    Members {
+        /// All news about members.
+        members: Vec<MemberUpdate>,
+        /// Crashes.
+        crashes: CrashReport,
+    },
     /// What is newer.
     View {
         /// The configuration and its revision in the store, if newer.
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,6 +1,7 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
 use super::load_guard::LoadGuard;
+use super::run_open::refuse;
 use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerWish;
 use crate::fleet::ServerEntry;
@@ -77,6 +78,9 @@
 
 /// The next server to try, if the route, the time and the retry bounds allow one.
 fn next_server(context: &CallContext, record: &AttemptRecord) -> Option<ServerEntry> {
+    if context.is_held_back() {
+        return None;
+    }
     let spent = record.sent >= context.route.most_servers || record.unreached >= MOST_UNREACHED;
     if spent || context.left().is_zero() {
         return None;
@@ -104,6 +108,9 @@
             CallEnd::Unknown("no_answer")
         };
     }
+    if context.is_held_back() {
+        return refuse(NotRunReason::HeldBack);
+    }
     let reason = if record.sent > 0 { NotRunReason::TurnedAway } else { NotRunReason::NoServer };
     CallEnd::NotRun(reason, TURNED_AWAY_PAUSE)
 }
@@ -125,6 +132,7 @@
         Ok(Err(Error::NotSent(_))) => AttemptEnd::NotSent,
         Ok(Err(Error::Foreign { .. })) => AttemptEnd::Unknown("foreign_answer"),
         Ok(Err(error)) => {
+            context.note_failure(server, &error);
             log::debug!("event=server_broke_off server={} cause=\"{error}\"", server.id);
             AttemptEnd::Unknown("server_broke_off")
         }
@@ -152,6 +160,7 @@
     if !states_end && holds_answer(&body) {
         return Ok(AttemptEnd::Unknown("answer_with_another"));
     }
+    context.note_answered();
     let answer = ServerAnswer { status: parts.status, headers: parts.headers, body };
     Ok(if kind == AnswerKind::Success {
         AttemptEnd::Answered(answer)
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -68,6 +68,7 @@
                 break;
             }
             Err(error) => {
+                context.note_failure(server, &error);
                 context.host.note_server(server, ServerNote::Silent);
                 let (id, contents, server) = (context.id(), context.contents, &server.id);
                 log::info!(
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -10,6 +10,7 @@
 use super::run_start::{OpenFailure, RunRecord, run_at};
 use crate::fleet::ServerEntry;
 use crate::platform::DecodePart;
+use crate::quarantine::CRASH_LIFE;
 use crate::routes::EngineSpec;
 use crate::streams::StreamEvent;
 use http::{HeaderMap, StatusCode};
@@ -18,6 +19,8 @@
 /// When a caller that found no memory may come back: about as long as a burst lasts. Of 0.3, 0.4, 1.2,
 /// 1.5, 2.5 and 4 s this served most; longer ones gained no more than chance.
 const NO_MEMORY_PAUSE: Duration = Duration::from_secs(4);
+/// When a caller may come back whose request crashes servers: when that is forgotten.
+const HELD_BACK_PAUSE: Duration = CRASH_LIFE;
 /// Spread of that pause, so that callers do not come back together, as a part of it.
 const PAUSE_SPREAD: f64 = 0.3;
 /// When a caller may come back after its server turned it away for another reason.
@@ -51,6 +54,9 @@
     runs: &mut RunRecord,
 ) -> Result<OpenRun, CallEnd> {
     loop {
+        if context.is_held_back() {
+            return Err(refuse(NotRunReason::HeldBack));
+        }
         let mut failure = match open_at_best(context, engine, after, runs).await {
             Ok(run) => return Ok(run),
             Err(failure) => failure,
@@ -93,6 +99,7 @@
 pub(super) fn refuse(reason: NotRunReason) -> CallEnd {
     let pause = match reason {
         NotRunReason::NoMemory => spread(NO_MEMORY_PAUSE),
+        NotRunReason::HeldBack => HELD_BACK_PAUSE,
         NotRunReason::NoServer
         | NotRunReason::NotReady
         | NotRunReason::ConfigTooOld
@@ -131,6 +138,10 @@
     if context.left().is_zero() {
         return Err(OpenFailure::NotRun(NotRunReason::OutOfTime));
     }
+    // News of its other runs may have come while its prompt was read.
+    if context.is_held_back() {
+        return Err(OpenFailure::NotRun(NotRunReason::HeldBack));
+    }
     if is_lost(context, &mut room.keep) {
         room = find_room(context, engine, after, &runs.lost).await.map_err(OpenFailure::NotRun)?;
     }
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -107,6 +107,11 @@
     );
 }
 
+fn broke_off(context: &CallContext, server: &ServerEntry, error: &Error) -> OpenFailure {
+    context.note_failure(server, error);
+    OpenFailure::Unknown("server_broke_off")
+}
+
 async fn start_run(
     context: &CallContext,
     server: &ServerEntry,
@@ -118,7 +123,7 @@
         Ok(response) => response,
         Err(Error::NotSent(_)) => return Err(OpenFailure::TurnedAway(server.clone())),
         Err(Error::Foreign { .. }) => return Err(OpenFailure::Unknown("foreign_answer")),
-        Err(_) => return Err(OpenFailure::Unknown("server_broke_off")),
+        Err(error) => return Err(broke_off(context, server, &error)),
     };
     let kind = read_answer(&response);
     let (parts, body) = response.into_parts();
@@ -126,7 +131,7 @@
         AnswerKind::Success => {
             let mut reader = EventReader::new(body);
             let first = reader.next().await;
-            let first = first.map_err(|_error| OpenFailure::Unknown("server_broke_off"))?;
+            let first = first.map_err(|error| broke_off(context, server, &error))?;
             Ok(((parts.status, parts.headers), reader, first))
         }
         AnswerKind::Improper => Err(OpenFailure::Unknown("improper_answer")),
@@ -137,7 +142,8 @@
         }
         AnswerKind::Failed => {
             let body = body.read_all().await;
-            let body = body.map_err(|_error| OpenFailure::Unknown("server_broke_off"))?;
+            let body = body.map_err(|error| broke_off(context, server, &error))?;
+            context.note_answered();
             let answer = ServerAnswer { status: parts.status, headers: parts.headers, body };
             Err(OpenFailure::Failed(answer))
         }
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -89,7 +89,7 @@
                 }
                 self.push_view(ViewSource::Peer);
             }
-            Ok(GatewayReply::Members(_)) => {
+            Ok(GatewayReply::Members { .. }) => {
                 log::warn!("event=peer_answer_unexpected peer={address}");
             }
             Err(error) => log::info!("event=view_not_fetched peer={address} cause=\"{error}\""),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! project's types and back, and decides nothing.
 
 mod config_wire;
+mod crash_wire;
 mod engine_messages;
 mod json_parts;
 mod lease_wire;
@@ -14,6 +15,7 @@
 mod store_wire;
 
 pub use config_wire::decode_config;
+pub use crash_wire::{CRASHES_OBJECT, decode_crashes, encode_crashes};
 pub use engine_messages::{
     EngineReport, HoldGrant, PrefillResult, StageOrder, decode_body, decode_report,
     handle_drop_call, hold_call, hold_drop_call, report_call, stage_call,
--- /dev/null
+++ b/src/quarantine/break_offs.rs
@@ -0,0 +1,60 @@
+use crate::keys::{RequestKey, ServerKey, TimePoint};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long a server that broke connections off and could be reached after it may turn out to have ended: its entry
+/// goes after three missed heartbeats of 1.2 s, and the news of that are there within 2 s.
+const DOUBT_LIFE: Duration = Duration::from_secs(6);
+/// Servers in doubt at a time.
+const MOST_SERVERS: usize = 256;
+/// Requests kept of each.
+const MOST_REQUESTS: usize = 64;
+
+#[derive(Debug, Clone)]
+struct OpenDoubt {
+    since: TimePoint,
+    requests: Vec<RequestKey>,
+}
+
+/// Servers that broke connections off in the middle of requests, as long as it is not known whether they
+/// crashed or merely lost the connections.
+#[derive(Debug, Clone, Default)]
+pub struct BreakOffs {
+    open: HashMap<ServerKey, OpenDoubt>,
+}
+
+impl BreakOffs {
+    /// A server broke off under a request; true if it was not in doubt before.
+    pub fn note(&mut self, now: TimePoint, server: ServerKey, request: RequestKey) -> bool {
+        let is_new = !self.open.contains_key(&server);
+        if is_new && self.open.len() >= MOST_SERVERS {
+            return false;
+        }
+        let doubt = self
+            .open
+            .entry(server)
+            .or_insert_with(|| OpenDoubt { since: now, requests: Vec::new() });
+        if doubt.requests.len() < MOST_REQUESTS && !doubt.requests.contains(&request) {
+            doubt.requests.push(request);
+        }
+        is_new
+    }
+
+    /// The server has crashed; returns the requests that were there.
+    pub fn confirm(&mut self, server: ServerKey) -> Vec<RequestKey> {
+        self.open.remove(&server).map(|doubt| doubt.requests).unwrap_or_default()
+    }
+
+    /// Returns the servers in doubt that have `ended` since, with the requests that were there, and forgets
+    /// those that have not for long.
+    pub fn settle(
+        &mut self,
+        now: TimePoint,
+        ended: impl Fn(ServerKey) -> bool,
+    ) -> Vec<(ServerKey, Vec<RequestKey>)> {
+        let over: Vec<ServerKey> = self.open.keys().copied().filter(|key| ended(*key)).collect();
+        let crashed = over.into_iter().map(|key| (key, self.confirm(key))).collect();
+        self.open.retain(|_, doubt| now.since(doubt.since) < DOUBT_LIFE);
+        crashed
+    }
+}
--- /dev/null
+++ b/src/quarantine/crash_book.rs
@@ -0,0 +1,295 @@
+use super::acquittals::Acquittals;
+use super::crash_record::{CrashRecord, TELLS};
+use super::crash_verdict::{CRASHES_TO_HOLD, CrashIndex};
+use super::served_requests::{SERVED_LIFE, ServedRequests};
+use super::{CrashEvidence, CrashNews, CrashReport};
+use crate::keys::{RequestKey, ServerKey, TimePoint};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// A crash is remembered this long after it, or after the last return of a request that was there and is held back.
+/// Whoever waits that long is sent on again: what it asked for may have been mended.
+pub const CRASH_LIFE: Duration = Duration::from_secs(600);
+/// Crashes kept. With some ten requests each 150 KB, with 64 each 700 KB.
+const MOST_CRASHES: usize = 1024;
+/// Request keys in one message between hosts: at nine bytes each within one datagram.
+const KEYS_PER_MESSAGE: usize = 96;
+/// Crashes handed over at once, to a host that compares notes or to the store: the newest ones.
+const MOST_HANDED_OVER: usize = 256;
+/// What is this new is told again now and then, for hosts that were cut off when it was told first.
+const REPEAT_LIFE: Duration = Duration::from_secs(20);
+/// Pause between these repeats.
+const REPEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Returns of a request that is held back are told to the others this often.
+const RETURN_PERIOD: Duration = Duration::from_secs(60);
+
+/// Crashes of servers, who was there, and who has been answered whole.
+#[derive(Debug, Clone, Default)]
+pub struct CrashBook {
+    crashes: HashMap<ServerKey, CrashRecord>,
+    /// Servers that crashed under each request.
+    requests: HashMap<RequestKey, Vec<ServerKey>>,
+    served: ServedRequests,
+    acquittals: Acquittals,
+    repeated_at: TimePoint,
+}
+
+impl CrashBook {
+    /// Whether the crash of a life of a server is known.
+    pub fn has_crashed(&self, server: ServerKey) -> bool {
+        self.crashes.contains_key(&server)
+    }
+
+    /// A server crashed while it worked on a request; true if that is new and speaks against the request.
+    pub fn note_crash(&mut self, now: TimePoint, server: ServerKey, request: RequestKey) -> bool {
+        let at = self.crashes.get(&server).map_or(now, |record| record.at);
+        if !self.add(at, now, server, request) {
+            return false;
+        }
+        self.tell(server);
+        self.trim();
+        true
+    }
+
+    /// A request was answered whole: it is not what crashes servers.
+    pub fn note_served(&mut self, now: TimePoint, request: RequestKey) {
+        self.served.note(now, request);
+        if self.requests.contains_key(&request) {
+            self.acquit(now, request);
+        }
+    }
+
+    /// What speaks against a request.
+    pub fn evidence(&self, request: RequestKey) -> CrashEvidence {
+        self.index().evidence(request)
+    }
+
+    /// Whether a request is held back.
+    pub fn holds(&self, request: RequestKey) -> bool {
+        self.requests.contains_key(&request) && self.evidence(request).is_enough()
+    }
+
+    /// A request that is held back came again: its crashes are remembered from now on.
+    pub fn note_return(&mut self, now: TimePoint, request: RequestKey) {
+        for server in self.requests.get(&request).into_iter().flatten() {
+            let Some(record) = self.crashes.get_mut(server) else { continue };
+            record.idle_since = now;
+            if now.since(record.told_idle) >= RETURN_PERIOD {
+                record.told_idle = now;
+                record.tells_left = TELLS;
+            }
+        }
+    }
+
+    /// Takes over what another host told; what is new is told on.
+    pub fn merge(&mut self, now: TimePoint, report: &CrashReport) {
+        for news in &report.acquittals {
+            let at = now - Duration::from_millis(news.age_ms.into());
+            if now.since(at) < CRASH_LIFE {
+                self.acquit(at, news.request);
+            }
+        }
+        for news in &report.crashes {
+            if self.merge_crash(now, news) {
+                self.tell(news.server);
+            }
+        }
+        self.trim();
+    }
+
+    /// Takes over the store's copy; true if it lacks something that this book has.
+    pub fn merge_saved(&mut self, now: TimePoint, saved: &[CrashNews]) -> bool {
+        for news in saved {
+            if self.merge_crash(now, news) {
+                self.tell(news.server);
+            }
+            if let Some(record) = self.crashes.get_mut(&news.server) {
+                record.is_saved = record.requests.iter().all(|key| news.requests.contains(key));
+            }
+        }
+        self.trim();
+        self.is_unsaved()
+    }
+
+    /// Whether the store's copy lacks something.
+    pub fn is_unsaved(&self) -> bool {
+        self.crashes.values().any(|record| !record.is_saved)
+    }
+
+    /// All that is handed over at once.
+    pub fn whole_report(&self, now: TimePoint) -> CrashReport {
+        let mut newest: Vec<_> =
+            self.crashes.iter().filter(|(_, record)| !record.requests.is_empty()).collect();
+        newest.sort_by_key(|(server, record)| (std::cmp::Reverse(record.idle_since), **server));
+        newest.truncate(MOST_HANDED_OVER);
+        CrashReport {
+            crashes: newest.into_iter().map(|(key, record)| record.news(now, *key)).collect(),
+            acquittals: self.acquittals.all(now),
+        }
+    }
+
+    /// The store has a copy of `written`; what did not fit into it stays out.
+    pub fn note_saved(&mut self, written: &[CrashNews]) {
+        let fits_all = written.len() < MOST_HANDED_OVER;
+        for (server, record) in &mut self.crashes {
+            let copy = written.iter().find(|news| news.server == *server);
+            record.is_saved = copy.map_or(!fits_all || record.requests.is_empty(), |copy| {
+                record.requests.iter().all(|key| copy.requests.contains(key))
+            });
+        }
+    }
+
+    /// What is to be told next; bounded, whatever there is.
+    pub fn untold(&mut self, now: TimePoint) -> CrashReport {
+        self.repeat(now);
+        let mut keys_left = KEYS_PER_MESSAGE;
+        let mut due: Vec<ServerKey> =
+            self.crashes.iter().filter(|(_, r)| r.tells_left > 0).map(|(key, _)| *key).collect();
+        due.sort_by_key(|key| (std::cmp::Reverse(self.crashes[key].tells_left), *key));
+        let mut crashes = Vec::new();
+        for server in due {
+            let Some(record) = self.crashes.get_mut(&server) else { continue };
+            let size = record.requests.len() + 1;
+            if size > keys_left {
+                break;
+            }
+            keys_left -= size;
+            record.tells_left -= 1;
+            crashes.push(record.news(now, server));
+        }
+        CrashReport { crashes, acquittals: self.acquittals.untold(now, keys_left) }
+    }
+
+    /// Forgets what is long past.
+    pub fn expire(&mut self, now: TimePoint) {
+        self.served.expire(now);
+        self.acquittals.retain(|at| now.since(at) < CRASH_LIFE);
+        let old = |record: &CrashRecord| now.since(record.idle_since) >= CRASH_LIFE;
+        let due: Vec<ServerKey> =
+            self.crashes.iter().filter(|(_, record)| old(record)).map(|(key, _)| *key).collect();
+        for server in due {
+            self.remove(server);
+        }
+    }
+
+    /// Crashes that are kept.
+    pub fn len(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// Whether no crash is known.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    fn index(&self) -> CrashIndex<'_> {
+        CrashIndex { crashes: &self.crashes, requests: &self.requests }
+    }
+
+    fn merge_crash(&mut self, now: TimePoint, news: &CrashNews) -> bool {
+        let at = now - Duration::from_millis(news.age_ms.into());
+        let idle_since = now - Duration::from_millis(news.idle_ms.into());
+        if now.since(idle_since) >= CRASH_LIFE {
+            return false;
+        }
+        let mut is_new = false;
+        for request in &news.requests {
+            is_new |= self.add(at, idle_since, news.server, *request);
+        }
+        if let Some(record) = self.crashes.get_mut(&news.server) {
+            let returned = idle_since.since(record.idle_since) >= RETURN_PERIOD / 2;
+            record.idle_since = record.idle_since.max(idle_since);
+            is_new |= returned;
+        }
+        is_new
+    }
+
+    /// Adds a request to a crash, unless a whole answer speaks for it.
+    fn add(
+        &mut self,
+        at: TimePoint,
+        idle_since: TimePoint,
+        server: ServerKey,
+        request: RequestKey,
+    ) -> bool {
+        let acquitted = self.acquittals.at(request);
+        if acquitted.is_some_and(|acquitted| acquitted + SERVED_LIFE > at) {
+            return false;
+        }
+        if self.served.contains(request) {
+            self.acquittals.note(at, request);
+            return false;
+        }
+        let record = self.crashes.entry(server).or_insert_with(|| CrashRecord::new(at, idle_since));
+        if !record.add(request) {
+            return false;
+        }
+        self.requests.entry(request).or_default().push(server);
+        true
+    }
+
+    fn tell(&mut self, server: ServerKey) {
+        if let Some(record) = self.crashes.get_mut(&server) {
+            record.tells_left = TELLS;
+            record.is_saved = false;
+        }
+    }
+
+    fn acquit(&mut self, at: TimePoint, request: RequestKey) {
+        if !self.acquittals.note(at, request) {
+            return;
+        }
+        let Some(servers) = self.requests.remove(&request) else { return };
+        let (cleared, kept): (Vec<_>, Vec<_>) = servers.into_iter().partition(|server| {
+            self.crashes.get(server).is_none_or(|record| at + SERVED_LIFE > record.at)
+        });
+        for server in cleared {
+            if let Some(record) = self.crashes.get_mut(&server) {
+                record.requests.retain(|other| *other != request);
+            }
+        }
+        if !kept.is_empty() {
+            self.requests.insert(request, kept);
+        }
+    }
+
+    fn repeat(&mut self, now: TimePoint) {
+        if now.since(self.repeated_at) < REPEAT_PERIOD {
+            return;
+        }
+        self.repeated_at = now;
+        for record in self.crashes.values_mut() {
+            let is_recent = now.since(record.at) < REPEAT_LIFE;
+            if is_recent && !record.requests.is_empty() {
+                record.tells_left = record.tells_left.max(1);
+            }
+        }
+    }
+
+    /// Keeps the book within its size: crashes that hold a request back stay longest.
+    fn trim(&mut self) {
+        while self.crashes.len() > MOST_CRASHES {
+            let is_needed = |record: &CrashRecord| {
+                let counts = record.requests.iter().filter_map(|key| self.requests.get(key));
+                counts.into_iter().any(|servers| servers.len() >= CRASHES_TO_HOLD)
+            };
+            let least = self
+                .crashes
+                .iter()
+                .min_by_key(|(key, record)| (is_needed(record), record.idle_since, **key));
+            let Some(least) = least.map(|(key, _)| *key) else { return };
+            self.remove(least);
+        }
+    }
+
+    fn remove(&mut self, server: ServerKey) {
+        let Some(record) = self.crashes.remove(&server) else { return };
+        for request in record.requests {
+            let Some(servers) = self.requests.get_mut(&request) else { continue };
+            servers.retain(|other| *other != server);
+            if servers.is_empty() {
+                self.requests.remove(&request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,331 @@
+//! Which requests are held back for crashes of servers, and how much is kept and told of them.
+
+use rstest::rstest;
+use serde_json::json;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tealcleat::keys::{
+    NameKey, OrgKey, RequestContents, RequestHasher, RequestKey, ServerKey, TimePoint,
+};
+use tealcleat::platform::{decode_crashes, encode_crashes};
+use tealcleat::quarantine::{BreakOffs, CRASH_LIFE, CrashBook, CrashNews, CrashReport};
+
+/// A datagram between hosts holds this many bytes.
+const LONGEST_DATAGRAM: usize = 4096;
+/// As the users' store.
+const LONGEST_VALUE: usize = 1 << 20;
+const CRASHER: RequestKey = RequestKey(u64::MAX);
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(100_000 + millis)
+}
+
+fn server(number: u64) -> ServerKey {
+    NameKey(0xa000_0000_0000_0000 + number)
+}
+
+fn request(number: u64) -> RequestKey {
+    RequestKey(0xb000_0000_0000_0000 + number)
+}
+
+/// A book of crashes, a second apart, each with the requests that were there.
+fn book_of(crashes: &[&[RequestKey]]) -> CrashBook {
+    let mut book = CrashBook::default();
+    for (requests, number) in crashes.iter().zip(0..) {
+        for request in *requests {
+            book.note_crash(at(1000 * number), server(number), *request);
+        }
+    }
+    book
+}
+
+/// A book of `count` crashes under the crasher alone.
+fn book_against(count: u64) -> CrashBook {
+    let crashes: Vec<&[RequestKey]> = (0..count).map(|_| &[CRASHER][..]).collect();
+    book_of(&crashes)
+}
+
+fn told(book: &mut CrashBook, now: TimePoint) -> CrashReport {
+    book.untold(now)
+}
+
+#[rstest]
+#[case::two(2, false)]
+#[case::three(3, true)]
+#[case::four(4, true)]
+fn request_held_after_three_crashes(#[case] crashes: u64, #[case] held: bool) {
+    assert_eq!(book_against(crashes).holds(CRASHER), held);
+}
+
+#[test]
+fn life_of_a_server_counted_once() {
+    let mut book = CrashBook::default();
+    for millis in 0..5 {
+        book.note_crash(at(millis), server(1), CRASHER);
+    }
+    assert!(!book.holds(CRASHER));
+    assert_eq!(book.evidence(CRASHER).crashes, 1);
+}
+
+#[test]
+fn requests_at_one_crash_each_not_held() {
+    let [a, b, c] = [request(1), request(2), request(3)];
+    let book = book_of(&[&[CRASHER, a], &[CRASHER, b], &[CRASHER, c]]);
+    assert!(book.holds(CRASHER));
+    assert!(![a, b, c].into_iter().any(|innocent| book.holds(innocent)));
+}
+
+#[test]
+fn request_at_crashes_of_three_others_not_held() {
+    let (a, b, c, innocent) = (request(1), request(2), request(3), request(4));
+    let book = book_of(&[
+        &[a, innocent],
+        &[b, innocent],
+        &[c, innocent],
+        &[a],
+        &[b],
+        &[c],
+        &[a],
+        &[b],
+        &[c],
+    ]);
+    assert!([a, b, c].into_iter().all(|crasher| book.holds(crasher)));
+    assert!(!book.holds(innocent));
+}
+
+#[test]
+fn pair_told_apart_by_a_fourth_crash() {
+    let innocent = request(1);
+    let pair: &[RequestKey] = &[CRASHER, innocent];
+    let mut book = book_of(&[pair, pair, pair]);
+    assert!(!book.holds(CRASHER) && !book.holds(innocent));
+    book.note_crash(at(9000), server(9), CRASHER);
+    assert!(book.holds(CRASHER));
+    assert!(!book.holds(innocent));
+}
+
+#[rstest]
+#[case::just_before_the_crashes(0, false)]
+#[case::between_them(2500, false)]
+#[case::after_them(60_000, false)]
+fn whole_answer_speaks_for_a_request(#[case] served_at: u64, #[case] held: bool) {
+    let mut book = CrashBook::default();
+    let mut is_served = false;
+    for number in 1..=5 {
+        if served_at <= 1000 * number && !is_served {
+            book.note_served(at(served_at), CRASHER);
+            is_served = true;
+        }
+        book.note_crash(at(1000 * number), server(number), CRASHER);
+    }
+    if !is_served {
+        assert!(book.holds(CRASHER));
+        book.note_served(at(served_at), CRASHER);
+    }
+    assert_eq!(book.holds(CRASHER), held);
+}
+
+#[test]
+fn whole_answer_of_long_ago_forgotten() {
+    let mut book = CrashBook::default();
+    book.note_served(at(0), CRASHER);
+    for number in 0..3 {
+        let now = at(20_000 + number);
+        book.expire(now);
+        book.note_crash(now, server(number), CRASHER);
+    }
+    assert!(book.holds(CRASHER));
+}
+
+#[test]
+fn crashes_seen_by_several_hosts_add_up() {
+    let mut books: Vec<CrashBook> = (0..3).map(|_| CrashBook::default()).collect();
+    for (book, number) in books.iter_mut().zip(0..) {
+        book.note_crash(at(number), server(number), CRASHER);
+    }
+    let reports: Vec<CrashReport> = books.iter_mut().map(|book| told(book, at(10))).collect();
+    for book in &mut books {
+        for report in &reports {
+            book.merge(at(20), report);
+        }
+        assert!(book.holds(CRASHER));
+    }
+}
+
+#[test]
+fn news_told_on_by_those_who_heard_them() {
+    let mut first = book_against(3);
+    let mut second = CrashBook::default();
+    second.merge(at(4000), &told(&mut first, at(4000)));
+    let mut third = CrashBook::default();
+    third.merge(at(4100), &told(&mut second, at(4100)));
+    assert!(third.holds(CRASHER));
+}
+
+#[test]
+fn news_repeated_for_hosts_that_were_cut_off_and_then_no_more() {
+    let mut book = book_against(3);
+    while !told(&mut book, at(3000)).is_empty() {}
+    assert!(!told(&mut book, at(12_000)).is_empty());
+    assert!(told(&mut book, at(60_000)).is_empty());
+}
+
+#[test]
+fn acquittal_reaches_other_hosts_and_outlives_older_news() {
+    let mut guilty = book_against(3);
+    let old = guilty.whole_report(at(3000));
+    let mut witness = guilty.clone();
+    witness.note_served(at(4000), CRASHER);
+    guilty.merge(at(4100), &told(&mut witness, at(4100)));
+    assert!(!guilty.holds(CRASHER));
+    guilty.merge(at(4200), &old);
+    assert!(!guilty.holds(CRASHER));
+}
+
+#[test]
+fn acquittal_of_a_host_that_served_it_before_it_heard() {
+    let mut witness = CrashBook::default();
+    witness.note_served(at(2900), CRASHER);
+    let mut guilty = book_against(3);
+    witness.merge(at(3000), &told(&mut guilty, at(3000)));
+    assert!(!witness.holds(CRASHER));
+    guilty.merge(at(3100), &told(&mut witness, at(3100)));
+    assert!(!guilty.holds(CRASHER));
+}
+
+#[test]
+fn crashes_forgotten_only_if_nobody_came_again() {
+    let life = CRASH_LIFE.as_millis() as u64;
+    let mut book = book_against(3);
+    let mut left = book.clone();
+    book.note_return(at(life / 2), CRASHER);
+    for book in [&mut book, &mut left] {
+        book.expire(at(life + 3000));
+    }
+    assert!(book.holds(CRASHER));
+    assert!(left.is_empty());
+}
+
+#[test]
+fn return_told_to_hosts_that_saw_none() {
+    let life = CRASH_LIFE.as_millis() as u64;
+    let mut book = book_against(3);
+    let mut other = book.clone();
+    while !told(&mut book, at(30_000)).is_empty() {}
+    book.note_return(at(life / 2), CRASHER);
+    other.merge(at(life / 2), &told(&mut book, at(life / 2)));
+    other.expire(at(life + 3000));
+    assert!(other.holds(CRASHER));
+}
+
+/// Each new request crashes three servers, a hundred times as many as are kept, with many others there.
+#[test]
+fn memory_and_news_bounded_under_a_flood() {
+    let mut book = book_against(3);
+    let mut longest = 0;
+    for number in 0..40_000 {
+        let now = at(4000 + number);
+        let crasher = request(number / 3);
+        book.note_crash(now, server(1000 + number), crasher);
+        for bystander in 0..4 {
+            book.note_crash(now, server(1000 + number), request(1_000_000 + number * 4 + bystander));
+        }
+        if number % 100 == 0 {
+            book.note_return(now, CRASHER);
+            let report = told(&mut book, now);
+            let bytes = bincode::serde::encode_to_vec(&report, bincode::config::standard());
+            longest = longest.max(bytes.expect("bytes").len());
+        }
+    }
+    assert!(book.len() <= 1024, "{}", book.len());
+    assert!(longest < LONGEST_DATAGRAM / 2, "{longest}");
+    assert!(book.holds(CRASHER), "what comes again is not crowded out");
+    let copy = encode_crashes(&book.whole_report(at(50_000)).crashes, SystemTime::now());
+    assert!(copy.to_string().len() < LONGEST_VALUE / 2);
+}
+
+#[test]
+fn requests_of_one_crash_bounded() {
+    let mut book = CrashBook::default();
+    for number in 0..10_000 {
+        book.note_crash(at(0), server(1), request(number));
+    }
+    let report = book.whole_report(at(1));
+    assert_eq!(report.crashes[0].requests.len(), 64);
+    assert!(!told(&mut book, at(1)).is_empty(), "also the fullest one is told");
+}
+
+#[test]
+fn copy_in_the_store_written_until_it_has_all() {
+    let mut book = book_against(3);
+    assert!(book.is_unsaved());
+    let copy = book.whole_report(at(3000)).crashes;
+    book.note_crash(at(3100), server(1), request(1));
+    book.note_saved(&copy);
+    assert!(book.is_unsaved(), "one more request than was written");
+    let copy = book.whole_report(at(3200)).crashes;
+    book.note_saved(&copy);
+    assert!(!book.is_unsaved());
+    let mut other = book_against(2);
+    assert!(!other.merge_saved(at(3300), &copy));
+    assert!(other.holds(CRASHER));
+}
+
+#[rstest]
+#[case::clock_goes_on(4, 4000)]
+#[case::clock_put_back(-3, 0)]
+fn copy_read_with_its_age(#[case] later_s: i64, #[case] age_ms: u32) {
+    let written = UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+    let read = UNIX_EPOCH + Duration::from_secs((1_800_000_000 + later_s) as u64);
+    let news = CrashNews { server: server(1), age_ms: 0, idle_ms: 0, requests: vec![CRASHER] };
+    let copy = encode_crashes(std::slice::from_ref(&news), written);
+    let expected = CrashNews { age_ms, idle_ms: age_ms, ..news };
+    assert_eq!(decode_crashes(&copy, read).expect("crashes"), [expected]);
+}
+
+#[rstest]
+#[case::no_list(json!({}))]
+#[case::other_type(json!({"crashes": [{"server": 7}]}))]
+#[case::no_key(json!({"crashes":
+    [{"server": "xyz", "at_ms": 0, "idle_since_ms": 0, "requests": []}]}))]
+fn copy_of_another_form_refused(#[case] spec: serde_json::Value) {
+    assert!(decode_crashes(&spec, SystemTime::now()).is_err());
+}
+
+#[test]
+fn server_in_doubt_crashed_when_its_entry_goes() {
+    let mut doubts = BreakOffs::default();
+    assert!(doubts.note(at(0), server(1), CRASHER));
+    assert!(!doubts.note(at(1), server(1), request(1)));
+    assert!(doubts.note(at(1), server(2), CRASHER));
+    assert!(doubts.settle(at(1000), |_| false).is_empty());
+    let crashed = doubts.settle(at(4000), |key| key == server(1));
+    assert_eq!(crashed, [(server(1), vec![CRASHER, request(1)])]);
+    assert!(doubts.settle(at(7000), |_| false).is_empty());
+    assert!(doubts.settle(at(7001), |_| true).is_empty(), "it was there for long enough");
+}
+
+#[test]
+fn servers_in_doubt_bounded() {
+    let mut doubts = BreakOffs::default();
+    for number in 0..10_000 {
+        doubts.note(at(0), server(number), CRASHER);
+    }
+    assert_eq!(doubts.settle(at(1), |_| true).len(), 256);
+}
+
+const CONTENTS: RequestContents<'_> =
+    RequestContents { method: "POST", host: "a.example", path: "/x?y=1", caller: None, body: b"z" };
+
+#[rstest]
+#[case::method(RequestContents { method: "PUT", ..CONTENTS })]
+#[case::host(RequestContents { host: "b.example", ..CONTENTS })]
+#[case::path(RequestContents { path: "/x?y=2", ..CONTENTS })]
+#[case::border(RequestContents { host: "a.example/", path: "x?y=1", ..CONTENTS })]
+#[case::caller(RequestContents { caller: Some(OrgKey::of("hanbit")), ..CONTENTS })]
+#[case::body(RequestContents { body: b"", ..CONTENTS })]
+fn contents_differ_in_one_part(#[case] other: RequestContents<'_>) {
+    let hasher = RequestHasher::new("a-shared-key");
+    assert_ne!(hasher.key(&CONTENTS), hasher.key(&other));
+    assert_eq!(hasher.key(&CONTENTS), RequestHasher::new("a-shared-key").key(&CONTENTS));
+    assert_ne!(hasher.key(&CONTENTS), RequestHasher::new("another-key").key(&CONTENTS));
+}
