How many innocent requests are held back, in a world of hosts and servers

Cause: with a flood of new crashing requests beside three lasting ones, several of them meet at one server, and the one with more crashes excused the others: up to 6 late sends of one request (3 are allowed). Change: of requests that were alone at one of their crashes none excuses another.

--- a/src/quarantine/acquittals.rs
+++ b/src/quarantine/acquittals.rs
@@ -1,7 +1,7 @@
 use super::AcquittalNews;
 use super::crash_record::{TELLS, whole_millis};
 use crate::keys::{RequestKey, TimePoint};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 /// Acquittals kept: 48 KB with their table.
 const MOST_ACQUITTALS: usize = 1024;
@@ -15,7 +15,7 @@
 /// Requests that had been at a crash and were answered whole.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Acquittals {
-    held: HashMap<RequestKey, HeldAcquittal>,
+    held: BTreeMap<RequestKey, HeldAcquittal>,
 }
 
 impl Acquittals {
--- a/src/quarantine/crash_verdict.rs
+++ b/src/quarantine/crash_verdict.rs
@@ -51,8 +51,9 @@
             return CrashEvidence { crashes, ..CrashEvidence::default() };
         }
         let own = self.suspicion(request);
+        // Of several that were alone at one of their crashes each has caused some: none excuses another.
         let explained = |record: &&CrashRecord| {
-            record.requests.iter().any(|other| self.suspicion(*other) > own)
+            !own.is_pinned && record.requests.iter().any(|other| self.suspicion(*other) > own)
         };
         let unexplained = self.records(request).filter(|record| !explained(record)).count();
         CrashEvidence { crashes, unexplained, has_companion: self.has_companion(request) }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -227,7 +227,11 @@
         let crasher = request(number / 3);
         book.note_crash(now, server(1000 + number), crasher);
         for bystander in 0..4 {
-            book.note_crash(now, server(1000 + number), request(1_000_000 + number * 4 + bystander));
+            book.note_crash(
+                now,
+                server(1000 + number),
+                request(1_000_000 + number * 4 + bystander),
+            );
         }
         if number % 100 == 0 {
             book.note_return(now, CRASHER);
