--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -10,7 +10,6 @@
 mod soak_calm;
 mod soak_check;
 mod soak_fault;
-mod soak_host;
 mod soak_inject;
 mod soak_proxy;
 mod soak_run;
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -1,10 +1,10 @@
 use super::answer_link::AnswerLink;
 use super::soak_caller::{SoakNotes, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
-use super::soak_host::SoakHost;
 use super::soak_proxy::{ProxyMode, SoakProxy};
 use super::soak_trace::SoakTrace;
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
+use crate::bench::{GatewayProcess, ProcessPlan};
 use crate::host::lock;
 use crate::{Error, Result};
 use std::net::SocketAddr;
@@ -30,6 +30,8 @@
     pub hosts: usize,
     /// Callers.
     pub callers: usize,
+    /// Variables of the daemons' environment.
+    pub environment: Vec<(String, String)>,
     /// Folder of the built programs.
     pub programs: PathBuf,
 }
@@ -44,7 +46,7 @@
     pub store_links: Vec<SoakProxy>,
     /// Before each of these: where its host reaches the store.
     pub store_answers: Vec<AnswerLink>,
-    pub hosts: Vec<SoakHost>,
+    pub hosts: Vec<GatewayProcess>,
     /// Of the configuration.
     pub version: u64,
     pub trace: SoakTrace,
@@ -132,7 +134,15 @@
             let store = AnswerLink::start(link.address, seed).await?;
             let seeds: Vec<SocketAddr> = stage.hosts.iter().map(|host| host.peers).collect();
             let name = format!("host-{place}");
-            let host = SoakHost::start(&program, folder, &name, store.address, &seeds)?;
+            let host = GatewayProcess::start(&ProcessPlan {
+                program: &program,
+                folder,
+                name: &name,
+                store: store.address,
+                seeds: &seeds,
+                revocation: None,
+                environment: &options.environment,
+            })?;
             stage.store_links.push(link);
             stage.store_answers.push(store);
             stage.hosts.push(host);
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -25,8 +25,14 @@
         Config::Soak { seed, seeds, steps } => Ok(soak::run(*seed, *seeds, *steps)),
         Config::SiteSoak { seed, seeds, seconds, hosts, callers } => {
             let length = Duration::from_secs(*seconds);
-            let options =
-                SoakOptions { seed: *seed, length, hosts: *hosts, callers: *callers, programs };
+            let options = SoakOptions {
+                seed: *seed,
+                length,
+                hosts: *hosts,
+                callers: *callers,
+                programs,
+                environment: Vec::new(),
+            };
             site_soak::run(&options, *seeds)
         }
         Config::Overhead { streams } => overhead::measure(&programs, *streams),
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -20,6 +20,7 @@
         length: Duration::from_secs(6),
         hosts: 3,
         callers: 12,
+        environment: Vec::new(),
         programs: daemon.parent().expect("a folder").to_path_buf(),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
