Ages are told by a clock that goes on while a host is suspended

Cause: std::time::Instant is the steady clock, which stands still while a machine is suspended; all ages rested on it. Class: an age is understated by whoever was away. The same cause elsewhere: the own interface's daemon, the rest of kept connections (one that its server has long closed looked fresh), pauses between calls of peers, the end of a planned stop. Change: one clock of a host, CLOCK_BOOTTIME through nix; tests deny the standard one outside of the bench and the budget of log lines. Not covered: what lay in a socket's buffer while the host was suspended is read as if it had just come, as after a freeze; keys do not depend on it (an age counts from the question).

--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,4 +1,4 @@
-use crate::keys::stable_hash;
+use crate::keys::{HostClock, TimePoint, stable_hash};
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::HeaderValue;
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const IDLE_PER_ADDRESS: usize = 64;
 /// Assumed of a server that does not say how long it keeps idle connections.
@@ -56,21 +56,22 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: PooledConnection,
-    since: Instant,
+    since: TimePoint,
     /// How long its server keeps it.
     keep: Duration,
 }
 
 impl IdleConnection {
     /// Whether its server keeps it long enough for one more request.
-    fn is_usable(&self) -> bool {
-        self.since.elapsed() + KEEP_MARGIN.min(self.keep / 2) < self.keep
+    fn is_usable(&self, now: TimePoint) -> bool {
+        now.since(self.since) + KEEP_MARGIN.min(self.keep / 2) < self.keep
     }
 }
 
 /// Connections that rest between calls, by address.
 #[derive(Debug, Clone, Default)]
 pub(super) struct IdleConnections {
+    clock: HostClock,
     servers: Arc<Mutex<HashMap<SocketAddr, KeptConnections>>>,
 }
 
@@ -79,12 +80,12 @@
 struct KeptConnections {
     idle: Vec<IdleConnection>,
     /// When an answer without proof came from there.
-    foreign_at: Option<Instant>,
+    foreign_at: Option<TimePoint>,
 }
 
 impl KeptConnections {
-    fn is_trusted(&self) -> bool {
-        self.foreign_at.is_none_or(|at| at.elapsed() > FOREIGN_REST)
+    fn is_trusted(&self, now: TimePoint) -> bool {
+        self.foreign_at.is_none_or(|at| now.since(at) > FOREIGN_REST)
     }
 }
 
@@ -96,11 +97,12 @@
         rested: Duration,
         id: Option<&HeaderValue>,
     ) -> Option<PooledConnection> {
+        let now = self.clock.now();
         let mut servers = self.servers.lock().ok()?;
         let kept = servers.get_mut(&address)?;
-        kept.idle.retain(IdleConnection::is_usable);
+        kept.idle.retain(|idle| idle.is_usable(now));
         let place = kept.idle.iter().rposition(|idle| idle.connection.may_carry(id))?;
-        if kept.idle[place].since.elapsed() > rested {
+        if now.since(kept.idle[place].since) > rested {
             return None;
         }
         Some(kept.idle.remove(place).connection)
@@ -108,11 +110,12 @@
 
     /// Keeps a connection for as long as its server does.
     pub fn put(&self, address: SocketAddr, connection: PooledConnection, keep: Duration) {
+        let now = self.clock.now();
         let Ok(mut servers) = self.servers.lock() else { return };
         let kept = servers.entry(address).or_default();
         let is_spent = connection.sender.is_closed() || connection.calls >= MOST_CALLS;
-        if !is_spent && kept.is_trusted() && kept.idle.len() < IDLE_PER_ADDRESS {
-            kept.idle.push(IdleConnection { connection, since: Instant::now(), keep });
+        if !is_spent && kept.is_trusted(now) && kept.idle.len() < IDLE_PER_ADDRESS {
+            kept.idle.push(IdleConnection { connection, since: now, keep });
         }
     }
 
@@ -121,15 +124,16 @@
         let Ok(mut servers) = self.servers.lock() else { return };
         let kept = servers.entry(address).or_default();
         kept.idle.clear();
-        kept.foreign_at = Some(Instant::now());
+        kept.foreign_at = Some(self.clock.now());
     }
 
     /// Addresses to which a kept connection can be used now; those that can't be used any more are closed.
     pub fn addresses(&self) -> HashSet<SocketAddr> {
+        let now = self.clock.now();
         let Ok(mut servers) = self.servers.lock() else { return HashSet::new() };
         servers.retain(|_, kept| {
-            kept.idle.retain(IdleConnection::is_usable);
-            !kept.idle.is_empty() || !kept.is_trusted()
+            kept.idle.retain(|idle| idle.is_usable(now));
+            !kept.idle.is_empty() || !kept.is_trusted(now)
         });
         let warm = servers.iter().filter(|(_, kept)| !kept.idle.is_empty());
         warm.map(|(address, _)| *address).collect()
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -4,7 +4,7 @@
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges};
 use crate::host::lock;
-use crate::keys::{IncarnationId, NameKey, RequestHasher, TimePoint};
+use crate::keys::{HostClock, IncarnationId, NameKey, RequestHasher, TimePoint};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::organisations::{ConfigAge, KeyHasher};
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Instant, SystemTime};
+use std::time::SystemTime;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
@@ -61,7 +61,7 @@
     pub settings: GatewaySettings,
     /// This life of it.
     pub incarnation: IncarnationId,
-    start: Instant,
+    clock: HostClock,
     pub(super) serials: AtomicU64,
     state: Mutex<GatewayState>,
     metrics: Mutex<MetricBook>,
@@ -120,7 +120,7 @@
         };
         Self {
             incarnation,
-            start: Instant::now(),
+            clock: HostClock::start(),
             serials: AtomicU64::new(rand::random::<u32>().into()),
             state: Mutex::new(state),
             metrics: Mutex::default(),
@@ -145,12 +145,12 @@
 
     /// The present time on this host's own clock.
     pub fn now(&self) -> TimePoint {
-        TimePoint::default() + self.start.elapsed()
+        self.clock.now()
     }
 
     /// The moment `point` on the runtime's clock.
     pub(super) fn instant(&self, point: TimePoint) -> tokio::time::Instant {
-        (self.start + point.since(TimePoint::default())).into()
+        tokio::time::Instant::now() + point.since(self.now())
     }
 
     /// The state, for one short look or change.
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -74,9 +74,8 @@
     /// process ends when those under way have ended or the platform's patience has. Returns how many are
     /// cut off by its end.
     pub async fn stop_gently(self: &Arc<Self>) -> u64 {
-        let began = tokio::time::Instant::now();
         let plan = StopPlan::new(self.state().bounds.grace);
-        let ends = began + plan.ends;
+        let ends = self.now() + plan.ends;
         self.stop.send_replace(StopPhase::Leaving);
         let farewell = {
             let mut state = self.state();
@@ -90,7 +89,7 @@
         // A connection that is told to close may have a request to read in the same turn, so that only a
         // later look can see that nothing is under way.
         tokio::time::sleep(DRAIN_LOOK).await;
-        while self.in_flight.load(Ordering::Relaxed) > 0 && tokio::time::Instant::now() < ends {
+        while self.in_flight.load(Ordering::Relaxed) > 0 && self.now() < ends {
             tokio::time::sleep(DRAIN_LOOK).await;
         }
         self.stop.send_replace(StopPhase::Ending);
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -2,7 +2,7 @@
 use crate::claims::{OutcomeBook, TicketBook};
 use crate::engines::EngineClient;
 use crate::intents::{ClusterConfig, ConfigKeeper};
-use crate::keys::{AttemptId, IncarnationId, NameKey, ServerKey, TimePoint};
+use crate::keys::{AttemptId, HostClock, IncarnationId, NameKey, ServerKey, TimePoint};
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::orders::OrderDesk;
 use crate::peers::PeerClient;
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Everything that one daemon knows; the edges call its methods.
 #[derive(Debug)]
@@ -23,7 +23,7 @@
     pub settings: HostSettings,
     /// This life of it.
     pub incarnation: IncarnationId,
-    start: Instant,
+    clock: HostClock,
     serials: AtomicU64,
     pub(super) config: Mutex<ConfigKeeper>,
     pub(super) members: Mutex<MemberTable>,
@@ -65,7 +65,7 @@
         let seeds = settings.seeds.iter().copied().filter(|seed| *seed != peers_address).collect();
         Self {
             incarnation,
-            start: Instant::now(),
+            clock: HostClock::start(),
             serials: AtomicU64::new(1),
             config: Mutex::default(),
             members: Mutex::new(MemberTable::new(own, seeds, rand::random())),
@@ -94,7 +94,7 @@
 
     /// The present time on this host's own clock.
     pub fn now(&self) -> TimePoint {
-        TimePoint::default() + self.start.elapsed()
+        self.clock.now()
     }
 
     /// Seconds since 1970.
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -1,6 +1,7 @@
 //! Small copyable keys that name things across processes.
 
 mod attempt_id;
+mod host_clock;
 mod incarnation_id;
 mod keyed_hash;
 mod name_key;
@@ -8,6 +9,7 @@
 mod time_point;
 
 pub use attempt_id::AttemptId;
+pub use host_clock::HostClock;
 pub use incarnation_id::IncarnationId;
 pub use keyed_hash::{KeyedHash, keyed_hash};
 pub use name_key::{IdKey, NameKey, OrgKey, ServerKey};
--- a/src/keys/time_point.rs
+++ b/src/keys/time_point.rs
@@ -1,7 +1,7 @@
 use std::ops::{Add, Sub};
 use std::time::Duration;
 
-/// A moment on this process's own monotonic clock, in microseconds since it started.
+/// A moment on a [`super::HostClock`] of this process, in microseconds since it started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct TimePoint(pub u64);
 
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -1,6 +1,6 @@
 use super::proof::prove_as_client;
 use super::{decode, encode};
-use crate::keys::TimePoint;
+use crate::keys::{HostClock, TimePoint};
 use crate::{Error, Result};
 use bytes::Bytes;
 use h2::client::SendRequest;
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -29,7 +29,7 @@
 #[derive(Debug)]
 pub struct PeerClient {
     key: String,
-    start: Instant,
+    clock: HostClock,
     links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<PeerLink>>>>,
     sent_bytes: AtomicU64,
     sent_calls: AtomicU64,
@@ -40,7 +40,7 @@
     pub fn new(key: &str) -> Self {
         Self {
             key: key.to_owned(),
-            start: Instant::now(),
+            clock: HostClock::start(),
             links: Mutex::new(HashMap::new()),
             sent_bytes: AtomicU64::new(0),
             sent_calls: AtomicU64::new(0),
@@ -97,7 +97,7 @@
                 Err(_) => link.sender = None,
             }
         }
-        let now = TimePoint::default() + self.start.elapsed();
+        let now = self.clock.now();
         if link.failed_at.is_some_and(|at| now.since(at) < PAUSE_AFTER_FAILURE) {
             return Err(paused(link.refused));
         }
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -73,3 +73,37 @@
         std::fs::remove_dir_all(&folder).expect("an empty place");
     });
 }
+
+/// Sources that may look at the steady clock: those that tell no age that outlives a suspension.
+const STEADY: [&str; 3] =
+    ["src/bench/", "src/bin/tealcleat-load/", "src/telemetry/bounded_writer.rs"];
+
+#[test]
+fn ages_told_by_no_clock_that_stands_still() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut folders = vec![root.join("src")];
+    let mut found = Vec::new();
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let name = path.strip_prefix(root).expect("a source").display().to_string();
+            let text = std::fs::read_to_string(&path).expect("a text");
+            let is_allowed = STEADY.iter().any(|place| name.starts_with(place));
+            if !is_allowed && names_steady_clock(&text) {
+                found.push(name);
+            }
+        }
+    }
+    assert!(found.is_empty(), "{found:?}");
+}
+
+fn names_steady_clock(source: &str) -> bool {
+    source.lines().any(|line| {
+        let is_used = line.contains("Instant::now()") && !line.contains("tokio::time::Instant");
+        is_used || (line.starts_with("use std::time::") && line.contains("Instant"))
+    })
+}
