The soak's requests crash servers, and its hosts are suspended

Cause: neither could be met by any run of the project's own. Change: part of the soak's callers send contents under which the stand-ins crash; their links refuse connections until they start again as a new life. Hosts are suspended with a steady clock that stands still. In the end each request under which three servers crashed comes again nine times, and no log may tell of another one that was held back. Draws of earlier seeds are as they were (own random numbers, own switches). Found on the way: two soaks of one process and seed shared a folder, so that one's hosts took the other's settings (a host that never became ready, a draining server with new work); each has its own now.

--- a/src/bench/site/life_switch.rs
+++ b/src/bench/site/life_switch.rs
@@ -1,4 +1,6 @@
+use crate::host::lock;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 
 /// Where a stand-in server listens after a restart.
@@ -12,7 +14,7 @@
 
 /// One life of a stand-in server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) struct StandinLife {
+pub(in crate::bench) struct StandinLife {
     /// Unix millisecond of its start; a stand-in says none until it is restarted.
     pub born: Option<u64>,
     pub address: Option<SocketAddr>,
@@ -21,9 +23,10 @@
 }
 
 /// The present life of a stand-in server; connections end with the life that accepted them.
-#[derive(Debug, Default)]
-pub(super) struct LifeSwitch {
+#[derive(Debug, Clone, Default)]
+pub(in crate::bench) struct LifeSwitch {
     life: watch::Sender<StandinLife>,
+    crashes: Arc<Mutex<Vec<String>>>,
 }
 
 impl LifeSwitch {
@@ -45,11 +48,28 @@
         });
     }
 
-    /// The server crashes: its connections break, and further ones are refused.
-    pub fn crash(&self) {
+    /// The server crashes under the request `id`: its connections break, and further ones are refused.
+    pub fn crash(&self, id: &str) {
+        lock(&self.crashes).push(id.to_owned());
         self.life.send_modify(|life| life.is_down = true);
     }
 
+    /// Whether the server has crashed and not started again.
+    pub fn is_down(&self) -> bool {
+        self.life.borrow().is_down
+    }
+
+    /// Requests under which it crashed, in all of its lives.
+    pub fn crashes(&self) -> Vec<String> {
+        lock(&self.crashes).clone()
+    }
+
+    /// Waits until the server has started again after a crash.
+    pub async fn up(&self) {
+        // As below.
+        drop(self.life.subscribe().wait_for(|life| !life.is_down).await);
+    }
+
     /// Waits until the server has crashed.
     pub async fn crashed(&self) {
         // The sender lives as long as this switch: the wait ends only with a crash.
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -83,9 +83,8 @@
         self.lives.now().born
     }
 
-    /// Waits until it has crashed.
-    pub async fn crashed(&self) {
-        self.lives.crashed().await;
+    pub(super) fn life_switch(&self) -> &LifeSwitch {
+        &self.lives
     }
 
     /// Names an engine from which results can be fetched.
@@ -213,7 +212,7 @@
         let place = self.note_run(request, id, "decode");
         lock(&self.runs)[place].held = held;
         if is_crashing(request) {
-            return crash_server(&self.lives).await;
+            return crash_server(&self.lives, id).await;
         }
         if self.fault() == EngineFault::FailRuns {
             return Ok(signed(whole(500, "failed"), id, Some(&self.id)));
--- a/src/bench/site/site_http.rs
+++ b/src/bench/site/site_http.rs
@@ -42,9 +42,9 @@
 }
 
 /// Runs a crashing request: its connection and all others of the server break.
-pub(super) async fn crash_server(lives: &LifeSwitch) -> SiteAnswer {
+pub(super) async fn crash_server(lives: &LifeSwitch, id: &str) -> SiteAnswer {
     tokio::time::sleep(CRASH_DELAY).await;
-    lives.crash();
+    lives.crash(id);
     Err(BrokenOff)
 }
 
@@ -82,7 +82,7 @@
 }
 
 /// Listens where a crashed stand-in did. Another socket may use the port for a moment.
-async fn listen_again(address: SocketAddr) -> TcpListener {
+pub(in crate::bench) async fn listen_again(address: SocketAddr) -> TcpListener {
     loop {
         if let Ok(listener) = TcpListener::bind(address).await {
             return listener;
--- a/src/bench/site/site_restart.rs
+++ b/src/bench/site/site_restart.rs
@@ -1,5 +1,6 @@
 //! Starts servers of a site again under the ids that they had.
 
+use super::life_switch::LifeSwitch;
 use super::{RestartPlace, SiteEngine, StatedServer, TestSite};
 use crate::{Error, Result};
 use std::net::SocketAddr;
@@ -45,13 +46,23 @@
     /// # Errors
     /// If there is no such server.
     pub async fn crashed(&self, id: &str) -> Result<()> {
+        self.life_switch(id)?.crashed().await;
+        Ok(())
+    }
+
+    /// Requests under which servers of this site crashed.
+    pub fn crashes(&self) -> Vec<String> {
+        let switches = self.servers.iter().filter_map(|server| self.life_switch(&server.id).ok());
+        switches.flat_map(LifeSwitch::crashes).collect()
+    }
+
+    /// The lives of a server of this site.
+    pub(in crate::bench) fn life_switch(&self, id: &str) -> Result<&LifeSwitch> {
         if let Some(engine) = self.engine(id) {
-            engine.crashed().await;
-            return Ok(());
+            return Ok(engine.life_switch());
         }
         let service = self.services.iter().find(|service| service.id == id);
-        service.ok_or_else(|| unknown_server(id))?.crashed().await;
-        Ok(())
+        Ok(service.ok_or_else(|| unknown_server(id))?.life_switch())
     }
 
     /// Writes the entry of a server's present life, which is reached at `address`.
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -76,9 +76,8 @@
         self.lives.now().born
     }
 
-    /// Waits until it has crashed.
-    pub async fn crashed(&self) {
-        self.lives.crashed().await;
+    pub(super) fn life_switch(&self) -> &LifeSwitch {
+        &self.lives
     }
 
     /// Switches a fault on, or all off.
@@ -118,7 +117,7 @@
         }
         lock(&self.runs).push(SeenCaller::of(&request, &id));
         if is_crashing(&request) {
-            return crash_server(&self.lives).await;
+            return crash_server(&self.lives, &id).await;
         }
         if let ServiceFault::Slow(time) = fault {
             tokio::time::sleep(time).await;
--- a/src/bench/soak/answer_link.rs
+++ b/src/bench/soak/answer_link.rs
@@ -3,7 +3,7 @@
 use super::soak_answer::{AnswerFault, without_length};
 use super::soak_proxy::reset;
 use crate::Result;
-use crate::bench::site::message_end;
+use crate::bench::site::{LifeSwitch, listen_again, message_end};
 use bytes::{Bytes, BytesMut};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -28,6 +28,7 @@
 pub(super) struct AnswerLink {
     pub address: SocketAddr,
     fault: watch::Sender<Option<AnswerFault>>,
+    is_open: watch::Sender<bool>,
 }
 
 impl AnswerLink {
@@ -36,16 +37,22 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (fault, faults) = watch::channel(None);
+        let (is_open, opens) = watch::channel(true);
+        tokio::spawn(accept_all(listener, address, target, opens, faults, seed));
+        Ok(Self { address, fault, is_open })
+    }
+
+    /// Refuses connections while the server is down that has these lives.
+    pub fn follow(&self, lives: LifeSwitch) {
+        let is_open = self.is_open.clone();
         tokio::spawn(async move {
-            let mut seeds = StdRng::seed_from_u64(seed);
-            while let Ok((near, _)) = listener.accept().await {
-                let random = StdRng::seed_from_u64(seeds.random());
-                let faults = faults.clone();
-                // Whoever breaks off first ends both sides.
-                tokio::spawn(async move { drop(carry(near, target, faults, random).await) });
+            loop {
+                lives.crashed().await;
+                is_open.send_replace(false);
+                lives.up().await;
+                is_open.send_replace(true);
             }
         });
-        Ok(Self { address, fault })
     }
 
     /// Lets answers go wrong, or right again.
@@ -54,6 +61,42 @@
     }
 }
 
+async fn accept_all(
+    listener: TcpListener,
+    address: SocketAddr,
+    target: SocketAddr,
+    mut opens: watch::Receiver<bool>,
+    faults: watch::Receiver<Option<AnswerFault>>,
+    seed: u64,
+) {
+    let mut listener = listener;
+    let mut seeds = StdRng::seed_from_u64(seed);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => Some(accepted),
+            () = turned(&mut opens, false) => None,
+        };
+        let Some(accepted) = accepted else {
+            drop(listener);
+            turned(&mut opens, true).await;
+            listener = listen_again(address).await;
+            continue;
+        };
+        let Ok((near, _)) = accepted else { return };
+        let random = StdRng::seed_from_u64(seeds.random());
+        let faults = faults.clone();
+        // Whoever breaks off first ends both sides.
+        tokio::spawn(async move { drop(carry(near, target, faults, random).await) });
+    }
+}
+
+/// Waits until a link is open or not; for ever if it is gone.
+async fn turned(opens: &mut watch::Receiver<bool>, wanted: bool) {
+    if opens.wait_for(|is_open| *is_open == wanted).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 async fn carry(
     near: TcpStream,
     target: SocketAddr,
--- a/src/bench/soak/soak_caller.rs
+++ b/src/bench/soak/soak_caller.rs
@@ -13,6 +13,21 @@
 /// A caller gives an answer up after this long; the daemons' own limits are shorter.
 const PATIENCE: Duration = Duration::from_secs(25);
 
+/// Part of the calls that crash the servers that run them, and what sets their draws apart from others.
+const CRASHING_PART: f64 = 0.02;
+const CRASHING_SALT: u64 = 0xc4a5_4e5d;
+/// The requests that do.
+pub(super) const CRASHING: [(SoakRoute, &str); 3] =
+    [(SoakRoute::Stream, "crash-1"), (SoakRoute::Resume, "crash-2"), (SoakRoute::Safe, "crash-3")];
+
+/// How one caller calls.
+#[derive(Debug, Clone)]
+pub(super) struct CallerPlan {
+    pub seed: u64,
+    pub name: String,
+    pub is_crashing: bool,
+}
+
 /// What all callers write down.
 #[derive(Debug, Default)]
 pub(super) struct SoakNotes {
@@ -23,12 +38,13 @@
 
 /// One caller: it keeps its connection as long as the daemon does.
 pub(super) async fn run_caller(
-    seed: u64,
-    name: String,
+    plan: CallerPlan,
     hosts: Arc<Vec<SocketAddr>>,
     notes: Arc<SoakNotes>,
 ) {
+    let CallerPlan { seed, name, is_crashing } = plan;
     let mut random = StdRng::seed_from_u64(seed);
+    let mut crashing = StdRng::seed_from_u64(seed ^ CRASHING_SALT);
     let mut connection: Option<SiteConnection> = None;
     let mut serial = 0;
     while !notes.ended.load(Ordering::Relaxed) {
@@ -39,10 +55,22 @@
         };
         serial += 1;
         let route = SoakRoute::ALL[random.random_range(0..SoakRoute::ALL.len())];
-        let id = format!("{name}-{serial}");
+        let crash = is_crashing
+            .then(|| crashing.random_range(0..CRASHING.len()))
+            .filter(|_| crashing.random_bool(CRASHING_PART));
+        let (route, id, call) = match crash {
+            Some(which) => {
+                let id = format!("{name}-{serial}-{}", CRASHING[which].1);
+                (CRASHING[which].0, id.clone(), crashing_call(which, &id))
+            }
+            None => {
+                let id = format!("{name}-{serial}");
+                (route, id.clone(), soak_call(route, &id))
+            }
+        };
         // Written down first: a run of it must be known also if the caller never hears of it.
         lock(&notes.records).push(SoakRecord { id: id.clone(), route, status: None });
-        let asked = tokio::time::timeout(PATIENCE, open.call(&soak_call(route, &id))).await;
+        let asked = tokio::time::timeout(PATIENCE, open.call(&call)).await;
         let reply = asked.ok().and_then(crate::Result::ok);
         let whole = reply.as_ref().is_some_and(|reply| reply.complete);
         note_reply(&notes, route, &id, reply);
@@ -78,6 +106,12 @@
     }
 }
 
+/// A request that crashes the servers that run it.
+pub(super) fn crashing_call(which: usize, id: &str) -> SiteCall {
+    let (route, body) = CRASHING[which];
+    SiteCall { method: "POST", body, ..soak_call(route, id) }
+}
+
 fn note_reply(notes: &SoakNotes, route: SoakRoute, id: &str, reply: Option<CallerReply>) {
     let mut report = lock(&notes.report);
     report.asked += 1;
--- a/src/bench/soak/soak_calm.rs
+++ b/src/bench/soak/soak_calm.rs
@@ -1,14 +1,21 @@
 //! What a soak checks when all faults have ended.
 
-use super::soak_caller::soak_call;
+use super::soak_caller::{CRASHING, crashing_call, soak_call};
 use super::soak_check::{SoakBreach, SoakRecord, SoakRoute, check_reply};
 use super::soak_run::SoakStage;
 use crate::bench::site::{SiteConnection, call_site};
+use crate::quarantine::CRASHES_TO_HOLD;
 use std::time::Duration;
 
 const LOOK: Duration = Duration::from_millis(20);
 /// Ends a check that hangs; nothing is measured against it.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// Hosts know of a third crash after this.
+const NEWS_BOUND: Duration = Duration::from_millis(3000);
+/// Runs of such a request that are allowed after that.
+const MOST_SENDS: usize = 3;
+/// How often it comes again, at each host.
+const RETURNS: usize = 3;
 /// Servers that drain get no new work after this, when all is calm.
 const DRAIN_BOUND: Duration = Duration::from_millis(2000);
 
@@ -25,6 +32,7 @@
                 breaches.push(SoakBreach { promise: "all is served after the faults", detail });
             }
         }
+        breaches.extend(self.check_crashing(seed, &mut records).await);
         breaches.extend(self.check_drain(seed, &mut records).await);
         breaches.extend(self.check_stop(seed, &mut records).await);
         if !self.nothing_held().await {
@@ -62,6 +70,65 @@
         false
     }
 
+    /// Requests under which three servers have crashed are not sent on, whatever has happened to hosts meanwhile.
+    async fn check_crashing(&self, seed: u64, records: &mut Vec<SoakRecord>) -> Vec<SoakBreach> {
+        let crashes = self.site.crashes();
+        let runs = |name: &str| self.runs().filter(|id| id.contains(name)).count();
+        let known: Vec<(usize, usize)> = (0..CRASHING.len())
+            .filter(|which| {
+                let name = CRASHING[*which].1;
+                crashes.iter().filter(|id| id.contains(name)).count() >= CRASHES_TO_HOLD
+            })
+            .map(|which| (which, runs(CRASHING[which].1)))
+            .collect();
+        if known.is_empty() {
+            return Vec::new();
+        }
+        tokio::time::sleep(NEWS_BOUND).await;
+        let mut serial = 0;
+        for (which, _) in &known {
+            for host in self.hosts.iter().cycle().take(RETURNS * self.hosts.len()) {
+                serial += 1;
+                let id = format!("s{seed}-return-{serial}-{}", CRASHING[*which].1);
+                let reply = call_site(host.callers, &crashing_call(*which, &id)).await;
+                let status = reply.ok().map(|reply| reply.status.as_u16());
+                records.push(SoakRecord { id, route: CRASHING[*which].0, status });
+            }
+        }
+        let late = known.into_iter().map(|(which, before)| {
+            let name = CRASHING[which].1;
+            (name, runs(name) - before)
+        });
+        late.filter(|(_, sends)| *sends > MOST_SENDS)
+            .map(|(name, sends)| SoakBreach {
+                promise: "a request that crashes servers is not sent on",
+                detail: format!("{name}: {sends} more runs"),
+            })
+            .collect()
+    }
+
+    /// Ids of all runs.
+    fn runs(&self) -> impl Iterator<Item = String> {
+        let decodes = self.site.decodes.iter().flat_map(|engine| engine.runs());
+        let decoded = decodes.map(|run| run.request);
+        decoded.chain(self.site.services.iter().flat_map(|service| service.runs()))
+    }
+
+    /// Requests that merely were there when servers crashed are not refused for it.
+    pub fn check_innocents(&self) -> crate::Result<Vec<SoakBreach>> {
+        let mut breaches = Vec::new();
+        for host in &self.hosts {
+            let log = host.log()?;
+            let refused = log.lines().filter(|line| line.contains("event=request_held_back"));
+            let innocent = refused.filter(|line| !line.contains("-crash-"));
+            breaches.extend(innocent.map(|line| SoakBreach {
+                promise: "only requests that crash servers are refused for it",
+                detail: line.to_owned(),
+            }));
+        }
+        Ok(breaches)
+    }
+
     async fn check_drain(&self, seed: u64, records: &mut Vec<SoakRecord>) -> Option<SoakBreach> {
         self.state_service(0, "draining");
         tokio::time::sleep(DRAIN_BOUND).await;
--- a/src/bench/soak/soak_fault.rs
+++ b/src/bench/soak/soak_fault.rs
@@ -19,6 +19,7 @@
     Kill(usize),
     Stop(usize),
     Pause(usize),
+    Suspend(usize),
     Reload(usize),
     Configure,
     DrainServer(usize),
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -8,6 +8,8 @@
 use crate::bench::site::{EngineFault, RestartPlace, ServiceFault, SiteEngine, StoreFault, config};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -20,6 +22,15 @@
 const RESTART_PART: f64 = 0.15;
 const RESTART_SALT: u64 = 0x7e57_a127;
 
+/// Part of the draws that come with the suspension of a host, what sets their draws apart from others, and how long
+/// it lasts.
+const SUSPEND_PART: f64 = 0.15;
+const SUSPEND_SALT: u64 = 0x5059_e4d0;
+const SHORTEST_SUSPEND_MS: u64 = 200;
+const LONGEST_SUSPEND_MS: u64 = 3000;
+/// How long a server is down that crashed under a request.
+const CRASHED_MS: Range<u64> = 300..2500;
+
 /// A fault that has begun, and when it ends.
 type OpenFault = (SoakFault, Instant);
 
@@ -28,6 +39,8 @@
     pub async fn inject(&mut self, options: &SoakOptions) -> Result<u64> {
         let mut random = StdRng::seed_from_u64(options.seed);
         let mut restarts = StdRng::seed_from_u64(options.seed ^ RESTART_SALT);
+        let mut suspends = StdRng::seed_from_u64(options.seed ^ SUSPEND_SALT);
+        let mut crashed = BTreeMap::new();
         let places = self.places();
         let ends = Instant::now() + options.length;
         let mut open: Vec<OpenFault> = Vec::new();
@@ -43,6 +56,14 @@
                 self.restart_server(restarts.random_range(0..self.links.len())).await?;
                 count += 1;
             }
+            if options.is_suspending && suspends.random_bool(SUSPEND_PART) {
+                let fault = SoakFault::Suspend(suspends.random_range(0..places.hosts));
+                self.begin(fault)?;
+                count += 1;
+                let lasts = suspends.random_range(SHORTEST_SUSPEND_MS..LONGEST_SUSPEND_MS);
+                open.push((fault, Instant::now() + Duration::from_millis(lasts)));
+            }
+            count += self.restart_due(&mut crashed, &mut restarts).await?;
             let gap = random.random_range(0..LONGEST_GAP_MS);
             sleep(Duration::from_millis(gap)).await;
             self.end_due(&mut open)?;
@@ -58,6 +79,46 @@
         self.site.state_life(id, self.answer_links[place].address)
     }
 
+    /// Starts crashed servers again that have been down for their time, which is drawn as they are found;
+    /// returns how many were found.
+    async fn restart_due(
+        &mut self,
+        crashed: &mut BTreeMap<usize, Instant>,
+        random: &mut StdRng,
+    ) -> Result<u64> {
+        let now = Instant::now();
+        let mut found = 0;
+        for place in self.crashed_servers()? {
+            let back_at = *crashed.entry(place).or_insert_with(|| {
+                found += 1;
+                now + Duration::from_millis(random.random_range(CRASHED_MS))
+            });
+            if back_at <= now {
+                crashed.remove(&place);
+                self.restart_server(place).await?;
+            }
+        }
+        Ok(found)
+    }
+
+    /// Starts all servers again that are down.
+    pub async fn restart_crashed(&mut self) -> Result<()> {
+        for place in self.crashed_servers()? {
+            self.restart_server(place).await?;
+        }
+        Ok(())
+    }
+
+    fn crashed_servers(&self) -> Result<Vec<usize>> {
+        let mut down = Vec::new();
+        for (server, place) in self.site.servers.iter().zip(0..) {
+            if self.site.life_switch(&server.id)?.is_down() {
+                down.push(place);
+            }
+        }
+        Ok(down)
+    }
+
     fn places(&self) -> FaultPlaces {
         FaultPlaces {
             engines: self.site.decodes.len() + self.site.prefills.len(),
@@ -94,6 +155,7 @@
             SoakFault::Kill(place) => self.hosts[place].signal("-KILL")?,
             SoakFault::Stop(place) => self.hosts[place].signal("-TERM")?,
             SoakFault::Pause(place) => self.hosts[place].signal("-STOP")?,
+            SoakFault::Suspend(place) => self.hosts[place].suspend()?,
             SoakFault::Reload(place) => self.hosts[place].signal("-HUP")?,
             SoakFault::Configure => {
                 self.version += 3;
@@ -120,7 +182,7 @@
                 }
                 self.hosts[place].restart()?;
             }
-            SoakFault::Pause(place) => self.hosts[place].signal("-CONT")?,
+            SoakFault::Pause(place) | SoakFault::Suspend(place) => self.hosts[place].resume()?,
             SoakFault::DrainServer(place) => self.state_service(place, "ready"),
             SoakFault::StoreForgets | SoakFault::Reload(_) | SoakFault::Configure => {}
         }
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -1,5 +1,5 @@
 use super::answer_link::AnswerLink;
-use super::soak_caller::{SoakNotes, run_caller};
+use super::soak_caller::{CallerPlan, SoakNotes, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
 use super::soak_proxy::{ProxyMode, SoakProxy};
 use super::soak_trace::SoakTrace;
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Keeps the seeds of the servers' links apart, also those of neighbouring soaks.
@@ -19,6 +19,8 @@
 /// Ends a soak that hangs; nothing is measured against it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+static SOAKS: AtomicU64 = AtomicU64::new(0);
+
 /// How a soak is run.
 #[derive(Debug, Clone)]
 pub struct SoakOptions {
@@ -30,6 +32,10 @@
     pub hosts: usize,
     /// Callers.
     pub callers: usize,
+    /// Some requests crash the servers that run them.
+    pub is_crashing: bool,
+    /// Daemons are suspended; their environment has a clock that stands still meanwhile.
+    pub is_suspending: bool,
     /// Variables of the daemons' environment.
     pub environment: Vec<(String, String)>,
     /// Folder of the built programs.
@@ -57,7 +63,9 @@
 /// # Errors
 /// If a program or socket cannot be started.
 pub async fn run_soak(options: &SoakOptions) -> Result<SoakReport> {
-    let name = format!("tealcleat-soak-{}-{}", std::process::id(), options.seed);
+    // Tests of one process may run the same seed at the same time.
+    let serial = SOAKS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("tealcleat-soak-{}-{}-{serial}", std::process::id(), options.seed);
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder)?;
     let mut stage = SoakStage::start(options, &folder).await?;
@@ -68,7 +76,8 @@
         .map(|place| {
             let seed = options.seed.wrapping_mul(1000) + place as u64;
             let name = format!("s{}-c{place}", options.seed);
-            tokio::spawn(run_caller(seed, name, Arc::clone(&addresses), Arc::clone(&notes)))
+            let plan = CallerPlan { seed, name, is_crashing: options.is_crashing };
+            tokio::spawn(run_caller(plan, Arc::clone(&addresses), Arc::clone(&notes)))
         })
         .collect();
     let faults = stage.inject(options).await?;
@@ -88,6 +97,7 @@
     let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
     report.breaches.extend(check_orders(&engines));
     report.breaches.extend(check_holds(&site.decodes));
+    report.breaches.extend(stage.check_innocents()?);
     if report.breaches.is_empty() {
         std::fs::remove_dir_all(&folder)?;
     }
@@ -105,6 +115,7 @@
             let seed = options.seed.wrapping_mul(SERVER_SEEDS) + place;
             let answers = AnswerLink::start(link.address, seed).await?;
             site.state_server(&server.id, server.service, answers.address, server.stage, "ready");
+            answers.follow(site.life_switch(&server.id)?.clone());
             links.push(link);
             answer_links.push(answers);
         }
@@ -161,6 +172,7 @@
             self.site.services[place].set_fault(ServiceFault::None);
             self.state_service(place, "ready");
         }
+        self.restart_crashed().await?;
         for link in self.links.iter().chain(&self.store_links) {
             link.set(ProxyMode::Pass);
         }
@@ -168,7 +180,7 @@
             answers.set(None);
         }
         for host in &mut self.hosts {
-            host.signal("-CONT")?;
+            host.resume()?;
         }
         self.wait_ready().await
     }
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -75,6 +75,13 @@
         /// Callers
         #[bpaf(argument("N"), fallback(12))]
         callers: usize,
+        /// Some requests crash the servers that run them
+        crashing: bool,
+        /// Daemons are suspended; one of their variables names a clock that stands still meanwhile
+        suspending: bool,
+        /// A variable of the daemons' environment
+        #[bpaf(argument("NAME=VALUE"))]
+        variable: Vec<String>,
     },
     /// Measure what the daemon adds to a stream over a direct call
     #[bpaf(command)]
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -23,7 +23,16 @@
         Config::Report { plot, file } => report(file, plot.as_deref()),
         Config::Slopes { rows } => slopes::measure(&programs, rows),
         Config::Soak { seed, seeds, steps } => Ok(soak::run(*seed, *seeds, *steps)),
-        Config::SiteSoak { seed, seeds, seconds, hosts, callers } => {
+        Config::SiteSoak {
+            seed,
+            seeds,
+            seconds,
+            hosts,
+            callers,
+            crashing,
+            suspending,
+            variable,
+        } => {
             let length = Duration::from_secs(*seconds);
             let options = SoakOptions {
                 seed: *seed,
@@ -31,7 +40,12 @@
                 hosts: *hosts,
                 callers: *callers,
                 programs,
-                environment: Vec::new(),
+                is_crashing: *crashing,
+                is_suspending: *suspending,
+                environment: variable
+                    .iter()
+                    .map(|text| read_variable(text))
+                    .collect::<Result<_>>()?,
             };
             site_soak::run(&options, *seeds)
         }
@@ -40,6 +54,13 @@
     }
 }
 
+fn read_variable(text: &str) -> Result<(String, String)> {
+    let parts = text.split_once('=').filter(|(name, _)| !name.is_empty());
+    let (name, value) =
+        parts.ok_or_else(|| Error::Refused(format!("{text:?} is not of the form NAME=VALUE")))?;
+    Ok((name.to_owned(), value.to_owned()))
+}
+
 /// The folder of this program, where the others are.
 fn programs() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -4,8 +4,11 @@
 use rstest::rstest;
 use std::path::Path;
 use std::time::Duration;
+use suspended_common::held_clock;
 use tealcleat::bench::soak::{SoakOptions, run_soak};
 
+mod suspended_common;
+
 #[rstest]
 #[case::first(1)]
 // A run fell silent, a second one found no room, and the caller was told "not run".
@@ -14,15 +17,33 @@
 // without a length became part of a stream.
 #[case::answers_given_twice(5205)]
 fn soak_keeps_promises(#[case] seed: u64) {
+    run(options(seed));
+}
+
+/// Beside all other faults some requests crash the servers that run them, and hosts are suspended.
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+fn soak_with_crashing_requests_and_suspended_hosts(#[case] seed: u64) {
+    let environment = held_clock(&format!("soak-{seed}"));
+    run(SoakOptions { is_crashing: true, is_suspending: true, environment, ..options(seed) });
+}
+
+fn options(seed: u64) -> SoakOptions {
     let daemon = Path::new(env!("CARGO_BIN_EXE_tealcleatd"));
-    let options = SoakOptions {
+    SoakOptions {
         seed,
         length: Duration::from_secs(6),
         hosts: 3,
         callers: 12,
+        is_crashing: false,
+        is_suspending: false,
         environment: Vec::new(),
         programs: daemon.parent().expect("a folder").to_path_buf(),
-    };
+    }
+}
+
+fn run(options: SoakOptions) {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.expect("a runtime");
     let report = runtime.block_on(run_soak(&options)).expect("it runs");
