A request held back on weak grounds is tried once more

Change: one that was never alone at a crash goes to one server 30 s after its last crash, decided by the oldest host, once. Logs name what was decided from; a test reads them from a daemon's own log.

--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -16,6 +16,8 @@
     pub head: CallHead,
     /// The same for each attempt at this request, by whichever host.
     pub contents: RequestKey,
+    /// Servers crashed while it was there; it may be sent to one more.
+    pub is_trial: bool,
     pub call: ServerCall,
     /// What it cost its organisation, if that has a limit.
     pub charge: Option<LimitCharge>,
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -3,6 +3,7 @@
 use super::call_log::log_end;
 use super::caller_body::CallerAnswer;
 use super::caller_gate::let_in;
+use super::crash_watch::RequestAdmission;
 use super::engine_call::serve_engine;
 use super::flight_guard::FlightGuard;
 use super::gateway_host::{GatewayHost, StopPhase};
@@ -12,7 +13,6 @@
 use crate::keys::{RequestContents, RequestKey};
 use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
-use crate::quarantine::CrashEvidence;
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -96,8 +96,9 @@
         caller: organisation.map(Organisation::key),
         body: &body,
     });
-    if let Some(evidence) = host.held_back(contents) {
-        log_held_back(&head.request_id, contents, &evidence);
+    let admission = host.admit(contents);
+    log_admission(&head.request_id, contents, &admission);
+    if matches!(admission, RequestAdmission::HeldBack(_)) {
         return Err(refuse(NotRunReason::HeldBack));
     }
     let cost = organisation.and_then(|org| cost(org, &head));
@@ -112,6 +113,7 @@
         spec,
         head,
         contents,
+        is_trial: matches!(admission, RequestAdmission::Trial(_)),
         call,
         charge: cost,
         began,
@@ -119,13 +121,19 @@
     })
 }
 
-/// The line that tells why a request was refused that servers crashed under.
-fn log_held_back(id: &str, contents: RequestKey, evidence: &CrashEvidence) {
+/// The line that tells why a request that was at crashes of servers is refused or tried.
+fn log_admission(id: &str, contents: RequestKey, admission: &RequestAdmission) {
+    let (name, evidence) = match admission {
+        RequestAdmission::Free => return,
+        RequestAdmission::Trial(evidence) => ("request_tried", evidence),
+        RequestAdmission::HeldBack(evidence) => ("request_held_back", evidence),
+    };
     log::info!(
-        "event=request_held_back request={id} contents={contents} crashes={} unexplained={} \
+        "event={name} request={id} contents={contents} crashes={} unexplained={} alone={} \
          companion={}",
         evidence.crashes,
         evidence.unexplained,
+        evidence.was_alone,
         evidence.has_companion
     );
 }
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -14,6 +14,17 @@
 /// A server whose process has ended refuses connections within a round trip.
 const ASK_LIMIT: Duration = Duration::from_millis(250);
 
+/// What becomes of a request that came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RequestAdmission {
+    /// It is sent on.
+    Free,
+    /// It was held back, and is sent to one server to find out whether rightly.
+    Trial(CrashEvidence),
+    /// It is refused.
+    HeldBack(CrashEvidence),
+}
+
 impl CallContext {
     /// The call to a server ended with `error`: if the server broke off in the middle, it may have crashed under
     /// this request.
@@ -29,23 +40,29 @@
         self.host.state().crashes.note_served(now, self.contents);
     }
 
-    /// Whether this request crashes the servers that run it. Asked before each send: a request under way learns of
-    /// what it did elsewhere.
-    pub fn is_held_back(&self) -> bool {
-        self.host.state().crashes.holds(self.contents)
+    /// Whether this request, which was sent to `sent` servers, must go to no further one since it crashes them. Asked
+    /// before each send: a request under way learns of what it did elsewhere.
+    pub fn is_held_back(&self, sent: u32) -> bool {
+        let is_allowed = self.is_trial && sent == 0;
+        !is_allowed && self.host.state().crashes.holds(self.contents)
     }
 }
 
 impl GatewayHost {
-    /// A request came; returns what speaks against it if it is held back.
-    pub(super) fn held_back(&self, request: RequestKey) -> Option<CrashEvidence> {
+    /// Decides on a request that came.
+    pub(super) fn admit(&self, request: RequestKey) -> RequestAdmission {
         let now = self.now();
+        if !self.state().crashes.holds(request) {
+            return RequestAdmission::Free;
+        }
+        let is_oldest = self.is_oldest();
         let mut state = self.state();
-        if !state.crashes.holds(request) {
-            return None;
+        let evidence = state.crashes.evidence(request);
+        if is_oldest && state.crashes.take_trial(now, request) {
+            return RequestAdmission::Trial(evidence);
         }
         state.crashes.note_return(now, request);
-        Some(state.crashes.evidence(request))
+        RequestAdmission::HeldBack(evidence)
     }
 
     fn note_break_off(self: &Arc<Self>, server: &ServerEntry, request: RequestKey) {
@@ -114,9 +131,10 @@
             let life = server.0;
             log::info!(
                 "event=server_crashed server={id} life={life:016x} contents={request} sign={sign} \
-                 crashes={} unexplained={} companion={} held_back={}",
+                 crashes={} unexplained={} alone={} companion={} held_back={}",
                 evidence.crashes,
                 evidence.unexplained,
+                evidence.was_alone,
                 evidence.has_companion,
                 evidence.is_enough()
             );
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -78,7 +78,7 @@
 
 /// The next server to try, if the route, the time and the retry bounds allow one.
 fn next_server(context: &CallContext, record: &AttemptRecord) -> Option<ServerEntry> {
-    if context.is_held_back() {
+    if context.is_held_back(record.sent) {
         return None;
     }
     let spent = record.sent >= context.route.most_servers || record.unreached >= MOST_UNREACHED;
@@ -108,7 +108,7 @@
             CallEnd::Unknown("no_answer")
         };
     }
-    if context.is_held_back() {
+    if context.is_held_back(record.sent) {
         return refuse(NotRunReason::HeldBack);
     }
     let reason = if record.sent > 0 { NotRunReason::TurnedAway } else { NotRunReason::NoServer };
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -33,6 +33,10 @@
 
 /// Has the prompt read by a prefill server, best in the failure domain of its decode server.
 pub(super) async fn read_prompt(context: &CallContext, near: NameKey) -> PromptEnd {
+    if context.is_trial {
+        // One server is enough to learn from.
+        return PromptEnd::LeftToDecode;
+    }
     let kind = ChoiceKind::PromptQueue(FULL_QUEUE_TOKENS);
     let wish = ServerWish { stage: Some(ServerStage::Prefill), kind, near, abroad: ABROAD };
     let ranked = context.host.ranked(context.service, &wish);
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -80,9 +80,12 @@
 impl GatewayHost {
     /// Whether this host is the one that gives orders.
     fn gives_orders(&self) -> bool {
-        if self.stop_phase() != StopPhase::Serving {
-            return false;
-        }
+        self.stop_phase() == StopPhase::Serving && self.is_oldest()
+    }
+
+    /// Whether this host decides what one of them must decide for all: it is the oldest that can be reached and
+    /// that the store answers.
+    pub(super) fn is_oldest(&self) -> bool {
         let now = self.now();
         let state = self.state();
         let reachable = state.members.reachable(now).map(|member| member.incarnation);
--- a/src/quarantine/crash_book.rs
+++ b/src/quarantine/crash_book.rs
@@ -23,6 +23,12 @@
 /// Returns of a request that is held back are told to the others this often.
 const RETURN_PERIOD: Duration = Duration::from_secs(60);
 
+/// Requests of which a trial is remembered.
+const MOST_TRIALS: usize = 256;
+/// How long after its last crash a request that is held back on weak grounds is tried: the servers are back, and
+/// others that may have been the cause are known.
+pub const TRIAL_PAUSE: Duration = Duration::from_secs(30);
+
 /// Crashes of servers, who was there, and who has been answered whole.
 #[derive(Debug, Clone, Default)]
 pub struct CrashBook {
@@ -31,6 +37,8 @@
     requests: HashMap<RequestKey, Vec<ServerKey>>,
     served: ServedRequests,
     acquittals: Acquittals,
+    /// Requests that were tried, and when.
+    trials: HashMap<RequestKey, TimePoint>,
     repeated_at: TimePoint,
 }
 
@@ -69,6 +77,21 @@
         self.requests.contains_key(&request) && self.evidence(request).is_enough()
     }
 
+    /// Whether a request that is held back may be sent once more, to find out whether it was held back for others'
+    /// crashes: whole answers speak for an innocent one, but while it is held back everywhere there are none. Only
+    /// one that was never alone at a crash is tried, and once; of crashing requests few are.
+    ///
+    /// One host must decide this for all.
+    pub fn take_trial(&mut self, now: TimePoint, request: RequestKey) -> bool {
+        let servers = self.requests.get(&request).into_iter().flatten();
+        let crashes = servers.filter_map(|server| self.crashes.get(server));
+        let last = crashes.map(|record| record.at).max();
+        let is_due = last.is_some_and(|at| now.since(at) >= TRIAL_PAUSE);
+        let is_weak = !self.evidence(request).was_alone;
+        let may_be = is_due && is_weak && self.trials.len() < MOST_TRIALS;
+        may_be && self.trials.insert(request, now).is_none()
+    }
+
     /// A request that is held back came again: its crashes are remembered from now on.
     pub fn note_return(&mut self, now: TimePoint, request: RequestKey) {
         for server in self.requests.get(&request).into_iter().flatten() {
@@ -164,6 +187,7 @@
     pub fn expire(&mut self, now: TimePoint) {
         self.served.expire(now);
         self.acquittals.retain(|at| now.since(at) < CRASH_LIFE);
+        self.trials.retain(|_, at| now.since(*at) < CRASH_LIFE);
         let old = |record: &CrashRecord| now.since(record.idle_since) >= CRASH_LIFE;
         let due: Vec<ServerKey> =
             self.crashes.iter().filter(|(_, record)| old(record)).map(|(key, _)| *key).collect();
--- a/src/quarantine/crash_verdict.rs
+++ b/src/quarantine/crash_verdict.rs
@@ -16,6 +16,8 @@
     pub crashes: usize,
     /// Those of them that no other request explains better.
     pub unexplained: usize,
+    /// At one of them nobody else was who was at several.
+    pub was_alone: bool,
     /// Another request was at all of them.
     pub has_companion: bool,
 }
@@ -39,7 +41,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Suspicion {
     /// At one of its crashes nobody else was who was at several.
-    is_pinned: bool,
+    was_alone: bool,
     crashes: usize,
 }
 
@@ -53,10 +55,15 @@
         let own = self.suspicion(request);
         // Of several that were alone at one of their crashes each has caused some: none excuses another.
         let explained = |record: &&CrashRecord| {
-            !own.is_pinned && record.requests.iter().any(|other| self.suspicion(*other) > own)
+            !own.was_alone && record.requests.iter().any(|other| self.suspicion(*other) > own)
         };
         let unexplained = self.records(request).filter(|record| !explained(record)).count();
-        CrashEvidence { crashes, unexplained, has_companion: self.has_companion(request) }
+        CrashEvidence {
+            crashes,
+            unexplained,
+            was_alone: own.was_alone,
+            has_companion: self.has_companion(request),
+        }
     }
 
     fn crash_count(&self, request: RequestKey) -> usize {
@@ -74,7 +81,7 @@
             let others = record.requests.iter().filter(|other| **other != request);
             others.into_iter().all(|other| self.crash_count(*other) < 2)
         };
-        Suspicion { is_pinned: crashes >= 2 && self.records(request).any(alone), crashes }
+        Suspicion { was_alone: crashes >= 2 && self.records(request).any(alone), crashes }
     }
 
     fn has_companion(&self, request: RequestKey) -> bool {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -13,6 +13,6 @@
 mod served_requests;
 
 pub use break_offs::BreakOffs;
-pub use crash_book::{CRASH_LIFE, CrashBook};
+pub use crash_book::{CRASH_LIFE, CrashBook, TRIAL_PAUSE};
 pub use crash_report::{AcquittalNews, CrashNews, CrashReport};
 pub use crash_verdict::{CRASHES_TO_HOLD, CrashEvidence};
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -7,12 +7,17 @@
 //! the contents of the request under which each server broke off, and in these tests each return reaches a server.
 
 use rstest::rstest;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tealcleat::bench::site::{RestartPlace, SiteCall, SitePlan, TestSite, call_site};
+use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::quarantine::CRASH_LIFE;
 
 mod site_common;
+mod suspended_common;
 
 use site_common::{call, runtime};
+use suspended_common::{daemon, test_folder};
 
 const LOOK: Duration = Duration::from_millis(5);
 /// Servers that must have ended under a request before it is held against it.
@@ -59,13 +64,13 @@
 const CRASHED_TIME: Duration = Duration::from_millis(400);
 
 /// Sends the request to the hosts in turn until `count` servers have ended under it.
-async fn crash_servers(site: &TestSite, route: &str, hosts: &[usize], count: usize) {
+async fn crash_servers(site: &TestSite, route: &str, hosts: &[SocketAddr], count: usize) {
     let down = || site.servers.iter().filter(|server| is_down(site, &server.id)).count();
     let mut ended = 0;
     for serial in 0.. {
-        let host = &site.hosts[hosts[serial % hosts.len()]];
+        let host = hosts[serial % hosts.len()];
         // A crash breaks its caller's answer off, too.
-        drop(call_site(host.callers, &crashing_call(route, serial)).await);
+        drop(call_site(host, &crashing_call(route, serial)).await);
         ended += down();
         while down() > 0 {
             tokio::time::sleep(LOOK).await;
@@ -81,13 +86,18 @@
 }
 
 /// Sends it to the hosts in turn as a caller that does not give up.
-async fn send_again(site: &TestSite, route: &str, hosts: &[usize]) {
+async fn send_again(route: &str, hosts: &[SocketAddr]) {
     for serial in 0..RETURNS {
-        let host = &site.hosts[hosts[serial % hosts.len()]];
-        drop(call_site(host.callers, &crashing_call(route, 1000 + serial)).await);
+        let host = hosts[serial % hosts.len()];
+        drop(call_site(host, &crashing_call(route, 1000 + serial)).await);
     }
 }
 
+/// Where callers reach the hosts.
+fn callers(site: &TestSite) -> Vec<SocketAddr> {
+    site.hosts.iter().map(|host| host.callers).collect()
+}
+
 async fn crashing_site(hosts: usize) -> TestSite {
     let plan = SitePlan { prefills: 2, decodes: 4, services: 4, hosts };
     TestSite::start(plan).await.expect("a site")
@@ -101,10 +111,10 @@
 fn crashing_request_sent_no_further_after_three_crashes(#[case] route: &'static str) {
     runtime().block_on(async {
         let site = crashing_site(3).await;
-        while_up(&site, crash_servers(&site, route, &[0, 1, 2], CRASHES)).await;
+        while_up(&site, crash_servers(&site, route, &callers(&site), CRASHES)).await;
         tokio::time::sleep(CONTACT).await;
         let before = arrivals(&site);
-        while_up(&site, send_again(&site, route, &[0, 1, 2])).await;
+        while_up(&site, send_again(route, &callers(&site))).await;
         let sends = arrivals(&site) - before;
         assert!(sends <= MOST_SENDS, "{sends} sends");
     });
@@ -121,7 +131,7 @@
         if is_there {
             site.add_lone_host().await.expect("a host");
         }
-        while_up(&site, crash_servers(&site, "stream", &[0], CRASHES)).await;
+        while_up(&site, crash_servers(&site, "stream", &callers(&site)[..1], CRASHES)).await;
         tokio::time::sleep(CONTACT).await;
         if !is_there {
             site.add_lone_host().await.expect("a host");
@@ -129,8 +139,55 @@
         site.wait_ready().await;
         tokio::time::sleep(CONTACT).await;
         let before = arrivals(&site);
-        while_up(&site, send_again(&site, "stream", &[1])).await;
+        while_up(&site, send_again("stream", &callers(&site)[1..])).await;
         let sends = arrivals(&site) - before;
         assert!(sends <= MOST_SENDS, "{sends} sends");
     });
 }
+
+#[test]
+fn refusal_says_when_to_come_back_and_the_log_why() {
+    runtime().block_on(async {
+        let site = crashing_site(0).await;
+        let folder = test_folder("crashing");
+        let host = GatewayProcess::start(&ProcessPlan {
+            program: daemon(),
+            folder: &folder,
+            name: "host",
+            store: site.store_address,
+            seeds: &[],
+            revocation: None,
+            environment: &[],
+        })
+        .expect("a host");
+        while call_site(host.callers, &call("GET", "safe", "first")).await.is_err() {
+            tokio::time::sleep(LOOK).await;
+        }
+        while_up(&site, crash_servers(&site, "stream", &[host.callers], CRASHES)).await;
+        let mut refusal = String::new();
+        while_up(&site, async { refusal = log_line(&host, "event=request_held_back").await }).await;
+        assert!(refusal.contains("contents=") && refusal.contains("crashes="), "{refusal}");
+        let reply = call_site(host.callers, &crashing_call("stream", 2000)).await;
+        let reply = reply.expect("an answer");
+        assert_eq!(reply.status, 503);
+        let pause: f64 = reply.header("retry-after").parse().expect("seconds");
+        assert!(pause >= CRASH_LIFE.as_secs_f64() / 2.0, "{pause}");
+        let log = host.log().expect("a log");
+        let crashes = log.lines().filter(|line| line.contains("event=server_crashed"));
+        assert!(crashes.count() >= CRASHES, "each crash is told");
+        std::fs::remove_dir_all(&folder).expect("an empty place");
+    });
+}
+
+/// Sends crashing requests until the host's log has a line with `text`, and returns that.
+async fn log_line(host: &GatewayProcess, text: &str) -> String {
+    for serial in 1000.. {
+        // Until it is held back, its caller's answer breaks off.
+        drop(call_site(host.callers, &crashing_call("stream", serial)).await);
+        let log = host.log().expect("a log");
+        if let Some(line) = log.lines().find(|line| line.contains(text)) {
+            return line.to_owned();
+        }
+    }
+    unreachable!("the loop has no end")
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -7,7 +7,9 @@
     NameKey, OrgKey, RequestContents, RequestHasher, RequestKey, ServerKey, TimePoint,
 };
 use tealcleat::platform::{decode_crashes, encode_crashes};
-use tealcleat::quarantine::{BreakOffs, CRASH_LIFE, CrashBook, CrashNews, CrashReport};
+use tealcleat::quarantine::{
+    BreakOffs, CRASH_LIFE, CrashBook, CrashNews, CrashReport, TRIAL_PAUSE,
+};
 
 /// A datagram between hosts holds this many bytes.
 const LONGEST_DATAGRAM: usize = 4096;
@@ -192,6 +194,26 @@
     assert!(!guilty.holds(CRASHER));
 }
 
+/// Two that were always there together: either may be the cause, or both.
+#[test]
+fn request_never_alone_at_a_crash_tried_once() {
+    let pair: &[RequestKey] = &[CRASHER, request(1)];
+    let mut book = book_of(&[pair, pair, pair, pair]);
+    assert!(book.holds(CRASHER) && !book.evidence(CRASHER).was_alone);
+    let due = at(3000) + TRIAL_PAUSE;
+    assert!(!book.take_trial(due - Duration::from_millis(1), CRASHER), "too early");
+    assert!(book.take_trial(due, CRASHER));
+    assert!(!book.take_trial(due + TRIAL_PAUSE, CRASHER), "once");
+    book.note_served(due + Duration::from_secs(1), CRASHER);
+    assert!(!book.holds(CRASHER));
+}
+
+#[test]
+fn request_alone_at_a_crash_never_tried() {
+    let mut book = book_against(3);
+    assert!(!book.take_trial(at(3000) + TRIAL_PAUSE, CRASHER));
+}
+
 #[test]
 fn crashes_forgotten_only_if_nobody_came_again() {
     let life = CRASH_LIFE.as_millis() as u64;
