The soak spreads hosts over failure domains

Cause: crashes are told between domains and kept by one watcher in each; one domain alone could not show a fault there.

--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -17,6 +17,8 @@
     pub folder: &'a Path,
     /// Its name.
     pub name: &'a str,
+    /// Its failure domain.
+    pub domain: &'a str,
     /// Where it reaches the store.
     pub store: SocketAddr,
     /// Where it reaches other daemons.
@@ -59,12 +61,13 @@
             .map(|bound| format!("\"revocation_ms\": {}, ", bound.as_millis()))
             .unwrap_or_default();
         let text = format!(
-            "{{\"kind\": \"gateway\", \"host\": \"{}\", \"domain\": \"a\",\n\
+            "{{\"kind\": \"gateway\", \"host\": \"{}\", \"domain\": \"{}\",\n\
              \"callers_listen\": \"{}\", \"ready_listen\": \"{}\", \"peers_listen\": \"{}\",\n\
              \"metrics_listen\": \"{}\", \"store\": \"{}\", \"seeds\": [{}],\n\
              \"shared_key\": \"a-shared-key-of-the-soak\", \"grace_s\": 8, \"lease_ms\": 3000,\n\
              {revocation}\"retry_ratio\": 0.2, \"retry_slack\": 500, \"log_level\": \"info\"}}\n",
             plan.name,
+            plan.domain,
             at(0),
             at(1),
             at(2),
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -19,6 +19,9 @@
 /// Ends a soak that hangs; nothing is measured against it.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Failure domains of hosts; all servers are in the first one.
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
 static SOAKS: AtomicU64 = AtomicU64::new(0);
 
 /// How a soak is run.
@@ -30,6 +33,8 @@
     pub length: Duration,
     /// Daemons.
     pub hosts: usize,
+    /// Failure domains over which they are spread; three at most.
+    pub domains: usize,
     /// Callers.
     pub callers: usize,
     /// Some requests crash the servers that run them.
@@ -149,6 +154,7 @@
                 program: &program,
                 folder,
                 name: &name,
+                domain: DOMAINS[place % options.domains.clamp(1, DOMAINS.len())],
                 store: store.address,
                 seeds: &seeds,
                 revocation: None,
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -72,6 +72,9 @@
         /// Daemons
         #[bpaf(argument("N"), fallback(3))]
         hosts: usize,
+        /// Failure domains over which they are spread
+        #[bpaf(argument("N"), fallback(1))]
+        domains: usize,
         /// Callers
         #[bpaf(argument("N"), fallback(12))]
         callers: usize,
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -154,6 +154,7 @@
             program: daemon(),
             folder: &folder,
             name: "host",
+            domain: "a",
             store: site.store_address,
             seeds: &[],
             revocation: None,
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -26,7 +26,15 @@
 #[case::second(2)]
 fn soak_with_crashing_requests_and_suspended_hosts(#[case] seed: u64) {
     let environment = held_clock(&format!("soak-{seed}"));
-    run(SoakOptions { is_crashing: true, is_suspending: true, environment, ..options(seed) });
+    let plan = options(seed);
+    run(SoakOptions {
+        hosts: 4,
+        domains: 2,
+        is_crashing: true,
+        is_suspending: true,
+        environment,
+        ..plan
+    });
 }
 
 fn options(seed: u64) -> SoakOptions {
@@ -35,6 +43,7 @@
         seed,
         length: Duration::from_secs(6),
         hosts: 3,
+        domains: 1,
         callers: 12,
         is_crashing: false,
         is_suspending: false,
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -56,6 +56,7 @@
             program: daemon(),
             folder: &folder,
             name: "host",
+            domain: "a",
             store: site.store_address,
             seeds: &[],
             revocation: Some(REVOCATION),
