--- a/src/bench/soak/soak_calm.rs
+++ b/src/bench/soak/soak_calm.rs
@@ -14,6 +14,8 @@
 const NEWS_BOUND: Duration = Duration::from_millis(3000);
 /// Runs of such a request that are allowed after that.
 const MOST_SENDS: usize = 3;
+/// Hosts know of a restarted server after this.
+const RESTART_BOUND: Duration = Duration::from_millis(500);
 /// How often it comes again, at each host.
 const RETURNS: usize = 3;
 /// Servers that drain get no new work after this, when all is calm.
@@ -71,15 +73,18 @@
     }
 
     /// Requests under which three servers have crashed are not sent on, whatever has happened to hosts meanwhile.
-    async fn check_crashing(&self, seed: u64, records: &mut Vec<SoakRecord>) -> Vec<SoakBreach> {
+    async fn check_crashing(
+        &mut self,
+        seed: u64,
+        records: &mut Vec<SoakRecord>,
+    ) -> Vec<SoakBreach> {
         let crashes = self.site.crashes();
-        let runs = |name: &str| self.runs().filter(|id| id.contains(name)).count();
         let known: Vec<(usize, usize)> = (0..CRASHING.len())
             .filter(|which| {
                 let name = CRASHING[*which].1;
                 crashes.iter().filter(|id| id.contains(name)).count() >= CRASHES_TO_HOLD
             })
-            .map(|which| (which, runs(CRASHING[which].1)))
+            .map(|which| (which, self.runs_of(CRASHING[which].1)))
             .collect();
         if known.is_empty() {
             return Vec::new();
@@ -87,17 +92,19 @@
         tokio::time::sleep(NEWS_BOUND).await;
         let mut serial = 0;
         for (which, _) in &known {
-            for host in self.hosts.iter().cycle().take(RETURNS * self.hosts.len()) {
+            for place in 0..RETURNS * self.hosts.len() {
+                let host = self.hosts[place % self.hosts.len()].callers;
+                self.bring_up().await;
                 serial += 1;
                 let id = format!("s{seed}-return-{serial}-{}", CRASHING[*which].1);
-                let reply = call_site(host.callers, &crashing_call(*which, &id)).await;
+                let reply = call_site(host, &crashing_call(*which, &id)).await;
                 let status = reply.ok().map(|reply| reply.status.as_u16());
                 records.push(SoakRecord { id, route: CRASHING[*which].0, status });
             }
         }
         let late = known.into_iter().map(|(which, before)| {
             let name = CRASHING[which].1;
-            (name, runs(name) - before)
+            (name, self.runs_of(name) - before)
         });
         late.filter(|(_, sends)| *sends > MOST_SENDS)
             .map(|(name, sends)| SoakBreach {
@@ -107,11 +114,21 @@
             .collect()
     }
 
-    /// Ids of all runs.
-    fn runs(&self) -> impl Iterator<Item = String> {
+    /// Starts crashed servers again, so that there are some to send to, and lets hosts hear of it.
+    async fn bring_up(&mut self) {
+        // Without them nothing is sent, which breaks no promise.
+        let is_up = self.restart_crashed().await.is_ok_and(|count| count == 0);
+        if !is_up {
+            tokio::time::sleep(RESTART_BOUND).await;
+        }
+    }
+
+    /// Runs of requests whose ids have `name`.
+    fn runs_of(&self, name: &str) -> usize {
         let decodes = self.site.decodes.iter().flat_map(|engine| engine.runs());
         let decoded = decodes.map(|run| run.request);
-        decoded.chain(self.site.services.iter().flat_map(|service| service.runs()))
+        let all = decoded.chain(self.site.services.iter().flat_map(|service| service.runs()));
+        all.filter(|id| id.contains(name)).count()
     }
 
     /// Requests that merely were there when servers crashed are not refused for it.
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -101,12 +101,13 @@
         Ok(found)
     }
 
-    /// Starts all servers again that are down.
-    pub async fn restart_crashed(&mut self) -> Result<()> {
-        for place in self.crashed_servers()? {
-            self.restart_server(place).await?;
+    /// Starts all servers again that are down; returns how many these were.
+    pub async fn restart_crashed(&mut self) -> Result<usize> {
+        let down = self.crashed_servers()?;
+        for place in &down {
+            self.restart_server(*place).await?;
         }
-        Ok(())
+        Ok(down.len())
     }
 
     fn crashed_servers(&self) -> Result<Vec<usize>> {
