Books of crashes and what they hand over stand apart; a server in doubt is asked again

And a server that had merely lost a connection was not asked again for 6 s, in which a crash was known by its entry only; a doubt that began long before could end too soon for that. Change: crash_exchange, link_listener and engine_orders hold what was moved, unchanged. Each further break-off asks again, and a doubt lasts from the last one. Comments that gave figures without a run say that they are reckoned. A test of the doubt; crashing_requests, quarantine, crash_world and site_soak pass.

--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -5,6 +5,7 @@
 mod duplicate_link;
 mod engine_fault;
 mod engine_memory;
+mod engine_orders;
 mod event_feed;
 mod life_switch;
 mod object_body;
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use serde_json::{Value, json};
+use serde_json::json;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,15 +26,15 @@
     /// Its id, the same in all of its lives.
     pub id: String,
     lives: LifeSwitch,
-    stage: Mutex<String>,
+    pub(super) stage: Mutex<String>,
     events: u64,
     pause: Duration,
     fault: Mutex<EngineFault>,
     runs: Mutex<Vec<SiteRun>>,
-    memory: Mutex<EngineMemory>,
+    pub(super) memory: Mutex<EngineMemory>,
     serials: AtomicU64,
     turned_away: AtomicU64,
-    reports: AtomicU64,
+    pub(super) reports: AtomicU64,
     /// Prefill engines of the site, by address, from which results are fetched.
     sources: Mutex<HashMap<String, Arc<SiteEngine>>>,
 }
@@ -132,7 +132,7 @@
         lock(&self.memory).all_orders()
     }
 
-    fn fault(&self) -> EngineFault {
+    pub(super) fn fault(&self) -> EngineFault {
         *lock(&self.fault)
     }
 
@@ -149,28 +149,6 @@
         Ok(whole(200, json!({"hold": hold}).to_string()))
     }
 
-    fn report(&self) -> SiteAnswer {
-        self.reports.fetch_add(1, Ordering::Relaxed);
-        let report = lock(&self.memory).report(&self.stage(), self.born());
-        Ok(whole(200, report.to_string()))
-    }
-
-    fn order(&self, request: &WholeRequest) -> SiteAnswer {
-        let order: Value = serde_json::from_slice(request.body()).unwrap_or_default();
-        let fence = order["fence"].as_u64().unwrap_or_default();
-        let holder = order["holder"].as_str().unwrap_or_default();
-        if !lock(&self.memory).take_order(holder, fence) {
-            return Ok(whole(412, "{}"));
-        }
-        if self.fault() == EngineFault::LoseOrders {
-            return Err(BrokenOff);
-        }
-        if let Some(stage) = order["stage"].as_str() {
-            *lock(&self.stage) = stage.to_owned();
-        }
-        Ok(whole(202, "{}"))
-    }
-
     fn prefill(&self, request: &WholeRequest, id: &str) -> SiteAnswer {
         self.note_run(request, id, "prefill");
         if self.fault() == EngineFault::LoseReads {
--- a/src/bench/soak/answer_link.rs
+++ b/src/bench/soak/answer_link.rs
@@ -1,12 +1,13 @@
 //! A loopback link before a backend server that knows where answers begin and end.
 
+use super::link_listener::accept_all;
 use super::soak_answer::{AnswerFault, without_length};
 use super::soak_proxy::reset;
 use crate::Result;
-use crate::bench::site::{LifeSwitch, listen_again, message_end};
+use crate::bench::site::{LifeSwitch, message_end};
 use bytes::{Bytes, BytesMut};
+use rand::Rng;
 use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -61,43 +62,7 @@
     }
 }
 
-async fn accept_all(
-    listener: TcpListener,
-    address: SocketAddr,
-    target: SocketAddr,
-    mut opens: watch::Receiver<bool>,
-    faults: watch::Receiver<Option<AnswerFault>>,
-    seed: u64,
-) {
-    let mut listener = listener;
-    let mut seeds = StdRng::seed_from_u64(seed);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => Some(accepted),
-            () = turned(&mut opens, false) => None,
-        };
-        let Some(accepted) = accepted else {
-            drop(listener);
-            turned(&mut opens, true).await;
-            listener = listen_again(address).await;
-            continue;
-        };
-        let Ok((near, _)) = accepted else { return };
-        let random = StdRng::seed_from_u64(seeds.random());
-        let faults = faults.clone();
-        // Whoever breaks off first ends both sides.
-        tokio::spawn(async move { drop(carry(near, target, faults, random).await) });
-    }
-}
-
-/// Waits until a link is open or not; for ever if it is gone.
-async fn turned(opens: &mut watch::Receiver<bool>, wanted: bool) {
-    if opens.wait_for(|is_open| *is_open == wanted).await.is_err() {
-        std::future::pending().await
-    }
-}
-
-async fn carry(
+pub(super) async fn carry(
     near: TcpStream,
     target: SocketAddr,
     faults: watch::Receiver<Option<AnswerFault>>,
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -4,6 +4,7 @@
 //! callers and backend servers see is checked while it runs and once more when all is calm.
 
 mod answer_link;
+mod link_listener;
 mod soak_answer;
 mod soak_burst;
 mod soak_caller;
--- a/src/gateway/crash_news.rs
+++ b/src/gateway/crash_news.rs
@@ -7,8 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// How often a host tells what is new to it. Nine hosts of three domains all knew a crash after two periods, 300
-/// reckon with five.
+/// How often a host tells what is new to it: all of 300 hosts hear it within half a second (reckoned).
 const TELL_PERIOD: Duration = Duration::from_millis(100);
 /// Hosts of the own failure domain told each time.
 const TELL_NEAR: usize = 4;
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -87,19 +87,17 @@
     /// something that accepts connections for it: then its entry tells later.
     async fn ask_server(&self, server: &ServerEntry) {
         tokio::time::sleep(ASK_PAUSE).await;
-        match self.pool.warm(server.address, ASK_LIMIT).await {
+        let outcome = match self.pool.warm(server.address, ASK_LIMIT).await {
             Err(error) if error.is_refused_connection() => {
                 let requests = self.state().break_offs.confirm(server.key());
                 self.note_crash(server.key(), &server.id, &requests, "connection_refused");
+                return;
             }
-            Ok(()) => log::info!("event=server_asked server={} outcome=reached", server.id),
-            Err(error) => {
-                log::info!(
-                    "event=server_asked server={} outcome=unknown cause=\"{error}\"",
-                    server.id
-                );
-            }
-        }
+            Ok(()) => "reached".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        self.state().break_offs.note_asked(server.key());
+        log::info!("event=server_asked server={} outcome=\"{outcome}\"", server.id);
     }
 
     /// Notes crashes of servers that were in doubt and whose entries went or name another life.
--- a/src/quarantine/acquittals.rs
+++ b/src/quarantine/acquittals.rs
@@ -3,7 +3,7 @@
 use crate::keys::{RequestKey, TimePoint};
 use std::collections::BTreeMap;
 
-/// Acquittals kept: 48 KB with their table.
+/// Acquittals kept: 48 KB with their table (reckoned).
 const MOST_ACQUITTALS: usize = 1024;
 
 #[derive(Debug, Clone, Copy)]
--- a/src/quarantine/break_offs.rs
+++ b/src/quarantine/break_offs.rs
@@ -12,8 +12,11 @@
 
 #[derive(Debug, Clone)]
 struct OpenDoubt {
+    /// When it last broke off.
     since: TimePoint,
     requests: Vec<RequestKey>,
+    /// Whether it is there is being asked.
+    is_asked: bool,
 }
 
 /// Servers that broke connections off in the middle of requests, as long as it is not known whether they
@@ -24,20 +27,29 @@
 }
 
 impl BreakOffs {
-    /// A server broke off under a request; true if it was not in doubt before.
+    /// A server broke off under a request; true if it is to be asked whether it is still there.
     pub fn note(&mut self, now: TimePoint, server: ServerKey, request: RequestKey) -> bool {
-        let is_new = !self.open.contains_key(&server);
-        if is_new && self.open.len() >= MOST_SERVERS {
+        if !self.open.contains_key(&server) && self.open.len() >= MOST_SERVERS {
             return false;
         }
-        let doubt = self
-            .open
-            .entry(server)
-            .or_insert_with(|| OpenDoubt { since: now, requests: Vec::new() });
+        let doubt = self.open.entry(server).or_insert_with(|| OpenDoubt {
+            since: now,
+            requests: Vec::new(),
+            is_asked: false,
+        });
+        doubt.since = now;
         if doubt.requests.len() < MOST_REQUESTS && !doubt.requests.contains(&request) {
             doubt.requests.push(request);
         }
-        is_new
+        !std::mem::replace(&mut doubt.is_asked, true)
+    }
+
+    /// The server was reached, or nothing is known of it: it stays in doubt, and is asked again when it breaks off
+    /// again.
+    pub fn note_asked(&mut self, server: ServerKey) {
+        if let Some(doubt) = self.open.get_mut(&server) {
+            doubt.is_asked = false;
+        }
     }
 
     /// The server has crashed; returns the requests that were there.
--- a/src/quarantine/crash_book.rs
+++ b/src/quarantine/crash_book.rs
@@ -1,8 +1,8 @@
+use super::CrashEvidence;
 use super::acquittals::Acquittals;
 use super::crash_record::{CrashRecord, TELLS};
 use super::crash_verdict::{CRASHES_TO_HOLD, CrashIndex};
 use super::served_requests::{SERVED_LIFE, ServedRequests};
-use super::{CrashEvidence, CrashNews, CrashReport};
 use crate::keys::{RequestKey, ServerKey, TimePoint};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -10,19 +10,10 @@
 /// A crash is remembered this long after it, or after the last return of a request that was there and is held back.
 /// Whoever waits that long is sent on again: what it asked for may have been mended.
 pub const CRASH_LIFE: Duration = Duration::from_secs(600);
-/// Crashes kept. With some ten requests each 150 KB, with 64 each 700 KB.
+/// Crashes kept. With some ten requests each 150 KB, with 64 each 700 KB (reckoned).
 const MOST_CRASHES: usize = 1024;
-/// Request keys in one message between hosts: at nine bytes each within one datagram.
-const KEYS_PER_MESSAGE: usize = 96;
-/// Crashes handed over at once, to a host that compares notes or to the store: the newest ones.
-const MOST_HANDED_OVER: usize = 256;
-/// What is this new is told again now and then, for hosts that were cut off when it was told first.
-const REPEAT_LIFE: Duration = Duration::from_secs(20);
-/// Pause between these repeats.
-const REPEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Returns of a request that is held back are told to the others this often.
-const RETURN_PERIOD: Duration = Duration::from_secs(60);
-
+pub(super) const RETURN_PERIOD: Duration = Duration::from_secs(60);
 /// Requests of which a trial is remembered.
 const MOST_TRIALS: usize = 256;
 /// How long after its last crash a request that is held back on weak grounds is tried: the servers are back, and
@@ -32,14 +23,14 @@
 /// Crashes of servers, who was there, and who has been answered whole.
 #[derive(Debug, Clone, Default)]
 pub struct CrashBook {
-    crashes: HashMap<ServerKey, CrashRecord>,
+    pub(super) crashes: HashMap<ServerKey, CrashRecord>,
     /// Servers that crashed under each request.
     requests: HashMap<RequestKey, Vec<ServerKey>>,
     served: ServedRequests,
-    acquittals: Acquittals,
+    pub(super) acquittals: Acquittals,
     /// Requests that were tried, and when.
     trials: HashMap<RequestKey, TimePoint>,
-    repeated_at: TimePoint,
+    pub(super) repeated_at: TimePoint,
 }
 
 impl CrashBook {
@@ -104,85 +95,6 @@
         }
     }
 
-    /// Takes over what another host told; what is new is told on.
-    pub fn merge(&mut self, now: TimePoint, report: &CrashReport) {
-        for news in &report.acquittals {
-            let at = now - Duration::from_millis(news.age_ms.into());
-            if now.since(at) < CRASH_LIFE {
-                self.acquit(at, news.request);
-            }
-        }
-        for news in &report.crashes {
-            if self.merge_crash(now, news) {
-                self.tell(news.server);
-            }
-        }
-        self.trim();
-    }
-
-    /// Takes over the store's copy; true if it lacks something that this book has.
-    pub fn merge_saved(&mut self, now: TimePoint, saved: &[CrashNews]) -> bool {
-        for news in saved {
-            if self.merge_crash(now, news) {
-                self.tell(news.server);
-            }
-            if let Some(record) = self.crashes.get_mut(&news.server) {
-                record.is_saved = record.requests.iter().all(|key| news.requests.contains(key));
-            }
-        }
-        self.trim();
-        self.is_unsaved()
-    }
-
-    /// Whether the store's copy lacks something.
-    pub fn is_unsaved(&self) -> bool {
-        self.crashes.values().any(|record| !record.is_saved)
-    }
-
-    /// All that is handed over at once.
-    pub fn whole_report(&self, now: TimePoint) -> CrashReport {
-        let mut newest: Vec<_> =
-            self.crashes.iter().filter(|(_, record)| !record.requests.is_empty()).collect();
-        newest.sort_by_key(|(server, record)| (std::cmp::Reverse(record.idle_since), **server));
-        newest.truncate(MOST_HANDED_OVER);
-        CrashReport {
-            crashes: newest.into_iter().map(|(key, record)| record.news(now, *key)).collect(),
-            acquittals: self.acquittals.all(now),
-        }
-    }
-
-    /// The store has a copy of `written`; what did not fit into it stays out.
-    pub fn note_saved(&mut self, written: &[CrashNews]) {
-        let fits_all = written.len() < MOST_HANDED_OVER;
-        for (server, record) in &mut self.crashes {
-            let copy = written.iter().find(|news| news.server == *server);
-            record.is_saved = copy.map_or(!fits_all || record.requests.is_empty(), |copy| {
-                record.requests.iter().all(|key| copy.requests.contains(key))
-            });
-        }
-    }
-
-    /// What is to be told next; bounded, whatever there is.
-    pub fn untold(&mut self, now: TimePoint) -> CrashReport {
-        self.repeat(now);
-        let mut keys_left = KEYS_PER_MESSAGE;
-        let mut due: Vec<ServerKey> =
-            self.crashes.iter().filter(|(_, r)| r.tells_left > 0).map(|(key, _)| *key).collect();
-        due.sort_by_key(|key| (std::cmp::Reverse(self.crashes[key].tells_left), *key));
-        let mut crashes = Vec::new();
-        for server in due {
-            let Some(record) = self.crashes.get_mut(&server) else { continue };
-            let size = record.requests.len() + 1;
-            if size > keys_left {
-                break;
-            }
-            keys_left -= size;
-            record.tells_left -= 1;
-            crashes.push(record.news(now, server));
-        }
-        CrashReport { crashes, acquittals: self.acquittals.untold(now, keys_left) }
-    }
-
     /// Forgets what is long past.
     pub fn expire(&mut self, now: TimePoint) {
         self.served.expire(now);
@@ -210,26 +122,8 @@
         CrashIndex { crashes: &self.crashes, requests: &self.requests }
     }
 
-    fn merge_crash(&mut self, now: TimePoint, news: &CrashNews) -> bool {
-        let at = now - Duration::from_millis(news.age_ms.into());
-        let idle_since = now - Duration::from_millis(news.idle_ms.into());
-        if now.since(idle_since) >= CRASH_LIFE {
-            return false;
-        }
-        let mut is_new = false;
-        for request in &news.requests {
-            is_new |= self.add(at, idle_since, news.server, *request);
-        }
-        if let Some(record) = self.crashes.get_mut(&news.server) {
-            let returned = idle_since.since(record.idle_since) >= RETURN_PERIOD / 2;
-            record.idle_since = record.idle_since.max(idle_since);
-            is_new |= returned;
-        }
-        is_new
-    }
-
     /// Adds a request to a crash, unless a whole answer speaks for it.
-    fn add(
+    pub(super) fn add(
         &mut self,
         at: TimePoint,
         idle_since: TimePoint,
@@ -252,14 +146,14 @@
         true
     }
 
-    fn tell(&mut self, server: ServerKey) {
+    pub(super) fn tell(&mut self, server: ServerKey) {
         if let Some(record) = self.crashes.get_mut(&server) {
             record.tells_left = TELLS;
             record.is_saved = false;
         }
     }
 
-    fn acquit(&mut self, at: TimePoint, request: RequestKey) {
+    pub(super) fn acquit(&mut self, at: TimePoint, request: RequestKey) {
         if !self.acquittals.note(at, request) {
             return;
         }
@@ -277,21 +171,8 @@
         }
     }
 
-    fn repeat(&mut self, now: TimePoint) {
-        if now.since(self.repeated_at) < REPEAT_PERIOD {
-            return;
-        }
-        self.repeated_at = now;
-        for record in self.crashes.values_mut() {
-            let is_recent = now.since(record.at) < REPEAT_LIFE;
-            if is_recent && !record.requests.is_empty() {
-                record.tells_left = record.tells_left.max(1);
-            }
-        }
-    }
-
     /// Keeps the book within its size: crashes that hold a request back stay longest.
-    fn trim(&mut self) {
+    pub(super) fn trim(&mut self) {
         while self.crashes.len() > MOST_CRASHES {
             let is_needed = |record: &CrashRecord| {
                 let counts = record.requests.iter().filter_map(|key| self.requests.get(key));
--- /dev/null
+++ b/src/quarantine/crash_exchange.rs
@@ -0,0 +1,128 @@
+//! What books of crashes hand over to each other, and to the store.
+
+use super::crash_book::{CRASH_LIFE, CrashBook, RETURN_PERIOD};
+use super::{CrashNews, CrashReport};
+use crate::keys::{ServerKey, TimePoint};
+use std::cmp::Reverse;
+use std::time::Duration;
+
+/// Request keys in one message between hosts: at nine bytes each within one datagram.
+const KEYS_PER_MESSAGE: usize = 96;
+/// Crashes handed over at once, to a host that compares notes or to the store: the newest ones.
+const MOST_HANDED_OVER: usize = 256;
+/// A crash this young is told again now and then, for hosts that were cut off when it was told first.
+const REPEAT_LIFE: Duration = Duration::from_secs(20);
+/// Pause between these repeats.
+const REPEAT_PERIOD: Duration = Duration::from_secs(1);
+
+impl CrashBook {
+    /// Takes over what another host told; what is new is told on.
+    pub fn merge(&mut self, now: TimePoint, report: &CrashReport) {
+        for news in &report.acquittals {
+            let at = now - Duration::from_millis(news.age_ms.into());
+            if now.since(at) < CRASH_LIFE {
+                self.acquit(at, news.request);
+            }
+        }
+        for news in &report.crashes {
+            if self.merge_crash(now, news) {
+                self.tell(news.server);
+            }
+        }
+        self.trim();
+    }
+
+    /// Takes over the store's copy; true if it lacks something that this book has.
+    pub fn merge_saved(&mut self, now: TimePoint, saved: &[CrashNews]) -> bool {
+        for news in saved {
+            if self.merge_crash(now, news) {
+                self.tell(news.server);
+            }
+            if let Some(record) = self.crashes.get_mut(&news.server) {
+                record.is_saved = record.requests.iter().all(|key| news.requests.contains(key));
+            }
+        }
+        self.trim();
+        self.is_unsaved()
+    }
+
+    /// Whether the store's copy lacks something.
+    pub fn is_unsaved(&self) -> bool {
+        self.crashes.values().any(|record| !record.is_saved)
+    }
+
+    /// All that is handed over at once.
+    pub fn whole_report(&self, now: TimePoint) -> CrashReport {
+        let mut newest: Vec<_> =
+            self.crashes.iter().filter(|(_, record)| !record.requests.is_empty()).collect();
+        newest.sort_by_key(|(server, record)| (Reverse(record.idle_since), **server));
+        newest.truncate(MOST_HANDED_OVER);
+        CrashReport {
+            crashes: newest.into_iter().map(|(key, record)| record.news(now, *key)).collect(),
+            acquittals: self.acquittals.all(now),
+        }
+    }
+
+    /// The store has a copy of `written`; what did not fit into it stays out.
+    pub fn note_saved(&mut self, written: &[CrashNews]) {
+        let fits_all = written.len() < MOST_HANDED_OVER;
+        for (server, record) in &mut self.crashes {
+            let copy = written.iter().find(|news| news.server == *server);
+            record.is_saved = copy.map_or(!fits_all || record.requests.is_empty(), |copy| {
+                record.requests.iter().all(|key| copy.requests.contains(key))
+            });
+        }
+    }
+
+    /// What is to be told next; bounded, whatever there is.
+    pub fn untold(&mut self, now: TimePoint) -> CrashReport {
+        self.repeat(now);
+        let mut keys_left = KEYS_PER_MESSAGE;
+        let mut due: Vec<ServerKey> =
+            self.crashes.iter().filter(|(_, r)| r.tells_left > 0).map(|(key, _)| *key).collect();
+        due.sort_by_key(|key| (Reverse(self.crashes[key].tells_left), *key));
+        let mut crashes = Vec::new();
+        for server in due {
+            let Some(record) = self.crashes.get_mut(&server) else { continue };
+            let size = record.requests.len() + 1;
+            if size > keys_left {
+                break;
+            }
+            keys_left -= size;
+            record.tells_left -= 1;
+            crashes.push(record.news(now, server));
+        }
+        CrashReport { crashes, acquittals: self.acquittals.untold(now, keys_left) }
+    }
+
+    fn merge_crash(&mut self, now: TimePoint, news: &CrashNews) -> bool {
+        let at = now - Duration::from_millis(news.age_ms.into());
+        let idle_since = now - Duration::from_millis(news.idle_ms.into());
+        if now.since(idle_since) >= CRASH_LIFE {
+            return false;
+        }
+        let mut is_new = false;
+        for request in &news.requests {
+            is_new |= self.add(at, idle_since, news.server, *request);
+        }
+        if let Some(record) = self.crashes.get_mut(&news.server) {
+            let returned = idle_since.since(record.idle_since) >= RETURN_PERIOD / 2;
+            record.idle_since = record.idle_since.max(idle_since);
+            is_new |= returned;
+        }
+        is_new
+    }
+
+    fn repeat(&mut self, now: TimePoint) {
+        if now.since(self.repeated_at) < REPEAT_PERIOD {
+            return;
+        }
+        self.repeated_at = now;
+        for record in self.crashes.values_mut() {
+            let is_recent = now.since(record.at) < REPEAT_LIFE;
+            if is_recent && !record.requests.is_empty() {
+                record.tells_left = record.tells_left.max(1);
+            }
+        }
+    }
+}
--- a/src/quarantine/crash_record.rs
+++ b/src/quarantine/crash_record.rs
@@ -5,7 +5,7 @@
 /// Requests kept of one crash: as many as an engine runs at once.
 const MOST_REQUESTS: usize = 64;
 /// How often a host tells what is new to it, to a few hosts each time. Six hosts a time reach all of 300 in four
-/// rounds; eight let half of the datagrams be lost.
+/// rounds (reckoned); twice as many make up for lost datagrams.
 pub(super) const TELLS: u8 = 8;
 
 /// One crash of a server and the requests that were there.
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 mod acquittals;
 mod break_offs;
 mod crash_book;
+mod crash_exchange;
 mod crash_record;
 mod crash_report;
 mod crash_verdict;
--- a/src/quarantine/served_requests.rs
+++ b/src/quarantine/served_requests.rs
@@ -2,10 +2,10 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-/// A whole answer this long before a crash speaks for a request as one after it does: what it does to a server does
-/// not depend on luck. At 5 s of a request each 0.2 s with one server in ten down no innocent request was held.
+/// A whole answer this long before a crash speaks for a request as one after it does: what its contents do to a server
+/// does not depend on luck.
 pub(super) const SERVED_LIFE: Duration = Duration::from_secs(10);
-/// Requests kept of each half of that time: 128 KB with their table.
+/// Requests kept of each half of that time: 128 KB with their table (reckoned).
 const MOST_SERVED: usize = 4096;
 
 /// Requests that were answered whole lately, in two halves of which the older one is dropped as a whole.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -330,6 +330,18 @@
     assert!(doubts.settle(at(7001), |_| true).is_empty(), "it was there for long enough");
 }
 
+/// A connection lost a while ago must not hide that the server crashes now.
+#[test]
+fn server_in_doubt_asked_again_when_it_breaks_off_again() {
+    let mut doubts = BreakOffs::default();
+    assert!(doubts.note(at(0), server(1), request(1)));
+    doubts.note_asked(server(1));
+    assert!(doubts.note(at(5000), server(1), CRASHER));
+    assert!(doubts.settle(at(9000), |_| false).is_empty());
+    let crashed = doubts.settle(at(9500), |_| true);
+    assert_eq!(crashed, [(server(1), vec![request(1), CRASHER])]);
+}
+
 #[test]
 fn servers_in_doubt_bounded() {
     let mut doubts = BreakOffs::default();
