--- a/src/gateway/crash_store.rs
+++ b/src/gateway/crash_store.rs
@@ -43,7 +43,8 @@
 async fn follow_copy(host: &GatewayHost) {
     let mut watched = None;
     loop {
-        if !host.watches_crashes() {
+        // A host without a list of servers leaves the store's rate to the listings.
+        if host.state().fleet.revision() == 0 || !host.watches_crashes() {
             watched = None;
             tokio::time::sleep(DUTY_PERIOD).await;
             continue;
@@ -103,10 +104,7 @@
             // The store has one counter of revisions: what changes after this one is told by the watch.
             let revision = self.state().fleet.revision();
             self.read_crashes().await?;
-            if revision == 0 {
-                tokio::time::sleep(LOOK_PERIOD).await;
-            }
-            return Ok(Some(revision).filter(|revision| *revision > 0));
+            return Ok(Some(revision));
         };
         let limit = WATCH_WAIT + WATCH_SLACK;
         match self.store.watch(kind, after, WATCH_WAIT, limit).await? {
