--- /dev/null
+++ b/tests/crash_copies.rs
@@ -0,0 +1,31 @@
+//! The copy of crashes in the store: its age and its form.
+
+use rstest::rstest;
+use serde_json::json;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tealcleat::keys::{NameKey, RequestKey};
+use tealcleat::platform::{decode_crashes, encode_crashes};
+use tealcleat::quarantine::CrashNews;
+
+const CRASHER: RequestKey = RequestKey(u64::MAX);
+
+#[rstest]
+#[case::clock_goes_on(4, 4000)]
+#[case::clock_put_back(-3, 0)]
+fn copy_read_with_its_age(#[case] later_s: i64, #[case] age_ms: u32) {
+    let written = UNIX_EPOCH + Duration::from_secs(1_800_000_000);
+    let read = UNIX_EPOCH + Duration::from_secs((1_800_000_000 + later_s) as u64);
+    let news = CrashNews { server: NameKey(1), age_ms: 0, idle_ms: 0, requests: vec![CRASHER] };
+    let copy = encode_crashes(std::slice::from_ref(&news), written);
+    let expected = CrashNews { age_ms, idle_ms: age_ms, ..news };
+    assert_eq!(decode_crashes(&copy, read).expect("crashes"), [expected]);
+}
+
+#[rstest]
+#[case::no_list(json!({}))]
+#[case::other_type(json!({"crashes": [{"server": 7}]}))]
+#[case::no_key(json!({"crashes":
+    [{"server": "xyz", "at_ms": 0, "idle_since_ms": 0, "requests": []}]}))]
+fn copy_of_another_form_refused(#[case] spec: serde_json::Value) {
+    assert!(decode_crashes(&spec, SystemTime::now()).is_err());
+}
