Logs name the limits of servers, and what a host had sent them

Now a host writes a line when a server names another limit than was known, with what this host sent to it in the 5 s before. The header is decoded in platform/ into a checked type; nothing is decided from it yet.

--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -13,6 +13,7 @@
 use crate::platform::StoreClient;
 use crate::quarantine::{BreakOffs, CrashBook};
 use crate::routes::{RouteTable, ServiceKey};
+use crate::server_limits::{LimitBook, SendLog};
 use crate::settings::GatewaySettings;
 use crate::telemetry::MetricBook;
 use std::collections::HashMap;
@@ -114,6 +115,8 @@
             break_offs: BreakOffs::default(),
             crashes: CrashBook::default(),
             crashes_revision: None,
+            server_limits: LimitBook::default(),
+            sends: SendLog::default(),
             refused: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             unreadable: UnreadableObjects::default(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod gateway_start;
 mod gateway_state;
 mod limit_desk;
+mod limit_hearing;
 mod limit_waits;
 mod load_guard;
 mod peer_loop;
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -4,7 +4,7 @@
 use super::gateway_host::GatewayHost;
 use crate::engines::{AnswerProof, PooledBody, SendLimits};
 use crate::fleet::ServerEntry;
-use crate::platform::{CallPart, REQUEST_ID};
+use crate::platform::{CallPart, REQUEST_ID, read_limit};
 use crate::{Error, Result};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -65,7 +65,11 @@
 ) -> Result<Response<PooledBody>> {
     let request = context.call.to_server(server, left, part);
     let limits = SendLimits { connect: CONNECT_LIMIT, rested };
-    send_call(&context.host, server, purpose, request, limits).await
+    let (host, sent_at) = (&context.host, context.host.now());
+    host.state().sends.note(sent_at, server.key());
+    let response = send_call(host, server, purpose, request, limits).await?;
+    host.hear_limit(server, sent_at, &read_limit(response.headers()));
+    Ok(response)
 }
 
 /// Calls an engine for the router's own purposes; `read` knows the answer by what it says, as far as it says
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! tealcleat routes requests to a few huge, fragile model backend servers in two pools.
 //!
 //! Decisions are pure machines (`placement`, `streams`, `claims`, `membership`, `intents`,
-//! `orders`, `routes`, `fleet`, `organisations`, `limits`, `quarantine`); edges know sockets (`platform`, `engines`,
+//! `orders`, `routes`, `fleet`, `organisations`, `limits`, `server_limits`, `quarantine`); edges know sockets (`platform`, `engines`,
 //! `callers`, `peers`, `operators`); `host` joins them into the daemon, `gateway` into the daemon on the
 //! users' platform. Arrows point one way: edges know decisions, never the reverse.
 
@@ -27,6 +27,7 @@
 pub mod platform;
 pub mod quarantine;
 pub mod routes;
+pub mod server_limits;
 pub mod settings;
 pub mod streams;
 pub mod telemetry;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,8 +23,8 @@
 pub use lease_wire::{LEASE_OBJECT, decode_lease, encode_lease};
 pub use names::{READY_PATH, REQUEST_ID};
 pub use request_wire::{
-    AnswerKind, CallHead, CallPart, DecodePart, ServerCall, TokenCounts, answer_headers,
-    holds_answer, own_headers, read_answer,
+    AnswerKind, CallHead, CallPart, DecodePart, LimitNaming, ServerCall, TokenCounts,
+    answer_headers, holds_answer, own_headers, read_answer, read_limit,
 };
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server, decode_servers};
 pub use store_client::{ListAge, StoreClient, StoreWrite, WatchAnswer};
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -17,6 +17,8 @@
 pub const STAMP: &str = "x-server-stamp";
 /// On a backend server's refusal: the request did not run there.
 pub const NOT_RUN: &str = "x-not-run";
+/// In a backend server's answer: the requests a second that it takes from all hosts together.
+pub const SERVER_LIMIT: &str = "server-limit";
 /// Asks for one stage of a request only; always set by the router.
 pub const STAGE: &str = "x-stage";
 /// Where the memory of a prefilled or backed-up request is fetched from.
--- /dev/null
+++ b/src/server_limits/limit_book.rs
@@ -0,0 +1,164 @@
+use super::{LimitNews, ServerLimit};
+use crate::keys::{ServerKey, TimePoint};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How often each change is told on, to a few other hosts each time: with six a time 300 hosts hear of it
+/// within four times.
+const TELLS: u32 = 4;
+/// Limits in force are told again after this long, for hosts that were cut off or have just come.
+const REPEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Limits told at once: at 20 bytes each within one datagram. Others have their turn the next time.
+const MOST_TOLD: usize = 96;
+/// Answers without a limit, one after the other, after which it counts as taken back. One may be missing in
+/// some answers: of a server that leaves it out in one answer of ten, three in a row come once in a thousand.
+const ABSENT_ANSWERS: u32 = 3;
+/// While a limit is in doubt, this many requests a second may find out, whatever it says: three answers come
+/// within about three seconds also of a server that named a tenth of a request a second.
+const DOUBT_RATE: f64 = 1.0;
+/// What is known of a limit that was taken back, or of a server that is gone, is forgotten after this long.
+const FORGET_TIME: Duration = Duration::from_secs(60);
+
+/// What is known of one server's limit.
+#[derive(Debug, Clone, Copy)]
+struct LimitRecord {
+    news: LimitNews,
+    adopted_at: TimePoint,
+    /// Answers without it since the last one that named it.
+    absents: u32,
+    tells_left: u32,
+}
+
+/// How a limit changed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitChange {
+    /// What was in force.
+    pub was: Option<ServerLimit>,
+    /// What is now.
+    pub now: LimitNews,
+}
+
+/// The limits that backend servers named, as far as this host knows.
+#[derive(Debug, Default)]
+pub struct LimitBook {
+    records: HashMap<ServerKey, LimitRecord>,
+    repeated_at: TimePoint,
+}
+
+impl LimitBook {
+    /// The limit of a server that is in force.
+    pub fn limit(&self, server: ServerKey) -> Option<ServerLimit> {
+        let record = self.records.get(&server)?;
+        let limit = record.news.limit?;
+        Some(if record.absents > 0 { limit.at_least(DOUBT_RATE) } else { limit })
+    }
+
+    /// What is known of a server's limit.
+    pub fn news(&self, server: ServerKey) -> LimitNews {
+        let unknown = LimitNews { server, version: 0, limit: None };
+        self.records.get(&server).map_or(unknown, |record| record.news)
+    }
+
+    /// An answer to a request that was sent at `sent_at` named `limit`.
+    ///
+    /// Answers overtake each other. One that was asked for before the last change was learned may be older than
+    /// that change, and is believed only if it names less.
+    pub fn hear(
+        &mut self,
+        now: TimePoint,
+        sent_at: TimePoint,
+        server: ServerKey,
+        limit: ServerLimit,
+    ) -> Option<LimitChange> {
+        let known = self.news(server);
+        if known.limit == Some(limit) {
+            return None;
+        }
+        let names_less = known.limit.is_some_and(|known| limit < known);
+        if !names_less && !self.is_later(sent_at, server) {
+            return None;
+        }
+        let news = LimitNews { server, version: known.version + 1, limit: Some(limit) };
+        Some(self.adopt(now, news))
+    }
+
+    /// Whether an answer to a request that was sent at `sent_at` is certainly later than what is known.
+    pub fn is_later(&self, sent_at: TimePoint, server: ServerKey) -> bool {
+        self.records.get(&server).is_none_or(|record| sent_at >= record.adopted_at)
+    }
+
+    /// A server that has a limit answered later than what is known under `version`, and either named its limit or
+    /// did not. Told to the one host that counts these answers, and takes the limit back when enough of them came
+    /// one after the other.
+    pub fn note_answer(
+        &mut self,
+        now: TimePoint,
+        server: ServerKey,
+        version: u32,
+        is_named: bool,
+    ) -> Option<LimitChange> {
+        let record = self.records.get_mut(&server)?;
+        if record.news.version != version || record.news.limit.is_none() {
+            return None;
+        }
+        record.absents = if is_named { 0 } else { record.absents + 1 };
+        if record.absents < ABSENT_ANSWERS {
+            return None;
+        }
+        Some(self.adopt(now, LimitNews { server, version: version + 1, limit: None }))
+    }
+
+    /// Takes over what another host told.
+    pub fn merge(&mut self, now: TimePoint, news: &LimitNews) -> Option<LimitChange> {
+        let known = self.news(news.server);
+        news.replaces(&known).then(|| self.adopt(now, *news))
+    }
+
+    /// What is to be told next; bounded, whatever there is.
+    pub fn untold(&mut self, now: TimePoint) -> Vec<LimitNews> {
+        self.repeat(now);
+        let due = self.records.values_mut().filter(|record| record.tells_left > 0);
+        let told = due.take(MOST_TOLD).map(|record| {
+            record.tells_left -= 1;
+            record.news
+        });
+        told.collect()
+    }
+
+    /// All limits in force, for a host that comes or compares notes.
+    pub fn all(&self) -> Vec<LimitNews> {
+        let records = self.records.values().map(|record| record.news);
+        records.filter(|news| news.limit.is_some()).take(MOST_TOLD).collect()
+    }
+
+    /// Servers that have a limit.
+    pub fn limited(&self) -> impl Iterator<Item = ServerKey> {
+        let records = self.records.values();
+        records.filter(|record| record.news.limit.is_some()).map(|record| record.news.server)
+    }
+
+    /// Forgets limits that were taken back long ago, and those of servers that are gone.
+    pub fn expire(&mut self, now: TimePoint, is_there: impl Fn(ServerKey) -> bool) {
+        self.records.retain(|server, record| {
+            let is_in_use = record.news.limit.is_some() && is_there(*server);
+            is_in_use || now.since(record.adopted_at) < FORGET_TIME
+        });
+    }
+
+    fn adopt(&mut self, now: TimePoint, news: LimitNews) -> LimitChange {
+        let was = self.news(news.server).limit;
+        let record = LimitRecord { news, adopted_at: now, absents: 0, tells_left: TELLS };
+        self.records.insert(news.server, record);
+        LimitChange { was, now: news }
+    }
+
+    fn repeat(&mut self, now: TimePoint) {
+        if now.since(self.repeated_at) < REPEAT_PERIOD {
+            return;
+        }
+        self.repeated_at = now;
+        for record in self.records.values_mut().filter(|record| record.news.limit.is_some()) {
+            record.tells_left = record.tells_left.max(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/server_limits/server_limit.rs
@@ -0,0 +1,45 @@
+use crate::{Error, Result};
+use serde::{Deserialize, Serialize};
+
+/// The longest text that is read as a limit.
+const LONGEST_TEXT: usize = 32;
+
+/// Requests a second that a backend server takes from all hosts together.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct ServerLimit(f64);
+
+impl ServerLimit {
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+
+    /// The larger of this limit and `least` requests a second.
+    #[must_use]
+    pub fn at_least(self, least: f64) -> Self {
+        Self(self.0.max(least))
+    }
+}
+
+impl TryFrom<&str> for ServerLimit {
+    type Error = Error;
+
+    /// Reads a number in decimal notation: digits, and a fraction if there is one. Signs, exponents and names
+    /// of numbers are refused.
+    fn try_from(text: &str) -> Result<Self> {
+        let wrong = || Error::Protocol(format!("{text:?} is no limit in requests a second"));
+        let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+        let are_digits = |part: &str| part.bytes().all(|byte| byte.is_ascii_digit());
+        let is_decimal = !whole.is_empty() && !fraction.is_empty();
+        if text.len() > LONGEST_TEXT || !is_decimal || !are_digits(whole) || !are_digits(fraction) {
+            return Err(wrong());
+        }
+        text.parse().map(Self).map_err(|_error| wrong())
+    }
+}
+
+impl std::fmt::Display for ServerLimit {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
