--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -2,6 +2,7 @@
 use super::engine_memory::EngineMemory;
 use super::event_feed::{EventFeed, EventSender, cut_within};
 use super::life_switch::{LifeSwitch, RestartPlace};
+use super::site_arrivals::{LimitExcess, LimitSpeech, SiteArrivals};
 use super::site_http::{
     BrokenOff, SiteAnswer, SiteHandler, WholeRequest, crash_server, header, is_crashing, refusal,
     restart_site, serve_site, signed, whole,
@@ -26,6 +27,7 @@
     /// Its id, the same in all of its lives.
     pub id: String,
     lives: LifeSwitch,
+    arrivals: SiteArrivals,
     pub(super) stage: Mutex<String>,
     events: u64,
     pause: Duration,
@@ -45,6 +47,7 @@
         Self {
             id: id.to_owned(),
             lives: LifeSwitch::default(),
+            arrivals: SiteArrivals::default(),
             stage: Mutex::new(stage.to_owned()),
             events,
             pause,
@@ -75,9 +78,25 @@
         let address = restart_site(self, born, place).await?;
         lock(&self.memory).restart();
         self.set_fault(EngineFault::None);
+        self.set_limit(LimitSpeech::default());
         Ok(address)
     }
 
+    /// Changes what it says of its limit; a new life of it says nothing.
+    pub fn set_limit(&self, speech: LimitSpeech) {
+        self.arrivals.set(speech);
+    }
+
+    /// Requests that arrived, prompts to be read and those that it turned away included.
+    pub fn arrived(&self) -> usize {
+        self.arrivals.count()
+    }
+
+    /// The window in which it got most beyond what its limit allows.
+    pub fn worst_excess(&self) -> Option<LimitExcess> {
+        self.arrivals.worst_excess()
+    }
+
     /// When its present life began, if it says so.
     pub fn born(&self) -> Option<u64> {
         self.lives.now().born
@@ -245,6 +264,14 @@
     }
 
     async fn answer(self: Arc<Self>, request: WholeRequest) -> SiteAnswer {
+        self.arrivals.note(&request);
+        let answer = Arc::clone(&self).answer_unlimited(request).await;
+        self.arrivals.name(answer)
+    }
+}
+
+impl SiteEngine {
+    async fn answer_unlimited(self: Arc<Self>, request: WholeRequest) -> SiteAnswer {
         if self.fault() == EngineFault::Silent {
             std::future::pending::<()>().await;
         }
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -1,4 +1,5 @@
 use super::life_switch::{LifeSwitch, RestartPlace};
+use super::site_arrivals::{LimitExcess, LimitSpeech, SiteArrivals};
 use super::site_http::{
     BrokenOff, SiteAnswer, SiteHandler, WholeRequest, crash_server, header, is_crashing,
     restart_site, serve_site, signed, whole,
@@ -38,6 +39,7 @@
     /// Its id, the same in all of its lives.
     pub id: String,
     lives: LifeSwitch,
+    arrivals: SiteArrivals,
     fault: Mutex<ServiceFault>,
     runs: Mutex<Vec<SeenCaller>>,
 }
@@ -48,6 +50,7 @@
         Self {
             id: id.to_owned(),
             lives: LifeSwitch::default(),
+            arrivals: SiteArrivals::default(),
             fault: Mutex::default(),
             runs: Mutex::default(),
         }
@@ -68,9 +71,25 @@
     pub async fn restart(self: &Arc<Self>, born: u64, place: RestartPlace) -> Result<SocketAddr> {
         let address = restart_site(self, born, place).await?;
         self.set_fault(ServiceFault::None);
+        self.set_limit(LimitSpeech::default());
         Ok(address)
     }
 
+    /// Changes what it says of its limit; a new life of it says nothing.
+    pub fn set_limit(&self, speech: LimitSpeech) {
+        self.arrivals.set(speech);
+    }
+
+    /// Requests that arrived, prompts to be read and those that it turned away included.
+    pub fn arrived(&self) -> usize {
+        self.arrivals.count()
+    }
+
+    /// The window in which it got most beyond what its limit allows.
+    pub fn worst_excess(&self) -> Option<LimitExcess> {
+        self.arrivals.worst_excess()
+    }
+
     /// When its present life began, if it says so.
     pub fn born(&self) -> Option<u64> {
         self.lives.now().born
@@ -102,6 +121,14 @@
     }
 
     async fn answer(self: Arc<Self>, request: WholeRequest) -> SiteAnswer {
+        self.arrivals.note(&request);
+        let answer = Arc::clone(&self).answer_unlimited(request).await;
+        self.arrivals.name(answer)
+    }
+}
+
+impl SiteService {
+    async fn answer_unlimited(self: Arc<Self>, request: WholeRequest) -> SiteAnswer {
         let fault = *lock(&self.fault);
         if fault == ServiceFault::Silent {
             std::future::pending::<()>().await;
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -65,6 +65,8 @@
     pub servers: Vec<StatedServer>,
     /// Daemons.
     pub hosts: Vec<Gateway>,
+    /// Failure domains over which the servers are spread.
+    pub zones: &'static [&'static str],
     /// Where the store listens.
     pub store_address: SocketAddr,
     pub(super) restarts: AtomicU64,
@@ -85,6 +87,7 @@
             services: Vec::new(),
             servers: Vec::new(),
             hosts: Vec::new(),
+            zones: &["a"],
             store_address,
             restarts: AtomicU64::new(0),
         };
@@ -138,6 +141,20 @@
         self.servers.push(StatedServer { id, service, address, stage });
     }
 
+    /// Spreads the servers over failure domains.
+    pub fn spread(&mut self, zones: &'static [&'static str]) {
+        self.zones = zones;
+        for server in &self.servers {
+            self.state_server(&server.id, server.service, server.address, server.stage, "ready");
+        }
+    }
+
+    /// The failure domain of a server; ids end with a number.
+    fn zone(&self, id: &str) -> &'static str {
+        let place = id.rsplit('-').next().and_then(|number| number.parse::<usize>().ok());
+        self.zones[place.unwrap_or_default() % self.zones.len()]
+    }
+
     /// Writes a server's entry.
     pub fn state_server(
         &self,
@@ -147,7 +164,7 @@
         stage: Option<&str>,
         state: &str,
     ) {
-        let mut entry = json!({"service": service, "address": address.to_string(), "zone": "a",
+        let mut entry = json!({"service": service, "address": address.to_string(), "zone": self.zone(id),
             "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 0});
         if let Some(stage) = stage {
             entry["stage"] = json!(stage);
--- /dev/null
+++ b/tests/limited_servers.rs
@@ -0,0 +1,226 @@
+//! A backend server in need names in its answers how many requests a second it takes from all hosts together.
+//!
+//! What was seen: servers of a plain service named 3 to 5 requests a second and got some 20 a second as before, from
+//! hosts that they had told. How it came about: hosts handed the answers to their callers and chose servers as ever.
+//! Cause: a bound that a server sets to the sum over all hosts was read by none of them, and there was no one place in
+//! which what all of them send to it is added up. What proves it: the logs of the hosts say when each was told and what
+//! it had sent; here the server's own count of arrivals shows that nothing changes as it names its limit.
+
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tealcleat::bench::site::{LimitExcess, LimitSpeech, SitePlan, TestSite, call_site};
+use tealcleat::bench::{GatewayProcess, ProcessPlan};
+
+mod site_common;
+mod suspended_common;
+
+use site_common::{call, runtime};
+use suspended_common::{daemon, held_clock, test_folder};
+
+const DOMAINS: &[&str] = &["a", "b", "c"];
+const HOSTS: usize = 6;
+/// Requests a second to each host, half of them plain.
+const HOST_RATE: u64 = 20;
+/// Traffic before limits are named: a whole window of it.
+const FREE_TIME: Duration = Duration::from_secs(4);
+/// Time in which a case does what it does.
+const STEP_TIME: Duration = Duration::from_secs(4);
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Real daemons in three failure domains, before servers that count what arrives.
+struct LimitRig {
+    site: TestSite,
+    hosts: Vec<GatewayProcess>,
+    ended: Arc<AtomicBool>,
+}
+
+impl LimitRig {
+    async fn start(name: &str) -> Self {
+        let plan = SitePlan { prefills: 3, decodes: 6, services: 6, hosts: 0 };
+        let mut site = TestSite::start(plan).await.expect("a site");
+        site.spread(DOMAINS);
+        let folder = test_folder(name);
+        let environment = held_clock(name);
+        let mut hosts: Vec<GatewayProcess> = Vec::new();
+        for place in 0..HOSTS {
+            let seeds: Vec<SocketAddr> = hosts.iter().map(|host| host.peers).collect();
+            let host = start_host(&site, &folder, place, &seeds, &environment);
+            hosts.push(host);
+        }
+        let mut rig = Self { site, hosts, ended: Arc::default() };
+        rig.wait_ready().await;
+        rig
+    }
+
+    /// Waits until all hosts take callers; one ends at once whose port another socket uses for a moment.
+    async fn wait_ready(&mut self) {
+        let mut question = call("GET", "ready", "ready");
+        question.path = "/tealcleat/ready".to_owned();
+        for host in &mut self.hosts {
+            while !call_site(host.ready, &question).await.is_ok_and(|r| r.status.is_success()) {
+                if host.has_ended() {
+                    host.restart().expect("a restart");
+                }
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+    }
+
+    /// Sends requests to all hosts until the rig ends.
+    fn send_requests(&self) {
+        for (place, host) in self.hosts.iter().enumerate() {
+            tokio::spawn(send_to(host.callers, place, Arc::clone(&self.ended)));
+        }
+    }
+
+    /// Servers that got more than they named, and what.
+    fn excesses(&self) -> Vec<(String, LimitExcess)> {
+        let services = self.site.services.iter().map(|server| (&server.id, server.worst_excess()));
+        let engines = self.site.prefills.iter().chain(&self.site.decodes);
+        let engines = engines.map(|server| (&server.id, server.worst_excess()));
+        let all = services.chain(engines);
+        all.filter_map(|(id, excess)| Some((id.clone(), excess?))).collect()
+    }
+
+    fn limit_service(&self, place: usize, limit: f64) {
+        self.site.services[place].set_limit(LimitSpeech::of(limit));
+    }
+}
+
+fn start_host(
+    site: &TestSite,
+    folder: &Path,
+    place: usize,
+    seeds: &[SocketAddr],
+    environment: &[(String, String)],
+) -> GatewayProcess {
+    let plan = ProcessPlan {
+        program: daemon(),
+        folder,
+        name: &format!("host-{place}"),
+        domain: DOMAINS[place % DOMAINS.len()],
+        store: site.store_address,
+        seeds,
+        revocation: None,
+        environment,
+    };
+    GatewayProcess::start(&plan).expect("a daemon")
+}
+
+async fn send_to(host: SocketAddr, place: usize, ended: Arc<AtomicBool>) {
+    let mut ticker = tokio::time::interval(Duration::from_millis(1000 / HOST_RATE));
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut serial = 0;
+    while !ended.load(Ordering::Relaxed) {
+        ticker.tick().await;
+        serial += 1;
+        let route = ["safe", "stream", "once", "resume"][serial % 4];
+        let request = call("POST", route, &format!("r-{place}-{serial}"));
+        // What callers are told is looked at elsewhere.
+        tokio::spawn(async move { drop(call_site(host, &request).await) });
+    }
+}
+
+/// What happens after limits were named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LimitCase {
+    /// Nothing else.
+    Calm,
+    /// All servers of the plain service name a limit.
+    AllPlain,
+    /// Limits are lowered, taken back and named again.
+    Changes,
+    /// All hosts are killed and started again.
+    Killed,
+    /// A third of the hosts is suspended, twice.
+    Suspended,
+    /// One answer of seven says nothing of the limit.
+    SaidNowAndThen,
+}
+
+fn name_limits(rig: &LimitRig, part: f64) {
+    for (place, limit) in [3.3, 5.0, 8.0].into_iter().enumerate() {
+        rig.limit_service(place, limit * part);
+    }
+    for (place, limit) in [2.0, 0.8].into_iter().enumerate() {
+        rig.site.decodes[place].set_limit(LimitSpeech::of(limit * part));
+    }
+    rig.site.prefills[0].set_limit(LimitSpeech::of(6.0 * part));
+}
+
+fn take_back(rig: &LimitRig) {
+    for service in &rig.site.services {
+        service.set_limit(LimitSpeech::default());
+    }
+    for engine in rig.site.prefills.iter().chain(&rig.site.decodes) {
+        engine.set_limit(LimitSpeech::default());
+    }
+}
+
+async fn play(rig: &mut LimitRig, case: LimitCase) {
+    let step = || tokio::time::sleep(STEP_TIME);
+    match case {
+        LimitCase::Calm | LimitCase::AllPlain | LimitCase::SaidNowAndThen => step().await,
+        LimitCase::Changes => {
+            name_limits(rig, 0.4);
+            step().await;
+            take_back(rig);
+            step().await;
+            name_limits(rig, 1.0);
+        }
+        LimitCase::Killed => {
+            for host in &mut rig.hosts {
+                host.signal("-KILL").expect("a signal");
+                while !host.has_ended() {
+                    tokio::time::sleep(LOOK).await;
+                }
+                host.restart().expect("a restart");
+            }
+            rig.wait_ready().await;
+        }
+        LimitCase::Suspended => {
+            for _ in 0..2 {
+                for host in rig.hosts.iter_mut().step_by(3) {
+                    host.suspend().expect("a stop");
+                }
+                step().await;
+                for host in rig.hosts.iter_mut().step_by(3) {
+                    host.resume().expect("it goes on");
+                }
+                step().await;
+            }
+        }
+    }
+    step().await;
+}
+
+#[rstest]
+#[case::calm(LimitCase::Calm)]
+#[case::all_plain_servers(LimitCase::AllPlain)]
+#[case::limits_change(LimitCase::Changes)]
+#[case::hosts_killed(LimitCase::Killed)]
+#[case::hosts_suspended(LimitCase::Suspended)]
+#[case::said_now_and_then(LimitCase::SaidNowAndThen)]
+fn limited_server_gets_no_more_than_it_named(#[case] case: LimitCase) {
+    runtime().block_on(async {
+        let mut rig = LimitRig::start(&format!("limited-{case:?}")).await;
+        rig.send_requests();
+        tokio::time::sleep(FREE_TIME).await;
+        name_limits(&rig, 1.0);
+        if case == LimitCase::AllPlain {
+            (0..rig.site.services.len()).for_each(|place| rig.limit_service(place, 3.3));
+        }
+        if case == LimitCase::SaidNowAndThen {
+            let speech = LimitSpeech { silent_each: 7, ..LimitSpeech::of(5.0) };
+            rig.site.services[0].set_limit(speech);
+        }
+        tokio::time::sleep(STEP_TIME).await;
+        play(&mut rig, case).await;
+        rig.ended.store(true, Ordering::Relaxed);
+        assert_eq!(rig.excesses(), Vec::new());
+    });
+}
