--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -3,6 +3,7 @@
 use crate::keys::{RequestKey, TimePoint};
 use crate::platform::{CallHead, ServerCall};
 use crate::routes::{Route, ServiceKey, ServiceSpec};
+use crate::server_limits::CallRank;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
     pub service: ServiceKey,
     pub spec: Arc<ServiceSpec>,
     pub head: CallHead,
+    /// How urgent it is.
+    pub rank: CallRank,
     /// The same for each attempt at this request, by whichever host.
     pub contents: RequestKey,
     /// Servers crashed while it was there; it may be sent to one more.
--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -25,6 +25,8 @@
     LimitUnknown,
     /// Servers crashed under it.
     HeldBack,
+    /// The servers that could run it get as much already as they take from all hosts together.
+    ServersAtLimit,
 }
 
 impl NotRunReason {
@@ -39,6 +41,7 @@
             Self::ConfigTooOld => "config_too_old",
             Self::LimitUnknown => "limit_unknown",
             Self::HeldBack => "crashes_servers",
+            Self::ServersAtLimit => "servers_at_limit",
         }
     }
 }
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -13,6 +13,7 @@
 use crate::keys::{RequestContents, RequestKey};
 use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
+use crate::server_limits::CallRank;
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -101,6 +102,8 @@
     if matches!(admission, RequestAdmission::HeldBack(_)) {
         return Err(refuse(NotRunReason::HeldBack));
     }
+    let org_priority = organisation.map(|org| org.priority).unwrap_or_default();
+    let rank = CallRank::new(org_priority, route.priority);
     let cost = organisation.and_then(|org| cost(org, &head));
     if let Some(cost) = cost {
         charge(host, &head.request_id, cost).await?;
@@ -112,6 +115,7 @@
         service,
         spec,
         head,
+        rank,
         contents,
         is_trial: matches!(admission, RequestAdmission::Trial(_)),
         call,
--- a/src/gateway/decode_room.rs
+++ b/src/gateway/decode_room.rs
@@ -4,6 +4,7 @@
 use super::call_end::NotRunReason;
 use super::engine_hold::{EngineKeep, take_hold};
 use super::load_guard::LoadGuard;
+use super::send_permit::SendPermit;
 use super::server_ranking::ServerWish;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::ServerKey;
@@ -15,6 +16,8 @@
 pub(super) struct DecodeRoom {
     pub keep: EngineKeep,
     pub load: LoadGuard,
+    /// The run may be sent there.
+    pub permit: SendPermit,
 }
 
 /// Puts a request on the load board.
@@ -57,13 +60,14 @@
             kind: ChoiceKind::DecodeMemory(engine.memory_tokens),
             near,
             abroad: search.abroad(),
+            rank: context.rank,
         };
         // Ranked anew for each step: a server that did not answer took time, in which others may have
         // begun to leave.
         let mut ranked = context.host.ranked(context.service, &choice);
         ranked.retain(|server| !lost.contains(&server.key()));
         if ranked.is_empty() {
-            return Err(NotRunReason::NoServer);
+            return Err(or_at_limit(context, NotRunReason::NoServer));
         }
         let keys = ranked.iter().map(ServerEntry::key);
         match search.next(context.host.now(), keys) {
@@ -71,7 +75,10 @@
                 let Some(server) = ranked.iter().find(|server| server.key() == key) else {
                     continue;
                 };
-                if let Some(room) = ask_room(context, engine, server, tokens).await {
+                let Some(permit) = context.permit(server).await else {
+                    continue;
+                };
+                if let Some(room) = ask_room(context, engine, server, tokens, permit).await {
                     return Ok(room);
                 }
                 search.note_refused(server.domain);
@@ -79,12 +86,18 @@
             RoomStep::Pause(pause) => tokio::time::sleep(pause).await,
             RoomStep::Refuse => {
                 log_no_room(context, engine, tokens, ranked.len(), &search);
-                return Err(NotRunReason::NoMemory);
+                return Err(or_at_limit(context, NotRunReason::NoMemory));
             }
         }
     }
 }
 
+/// Why no server was found: a server that has a limit may take the request before another one has room.
+fn or_at_limit(context: &CallContext, reason: NotRunReason) -> NotRunReason {
+    let is_limited = context.is_limited_out(Some(ServerStage::Decode));
+    if is_limited { NotRunReason::ServersAtLimit } else { reason }
+}
+
 /// What a refusal for want of memory was decided from: what was asked for, of how many servers, and
 /// the mean that is known to be used at one of them (by this host and, as last heard, the others).
 fn log_no_room(
@@ -113,6 +126,7 @@
     engine: &EngineSpec,
     server: &ServerEntry,
     tokens: u32,
+    permit: SendPermit,
 ) -> Option<DecodeRoom> {
     let load = decode_load(context, server);
     context.host.note_server(server, ServerNote::Sent);
@@ -121,7 +135,7 @@
         context.host.note_server(server, ServerNote::Answered);
     }
     match held {
-        Ok(Some(keep)) => Some(DecodeRoom { keep, load }),
+        Ok(Some(keep)) => Some(DecodeRoom { keep, load, permit }),
         Ok(None) => None,
         Err(error) => {
             context.host.note_server(server, ServerNote::Silent);
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,11 +1,11 @@
 use super::gateway_state::GatewayState;
-use super::limit_waits::LimitWaits;
+use super::reply_waits::ReplyWaits;
 use super::unreadable_objects::UnreadableObjects;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges};
 use crate::host::lock;
 use crate::keys::{HostClock, IncarnationId, NameKey, RequestHasher, TimePoint};
-use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
+use crate::limits::{LimitAnswer, LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::organisations::{ConfigAge, KeyHasher};
 use crate::peers::PeerClient;
@@ -13,7 +13,7 @@
 use crate::platform::StoreClient;
 use crate::quarantine::{BreakOffs, CrashBook};
 use crate::routes::{RouteTable, ServiceKey};
-use crate::server_limits::{LimitBook, SendLog};
+use crate::server_limits::{SendControl, SendReply};
 use crate::settings::GatewaySettings;
 use crate::telemetry::MetricBook;
 use std::collections::HashMap;
@@ -75,7 +75,8 @@
     pub(super) request_hasher: RequestHasher,
     /// Requests that wait for an answer about the age of the configuration.
     pub(super) age_heard: Notify,
-    pub(super) limit_waits: LimitWaits,
+    pub(super) limit_waits: ReplyWaits<LimitAnswer>,
+    pub(super) send_waits: ReplyWaits<SendReply>,
     pub(super) load_serial: AtomicU64,
     pub(super) fetching_view: AtomicBool,
     pub(super) routes_away: AtomicBool,
@@ -115,8 +116,7 @@
             break_offs: BreakOffs::default(),
             crashes: CrashBook::default(),
             crashes_revision: None,
-            server_limits: LimitBook::default(),
-            sends: SendLog::default(),
+            sends: SendControl::default(),
             refused: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             unreadable: UnreadableObjects::default(),
@@ -135,7 +135,8 @@
             key_hasher: KeyHasher::new(&settings.shared_key),
             request_hasher: RequestHasher::new(&settings.shared_key),
             age_heard: Notify::new(),
-            limit_waits: LimitWaits::default(),
+            limit_waits: ReplyWaits::default(),
+            send_waits: ReplyWaits::default(),
             load_serial: AtomicU64::new(1),
             fetching_view: AtomicBool::new(false),
             routes_away: AtomicBool::new(false),
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -4,6 +4,7 @@
 use super::crash_store::run_crash_store;
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::limit_desk::run_limits;
+use super::limit_news::run_limit_news;
 use super::peer_loop::run_peers;
 use super::ready_server::{QuestionKind, serve_questions};
 use super::stage_loop::run_stages;
@@ -61,6 +62,7 @@
     tokio::spawn(run_ages(Arc::clone(&host)));
     tokio::spawn(run_limits(Arc::clone(&host)));
     tokio::spawn(run_crash_news(Arc::clone(&host)));
+    tokio::spawn(run_limit_news(Arc::clone(&host)));
     tokio::spawn(run_crash_store(Arc::clone(&host)));
     log::info!(
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -9,7 +9,7 @@
 };
 use crate::quarantine::{BreakOffs, CrashBook};
 use crate::routes::{RouteTable, ServiceKey};
-use crate::server_limits::{LimitBook, SendLog};
+use crate::server_limits::SendControl;
 use crate::settings::GatewayBounds;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -57,10 +57,8 @@
     pub crashes: CrashBook,
     /// Revision of the store's copy of the crashes; `None` if it has none.
     pub crashes_revision: Option<u64>,
-    /// Limits that backend servers named.
-    pub server_limits: LimitBook,
-    /// What this host sent to backend servers lately.
-    pub sends: SendLog,
+    /// What this host sends and grants under the limits that backend servers named.
+    pub sends: SendControl,
     /// Hosts that the store does not answer, this one included.
     pub refused: RefusedHosts,
     /// The other hosts.
@@ -116,8 +114,7 @@
         self.grants.retain(|server| self.fleet.entry(server).is_some());
         self.changes.expire(now);
         self.crashes.expire(now);
-        self.server_limits.expire(now, |server| self.fleet.entry(server).is_some());
-        self.sends.expire(now);
+        self.sends.expire(now, |server| self.fleet.entry(server).is_some());
         self.refused.expire(now);
         self.silent.expire(now);
         self.ledger.expire(now);
--- a/src/gateway/limit_desk.rs
+++ b/src/gateway/limit_desk.rs
@@ -16,11 +16,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// An owner in the same failure domain answers within a millisecond; after this time the question is
-/// sent once more, since datagrams are lost now and then.
-const FIRST_WAIT: Duration = Duration::from_millis(25);
-/// Then the owner counts as silent, and the host uses its own part.
-const SECOND_WAIT: Duration = Duration::from_millis(40);
 /// A host younger than this asks again while it finds no owner: after a loss of all hosts owners have no
 /// configuration yet. Of what hosts took alone then, an organisation at its limit had 0.7 s of its rate.
 const YOUNG_AGE: Duration = Duration::from_millis(1200);
@@ -130,17 +125,13 @@
     }
 
     async fn ask_other(&self, owner: MemberUpdate, ask: &LimitAsk) -> Option<LimitAnswer> {
-        let mut answer = self.limit_waits.wait(ask.sequence);
-        for wait in [FIRST_WAIT, SECOND_WAIT] {
-            self.send(owner.address, &GatewayDatagram::LimitAsk(self.incarnation, *ask));
-            if let Ok(Ok(answer)) = tokio::time::timeout(wait, &mut answer).await {
-                return Some(answer);
-            }
+        let question = GatewayDatagram::LimitAsk(self.incarnation, *ask);
+        let answer = self.ask_twice(&self.limit_waits, ask.sequence, owner, &question).await;
+        if answer.is_none() {
+            let (owner, org) = (owner.incarnation, ask.org.0);
+            log::info!("event=limit_owner_silent owner={owner} org={org:016x}");
         }
-        let now = self.now();
-        log::info!("event=limit_owner_silent owner={} org={:016x}", owner.incarnation, ask.org.0);
-        self.state().silent.note(now, owner.incarnation);
-        None
+        answer
     }
 
     /// Grants or refuses as the owner; nothing if the organisation has no limit here.
--- a/src/gateway/limit_hearing.rs
+++ b/src/gateway/limit_hearing.rs
@@ -1,10 +1,12 @@
 //! Takes note of the limits that backend servers name in their answers.
 
 use super::gateway_host::GatewayHost;
+use super::peer_messages::GatewayDatagram;
 use crate::fleet::ServerEntry;
 use crate::keys::TimePoint;
+use crate::limits::OwnerChoice;
 use crate::platform::LimitNaming;
-use crate::server_limits::LOG_TIME;
+use crate::server_limits::LimitAnswered;
 
 impl GatewayHost {
     /// A server answered a request that was sent at `sent_at`; the answer is known to be to that request.
@@ -15,8 +17,8 @@
         naming: &LimitNaming,
     ) {
         let limit = match naming {
-            LimitNaming::Absent => return,
-            LimitNaming::Named(limit) => *limit,
+            LimitNaming::Absent => None,
+            LimitNaming::Named(limit) => Some(*limit),
             LimitNaming::Malformed(text) => {
                 let id = &server.id;
                 log::warn!("event=server_limit_unreadable server={id} limit={text:?}");
@@ -24,18 +26,32 @@
             }
         };
         let (now, key) = (self.now(), server.key());
-        let (change, sent) = {
-            let mut state = self.state();
-            let change = state.server_limits.hear(now, sent_at, key, limit);
-            (change, state.sends.recent(now, key, LOG_TIME))
-        };
-        let Some(change) = change else { return };
-        let (id, version, seconds) = (&server.id, change.now.version, LOG_TIME.as_secs());
-        let was = change.was.map_or_else(|| "-".to_owned(), |was| was.to_string());
-        log::info!(
-            "event=server_limit_named server={id} limit={limit} was={was} version={version} \
-             sent={sent} sent_within_s={seconds}"
-        );
-        self.metrics().add("server_limits_named", 1);
+        let (change, told) = self.state().sends.hear_answer(now, sent_at, key, limit);
+        if let Some(change) = change {
+            self.log_limit_change(&change, "answer");
+        }
+        if let Some(answered) = told {
+            self.tell_answered(&answered);
+        }
+    }
+
+    fn tell_answered(&self, answered: &LimitAnswered) {
+        match self.send_owner(answered.news.server) {
+            OwnerChoice::Own => self.hear_answered(answered),
+            OwnerChoice::Other(owner) => {
+                self.send(owner.address, &GatewayDatagram::LimitAnswered(*answered));
+            }
+            // Who has no owner sends nothing there; the next answer tells.
+            OwnerChoice::Unknown => {}
+        }
+    }
+
+    /// A server that has a limit answered this host or another one, which takes this one for its owner.
+    pub(super) fn hear_answered(&self, answered: &LimitAnswered) {
+        let now = self.now();
+        let changes = self.state().sends.hear_answered(now, answered);
+        for change in changes {
+            self.log_limit_change(&change, "owner");
+        }
     }
 }
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -53,11 +53,15 @@
             Ok(GatewayDatagram::LimitAsk(from, ask)) => host.hear_limit_ask(address, from, &ask),
             Ok(GatewayDatagram::LimitAnswer(answer)) => {
                 // Nobody waits for one that comes late; the next question tells what was used.
-                host.limit_waits.end(answer);
+                host.limit_waits.end(answer.sequence, answer);
             }
             Ok(GatewayDatagram::LoanAsk(ask)) => host.hear_loan_ask(address, &ask),
             Ok(GatewayDatagram::LimitLoan(loan)) => host.hear_loan(&loan),
             Ok(GatewayDatagram::Crashes(report)) => host.hear_crashes(&report),
+            Ok(GatewayDatagram::ServerLimits(news)) => host.hear_server_limits(&news),
+            Ok(GatewayDatagram::SendAsk(from, ask)) => host.hear_send_ask(address, from, &ask),
+            Ok(GatewayDatagram::SendReply(reply)) => host.send_waits.end(reply.sequence, reply),
+            Ok(GatewayDatagram::LimitAnswered(answered)) => host.hear_answered(&answered),
             Err(error) => {
                 log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
             }
@@ -98,16 +102,17 @@
         let now = host.now();
         let state = host.state();
         let (members, crashes) = (state.members.full_news(), state.crashes.whole_report(now));
-        GatewayRequest::Sync { members, crashes }
+        GatewayRequest::Sync { members, crashes, limits: state.sends.book.all() }
     };
     let reply = host.peers.call(address, &request, COMPARE_LIMIT).await;
-    let Ok(GatewayReply::Members { members, crashes }) = reply else {
+    let Ok(GatewayReply::Members { members, crashes, limits }) = reply else {
         return false;
     };
     let now = host.now();
     let orders = host.state().members.merge_all(now, &members);
     host.carry_out(orders);
     host.hear_crashes(&crashes);
+    host.hear_server_limits(&limits);
     true
 }
 
@@ -253,16 +258,18 @@
 
     async fn handle(self: Arc<Self>, request: GatewayRequest) -> GatewayReply {
         match request {
-            GatewayRequest::Sync { members, crashes } => {
+            GatewayRequest::Sync { members, crashes, limits } => {
                 let now = self.now();
                 self.hear_crashes(&crashes);
+                self.hear_server_limits(&limits);
                 let mut state = self.state();
                 let orders = state.members.merge_all(now, &members);
                 let (members, crashes) =
                     (state.members.full_news(), state.crashes.whole_report(now));
+                let limits = state.sends.book.all();
                 drop(state);
                 self.carry_out(orders);
-                GatewayReply::Members { members, crashes }
+                GatewayReply::Members { members, crashes, limits }
             }
             GatewayRequest::View { routes_version, fleet_revision, age } => {
                 let age = self.own_age(age);
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -6,6 +6,7 @@
 use crate::placement::{ServerLoad, WorkSums};
 use crate::quarantine::CrashReport;
 use crate::routes::{RouteParts, ServiceKey};
+use crate::server_limits::{LimitAnswered, LimitNews, SendAsk, SendReply};
 use serde::{Deserialize, Serialize};
 
 /// A datagram between daemons on the platform.
@@ -31,6 +32,14 @@
     LimitLoan(LimitLoan),
     /// Servers that crashed, and under which requests.
     Crashes(CrashReport),
+    /// Limits that backend servers named.
+    ServerLimits(Vec<LimitNews>),
+    /// The sender asks the owner of a server that has a limit.
+    SendAsk(IncarnationId, SendAsk),
+    /// The owner's reply.
+    SendReply(SendReply),
+    /// How such a server answered a request of the sender.
+    LimitAnswered(LimitAnswered),
 }
 
 /// What a host knows that others must not wait for.
@@ -62,12 +71,14 @@
 /// A request between daemons on the platform.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum GatewayRequest {
-    /// Compare membership, and what is known of crashes.
+    /// Compare membership, and what is known of crashes and of limits.
     Sync {
         /// All news about members.
         members: Vec<MemberUpdate>,
         /// Crashes.
         crashes: CrashReport,
+        /// Limits of servers.
+        limits: Vec<LimitNews>,
     },
     /// What is newer than this.
     View {
@@ -89,6 +100,8 @@
         members: Vec<MemberUpdate>,
         /// Crashes.
         crashes: CrashReport,
+        /// Limits of servers.
+        limits: Vec<LimitNews>,
     },
     /// What is newer.
     View {
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -2,6 +2,7 @@
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
 use super::load_guard::LoadGuard;
 use super::run_open::refuse;
+use super::send_permit::SendPermit;
 use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerWish;
 use crate::fleet::ServerEntry;
@@ -46,9 +47,9 @@
 /// Runs a request at a service whose servers answer in one piece.
 pub(super) async fn serve_plain(context: &CallContext) -> CallEnd {
     let mut record = AttemptRecord::default();
-    while let Some(server) = next_server(context, &record) {
+    while let Some((server, permit)) = next_server(context, &record).await {
         record.tried.push(server.key());
-        match attempt(context, &server, &record).await {
+        match attempt(context, &server, &record, permit).await {
             AttemptEnd::Answered(answer) => return CallEnd::Answered(answer),
             AttemptEnd::NotSent => record.unreached += 1,
             AttemptEnd::NotRun => record.sent += 1,
@@ -73,11 +74,14 @@
             break;
         }
     }
-    give_up(context, record)
+    give_up(context, record).await
 }
 
 /// The next server to try, if the route, the time and the retry bounds allow one.
-fn next_server(context: &CallContext, record: &AttemptRecord) -> Option<ServerEntry> {
+async fn next_server(
+    context: &CallContext,
+    record: &AttemptRecord,
+) -> Option<(ServerEntry, SendPermit)> {
     if context.is_held_back(record.sent) {
         return None;
     }
@@ -86,18 +90,32 @@
         return None;
     }
     let (kind, near) = (ChoiceKind::Requests, context.host.domain());
-    let wish = ServerWish { stage: None, kind, near, abroad: ABROAD };
+    let wish = ServerWish { stage: None, kind, near, abroad: ABROAD, rank: context.rank };
     let ranked = context.host.ranked(context.service, &wish);
-    let untried = ranked.into_iter().find(|server| !record.tried.contains(&server.key()))?;
+    let untried = ranked.into_iter().filter(|server| !record.tried.contains(&server.key()));
+    let (server, permit) = first_permitted(context, untried).await?;
     let repeat = record.sent > 0;
     if repeat && !context.host.take_repeats(context.service, 1) {
         log::info!("event=repeat_denied request={} cause=retry_bounds", context.id());
         return None;
     }
-    Some(untried)
+    Some((server, permit))
+}
+
+/// The best server whose limit, if it has one, lets the request in.
+async fn first_permitted(
+    context: &CallContext,
+    ranked: impl Iterator<Item = ServerEntry>,
+) -> Option<(ServerEntry, SendPermit)> {
+    for server in ranked {
+        if let Some(permit) = context.permit(&server).await {
+            return Some((server, permit));
+        }
+    }
+    None
 }
 
-fn give_up(context: &CallContext, record: AttemptRecord) -> CallEnd {
+async fn give_up(context: &CallContext, record: AttemptRecord) -> CallEnd {
     if let Some(failure) = record.failure {
         return CallEnd::Answered(failure);
     }
@@ -111,6 +129,9 @@
     if context.is_held_back(record.sent) {
         return refuse(NotRunReason::HeldBack);
     }
+    if context.is_limited_out(None) {
+        return context.refuse_at_limit(None).await;
+    }
     let reason = if record.sent > 0 { NotRunReason::TurnedAway } else { NotRunReason::NoServer };
     CallEnd::NotRun(reason, TURNED_AWAY_PAUSE)
 }
@@ -119,6 +140,7 @@
     context: &CallContext,
     server: &ServerEntry,
     record: &AttemptRecord,
+    mut permit: SendPermit,
 ) -> AttemptEnd {
     let load = ServerLoad { requests: 1, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
@@ -127,7 +149,7 @@
     let more = repeatable && record.sent + 1 < context.route.most_servers;
     let patience = context.route.objective * SILENCE_OBJECTIVES;
     let limit = if more { patience.min(context.left()) } else { context.left() };
-    let end = match tokio::time::timeout(limit, exchange(context, server)).await {
+    let end = match tokio::time::timeout(limit, exchange(context, server, &mut permit)).await {
         Ok(Ok(end)) => end,
         Ok(Err(Error::NotSent(_))) => AttemptEnd::NotSent,
         Ok(Err(Error::Foreign { .. })) => AttemptEnd::Unknown("foreign_answer"),
@@ -142,10 +164,15 @@
     end
 }
 
-async fn exchange(context: &CallContext, server: &ServerEntry) -> Result<AttemptEnd> {
+async fn exchange(
+    context: &CallContext,
+    server: &ServerEntry,
+    permit: &mut SendPermit,
+) -> Result<AttemptEnd> {
     let rested = if context.route.is_repeatable() { Duration::MAX } else { FRESH_CONNECTION };
     let (purpose, left) = (CallPurpose::Plain, context.left());
-    let response = send_request(context, server, purpose, left, CallPart::Whole, rested).await?;
+    let part = CallPart::Whole;
+    let response = send_request(context, server, purpose, left, part, rested, permit).await?;
     let kind = read_answer(&response);
     let (parts, body) = response.into_parts();
     if kind == AnswerKind::Improper {
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -1,6 +1,7 @@
 use super::call_context::CallContext;
 use super::engine_hold::EngineKeep;
 use super::load_guard::LoadGuard;
+use super::send_permit::SendPermit;
 use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerWish;
 use crate::fleet::{ServerEntry, ServerStage};
@@ -37,8 +38,8 @@
         // One server is enough to learn from.
         return PromptEnd::LeftToDecode;
     }
-    let kind = ChoiceKind::PromptQueue(FULL_QUEUE_TOKENS);
-    let wish = ServerWish { stage: Some(ServerStage::Prefill), kind, near, abroad: ABROAD };
+    let (kind, rank) = (ChoiceKind::PromptQueue(FULL_QUEUE_TOKENS), context.rank);
+    let wish = ServerWish { stage: Some(ServerStage::Prefill), kind, near, abroad: ABROAD, rank };
     let ranked = context.host.ranked(context.service, &wish);
     let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
     if choose_reader(wait, context.route.objective) == PromptReader::Decode {
@@ -46,16 +47,24 @@
         log::info!("event=prompt_left_to_decode request={} wait_ms={wait}", context.id());
         return PromptEnd::LeftToDecode;
     }
-    for (place, server) in ranked.iter().take(MOST_READERS).enumerate() {
+    let mut reads = 0;
+    for server in &ranked {
+        if reads >= MOST_READERS {
+            break;
+        }
         // The first read may have taken long enough for this server to leave.
         if !context.host.state().fleet.is_ready(server.key()) {
             continue;
         }
+        let Some(permit) = context.permit(server).await else {
+            continue;
+        };
         // The first read is no repeat; each further one counts as one.
-        if place > 0 && !context.host.take_repeats(context.service, 1) {
+        if reads > 0 && !context.host.take_repeats(context.service, 1) {
             break;
         }
-        match read_at(context, server).await {
+        reads += 1;
+        match read_at(context, server, permit).await {
             Ok(ReadEnd::Read(result)) => {
                 let keep = EngineKeep::handle(&context.host, server.clone(), result);
                 return PromptEnd::Read(keep);
@@ -110,14 +119,18 @@
 }
 
 /// Reads the prompt at one server.
-async fn read_at(context: &CallContext, server: &ServerEntry) -> Result<ReadEnd> {
+async fn read_at(
+    context: &CallContext,
+    server: &ServerEntry,
+    mut permit: SendPermit,
+) -> Result<ReadEnd> {
     let tokens = context.head.tokens.prompt;
     let load = ServerLoad { requests: 1, prompt_tokens: tokens, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
     context.host.note_server(server, ServerNote::Sent);
     let limit = READ_LIMIT.min(context.left());
     let began = context.host.now();
-    let exchange = ask_reader(context, server, limit);
+    let exchange = ask_reader(context, server, limit, &mut permit);
     let read = tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)??;
     if matches!(read, ReadEnd::Read(_)) {
         context.host.note_server(server, ServerNote::Served);
@@ -132,11 +145,13 @@
     context: &CallContext,
     server: &ServerEntry,
     limit: Duration,
+    permit: &mut SendPermit,
 ) -> Result<ReadEnd> {
     // No server checks whose result it hands over: one that was taken from another request's answer
     // would be that request's prompt.
     let (purpose, part) = (CallPurpose::Read, CallPart::Prefill);
-    let response = send_request(context, server, purpose, limit, part, Duration::MAX).await?;
+    let rested = Duration::MAX;
+    let response = send_request(context, server, purpose, limit, part, rested, permit).await?;
     let kind = read_answer(&response);
     let status = response.status();
     let body = response.into_body();
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -8,7 +8,7 @@
 use super::load_guard::LoadGuard;
 use super::prompt_read::{PromptEnd, read_prompt};
 use super::run_start::{OpenFailure, RunRecord, run_at};
-use crate::fleet::ServerEntry;
+use crate::fleet::{ServerEntry, ServerStage};
 use crate::platform::DecodePart;
 use crate::quarantine::CRASH_LIFE;
 use crate::routes::EngineSpec;
@@ -68,6 +68,9 @@
             }
         }
         let end = match failure {
+            OpenFailure::NotRun(NotRunReason::ServersAtLimit) => {
+                return Err(context.refuse_at_limit(Some(ServerStage::Decode)).await);
+            }
             OpenFailure::NotRun(reason) => return Err(refuse(reason)),
             OpenFailure::TurnedAway(_) => return Err(refuse(NotRunReason::TurnedAway)),
             OpenFailure::Failed(answer) => CallEnd::Answered(answer),
@@ -104,9 +107,10 @@
         | NotRunReason::NotReady
         | NotRunReason::ConfigTooOld
         | NotRunReason::LimitUnknown => spread(NO_SERVER_PAUSE),
-        NotRunReason::PromptNotRead | NotRunReason::TurnedAway | NotRunReason::OutOfTime => {
-            spread(TURNED_AWAY_PAUSE)
-        }
+        NotRunReason::PromptNotRead
+        | NotRunReason::TurnedAway
+        | NotRunReason::OutOfTime
+        | NotRunReason::ServersAtLimit => spread(TURNED_AWAY_PAUSE),
     };
     CallEnd::NotRun(reason, pause)
 }
@@ -161,7 +165,8 @@
         hold: room.keep.name(),
         after_event: after,
     };
-    let opened = run_at(context, &server, part, runs).await;
+    let mut permit = room.permit.renewed(context, &server).await.ok_or_else(at_limit)?;
+    let opened = run_at(context, &server, part, runs, &mut permit).await;
     room.keep.used();
     // A result that was fetched is gone at its server; one that was not lapses soon.
     if let Some(keep) = prompt.as_mut().filter(|_| opened.is_ok()) {
@@ -171,6 +176,10 @@
     Ok(OpenRun { server, head, reader, first, load: room.load })
 }
 
+fn at_limit() -> OpenFailure {
+    OpenFailure::NotRun(NotRunReason::ServersAtLimit)
+}
+
 /// Whether what a server keeps for a request is gone, since the server has started again. It is neither used
 /// nor given back: its name may be that of another request's by now.
 fn is_lost(context: &CallContext, keep: &mut EngineKeep) -> bool {
@@ -199,13 +208,14 @@
         return Err(turned_away());
     }
     let tokens = needed_tokens(context, engine, after);
+    let mut permit = context.permit(server).await.ok_or_else(at_limit)?;
     let hold = take_hold(&context.host, server, tokens, engine.longest_hold).await;
     let Ok(Some(mut keep)) = hold else {
         return Err(turned_away());
     };
     let load = decode_load(context, server);
     let part = DecodePart { source: None, hold: keep.name(), after_event: after };
-    let opened = run_at(context, server, part, runs).await;
+    let opened = run_at(context, server, part, runs, &mut permit).await;
     keep.used();
     if let Err(OpenFailure::TurnedAway(_)) = &opened {
         // It granted a hold and turned the run away twice: it changes its stage, and the host that
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -3,6 +3,7 @@
 use super::call_context::CallContext;
 use super::call_end::{NotRunReason, ServerAnswer};
 use super::event_reader::EventReader;
+use super::send_permit::SendPermit;
 use super::server_call::{CallPurpose, send_request};
 use crate::Error;
 use crate::fleet::ServerEntry;
@@ -57,12 +58,14 @@
     server: &ServerEntry,
     part: DecodePart<'_>,
     runs: &mut RunRecord,
+    permit: &mut SendPermit,
 ) -> Result<RunStart, OpenFailure> {
     runs.sent += 1;
     context.host.note_server(server, ServerNote::Sent);
     let may_repeat = context.route.is_repeatable() && runs.sent < context.route.most_servers;
     let limit = if may_repeat { FIRST_EVENT_LIMIT.min(context.left()) } else { context.left() };
-    let started = match tokio::time::timeout(limit, start_run(context, server, part)).await {
+    let started = match tokio::time::timeout(limit, start_run(context, server, part, permit)).await
+    {
         Ok(started) => started,
         Err(_elapsed) => Err(OpenFailure::Unknown("no_first_event")),
     };
@@ -116,9 +119,10 @@
     context: &CallContext,
     server: &ServerEntry,
     part: DecodePart<'_>,
+    permit: &mut SendPermit,
 ) -> Result<RunStart, OpenFailure> {
     let (purpose, left, part) = (CallPurpose::Run, context.left(), CallPart::Decode(part));
-    let sent = send_request(context, server, purpose, left, part, Duration::MAX).await;
+    let sent = send_request(context, server, purpose, left, part, Duration::MAX, permit).await;
     let response = match sent {
         Ok(response) => response,
         Err(Error::NotSent(_)) => return Err(OpenFailure::TurnedAway(server.clone())),
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -2,6 +2,7 @@
 
 use super::call_context::CallContext;
 use super::gateway_host::GatewayHost;
+use super::send_permit::SendPermit;
 use crate::engines::{AnswerProof, PooledBody, SendLimits};
 use crate::fleet::ServerEntry;
 use crate::platform::{CallPart, REQUEST_ID, read_limit};
@@ -51,7 +52,7 @@
     }
 }
 
-/// Sends a caller's request to a backend server.
+/// Sends a caller's request to a backend server, under a permit made just now.
 ///
 /// # Errors
 /// As [`send_call`].
@@ -62,12 +63,19 @@
     left: Duration,
     part: CallPart<'_>,
     rested: Duration,
+    permit: &mut SendPermit,
 ) -> Result<Response<PooledBody>> {
     let request = context.call.to_server(server, left, part);
     let limits = SendLimits { connect: CONNECT_LIMIT, rested };
     let (host, sent_at) = (&context.host, context.host.now());
-    host.state().sends.note(sent_at, server.key());
-    let response = send_call(host, server, purpose, request, limits).await?;
+    // Also a request that is given up on its way may have arrived.
+    permit.used();
+    let response =
+        send_call(host, server, purpose, request, limits).await.inspect_err(|error| {
+            if matches!(error, Error::NotSent(_)) {
+                permit.unused();
+            }
+        })?;
     host.hear_limit(server, sent_at, &read_limit(response.headers()));
     Ok(response)
 }
--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -5,6 +5,7 @@
 use crate::keys::NameKey;
 use crate::placement::{ChoiceKind, ChoiceView, rank_servers};
 use crate::routes::ServiceKey;
+use crate::server_limits::CallRank;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
     pub near: NameKey,
     /// Part of a full server that another failure domain counts.
     pub abroad: f64,
+    /// How urgent the request is: servers whose limit leaves no room for it now are left out.
+    pub rank: CallRank,
 }
 
 impl GatewayHost {
@@ -42,7 +45,8 @@
         let candidates = state
             .fleet
             .ready(service)
-            .filter(|server| wish.stage.is_none_or(|stage| server.stage == Some(stage)));
+            .filter(|server| wish.stage.is_none_or(|stage| server.stage == Some(stage)))
+            .filter(|server| state.sends.is_open(now, server.key(), wish.rank));
         rank_servers(now, &view, wish.kind, candidates).into_iter().cloned().collect()
     }
 
--- a/src/organisations/organisation.rs
+++ b/src/organisations/organisation.rs
@@ -40,6 +40,8 @@
 pub struct Organisation {
     /// Its name, as backend servers are told it.
     pub name: String,
+    /// How urgent its requests are; zero goes first, before the priority of routes.
+    pub priority: u8,
     /// Digests of the keys of its callers.
     pub keys: Vec<KeyDigest>,
     /// Its limit, if it has one.
--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -28,6 +28,8 @@
     name: String,
     #[serde(default)]
     keys: Vec<String>,
+    #[serde(default)]
+    priority: f64,
     unit: Option<String>,
     /// What a request without a stated size counts, where tokens are counted.
     plain_tokens: Option<u32>,
@@ -50,6 +52,8 @@
     host: String,
     path_prefix: String,
     kind: String,
+    #[serde(default)]
+    priority: f64,
     timeout_ms: f64,
     /// The objective; of a stream, that of its first event.
     slo_ms: f64,
@@ -128,7 +132,8 @@
         return Err(Error::Protocol(format!("{:?} is no name of an organisation", wire.name)));
     }
     let keys = wire.keys.iter().map(|key| hasher.digest(key)).collect();
-    Ok(Organisation { name: wire.name.clone(), keys, limit: decode_limit(wire)? })
+    let priority = wire.priority as u8;
+    Ok(Organisation { name: wire.name.clone(), priority, keys, limit: decode_limit(wire)? })
 }
 
 fn decode_limit(wire: &WireTenant) -> Result<Option<OrgLimit>> {
@@ -166,6 +171,7 @@
             host: wire.host,
             path_prefix: wire.path_prefix,
             kind: decode_kind(&wire.kind),
+            priority: wire.priority as u8,
             time_limit: millis(wire.timeout_ms),
             objective: millis(wire.slo_ms),
             longest_pause: millis(wire.gap_aim_ms.unwrap_or_default()),
--- a/src/routes/route.rs
+++ b/src/routes/route.rs
@@ -34,6 +34,8 @@
     pub path_prefix: String,
     /// What may be repeated.
     pub kind: RouteKind,
+    /// How urgent its requests are; zero goes first.
+    pub priority: u8,
     /// Longest time that a request may be held before its final answer.
     pub time_limit: Duration,
     /// Time within which an answer (of a stream, its first event) is in time.
--- a/src/server_limits/limit_book.rs
+++ b/src/server_limits/limit_book.rs
@@ -16,6 +16,9 @@
 /// While a limit is in doubt, this many requests a second may find out, whatever it says: three answers come
 /// within about three seconds also of a server that named a tenth of a request a second.
 const DOUBT_RATE: f64 = 1.0;
+/// A server that named less than this, or zero, still gets as many requests a second: one each 20 s, whose answer
+/// tells whether its limit still stands.
+const LEAST_RATE: f64 = 0.05;
 /// What is known of a limit that was taken back, or of a server that is gone, is forgotten after this long.
 const FORGET_TIME: Duration = Duration::from_secs(60);
 
@@ -50,7 +53,7 @@
     pub fn limit(&self, server: ServerKey) -> Option<ServerLimit> {
         let record = self.records.get(&server)?;
         let limit = record.news.limit?;
-        Some(if record.absents > 0 { limit.at_least(DOUBT_RATE) } else { limit })
+        Some(limit.at_least(if record.absents > 0 { DOUBT_RATE } else { LEAST_RATE }))
     }
 
     /// What is known of a server's limit.
--- /dev/null
+++ b/src/server_limits/send_account.rs
@@ -0,0 +1,203 @@
+//! What an owner knows of one server: how full its bucket is, and what each host sent there.
+
+use super::send_desk::{COUNT_WINDOW, LEARN_TIME};
+use super::{AskPurpose, CallRank, SendAsk, SendDecision, SendTrail, ServerLimit};
+use crate::keys::{IncarnationId, TimePoint};
+use crate::limits::{LimitBucket, LimitShare};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// Saved up for requests that come together: what a limit allows in this time, and one request at least.
+const BURST_TIME: Duration = Duration::from_millis(250);
+/// Requests that a window may hold before nothing is granted, as a part of what the limit allows in it and in
+/// requests beyond that. In steady state the bucket keeps it to about one part; the rest is for what other owners
+/// granted meanwhile. What a server bears is one and a half parts and five requests.
+const COUNT_PART: f64 = 1.25;
+const COUNT_MORE: f64 = 3.0;
+/// How long questions tell how much more urgent requests want.
+const DEMAND_TIME: Duration = Duration::from_secs(2);
+/// Questions of which that is told at most.
+const MOST_DEMAND: usize = 256;
+/// Part of a limit that less urgent requests have whatever more urgent ones want, so that none starves.
+const LEAST_PART: f64 = 0.25;
+/// The furthest moment to which a caller is told to come back.
+const MOST_COME_BACK: Duration = Duration::from_secs(10);
+/// Decisions kept for questions that are asked twice.
+const KEPT_DECISIONS: usize = 8;
+
+/// What one host told, and what it was told.
+#[derive(Debug, Default)]
+struct HostTrail {
+    sequence: u32,
+    heard_at: TimePoint,
+    trail: SendTrail,
+    decisions: VecDeque<(u32, SendDecision)>,
+}
+
+/// One server's account.
+#[derive(Debug)]
+pub(super) struct SendAccount {
+    opened_at: TimePoint,
+    bucket: LimitBucket,
+    /// What requests of a rank have while more urgent ones want some, too.
+    parts: BTreeMap<CallRank, LimitBucket>,
+    demand: VecDeque<(TimePoint, CallRank)>,
+    trails: HashMap<IncarnationId, HostTrail>,
+    /// To when the last refused caller was told to come back.
+    come_back: TimePoint,
+}
+
+impl SendAccount {
+    pub fn new(now: TimePoint) -> Self {
+        Self {
+            opened_at: now,
+            bucket: LimitBucket::new(now, 0.0),
+            parts: BTreeMap::new(),
+            demand: VecDeque::new(),
+            trails: HashMap::new(),
+            come_back: now,
+        }
+    }
+
+    /// Decides on a question.
+    pub fn receive(
+        &mut self,
+        now: TimePoint,
+        from: IncarnationId,
+        ask: &SendAsk,
+        limit: ServerLimit,
+    ) -> SendDecision {
+        if let Some(decision) = self.decided(from, ask.sequence) {
+            return decision;
+        }
+        self.hear_trail(now, from, ask);
+        let share = share(limit);
+        self.bucket.cut(now, &share);
+        let decision = match ask.purpose {
+            AskPurpose::Send => self.decide(now, ask.rank, limit),
+            AskPurpose::ComeBack => self.promise(now, ask.rank, limit),
+            AskPurpose::GiveBack => {
+                self.bucket.charge(now, &share, -1.0);
+                SendDecision::Granted
+            }
+            AskPurpose::Tell => SendDecision::Granted,
+        };
+        let host = self.trails.entry(from).or_default();
+        if ask.purpose == AskPurpose::Send && decision != SendDecision::Granted {
+            host.trail.drop_last();
+        }
+        host.decisions.push_back((ask.sequence, decision));
+        if host.decisions.len() > KEPT_DECISIONS {
+            host.decisions.pop_front();
+        }
+        decision
+    }
+
+    /// Forgets hosts whose sends are all old.
+    pub fn expire(&mut self, now: TimePoint) {
+        self.trails.retain(|_, host| now.since(host.heard_at) < COUNT_WINDOW);
+    }
+
+    /// What was decided on a question whose reply was lost.
+    fn decided(&self, from: IncarnationId, sequence: u32) -> Option<SendDecision> {
+        let decisions = &self.trails.get(&from)?.decisions;
+        decisions.iter().find(|(of, _)| *of == sequence).map(|(_, decision)| *decision)
+    }
+
+    /// A trail is a sum and not a difference: one that is lost or late is made good by the next one.
+    fn hear_trail(&mut self, now: TimePoint, from: IncarnationId, ask: &SendAsk) {
+        let host = self.trails.entry(from).or_default();
+        if ask.sequence >= host.sequence {
+            host.sequence = ask.sequence;
+            host.heard_at = now;
+            host.trail.clone_from(&ask.trail);
+        }
+    }
+
+    fn decide(&mut self, now: TimePoint, rank: CallRank, limit: ServerLimit) -> SendDecision {
+        self.note_demand(now, rank);
+        let wait = self.wait(now, rank, limit);
+        if !wait.is_zero() {
+            return refused(wait);
+        }
+        self.bucket.charge(now, &share(limit), 1.0);
+        if let Some(part) = self.part(now, rank, limit) {
+            self.parts.entry(rank).and_modify(|bucket| bucket.charge(now, &part, 1.0));
+        }
+        SendDecision::Granted
+    }
+
+    /// When the next request of a rank may go; zero if that is now.
+    fn wait(&mut self, now: TimePoint, rank: CallRank, limit: ServerLimit) -> Duration {
+        let learning = (self.opened_at + LEARN_TIME).since(now);
+        let counted = self.count_wait(now, limit);
+        let filled = self.bucket.wait_for(now, &share(limit), 1.0);
+        let parted = self.part(now, rank, limit).map_or(Duration::ZERO, |part| {
+            let bucket = self.parts.entry(rank).or_insert_with(|| LimitBucket::new(now, 0.0));
+            bucket.wait_for(now, &part, 1.0)
+        });
+        learning.max(counted).max(filled).max(parted)
+    }
+
+    /// Until when the window holds too many requests: what was sent before the limit was known, or was granted by
+    /// another owner.
+    fn count_wait(&self, now: TimePoint, limit: ServerLimit) -> Duration {
+        let allowed = limit.per_second() * COUNT_WINDOW.as_secs_f64();
+        let allowed = allowed.mul_add(COUNT_PART, COUNT_MORE);
+        let trails = self.trails.values();
+        let mut sent: Vec<(Duration, u32)> = trails
+            .flat_map(|host| host.trail.within(now.since(host.heard_at), COUNT_WINDOW))
+            .collect();
+        let count: u32 = sent.iter().map(|(_, count)| count).sum();
+        let mut excess = f64::from(count) - allowed;
+        sent.sort_by_key(|(age, _)| std::cmp::Reverse(*age));
+        let mut wait = Duration::ZERO;
+        for (age, count) in sent {
+            if excess <= 0.0 {
+                break;
+            }
+            excess -= f64::from(count);
+            wait = COUNT_WINDOW - age;
+        }
+        wait
+    }
+
+    /// What a rank has for itself, if more urgent requests want a part of the limit.
+    fn part(&self, now: TimePoint, rank: CallRank, limit: ServerLimit) -> Option<LimitShare> {
+        let recent = self.demand.iter().filter(|(at, _)| now.since(*at) < DEMAND_TIME);
+        let urgent = recent.filter(|(_, of)| *of < rank).count();
+        if urgent == 0 {
+            return None;
+        }
+        let whole = limit.per_second();
+        let rest = whole - urgent as f64 / DEMAND_TIME.as_secs_f64();
+        Some(LimitShare { rate: rest.max(whole * LEAST_PART), burst: 1.0, first: 0.0 })
+    }
+
+    fn note_demand(&mut self, now: TimePoint, rank: CallRank) {
+        self.demand.push_back((now, rank));
+        if self.demand.len() > MOST_DEMAND {
+            self.demand.pop_front();
+        }
+    }
+
+    /// When a caller that is refused may come back: callers are told one after the other, at the pace at which
+    /// the limit lets them in.
+    fn promise(&mut self, now: TimePoint, rank: CallRank, limit: ServerLimit) -> SendDecision {
+        let next = now + self.wait(now, rank, limit);
+        let pace = Duration::try_from_secs_f64(1.0 / limit.per_second()).unwrap_or(MOST_COME_BACK);
+        let latest = now + MOST_COME_BACK;
+        let at = next.max(self.come_back + pace.min(MOST_COME_BACK)).min(latest);
+        self.come_back = at;
+        refused(at.since(now))
+    }
+}
+
+fn share(limit: ServerLimit) -> LimitShare {
+    let rate = limit.per_second();
+    LimitShare { rate, burst: (rate * BURST_TIME.as_secs_f64()).max(1.0), first: 0.0 }
+}
+
+fn refused(wait: Duration) -> SendDecision {
+    SendDecision::Refused { wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX).max(1) }
+}
--- /dev/null
+++ b/src/server_limits/send_control.rs
@@ -0,0 +1,138 @@
+use super::{
+    AskPurpose, CallRank, ClosedServers, LimitAnswered, LimitBook, LimitChange, LimitNews, SendAsk,
+    SendDecision, SendDesk, SendLog, SendReply, ServerLimit,
+};
+use crate::keys::{IncarnationId, ServerKey, TimePoint};
+use std::time::Duration;
+
+/// A server whose owner does not answer is not asked for again for this long.
+const SILENT_PAUSE: Duration = Duration::from_millis(250);
+/// When a host may ask again that took this one for the owner, and should know better by then.
+const MOVED_PAUSE_MS: u32 = 100;
+
+/// All that one host knows, sends and grants under the limits of backend servers.
+#[derive(Debug, Default)]
+pub struct SendControl {
+    /// The limits.
+    pub book: LimitBook,
+    /// What this host sent.
+    pub log: SendLog,
+    /// Servers whose owners refused.
+    pub closed: ClosedServers,
+    /// What this host grants as an owner.
+    pub desk: SendDesk,
+    sequence: u32,
+}
+
+impl SendControl {
+    /// The question of a request of `rank` for `server`. What it wants to send counts as sent until it is
+    /// refused, so that each question tells all.
+    pub fn ask(
+        &mut self,
+        now: TimePoint,
+        server: ServerKey,
+        rank: CallRank,
+        purpose: AskPurpose,
+    ) -> SendAsk {
+        if purpose == AskPurpose::Send {
+            self.log.note(now, server);
+        }
+        self.sequence = self.sequence.wrapping_add(1).max(1);
+        SendAsk {
+            sequence: self.sequence,
+            news: self.book.news(server),
+            purpose,
+            rank,
+            trail: self.log.trail(now, server),
+        }
+    }
+
+    /// Decides on a question as the owner, or refuses as one that is not (`is_owner`).
+    pub fn receive(
+        &mut self,
+        now: TimePoint,
+        from: IncarnationId,
+        ask: &SendAsk,
+        is_owner: bool,
+    ) -> (SendReply, Option<LimitChange>) {
+        let change = self.book.merge(now, &ask.news);
+        let server = ask.news.server;
+        let decision = match self.book.limit(server) {
+            None => SendDecision::Granted,
+            Some(_) if !is_owner => SendDecision::Refused { wait_ms: MOVED_PAUSE_MS },
+            Some(limit) => self.desk.receive(now, from, ask, limit),
+        };
+        (SendReply { sequence: ask.sequence, news: self.book.news(server), decision }, change)
+    }
+
+    /// The reply to a request's question that was asked at `asked_at` came, or none did. True if it may go.
+    pub fn hear_reply(
+        &mut self,
+        now: TimePoint,
+        asked_at: TimePoint,
+        ask: &SendAsk,
+        reply: Option<&SendReply>,
+    ) -> bool {
+        let server = ask.news.server;
+        if let Some(reply) = reply {
+            // What this changes was told by the owner to others as well.
+            self.book.merge(now, &reply.news);
+        }
+        let wait = match reply.map(|reply| reply.decision) {
+            Some(SendDecision::Granted) => return true,
+            Some(SendDecision::Refused { wait_ms }) => Duration::from_millis(wait_ms.into()),
+            None => SILENT_PAUSE,
+        };
+        self.log.take_back(asked_at, server);
+        self.closed.note(now, server, ask.rank, wait);
+        false
+    }
+
+    /// A server answered a request that was sent at `sent_at`, and named `limit` or none. Returns what changed by
+    /// it, and what its owner is to be told.
+    pub fn hear_answer(
+        &mut self,
+        now: TimePoint,
+        sent_at: TimePoint,
+        server: ServerKey,
+        limit: Option<ServerLimit>,
+    ) -> (Option<LimitChange>, Option<LimitAnswered>) {
+        let change = limit.and_then(|limit| self.book.hear(now, sent_at, server, limit));
+        let news = self.book.news(server);
+        let is_later = change.is_some() || self.book.is_later(sent_at, server);
+        let told = (news.limit.is_some() && is_later)
+            .then_some(LimitAnswered { news, is_named: limit.is_some() });
+        (change, told)
+    }
+
+    /// Takes note, as the owner, of an answer that another host or this one got.
+    pub fn hear_answered(&mut self, now: TimePoint, answered: &LimitAnswered) -> Vec<LimitChange> {
+        let LimitNews { server, version, .. } = answered.news;
+        let merged = self.book.merge(now, &answered.news);
+        let counted = self.book.note_answer(now, server, version, answered.is_named);
+        merged.into_iter().chain(counted).collect()
+    }
+
+    /// Whether requests of a rank may be asked for at a server now.
+    pub fn is_open(&self, now: TimePoint, server: ServerKey, rank: CallRank) -> bool {
+        self.closed_for(now, server, rank).is_none()
+    }
+
+    /// For how long a server that has a limit takes no requests of a rank.
+    pub fn closed_for(
+        &self,
+        now: TimePoint,
+        server: ServerKey,
+        rank: CallRank,
+    ) -> Option<Duration> {
+        self.book.limit(server)?;
+        self.closed.closed_for(now, server, rank)
+    }
+
+    /// Forgets what is old.
+    pub fn expire(&mut self, now: TimePoint, is_there: impl Fn(ServerKey) -> bool) {
+        self.book.expire(now, is_there);
+        self.log.expire(now);
+        self.closed.expire(now);
+    }
+}
--- a/src/server_limits/send_log.rs
+++ b/src/server_limits/send_log.rs
@@ -1,3 +1,5 @@
+use super::SendTrail;
+use super::send_trail::TrailPoint;
 use crate::keys::{ServerKey, TimePoint};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -48,6 +50,13 @@
         counts.filter(|entry| now.since(entry.began + GRAIN) < span).map(|entry| entry.count).sum()
     }
 
+    /// All that went to a server in the time that is remembered.
+    pub fn trail(&self, now: TimePoint, server: ServerKey) -> SendTrail {
+        let counts = self.servers.get(&server).into_iter().flatten();
+        let recent = counts.filter(|entry| entry.count > 0 && now.since(entry.began) < LOG_TIME);
+        SendTrail(recent.map(|entry| entry.point(now)).collect())
+    }
+
     /// Forgets what is old.
     pub fn expire(&mut self, now: TimePoint) {
         self.servers.retain(|_, counts| {
@@ -57,6 +66,17 @@
     }
 }
 
+impl SendCount {
+    /// Counted from the end of its grain: a send is never taken for older than it is.
+    fn point(self, now: TimePoint) -> TrailPoint {
+        let age = now.since(self.began + GRAIN).as_millis();
+        TrailPoint {
+            age_ms: u16::try_from(age).unwrap_or(u16::MAX),
+            count: u16::try_from(self.count).unwrap_or(u16::MAX),
+        }
+    }
+}
+
 fn drop_old(now: TimePoint, counts: &mut VecDeque<SendCount>) {
     while counts.front().is_some_and(|entry| now.since(entry.began) > LOG_TIME) {
         counts.pop_front();
--- /dev/null
+++ b/src/server_limits/send_trail.rs
@@ -0,0 +1,36 @@
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Requests sent within one short time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrailPoint {
+    /// Milliseconds before the trail was made.
+    pub age_ms: u16,
+    /// Requests.
+    pub count: u16,
+}
+
+/// Requests that one host sent to one server in the last seconds, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SendTrail(pub Vec<TrailPoint>);
+
+impl SendTrail {
+    /// Age and count of what was sent within the last `span`, as of `elapsed` after the trail was made.
+    pub fn within(
+        &self,
+        elapsed: Duration,
+        span: Duration,
+    ) -> impl Iterator<Item = (Duration, u32)> {
+        let aged = self.0.iter().map(move |point| {
+            (elapsed + Duration::from_millis(point.age_ms.into()), u32::from(point.count))
+        });
+        aged.filter(move |(age, _)| *age < span)
+    }
+
+    /// Takes out the last request.
+    pub fn drop_last(&mut self) {
+        if let Some(last) = self.0.last_mut() {
+            last.count = last.count.saturating_sub(1);
+        }
+    }
+}
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -113,7 +113,12 @@
 fn directory_refuses_shared_key() {
     let keys = vec![hasher().digest("same")];
     let organisation = |name: &str| {
-        Arc::new(Organisation { name: name.to_owned(), keys: keys.clone(), limit: None })
+        Arc::new(Organisation {
+            name: name.to_owned(),
+            priority: 0,
+            keys: keys.clone(),
+            limit: None,
+        })
     };
     let two = [organisation("hanbit"), organisation("moonbook")];
     let error = OrgDirectory::try_from(&two[..]).expect_err("it is wrong").to_string();
