A seeded world of servers that name limits; news of a limit is told on at once

Hosts of three failure domains, 6 to 90, before nine servers that name limits, lower them, take them back and name them again, with cuts, suspensions and restarts. A build that ignores limits fails on each of eight seeds, one in which each host grants itself too.

--- a/src/bench/worlds/limit_exchange.rs
+++ b/src/bench/worlds/limit_exchange.rs
@@ -1,8 +1,10 @@
 //! What hosts of the limit world ask, grant, lend and tell each other.
 
 use super::Sabotage;
-use super::limit_parts::{OpenAsk, Parcel, ParcelBody, domain_key};
+use super::limit_parts::{OpenAsk, ParcelBody};
 use super::limit_world::{ANSWER_LIMIT, BOUNDS, DOMAINS, LimitWorld, org};
+use super::world_host::domain_key;
+use super::world_net::Parcel;
 use crate::keys::{IncarnationId, NameKey};
 use crate::limits::{LimitAnswer, LimitAsk, LimitShare, OwnerChoice, choose_owner};
 use crate::membership::MemberUpdate;
@@ -45,7 +47,7 @@
     pub fn grant(&mut self, place: usize, from: IncarnationId, ask: &LimitAsk) -> LimitAnswer {
         let (share, age) = (self.share(place), self.hosts[place].age(self.now));
         let is_settled = self.hosts[place].is_settled(self.now, BOUNDS.window);
-        let ledger = &mut self.hosts[place].ledger;
+        let ledger = &mut self.hosts[place].tools.ledger;
         let answer = ledger.receive(age, from, ask, &share, is_settled);
         if ledger.wants_loan(age, org(), &share) {
             self.ask_loans(place, &share);
@@ -64,7 +66,7 @@
             })
             .collect();
         let age = self.hosts[place].age(self.now);
-        let loans = self.hosts[place].ledger.ask_loans(age, org(), share, lenders.len());
+        let loans = self.hosts[place].tools.ledger.ask_loans(age, org(), share, lenders.len());
         for (lender, loan) in lenders.into_iter().zip(loans) {
             self.send(place, lender, ParcelBody::LoanAsk(loan));
         }
@@ -79,7 +81,7 @@
         }
     }
 
-    pub fn deliver(&mut self, parcel: Parcel) {
+    pub fn deliver(&mut self, parcel: Parcel<ParcelBody>) {
         let place = self.place_of(parcel.to);
         let from = self.place_of(parcel.from);
         let host = &self.hosts[place];
@@ -109,18 +111,18 @@
                 }
             }
             ParcelBody::LoanAsk(ask) => {
-                let loan = self.hosts[place].ledger.lend(age, &ask, &share);
+                let loan = self.hosts[place].tools.ledger.lend(age, &ask, &share);
                 if let Some(loan) = loan {
                     self.send(place, parcel.from, ParcelBody::Loan(loan));
                 }
             }
-            ParcelBody::Loan(loan) => self.hosts[place].ledger.borrow(age, &loan, &share),
+            ParcelBody::Loan(loan) => self.hosts[place].tools.ledger.borrow(age, &loan, &share),
         }
     }
 
     fn hear(&mut self, place: usize, ask: &LimitAsk, answer: &LimitAnswer) {
         let age = self.hosts[place].age(self.now);
-        self.hosts[place].meter.hear(age, answer, ask.units);
+        self.hosts[place].tools.meter.hear(age, answer, ask.units);
         if answer.refused_ms.is_none() {
             self.admit(ask.units);
         }
@@ -130,7 +132,7 @@
         let age = self.hosts[place].age(self.now);
         let (_, known) = self.hosts[place].domain_hosts(self.now);
         let share = LimitShare::of_domain(&self.limit, &BOUNDS);
-        if self.hosts[place].meter.use_alone(age, org(), ask.units, &share, known) {
+        if self.hosts[place].tools.meter.use_alone(age, org(), ask.units, &share, known) {
             self.admit(ask.units);
         }
     }
--- a/src/bench/worlds/limit_world.rs
+++ b/src/bench/worlds/limit_world.rs
@@ -1,4 +1,5 @@
-use super::limit_parts::{LimitHost, OpenAsk, ParcelBody, UseWindow, WorldNet};
+use super::limit_parts::{LimitHost, OpenAsk, ParcelBody, UseWindow};
+use super::world_net::WorldNet;
 use super::{Sabotage, WorldReport};
 use crate::keys::{OrgKey, TimePoint};
 use crate::limits::{LimitBounds, OwnerChoice};
@@ -34,7 +35,7 @@
     pub now: TimePoint,
     turn: u64,
     pub hosts: Vec<LimitHost>,
-    pub net: WorldNet,
+    pub net: WorldNet<ParcelBody>,
     pub open: Vec<OpenAsk>,
     pub window: UseWindow,
     pub limit: OrgLimit,
@@ -155,7 +156,7 @@
         let units = self.rng.random_range(REQUEST_UNITS);
         self.report.tried += u64::from(units);
         let age = self.hosts[place].age(self.now);
-        let ask = self.hosts[place].meter.ask(age, org(), units);
+        let ask = self.hosts[place].tools.meter.ask(age, org(), units);
         self.ask_owner(place, ask);
     }
 
@@ -165,7 +166,7 @@
                 continue;
             }
             let age = self.hosts[place].age(self.now);
-            for ask in self.hosts[place].meter.untold(age) {
+            for ask in self.hosts[place].tools.meter.untold(age) {
                 match self.owner(place, self.hosts[place].update.domain) {
                     OwnerChoice::Own => {
                         self.grant(place, self.hosts[place].update.incarnation, &ask);
--- a/src/bench/worlds/world_report.rs
+++ b/src/bench/worlds/world_report.rs
@@ -22,6 +22,12 @@
     MuteRefutation,
     /// An owner hands out its domain's whole part, however few of the domain's hosts it sees.
     OwnWholePart,
+    /// Limits that servers name are not read.
+    IgnoreServerLimits,
+    /// Each host grants itself what a server's limit allows.
+    GrantAlone,
+    /// Hosts do not tell owners what they sent.
+    TellNoTrail,
 }
 
 /// What a world saw.
@@ -35,6 +41,8 @@
     pub done: u64,
     /// Faults that struck.
     pub faults: u64,
+    /// What was used of what servers' limits allowed, in thousandths.
+    pub used_permille: u64,
     /// Broken promises, each in a line.
     pub broken: Vec<String>,
 }
--- a/src/bin/tealcleat-load/soak.rs
+++ b/src/bin/tealcleat-load/soak.rs
@@ -1,18 +1,19 @@
 //! Long seeded runs over the shipped machines.
 
 use tealcleat::bench::worlds::{
-    Sabotage, WorldReport, run_claim_world, run_limit_world, run_member_world, run_slot_world,
-    run_stream_world,
+    Sabotage, WorldReport, run_claim_world, run_limit_world, run_member_world, run_send_world,
+    run_slot_world, run_stream_world,
 };
 
 type World = fn(u64, u64, Sabotage) -> WorldReport;
 
-const WORLDS: [(&str, World); 5] = [
+const WORLDS: [(&str, World); 6] = [
     ("claims", run_claim_world),
     ("slots", run_slot_world),
     ("streams", run_stream_world),
     ("members", run_member_world),
     ("limits", run_limit_world),
+    ("server-limits", run_send_world),
 ];
 
 /// Runs every world on each seed; true if no promise broke and no invariant was violated.
--- a/src/gateway/limit_hearing.rs
+++ b/src/gateway/limit_hearing.rs
@@ -28,7 +28,7 @@
         let (now, key) = (self.now(), server.key());
         let (change, told) = self.state().sends.hear_answer(now, sent_at, key, limit);
         if let Some(change) = change {
-            self.log_limit_change(&change, "answer");
+            self.spread_limit_change(&change, "answer");
         }
         if let Some(answered) = told {
             self.tell_answered(&answered);
@@ -51,7 +51,7 @@
         let now = self.now();
         let changes = self.state().sends.hear_answered(now, answered);
         for change in changes {
-            self.log_limit_change(&change, "owner");
+            self.spread_limit_change(&change, "owner");
         }
     }
 }
--- a/src/gateway/limit_news.rs
+++ b/src/gateway/limit_news.rs
@@ -73,12 +73,13 @@
             news.iter().filter_map(|news| state.sends.book.merge(now, news)).collect()
         };
         for change in changes {
-            self.log_limit_change(&change, "peer");
+            self.spread_limit_change(&change, "peer");
         }
     }
 
-    /// The line that tells that a server's limit changed, as far as this host knows, and by what it knows.
-    pub(super) fn log_limit_change(&self, change: &LimitChange, source: &str) {
+    /// A server's limit changed, as far as this host knows: others are told at once, so that 300 hosts know within
+    /// some round trips, and not within as many periods.
+    pub(super) fn spread_limit_change(&self, change: &LimitChange, source: &str) {
         let now = self.now();
         let LimitNews { server, version, limit } = change.now;
         let (id, sent) = {
@@ -96,5 +97,6 @@
             server.0
         );
         self.metrics().add("server_limit_changes", 1);
+        self.tell_server_limits();
     }
 }
--- a/src/gateway/send_owner.rs
+++ b/src/gateway/send_owner.rs
@@ -28,7 +28,7 @@
         let reply = self.ask_send_owner(&ask).await;
         let now = self.now();
         let in_time = reply.filter(|_| now.since(asked_at) < GRANT_LIFE);
-        let may_go = self.state().sends.hear_reply(now, asked_at, &ask, in_time.as_ref());
+        let may_go = self.state().sends.hear_reply(now, &ask, in_time.as_ref());
         let wait = match reply.map(|reply| reply.decision) {
             Some(SendDecision::Granted) => 0,
             Some(SendDecision::Refused { wait_ms }) => i64::from(wait_ms),
@@ -42,7 +42,7 @@
             ask.news.version
         );
         self.metrics().add(if may_go { "sends_granted" } else { "sends_refused" }, 1);
-        may_go.then_some(asked_at)
+        may_go.then_some(now)
     }
 
     /// When a caller may come back that a server's limit leaves no room for now; `None` if its owner does not say.
@@ -99,7 +99,7 @@
             state.sends.receive(now, from, ask, is_owner)
         };
         if let Some(change) = change {
-            self.log_limit_change(&change, "peer");
+            self.spread_limit_change(&change, "peer");
         }
         reply
     }
--- a/src/server_limits/send_account.rs
+++ b/src/server_limits/send_account.rs
@@ -83,8 +83,9 @@
             AskPurpose::Tell => SendDecision::Granted,
         };
         let host = self.trails.entry(from).or_default();
-        if ask.purpose == AskPurpose::Send && decision != SendDecision::Granted {
-            host.trail.drop_last();
+        if ask.purpose == AskPurpose::Send && decision == SendDecision::Granted {
+            // Until its host tells it.
+            host.trail.add_now();
         }
         host.decisions.push_back((ask.sequence, decision));
         if host.decisions.len() > KEPT_DECISIONS {
--- a/src/server_limits/send_control.rs
+++ b/src/server_limits/send_control.rs
@@ -25,8 +25,7 @@
 }
 
 impl SendControl {
-    /// The question of a request of `rank` for `server`. What it wants to send counts as sent until it is
-    /// refused, so that each question tells all.
+    /// The question of a request of `rank` for `server`, which tells all that was sent there lately.
     pub fn ask(
         &mut self,
         now: TimePoint,
@@ -34,9 +33,6 @@
         rank: CallRank,
         purpose: AskPurpose,
     ) -> SendAsk {
-        if purpose == AskPurpose::Send {
-            self.log.note(now, server);
-        }
         self.sequence = self.sequence.wrapping_add(1).max(1);
         SendAsk {
             sequence: self.sequence,
@@ -65,25 +61,21 @@
         (SendReply { sequence: ask.sequence, news: self.book.news(server), decision }, change)
     }
 
-    /// The reply to a request's question that was asked at `asked_at` came, or none did. True if it may go.
-    pub fn hear_reply(
-        &mut self,
-        now: TimePoint,
-        asked_at: TimePoint,
-        ask: &SendAsk,
-        reply: Option<&SendReply>,
-    ) -> bool {
+    /// The reply to a request's question came, or none did. True if it may go; then it counts as sent.
+    pub fn hear_reply(&mut self, now: TimePoint, ask: &SendAsk, reply: Option<&SendReply>) -> bool {
         let server = ask.news.server;
         if let Some(reply) = reply {
             // What this changes was told by the owner to others as well.
             self.book.merge(now, &reply.news);
         }
         let wait = match reply.map(|reply| reply.decision) {
-            Some(SendDecision::Granted) => return true,
+            Some(SendDecision::Granted) => {
+                self.log.note(now, server);
+                return true;
+            }
             Some(SendDecision::Refused { wait_ms }) => Duration::from_millis(wait_ms.into()),
             None => SILENT_PAUSE,
         };
-        self.log.take_back(asked_at, server);
         self.closed.note(now, server, ask.rank, wait);
         false
     }
--- a/src/server_limits/send_messages.rs
+++ b/src/server_limits/send_messages.rs
@@ -4,7 +4,7 @@
 /// What a host wants of a server's owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AskPurpose {
-    /// To send a request, which the trail counts already.
+    /// To send a request.
     Send,
     /// To know when a caller may come back that is refused now.
     ComeBack,
--- a/src/server_limits/send_trail.rs
+++ b/src/server_limits/send_trail.rs
@@ -27,10 +27,8 @@
         aged.filter(move |(age, _)| *age < span)
     }
 
-    /// Takes out the last request.
-    pub fn drop_last(&mut self) {
-        if let Some(last) = self.0.last_mut() {
-            last.count = last.count.saturating_sub(1);
-        }
+    /// Adds a request that goes as the trail is made.
+    pub fn add_now(&mut self) {
+        self.0.push(TrailPoint { age_ms: 0, count: 1 });
     }
 }
--- a/tests/worlds.rs
+++ b/tests/worlds.rs
@@ -2,8 +2,8 @@
 
 use rstest::rstest;
 use tealcleat::bench::worlds::{
-    Sabotage, WorldReport, run_claim_world, run_limit_world, run_member_world, run_slot_world,
-    run_stream_world,
+    Sabotage, SendPlan, WorldReport, run_claim_world, run_limit_world, run_member_world,
+    run_send_plan, run_send_world, run_slot_world, run_stream_world,
 };
 
 type World = fn(u64, u64, Sabotage) -> WorldReport;
@@ -14,6 +14,7 @@
 #[case::streams(run_stream_world, 100_000)]
 #[case::members(run_member_world, 12_000)]
 #[case::limits(run_limit_world, 8_000)]
+#[case::server_limits(run_send_world, 6_000)]
 fn world_keeps_promises(#[case] world: World, #[case] steps: u64, #[values(1, 2, 3, 4)] seed: u64) {
     let report = world(seed, steps, Sabotage::None);
     assert_eq!(report.broken, Vec::<String>::new());
@@ -30,6 +31,8 @@
 #[case::older_config_adopted(run_member_world, 12_000, Sabotage::AdoptOlder)]
 #[case::refutation_muted(run_member_world, 12_000, Sabotage::MuteRefutation)]
 #[case::whole_part_owned(run_limit_world, 20_000, Sabotage::OwnWholePart)]
+#[case::servers_granted_by_each_host(run_send_world, 6_000, Sabotage::GrantAlone)]
+#[case::sends_not_told_to_owners(run_send_world, 6_000, Sabotage::TellNoTrail)]
 fn world_breaks_when_sabotaged(
     #[case] world: World,
     #[case] steps: u64,
@@ -45,6 +48,7 @@
 #[case::streams(run_stream_world)]
 #[case::members(run_member_world)]
 #[case::limits(run_limit_world)]
+#[case::server_limits(run_send_world)]
 fn world_repeats_for_a_seed(#[case] world: World) {
     assert_eq!(world(9, 4000, Sabotage::None), world(9, 4000, Sabotage::None));
 }
@@ -58,3 +62,25 @@
     let report = run_limit_world(seed, 20_000, Sabotage::None);
     assert_eq!(report.broken, Vec::<String>::new());
 }
+
+#[rstest]
+fn server_limits_break_on_each_seed_when_ignored(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let report = run_send_world(seed, 3_000, Sabotage::IgnoreServerLimits);
+    assert!(!report.broken.is_empty(), "the run does not notice on seed {seed}");
+}
+
+/// What limits allow is used while there is more to send, however many hosts there are.
+#[rstest]
+fn server_limits_are_used(#[values(2, 20, 100)] domain_hosts: usize) {
+    let plan = SendPlan {
+        seed: 1,
+        steps: 3_000,
+        domain_hosts,
+        rate: 120,
+        has_faults: false,
+        all_limited: true,
+    };
+    let report = run_send_plan(plan, Sabotage::None);
+    assert_eq!(report.broken, Vec::<String>::new());
+    assert!(report.used_permille >= 800, "{} of 1000", report.used_permille);
+}
