The soak's servers name limits; an owner that was suspended learns anew; asking owners is bounded in time

Beside all other faults half of the draws change a server's limit; at the end, while callers go on, four servers name limits, a host is killed and one is suspended, and no server may get more than it named. A request asks owners for 0.1 s at most.

--- a/src/bench/site/site_arrivals.rs
+++ b/src/bench/site/site_arrivals.rs
@@ -58,6 +58,13 @@
         lock(&self.0).speech = speech;
     }
 
+    /// Forgets what has arrived and was named.
+    pub fn clear(&self) {
+        let mut book = lock(&self.0);
+        book.arrivals.clear();
+        book.named.clear();
+    }
+
     /// A request arrived; the router's own calls have no id.
     pub fn note(&self, request: &WholeRequest) {
         if header(request, "x-request-id").is_some() {
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -85,6 +85,11 @@
         self.arrivals.count()
     }
 
+    /// Forgets what has arrived.
+    pub fn clear_arrivals(&self) {
+        self.arrivals.clear();
+    }
+
     /// The window in which it got most beyond what its limit allows.
     pub fn worst_excess(&self) -> Option<LimitExcess> {
         self.arrivals.worst_excess()
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -12,6 +12,7 @@
 mod soak_check;
 mod soak_fault;
 mod soak_inject;
+mod soak_limits;
 mod soak_proxy;
 mod soak_run;
 mod soak_trace;
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -28,6 +28,9 @@
 const SUSPEND_SALT: u64 = 0x5059_e4d0;
 const SHORTEST_SUSPEND_MS: u64 = 200;
 const LONGEST_SUSPEND_MS: u64 = 3000;
+/// Part of the draws that come with a change of a server's limit, and what sets their draws apart from others.
+const LIMIT_PART: f64 = 0.5;
+const LIMIT_SALT: u64 = 0x11a1_7ed5;
 /// How long a server is down that crashed under a request.
 const CRASHED_MS: Range<u64> = 300..2500;
 
@@ -40,6 +43,7 @@
         let mut random = StdRng::seed_from_u64(options.seed);
         let mut restarts = StdRng::seed_from_u64(options.seed ^ RESTART_SALT);
         let mut suspends = StdRng::seed_from_u64(options.seed ^ SUSPEND_SALT);
+        let mut limits = StdRng::seed_from_u64(options.seed ^ LIMIT_SALT);
         let mut crashed = BTreeMap::new();
         let places = self.places();
         let ends = Instant::now() + options.length;
@@ -63,6 +67,10 @@
                 let lasts = suspends.random_range(SHORTEST_SUSPEND_MS..LONGEST_SUSPEND_MS);
                 open.push((fault, Instant::now() + Duration::from_millis(lasts)));
             }
+            if options.is_limiting && limits.random_bool(LIMIT_PART) {
+                self.change_limit(&mut limits);
+                count += 1;
+            }
             count += self.restart_due(&mut crashed, &mut restarts).await?;
             let gap = random.random_range(0..LONGEST_GAP_MS);
             sleep(Duration::from_millis(gap)).await;
--- /dev/null
+++ b/src/bench/soak/soak_limits.rs
@@ -0,0 +1,108 @@
+//! Limits that a soak's servers name, and what they get then.
+
+use super::soak_check::SoakBreach;
+use super::soak_run::SoakStage;
+use crate::Result;
+use crate::bench::site::{LimitExcess, LimitSpeech};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Limits that are named, in requests a second; callers want some twenty and more of each server.
+const LIMITS: [f64; 5] = [0.8, 2.0, 3.3, 5.0, 8.0];
+/// One answer of so many may leave the limit out.
+const SILENT_EACH: usize = 7;
+/// Servers that name a limit at the end.
+const LIMITED: usize = 4;
+/// Traffic without limits before that.
+const FREE_TIME: Duration = Duration::from_millis(1500);
+/// All hosts know after this, and a window has passed.
+const KNOWN_TIME: Duration = Duration::from_millis(4500);
+/// How long a host is suspended then.
+const SUSPENDED_TIME: Duration = Duration::from_secs(2);
+
+impl SoakStage {
+    /// A server names a limit, another one, or none.
+    pub fn change_limit(&self, random: &mut StdRng) {
+        let place = random.random_range(0..self.links.len());
+        let speech = draw_speech(random);
+        self.set_limit(place, speech);
+    }
+
+    /// No server names a limit any more.
+    pub fn take_limits_back(&self) {
+        for place in 0..self.links.len() {
+            self.set_limit(place, LimitSpeech::default());
+        }
+    }
+
+    fn set_limit(&self, place: usize, speech: LimitSpeech) {
+        let engines = self.site.decodes.len() + self.site.prefills.len();
+        match place.checked_sub(engines) {
+            Some(service) => self.site.services[service].set_limit(speech),
+            None => self.engine(place).set_limit(speech),
+        }
+    }
+
+    /// While callers go on and all else is calm but for a host that is killed and one that is suspended, servers name
+    /// limits, and none gets more than it named.
+    pub async fn check_limits(&mut self, seed: u64) -> Result<Vec<SoakBreach>> {
+        let mut random = StdRng::seed_from_u64(seed);
+        for place in 0..self.links.len() {
+            self.clear_arrivals(place);
+        }
+        sleep(FREE_TIME).await;
+        let servers = self.links.len();
+        let first = random.random_range(0..servers);
+        for place in (first..first + LIMITED).map(|place| place % servers) {
+            let limit = LIMITS[random.random_range(0..LIMITS.len())];
+            self.set_limit(place, LimitSpeech::of(limit));
+        }
+        sleep(KNOWN_TIME).await;
+        self.disturb(&mut random).await?;
+        sleep(KNOWN_TIME).await;
+        let breaches = self.over_limits();
+        self.take_limits_back();
+        Ok(breaches)
+    }
+
+    async fn disturb(&mut self, random: &mut StdRng) -> Result<()> {
+        let killed = random.random_range(0..self.hosts.len());
+        let suspended = (killed + 1) % self.hosts.len();
+        self.hosts[killed].signal("-KILL")?;
+        self.hosts[suspended].suspend()?;
+        sleep(SUSPENDED_TIME).await;
+        self.hosts[suspended].resume()?;
+        self.wait_ready().await
+    }
+
+    fn clear_arrivals(&self, place: usize) {
+        let engines = self.site.decodes.len() + self.site.prefills.len();
+        match place.checked_sub(engines) {
+            Some(service) => self.site.services[service].clear_arrivals(),
+            None => self.engine(place).clear_arrivals(),
+        }
+    }
+
+    fn over_limits(&self) -> Vec<SoakBreach> {
+        let engines = self.site.decodes.iter().chain(&self.site.prefills);
+        let engines = engines.map(|engine| (&engine.id, engine.worst_excess()));
+        let services = self.site.services.iter().map(|server| (&server.id, server.worst_excess()));
+        engines.chain(services).filter_map(|(id, excess)| breach(id, excess?)).collect()
+    }
+}
+
+fn breach(id: &str, excess: LimitExcess) -> Option<SoakBreach> {
+    let LimitExcess { got, allowed } = excess;
+    let detail = format!("{id}: {got} requests in 4 s, {allowed:.1} allowed");
+    Some(SoakBreach { promise: "no server gets more than its limit allows", detail })
+}
+
+fn draw_speech(random: &mut StdRng) -> LimitSpeech {
+    if random.random_bool(0.3) {
+        return LimitSpeech::default();
+    }
+    let silent_each = if random.random_bool(0.3) { SILENT_EACH } else { 0 };
+    LimitSpeech { silent_each, ..LimitSpeech::of(LIMITS[random.random_range(0..LIMITS.len())]) }
+}
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -41,6 +41,8 @@
     pub is_crashing: bool,
     /// Daemons are suspended; their environment has a clock that stands still meanwhile.
     pub is_suspending: bool,
+    /// Servers name limits.
+    pub is_limiting: bool,
     /// Variables of the daemons' environment.
     pub environment: Vec<(String, String)>,
     /// Folder of the built programs.
@@ -87,6 +89,8 @@
         .collect();
     let faults = stage.inject(options).await?;
     stage.heal().await?;
+    let over_limits =
+        if options.is_limiting { stage.check_limits(options.seed).await? } else { Vec::new() };
     notes.ended.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
@@ -103,6 +107,7 @@
     report.breaches.extend(check_orders(&engines));
     report.breaches.extend(check_holds(&site.decodes));
     report.breaches.extend(stage.check_innocents()?);
+    report.breaches.extend(over_limits);
     if report.breaches.is_empty() {
         std::fs::remove_dir_all(&folder)?;
     }
@@ -178,6 +183,7 @@
             self.site.services[place].set_fault(ServiceFault::None);
             self.state_service(place, "ready");
         }
+        self.take_limits_back();
         self.restart_crashed().await?;
         for link in self.links.iter().chain(&self.store_links) {
             link.set(ProxyMode::Pass);
@@ -192,7 +198,7 @@
     }
 
     /// Restarts what has ended, and waits until every daemon takes callers.
-    async fn wait_ready(&mut self) -> Result<()> {
+    pub async fn wait_ready(&mut self) -> Result<()> {
         let ends = tokio::time::Instant::now() + PATIENCE;
         for host in &mut self.hosts {
             loop {
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -82,6 +82,8 @@
         crashing: bool,
         /// Daemons are suspended; one of their variables names a clock that stands still meanwhile
         suspending: bool,
+        /// Servers name limits
+        limiting: bool,
         /// A variable of the daemons' environment
         #[bpaf(argument("NAME=VALUE"))]
         variable: Vec<String>,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -32,6 +32,7 @@
             callers,
             crashing,
             suspending,
+            limiting,
             variable,
         } => {
             let length = Duration::from_secs(*seconds);
@@ -44,6 +45,7 @@
                 programs,
                 is_crashing: *crashing,
                 is_suspending: *suspending,
+                is_limiting: *limiting,
                 environment: variable
                     .iter()
                     .map(|text| read_variable(text))
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -18,6 +18,9 @@
 const SILENCE_OBJECTIVES: u32 = 2;
 /// Servers tried that could not even be connected to; nothing reached them.
 const MOST_UNREACHED: u32 = 3;
+/// Owners of servers at their limit are asked one after the other for this long; each replies within a millisecond
+/// or two, and one that is silent costs 65 ms.
+const ASKING_TIME: Duration = Duration::from_millis(100);
 /// When a caller may come back after all servers turned the request away: a few service times.
 const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -107,10 +110,14 @@
     context: &CallContext,
     ranked: impl Iterator<Item = ServerEntry>,
 ) -> Option<(ServerEntry, SendPermit)> {
+    let began = context.host.now();
     for server in ranked {
         if let Some(permit) = context.permit(&server).await {
             return Some((server, permit));
         }
+        if context.host.now().since(began) > ASKING_TIME {
+            break;
+        }
     }
     None
 }
--- a/src/server_limits/send_desk.rs
+++ b/src/server_limits/send_desk.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Default)]
 pub struct SendDesk {
     accounts: HashMap<ServerKey, SendAccount>,
+    kept_at: TimePoint,
 }
 
 impl SendDesk {
@@ -31,8 +32,13 @@
     }
 
     /// Forgets servers that have no limit any more, or another owner: what that one grants meanwhile is not known
-    /// here.
+    /// here. Called several times a second; if it was not, this host was suspended, others took its place, and it
+    /// learns anew.
     pub fn retain(&mut self, now: TimePoint, is_owned: impl Fn(ServerKey) -> bool) {
+        if now.since(self.kept_at) > LEARN_TIME {
+            self.accounts.clear();
+        }
+        self.kept_at = now;
         self.accounts.retain(|server, account| {
             account.expire(now);
             is_owned(*server)
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -267,6 +267,20 @@
     assert!(after <= 8, "{after} within a second");
 }
 
+/// Another host has granted meanwhile what this one does not know of.
+#[test]
+fn owner_that_was_suspended_learns_again() {
+    let mut owner = AskedOwner::new("5");
+    for now in (0..3_000).step_by(200) {
+        owner.desk.retain(at(now), |_| true);
+        owner.granted(now..now + 200, USUAL);
+    }
+    assert!(owner.is_granted(3_200, USUAL));
+    owner.desk.retain(at(8_000), |_| true);
+    assert!(!owner.is_granted(8_010, USUAL));
+    assert!(owner.is_granted(9_000, USUAL));
+}
+
 #[test]
 fn question_asked_twice_is_granted_once() {
     let mut owner = AskedOwner::new("5");
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -37,6 +37,15 @@
     });
 }
 
+/// Beside all other faults servers name limits; in the end, when all is calm but for a host that is killed and one that
+/// is suspended, none gets more than it named.
+#[test]
+fn soak_with_limited_servers() {
+    let plan = options(1);
+    let environment = held_clock("soak-limits");
+    run(SoakOptions { hosts: 6, domains: 3, is_limiting: true, environment, ..plan });
+}
+
 fn options(seed: u64) -> SoakOptions {
     let daemon = Path::new(env!("CARGO_BIN_EXE_tealcleatd"));
     SoakOptions {
@@ -47,6 +56,7 @@
         callers: 12,
         is_crashing: false,
         is_suspending: false,
+        is_limiting: false,
         environment: Vec::new(),
         programs: daemon.parent().expect("a folder").to_path_buf(),
     }
