A server's limit is lifted by steps

Now the second such answer in a row and each further one doubles what is granted, and eight lift it.

--- a/src/server_limits/limit_book.rs
+++ b/src/server_limits/limit_book.rs
@@ -11,10 +11,11 @@
 /// Limits told at once: at 20 bytes each within one datagram. Others have their turn the next time.
 const MOST_TOLD: usize = 96;
 /// Answers without a limit, one after the other, after which it counts as taken back. One may be missing in
-/// some answers: of a server that leaves it out in one answer of ten, three in a row come once in a thousand.
-const ABSENT_ANSWERS: u32 = 3;
-/// While a limit is in doubt, this many requests a second may find out, whatever it says: three answers come
-/// within about three seconds also of a server that named a tenth of a request a second.
+/// some answers, so the limit is lifted by steps: from the second such answer on each doubles it. Where three in a row
+/// lifted it at once, a server that had left it out by chance got 12 requests within 60 ms.
+const ABSENT_ANSWERS: u32 = 8;
+/// While a limit is in doubt, this many requests a second may find out, whatever it says: the steps take
+/// about five seconds also at a server that named a tenth of a request a second.
 const DOUBT_RATE: f64 = 1.0;
 /// A server that named less than this, or zero, still gets as many requests a second: one each 20 s, whose answer
 /// tells whether its limit still stands.
@@ -53,7 +54,10 @@
     pub fn limit(&self, server: ServerKey) -> Option<ServerLimit> {
         let record = self.records.get(&server)?;
         let limit = record.news.limit?;
-        Some(limit.at_least(if record.absents > 0 { DOUBT_RATE } else { LEAST_RATE }))
+        Some(match record.absents {
+            0 => limit.at_least(LEAST_RATE),
+            absents => limit.at_least(DOUBT_RATE).doubled(absents - 1),
+        })
     }
 
     /// What is known of a server's limit.
--- a/src/server_limits/server_limit.rs
+++ b/src/server_limits/server_limit.rs
@@ -19,6 +19,12 @@
     pub fn at_least(self, least: f64) -> Self {
         Self(self.0.max(least))
     }
+
+    /// This limit, doubled so often.
+    #[must_use]
+    pub fn doubled(self, times: u32) -> Self {
+        Self(self.0 * f64::from(times).exp2())
+    }
 }
 
 impl TryFrom<&str> for ServerLimit {
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -105,21 +105,24 @@
 #[test]
 fn limit_taken_back_after_answers_without_it() {
     let mut book = book_of_three();
-    for answer in 1..=2 {
+    let mut limits = Vec::new();
+    for answer in 1..=7 {
         assert_eq!(book.note_answer(at(answer), server(), 1, false), None);
+        limits.extend(book.limit(server()).map(|limit| limit.to_string()));
     }
-    assert!(book.note_answer(at(3), server(), 1, false).is_some());
+    assert_eq!(limits, ["3", "6", "12", "24", "48", "96", "192"]);
+    assert!(book.note_answer(at(8), server(), 1, false).is_some());
     assert_eq!(book.limit(server()), None);
     assert_eq!(book.news(server()).version, 2);
     // An older answer does not name it again, a later one does.
-    assert!(!named(&mut book, 10, 2, "3"));
-    assert!(named(&mut book, 20, 3, "3"));
+    assert!(!named(&mut book, 10, 7, "3"));
+    assert!(named(&mut book, 20, 8, "3"));
 }
 
 #[test]
 fn limit_left_out_now_and_then_stands() {
     let mut book = book_of_three();
-    for answer in 0..30 {
+    for answer in 0..=30 {
         assert_eq!(book.note_answer(at(answer), server(), 1, answer % 3 == 0), None);
     }
     assert_eq!(book.limit(server()), Some(limit("3")));
@@ -375,7 +378,7 @@
     let mut asking = AskedOwner::new("5").host;
     let mut other = SendControl::default();
     let told = news(1, Some("5"));
-    for place in 0..3 {
+    for place in 0..8 {
         other.hear_answered(at(place), &LimitAnswered { news: told, is_named: false });
     }
     let ask = asking.ask(at(10), server(), USUAL, AskPurpose::Send);
--- a/tests/worlds.rs
+++ b/tests/worlds.rs
@@ -85,10 +85,25 @@
     assert!(report.used_permille >= 800, "{} of 1000", report.used_permille);
 }
 
-/// A seed in which hosts of a domain that was cut off sent to a server that had got 22 requests in the second before
-/// it named two a second.
+/// Seeds that broke it: 192, in which hosts of a domain that was cut off sent to a server that had got 22 requests in
+/// the second before it named two a second; 393 and 489, in which some answers left the limit out by chance.
 #[rstest]
-fn server_limit_kept_where_it_was_broken(#[values(192)] seed: u64) {
+fn server_limit_kept_where_it_was_broken(#[values(192, 393, 489)] seed: u64) {
     let report = run_send_world(seed, 6_000, Sabotage::None);
     assert_eq!(report.broken, Vec::<String>::new());
 }
+
+#[test]
+fn server_limits_hold_at_hundreds_of_hosts() {
+    let plan = SendPlan {
+        seed: 7,
+        steps: 4_000,
+        domain_hosts: 100,
+        rate: 240,
+        has_faults: true,
+        all_limited: true,
+    };
+    let report = run_send_plan(plan, Sabotage::None);
+    assert_eq!(report.broken, Vec::<String>::new());
+    assert!(report.faults > 0 && report.done > 0, "{report:?}");
+}
