--- a/src/bench/worlds/send_exchange.rs
+++ b/src/bench/worlds/send_exchange.rs
@@ -8,7 +8,7 @@
 use crate::keys::{IncarnationId, TimePoint};
 use crate::limits::{OwnerChoice, choose_owner};
 use crate::membership::MemberUpdate;
-use crate::server_limits::{AskPurpose, CallRank, LOG_TIME, SendReply};
+use crate::server_limits::{AskPurpose, CallRank, LOG_TIME, SendReply, SendTrail};
 use rand::Rng;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -38,7 +38,10 @@
             if !sends.is_open(age, key, request.rank) {
                 continue;
             }
-            let ask = sends.ask(age, key, request.rank, AskPurpose::Send);
+            let mut ask = sends.ask(age, key, request.rank, AskPurpose::Send);
+            if self.sabotage == Sabotage::TellNoTrail {
+                ask.trail = SendTrail::default();
+            }
             match self.owner(place, server) {
                 OwnerChoice::Own => {
                     let life = self.hosts[place].update.incarnation;
