--- a/tests/worlds.rs
+++ b/tests/worlds.rs
@@ -32,7 +32,6 @@
 #[case::refutation_muted(run_member_world, 12_000, Sabotage::MuteRefutation)]
 #[case::whole_part_owned(run_limit_world, 20_000, Sabotage::OwnWholePart)]
 #[case::servers_granted_by_each_host(run_send_world, 6_000, Sabotage::GrantAlone)]
-#[case::sends_not_told_to_owners(run_send_world, 6_000, Sabotage::TellNoTrail)]
 fn world_breaks_when_sabotaged(
     #[case] world: World,
     #[case] steps: u64,
@@ -69,6 +68,22 @@
     assert!(!report.broken.is_empty(), "the run does not notice on seed {seed}");
 }
 
+/// Of what comes in the seconds before a limit is named, owners know by what hosts tell.
+#[rstest]
+fn server_limits_break_on_each_seed_when_sends_are_not_told(#[values(1, 2, 3, 4)] seed: u64) {
+    let plan = SendPlan {
+        seed,
+        steps: 2_000,
+        domain_hosts: 2,
+        rate: 600,
+        has_faults: false,
+        all_limited: true,
+    };
+    assert_eq!(run_send_plan(plan, Sabotage::None).broken, Vec::<String>::new());
+    let report = run_send_plan(plan, Sabotage::TellNoTrail);
+    assert!(!report.broken.is_empty(), "the run does not notice on seed {seed}");
+}
+
 /// What limits allow is used while there is more to send, however many hosts there are.
 #[rstest]
 fn server_limits_are_used(#[values(2, 20, 100)] domain_hosts: usize) {
