--- a/src/bench/soak/soak_limits.rs
+++ b/src/bench/soak/soak_limits.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Limits that are named, in requests a second; callers want some twenty and more of each server.
 const LIMITS: [f64; 5] = [0.8, 2.0, 3.3, 5.0, 8.0];
@@ -19,6 +19,7 @@
 const FREE_TIME: Duration = Duration::from_millis(1500);
 /// All hosts know after this, and a window has passed.
 const KNOWN_TIME: Duration = Duration::from_millis(4500);
+const LOOK: Duration = Duration::from_millis(100);
 /// How long a host is suspended then.
 const SUSPENDED_TIME: Duration = Duration::from_secs(2);
 
@@ -52,16 +53,16 @@
         for place in 0..self.links.len() {
             self.clear_arrivals(place);
         }
-        sleep(FREE_TIME).await;
+        self.keep_up(FREE_TIME).await?;
         let servers = self.links.len();
         let first = random.random_range(0..servers);
         for place in (first..first + LIMITED).map(|place| place % servers) {
             let limit = LIMITS[random.random_range(0..LIMITS.len())];
             self.set_limit(place, LimitSpeech::of(limit));
         }
-        sleep(KNOWN_TIME).await;
+        self.keep_up(KNOWN_TIME).await?;
         self.disturb(&mut random).await?;
-        sleep(KNOWN_TIME).await;
+        self.keep_up(KNOWN_TIME).await?;
         let breaches = self.over_limits();
         self.take_limits_back();
         Ok(breaches)
@@ -72,11 +73,21 @@
         let suspended = (killed + 1) % self.hosts.len();
         self.hosts[killed].signal("-KILL")?;
         self.hosts[suspended].suspend()?;
-        sleep(SUSPENDED_TIME).await;
+        self.keep_up(SUSPENDED_TIME).await?;
         self.hosts[suspended].resume()?;
         self.wait_ready().await
     }
 
+    /// Time passes in which callers' requests go on crashing servers: those start again.
+    async fn keep_up(&mut self, time: Duration) -> Result<()> {
+        let ends = Instant::now() + time;
+        while Instant::now() < ends {
+            self.restart_crashed().await?;
+            sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
     fn clear_arrivals(&self, place: usize) {
         let engines = self.site.decodes.len() + self.site.prefills.len();
         match place.checked_sub(engines) {
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -95,6 +95,8 @@
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
     }
+    // Their last requests may have crashed some.
+    stage.restart_crashed().await?;
     let mut report = lock(&notes.report).clone();
     report.faults = faults;
     let calm = stage.check_calm(options.seed).await;
--- a/src/bin/tealcleat-load/soak.rs
+++ b/src/bin/tealcleat-load/soak.rs
@@ -23,11 +23,12 @@
         for seed in first_seed..first_seed + seeds {
             let report = world(seed, steps, Sabotage::None);
             println!(
-                "world={name} seed={seed} steps={} tried={} done={} faults={} broken={}",
+                "world={name} seed={seed} steps={} tried={} done={} faults={} used_permille={} broken={}",
                 report.steps,
                 report.tried,
                 report.done,
                 report.faults,
+                report.used_permille,
                 report.broken.len()
             );
             for line in &report.broken {
