Worlds, stand-ins and platform in smaller files; one way to meet for both worlds of limits

Stand-ins show their arrivals instead of passing four calls on; reading limits has a file of its own; a method that nobody called is gone.

--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -17,6 +17,7 @@
 mod site_run;
 mod site_service;
 mod site_store;
+mod site_zones;
 mod store_objects;
 mod test_site;
 
@@ -25,7 +26,7 @@
 pub use engine_fault::EngineFault;
 pub(in crate::bench) use life_switch::LifeSwitch;
 pub use life_switch::RestartPlace;
-pub use site_arrivals::{LimitExcess, LimitSpeech};
+pub use site_arrivals::{LimitExcess, LimitSpeech, SiteArrivals};
 pub use site_caller::{CallerReply, SiteCall, SiteConnection, call_site};
 pub use site_engine::SiteEngine;
 pub(in crate::bench) use site_http::listen_again;
--- a/src/bench/site/site_arrivals.rs
+++ b/src/bench/site/site_arrivals.rs
@@ -50,7 +50,7 @@
 
 /// Counts the requests that arrive at a stand-in server, whatever becomes of them, and names its limit.
 #[derive(Debug, Default)]
-pub(super) struct SiteArrivals(Mutex<ArrivalBook>);
+pub struct SiteArrivals(Mutex<ArrivalBook>);
 
 impl SiteArrivals {
     /// Changes what the server says from now on.
@@ -66,14 +66,14 @@
     }
 
     /// A request arrived; the router's own calls have no id.
-    pub fn note(&self, request: &WholeRequest) {
+    pub(super) fn note(&self, request: &WholeRequest) {
         if header(request, "x-request-id").is_some() {
             lock(&self.0).arrivals.push(Instant::now());
         }
     }
 
     /// Names the limit in an answer.
-    pub fn name(&self, answer: SiteAnswer) -> SiteAnswer {
+    pub(super) fn name(&self, answer: SiteAnswer) -> SiteAnswer {
         let mut answer = answer?;
         let mut book = lock(&self.0);
         let speech = book.speech.clone();
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -2,7 +2,7 @@
 use super::engine_memory::EngineMemory;
 use super::event_feed::{EventFeed, EventSender, cut_within};
 use super::life_switch::{LifeSwitch, RestartPlace};
-use super::site_arrivals::{LimitExcess, LimitSpeech, SiteArrivals};
+use super::site_arrivals::{LimitSpeech, SiteArrivals};
 use super::site_http::{
     BrokenOff, SiteAnswer, SiteHandler, WholeRequest, crash_server, header, is_crashing, refusal,
     restart_site, serve_site, signed, whole,
@@ -27,7 +27,8 @@
     /// Its id, the same in all of its lives.
     pub id: String,
     lives: LifeSwitch,
-    arrivals: SiteArrivals,
+    /// What arrives, and what it says of its limit; a new life of it says nothing.
+    pub arrivals: SiteArrivals,
     pub(super) stage: Mutex<String>,
     events: u64,
     pause: Duration,
@@ -78,30 +79,10 @@
         let address = restart_site(self, born, place).await?;
         lock(&self.memory).restart();
         self.set_fault(EngineFault::None);
-        self.set_limit(LimitSpeech::default());
+        self.arrivals.set(LimitSpeech::default());
         Ok(address)
     }
 
-    /// Changes what it says of its limit; a new life of it says nothing.
-    pub fn set_limit(&self, speech: LimitSpeech) {
-        self.arrivals.set(speech);
-    }
-
-    /// Requests that arrived, prompts to be read and those that it turned away included.
-    pub fn arrived(&self) -> usize {
-        self.arrivals.count()
-    }
-
-    /// Forgets what has arrived.
-    pub fn clear_arrivals(&self) {
-        self.arrivals.clear();
-    }
-
-    /// The window in which it got most beyond what its limit allows.
-    pub fn worst_excess(&self) -> Option<LimitExcess> {
-        self.arrivals.worst_excess()
-    }
-
     /// When its present life began, if it says so.
     pub fn born(&self) -> Option<u64> {
         self.lives.now().born
--- a/src/bench/soak/soak_limits.rs
+++ b/src/bench/soak/soak_limits.rs
@@ -3,7 +3,7 @@
 use super::soak_check::SoakBreach;
 use super::soak_run::SoakStage;
 use crate::Result;
-use crate::bench::site::{LimitExcess, LimitSpeech};
+use crate::bench::site::{LimitExcess, LimitSpeech, SiteArrivals};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
@@ -28,21 +28,21 @@
     pub fn change_limit(&self, random: &mut StdRng) {
         let place = random.random_range(0..self.links.len());
         let speech = draw_speech(random);
-        self.set_limit(place, speech);
+        self.arrivals(place).set(speech);
     }
 
     /// No server names a limit any more.
     pub fn take_limits_back(&self) {
         for place in 0..self.links.len() {
-            self.set_limit(place, LimitSpeech::default());
+            self.arrivals(place).set(LimitSpeech::default());
         }
     }
 
-    fn set_limit(&self, place: usize, speech: LimitSpeech) {
+    fn arrivals(&self, place: usize) -> &SiteArrivals {
         let engines = self.site.decodes.len() + self.site.prefills.len();
         match place.checked_sub(engines) {
-            Some(service) => self.site.services[service].set_limit(speech),
-            None => self.engine(place).set_limit(speech),
+            Some(service) => &self.site.services[service].arrivals,
+            None => &self.engine(place).arrivals,
         }
     }
 
@@ -51,14 +51,14 @@
     pub async fn check_limits(&mut self, seed: u64) -> Result<Vec<SoakBreach>> {
         let mut random = StdRng::seed_from_u64(seed);
         for place in 0..self.links.len() {
-            self.clear_arrivals(place);
+            self.arrivals(place).clear();
         }
         self.keep_up(FREE_TIME).await?;
         let servers = self.links.len();
         let first = random.random_range(0..servers);
         for place in (first..first + LIMITED).map(|place| place % servers) {
             let limit = LIMITS[random.random_range(0..LIMITS.len())];
-            self.set_limit(place, LimitSpeech::of(limit));
+            self.arrivals(place).set(LimitSpeech::of(limit));
         }
         self.keep_up(KNOWN_TIME).await?;
         self.disturb(&mut random).await?;
@@ -88,26 +88,19 @@
         Ok(())
     }
 
-    fn clear_arrivals(&self, place: usize) {
-        let engines = self.site.decodes.len() + self.site.prefills.len();
-        match place.checked_sub(engines) {
-            Some(service) => self.site.services[service].clear_arrivals(),
-            None => self.engine(place).clear_arrivals(),
-        }
-    }
-
     fn over_limits(&self) -> Vec<SoakBreach> {
         let engines = self.site.decodes.iter().chain(&self.site.prefills);
-        let engines = engines.map(|engine| (&engine.id, engine.worst_excess()));
-        let services = self.site.services.iter().map(|server| (&server.id, server.worst_excess()));
-        engines.chain(services).filter_map(|(id, excess)| breach(id, excess?)).collect()
+        let engines = engines.map(|engine| (&engine.id, &engine.arrivals));
+        let services = self.site.services.iter().map(|server| (&server.id, &server.arrivals));
+        let all = engines.chain(services);
+        all.filter_map(|(id, arrivals)| Some(breach(id, arrivals.worst_excess()?))).collect()
     }
 }
 
-fn breach(id: &str, excess: LimitExcess) -> Option<SoakBreach> {
+fn breach(id: &str, excess: LimitExcess) -> SoakBreach {
     let LimitExcess { got, allowed } = excess;
     let detail = format!("{id}: {got} requests in 4 s, {allowed:.1} allowed");
-    Some(SoakBreach { promise: "no server gets more than its limit allows", detail })
+    SoakBreach { promise: "no server gets more than its limit allows", detail }
 }
 
 fn draw_speech(random: &mut StdRng) -> LimitSpeech {
--- a/src/bench/worlds/limit_world.rs
+++ b/src/bench/worlds/limit_world.rs
@@ -1,4 +1,5 @@
 use super::limit_parts::{LimitHost, OpenAsk, ParcelBody, UseWindow};
+use super::world_host::meet_all;
 use super::world_net::WorldNet;
 use super::{Sabotage, WorldReport};
 use crate::keys::{OrgKey, TimePoint};
@@ -112,7 +113,7 @@
         self.turn += 1;
         self.net.heal(self.now);
         if self.turn.is_multiple_of(MEET_STEPS) {
-            self.meet();
+            meet_all(&mut self.hosts, &self.net, self.now);
         }
         for parcel in self.net.due(self.now) {
             self.deliver(parcel);
@@ -125,19 +126,6 @@
         self.check();
     }
 
-    /// Hosts notice who is there; those that start know nobody at first.
-    fn meet(&mut self) {
-        for place in 0..self.hosts.len() {
-            for other in 0..self.hosts.len() {
-                let reached = self.net.is_open(place, other) && self.hosts[other].runs(self.now);
-                if place != other && reached && self.hosts[place].runs(self.now) {
-                    let update = self.hosts[other].update;
-                    self.hosts[place].meet(self.now, update);
-                }
-            }
-        }
-    }
-
     fn arrive(&mut self) {
         let mean = f64::from(REQUEST_UNITS.start() + REQUEST_UNITS.end()) / 2.0;
         let expected = self.load * self.limit.rate * STEP.as_secs_f64() / mean;
--- a/src/bench/worlds/mod.rs
+++ b/src/bench/worlds/mod.rs
@@ -11,6 +11,7 @@
 mod limit_world;
 mod member_world;
 mod send_exchange;
+mod send_flights;
 mod send_parts;
 mod send_world;
 mod slot_world;
--- a/src/bench/worlds/send_exchange.rs
+++ b/src/bench/worlds/send_exchange.rs
@@ -1,28 +1,23 @@
-//! What hosts of the world of servers' limits send to servers, and ask and tell each other.
+//! What hosts of the world of servers' limits ask and tell each other before they send to servers.
 
 use super::Sabotage;
-use super::send_parts::{Flight, OpenSend, SendBody, TOLD_TIME, WorldRequest};
-use super::send_world::SendWorld;
+use super::send_parts::{OpenSend, SendBody, WorldRequest};
+use super::send_world::{DOMAINS, SendWorld};
 use super::world_host::domain_key;
 use super::world_net::Parcel;
-use crate::keys::{IncarnationId, TimePoint};
+use crate::keys::TimePoint;
 use crate::limits::{OwnerChoice, choose_owner};
 use crate::membership::MemberUpdate;
 use crate::server_limits::{AskPurpose, CallRank, LOG_TIME, SendReply, SendTrail};
 use rand::Rng;
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// An owner that has not answered by then counts as silent.
 const REPLY_LIMIT: Duration = Duration::from_millis(65);
 /// Hosts that each host tells of limits at once.
 const TELL_COUNT: usize = 6;
-/// Milliseconds in which a request reaches a server, and in which it is answered.
-const WAY_MS: std::ops::Range<u64> = 0..30;
-const WORK_MS: std::ops::Range<u64> = 10..80;
-/// Part of the datagrams that are lost, and of the answers that say nothing of a limit that stands.
+/// Part of the datagrams that are lost.
 const LOST_PART: f64 = 0.02;
-const SILENT_PART: f64 = 0.05;
 
 impl SendWorld {
     /// Sends a request to the first of its servers that takes it.
@@ -68,87 +63,7 @@
         }
     }
 
-    /// A request goes to a server.
-    fn fly(&mut self, place: usize, server: usize, sent_at: TimePoint) {
-        let host = place / (self.hosts.len() / super::send_world::DOMAINS);
-        let reached = self.net.is_open(place, self.near_host(server));
-        let life = self.hosts[place].update.incarnation;
-        if host != self.servers[server].domain && !reached {
-            return;
-        }
-        let due = self.now + Duration::from_millis(self.rng.random_range(WAY_MS));
-        self.flights.push(Flight { due, host: place, life, server, sent_at, answer: None });
-    }
-
-    /// A host of a server's domain: what reaches that one reaches the server.
-    fn near_host(&self, server: usize) -> usize {
-        self.servers[server].domain * (self.hosts.len() / super::send_world::DOMAINS)
-    }
-
-    /// Requests arrive at servers, and answers at hosts.
-    pub fn land_flights(&mut self) {
-        let now = self.now;
-        let (due, later): (Vec<Flight>, Vec<Flight>) =
-            self.flights.drain(..).partition(|flight| flight.due <= now);
-        self.flights = later;
-        for flight in due {
-            match flight.answer {
-                None => self.land_request(flight),
-                Some(limit) => {
-                    let host = &self.hosts[flight.host];
-                    if host.update.incarnation != flight.life {
-                        continue;
-                    }
-                    if host.suspended_until > now {
-                        self.flights.push(Flight { due: host.suspended_until, ..flight });
-                        continue;
-                    }
-                    let age = host.age(now);
-                    let key = self.servers[flight.server].key;
-                    let tools = &mut self.hosts[flight.host].tools;
-                    let limit = limit.filter(|_| self.sabotage != Sabotage::IgnoreServerLimits);
-                    let (change, told) = tools.hear_answer(age, flight.sent_at, key, limit);
-                    if change.is_some() {
-                        self.tell_news(flight.host);
-                    }
-                    let Some(answered) = told else { continue };
-                    match self.owner(flight.host, flight.server) {
-                        OwnerChoice::Own => {
-                            self.hosts[flight.host].tools.hear_answered(age, &answered);
-                        }
-                        OwnerChoice::Other(owner) => {
-                            self.send(flight.host, owner, SendBody::Answered(answered));
-                        }
-                        OwnerChoice::Unknown => {}
-                    }
-                }
-            }
-        }
-    }
-
-    fn land_request(&mut self, flight: Flight) {
-        let now = self.now;
-        let (hosts, excused) = (&self.hosts, &self.excused_until);
-        let is_counted = |place: usize, told: &BTreeMap<IncarnationId, TimePoint>| {
-            let told_at = told.get(&hosts[place].update.incarnation);
-            let is_told = told_at.is_some_and(|at| now.since(*at) >= TOLD_TIME);
-            is_told && now >= excused[place]
-        };
-        let broken = self.servers[flight.server].arrive(now, flight.host, is_counted);
-        if let Some(line) = broken {
-            self.report.note_broken(line);
-        }
-        self.report.done += 1;
-        let is_silent = self.rng.random_bool(SILENT_PART);
-        let limit = self.servers[flight.server].limit.filter(|_| !is_silent);
-        if limit.is_some() {
-            self.servers[flight.server].tell(now, flight.life);
-        }
-        let due = now + Duration::from_millis(self.rng.random_range(WORK_MS));
-        self.flights.push(Flight { due, answer: Some(limit), ..flight });
-    }
-
-    fn owner(&self, place: usize, server: usize) -> OwnerChoice {
+    pub fn owner(&self, place: usize, server: usize) -> OwnerChoice {
         let host = &self.hosts[place];
         let own = host.update.incarnation;
         if self.sabotage == Sabotage::GrantAlone {
@@ -157,7 +72,7 @@
         let server = &self.servers[server];
         let mut living = host.living(self.now, domain_key(server.domain));
         if living.is_empty() {
-            let domains = (0..super::send_world::DOMAINS).map(domain_key);
+            let domains = (0..DOMAINS).map(domain_key);
             living = domains.flat_map(|domain| host.living(self.now, domain)).collect();
         }
         let age = host.age(self.now);
@@ -219,7 +134,7 @@
         usize::try_from(host.incarnation.0).unwrap_or_default() % self.hosts.len()
     }
 
-    fn send(&mut self, place: usize, to: MemberUpdate, body: SendBody) {
+    pub fn send(&mut self, place: usize, to: MemberUpdate, body: SendBody) {
         let from = self.hosts[place].update;
         let delay = Duration::from_millis(self.rng.random_range(0..25));
         if !self.rng.random_bool(LOST_PART) {
--- a/src/bench/worlds/send_world.rs
+++ b/src/bench/worlds/send_world.rs
@@ -1,6 +1,7 @@
 use super::send_parts::{
     CONTACT, Flight, LimitedServer, OpenSend, SendBody, SendHost, WorldRequest,
 };
+use super::world_host::meet_all;
 use super::world_net::WorldNet;
 use super::{Sabotage, WorldReport};
 use crate::keys::TimePoint;
@@ -114,7 +115,7 @@
         }
         self.net.heal(self.now);
         if self.turn.is_multiple_of(MEET_STEPS) {
-            self.meet();
+            meet_all(&mut self.hosts, &self.net, self.now);
         }
         for parcel in self.net.due(self.now) {
             self.deliver(parcel);
@@ -206,19 +207,6 @@
         self.excused_until[place] = self.excused_until[place].max(until + CONTACT);
     }
 
-    /// Hosts notice who is there; those that start know nobody at first.
-    fn meet(&mut self) {
-        for place in 0..self.hosts.len() {
-            for other in 0..self.hosts.len() {
-                let reached = self.net.is_open(place, other) && self.hosts[other].runs(self.now);
-                if place != other && reached && self.hosts[place].runs(self.now) {
-                    let update = self.hosts[other].update;
-                    self.hosts[place].meet(self.now, update);
-                }
-            }
-        }
-    }
-
     fn arrive(&mut self) {
         let expected = f64::from(self.plan.rate) * STEP.as_secs_f64();
         let more = self.rng.random_bool(expected.fract());
--- a/src/bench/worlds/world_host.rs
+++ b/src/bench/worlds/world_host.rs
@@ -1,3 +1,4 @@
+use super::world_net::WorldNet;
 use crate::keys::{IncarnationId, NameKey, TimePoint};
 use crate::limits::SilentOwners;
 use crate::membership::MemberUpdate;
@@ -105,6 +106,23 @@
     }
 }
 
+/// Hosts notice who is there; those that start know nobody at first.
+pub(super) fn meet_all<T: Default, B>(
+    hosts: &mut [WorldHost<T>],
+    net: &WorldNet<B>,
+    now: TimePoint,
+) {
+    for place in 0..hosts.len() {
+        for other in 0..hosts.len() {
+            let reached = net.is_open(place, other) && hosts[other].runs(now);
+            if place != other && reached && hosts[place].runs(now) {
+                let update = hosts[other].update;
+                hosts[place].meet(now, update);
+            }
+        }
+    }
+}
+
 /// The key of one of the world's domains.
 pub(super) fn domain_key(place: usize) -> NameKey {
     NameKey::of(&format!("domain-{place}"))
--- a/src/gateway/limit_news.rs
+++ b/src/gateway/limit_news.rs
@@ -4,7 +4,7 @@
 use super::peer_messages::GatewayDatagram;
 use crate::keys::ServerKey;
 use crate::limits::OwnerChoice;
-use crate::server_limits::{AskPurpose, CallRank, LOG_TIME, LimitChange, LimitNews};
+use crate::server_limits::{AskPurpose, CallRank, LOG_TIME, LimitChange, LimitNews, ServerLimit};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -87,7 +87,7 @@
             let id = state.fleet.entry(server).map(|entry| entry.id.clone());
             (id.unwrap_or_default(), state.sends.log.recent(now, server, LOG_TIME))
         };
-        let text = |limit: Option<crate::server_limits::ServerLimit>| {
+        let text = |limit: Option<ServerLimit>| {
             limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string())
         };
         let (was, limit, seconds) = (text(change.was), text(limit), LOG_TIME.as_secs());
--- a/src/platform/config_wire.rs
+++ b/src/platform/config_wire.rs
@@ -171,6 +171,7 @@
             host: wire.host,
             path_prefix: wire.path_prefix,
             kind: decode_kind(&wire.kind),
+            // Beyond its range it saturates: nothing is more urgent than zero.
             priority: wire.priority as u8,
             time_limit: millis(wire.timeout_ms),
             objective: millis(wire.slo_ms),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod engine_messages;
 mod json_parts;
 mod lease_wire;
+mod limit_wire;
 mod list_walk;
 mod names;
 mod request_wire;
@@ -21,10 +22,11 @@
     handle_drop_call, hold_call, hold_drop_call, report_call, stage_call,
 };
 pub use lease_wire::{LEASE_OBJECT, decode_lease, encode_lease};
+pub use limit_wire::{LimitNaming, read_limit};
 pub use names::{READY_PATH, REQUEST_ID};
 pub use request_wire::{
-    AnswerKind, CallHead, CallPart, DecodePart, LimitNaming, ServerCall, TokenCounts,
-    answer_headers, holds_answer, own_headers, read_answer, read_limit,
+    AnswerKind, CallHead, CallPart, DecodePart, ServerCall, TokenCounts, answer_headers,
+    holds_answer, own_headers, read_answer,
 };
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server, decode_servers};
 pub use store_client::{ListAge, StoreClient, StoreWrite, WatchAnswer};
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -3,7 +3,6 @@
 use super::names;
 use crate::fleet::ServerEntry;
 use crate::organisations::{KeyDigest, KeyHasher, Organisation};
-use crate::server_limits::ServerLimit;
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode, Uri};
@@ -233,33 +232,6 @@
     AnswerKind::Failed
 }
 
-/// What an answer says of its server's limit.
-#[derive(Debug, Clone, PartialEq)]
-pub enum LimitNaming {
-    /// Nothing.
-    Absent,
-    /// This is its limit; the lowest, if several are named.
-    Named(ServerLimit),
-    /// Something that is no limit.
-    Malformed(String),
-}
-
-/// Reads the limit that an answer names which is known to belong to the request.
-pub fn read_limit(headers: &HeaderMap) -> LimitNaming {
-    let mut lowest = LimitNaming::Absent;
-    for value in headers.get_all(names::SERVER_LIMIT) {
-        let text = String::from_utf8_lossy(value.as_bytes());
-        let Ok(limit) = ServerLimit::try_from(text.trim()) else {
-            return LimitNaming::Malformed(text.into_owned());
-        };
-        lowest = match lowest {
-            LimitNaming::Named(known) if known <= limit => LimitNaming::Named(known),
-            _ => LimitNaming::Named(limit),
-        };
-    }
-    lowest
-}
-
 /// Whether a whole answer of a backend server stands in the body of another one.
 ///
 /// An answer without a length ends with its connection, and whatever else comes there counts to it: the late
--- a/src/server_limits/closed_servers.rs
+++ b/src/server_limits/closed_servers.rs
@@ -33,11 +33,6 @@
         (now < closure.until).then(|| closure.until.since(now))
     }
 
-    /// A server has no limit any more.
-    pub fn reopen(&mut self, server: ServerKey) {
-        self.closures.remove(&server);
-    }
-
     /// Forgets those that may be asked again.
     pub fn expire(&mut self, now: TimePoint) {
         self.closures.retain(|_, closure| now < closure.until);
--- a/tests/limited_calls.rs
+++ b/tests/limited_calls.rs
@@ -46,11 +46,11 @@
 fn other_servers_take_over() {
     runtime().block_on(async {
         let site = site_of(SitePlan::default()).await;
-        site.services[0].set_limit(LimitSpeech::of(LOW_LIMIT));
+        site.services[0].arrivals.set(LimitSpeech::of(LOW_LIMIT));
         until_limited(&site, "once").await;
-        let before = site.services[0].arrived();
+        let before = site.services[0].arrivals.count();
         assert_eq!(ask_many(&site, "once", "r", 40).await, vec![200; 40]);
-        assert!(site.services[0].arrived() - before <= 2);
+        assert!(site.services[0].arrivals.count() - before <= 2);
     });
 }
 
@@ -59,7 +59,7 @@
     runtime().block_on(async {
         let site = site_of(SitePlan::default()).await;
         for service in &site.services {
-            service.set_limit(LimitSpeech::of(LOW_LIMIT));
+            service.arrivals.set(LimitSpeech::of(LOW_LIMIT));
         }
         until_limited(&site, "once").await;
         let mut told = Vec::new();
@@ -84,10 +84,10 @@
 fn streams_go_to_engines_with_room_or_are_refused_with_nothing_held() {
     runtime().block_on(async {
         let site = site_of(SitePlan::default()).await;
-        site.decodes[0].set_limit(LimitSpeech::of(LOW_LIMIT));
+        site.decodes[0].arrivals.set(LimitSpeech::of(LOW_LIMIT));
         until_limited(&site, "stream").await;
         assert_eq!(ask_many(&site, "stream", "r", 8).await, vec![200; 8]);
-        site.decodes[1].set_limit(LimitSpeech::of(LOW_LIMIT));
+        site.decodes[1].arrivals.set(LimitSpeech::of(LOW_LIMIT));
         let statuses = ask_many(&site, "stream", "s", 8).await;
         assert!(statuses.iter().filter(|status| **status == 503).count() >= 5, "{statuses:?}");
         let reply = ask(&site, &call("POST", "stream", "last")).await;
@@ -103,11 +103,11 @@
 fn prompts_are_read_by_decode_engines_where_prefill_is_at_its_limit() {
     runtime().block_on(async {
         let site = site_of(SitePlan { prefills: 1, ..SitePlan::default() }).await;
-        site.prefills[0].set_limit(LimitSpeech::of(LOW_LIMIT));
+        site.prefills[0].arrivals.set(LimitSpeech::of(LOW_LIMIT));
         until_limited(&site, "stream").await;
-        let before = site.prefills[0].arrived();
+        let before = site.prefills[0].arrivals.count();
         assert_eq!(ask_many(&site, "stream", "r", 12).await, vec![200; 12]);
-        assert!(site.prefills[0].arrived() - before <= 2);
+        assert!(site.prefills[0].arrivals.count() - before <= 2);
     });
 }
 
@@ -121,7 +121,7 @@
     runtime().block_on(async {
         let site = site_of(SitePlan { services: 1, ..SitePlan::default() }).await;
         let values = vec![value.to_owned()];
-        site.services[0].set_limit(LimitSpeech { values, ..LimitSpeech::default() });
+        site.services[0].arrivals.set(LimitSpeech { values, ..LimitSpeech::default() });
         assert_eq!(ask_many(&site, "once", "r", 20).await, vec![200; 20]);
         assert_eq!(site.hosts[0].host.state().sends.book.limited().count(), 0);
     });
@@ -134,13 +134,13 @@
         let site = site_of(SitePlan { services: 1, ..SitePlan::default() }).await;
         let service = &site.services[0];
         service.set_fault(ServiceFault::ForeignAnswer);
-        service.set_limit(LimitSpeech::of(LOW_LIMIT));
+        service.arrivals.set(LimitSpeech::of(LOW_LIMIT));
         assert_eq!(ask_many(&site, "safe", "f", 3).await, vec![502; 3]);
         assert_eq!(site.hosts[0].host.state().sends.book.limited().count(), 0);
         service.set_fault(ServiceFault::None);
         until_limited(&site, "once").await;
         service.set_fault(ServiceFault::ForeignAnswer);
-        service.set_limit(LimitSpeech::default());
+        service.arrivals.set(LimitSpeech::default());
         ask_many(&site, "safe", "g", 3).await;
         assert_eq!(site.hosts[0].host.state().sends.book.limited().count(), 1);
     });
@@ -152,11 +152,11 @@
         let site = site_of(SitePlan::default()).await;
         let service = &site.services[0];
         service.set_fault(ServiceFault::Full);
-        service.set_limit(LimitSpeech::of(LOW_LIMIT));
+        service.arrivals.set(LimitSpeech::of(LOW_LIMIT));
         until_limited(&site, "safe").await;
-        let before = service.arrived();
+        let before = service.arrivals.count();
         assert_eq!(ask_many(&site, "safe", "r", 20).await, vec![200; 20]);
-        assert!(service.arrived() - before <= 2);
+        assert!(service.arrivals.count() - before <= 2);
     });
 }
 
@@ -165,9 +165,9 @@
     runtime().block_on(async {
         let site = site_of(SitePlan { services: 1, ..SitePlan::default() }).await;
         let service = &site.services[0];
-        service.set_limit(LimitSpeech::of(20.0));
+        service.arrivals.set(LimitSpeech::of(20.0));
         until_limited(&site, "once").await;
-        service.set_limit(LimitSpeech::default());
+        service.arrivals.set(LimitSpeech::default());
         let mut serial = 0;
         while site.hosts[0].host.state().sends.book.limited().next().is_some() {
             serial += 1;
@@ -182,7 +182,7 @@
 fn new_life_of_a_server_has_no_limit() {
     runtime().block_on(async {
         let site = site_of(SitePlan { services: 1, ..SitePlan::default() }).await;
-        site.services[0].set_limit(LimitSpeech::of(LOW_LIMIT));
+        site.services[0].arrivals.set(LimitSpeech::of(LOW_LIMIT));
         until_limited(&site, "once").await;
         let id = site.services[0].id.clone();
         let before = site.hosts[0].host.state().fleet.revision();
@@ -199,19 +199,19 @@
 fn host_that_joins_knows_limits() {
     runtime().block_on(async {
         let mut site = site_of(SitePlan::default()).await;
-        site.services[0].set_limit(LimitSpeech::of(LOW_LIMIT));
+        site.services[0].arrivals.set(LimitSpeech::of(LOW_LIMIT));
         until_limited(&site, "once").await;
         site.add_host().await.expect("a host");
         site.wait_ready().await;
         while site.hosts[1].host.state().sends.book.limited().next().is_none() {
             tokio::time::sleep(LOOK).await;
         }
-        let before = site.services[0].arrived();
+        let before = site.services[0].arrivals.count();
         for serial in 0..20 {
             let request = call("POST", "once", &format!("r-{serial}"));
             let reply = call_site(site.hosts[1].callers, &request).await.expect("an answer");
             assert_eq!(reply.status.as_u16(), 200);
         }
-        assert!(site.services[0].arrived() - before <= 2);
+        assert!(site.services[0].arrivals.count() - before <= 2);
     });
 }
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -79,15 +79,16 @@
 
     /// Servers that got more than they named, and what.
     fn excesses(&self) -> Vec<(String, LimitExcess)> {
-        let services = self.site.services.iter().map(|server| (&server.id, server.worst_excess()));
+        let services =
+            self.site.services.iter().map(|server| (&server.id, server.arrivals.worst_excess()));
         let engines = self.site.prefills.iter().chain(&self.site.decodes);
-        let engines = engines.map(|server| (&server.id, server.worst_excess()));
+        let engines = engines.map(|server| (&server.id, server.arrivals.worst_excess()));
         let all = services.chain(engines);
         all.filter_map(|(id, excess)| Some((id.clone(), excess?))).collect()
     }
 
     fn limit_service(&self, place: usize, limit: f64) {
-        self.site.services[place].set_limit(LimitSpeech::of(limit));
+        self.site.services[place].arrivals.set(LimitSpeech::of(limit));
     }
 }
 
@@ -147,17 +148,17 @@
         rig.limit_service(place, limit * part);
     }
     for (place, limit) in [2.0, 0.8].into_iter().enumerate() {
-        rig.site.decodes[place].set_limit(LimitSpeech::of(limit * part));
+        rig.site.decodes[place].arrivals.set(LimitSpeech::of(limit * part));
     }
-    rig.site.prefills[0].set_limit(LimitSpeech::of(6.0 * part));
+    rig.site.prefills[0].arrivals.set(LimitSpeech::of(6.0 * part));
 }
 
 fn take_back(rig: &LimitRig) {
     for service in &rig.site.services {
-        service.set_limit(LimitSpeech::default());
+        service.arrivals.set(LimitSpeech::default());
     }
     for engine in rig.site.prefills.iter().chain(&rig.site.decodes) {
-        engine.set_limit(LimitSpeech::default());
+        engine.arrivals.set(LimitSpeech::default());
     }
 }
 
@@ -216,7 +217,7 @@
         }
         if case == LimitCase::SaidNowAndThen {
             let speech = LimitSpeech { silent_each: 7, ..LimitSpeech::of(5.0) };
-            rig.site.services[0].set_limit(speech);
+            rig.site.services[0].arrivals.set(speech);
         }
         tokio::time::sleep(STEP_TIME).await;
         play(&mut rig, case).await;
