Soak: open connections fall silent, configurations are large, and each host is asked what is in force

No trouble of the bench silences open connections, and the soak's proxies could not either: no link lay between hosts.

No decision is changed.

--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -23,6 +23,8 @@
     pub store: SocketAddr,
     /// Where it reaches other daemons.
     pub seeds: &'a [SocketAddr],
+    /// Where they reach it, if not where it listens.
+    pub advertised: Option<SocketAddr>,
     /// How long a key that was taken away may be served, if that is bounded.
     pub revocation: Option<Duration>,
     /// Variables of its environment.
@@ -36,8 +38,10 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether callers may come.
     pub ready: SocketAddr,
-    /// Where peers connect.
+    /// Where peers reach it.
     pub peers: SocketAddr,
+    /// Where it listens for them.
+    pub peers_listen: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
     environment: Vec<(String, String)>,
@@ -60,12 +64,16 @@
             .revocation
             .map(|bound| format!("\"revocation_ms\": {}, ", bound.as_millis()))
             .unwrap_or_default();
+        let advertise = plan
+            .advertised
+            .map(|address| format!("\"peers_advertise\": \"{address}\", "))
+            .unwrap_or_default();
         let text = format!(
             "{{\"kind\": \"gateway\", \"host\": \"{}\", \"domain\": \"{}\",\n\
              \"callers_listen\": \"{}\", \"ready_listen\": \"{}\", \"peers_listen\": \"{}\",\n\
              \"metrics_listen\": \"{}\", \"store\": \"{}\", \"seeds\": [{}],\n\
              \"shared_key\": \"a-shared-key-of-the-soak\", \"grace_s\": 8, \"lease_ms\": 3000,\n\
-             {revocation}\"retry_ratio\": 0.2, \"retry_slack\": 500, \"log_level\": \"info\"}}\n",
+             {revocation}{advertise}\"retry_ratio\": 0.2, \"retry_slack\": 500, \"log_level\": \"info\"}}\n",
             plan.name,
             plan.domain,
             at(0),
@@ -79,7 +87,8 @@
         let mut host = Self {
             callers: at(0),
             ready: at(1),
-            peers: at(2),
+            peers: plan.advertised.unwrap_or(at(2)),
+            peers_listen: at(2),
             program: plan.program.to_path_buf(),
             settings,
             environment: plan.environment.to_vec(),
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -234,6 +234,7 @@
         callers_listen: anywhere()?,
         ready_listen: anywhere()?,
         peers_listen: anywhere()?,
+        peers_advertise: None,
         metrics_listen: anywhere()?,
         store,
         seeds,
--- /dev/null
+++ b/src/bench/soak/host_link.rs
@@ -0,0 +1,54 @@
+//! Links between daemons: whatever other daemons send to one of them passes through its link.
+
+use super::soak_proxy::SoakProxy;
+use crate::Result;
+use crate::host::lock;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::net::{TcpListener, UdpSocket};
+
+/// Longer than any datagram between daemons.
+const LONGEST_DATAGRAM: usize = 8 << 10;
+
+/// Sockets of all links, by where the daemon behind each sends its datagrams from.
+#[derive(Debug, Clone, Default)]
+pub(super) struct LinkSockets(Arc<Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>>);
+
+/// The link before one daemon, at the address that it advertises.
+#[derive(Debug)]
+pub(super) struct HostLink {
+    /// Its connections.
+    pub connections: SoakProxy,
+}
+
+impl HostLink {
+    /// Opens the link to the daemon that listens at `target`.
+    pub async fn open(
+        advertised: SocketAddr,
+        target: SocketAddr,
+        all: &LinkSockets,
+    ) -> Result<Self> {
+        let connections = SoakProxy::listen(TcpListener::bind(advertised).await?, target)?;
+        let socket = Arc::new(UdpSocket::bind(advertised).await?);
+        lock(&all.0).insert(target, Arc::clone(&socket));
+        tokio::spawn(relay(socket, target, all.clone()));
+        Ok(Self { connections })
+    }
+}
+
+/// Passes datagrams on to a daemon, each from the advertised address of its sender.
+async fn relay(socket: Arc<UdpSocket>, target: SocketAddr, all: LinkSockets) {
+    let mut buffer = vec![0; LONGEST_DATAGRAM];
+    loop {
+        // An earlier datagram to a daemon that is down may surface here as an error.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        let sender = lock(&all.0).get(&from).cloned();
+        if let Some(sender) = sender {
+            // A lost datagram is part of every network.
+            drop(sender.send_to(&buffer[..length], target).await);
+        }
+    }
+}
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -4,13 +4,16 @@
 //! callers and backend servers see is checked while it runs and once more when all is calm.
 
 mod answer_link;
+mod host_link;
 mod link_listener;
 mod soak_answer;
 mod soak_burst;
 mod soak_caller;
 mod soak_calm;
 mod soak_check;
+mod soak_config;
 mod soak_fault;
+mod soak_force;
 mod soak_inject;
 mod soak_limits;
 mod soak_proxy;
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -5,7 +5,7 @@
 use super::soak_proxy::ProxyMode;
 use super::soak_run::{SoakOptions, SoakStage};
 use crate::Result;
-use crate::bench::site::{EngineFault, RestartPlace, ServiceFault, SiteEngine, StoreFault, config};
+use crate::bench::site::{EngineFault, RestartPlace, ServiceFault, SiteEngine, StoreFault};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -31,6 +31,11 @@
 /// Part of the draws that come with a change of a server's limit, and what sets their draws apart from others.
 const LIMIT_PART: f64 = 0.5;
 const LIMIT_SALT: u64 = 0x11a1_7ed5;
+/// Part of the draws that come with a silence of open connections, what sets their draws apart from others, and the
+/// part of the links that it strikes if not all.
+const SILENCE_PART: f64 = 0.12;
+const SILENCE_SALT: u64 = 0x51_1e9c;
+const SILENT_LINKS: f64 = 0.3;
 /// How long a server is down that crashed under a request.
 const CRASHED_MS: Range<u64> = 300..2500;
 
@@ -44,6 +49,7 @@
         let mut restarts = StdRng::seed_from_u64(options.seed ^ RESTART_SALT);
         let mut suspends = StdRng::seed_from_u64(options.seed ^ SUSPEND_SALT);
         let mut limits = StdRng::seed_from_u64(options.seed ^ LIMIT_SALT);
+        let mut silences = StdRng::seed_from_u64(options.seed ^ SILENCE_SALT);
         let mut crashed = BTreeMap::new();
         let places = self.places();
         let ends = Instant::now() + options.length;
@@ -71,6 +77,12 @@
                 self.change_limit(&mut limits);
                 count += 1;
             }
+            if options.is_silencing && silences.random_bool(SILENCE_PART) {
+                let part = if silences.random_bool(0.5) { 1.0 } else { SILENT_LINKS };
+                self.trace.note_shock(&format!("silence of {part}"))?;
+                self.silence_connections(part, &mut silences);
+                count += 1;
+            }
             count += self.restart_due(&mut crashed, &mut restarts).await?;
             let gap = random.random_range(0..LONGEST_GAP_MS);
             sleep(Duration::from_millis(gap)).await;
@@ -166,10 +178,7 @@
             SoakFault::Pause(place) => self.hosts[place].signal("-STOP")?,
             SoakFault::Suspend(place) => self.hosts[place].suspend()?,
             SoakFault::Reload(place) => self.hosts[place].signal("-HUP")?,
-            SoakFault::Configure => {
-                self.version += 3;
-                self.site.set_config(self.version, &config(self.version));
-            }
+            SoakFault::Configure => self.confirm_version(),
             SoakFault::DrainServer(place) => self.state_service(place, "draining"),
         }
         Ok(())
--- a/src/bench/soak/soak_proxy.rs
+++ b/src/bench/soak/soak_proxy.rs
@@ -6,6 +6,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+const ANYWHERE: &str = "127.0.0.1:0";
+const CHUNK_BYTES: usize = 16 << 10;
+/// What a connection through a narrow link carries: 10 Mbit/s.
+const NARROW_BYTES_PER_S: f64 = 1_250_000.0;
+
 /// What a proxy does with the bytes that pass through it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) enum ProxyMode {
@@ -14,6 +19,8 @@
     Pass,
     /// Passes them on late.
     Delay(Duration),
+    /// Passes them on as fast as a small host's link does.
+    Narrow,
     /// Passes nothing on, either way.
     Silent,
     /// Passes nothing on towards the server; answers still come.
@@ -22,43 +29,72 @@
     Reset,
 }
 
-/// A loopback proxy before one stand-in.
+/// A loopback proxy before one stand-in or daemon.
 #[derive(Debug)]
 pub(super) struct SoakProxy {
     pub address: SocketAddr,
     mode: watch::Sender<ProxyMode>,
+    /// Counts how often the open connections fell silent.
+    silences: watch::Sender<u64>,
 }
 
 impl SoakProxy {
     pub async fn start(target: SocketAddr) -> Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::listen(TcpListener::bind(ANYWHERE).await?, target)
+    }
+
+    /// Takes the connections of a listener.
+    pub fn listen(listener: TcpListener, target: SocketAddr) -> Result<Self> {
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(ProxyMode::Pass);
+        let (silences, heard) = watch::channel(0);
         tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
-                tokio::spawn(carry(near, target, modes.clone()));
+                let mut silences = heard.clone();
+                silences.borrow_and_update();
+                tokio::spawn(carry(near, target, modes.clone(), silences));
             }
         });
-        Ok(Self { address, mode })
+        Ok(Self { address, mode, silences })
     }
 
     pub fn set(&self, mode: ProxyMode) {
         self.mode.send_replace(mode);
     }
+
+    /// The connections that are open now pass nothing on any more, and never end; new ones work.
+    pub fn silence_open(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
 }
 
-async fn carry(near: TcpStream, target: SocketAddr, modes: watch::Receiver<ProxyMode>) {
+async fn carry(
+    near: TcpStream,
+    target: SocketAddr,
+    modes: watch::Receiver<ProxyMode>,
+    mut silences: watch::Receiver<u64>,
+) {
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
+    if near.set_nodelay(true).and_then(|()| far.set_nodelay(true)).is_err() {
+        return;
+    }
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     let up = pump(near_read, far_write, modes.clone(), true);
     let down = pump(far_read, near_write, modes, false);
+    tokio::pin!(up, down);
     // When one way ends, both sockets are dropped: that breaks the other way off.
     tokio::select! {
-        () = up => {}
-        () = down => {}
+        () = &mut up => {}
+        () = &mut down => {}
+        changed = silences.changed() => {
+            if changed.is_ok() {
+                // Both sockets stay open until the proxy is gone.
+                while silences.changed().await.is_ok() {}
+            }
+        }
     }
 }
 
@@ -68,7 +104,7 @@
     mut modes: watch::Receiver<ProxyMode>,
     towards_server: bool,
 ) {
-    let mut buffer = vec![0; 16 << 10];
+    let mut buffer = vec![0; CHUNK_BYTES];
     loop {
         let read = match from.read(&mut buffer).await {
             Ok(0) => return,
@@ -79,6 +115,7 @@
         match mode {
             ProxyMode::Pass => {}
             ProxyMode::Delay(time) => tokio::time::sleep(time).await,
+            ProxyMode::Narrow => tokio::time::sleep(narrow_time(read)).await,
             ProxyMode::Reset => return reset(to),
             ProxyMode::DeafServer if !towards_server => {}
             ProxyMode::Silent | ProxyMode::DeafServer => {
@@ -95,6 +132,10 @@
     }
 }
 
+fn narrow_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / NARROW_BYTES_PER_S)
+}
+
 /// Resets a connection whose other half is dropped next. A half that is dropped closes it first, and an answer
 /// without a length would look whole.
 pub(super) fn reset(to: OwnedWriteHalf) {
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -1,10 +1,11 @@
 use super::answer_link::AnswerLink;
+use super::host_link::{HostLink, LinkSockets};
 use super::soak_caller::{CallerPlan, SoakNotes, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
 use super::soak_proxy::{ProxyMode, SoakProxy};
 use super::soak_trace::SoakTrace;
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
-use crate::bench::{GatewayProcess, ProcessPlan};
+use crate::bench::{GatewayProcess, ProcessPlan, free_ports};
 use crate::host::lock;
 use crate::{Error, Result};
 use std::net::SocketAddr;
@@ -43,6 +44,10 @@
     pub is_suspending: bool,
     /// Servers name limits.
     pub is_limiting: bool,
+    /// Open connections fall silent, and each host is asked in the end what is in force there.
+    pub is_silencing: bool,
+    /// Routes of the configuration that nobody asks for.
+    pub further_routes: usize,
     /// Variables of the daemons' environment.
     pub environment: Vec<(String, String)>,
     /// Folder of the built programs.
@@ -60,8 +65,11 @@
     /// Before each of these: where its host reaches the store.
     pub store_answers: Vec<AnswerLink>,
     pub hosts: Vec<GatewayProcess>,
+    /// Before each of them, if connections fall silent: where the others reach it.
+    pub host_links: Vec<HostLink>,
     /// Of the configuration.
     pub version: u64,
+    pub further_routes: usize,
     pub trace: SoakTrace,
 }
 
@@ -91,6 +99,11 @@
     stage.heal().await?;
     let over_limits =
         if options.is_limiting { stage.check_limits(options.seed).await? } else { Vec::new() };
+    let in_force = if options.is_silencing {
+        stage.check_force(options.seed).await?
+    } else {
+        Default::default()
+    };
     notes.ended.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
@@ -102,7 +115,9 @@
     let calm = stage.check_calm(options.seed).await;
     let mut records = lock(&notes.records).clone();
     records.extend(calm.1);
+    records.extend(in_force.1);
     report.breaches.extend(calm.0);
+    report.breaches.extend(in_force.0);
     let site = &stage.site;
     report.breaches.extend(check_runs(&records, &site.decodes, &site.services));
     let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
@@ -147,16 +162,21 @@
             store_links: Vec::new(),
             store_answers: Vec::new(),
             hosts: Vec::new(),
+            host_links: Vec::new(),
             version: 1,
+            further_routes: options.further_routes,
             trace: SoakTrace::create(folder)?,
         };
+        stage.confirm_version();
         let program = options.programs.join("tealcleatd");
+        let sockets = LinkSockets::default();
         for place in 0..options.hosts {
             let link = SoakProxy::start(stage.site.store_address).await?;
             let seed = options.seed.wrapping_mul(SERVER_SEEDS) + (stage.links.len() + place) as u64;
             let store = AnswerLink::start(link.address, seed).await?;
             let seeds: Vec<SocketAddr> = stage.hosts.iter().map(|host| host.peers).collect();
             let name = format!("host-{place}");
+            let advertised = options.is_silencing.then(advertised_address).transpose()?;
             let host = GatewayProcess::start(&ProcessPlan {
                 program: &program,
                 folder,
@@ -164,9 +184,14 @@
                 domain: DOMAINS[place % options.domains.clamp(1, DOMAINS.len())],
                 store: store.address,
                 seeds: &seeds,
+                advertised,
                 revocation: None,
                 environment: &options.environment,
             })?;
+            if let Some(advertised) = advertised {
+                let link = HostLink::open(advertised, host.peers_listen, &sockets).await?;
+                stage.host_links.push(link);
+            }
             stage.store_links.push(link);
             stage.store_answers.push(store);
             stage.hosts.push(host);
@@ -220,6 +245,10 @@
     }
 }
 
+fn advertised_address() -> Result<SocketAddr> {
+    Ok(SocketAddr::from(([127, 0, 0, 1], free_ports(1)?[0])))
+}
+
 async fn is_ready(address: SocketAddr) -> bool {
     let call = crate::bench::site::SiteCall {
         method: "GET",
--- a/src/bench/soak/soak_trace.rs
+++ b/src/bench/soak/soak_trace.rs
@@ -30,6 +30,10 @@
         self.note("server_restarted", server)
     }
 
+    pub fn note_shock(&mut self, what: &str) -> Result<()> {
+        self.note("shock", what)
+    }
+
     fn note(&mut self, event: &str, what: impl std::fmt::Debug) -> Result<()> {
         let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let time = time.map_err(|error| Error::Protocol(error.to_string()))?.as_secs_f64();
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -84,6 +84,11 @@
         suspending: bool,
         /// Servers name limits
         limiting: bool,
+        /// Open connections fall silent, and hosts are asked what is in force
+        silencing: bool,
+        /// Routes of the configuration that nobody asks for
+        #[bpaf(argument("N"), fallback(0))]
+        further_routes: usize,
         /// A variable of the daemons' environment
         #[bpaf(argument("NAME=VALUE"))]
         variable: Vec<String>,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -33,6 +33,8 @@
             crashing,
             suspending,
             limiting,
+            silencing,
+            further_routes,
             variable,
         } => {
             let length = Duration::from_secs(*seconds);
@@ -46,6 +48,8 @@
                 is_crashing: *crashing,
                 is_suspending: *suspending,
                 is_limiting: *limiting,
+                is_silencing: *silencing,
+                further_routes: *further_routes,
                 environment: variable
                     .iter()
                     .map(|text| read_variable(text))
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -30,7 +30,7 @@
     pub callers: SocketAddr,
     /// Where the platform asks whether callers may come.
     pub ready: SocketAddr,
-    /// Where peers connect.
+    /// Where peers reach it.
     pub peers: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
@@ -50,7 +50,8 @@
     let callers = callers_listener.local_addr()?;
     let ready = ready_listener.local_addr()?;
     let metrics = metrics_listener.local_addr()?;
-    let host = Arc::new(GatewayHost::new(settings, peers, Arc::clone(&socket)));
+    let advertised = settings.peers_advertise.unwrap_or(peers);
+    let host = Arc::new(GatewayHost::new(settings, advertised, Arc::clone(&socket)));
     let key = host.settings.shared_key.clone();
     tokio::spawn(serve_peers(peers_listener, key, Arc::clone(&host)));
     tokio::spawn(run_peers(Arc::clone(&host), socket));
@@ -68,7 +69,7 @@
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
     );
-    Ok(Gateway { host, callers, ready, peers, metrics })
+    Ok(Gateway { host, callers, ready, peers: advertised, metrics })
 }
 
 impl GatewayHost {
--- a/src/settings/field_reader.rs
+++ b/src/settings/field_reader.rs
@@ -59,15 +59,16 @@
     /// A string that parses, such as an address; must be there.
     pub fn parsed<T: FromStr>(&mut self, key: &'static str, what: &str, fallback: T) -> T {
         if self.property(key).is_none() {
-            self.asked.push(key);
             self.missing(key);
-            return fallback;
         }
-        let text = self.string(key);
-        text.parse().unwrap_or_else(|_error| {
-            self.find(key, format!("{key} must be {what}, not {text:?}"));
-            fallback
-        })
+        self.optional_parsed(key, what).unwrap_or(fallback)
+    }
+
+    /// A string that parses; may be left out.
+    pub fn optional_parsed<T: FromStr>(&mut self, key: &'static str, what: &str) -> Option<T> {
+        let text = self.optional_string(key)?;
+        let wrong = |_error| self.find(key, format!("{key} must be {what}, not {text:?}"));
+        text.parse().map_err(wrong).ok()
     }
 
     /// A whole number within bounds; `default` if it may be left out.
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -35,11 +35,13 @@
     pub ready_listen: SocketAddr,
     /// Where the other daemons connect (TCP) and probe (UDP).
     pub peers_listen: SocketAddr,
+    /// Where they reach this host, if not at `peers_listen`, as behind a port mapping.
+    pub peers_advertise: Option<SocketAddr>,
     /// Where metrics are served.
     pub metrics_listen: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
-    /// Other daemons' `peers_listen`, to begin with; they may be stale.
+    /// Where other daemons are reached, to begin with; they may be stale.
     pub seeds: Vec<SocketAddr>,
     /// Proves daemons to each other.
     pub shared_key: String,
@@ -65,6 +67,7 @@
         callers_listen: reader.parsed("callers_listen", address, NOWHERE),
         ready_listen: reader.parsed("ready_listen", address, NOWHERE),
         peers_listen: reader.parsed("peers_listen", address, NOWHERE),
+        peers_advertise: reader.optional_parsed("peers_advertise", address),
         metrics_listen: reader.parsed("metrics_listen", address, NOWHERE),
         store: reader.parsed("store", address, NOWHERE),
         seeds: reader.parsed_list("seeds", "IP addresses with port"),
@@ -110,6 +113,7 @@
             ("callers_listen", self.callers_listen != newer.callers_listen),
             ("ready_listen", self.ready_listen != newer.ready_listen),
             ("peers_listen", self.peers_listen != newer.peers_listen),
+            ("peers_advertise", self.peers_advertise != newer.peers_advertise),
             ("metrics_listen", self.metrics_listen != newer.metrics_listen),
             ("store", self.store != newer.store),
             ("shared_key", self.shared_key != newer.shared_key),
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -157,6 +157,7 @@
             domain: "a",
             store: site.store_address,
             seeds: &[],
+            advertised: None,
             revocation: None,
             environment: &[],
         })
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -106,6 +106,7 @@
         domain: DOMAINS[place % DOMAINS.len()],
         store: site.store_address,
         seeds,
+        advertised: None,
         revocation: None,
         environment,
     };
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -57,6 +57,8 @@
         is_crashing: false,
         is_suspending: false,
         is_limiting: false,
+        is_silencing: false,
+        further_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("a folder").to_path_buf(),
     }
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -59,6 +59,7 @@
             domain: "a",
             store: site.store_address,
             seeds: &[],
+            advertised: None,
             revocation: Some(REVOCATION),
             environment: &environment,
         })
