Logs say how long a view has been behind, and what came of calls that are given up

Of the incident's hypotheses none could be told from another: no line said that a host knew itself to be behind, whether a failed call between hosts had a kept connection, or how much of the store's answer had come. Now: view_behind and view_caught_up (kind, revision, for how long, age of the store's last answer to anybody), peer_call_given_up (age of the connection), store_call_given_up (what was asked, bytes received). No decision is changed.

--- a/src/engines/pooled_body.rs
+++ b/src/engines/pooled_body.rs
@@ -1,12 +1,13 @@
 use super::idle_connections::{IdleConnections, PooledConnection};
 use crate::Result;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame, Incoming};
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -51,8 +52,27 @@
     ///
     /// # Errors
     /// If the connection breaks first, or `read` fails.
-    pub async fn read_as<T>(mut self, read: impl FnOnce(&Bytes) -> Result<T>) -> Result<T> {
-        let bytes = (&mut self).collect().await?.to_bytes();
+    pub async fn read_as<T>(self, read: impl FnOnce(&Bytes) -> Result<T>) -> Result<T> {
+        self.read_counted(&AtomicUsize::new(0), read).await
+    }
+
+    /// The same; `received` counts the bytes that have come, also if the call is given up.
+    ///
+    /// # Errors
+    /// If the connection breaks first, or `read` fails.
+    pub async fn read_counted<T>(
+        mut self,
+        received: &AtomicUsize,
+        read: impl FnOnce(&Bytes) -> Result<T>,
+    ) -> Result<T> {
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = self.frame().await {
+            if let Ok(piece) = frame?.into_data() {
+                bytes.extend_from_slice(&piece);
+                received.store(bytes.len(), Ordering::Relaxed);
+            }
+        }
+        let bytes = bytes.freeze();
         let value = read(&bytes)?;
         self.keep_connection();
         Ok(value)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod server_entry;
 mod server_records;
 mod stage_changes;
+mod view_freshness;
 mod watch_duty;
 
 pub use fleet_news::{FleetChange, FleetNews, ServerNews};
@@ -19,4 +20,5 @@
 pub use refused_hosts::RefusedHosts;
 pub use server_entry::{ServerEntry, ServerStage, ServerState};
 pub use stage_changes::StageChanges;
+pub use view_freshness::ViewFreshness;
 pub use watch_duty::{DutyView, WatchDuty, stretched, watch_duty};
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -2,7 +2,7 @@
 use super::reply_waits::ReplyWaits;
 use super::unreadable_objects::UnreadableObjects;
 use crate::engines::HttpPool;
-use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges};
+use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges, ViewFreshness};
 use crate::host::lock;
 use crate::keys::{HostClock, IncarnationId, NameKey, RequestHasher, TimePoint};
 use crate::limits::{LimitAnswer, LimitLedger, LimitMeter, SilentOwners};
@@ -100,11 +100,13 @@
             bounds: settings.bounds,
             routes: Arc::default(),
             routes_revision: 0,
+            routes_freshness: ViewFreshness::default(),
             config_age: ConfigAge::default(),
             meter: LimitMeter::default(),
             ledger: LimitLedger::default(),
             silent: SilentOwners::default(),
             fleet: FleetView::default(),
+            servers_freshness: ViewFreshness::default(),
             board: LoadBoard::default(),
             grants: GrantBook::default(),
             health: HashMap::new(),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,5 +1,5 @@
 use super::unreadable_objects::UnreadableObjects;
-use crate::fleet::{FleetView, RefusedHosts, StageChanges};
+use crate::fleet::{FleetView, RefusedHosts, StageChanges, ViewFreshness};
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint, mix_hash};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate, ViewMark};
@@ -25,7 +25,9 @@
     pub routes: Arc<RouteTable>,
     /// Revision of the store at which it was written.
     pub routes_revision: u64,
-    /// How old it may be.
+    /// How fresh it is.
+    pub routes_freshness: ViewFreshness,
+    /// How old it may be, as far as that is proved.
     pub config_age: ConfigAge,
     /// What this host uses on account of organisations.
     pub meter: LimitMeter,
@@ -35,6 +37,8 @@
     pub silent: SilentOwners,
     /// The backend servers.
     pub fleet: FleetView,
+    /// How fresh what is known of them is.
+    pub servers_freshness: ViewFreshness,
     /// Their load.
     pub board: LoadBoard,
     /// Holds that engines granted to this host.
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -42,6 +42,7 @@
         };
         match open_datagram(&host.settings.shared_key, &buffer[..length]) {
             Ok(GatewayDatagram::Probe(message)) => {
+                host.hear_mark(message.view);
                 let now = host.now();
                 let orders = host.state().members.receive(now, &message);
                 host.carry_out(orders);
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -1,5 +1,6 @@
 use super::gateway_host::GatewayHost;
 use super::store_contact::{FollowedKind, note_heard, note_lost};
+use super::view_lag::LagReport;
 use super::view_store::{list, list_or_hear, read_config, watch};
 use crate::fleet::{DutyView, WatchDuty, stretched, watch_duty};
 use crate::keys::TimePoint;
@@ -115,9 +116,13 @@
 async fn expire_entries(host: &GatewayHost) {
     let mut ticker = tokio::time::interval(EXPIRE_PERIOD);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut reports = [FollowedKind::Routes, FollowedKind::Servers].map(LagReport::new);
     loop {
         ticker.tick().await;
         let now = host.now();
+        for report in &mut reports {
+            report.look(now, host);
+        }
         let lapsed = {
             let mut state = host.state();
             state.expire(now);
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 struct PeerLink {
     sender: Option<SendRequest<Bytes>>,
+    opened_at: Option<TimePoint>,
     failed_at: Option<TimePoint>,
     refused: bool,
 }
@@ -64,8 +65,16 @@
         limit: Duration,
     ) -> Result<R> {
         let bytes = encode(request)?;
+        let opened_at = self.opened_at(address);
         let exchange = self.exchange(address, bytes);
-        tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)?
+        tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| {
+            let kept_ms = opened_at.map_or(0, |at| self.clock.now().since(at).as_millis());
+            let waited_ms = limit.as_millis();
+            log::info!(
+                "event=peer_call_given_up peer={address} waited_ms={waited_ms} connection_age_ms={kept_ms}"
+            );
+            Error::Timeout
+        })?
     }
 
     async fn exchange<R: DeserializeOwned>(
@@ -103,7 +112,12 @@
         }
         match self.connect(address).await {
             Ok(sender) => {
-                *link = PeerLink { sender: Some(sender.clone()), failed_at: None, refused: false };
+                *link = PeerLink {
+                    sender: Some(sender.clone()),
+                    opened_at: Some(now),
+                    failed_at: None,
+                    refused: false,
+                };
                 Ok(sender)
             }
             Err(error) => {
@@ -114,6 +128,13 @@
         }
     }
 
+    /// When the connection that a call would use was opened, if there is one.
+    fn opened_at(&self, address: SocketAddr) -> Option<TimePoint> {
+        let link = self.link(address).ok()?;
+        let link = link.try_lock().ok()?;
+        link.sender.as_ref().and(link.opened_at)
+    }
+
     fn link(&self, address: SocketAddr) -> Result<Arc<tokio::sync::Mutex<PeerLink>>> {
         let mut links = self.links.lock().map_err(|_poison| Error::Timeout)?;
         Ok(Arc::clone(links.entry(address).or_default()))
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -13,6 +13,7 @@
 use hyper::Request;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// First pause before a page of a listing is asked for again; doubles with each try.
@@ -227,14 +228,22 @@
         limit: Duration,
         read: impl FnOnce(StatusCode, &Bytes) -> Result<T>,
     ) -> Result<T> {
+        let target = request.uri().clone();
+        let received = AtomicUsize::new(0);
         let exchange = async {
             let limits = SendLimits::default();
             let response = pool.send(self.address, request, proof, limits).await?;
             let status = response.status();
-            response.into_body().read_as(|body| read(status, body)).await
+            response.into_body().read_counted(&received, |body| read(status, body)).await
         };
         // Dropping the call closes its connection, so that a late answer meets nobody.
-        tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| Error::Timeout)?
+        tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| {
+            let (came, waited) = (received.load(Ordering::Relaxed), limit.as_millis());
+            log::info!(
+                "event=store_call_given_up target={target} received={came} waited_ms={waited}"
+            );
+            Error::Timeout
+        })?
     }
 }
 
