A connection between hosts that has fallen silent is used no longer

Callers got 404 on confirmed routes, and leaving servers got work, at hosts whose connections to others had fallen silent. A call on such a connection timed out and left it in its place; nothing probes it, so that each further call met it, 0.8 s each. One fetch of a view at a time was under way, so that one silent host held up all others.

Ruled out by the first test: hosts do hear datagrams meanwhile, and ask again within 0.2 s; it is the connection.

A connection on which nothing came while a call waited is given up; the rest that were not heard since are replaced at their next use, since connections fall silent together. A fetch of a view, which may be made twice, goes on at once with a new one. Time limits of such a fetch count pauses between pieces, not the whole. The answering side closes connections that rest for 60 s, which silent ones would otherwise do for good; clients use none that rested for 30 s.

--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,6 +1,7 @@
 use super::gateway_state::GatewayState;
 use super::reply_waits::ReplyWaits;
 use super::unreadable_objects::UnreadableObjects;
+use super::view_fetches::ViewFetches;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges, ViewFreshness};
 use crate::host::lock;
@@ -78,7 +79,7 @@
     pub(super) limit_waits: ReplyWaits<LimitAnswer>,
     pub(super) send_waits: ReplyWaits<SendReply>,
     pub(super) load_serial: AtomicU64,
-    pub(super) fetching_view: AtomicBool,
+    pub(super) view_fetches: Mutex<ViewFetches>,
     pub(super) routes_away: AtomicBool,
     pub(super) servers_away: AtomicBool,
     pub(super) stop: watch::Sender<StopPhase>,
@@ -140,7 +141,7 @@
             limit_waits: ReplyWaits::default(),
             send_waits: ReplyWaits::default(),
             load_serial: AtomicU64::new(1),
-            fetching_view: AtomicBool::new(false),
+            view_fetches: Mutex::default(),
             routes_away: AtomicBool::new(false),
             servers_away: AtomicBool::new(false),
             stop: watch::Sender::new(StopPhase::Serving),
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -2,17 +2,20 @@
 
 use super::gateway_host::{GatewayHost, ViewSource};
 use super::peer_messages::{GatewayReply, GatewayRequest};
+use crate::host::lock;
+use crate::peers::PeerPatience;
 use crate::routes::RouteTable;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Changes of a view come within a round trip.
-const CHANGES_LIMIT: Duration = Duration::from_millis(800);
-/// A whole view of 3,000 servers is 270 KB, and a neighbour may hand it to dozens at once over a link of
-/// 20 Mbit/s; a host without a view has nothing else to wait for.
-const WHOLE_VIEW_LIMIT: Duration = Duration::from_millis(3000);
+/// A reply begins within a round trip, if its host is not busy with a large view of its own. A whole view of 3,000
+/// servers is 270 KB, and a neighbour may hand it to dozens at once over a link of 10 Mbit/s: only pauses are bounded.
+const FETCH_PATIENCE: PeerPatience =
+    PeerPatience { reply: Duration::from_millis(400), pause: Duration::from_millis(400) };
+/// The same for a host that has no view yet and nothing else to wait for.
+const FIRST_PATIENCE: PeerPatience =
+    PeerPatience { reply: Duration::from_millis(3000), pause: Duration::from_millis(1000) };
 /// Hosts of the own failure domain told at once of a newly adopted view; each that adopts it tells
 /// as many.
 const VIEW_NEAR: usize = 3;
@@ -37,15 +40,15 @@
         self.carry_out(orders);
     }
 
-    /// Fetches a newer view from another host, one at a time.
+    /// Fetches a newer view from another host, unless news are coming from one already.
     pub(super) fn fetch_view(self: &Arc<Self>, address: SocketAddr) {
-        if self.fetching_view.swap(true, Ordering::Relaxed) {
+        if !lock(&self.view_fetches).begin(self.now(), address) {
             return;
         }
         let host = Arc::clone(self);
         tokio::spawn(async move {
             host.fetch_view_from(address).await;
-            host.fetching_view.store(false, Ordering::Relaxed);
+            lock(&host.view_fetches).end(address);
         });
     }
 
@@ -60,8 +63,9 @@
             }
         };
         let informed = self.state().fleet.revision() > 0;
-        let limit = if informed { CHANGES_LIMIT } else { WHOLE_VIEW_LIMIT };
-        match self.peers.call(address, &request, limit).await {
+        let patience = if informed { FETCH_PATIENCE } else { FIRST_PATIENCE };
+        let on_piece = || lock(&self.view_fetches).note_piece(self.now(), address);
+        match self.peers.fetch(address, &request, patience, on_piece).await {
             Ok(GatewayReply::View { routes, fleet, age }) => {
                 if let Some((revision, parts)) = routes {
                     match RouteTable::try_from(parts) {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,12 +4,13 @@
 
 mod datagram;
 mod peer_client;
+mod peer_link;
 mod peer_message;
 mod peer_server;
 mod proof;
 
 pub use datagram::{open_datagram, seal_datagram};
-pub use peer_client::PeerClient;
+pub use peer_client::{PeerClient, PeerPatience};
 pub use peer_message::{
     ClaimReply, HoldAsk, PeerReply, PeerRequest, PlaceAsk, PlaceOffers, PresentedReply, StartReply,
     StopReport,
--- a/src/peers/peer_server.rs
+++ b/src/peers/peer_server.rs
@@ -7,9 +7,15 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
 const WINDOW_BYTES: u32 = 8 << 20;
+/// A connection without a new call for this long is closed: one that fell silent would stay for good, and clients use
+/// none that rested for half of it.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// Longest pause within a request.
+const REQUEST_PAUSE: Duration = Duration::from_secs(10);
 
 /// Handles requests of other daemons.
 pub trait PeerHandler: Send + Sync + 'static {
@@ -55,14 +61,23 @@
         .max_concurrent_streams(100_000)
         .handshake(stream)
         .await?;
-    while let Some(accepted) = connection.accept().await {
+    loop {
+        let Ok(accepted) = tokio::time::timeout(IDLE_LIMIT, connection.accept()).await else {
+            // Replies under way end first, if anybody still takes them.
+            connection.graceful_shutdown();
+            let rest = std::future::poll_fn(|cx| connection.poll_closed(cx));
+            return tokio::time::timeout(IDLE_LIMIT, rest)
+                .await
+                .unwrap_or(Ok(()))
+                .map_err(Error::from);
+        };
+        let Some(accepted) = accepted else { return Ok(()) };
         let (request, respond) = accepted?;
         let handler = Arc::clone(&handler);
         tokio::spawn(async move {
             let _ = serve_call(request.into_body(), respond, handler).await;
         });
     }
-    Ok(())
 }
 
 async fn serve_call<H: PeerHandler>(
@@ -70,7 +85,7 @@
     mut respond: SendResponse<Bytes>,
     handler: Arc<H>,
 ) -> Result<()> {
-    let request: H::Request = match read_body(body).await.and_then(|bytes| decode(&bytes)) {
+    let request: H::Request = match read_request(body).await {
         Ok(request) => request,
         Err(error) => {
             log::warn!("event=peer_frame_refused cause=\"{error}\"");
@@ -90,11 +105,22 @@
     Ok(())
 }
 
-/// Reads one message of at most [`MESSAGE_LIMIT`] bytes.
-pub(super) async fn read_body(mut body: RecvStream) -> Result<Bytes> {
+async fn read_request<T: DeserializeOwned>(body: RecvStream) -> Result<T> {
+    decode(&read_body(body, REQUEST_PAUSE, || {}).await?)
+}
+
+/// Reads one message of at most [`MESSAGE_LIMIT`] bytes; each piece may take `pause`, and `on_piece` hears of it.
+pub(super) async fn read_body(
+    mut body: RecvStream,
+    pause: Duration,
+    on_piece: impl Fn(),
+) -> Result<Bytes> {
     let mut bytes = BytesMut::new();
-    while let Some(chunk) = body.data().await {
+    loop {
+        let chunk = tokio::time::timeout(pause, body.data()).await;
+        let Some(chunk) = chunk.map_err(|_elapsed| Error::Timeout)? else { break };
         let chunk = chunk?;
+        on_piece();
         body.flow_control().release_capacity(chunk.len())?;
         if bytes.len() + chunk.len() > MESSAGE_LIMIT {
             return Err(Error::Protocol("a message is too long".to_owned()));
