A host that knows itself to be behind asks the store; a store's answer to others makes no older view fresh

Hosts answered by older versions, and sent to leaving servers, for as long as 25 s while they knew that others had newer views: what kept them from asking the store was that it had answered somebody else a moment ago (logs: behind for up to 8.9 s, age of that answer 0.05 to 1.0 s). The age of an answer to another host was taken for the age of the own view, also across kinds: who heard of the servers counted as one who had heard of the configuration.

Ruled out: that they were not told. Datagrams named the newer view each 0.2 to 0.8 s.

Freshness is kept by kind, and an answer to another host counts only if the own view holds what that host's does (load news name both). Who has known for 0.6 to 1.0 s that others have more asks the store itself, once; a host that it answers hands its view on. A listing that ended because a neighbour was faster no longer counts as an answer of the store.

Without a signal in the datagrams nothing changes: who hears nobody doubts its view after 2.3 s as before.

--- a/src/fleet/view_freshness.rs
+++ b/src/fleet/view_freshness.rs
@@ -12,34 +12,37 @@
     complete_at: TimePoint,
     /// A newer revision that others have, and since when this host knows that.
     behind: Option<(u64, TimePoint)>,
+    /// The store had nothing more to tell up to this revision, though the view may name an older one.
+    reached: u64,
 }
 
 impl ViewFreshness {
-    /// The store answered a question of this host's own that left at `asked_at`, and all that it told is held.
-    pub fn note_complete(&mut self, asked_at: TimePoint) {
-        self.complete_at = self.complete_at.max(asked_at);
+    /// The store answered this host's own question: up to `at` and its `revision` all that it told is held.
+    ///
+    /// What others have beyond that must be heard anew.
+    pub fn note_complete(&mut self, at: TimePoint, revision: u64) {
+        self.complete_at = self.complete_at.max(at);
+        self.reached = self.reached.max(revision);
+        self.behind = None;
     }
 
-    /// Another host holds the revision `heard`, and this one `own`. True if that tells it that it is behind, and it
-    /// did not know.
-    pub fn hear(&mut self, now: TimePoint, own: u64, heard: u64) -> bool {
-        let knew = self.is_behind(own);
-        if !knew {
-            self.behind = (own < heard).then_some((heard, now));
+    /// Another host holds the revision `heard`, and this one `own`.
+    pub fn hear(&mut self, now: TimePoint, own: u64, heard: u64) {
+        if self.behind_for(now, own).is_none() {
+            self.behind = (own.max(self.reached) < heard).then_some((heard, now));
         }
-        !knew && self.behind.is_some()
     }
 
     /// Another host's view, of revision `heard`, lacked nothing `age` ago; so did this one's if it holds as much.
     pub fn hear_age(&mut self, now: TimePoint, own: u64, heard: u64, age: Duration) {
-        if own >= heard {
-            self.note_complete(now - age);
+        if own.max(self.reached) >= heard {
+            self.complete_at = self.complete_at.max(now - age);
         }
     }
 
     /// For how long this host, which holds `own`, has known that others hold more.
     pub fn behind_for(&self, now: TimePoint, own: u64) -> Option<Duration> {
-        let (_, since) = self.behind.filter(|(revision, _)| own < *revision)?;
+        let (_, since) = self.behind.filter(|(revision, _)| own.max(self.reached) < *revision)?;
         Some(now.since(since))
     }
 
@@ -47,8 +50,4 @@
     pub fn age(&self, now: TimePoint) -> Duration {
         now.since(self.complete_at)
     }
-
-    fn is_behind(&self, own: u64) -> bool {
-        self.behind.is_some_and(|(revision, _)| own < revision)
-    }
 }
--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-/// When neither this host nor any that it heard of has been answered by the store for this long,
+/// When neither this host nor any whose view it holds has been answered by the store for this long,
 /// the watcher may be cut off: a watch answers every second, and news of it spreads within 0.7 s.
 const DOUBT_AGE: Duration = Duration::from_millis(2300);
 /// Hosts of a small failure domain begin to ask themselves spread over this time, so that one answer
@@ -13,6 +13,12 @@
 /// Such hosts begin to ask spread over this time; the answers reach the others within half a second.
 const UNSURE_SPREAD: Duration = Duration::from_millis(1000);
 
+/// A host that knows for this long that others have a newer view, and has not got it from them, asks the store:
+/// they hand it over within some milliseconds, or, if a connection is found silent first, half a second.
+const BEHIND_LIMIT: Duration = Duration::from_millis(600);
+/// Such hosts begin to ask spread over this time: those that are answered first hand their view on.
+const BEHIND_SPREAD: Duration = Duration::from_millis(400);
+
 /// A host that the store refused, and that is not elected therefore, asks again this long after its
 /// last call, in a small failure domain.
 const REFUSED_PAUSE: Duration = Duration::from_millis(2000);
@@ -48,8 +54,11 @@
     pub uninformed_for: Option<Duration>,
     /// The host is its failure domain's watcher.
     pub elected: bool,
-    /// Time since the store last answered any host that this one heard of.
-    pub store_age: Duration,
+    /// Time since the view was last known to lack nothing, by an answer of the store to this host or to one that had
+    /// no newer view.
+    pub view_age: Duration,
+    /// For how long this host has known that others have a newer view.
+    pub behind_for: Option<Duration>,
     /// How old its configuration may be, if keys of callers depend on that.
     pub config_age: Option<Duration>,
     /// Time since its own last call, if that was refused or not answered.
@@ -60,8 +69,8 @@
     pub salt: u64,
 }
 
-/// Decides who watches: one host a failure domain among those that the store answers, and any host
-/// whose watcher seems cut off.
+/// Decides who watches: one host a failure domain among those that the store answers, and any host whose watcher
+/// seems cut off or that cannot get from others what they have.
 pub fn watch_duty(view: &DutyView) -> WatchDuty {
     if let Some(time) = view.uninformed_for {
         let wait = NEIGHBOUR_WAIT + part_of(LISTING_SPREAD, view.salt);
@@ -75,7 +84,9 @@
         None => {
             let spread = stretched(DOUBT_SPREAD, view.domain_hosts);
             let unsure = UNSURE_AGE + part_of(UNSURE_SPREAD, view.salt);
-            view.store_age > DOUBT_AGE + part_of(spread, view.salt)
+            let patience = BEHIND_LIMIT + part_of(BEHIND_SPREAD, view.salt);
+            view.view_age > DOUBT_AGE + part_of(spread, view.salt)
+                || view.behind_for.is_some_and(|time| time > patience)
                 || view.config_age.is_some_and(|age| age > unsure)
         }
     };
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -47,7 +47,7 @@
                 let orders = host.state().members.receive(now, &message);
                 host.carry_out(orders);
             }
-            Ok(GatewayDatagram::Load(news)) => host.hear_load(news),
+            Ok(GatewayDatagram::Load(news)) => host.hear_load(address, news),
             Ok(GatewayDatagram::Notice(notice)) => host.hear_notice(notice),
             Ok(GatewayDatagram::AgeQuestion(question)) => host.answer_age(address, question),
             Ok(GatewayDatagram::AgeAnswer(answer)) => host.hear_age(address, answer),
@@ -164,8 +164,10 @@
         }
     }
 
-    fn hear_load(&self, news: LoadNews) {
+    fn hear_load(self: &Arc<Self>, from_address: SocketAddr, news: LoadNews) {
         let now = self.now();
+        self.hear_mark(news.view);
+        self.hear_ages(news.view, news.ages);
         let heard = Duration::from_millis(news.store_age_ms.into());
         let from = news.notice.incarnation;
         {
@@ -176,6 +178,9 @@
                 state.heard_work.insert((from, service), (now, sums));
             }
         }
+        if self.state().view_mark().is_behind(news.view) {
+            self.fetch_view(from_address);
+        }
         self.hear_notice(news.notice);
     }
 
@@ -225,6 +230,8 @@
             notice,
             version,
             store_age_ms: u32::try_from(state.fleet.store_age(now).as_millis()).unwrap_or(u32::MAX),
+            view: state.view_mark(),
+            ages: state.view_ages(now),
             work: state.work.iter().map(|(key, meter)| (*key, meter.sums(now))).collect(),
             loads: state.board.own().collect(),
         }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -1,7 +1,7 @@
 use crate::fleet::{FleetNews, ServerStage};
 use crate::keys::{IncarnationId, ServerKey};
 use crate::limits::{LimitAnswer, LimitAsk, LimitLoan, LoanAsk};
-use crate::membership::{MemberUpdate, ProbeMessage};
+use crate::membership::{MemberUpdate, ProbeMessage, ViewMark};
 use crate::organisations::{AgeAnswer, AgeQuestion};
 use crate::placement::{ServerLoad, WorkSums};
 use crate::quarantine::CrashReport;
@@ -53,6 +53,15 @@
     pub changing: Vec<(ServerKey, ServerStage)>,
 }
 
+/// For how long each kind of a view may have lacked changes, in milliseconds.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct ViewAges {
+    /// The configuration.
+    pub routes_ms: u32,
+    /// The servers.
+    pub servers_ms: u32,
+}
+
 /// One host's own work and how fresh its view is.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct LoadNews {
@@ -62,6 +71,10 @@
     pub version: u64,
     /// Milliseconds since the store last answered the sender, or a host that it heard of.
     pub store_age_ms: u32,
+    /// How new its view is.
+    pub view: ViewMark,
+    /// Since when it may lack something.
+    pub ages: ViewAges,
     /// What requests of each service took of it lately.
     pub work: Vec<(ServiceKey, WorkSums)>,
     /// Its work at each server where it has any.
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -13,6 +13,8 @@
 }
 
 impl FollowedKind {
+    pub const ALL: [Self; 2] = [Self::Routes, Self::Servers];
+
     pub const fn name(self) -> &'static str {
         match self {
             Self::Routes => ROUTES_OBJECT.0,
@@ -36,8 +38,7 @@
     }
     let now = host.now();
     host.state().fleet.note_store_heard(now, Duration::ZERO);
-    let away = [FollowedKind::Routes, FollowedKind::Servers]
-        .map(|kind| host.store_away(kind).load(Ordering::Relaxed));
+    let away = FollowedKind::ALL.map(|kind| host.store_away(kind).load(Ordering::Relaxed));
     if away == [false, false] {
         host.note_refused(false);
     }
--- a/src/gateway/view_lag.rs
+++ b/src/gateway/view_lag.rs
@@ -1,6 +1,8 @@
 //! What tells this host that others have a newer view, and how long it has been behind.
 
 use super::gateway_host::GatewayHost;
+use super::gateway_state::GatewayState;
+use super::peer_messages::ViewAges;
 use super::store_contact::FollowedKind;
 use crate::fleet::ViewFreshness;
 use crate::keys::TimePoint;
@@ -15,18 +17,78 @@
     pub(super) fn hear_mark(&self, heard: ViewMark) {
         let now = self.now();
         let mut state = self.state();
-        let own = state.view_mark();
-        state.routes_freshness.hear(now, own.config_version, heard.config_version);
-        state.servers_freshness.hear(now, own.fleet_revision, heard.fleet_revision);
+        for kind in FollowedKind::ALL {
+            let own = kind.part_of(state.view_mark());
+            state.freshness_mut(kind).hear(now, own, kind.part_of(heard));
+        }
     }
 
-    fn behind_for(&self, now: TimePoint, kind: FollowedKind) -> Option<Duration> {
-        let state = self.state();
-        let (freshness, own) = match kind {
-            FollowedKind::Routes => (state.routes_freshness, state.routes.version()),
-            FollowedKind::Servers => (state.servers_freshness, state.fleet.revision()),
+    /// Another host said when its view last lacked nothing.
+    pub(super) fn hear_ages(&self, heard: ViewMark, ages: ViewAges) {
+        let now = self.now();
+        let mut state = self.state();
+        for (kind, age_ms) in
+            [(FollowedKind::Routes, ages.routes_ms), (FollowedKind::Servers, ages.servers_ms)]
+        {
+            let own = kind.part_of(state.view_mark());
+            let age = Duration::from_millis(age_ms.into());
+            state.freshness_mut(kind).hear_age(now, own, kind.part_of(heard), age);
+        }
+    }
+
+    /// The store told this host all of a kind that it held at `at`, its `revision` then.
+    pub(super) fn note_view_complete(&self, kind: FollowedKind, at: TimePoint, revision: u64) {
+        let mut state = self.state();
+        // Hosts tell each other the versions of configurations, which are not the store's revisions.
+        let reached = match kind {
+            FollowedKind::Routes => state.routes.version(),
+            FollowedKind::Servers => revision,
         };
-        ViewFreshness::behind_for(&freshness, now, own)
+        state.freshness_mut(kind).note_complete(at, reached);
+    }
+
+    /// For how long this host has known that others have a newer view.
+    pub(super) fn behind_for(&self, now: TimePoint, kind: FollowedKind) -> Option<Duration> {
+        self.state().behind_for(now, kind)
+    }
+}
+
+impl FollowedKind {
+    const fn part_of(self, mark: ViewMark) -> u64 {
+        match self {
+            Self::Routes => mark.config_version,
+            Self::Servers => mark.fleet_revision,
+        }
+    }
+}
+
+impl GatewayState {
+    pub(super) const fn freshness(&self, kind: FollowedKind) -> &ViewFreshness {
+        match kind {
+            FollowedKind::Routes => &self.routes_freshness,
+            FollowedKind::Servers => &self.servers_freshness,
+        }
+    }
+
+    const fn freshness_mut(&mut self, kind: FollowedKind) -> &mut ViewFreshness {
+        match kind {
+            FollowedKind::Routes => &mut self.routes_freshness,
+            FollowedKind::Servers => &mut self.servers_freshness,
+        }
+    }
+
+    pub(super) fn behind_for(&self, now: TimePoint, kind: FollowedKind) -> Option<Duration> {
+        self.freshness(kind).behind_for(now, kind.part_of(self.view_mark()))
+    }
+
+    /// When the view last lacked nothing, as other hosts are told it.
+    pub(super) fn view_ages(&self, now: TimePoint) -> ViewAges {
+        let age_ms =
+            |kind| u32::try_from(self.freshness(kind).age(now).as_millis()).unwrap_or(u32::MAX);
+        ViewAges {
+            routes_ms: age_ms(FollowedKind::Routes),
+            servers_ms: age_ms(FollowedKind::Servers),
+        }
     }
 }
 
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -31,6 +31,17 @@
     );
 }
 
+/// What one question to the store came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FollowStep {
+    /// The view holds all that the store held at `until`; `next` is the revision to go on from.
+    Told { next: u64, until: TimePoint },
+    /// A neighbour was faster.
+    Heard,
+    /// The store no longer knows what came after the revision asked for.
+    HistoryLost,
+}
+
 /// Follows a kind while that is this host's duty.
 async fn follow(host: &Arc<GatewayHost>, kind: FollowedKind) {
     let mut pause = FIRST_PAUSE;
@@ -44,21 +55,26 @@
             continue;
         }
         let from = watched.or_else(|| host.known_revision(kind));
+        let asked_at = host.now();
         let step = match from {
-            None => list_or_hear(host, kind).await.map(Some),
-            Some(_) if host.reads(kind) => read_config(host).await.map(Some),
+            None => list_or_hear(host, kind).await,
+            Some(_) if host.reads(kind) => {
+                read_config(host).await.map(|next| FollowStep::Told { next, until: asked_at })
+            }
             Some(after) => watch(host, kind, after).await,
         };
         match step {
-            Ok(Some(next)) => {
-                let brought = from.is_some_and(|after| next > after);
+            // The store said nothing to this host.
+            Ok(FollowStep::Heard) => continue,
+            Ok(FollowStep::Told { next, until }) => {
                 watched = Some(next);
-                if brought {
+                host.note_view_complete(kind, until, next);
+                if from.is_some_and(|after| next > after) {
                     tokio::time::sleep(WATCH_REST).await;
                 }
             }
-            // The history is lost: whatever is known may lack changes.
-            Ok(None) => watched = list(host, kind).await.ok(),
+            // Whatever is known may lack changes.
+            Ok(FollowStep::HistoryLost) => watched = list(host, kind).await.ok(),
             Err(error) => {
                 note_lost(host, kind, &error);
                 refused_at = Some(host.now());
@@ -86,7 +102,8 @@
         watch_duty(&DutyView {
             uninformed_for: (!known).then(|| now.since(TimePoint::default())),
             elected: state.watcher(now, domain) == Some(self.incarnation),
-            store_age: state.fleet.store_age(now),
+            view_age: state.freshness(kind).age(now),
+            behind_for: state.behind_for(now, kind),
             config_age: match kind {
                 FollowedKind::Routes => {
                     state.longest_config_age().map(|_| state.config_age.age(now))
@@ -116,7 +133,7 @@
 async fn expire_entries(host: &GatewayHost) {
     let mut ticker = tokio::time::interval(EXPIRE_PERIOD);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut reports = [FollowedKind::Routes, FollowedKind::Servers].map(LagReport::new);
+    let mut reports = FollowedKind::ALL.map(LagReport::new);
     loop {
         ticker.tick().await;
         let now = host.now();
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -2,6 +2,7 @@
 
 use super::gateway_host::{GatewayHost, ViewSource};
 use super::store_contact::{FollowedKind, note_heard};
+use super::view_loop::FollowStep;
 use super::view_servers::{apply_changes, logged, logged_name, replace_servers};
 use crate::Result;
 use crate::platform::{
@@ -27,18 +28,19 @@
 
 /// Lists a kind for the first time, or stops as soon as a neighbour has handed it over: of hundreds of
 /// hosts that start together the first ones that finish spare the others their pages.
-pub(super) async fn list_or_hear(host: &Arc<GatewayHost>, kind: FollowedKind) -> Result<u64> {
+pub(super) async fn list_or_hear(
+    host: &Arc<GatewayHost>,
+    kind: FollowedKind,
+) -> Result<FollowStep> {
+    let until = host.now();
     tokio::select! {
-        listed = list(host, kind) => listed,
-        revision = heard_revision(host, kind) => Ok(revision),
+        listed = list(host, kind) => listed.map(|next| FollowStep::Told { next, until }),
+        () = heard_view(host, kind) => Ok(FollowStep::Heard),
     }
 }
 
-async fn heard_revision(host: &GatewayHost, kind: FollowedKind) -> u64 {
-    loop {
-        if let Some(revision) = host.known_revision(kind) {
-            return revision;
-        }
+async fn heard_view(host: &GatewayHost, kind: FollowedKind) {
+    while host.known_revision(kind).is_none() {
         tokio::time::sleep(HEARD_LOOK).await;
     }
 }
@@ -128,19 +130,19 @@
     Ok(host.known_revision(FollowedKind::Routes).unwrap_or_default())
 }
 
-/// Waits for changes; `None` if the history is lost.
+/// Waits for changes.
 pub(super) async fn watch(
     host: &Arc<GatewayHost>,
     kind: FollowedKind,
     after: u64,
-) -> Result<Option<u64>> {
+) -> Result<FollowStep> {
     let limit = WATCH_WAIT + WATCH_SLACK;
     let asked_at = host.now();
     let answer = host.store.watch(kind.name(), after, WATCH_WAIT, limit).await?;
     note_heard(host, kind);
     let WatchAnswer::Changes(changes, revision) = answer else {
         log::warn!("event=store_history_lost kind={} after={after}", kind.name());
-        return Ok(None);
+        return Ok(FollowStep::HistoryLost);
     };
     match kind {
         FollowedKind::Routes => {
@@ -166,7 +168,7 @@
             }
         }
     }
-    Ok(Some(revision))
+    Ok(FollowStep::Told { next: revision, until: host.now() })
 }
 
 /// Whether an object that cannot be read may be the newest configuration.
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -22,14 +22,15 @@
 fn watch_duty_follows(
     #[case] uninformed_for_ms: Option<u64>,
     #[case] elected: bool,
-    #[case] store_age_ms: u64,
+    #[case] view_age_ms: u64,
     #[case] refused_for_ms: Option<u64>,
     #[case] expected: WatchDuty,
 ) {
     let view = DutyView {
         uninformed_for: uninformed_for_ms.map(Duration::from_millis),
         elected,
-        store_age: Duration::from_millis(store_age_ms),
+        view_age: Duration::from_millis(view_age_ms),
+        behind_for: None,
         config_age: None,
         refused_for: refused_for_ms.map(Duration::from_millis),
         domain_hosts: 3,
@@ -54,7 +55,8 @@
             let view = DutyView {
                 uninformed_for: None,
                 elected: false,
-                store_age: now,
+                view_age: now,
+                behind_for: None,
                 config_age: None,
                 refused_for: refused_at.map(|at| now - at),
                 domain_hosts,
@@ -70,6 +72,27 @@
     assert!((1.0..=5.0).contains(&a_second), "{a_second} calls a second");
 }
 
+/// Pattern: a host that is told of a newer view and cannot get it from others. It heard that the store had answered them
+/// a moment ago, and took that for a sign that its own view was fresh.
+#[rstest]
+#[case::just_told(599, WatchDuty::Hear)]
+#[case::others_had_their_time(1001, WatchDuty::Doubt)]
+fn host_behind_asks_the_store_itself(#[case] behind_ms: u64, #[case] expected: WatchDuty) {
+    for salt in 0..1000 {
+        let view = DutyView {
+            uninformed_for: None,
+            elected: false,
+            view_age: Duration::from_millis(100),
+            behind_for: Some(Duration::from_millis(behind_ms)),
+            config_age: None,
+            refused_for: None,
+            domain_hosts: 100,
+            salt,
+        };
+        assert_eq!(watch_duty(&view), expected);
+    }
+}
+
 /// Bench: panelbridge-kr, the own day `storm`, seed 1 (CONFIG). The store turned the watchers of all
 /// three domains away; they stayed elected, and the others asked only every 2.5 s.
 #[test]
@@ -133,7 +156,8 @@
     let view = DutyView {
         uninformed_for: None,
         elected: false,
-        store_age: Duration::from_millis(300),
+        view_age: Duration::from_millis(300),
+        behind_for: None,
         config_age: Some(Duration::from_millis(config_age_ms)),
         refused_for: None,
         domain_hosts: 30,
