Answers of the store are waited for as long as they come, and a question that came to nothing is not asked again as it was

A watch that lags is answered with each version since, whole; what had not come within 1.4 s was thrown away and the same asked again, for ever (logs: watch=57 again and again, 1.5 MB received each time, links of 10 Mbit/s).

Ruled out: the store's refusals (its other kind was followed again after 2.3 s), and size alone (4,000 routes without versions between came in time).

An answer may take as long as its pieces come (pauses of 0.5 s at most, a megabit a second at least); that holds for listings, reads, writes and watches of both interfaces. More changes of the configuration than the longest object are not waited for: the object alone says what is in force and is read instead. A watch that is not answered is followed at once by a question without a wait (its connection alone may be silent), and only if that fails, too, the store counts as lost. A list that fails after lost history waits like any other call; it was asked again without a pause. A watcher's pause ends when the store has answered others: in a domain of 100 hosts it is 12 s long.

confirmed_changes, history kept: failed (never in force), now passes.

--- a/src/engines/pooled_body.rs
+++ b/src/engines/pooled_body.rs
@@ -1,5 +1,5 @@
 use super::idle_connections::{IdleConnections, PooledConnection};
-use crate::Result;
+use crate::{Error, Result};
 use bytes::{Bytes, BytesMut};
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
@@ -7,7 +7,6 @@
 use hyper::body::{Body, Frame, Incoming};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -52,24 +51,35 @@
     ///
     /// # Errors
     /// If the connection breaks first, or `read` fails.
-    pub async fn read_as<T>(self, read: impl FnOnce(&Bytes) -> Result<T>) -> Result<T> {
-        self.read_counted(&AtomicUsize::new(0), read).await
+    pub async fn read_as<T>(mut self, read: impl FnOnce(&Bytes) -> Result<T>) -> Result<T> {
+        let bytes = (&mut self).collect().await?.to_bytes();
+        let value = read(&bytes)?;
+        self.keep_connection();
+        Ok(value)
     }
 
-    /// The same; `received` counts the bytes that have come, also if the call is given up.
+    /// The same for a body of at most `longest` bytes whose next piece is waited for as long as `patience` says,
+    /// given how many bytes have come.
     ///
     /// # Errors
-    /// If the connection breaks first, or `read` fails.
-    pub async fn read_counted<T>(
+    /// [`Error::TooLong`] and [`Error::Timeout`] if it is longer, or a piece does not come; any other if the
+    /// connection breaks first, or `read` fails.
+    pub async fn read_paced<T>(
         mut self,
-        received: &AtomicUsize,
+        longest: usize,
+        patience: impl Fn(usize) -> Duration,
         read: impl FnOnce(&Bytes) -> Result<T>,
     ) -> Result<T> {
+        let stated = usize::try_from(self.incoming.size_hint().lower()).unwrap_or(usize::MAX);
         let mut bytes = BytesMut::new();
-        while let Some(frame) = self.frame().await {
+        loop {
+            if stated.max(bytes.len()) > longest {
+                return Err(Error::TooLong { received: bytes.len() });
+            }
+            let next = tokio::time::timeout(patience(bytes.len()), self.frame()).await;
+            let Some(frame) = next.map_err(|_elapsed| Error::Timeout)? else { break };
             if let Ok(piece) = frame?.into_data() {
                 bytes.extend_from_slice(&piece);
-                received.store(bytes.len(), Ordering::Relaxed);
             }
         }
         let bytes = bytes.freeze();
--- a/src/error.rs
+++ b/src/error.rs
@@ -24,6 +24,11 @@
     NotSent(String),
     /// The request was refused, with the reason given.
     Refused(String),
+    /// An answer is longer than is worth waiting for.
+    TooLong {
+        /// Bytes of it that had come.
+        received: usize,
+    },
     /// An answer ended, and nothing shows that it is whole.
     Cut,
     /// The answer that came may belong to another call, so nothing is known of this one.
@@ -47,6 +52,7 @@
             | Self::Timeout
             | Self::NotSent(_)
             | Self::Refused(_)
+            | Self::TooLong { .. }
             | Self::Foreign { .. } => false,
         }
     }
@@ -67,6 +73,9 @@
             Self::Timeout => write!(f, "no answer in time"),
             Self::NotSent(text) => write!(f, "not sent: {text}"),
             Self::Refused(text) => write!(f, "refused: {text}"),
+            Self::TooLong { received } => {
+                write!(f, "the answer is too long, {received} bytes of it came")
+            }
             Self::Cut => write!(f, "the answer ended before it was known to be whole"),
             Self::Foreign { owner, status, calls } => {
                 write!(f, "the answer {status} to call {calls} of a connection is {owner:?}")
--- a/src/gateway/crash_store.rs
+++ b/src/gateway/crash_store.rs
@@ -6,8 +6,8 @@
 use super::gateway_host::GatewayHost;
 use crate::membership::MemberUpdate;
 use crate::platform::{
-    CRASHES_OBJECT, StoreEvent, StoreObject, StoreWrite, WatchAnswer, decode_crashes,
-    encode_crashes,
+    CRASHES_OBJECT, LONGEST_OBJECT, StoreEvent, StoreObject, StoreWrite, WatchAnswer, WatchPlan,
+    decode_crashes, encode_crashes,
 };
 use crate::quarantine::CrashReport;
 use crate::{Error, Result};
@@ -23,9 +23,12 @@
 const DUTY_PERIOD: Duration = Duration::from_millis(500);
 /// How long one watch waits. It ends with the first change; each costs the store a call, a tenth of those that the
 /// servers and the configuration cost.
-const WATCH_WAIT: Duration = Duration::from_millis(10_000);
-/// How much longer than its wait a watch may take.
-const WATCH_SLACK: Duration = Duration::from_millis(400);
+const WATCH_PLAN: WatchPlan = WatchPlan {
+    wait: Duration::from_millis(10_000),
+    slack: Duration::from_millis(400),
+    // Each version is whole: more than the longest object are several, and reading it brings the last one.
+    longest: LONGEST_OBJECT,
+};
 /// A slow store answers within 0.3 s.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// Pause after the store did not answer, or refused.
@@ -106,9 +109,8 @@
             self.read_crashes().await?;
             return Ok(Some(revision));
         };
-        let limit = WATCH_WAIT + WATCH_SLACK;
-        match self.store.watch(kind, after, WATCH_WAIT, limit).await? {
-            WatchAnswer::HistoryLost => Ok(None),
+        match self.store.watch(kind, after, WATCH_PLAN).await? {
+            WatchAnswer::HistoryLost | WatchAnswer::TooLong => Ok(None),
             WatchAnswer::Changes(changes, revision) => {
                 for change in &changes {
                     if let StoreEvent::Stated(object) = change {
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -1,7 +1,8 @@
 use super::gateway_host::GatewayHost;
 use super::store_contact::{FollowedKind, note_heard, note_lost};
 use super::view_lag::LagReport;
-use super::view_store::{list, list_or_hear, read_config, watch};
+use super::view_store::{ask_now, list, list_or_hear, read_in_turn, watch};
+use crate::Error;
 use crate::fleet::{DutyView, WatchDuty, stretched, watch_duty};
 use crate::keys::TimePoint;
 use std::sync::Arc;
@@ -14,6 +15,9 @@
 /// First pause after the store did not answer; doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+/// A watcher asks again after this when it hears that the store has answered others: the pauses of a domain of a hundred
+/// hosts are longer than a change may take.
+const HEARD_PAUSE: Duration = Duration::from_millis(400);
 /// The same for the watcher of a failure domain whose callers need keys: after an outage they are refused
 /// until it has read the configuration again. With the pause of a large domain that was 3 s.
 const KEYED_PAUSE: Duration = Duration::from_millis(400);
@@ -42,9 +46,32 @@
     HistoryLost,
 }
 
+/// How the store is asked next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NextQuestion {
+    /// What changes from now on?
+    Wait,
+    /// What has changed?
+    Now,
+    /// What is there?
+    Whole,
+}
+
+impl NextQuestion {
+    /// The question after one that came to nothing: never the same one for ever, since an answer may be too long to
+    /// arrive.
+    fn after_failure(self, error: &Error) -> Self {
+        match self {
+            Self::Now if matches!(error, Error::Timeout) => Self::Whole,
+            Self::Wait | Self::Now | Self::Whole => Self::Now,
+        }
+    }
+}
+
 /// Follows a kind while that is this host's duty.
 async fn follow(host: &Arc<GatewayHost>, kind: FollowedKind) {
     let mut pause = FIRST_PAUSE;
+    let mut question = NextQuestion::Wait;
     // Where the own watch goes on; nothing until it has begun.
     let mut watched = None;
     let mut refused_at = None;
@@ -55,31 +82,42 @@
             continue;
         }
         let from = watched.or_else(|| host.known_revision(kind));
-        let asked_at = host.now();
-        let step = match from {
-            None => list_or_hear(host, kind).await,
-            Some(_) if host.reads(kind) => {
-                read_config(host).await.map(|next| FollowStep::Told { next, until: asked_at })
+        let step = match (from, question) {
+            (None, _) => list_or_hear(host, kind).await,
+            (Some(_), NextQuestion::Whole) => list(host, kind).await,
+            (Some(after), NextQuestion::Now) => ask_now(host, kind, after).await,
+            (Some(after), NextQuestion::Wait) if host.reads(kind) => {
+                read_in_turn(host, after).await
             }
-            Some(after) => watch(host, kind, after).await,
+            (Some(after), NextQuestion::Wait) => watch(host, kind, after).await,
         };
         match step {
             // The store said nothing to this host.
             Ok(FollowStep::Heard) => continue,
             Ok(FollowStep::Told { next, until }) => {
                 watched = Some(next);
+                question = NextQuestion::Wait;
                 host.note_view_complete(kind, until, next);
                 if from.is_some_and(|after| next > after) {
                     tokio::time::sleep(WATCH_REST).await;
                 }
             }
             // Whatever is known may lack changes.
-            Ok(FollowStep::HistoryLost) => watched = list(host, kind).await.ok(),
+            Ok(FollowStep::HistoryLost) => {
+                question = NextQuestion::Whole;
+                continue;
+            }
+            // Only this connection may have fallen silent.
+            Err(Error::Timeout) if question == NextQuestion::Wait && from.is_some() => {
+                question = NextQuestion::Now;
+                continue;
+            }
             Err(error) => {
                 note_lost(host, kind, &error);
                 refused_at = Some(host.now());
                 watched = None;
-                tokio::time::sleep(pause).await;
+                question = question.after_failure(&error);
+                host.pause_unless_heard(pause).await;
                 pause = (pause * 2).min(host.longest_pause(kind));
                 continue;
             }
@@ -116,6 +154,20 @@
         })
     }
 
+    /// Waits after a call that failed; a watcher no longer than until the store has answered somebody else.
+    async fn pause_unless_heard(&self, pause: Duration) {
+        let began = self.now();
+        tokio::time::sleep(pause.min(HEARD_PAUSE)).await;
+        while self.now().since(began) < pause {
+            let now = self.now();
+            let is_back = self.state().fleet.store_age(now) < now.since(began);
+            if is_back && self.is_watcher() {
+                return;
+            }
+            tokio::time::sleep(DUTY_PERIOD).await;
+        }
+    }
+
     fn is_watcher(&self) -> bool {
         let now = self.now();
         self.state().watcher(now, self.domain()) == Some(self.incarnation)
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -6,14 +6,14 @@
 use super::view_servers::{apply_changes, logged, logged_name, replace_servers};
 use crate::Result;
 use crate::platform::{
-    ListAge, ROUTES_OBJECT, SERVERS_KIND, StoreEvent, StoreObject, UnreadableObject, WatchAnswer,
-    decode_config,
+    LONGEST_OBJECT, ListAge, ROUTES_OBJECT, SERVERS_KIND, StoreEvent, StoreObject,
+    UnreadableObject, WatchAnswer, WatchPlan, decode_config,
 };
 use crate::routes::RouteTable;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A listing's page is answered within this; the store's usual answer takes some milliseconds.
+/// A listing's page begins within this; the store's usual answer takes some milliseconds.
 const LIST_LIMIT: Duration = Duration::from_millis(1000);
 /// How long one watch waits. Each costs a call, and a store that fell silent is noticed when it has
 /// passed with its slack. Another host must then have taken over within the 2 s in which a change
@@ -21,7 +21,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// A watch that only asks what has changed; the store takes no shorter wait.
 const NO_WAIT: Duration = Duration::from_millis(1);
-/// How much longer than its wait a watch may take; a slow store answers within 0.3 s.
+/// How much later than its wait a watch may be answered; a slow store answers within 0.3 s.
 const WATCH_SLACK: Duration = Duration::from_millis(400);
 /// How often a host that lists looks whether a neighbour was faster.
 const HEARD_LOOK: Duration = Duration::from_millis(100);
@@ -32,9 +32,8 @@
     host: &Arc<GatewayHost>,
     kind: FollowedKind,
 ) -> Result<FollowStep> {
-    let until = host.now();
     tokio::select! {
-        listed = list(host, kind) => listed.map(|next| FollowStep::Told { next, until }),
+        listed = list(host, kind) => listed,
         () = heard_view(host, kind) => Ok(FollowStep::Heard),
     }
 }
@@ -48,14 +47,14 @@
 /// Lists a kind. The first list of servers of a host's life may be stale: it is six pages for 266
 /// servers and 61 for 3,000, and 300 hosts that start together ask for them within the rates of the
 /// store only so.
-pub(super) async fn list(host: &Arc<GatewayHost>, kind: FollowedKind) -> Result<u64> {
+pub(super) async fn list(host: &Arc<GatewayHost>, kind: FollowedKind) -> Result<FollowStep> {
+    let asked_at = host.now();
     if kind == FollowedKind::Servers
         && host.known_revision(kind).is_none()
-        && let Some(revision) = list_stale(host).await?
+        && let Some(next) = list_stale(host).await?
     {
-        return Ok(revision);
+        return Ok(FollowStep::Told { next, until: asked_at });
     }
-    let asked_at = host.now();
     let listed = host.store.list(kind.name(), ListAge::Newest, LIST_LIMIT).await?;
     note_heard(host, kind);
     match kind {
@@ -75,7 +74,7 @@
             host.push_view(ViewSource::Store);
         }
     }
-    Ok(listed.revision)
+    Ok(FollowStep::Told { next: listed.revision, until: asked_at })
 }
 
 /// Lists the servers as they were some seconds ago, and what has changed since; `None` if the store
@@ -83,7 +82,8 @@
 async fn list_stale(host: &Arc<GatewayHost>) -> Result<Option<u64>> {
     let kind = SERVERS_KIND;
     let listed = host.store.list(kind, ListAge::Stale, LIST_LIMIT).await?;
-    let since = host.store.watch(kind, listed.revision, NO_WAIT, LIST_LIMIT).await?;
+    let plan = WatchPlan { wait: NO_WAIT, slack: LIST_LIMIT, longest: usize::MAX };
+    let since = host.store.watch(kind, listed.revision, plan).await?;
     let WatchAnswer::Changes(changes, revision) = since else {
         return Ok(None);
     };
@@ -99,7 +99,7 @@
 /// to be at most this old, and the others 0.5 s more. A watch proves no more than that nothing had changed
 /// when it began, a second ago, and costs as many calls.
 const READ_PERIOD: Duration = Duration::from_millis(1000);
-/// A slow store answers within 0.3 s.
+/// A slow store begins to answer within 0.3 s.
 const READ_LIMIT: Duration = Duration::from_millis(500);
 /// Routes and organisations up to which a configuration is read anew each time: at about 250 bytes each
 /// 75 KB, 10 ms of work for a small host (reckoned). A larger one is watched, and known to be up to 2.5 s old.
@@ -117,7 +117,15 @@
 }
 
 /// Reads the configuration, and returns when the next read is due.
-pub(super) async fn read_config(host: &Arc<GatewayHost>) -> Result<u64> {
+pub(super) async fn read_in_turn(host: &Arc<GatewayHost>, after: u64) -> Result<FollowStep> {
+    let asked_at = host.now();
+    let step = read_config(host, after).await?;
+    tokio::time::sleep(READ_PERIOD.saturating_sub(host.now().since(asked_at))).await;
+    Ok(step)
+}
+
+/// Reads the configuration: it alone says what is in force, whatever came between `after` and now.
+async fn read_config(host: &Arc<GatewayHost>, after: u64) -> Result<FollowStep> {
     let asked_at = host.now();
     let (kind, name) = ROUTES_OBJECT;
     let object = host.store.read(kind, name, READ_LIMIT).await?;
@@ -126,8 +134,21 @@
         adopt_object(host, object);
     }
     host.note_config_complete(asked_at);
-    tokio::time::sleep(READ_PERIOD.saturating_sub(host.now().since(asked_at))).await;
-    Ok(host.known_revision(FollowedKind::Routes).unwrap_or_default())
+    let next = object.map_or(after, |object| object.revision.max(after));
+    Ok(FollowStep::Told { next, until: asked_at })
+}
+
+/// Asks for what is new after a revision, without waiting for a change: after a call that nobody answered, what may
+/// have been missed is wanted at once.
+pub(super) async fn ask_now(
+    host: &Arc<GatewayHost>,
+    kind: FollowedKind,
+    after: u64,
+) -> Result<FollowStep> {
+    match kind {
+        FollowedKind::Routes => read_config(host, after).await,
+        FollowedKind::Servers => watch_for(host, kind, after, NO_WAIT).await,
+    }
 }
 
 /// Waits for changes.
@@ -136,13 +157,32 @@
     kind: FollowedKind,
     after: u64,
 ) -> Result<FollowStep> {
-    let limit = WATCH_WAIT + WATCH_SLACK;
+    watch_for(host, kind, after, WATCH_WAIT).await
+}
+
+async fn watch_for(
+    host: &Arc<GatewayHost>,
+    kind: FollowedKind,
+    after: u64,
+    wait: Duration,
+) -> Result<FollowStep> {
+    let longest = match kind {
+        // Each version is whole: more than the longest object are several, and only the last one counts.
+        FollowedKind::Routes => LONGEST_OBJECT,
+        FollowedKind::Servers => usize::MAX,
+    };
+    let plan = WatchPlan { wait, slack: WATCH_SLACK, longest };
     let asked_at = host.now();
-    let answer = host.store.watch(kind.name(), after, WATCH_WAIT, limit).await?;
+    let answer = host.store.watch(kind.name(), after, plan).await?;
     note_heard(host, kind);
-    let WatchAnswer::Changes(changes, revision) = answer else {
-        log::warn!("event=store_history_lost kind={} after={after}", kind.name());
-        return Ok(FollowStep::HistoryLost);
+    let (changes, revision) = match answer {
+        WatchAnswer::Changes(changes, revision) => (changes, revision),
+        // Only those of the configuration are bounded.
+        WatchAnswer::TooLong => return read_config(host, after).await,
+        WatchAnswer::HistoryLost => {
+            log::warn!("event=store_history_lost kind={} after={after}", kind.name());
+            return Ok(FollowStep::HistoryLost);
+        }
     };
     match kind {
         FollowedKind::Routes => {
--- a/src/host/config_store.rs
+++ b/src/host/config_store.rs
@@ -3,7 +3,8 @@
 use super::host_state::{HostState, lock};
 use crate::intents::ClusterConfig;
 use crate::platform::{
-    INTENT_OBJECT, ListAge, StoreEvent, StoreObject, StoreWrite, UnreadableObject, WatchAnswer,
+    INTENT_OBJECT, LONGEST_OBJECT, ListAge, StoreEvent, StoreObject, StoreWrite, UnreadableObject,
+    WatchAnswer, WatchPlan,
 };
 use crate::{Error, Result};
 use std::sync::Arc;
@@ -48,8 +49,9 @@
     /// If the store gave no proper answer.
     pub(super) async fn watch_config(self: &Arc<Self>, after: u64, wait: Duration) -> Result<u64> {
         let (kind, name) = INTENT_OBJECT;
+        let plan = WatchPlan { wait, slack: WATCH_SLACK, longest: LONGEST_OBJECT };
         self.metrics().add("store_calls", 1);
-        let answer = self.store.watch(kind, after, wait, wait + WATCH_SLACK).await?;
+        let answer = self.store.watch(kind, after, plan).await?;
         let WatchAnswer::Changes(changes, revision) = answer else {
             return self.list_config().await.map(|(_config, revision)| revision);
         };
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Platform is the edge to the users' platform: it translates names, formats and calls into the
 //! project's types and back, and decides nothing.
 
+mod answer_pace;
 mod config_wire;
 mod crash_wire;
 mod engine_messages;
@@ -15,6 +16,7 @@
 mod store_object;
 mod store_wire;
 
+pub use answer_pace::AnswerPace;
 pub use config_wire::decode_config;
 pub use crash_wire::{CRASHES_OBJECT, decode_crashes, encode_crashes};
 pub use engine_messages::{
@@ -29,8 +31,8 @@
     holds_answer, own_headers, read_answer,
 };
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server, decode_servers};
-pub use store_client::{ListAge, StoreClient, StoreWrite, WatchAnswer};
-pub use store_object::{ObjectList, StoreEvent, StoreObject, UnreadableObject};
+pub use store_client::{ListAge, StoreClient, StoreWrite, WatchAnswer, WatchPlan};
+pub use store_object::{LONGEST_OBJECT, ObjectList, StoreEvent, StoreObject, UnreadableObject};
 
 /// Kind and name of the configuration that intents of the project's own interface make.
 pub const INTENT_OBJECT: (&str, &str) = ("tealcleat-config", "main");
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -1,16 +1,19 @@
 //! Calls the platform's store.
 
+use super::answer_pace::AnswerPace;
 use super::list_walk::ListWalk;
 use super::names;
 use super::store_object::{ObjectList, StoreEvent, StoreObject, UnreadableObject};
 use super::store_wire::{ListPage, decode_events, decode_object, decode_page};
 use crate::engines::{AnswerProof, HttpPool, SendLimits};
+use crate::keys::HostClock;
 use crate::{Error, Result};
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Method, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::Request;
+use hyper::body::Body;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -37,6 +40,34 @@
     Changes(Vec<StoreEvent>, u64),
     /// The store no longer knows what came after the revision asked for: list again.
     HistoryLost,
+    /// It knows of more than was worth waiting for.
+    TooLong,
+}
+
+/// How changes are waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchPlan {
+    /// How long the store waits for one.
+    pub wait: Duration,
+    /// How much later its answer may begin.
+    pub slack: Duration,
+    /// Most bytes of changes that are taken.
+    pub longest: usize,
+}
+
+/// Bounds on one call.
+#[derive(Debug, Clone, Copy)]
+struct CallLimit {
+    /// Until the answer begins.
+    time: Duration,
+    /// Most bytes of it.
+    bytes: usize,
+}
+
+impl From<Duration> for CallLimit {
+    fn from(time: Duration) -> Self {
+        Self { time, bytes: usize::MAX }
+    }
 }
 
 /// What is known of a conditional write.
@@ -56,15 +87,16 @@
 #[derive(Debug, Clone)]
 pub struct StoreClient {
     address: SocketAddr,
+    clock: HostClock,
 }
 
 impl StoreClient {
     /// A client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address }
+        Self { address, clock: HostClock::start() }
     }
 
-    /// Lists all objects of a kind, page by page; each page may take `limit`.
+    /// Lists all objects of a kind, page by page; each page begins within `limit`.
     ///
     /// # Errors
     /// If the store gave no proper answer in time.
@@ -141,19 +173,18 @@
         Ok(Some(object))
     }
 
-    /// Waits up to `wait` for changes of a kind after `revision`.
+    /// Waits for changes of a kind after `revision`.
     ///
     /// # Errors
-    /// If the store gave no proper answer within `limit`.
-    pub async fn watch(
-        &self,
-        kind: &str,
-        revision: u64,
-        wait: Duration,
-        limit: Duration,
-    ) -> Result<WatchAnswer> {
+    /// If the store gave no proper answer in time.
+    pub async fn watch(&self, kind: &str, revision: u64, plan: WatchPlan) -> Result<WatchAnswer> {
+        let WatchPlan { wait, slack, longest } = plan;
         let target = format!("{kind}?watch={revision}&wait_ms={}", wait.as_millis());
-        let (status, body) = self.get(&target, limit).await?;
+        let limit = CallLimit { time: wait + slack, bytes: longest };
+        let (status, body) = match self.get(&target, limit).await {
+            Err(Error::TooLong { .. }) => return Ok(WatchAnswer::TooLong),
+            answered => answered?,
+        };
         if status == StatusCode::GONE {
             return Ok(WatchAnswer::HistoryLost);
         }
@@ -187,7 +218,7 @@
         }
     }
 
-    async fn get(&self, target: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
+    async fn get(&self, target: &str, limit: impl Into<CallLimit>) -> Result<(StatusCode, Bytes)> {
         self.call_once(Method::GET, target, Bytes::new(), limit).await
     }
 
@@ -198,7 +229,7 @@
         method: Method,
         target: &str,
         body: Bytes,
-        limit: Duration,
+        limit: impl Into<CallLimit>,
     ) -> Result<(StatusCode, Bytes)> {
         let request = self.request(method, target, body)?;
         let (pool, proof) = (HttpPool::default(), AnswerProof::OwnConnection);
@@ -225,25 +256,35 @@
         pool: &HttpPool,
         request: Request<Full<Bytes>>,
         proof: AnswerProof,
-        limit: Duration,
+        limit: impl Into<CallLimit>,
         read: impl FnOnce(StatusCode, &Bytes) -> Result<T>,
     ) -> Result<T> {
+        let limit: CallLimit = limit.into();
         let target = request.uri().clone();
+        let began = self.clock.now();
+        let asked = usize::try_from(request.body().size_hint().lower()).unwrap_or_default();
+        let pace = AnswerPace::new(began, asked, limit.time);
         let received = AtomicUsize::new(0);
         let exchange = async {
-            let limits = SendLimits::default();
-            let response = pool.send(self.address, request, proof, limits).await?;
+            let call = pool.send(self.address, request, proof, SendLimits::default());
+            let answered = tokio::time::timeout(pace.first(), call).await;
+            let response = answered.map_err(|_elapsed| Error::Timeout)??;
             let status = response.status();
-            response.into_body().read_counted(&received, |body| read(status, body)).await
+            let patience = |count| {
+                received.store(count, Ordering::Relaxed);
+                pace.next(self.clock.now(), count)
+            };
+            response.into_body().read_paced(limit.bytes, patience, |body| read(status, body)).await
         };
         // Dropping the call closes its connection, so that a late answer meets nobody.
-        tokio::time::timeout(limit, exchange).await.map_err(|_elapsed| {
-            let (came, waited) = (received.load(Ordering::Relaxed), limit.as_millis());
+        exchange.await.inspect_err(|error| {
+            let waited = self.clock.now().since(began).as_millis();
             log::info!(
-                "event=store_call_given_up target={target} received={came} waited_ms={waited}"
+                "event=store_call_given_up target={target} received={} waited_ms={waited} \
+                 cause=\"{error}\"",
+                received.load(Ordering::Relaxed)
             );
-            Error::Timeout
-        })?
+        })
     }
 }
 
--- a/src/platform/store_object.rs
+++ b/src/platform/store_object.rs
@@ -2,6 +2,9 @@
 
 use serde_json::Value;
 
+/// Bytes of the longest object that a store holds, with what stands around it in an answer.
+pub const LONGEST_OBJECT: usize = (1 << 20) + (16 << 10);
+
 /// An object of the store.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StoreObject {
