--- a/src/bench/links/link_proxy.rs
+++ b/src/bench/links/link_proxy.rs
@@ -1,5 +1,6 @@
 use crate::Result;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -8,7 +9,7 @@
 
 const ANYWHERE: &str = "127.0.0.1:0";
 const CHUNK_BYTES: usize = 16 << 10;
-/// What a connection through a narrow link carries: 10 Mbit/s.
+/// What all connections through a narrow link carry together: 10 Mbit/s.
 const NARROW_BYTES_PER_S: f64 = 1_250_000.0;
 
 /// What a proxy does with the bytes that pass through it.
@@ -56,11 +57,13 @@
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(ProxyMode::Pass);
         let (silences, heard) = watch::channel(0);
+        let wire = Arc::new(tokio::sync::Mutex::new(()));
         tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
                 let mut silences = heard.clone();
                 silences.borrow_and_update();
-                tokio::spawn(carry(near, target, modes.clone(), silences));
+                let wire = Arc::clone(&wire);
+                tokio::spawn(carry(near, target, modes.clone(), silences, wire));
             }
         });
         Ok(Self { address, mode, silences })
@@ -82,6 +85,7 @@
     target: SocketAddr,
     modes: watch::Receiver<ProxyMode>,
     mut silences: watch::Receiver<u64>,
+    wire: Arc<tokio::sync::Mutex<()>>,
 ) {
     let Ok(far) = TcpStream::connect(target).await else {
         return;
@@ -91,8 +95,8 @@
     }
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let up = pump(near_read, far_write, modes.clone(), true);
-    let down = pump(far_read, near_write, modes, false);
+    let up = pump(near_read, far_write, modes.clone(), &wire, true);
+    let down = pump(far_read, near_write, modes, &wire, false);
     tokio::pin!(up, down);
     // When one way ends, both sockets are dropped: that breaks the other way off.
     tokio::select! {
@@ -111,6 +115,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut modes: watch::Receiver<ProxyMode>,
+    wire: &tokio::sync::Mutex<()>,
     towards_server: bool,
 ) {
     let mut buffer = vec![0; CHUNK_BYTES];
@@ -124,7 +129,10 @@
         match mode {
             ProxyMode::Pass => {}
             ProxyMode::Delay(time) => tokio::time::sleep(time).await,
-            ProxyMode::Narrow => tokio::time::sleep(narrow_time(read)).await,
+            ProxyMode::Narrow => {
+                let _turn = wire.lock().await;
+                tokio::time::sleep(narrow_time(read)).await;
+            }
             ProxyMode::Reset => return reset(to),
             ProxyMode::DeafServer if !towards_server => {}
             ProxyMode::Silent | ProxyMode::DeafServer => {
--- a/src/bench/soak/soak_force.rs
+++ b/src/bench/soak/soak_force.rs
@@ -36,7 +36,7 @@
     AllSilent,
     /// A part of the links' open connections do.
     SomeSilent,
-    /// The store answers no host while the operator goes on, and then all of them, through narrow links.
+    /// The store answers no host while the operator goes on, and then all of them.
     StoreAway,
     /// The same, and it has forgotten what came between.
     StoreForgets,
@@ -56,11 +56,15 @@
 }
 
 impl SoakStage {
-    /// While callers go on, changes are confirmed beside shocks, each of them once, and each host is asked what is in
-    /// force there.
+    /// While callers go on and all links are narrow, changes are confirmed beside shocks, each of them once, and each host
+    /// is asked what is in force there.
     pub async fn check_force(&mut self, seed: u64) -> Result<(Vec<SoakBreach>, Vec<SoakRecord>)> {
         let mut random = StdRng::seed_from_u64(seed ^ SHOCK_SALT);
         let (mut breaches, mut records) = (Vec::new(), Vec::new());
+        let between_hosts = self.host_links.iter().map(|link| &link.connections);
+        for link in between_hosts.chain(&self.store_links) {
+            link.set(ProxyMode::Narrow);
+        }
         for _ in 0..WARMING_CHANGES {
             self.confirm_version();
             sleep(WARMING_PAUSE).await;
@@ -111,9 +115,6 @@
     }
 
     async fn change_while_away(&mut self, shock: ForceShock, leaving: usize) {
-        for link in &self.store_links {
-            link.set(ProxyMode::Narrow);
-        }
         self.site.store.set_fault(StoreFault::Busy);
         for _ in 0..AWAY_CHANGES {
             sleep(AWAY_PAUSE).await;
