Kept connections to a server that fell silent together cost one call, not one each

A call given up on a kept connection left the others in use.

When a call on a kept connection is given up after 150 ms or more and nothing has come from that server since it left, the server's other kept connections are not used again. A slow server that answers others keeps them. Weighed: ending those of all servers, which would cost new connections whenever one server freezes.

silent_servers: failed before (the second call met silence, too), passes.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -65,7 +65,10 @@
             if !matches!(ready, Ok(Ok(()))) {
                 continue;
             }
-            match kept.sender.try_send_request(request).await {
+            let call = self.idle.sent(address);
+            let sent = kept.sender.try_send_request(request).await;
+            call.ended();
+            match sent {
                 Ok(response) => return self.accept(address, kept, proof, id, response),
                 // A message handed back was never sent: the server had closed the connection.
                 Err(mut error) => match error.take_message() {
@@ -147,6 +150,7 @@
         id: Option<HeaderValue>,
         response: Response<Incoming>,
     ) -> Result<Response<PooledBody>> {
+        self.idle.note_heard(address);
         let mut connection = connection;
         proof
             .check(id.as_ref(), connection.calls + 1, &response)
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -19,6 +19,8 @@
 /// answers in ten came twice late, failed requests fell from 0.036 to 0.027, 0.031 to 0.026 and 0.037 to
 /// 0.028 of all (three deployments, eight plays each); where three in a hundred did, nothing changed.
 const FOREIGN_REST: Duration = Duration::from_secs(2);
+/// A call that is given up sooner tells nothing of its connection.
+const LEAST_SILENCE: Duration = Duration::from_millis(150);
 /// Calls after which a connection is closed, so that it can remember the ids of all of them.
 const MOST_CALLS: u32 = 256;
 
@@ -81,6 +83,8 @@
     idle: Vec<IdleConnection>,
     /// When an answer without proof came from there.
     foreign_at: Option<TimePoint>,
+    /// When an answer last began to come from there.
+    heard_at: Option<TimePoint>,
 }
 
 impl KeptConnections {
@@ -119,6 +123,35 @@
         }
     }
 
+    /// An answer began to come.
+    pub fn note_heard(&self, address: SocketAddr) {
+        let now = self.clock.now();
+        let Ok(mut servers) = self.servers.lock() else { return };
+        servers.entry(address).or_default().heard_at = Some(now);
+    }
+
+    /// A call leaves on a kept connection.
+    pub fn sent(&self, address: SocketAddr) -> SentCall {
+        SentCall { idle: self.clone(), address, sent_at: self.clock.now(), is_answered: false }
+    }
+
+    /// A call that left on a kept connection at `sent_at` was given up without an answer.
+    fn note_unanswered(&self, address: SocketAddr, sent_at: TimePoint) {
+        let now = self.clock.now();
+        let Ok(mut servers) = self.servers.lock() else { return };
+        let Some(kept) = servers.get_mut(&address) else { return };
+        let is_heard = kept.heard_at.is_some_and(|at| at >= sent_at);
+        if is_heard || now.since(sent_at) < LEAST_SILENCE || kept.idle.is_empty() {
+            return;
+        }
+        log::info!(
+            "event=connections_given_up address={address} count={} silent_ms={}",
+            kept.idle.len(),
+            now.since(sent_at).as_millis()
+        );
+        kept.idle.clear();
+    }
+
     /// An answer without proof came: its server may have given others twice as well.
     pub fn note_foreign(&self, address: SocketAddr) {
         let Ok(mut servers) = self.servers.lock() else { return };
@@ -140,6 +173,32 @@
     }
 }
 
+/// A call under way on a kept connection. Dropped without an answer, while nothing else came from its server either, it
+/// ends the use of the other kept connections there: those that are open may fall silent together without an end, and
+/// each would cost one more request.
+#[derive(Debug)]
+pub(super) struct SentCall {
+    idle: IdleConnections,
+    address: SocketAddr,
+    sent_at: TimePoint,
+    is_answered: bool,
+}
+
+impl SentCall {
+    /// Its answer began to come, or its connection broke.
+    pub fn ended(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for SentCall {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.idle.note_unanswered(self.address, self.sent_at);
+        }
+    }
+}
+
 /// How long a server keeps the connection of this answer; `None` if it closes it.
 pub(super) fn stated_keep(headers: &HeaderMap) -> Option<Duration> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
