--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,7 +1,6 @@
 use super::gateway_state::GatewayState;
 use super::reply_waits::ReplyWaits;
 use super::unreadable_objects::UnreadableObjects;
-use super::view_fetches::ViewFetches;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges, ViewFreshness};
 use crate::host::lock;
@@ -9,7 +8,7 @@
 use crate::limits::{LimitAnswer, LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::organisations::{ConfigAge, KeyHasher};
-use crate::peers::PeerClient;
+use crate::peers::{PeerClient, ViewFetches};
 use crate::placement::{DomainGates, GrantBook, LoadBoard, ServerNote};
 use crate::platform::StoreClient;
 use crate::quarantine::{BreakOffs, CrashBook};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,7 +47,6 @@
 mod stop_plan;
 mod store_contact;
 mod unreadable_objects;
-mod view_fetches;
 mod view_lag;
 mod view_loop;
 mod view_servers;
--- a/src/host/config_loop.rs
+++ b/src/host/config_loop.rs
@@ -4,23 +4,28 @@
 use crate::intents::ClusterConfig;
 use crate::keys::{NameKey, mix_hash};
 use crate::membership::{TableOrder, ViewMark};
-use crate::peers::{PeerReply, PeerRequest};
+use crate::peers::{PeerPatience, PeerReply, PeerRequest};
 use crate::placement::rendezvous_rank;
 use crate::platform::INTENT_OBJECT;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Hosts of each failure domain that keep a watch at the store.
 const WATCHERS_PER_DOMAIN: usize = 2;
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-const LOOK_AGAIN: Duration = Duration::from_secs(2);
+/// A connection that falls silent is noticed when a watch on it has passed, and a change has to be in force in each
+/// failure domain within seconds.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
+/// A host that knows for this long that others have a newer version, and has not got it from them, reads it itself.
+const BEHIND_LIMIT: Duration = Duration::from_millis(1500);
 /// Every host reads the object itself this often, whatever the others say; rarely, since at two
 /// years' size it is half a megabyte (docs/CAPACITY.md).
 const READ_EVERY: Duration = Duration::from_secs(1800);
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(500);
-const FETCH_LIMIT: Duration = Duration::from_secs(2);
+/// A configuration may be half a megabyte.
+const FETCH_PATIENCE: PeerPatience =
+    PeerPatience { reply: Duration::from_millis(500), pause: Duration::from_millis(500) };
 const PUSH_FAN_OUT: usize = 4;
 /// Hosts of each other failure domain that are told as well.
 const PUSH_ABROAD: usize = 1;
@@ -32,7 +37,7 @@
     let mut position = None;
     loop {
         let now = host.now();
-        let due = last_read.is_none_or(|at| now.since(at) >= READ_EVERY);
+        let due = last_read.is_none_or(|at| now.since(at) >= READ_EVERY) || host.is_behind();
         let watches = is_watcher(&host);
         if !watches && !due && host.config().version > 0 {
             tokio::time::sleep(LOOK_AGAIN).await;
@@ -48,7 +53,9 @@
         position = heard.as_ref().ok().copied();
         match heard {
             Ok(_) => {
-                if host.config().version == 0 {
+                let version = host.config().version;
+                lock(&host.config_freshness).note_complete(now, version);
+                if version == 0 {
                     tokio::time::sleep(PAUSE_AFTER_FAILURE / 4).await;
                 }
             }
@@ -120,21 +127,34 @@
         }
     }
 
+    /// Another host has this version.
+    pub(super) fn hear_version(&self, heard: u64) {
+        let own = self.config().version;
+        lock(&self.config_freshness).hear(self.now(), own, heard);
+    }
+
+    fn is_behind(&self) -> bool {
+        let own = self.config().version;
+        let behind = lock(&self.config_freshness).behind_for(self.now(), own);
+        behind.is_some_and(|time| time >= BEHIND_LIMIT)
+    }
+
     fn fetch_config(self: &Arc<Self>, address: SocketAddr) {
-        if self.fetching_config.swap(true, Ordering::Relaxed) {
+        if !lock(&self.config_fetches).begin(self.now(), address) {
             return;
         }
         let host = Arc::clone(self);
         self.runtime.spawn(async move {
             host.fetch_from(address).await;
-            host.fetching_config.store(false, Ordering::Relaxed);
+            lock(&host.config_fetches).end(address);
         });
     }
 
     async fn fetch_from(self: &Arc<Self>, address: SocketAddr) {
         let request = PeerRequest::Config(self.config().version);
+        let on_piece = || lock(&self.config_fetches).note_piece(self.now(), address);
         if let Ok(PeerReply::Config(Some(config))) =
-            self.peers.call(address, &request, FETCH_LIMIT).await
+            self.peers.fetch(address, &request, FETCH_PATIENCE, on_piece).await
         {
             self.adopt_config(config);
         }
--- a/src/host/gossip_loop.rs
+++ b/src/host/gossip_loop.rs
@@ -24,6 +24,7 @@
         match open_datagram::<ProbeMessage>(&host.settings.shared_key, &buffer[..length]) {
             Ok(message) => {
                 host.metrics().add("gossip_received_bytes", length as u64);
+                host.hear_version(message.view.config_version);
                 let orders = lock(&host.members).receive(host.now(), &message);
                 host.carry_out_orders(orders);
             }
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -1,11 +1,12 @@
 use super::{AttemptStay, ClaimDesk, OwnedServer};
 use crate::claims::{OutcomeBook, TicketBook};
 use crate::engines::EngineClient;
+use crate::fleet::ViewFreshness;
 use crate::intents::{ClusterConfig, ConfigKeeper};
 use crate::keys::{AttemptId, HostClock, IncarnationId, NameKey, ServerKey, TimePoint};
 use crate::membership::{MemberTable, MemberUpdate};
 use crate::orders::OrderDesk;
-use crate::peers::PeerClient;
+use crate::peers::{PeerClient, ViewFetches};
 use crate::placement::{ReportTable, RetryBudget};
 use crate::platform::StoreClient;
 use crate::settings::HostSettings;
@@ -42,7 +43,8 @@
     pub(super) store: StoreClient,
     pub(super) draining: AtomicBool,
     pub(super) in_flight: AtomicU64,
-    pub(super) fetching_config: AtomicBool,
+    pub(super) config_fetches: Mutex<ViewFetches>,
+    pub(super) config_freshness: Mutex<ViewFreshness>,
     pub(super) terms: AtomicU64,
     /// Where tasks run, also when an operator's thread asks for them.
     pub(super) runtime: tokio::runtime::Handle,
@@ -84,7 +86,8 @@
             store: StoreClient::new(settings.platform),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
-            fetching_config: AtomicBool::new(false),
+            config_fetches: Mutex::default(),
+            config_freshness: Mutex::default(),
             terms: AtomicU64::new(1),
             runtime: tokio::runtime::Handle::current(),
             outbox,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod peer_message;
 mod peer_server;
 mod proof;
+mod view_fetches;
 
 pub use datagram::{open_datagram, seal_datagram};
 pub use peer_client::{PeerClient, PeerPatience};
@@ -17,6 +18,7 @@
 };
 pub use peer_server::{PeerHandler, serve_peers};
 pub use proof::{prove_as_client, prove_as_server};
+pub use view_fetches::ViewFetches;
 
 use crate::Result;
 use serde::Serialize;
