A host that the store answers watches while it refuses all hosts that could be elected

By reading, while looking for what else keeps news from hosts: of a domain's hosts four may be elected; if the store turns all four away and answers others, those asked only when in doubt, once in 2.3 s and more, longer than a change may take. Whoever was answered within 1.5 s goes on watching meanwhile. The age of a configuration that is read each second counts from the read, not from the end of the pause after it.

--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -19,6 +19,10 @@
 /// Such hosts begin to ask spread over this time: those that are answered first hand their view on.
 const BEHIND_SPREAD: Duration = Duration::from_millis(400);
 
+/// A host that the store answers watches while it refuses the watcher, and all hosts that could be elected in its place: if
+/// it only asked when in doubt, its failure domain would hear of a change 2.3 s later, or more.
+const STAND_IN_TIME: Duration = Duration::from_millis(1500);
+
 /// A host that the store refused, and that is not elected therefore, asks again this long after its
 /// last call, in a small failure domain.
 const REFUSED_PAUSE: Duration = Duration::from_millis(2000);
@@ -54,6 +58,8 @@
     pub uninformed_for: Option<Duration>,
     /// The host is its failure domain's watcher.
     pub elected: bool,
+    /// Time since the store answered its own last call, if it refuses the watcher.
+    pub answered_for: Option<Duration>,
     /// Time since the view was last known to lack nothing, by an answer of the store to this host or to one that had
     /// no newer view.
     pub view_age: Duration,
@@ -76,7 +82,7 @@
         let wait = NEIGHBOUR_WAIT + part_of(LISTING_SPREAD, view.salt);
         return if time >= wait { WatchDuty::Watch } else { WatchDuty::Hear };
     }
-    if view.elected {
+    if view.elected || view.answered_for.is_some_and(|time| time < STAND_IN_TIME) {
         return WatchDuty::Watch;
     }
     let asks = match view.refused_for {
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -75,9 +75,11 @@
     // Where the own watch goes on; nothing until it has begun.
     let mut watched = None;
     let mut refused_at = None;
+    let mut answered_at = None;
     loop {
-        if host.watch_duty(kind, refused_at) == WatchDuty::Hear {
+        if host.watch_duty(kind, refused_at, answered_at) == WatchDuty::Hear {
             watched = None;
+            question = NextQuestion::Wait;
             tokio::time::sleep(DUTY_PERIOD).await;
             continue;
         }
@@ -124,6 +126,7 @@
         }
         pause = FIRST_PAUSE;
         refused_at = None;
+        answered_at = Some(host.now());
         note_heard(host, kind);
     }
 }
@@ -131,15 +134,23 @@
 impl GatewayHost {
     /// Whether this host asks the store for a kind itself, or hears it from others.
     ///
-    /// `refused_at` is the time of its own last call, if that failed.
-    fn watch_duty(&self, kind: FollowedKind, refused_at: Option<TimePoint>) -> WatchDuty {
+    /// `refused_at` is the time of its own last call, if that failed, and `answered_at` that of the last one that did not.
+    fn watch_duty(
+        &self,
+        kind: FollowedKind,
+        refused_at: Option<TimePoint>,
+        answered_at: Option<TimePoint>,
+    ) -> WatchDuty {
         let known = self.known_revision(kind).is_some();
         let now = self.now();
         let state = self.state();
         let domain = self.domain();
+        let watcher = state.watcher(now, domain);
+        let is_vacant = watcher.is_none_or(|host| state.refused.is_refused(now, host));
         watch_duty(&DutyView {
             uninformed_for: (!known).then(|| now.since(TimePoint::default())),
-            elected: state.watcher(now, domain) == Some(self.incarnation),
+            elected: watcher == Some(self.incarnation),
+            answered_for: answered_at.filter(|_| is_vacant).map(|at| now.since(at)),
             view_age: state.freshness(kind).age(now),
             behind_for: state.behind_for(now, kind),
             config_age: match kind {
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -120,6 +120,7 @@
 pub(super) async fn read_in_turn(host: &Arc<GatewayHost>, after: u64) -> Result<FollowStep> {
     let asked_at = host.now();
     let step = read_config(host, after).await?;
+    host.note_view_complete(FollowedKind::Routes, asked_at, after);
     tokio::time::sleep(READ_PERIOD.saturating_sub(host.now().since(asked_at))).await;
     Ok(step)
 }
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -29,6 +29,7 @@
     let view = DutyView {
         uninformed_for: uninformed_for_ms.map(Duration::from_millis),
         elected,
+        answered_for: None,
         view_age: Duration::from_millis(view_age_ms),
         behind_for: None,
         config_age: None,
@@ -55,6 +56,7 @@
             let view = DutyView {
                 uninformed_for: None,
                 elected: false,
+                answered_for: None,
                 view_age: now,
                 behind_for: None,
                 config_age: None,
@@ -82,6 +84,7 @@
         let view = DutyView {
             uninformed_for: None,
             elected: false,
+            answered_for: None,
             view_age: Duration::from_millis(100),
             behind_for: Some(Duration::from_millis(behind_ms)),
             config_age: None,
@@ -93,6 +96,30 @@
     }
 }
 
+/// Pattern: the store turns all hosts away that could be elected, and answers others. These asked when in doubt only, once
+/// in 2.3 s or more.
+#[rstest]
+#[case::watcher_refused(Some(200), WatchDuty::Watch)]
+#[case::not_answered_lately(Some(1500), WatchDuty::Hear)]
+#[case::watcher_answered(None, WatchDuty::Hear)]
+fn answered_host_stands_in_for_a_refused_watcher(
+    #[case] answered_ms: Option<u64>,
+    #[case] expected: WatchDuty,
+) {
+    let view = DutyView {
+        uninformed_for: None,
+        elected: false,
+        answered_for: answered_ms.map(Duration::from_millis),
+        view_age: Duration::from_millis(100),
+        behind_for: None,
+        config_age: None,
+        refused_for: None,
+        domain_hosts: 60,
+        salt: 1234,
+    };
+    assert_eq!(watch_duty(&view), expected);
+}
+
 /// Bench: panelbridge-kr, the own day `storm`, seed 1 (CONFIG). The store turned the watchers of all
 /// three domains away; they stayed elected, and the others asked only every 2.5 s.
 #[test]
@@ -156,6 +183,7 @@
     let view = DutyView {
         uninformed_for: None,
         elected: false,
+        answered_for: None,
         view_age: Duration::from_millis(300),
         behind_for: None,
         config_age: Some(Duration::from_millis(config_age_ms)),
