--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -66,6 +66,8 @@
     pub failed: u64,
     /// Faults injected.
     pub faults: u64,
+    /// Calls of the store, from start to end.
+    pub store_calls: u64,
     /// Promises broken.
     pub breaches: Vec<SoakBreach>,
 }
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -111,6 +111,7 @@
     stage.restart_crashed().await?;
     let mut report = lock(&notes.report).clone();
     report.faults = faults;
+    report.store_calls = stage.site.store.counts().0;
     let calm = stage.check_calm(options.seed).await;
     let mut records = lock(&notes.records).clone();
     records.extend(calm.1);
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -11,12 +11,13 @@
         let options = SoakOptions { seed, ..options.clone() };
         let report = runtime.block_on(run_soak(&options))?;
         println!(
-            "seed={seed} faults={} asked={} whole={} refused={} failed={} broken={}",
+            "seed={seed} faults={} asked={} whole={} refused={} failed={} store_calls={} broken={}",
             report.faults,
             report.asked,
             report.whole,
             report.refused,
             report.failed,
+            report.store_calls,
             report.breaches.len()
         );
         for breach in &report.breaches {
