--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -106,6 +106,9 @@
     "f:1:1: store is missing",
     "f:5:3: unknown key \"stores\"; did you mean \"store\"?",
 ])]
+#[case::no_address(&GATEWAY.replace("\"store\"", "\"peers_advertise\": \"7003\", \"store\""), &[
+    "f:5:22: peers_advertise must be an IP address with port, not \"7003\"",
+])]
 #[case::short_key(&GATEWAY.replace("0123456789abcdef", "short"), &[
     "f:6:17: shared_key must have at least 16 characters",
 ])]
