Ports of programs under test are looked up, not tried

Suspected and now shown: a port was tried by binding it, and a program that another thread starts at that moment has the socket until its own code runs.

--- a/src/bench/free_ports.rs
+++ b/src/bench/free_ports.rs
@@ -1,6 +1,6 @@
 use crate::{Error, Result};
+use std::collections::HashSet;
 use std::fs::File;
-use std::net::{Ipv4Addr, TcpListener, UdpSocket};
 use std::sync::{Mutex, PoisonError};
 
 /// Below the range from which systems pick ports by themselves, so that no other socket takes one
@@ -23,6 +23,8 @@
     _lock: File,
     next: u16,
     end: u16,
+    /// Ports that others were using when it was claimed.
+    used: HashSet<u16>,
 }
 
 impl PortBlock {
@@ -37,19 +39,19 @@
             let lock = File::options().create(true).truncate(false).write(true).open(path)?;
             if lock.try_lock().is_ok() {
                 let next = FIRST + place * BLOCK_PORTS;
-                return Ok(Self { _lock: lock, next, end: next + BLOCK_PORTS });
+                let end = next + BLOCK_PORTS;
+                return Ok(Self { _lock: lock, next, end, used: bound_ports() });
             }
         }
         Err(Error::Refused("all blocks of ports are taken".to_owned()))
     }
 
-    /// The next port that nobody has bound.
+    /// The next port that nobody had bound.
     pub fn take(&mut self) -> Option<u16> {
         while self.next < self.end {
             let port = self.next;
             self.next += 1;
-            let address = (Ipv4Addr::LOCALHOST, port);
-            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            if !self.used.contains(&port) {
                 return Some(port);
             }
         }
@@ -57,6 +59,26 @@
     }
 }
 
+/// Ports that sockets of this machine are bound to.
+///
+/// The system's tables are read: a socket that tries a port has it also in each program that this process starts just
+/// then, until that program's own code runs, and the daemon that the port is for cannot bind it.
+fn bound_ports() -> HashSet<u16> {
+    let tables = ["tcp", "tcp6", "udp", "udp6"].map(|name| format!("/proc/net/{name}"));
+    // A table that is not there holds no socket.
+    let texts = tables.iter().filter_map(|path| std::fs::read_to_string(path).ok());
+    texts.flat_map(|text| text.lines().filter_map(bound_port).collect::<Vec<_>>()).collect()
+}
+
+/// The local port in a line of such a table; none for one whose connection has ended and that a listener may use.
+fn bound_port(line: &str) -> Option<u16> {
+    const TIME_WAIT: &str = "06";
+    let mut fields = line.split_whitespace().skip(1);
+    let (_, port) = fields.next()?.rsplit_once(':')?;
+    let state = fields.nth(1)?;
+    u16::from_str_radix(port, 16).ok().filter(|_| state != TIME_WAIT)
+}
+
 /// Ports that are free for TCP and UDP, and that no process hands out a second time while this one
 /// runs.
 ///
