--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
 mod names;
 mod request_wire;
 mod server_wire;
+mod store_call;
 mod store_client;
 mod store_object;
 mod store_wire;
@@ -31,7 +32,8 @@
     holds_answer, own_headers, read_answer,
 };
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server, decode_servers};
-pub use store_client::{ListAge, StoreClient, StoreWrite, WatchAnswer, WatchPlan};
+pub use store_call::{ListAge, StoreWrite, WatchAnswer, WatchPlan};
+pub use store_client::StoreClient;
 pub use store_object::{LONGEST_OBJECT, ObjectList, StoreEvent, StoreObject, UnreadableObject};
 
 /// Kind and name of the configuration that intents of the project's own interface make.
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -3,7 +3,8 @@
 use super::answer_pace::AnswerPace;
 use super::list_walk::ListWalk;
 use super::names;
-use super::store_object::{ObjectList, StoreEvent, StoreObject, UnreadableObject};
+use super::store_call::{CallLimit, ListAge, StoreWrite, WatchAnswer, WatchPlan};
+use super::store_object::{ObjectList, StoreObject, UnreadableObject};
 use super::store_wire::{ListPage, decode_events, decode_object, decode_page};
 use crate::engines::{AnswerProof, HttpPool, SendLimits};
 use crate::keys::HostClock;
@@ -24,65 +25,6 @@
 /// Tries of one page: 1.2 s in all, longer than a store's second of calls.
 const PAGE_TRIES: u32 = 5;
 
-/// How new a listing must be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ListAge {
-    /// As the store is now.
-    Newest,
-    /// Possibly some seconds old, at a tenth of the price and outside of the store's rates.
-    Stale,
-}
-
-/// What a watch brought.
-#[derive(Debug, Clone, PartialEq)]
-pub enum WatchAnswer {
-    /// Changes, oldest first, and the revision to go on from.
-    Changes(Vec<StoreEvent>, u64),
-    /// The store no longer knows what came after the revision asked for: list again.
-    HistoryLost,
-    /// It knows of more than was worth waiting for.
-    TooLong,
-}
-
-/// How changes are waited for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct WatchPlan {
-    /// How long the store waits for one.
-    pub wait: Duration,
-    /// How much later its answer may begin.
-    pub slack: Duration,
-    /// Most bytes of changes that are taken.
-    pub longest: usize,
-}
-
-/// Bounds on one call.
-#[derive(Debug, Clone, Copy)]
-struct CallLimit {
-    /// Until the answer begins.
-    time: Duration,
-    /// Most bytes of it.
-    bytes: usize,
-}
-
-impl From<Duration> for CallLimit {
-    fn from(time: Duration) -> Self {
-        Self { time, bytes: usize::MAX }
-    }
-}
-
-/// What is known of a conditional write.
-#[derive(Debug, Clone, PartialEq)]
-pub enum StoreWrite {
-    /// It took effect.
-    Written(StoreObject),
-    /// The expected revision did not stand; nothing was written.
-    Conflict,
-    /// The store refused it for certain; nothing was written.
-    Refused,
-    /// No answer: it may have taken effect, or may yet.
-    Lost,
-}
-
 /// Client of the platform's store.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
--- a/src/settings/field_reader.rs
+++ b/src/settings/field_reader.rs
@@ -22,12 +22,11 @@
 
     /// Records a finding about a key's value, or about the object if the key is missing.
     pub fn find(&mut self, key: &str, message: String) {
-        let range = match self.property(key) {
-            Some(property) => property.value.range(),
-            None => self.object.range,
+        let (offset, length) = match self.property(key).map(|property| property.value.range()) {
+            Some(range) => (range.start, range.end - range.start),
+            None => (self.object.range.start, 1),
         };
-        let length = if self.property(key).is_some() { range.end - range.start } else { 1 };
-        self.findings.push(Finding { message, offset: range.start, length });
+        self.findings.push(Finding { message, offset, length });
     }
 
     /// A string that must be there and not be empty.
