An answer to a host with a newer view counts once as much is held; of several versions only the last is decoded

Where changes come several times a second a host mostly hears from one that is a little ahead; that host's contact with the store would never have counted, and the domain would have asked by itself. Found by reading; the test shows it on the type.

--- a/src/fleet/view_freshness.rs
+++ b/src/fleet/view_freshness.rs
@@ -12,6 +12,8 @@
     complete_at: TimePoint,
     /// A newer revision that others have, and since when this host knows that.
     behind: Option<(u64, TimePoint)>,
+    /// A newer revision that lacked nothing at a moment: this view will not either, once it holds that revision.
+    ahead: Option<(u64, TimePoint)>,
     /// The store had nothing more to tell up to this revision, though the view may name an older one.
     reached: u64,
 }
@@ -35,8 +37,13 @@
 
     /// Another host's view, of revision `heard`, lacked nothing `age` ago; so did this one's if it holds as much.
     pub fn hear_age(&mut self, now: TimePoint, own: u64, heard: u64, age: Duration) {
-        if own.max(self.reached) >= heard {
+        let own = own.max(self.reached);
+        self.complete_at = self.complete_since(own);
+        self.ahead = self.ahead.filter(|(revision, _)| own < *revision);
+        if own >= heard {
             self.complete_at = self.complete_at.max(now - age);
+        } else if self.ahead.is_none() {
+            self.ahead = Some((heard, now - age));
         }
     }
 
@@ -46,8 +53,13 @@
         Some(now.since(since))
     }
 
-    /// Time since the view was last known to lack nothing.
-    pub fn age(&self, now: TimePoint) -> Duration {
-        now.since(self.complete_at)
+    /// Time since the view, which holds `own`, was last known to lack nothing.
+    pub fn age(&self, now: TimePoint, own: u64) -> Duration {
+        now.since(self.complete_since(own.max(self.reached)))
+    }
+
+    fn complete_since(&self, own: u64) -> TimePoint {
+        let reached = self.ahead.filter(|(revision, _)| own >= *revision);
+        reached.map_or(self.complete_at, |(_, at)| self.complete_at.max(at))
     }
 }
--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -45,7 +45,8 @@
 pub enum WatchDuty {
     /// It watches for its failure domain, or has no view and heard of none.
     Watch,
-    /// It asks because nobody else seems to be answered, or to learn whether it is answered again.
+    /// It asks because nobody else seems to be answered, because it cannot get from others what they have, or to learn
+    /// whether it is answered again.
     Doubt,
     /// It hears changes from others.
     Hear,
--- a/src/gateway/view_lag.rs
+++ b/src/gateway/view_lag.rs
@@ -63,7 +63,7 @@
 }
 
 impl GatewayState {
-    pub(super) const fn freshness(&self, kind: FollowedKind) -> &ViewFreshness {
+    const fn freshness(&self, kind: FollowedKind) -> &ViewFreshness {
         match kind {
             FollowedKind::Routes => &self.routes_freshness,
             FollowedKind::Servers => &self.servers_freshness,
@@ -81,10 +81,14 @@
         self.freshness(kind).behind_for(now, kind.part_of(self.view_mark()))
     }
 
-    /// When the view last lacked nothing, as other hosts are told it.
+    /// Time since this host's view of a kind was last known to lack nothing.
+    pub(super) fn view_age(&self, now: TimePoint, kind: FollowedKind) -> Duration {
+        self.freshness(kind).age(now, kind.part_of(self.view_mark()))
+    }
+
+    /// The same of all kinds, as other hosts are told it.
     pub(super) fn view_ages(&self, now: TimePoint) -> ViewAges {
-        let age_ms =
-            |kind| u32::try_from(self.freshness(kind).age(now).as_millis()).unwrap_or(u32::MAX);
+        let age_ms = |kind| u32::try_from(self.view_age(now, kind).as_millis()).unwrap_or(u32::MAX);
         ViewAges {
             routes_ms: age_ms(FollowedKind::Routes),
             servers_ms: age_ms(FollowedKind::Servers),
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -151,7 +151,7 @@
             uninformed_for: (!known).then(|| now.since(TimePoint::default())),
             elected: watcher == Some(self.incarnation),
             answered_for: answered_at.filter(|_| is_vacant).map(|at| now.since(at)),
-            view_age: state.freshness(kind).age(now),
+            view_age: state.view_age(now, kind),
             behind_for: state.behind_for(now, kind),
             config_age: match kind {
                 FollowedKind::Routes => {
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -188,7 +188,8 @@
     match kind {
         FollowedKind::Routes => {
             let mut is_known = true;
-            for event in &changes {
+            // The last version first: of those before it none is decoded.
+            for event in changes.iter().rev() {
                 match event {
                     StoreEvent::Stated(object) => adopt_object(host, object),
                     StoreEvent::Unreadable(object) => {
--- a/tests/view_freshness.rs
+++ b/tests/view_freshness.rs
@@ -15,9 +15,22 @@
     let mut freshness = ViewFreshness::default();
     freshness.note_complete(at(1000), 5);
     freshness.hear_age(at(3000), 5, 6, AGE);
-    assert_eq!(freshness.age(at(3000)), Duration::from_millis(2000));
+    assert_eq!(freshness.age(at(3000), 5), Duration::from_millis(2000));
     freshness.hear_age(at(3000), 6, 6, AGE);
-    assert_eq!(freshness.age(at(3000)), AGE);
+    assert_eq!(freshness.age(at(3000), 6), AGE);
+}
+
+/// Where changes come all the time, a host is always told of a little more than it holds.
+#[test]
+fn answer_to_a_host_with_more_counts_once_as_much_is_held() {
+    let mut freshness = ViewFreshness::default();
+    freshness.note_complete(at(1000), 5);
+    freshness.hear_age(at(3000), 5, 6, AGE);
+    freshness.hear_age(at(3100), 5, 8, AGE);
+    assert_eq!(freshness.age(at(3200), 6), Duration::from_millis(400));
+    freshness.hear_age(at(3300), 6, 8, AGE);
+    assert_eq!(freshness.age(at(3400), 6), Duration::from_millis(600));
+    assert_eq!(freshness.age(at(3400), 8), Duration::from_millis(300));
 }
 
 #[test]
