Soak: machines are cut off, and a host must show what is in force

What was missing: no fault of the soak cut machines off.

--cutting gives each daemon a machine address of its own (a small library, tests/machine_common/source_address.c, lets its connections come from there) and cuts machines off: from everything, or from the other hosts only. Open connections are dead from then on; new ones and datagrams get nowhere. Beside the other faults cuts overlap; in the end come six shocks in an order drawn by the seed: a failure domain, a third of the hosts, thirds in turn, a third beside kills of another, machines that reach no other host but the store, all hosts frozen; changes are confirmed each 0.2, 0.5 or 2 s meanwhile. Hosts not struck are asked at the end of each, all 3 s after it.

The check of what is in force counted 404 and 200 only: a host that answered 503 or nothing passed. It is now asked again for 2.5 s and must show the answer that is in force.

Both ways of a connection are now let go of as it falls silent; its sockets stay open.

No decision of the product is changed.

--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -1,12 +1,14 @@
 use super::free_ports;
 use crate::{Error, Result};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 /// Names the file that holds for how long a daemon was suspended, in nanoseconds of eight bytes.
 const HELD_TIME_FILE: &str = "TEALCLEAT_HELD_TIME";
+/// Names the address from which a daemon's connections come, if its environment has a library that reads it.
+const SOURCE_ADDRESS: &str = "TEALCLEAT_SOURCE";
 
 /// How a daemon on the platform's stand-ins is started.
 #[derive(Debug, Clone, Copy)]
@@ -19,6 +21,8 @@
     pub name: &'a str,
     /// Its failure domain.
     pub domain: &'a str,
+    /// Address of the machine that it is on.
+    pub machine: IpAddr,
     /// Where it reaches the store.
     pub store: SocketAddr,
     /// Where it reaches other daemons.
@@ -57,7 +61,7 @@
     /// If there are no ports, its files cannot be written or it cannot be started.
     pub fn start(plan: &ProcessPlan<'_>) -> Result<Self> {
         let ports = free_ports(4)?;
-        let at = |place: usize| SocketAddr::from(([127, 0, 0, 1], ports[place]));
+        let at = |place: usize| SocketAddr::new(plan.machine, ports[place]);
         let settings = plan.folder.join(format!("{}.json", plan.name));
         let seeds: Vec<String> = plan.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let revocation = plan
@@ -115,6 +119,7 @@
         let child = Command::new(&self.program)
             .arg(&self.settings)
             .env(HELD_TIME_FILE, self.held_file())
+            .env(SOURCE_ADDRESS, self.callers.ip().to_string())
             .envs(self.environment.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
--- a/src/bench/links/host_link.rs
+++ b/src/bench/links/host_link.rs
@@ -1,4 +1,4 @@
-use super::LinkProxy;
+use super::{CutMachines, CutScope, LinkProxy};
 use crate::Result;
 use crate::host::lock;
 use std::collections::HashMap;
@@ -9,9 +9,16 @@
 /// Longer than any datagram between daemons.
 const LONGEST_DATAGRAM: usize = 8 << 10;
 
+/// Cuts that part a link between hosts.
+const BETWEEN_HOSTS: [CutScope; 2] = [CutScope::All, CutScope::Hosts];
+
 /// Sockets of all links, by where the daemon behind each sends its datagrams from.
 #[derive(Debug, Clone, Default)]
-pub struct LinkSockets(Arc<Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>>);
+pub struct LinkSockets {
+    sockets: Arc<Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>>,
+    /// Machines between which no link passes anything.
+    pub cuts: CutMachines,
+}
 
 /// The link before one daemon, at the address that it advertises.
 #[derive(Debug)]
@@ -30,9 +37,10 @@
         target: SocketAddr,
         all: &LinkSockets,
     ) -> Result<Self> {
-        let connections = LinkProxy::listen(TcpListener::bind(advertised).await?, target)?;
+        let listener = TcpListener::bind(advertised).await?;
+        let connections = LinkProxy::listen(listener, target, all.cuts.clone(), &BETWEEN_HOSTS)?;
         let socket = Arc::new(UdpSocket::bind(advertised).await?);
-        lock(&all.0).insert(target, Arc::clone(&socket));
+        lock(&all.sockets).insert(target, Arc::clone(&socket));
         tokio::spawn(relay(socket, target, all.clone()));
         Ok(Self { connections })
     }
@@ -46,7 +54,10 @@
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        let sender = lock(&all.0).get(&from).cloned();
+        if all.cuts.parts([from.ip(), target.ip()], &BETWEEN_HOSTS) {
+            continue;
+        }
+        let sender = lock(&all.sockets).get(&from).cloned();
         if let Some(sender) = sender {
             // A lost datagram is part of every network.
             drop(sender.send_to(&buffer[..length], target).await);
--- a/src/bench/links/link_proxy.rs
+++ b/src/bench/links/link_proxy.rs
@@ -1,10 +1,12 @@
+use super::{CutMachines, CutScope};
 use crate::Result;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use crate::host::lock;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 const ANYWHERE: &str = "127.0.0.1:0";
@@ -38,6 +40,7 @@
     mode: watch::Sender<ProxyMode>,
     /// Counts how often the open connections fell silent.
     silences: watch::Sender<u64>,
+    source: Arc<Mutex<Option<IpAddr>>>,
 }
 
 impl LinkProxy {
@@ -46,27 +49,53 @@
     /// # Errors
     /// If no port can be bound.
     pub async fn start(target: SocketAddr) -> Result<Self> {
-        Self::listen(TcpListener::bind(ANYWHERE).await?, target)
+        Self::start_among(target, CutMachines::default()).await
     }
 
-    /// Takes the connections of a listener.
+    /// The same among machines of which some are cut off now and then.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn start_among(target: SocketAddr, cuts: CutMachines) -> Result<Self> {
+        Self::listen(TcpListener::bind(ANYWHERE).await?, target, cuts, &[CutScope::All])
+    }
+
+    /// Takes the connections of a listener; cuts of `scopes` part them.
     ///
     /// # Errors
     /// If the listener has no address.
-    pub fn listen(listener: TcpListener, target: SocketAddr) -> Result<Self> {
+    pub fn listen(
+        listener: TcpListener,
+        target: SocketAddr,
+        cuts: CutMachines,
+        scopes: &'static [CutScope],
+    ) -> Result<Self> {
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(ProxyMode::Pass);
         let (silences, heard) = watch::channel(0);
         let wire = Arc::new(tokio::sync::Mutex::new(()));
+        let source = Arc::default();
+        let last = Arc::clone(&source);
         tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
+            while let Ok((near, from)) = listener.accept().await {
+                *lock(&last) = Some(from.ip());
                 let mut silences = heard.clone();
                 silences.borrow_and_update();
                 let wire = Arc::clone(&wire);
-                tokio::spawn(carry(near, target, modes.clone(), silences, wire));
+                let cuts = cuts.clone();
+                let modes = modes.clone();
+                tokio::spawn(async move {
+                    let parted = cuts.parted([from.ip(), target.ip()], scopes);
+                    carry(near, target, modes, silences, parted, wire).await;
+                });
             }
         });
-        Ok(Self { address, mode, silences })
+        Ok(Self { address, mode, silences, source })
+    }
+
+    /// The machine from which its last connection came.
+    pub fn last_source(&self) -> Option<IpAddr> {
+        *lock(&self.source)
     }
 
     /// Sets what happens to the bytes of all connections.
@@ -85,45 +114,95 @@
     target: SocketAddr,
     modes: watch::Receiver<ProxyMode>,
     mut silences: watch::Receiver<u64>,
+    parted: impl Future<Output = ()>,
     wire: Arc<tokio::sync::Mutex<()>>,
 ) {
-    let Ok(far) = TcpStream::connect(target).await else {
+    tokio::pin!(parted);
+    // One that begins in a cut gets nowhere.
+    let far = tokio::select! {
+        biased;
+        () = &mut parted => return stay_open(silences).await,
+        connected = TcpStream::connect(target) => connected,
+    };
+    let Ok(far) = far else {
         return;
     };
     if near.set_nodelay(true).and_then(|()| far.set_nodelay(true)).is_err() {
         return;
     }
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    let up = pump(near_read, far_write, modes.clone(), &wire, true);
-    let down = pump(far_read, near_write, modes, &wire, false);
-    tokio::pin!(up, down);
-    // When one way ends, both sockets are dropped: that breaks the other way off.
-    tokio::select! {
-        () = &mut up => {}
-        () = &mut down => {}
-        changed = silences.changed() => {
-            if changed.is_ok() {
-                // Both sockets stay open until the proxy is gone.
-                while silences.changed().await.is_ok() {}
-            }
+    let (mut near_read, mut near_write) = near.into_split();
+    let (mut far_read, mut far_write) = far.into_split();
+    let end = {
+        let up = pump(&mut near_read, &mut far_write, modes.clone(), &wire, true);
+        let down = pump(&mut far_read, &mut near_write, modes, &wire, false);
+        tokio::select! {
+            end = up => CarryEnd::Up(end),
+            end = down => CarryEnd::Down(end),
+            changed = silences.changed() => changed.map_or(CarryEnd::ProxyGone, |()| CarryEnd::Dead),
+            // Neither end hears of it, whatever becomes of the cut.
+            () = &mut parted => CarryEnd::Dead,
         }
+    };
+    // When one way ends, both sockets are dropped: that breaks the other way off.
+    match end {
+        CarryEnd::Up(PumpEnd::Reset) => reset(far_write),
+        CarryEnd::Down(PumpEnd::Reset) => reset(near_write),
+        // Both sockets stay open until the proxy is gone. Neither way is under way any more, or it might hold the wire.
+        CarryEnd::Dead => stay_open(silences).await,
+        CarryEnd::Up(PumpEnd::Closed) | CarryEnd::Down(PumpEnd::Closed) | CarryEnd::ProxyGone => {}
     }
 }
 
+/// Waits until the proxy is gone.
+async fn stay_open(mut silences: watch::Receiver<u64>) {
+    while silences.changed().await.is_ok() {}
+}
+
+/// What ends a connection through a proxy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CarryEnd {
+    /// The way towards the server ended.
+    Up(PumpEnd),
+    /// The way back did.
+    Down(PumpEnd),
+    /// It fell silent, or its machines were parted.
+    Dead,
+    /// The proxy is gone.
+    ProxyGone,
+}
+
+/// How one way of a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PumpEnd {
+    /// It was closed.
+    Closed,
+    /// It is to be reset.
+    Reset,
+}
+
+/// Opens a connection from the address of a machine, so that links further on know whose it is.
+pub(in crate::bench) async fn connect_as(
+    machine: IpAddr,
+    target: SocketAddr,
+) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(machine, 0))?;
+    socket.connect(target).await
+}
+
 async fn pump(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     mut modes: watch::Receiver<ProxyMode>,
     wire: &tokio::sync::Mutex<()>,
     towards_server: bool,
-) {
+) -> PumpEnd {
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
         let read = match from.read(&mut buffer).await {
-            Ok(0) => return,
+            Ok(0) => return PumpEnd::Closed,
             Ok(read) => read,
-            Err(_) => return reset(to),
+            Err(_) => return PumpEnd::Reset,
         };
         let mode = *modes.borrow();
         match mode {
@@ -133,18 +212,18 @@
                 let _turn = wire.lock().await;
                 tokio::time::sleep(narrow_time(read)).await;
             }
-            ProxyMode::Reset => return reset(to),
+            ProxyMode::Reset => return PumpEnd::Reset,
             ProxyMode::DeafServer if !towards_server => {}
             ProxyMode::Silent | ProxyMode::DeafServer => {
                 // Held until the link heals; then the bytes arrive late.
                 let healed = modes.wait_for(|mode| *mode == ProxyMode::Pass).await;
                 if healed.is_err() {
-                    return;
+                    return PumpEnd::Closed;
                 }
             }
         }
         if to.write_all(&buffer[..read]).await.is_err() {
-            return;
+            return PumpEnd::Closed;
         }
     }
 }
--- a/src/bench/soak/answer_link.rs
+++ b/src/bench/soak/answer_link.rs
@@ -3,7 +3,7 @@
 use super::link_listener::accept_all;
 use super::soak_answer::{AnswerFault, without_length};
 use crate::Result;
-use crate::bench::links::reset;
+use crate::bench::links::{connect_as, reset};
 use crate::bench::site::{LifeSwitch, message_end};
 use bytes::{Bytes, BytesMut};
 use rand::Rng;
@@ -68,7 +68,7 @@
     faults: watch::Receiver<Option<AnswerFault>>,
     random: StdRng,
 ) -> Result<()> {
-    let far = TcpStream::connect(target).await?;
+    let far = connect_as(near.peer_addr()?.ip(), target).await?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
     let (near_read, to) = near.into_split();
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -6,16 +6,19 @@
 mod answer_link;
 mod link_listener;
 mod soak_answer;
+mod soak_ask;
 mod soak_burst;
 mod soak_caller;
 mod soak_calm;
 mod soak_check;
 mod soak_config;
+mod soak_cut;
 mod soak_fault;
 mod soak_force;
 mod soak_inject;
 mod soak_limits;
 mod soak_run;
+mod soak_shock;
 mod soak_trace;
 
 pub use soak_check::{SoakBreach, SoakReport};
--- a/src/bench/soak/soak_fault.rs
+++ b/src/bench/soak/soak_fault.rs
@@ -1,5 +1,6 @@
 use super::soak_answer::AnswerFault;
-use crate::bench::links::ProxyMode;
+use super::soak_cut::CutGroup;
+use crate::bench::links::{CutScope, ProxyMode};
 use crate::bench::site::{EngineFault, ServiceFault, StoreFault};
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -20,6 +21,7 @@
     Stop(usize),
     Pause(usize),
     Suspend(usize),
+    Cut(CutGroup, CutScope),
     Reload(usize),
     Configure,
     DrainServer(usize),
--- a/src/bench/soak/soak_force.rs
+++ b/src/bench/soak/soak_force.rs
@@ -1,18 +1,20 @@
 //! Whether what the store has confirmed is in force at each host in time.
 
-use super::soak_check::{SoakBreach, SoakRecord, SoakRoute};
-use super::soak_config::{dropped_mark, mark_path};
-use super::soak_run::SoakStage;
+use super::soak_ask::ForceQuestion;
+use super::soak_check::{SoakBreach, SoakRecord};
+use super::soak_run::{SoakOptions, SoakStage};
+use super::soak_shock::HostShock;
 use crate::Result;
 use crate::bench::links::ProxyMode;
-use crate::bench::site::{SiteCall, StoreFault, call_site};
+use crate::bench::site::StoreFault;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// What was confirmed is in force after this: 2 s are allowed, and a machine with many processes may take its time.
+/// What was confirmed is in force after this: 2 s are allowed, and a machine with many processes may take its time. A host
+/// that was in trouble is held to it from the end of that on.
 const FORCE_BOUND: Duration = Duration::from_millis(3000);
 const BETWEEN_SHOCKS: Duration = Duration::from_millis(1000);
 /// Changes before the first shock: by then hosts have asked each other for news on kept connections.
@@ -21,8 +23,6 @@
 /// Changes while the store answers no host, and the pauses between them.
 const AWAY_CHANGES: u32 = 8;
 const AWAY_PAUSE: Duration = Duration::from_millis(500);
-/// Requests to each host that may go to the server that leaves.
-const PLAIN_CALLS: usize = 4;
 /// Part of the open connections that fall silent, if not all of them do.
 const SILENT_PART: f64 = 0.33;
 const SHOCK_SALT: u64 = 0xf0_4ce5;
@@ -42,10 +42,12 @@
     StoreForgets,
     /// Hosts are killed.
     Killed,
+    /// Hosts are cut off or stand still.
+    Hosts(HostShock),
 }
 
 impl ForceShock {
-    const ALL: [Self; 6] = [
+    const SILENCING: [Self; 6] = [
         Self::Calm,
         Self::AllSilent,
         Self::SomeSilent,
@@ -53,14 +55,35 @@
         Self::StoreForgets,
         Self::Killed,
     ];
+
+    /// The shocks of a soak, in the order in which they come.
+    fn draw_all(options: &SoakOptions, domains: usize, random: &mut StdRng) -> Vec<Self> {
+        let mut shocks = Vec::new();
+        if options.is_silencing {
+            shocks.extend(Self::SILENCING);
+        }
+        if options.is_cutting {
+            let domain = random.random_range(0..domains);
+            shocks.extend(HostShock::all(domain).map(Self::Hosts));
+        }
+        shocks.shuffle(random);
+        shocks
+    }
 }
 
 impl SoakStage {
     /// While callers go on and all links are narrow, changes are confirmed beside shocks, each of them once, and each host
     /// is asked what is in force there.
-    pub async fn check_force(&mut self, seed: u64) -> Result<(Vec<SoakBreach>, Vec<SoakRecord>)> {
-        let mut random = StdRng::seed_from_u64(seed ^ SHOCK_SALT);
+    pub async fn check_force(
+        &mut self,
+        options: &SoakOptions,
+    ) -> Result<(Vec<SoakBreach>, Vec<SoakRecord>)> {
+        let mut random = StdRng::seed_from_u64(options.seed ^ SHOCK_SALT);
         let (mut breaches, mut records) = (Vec::new(), Vec::new());
+        let shocks = ForceShock::draw_all(options, self.domains, &mut random);
+        if shocks.is_empty() {
+            return Ok((breaches, records));
+        }
         let between_hosts = self.host_links.iter().map(|link| &link.connections);
         for link in between_hosts.chain(&self.store_links) {
             link.set(ProxyMode::Narrow);
@@ -69,15 +92,28 @@
             self.confirm_version();
             sleep(WARMING_PAUSE).await;
         }
-        let mut shocks = ForceShock::ALL;
-        shocks.shuffle(&mut random);
         for shock in shocks {
             let leaving = random.random_range(0..self.site.services.len());
             self.trace.note_shock(&format!("{shock:?}, {leaving} leaves"))?;
-            self.strike(shock, leaving, &mut random).await?;
+            let question = |stage: &Self, part: &str| ForceQuestion {
+                name: format!("s{}-{shock:?}-{part}", options.seed).replace(['(', ')'], ""),
+                version: stage.version,
+                leaving,
+            };
+            match shock {
+                ForceShock::Hosts(shock) => {
+                    let spared = self.begin_shock(shock, leaving, FORCE_BOUND, &mut random).await?;
+                    let question = question(self, "beside");
+                    breaches.extend(self.ask_hosts(&question, &spared, &mut records).await);
+                    self.end_shock(shock, &mut random).await?;
+                }
+                _ => self.strike(shock, leaving, &mut random).await?,
+            }
             self.trace.note_shock(&format!("version {} confirmed", self.version))?;
             sleep(FORCE_BOUND).await;
-            breaches.extend(self.ask_hosts(seed, shock, leaving, &mut records).await);
+            let all: Vec<usize> = (0..self.hosts.len()).collect();
+            let question = question(self, "after");
+            breaches.extend(self.ask_hosts(&question, &all, &mut records).await);
             self.state_service(leaving, "ready");
             self.restart_crashed().await?;
             sleep(BETWEEN_SHOCKS).await;
@@ -108,6 +144,8 @@
                 sleep(WARMING_PAUSE).await;
                 self.wait_ready().await?;
             }
+            // Their steps take a time of their own.
+            ForceShock::Hosts(_) => return Ok(()),
         }
         self.confirm_version();
         self.state_service(leaving, "draining");
@@ -136,62 +174,4 @@
             }
         }
     }
-
-    async fn ask_hosts(
-        &self,
-        seed: u64,
-        shock: ForceShock,
-        leaving: usize,
-        records: &mut Vec<SoakRecord>,
-    ) -> Vec<SoakBreach> {
-        let before = self.leaving_runs(leaving, seed);
-        let mut breaches = Vec::new();
-        for (place, host) in self.hosts.iter().enumerate() {
-            let (added, dropped) = (self.version, dropped_mark(self.version));
-            for (path, is_there) in [(mark_path(added), true), (mark_path(dropped), false)] {
-                let id = format!("s{seed}-force-{shock:?}-{place}-{is_there}");
-                let call = mark_call(&path, &id);
-                let reply = call_site(host.callers, &call).await;
-                let status = reply.ok().map(|reply| reply.status.as_u16());
-                records.push(SoakRecord { id, route: SoakRoute::Safe, status });
-                if status.is_some_and(|status| (status == 404) == is_there) {
-                    breaches.push(SoakBreach {
-                        promise: "what was confirmed is in force at each host",
-                        detail: format!("{shock:?}, host-{place}: {path} was answered {status:?}"),
-                    });
-                }
-            }
-            for serial in 0..PLAIN_CALLS {
-                let id = format!("s{seed}-{LEAVING_MARK}-{shock:?}-{place}-{serial}");
-                let reply = call_site(host.callers, &mark_call("/safe/", &id)).await;
-                let status = reply.ok().map(|reply| reply.status.as_u16());
-                records.push(SoakRecord { id, route: SoakRoute::Safe, status });
-            }
-        }
-        let after = self.leaving_runs(leaving, seed);
-        if after > before {
-            let detail = format!("{shock:?}: {} runs", after - before);
-            breaches.push(SoakBreach { promise: "a draining server gets no new work", detail });
-        }
-        breaches
-    }
-
-    /// Runs at a server of requests that were sent after its leaving was in force.
-    fn leaving_runs(&self, place: usize, seed: u64) -> usize {
-        let mark = format!("s{seed}-{LEAVING_MARK}-");
-        self.site.services[place].runs().iter().filter(|id| id.starts_with(&mark)).count()
-    }
-}
-
-/// Stands in the ids of requests that a leaving server must not get.
-const LEAVING_MARK: &str = "leaving";
-
-fn mark_call(path: &str, id: &str) -> SiteCall {
-    SiteCall {
-        method: "GET",
-        path: format!("{path}x"),
-        id: id.to_owned(),
-        headers: vec![("x-deadline-ms", "5000".to_owned())],
-        body: "",
-    }
 }
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -1,10 +1,11 @@
 //! Begins and ends a soak's faults.
 
 use super::soak_burst::{BurstStep, draw_burst};
+use super::soak_cut::CutGroup;
 use super::soak_fault::{FaultPlaces, SoakFault, draw_fault};
 use super::soak_run::{SoakOptions, SoakStage};
 use crate::Result;
-use crate::bench::links::ProxyMode;
+use crate::bench::links::{CutScope, ProxyMode};
 use crate::bench::site::{EngineFault, RestartPlace, ServiceFault, SiteEngine, StoreFault};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -36,6 +37,10 @@
 const SILENCE_PART: f64 = 0.12;
 const SILENCE_SALT: u64 = 0x51_1e9c;
 const SILENT_LINKS: f64 = 0.3;
+/// Part of the draws that come with a cut of machines, what sets their draws apart from others, and how long it lasts.
+const CUT_PART: f64 = 0.25;
+const CUT_SALT: u64 = 0xc0_7ab1e;
+const CUT_MS: Range<u64> = 300..5500;
 /// How long a server is down that crashed under a request.
 const CRASHED_MS: Range<u64> = 300..2500;
 
@@ -50,6 +55,7 @@
         let mut suspends = StdRng::seed_from_u64(options.seed ^ SUSPEND_SALT);
         let mut limits = StdRng::seed_from_u64(options.seed ^ LIMIT_SALT);
         let mut silences = StdRng::seed_from_u64(options.seed ^ SILENCE_SALT);
+        let mut cuts = StdRng::seed_from_u64(options.seed ^ CUT_SALT);
         let mut crashed = BTreeMap::new();
         let places = self.places();
         let ends = Instant::now() + options.length;
@@ -83,6 +89,13 @@
                 self.silence_connections(part, &mut silences);
                 count += 1;
             }
+            if options.is_cutting && cuts.random_bool(CUT_PART) {
+                let fault = draw_cut(&mut cuts, places.hosts, self.domains);
+                self.begin(fault)?;
+                count += 1;
+                let lasts = Duration::from_millis(cuts.random_range(CUT_MS));
+                open.push((fault, Instant::now() + lasts));
+            }
             count += self.restart_due(&mut crashed, &mut restarts).await?;
             let gap = random.random_range(0..LONGEST_GAP_MS);
             sleep(Duration::from_millis(gap)).await;
@@ -177,6 +190,7 @@
             SoakFault::Stop(place) => self.hosts[place].signal("-TERM")?,
             SoakFault::Pause(place) => self.hosts[place].signal("-STOP")?,
             SoakFault::Suspend(place) => self.hosts[place].suspend()?,
+            SoakFault::Cut(group, scope) => self.begin_cut(group, scope),
             SoakFault::Reload(place) => self.hosts[place].signal("-HUP")?,
             SoakFault::Configure => self.confirm_version(),
             SoakFault::DrainServer(place) => self.state_service(place, "draining"),
@@ -201,6 +215,7 @@
                 self.hosts[place].restart()?;
             }
             SoakFault::Pause(place) | SoakFault::Suspend(place) => self.hosts[place].resume()?,
+            SoakFault::Cut(group, scope) => self.end_cut(group, scope),
             SoakFault::DrainServer(place) => self.state_service(place, "ready"),
             SoakFault::StoreForgets | SoakFault::Reload(_) | SoakFault::Configure => {}
         }
@@ -223,6 +238,11 @@
     }
 }
 
+fn draw_cut(random: &mut StdRng, hosts: usize, domains: usize) -> SoakFault {
+    let scope = if random.random_bool(0.5) { CutScope::All } else { CutScope::Hosts };
+    SoakFault::Cut(CutGroup::draw(random, hosts, domains), scope)
+}
+
 /// Draws what begins next: one fault, or a series.
 fn draw_steps(random: &mut StdRng, places: FaultPlaces) -> Vec<BurstStep> {
     if random.random_bool(BURST_PART) {
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -1,13 +1,14 @@
 use super::answer_link::AnswerLink;
 use super::soak_caller::{CallerPlan, SoakNotes, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
+use super::soak_cut::machine_address;
 use super::soak_trace::SoakTrace;
 use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode};
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
 use crate::bench::{GatewayProcess, ProcessPlan, free_ports};
 use crate::host::lock;
 use crate::{Error, Result};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -45,6 +46,9 @@
     pub is_limiting: bool,
     /// Open connections fall silent, and each host is asked in the end what is in force there.
     pub is_silencing: bool,
+    /// Machines are cut off, with the same questions in the end; the daemons' environment has a library that lets
+    /// their connections come from the address of their machine.
+    pub is_cutting: bool,
     /// Routes of the configuration that nobody asks for.
     pub further_routes: usize,
     /// Variables of the daemons' environment.
@@ -64,8 +68,11 @@
     /// Before each of these: where its host reaches the store.
     pub store_answers: Vec<AnswerLink>,
     pub hosts: Vec<GatewayProcess>,
-    /// Before each of them, if connections fall silent: where the others reach it.
+    /// Before each of them, if the links between them have faults: where the others reach it.
     pub host_links: Vec<HostLink>,
+    pub sockets: LinkSockets,
+    /// Failure domains over which the hosts are dealt out in turn.
+    pub domains: usize,
     /// Of the configuration.
     pub version: u64,
     pub further_routes: usize,
@@ -98,11 +105,7 @@
     stage.heal().await?;
     let over_limits =
         if options.is_limiting { stage.check_limits(options.seed).await? } else { Vec::new() };
-    let in_force = if options.is_silencing {
-        stage.check_force(options.seed).await?
-    } else {
-        Default::default()
-    };
+    let in_force = stage.check_force(options).await?;
     notes.ended.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
@@ -135,10 +138,11 @@
     async fn start(options: &SoakOptions, folder: &std::path::Path) -> Result<Self> {
         let plan = SitePlan { prefills: 2, decodes: 3, services: 3, hosts: 0 };
         let site = TestSite::start(plan).await?;
+        let sockets = LinkSockets::default();
         let mut links = Vec::new();
         let mut answer_links = Vec::new();
         for (server, place) in site.servers.iter().zip(0..) {
-            let link = LinkProxy::start(server.address).await?;
+            let link = LinkProxy::start_among(server.address, sockets.cuts.clone()).await?;
             let seed = options.seed.wrapping_mul(SERVER_SEEDS) + place;
             let answers = AnswerLink::start(link.address, seed).await?;
             site.state_server(&server.id, server.service, answers.address, server.stage, "ready");
@@ -163,43 +167,67 @@
             store_answers: Vec::new(),
             hosts: Vec::new(),
             host_links: Vec::new(),
+            sockets,
+            domains: options.domains.clamp(1, DOMAINS.len()),
             version: 1,
             further_routes: options.further_routes,
             trace: SoakTrace::create(folder)?,
         };
         stage.confirm_version();
-        let program = options.programs.join("tealcleatd");
-        let sockets = LinkSockets::default();
         for place in 0..options.hosts {
-            let link = LinkProxy::start(stage.site.store_address).await?;
-            let seed = options.seed.wrapping_mul(SERVER_SEEDS) + (stage.links.len() + place) as u64;
-            let store = AnswerLink::start(link.address, seed).await?;
-            let seeds: Vec<SocketAddr> = stage.hosts.iter().map(|host| host.peers).collect();
-            let name = format!("host-{place}");
-            let advertised = options.is_silencing.then(advertised_address).transpose()?;
-            let host = GatewayProcess::start(&ProcessPlan {
-                program: &program,
-                folder,
-                name: &name,
-                domain: DOMAINS[place % options.domains.clamp(1, DOMAINS.len())],
-                store: store.address,
-                seeds: &seeds,
-                advertised,
-                revocation: None,
-                environment: &options.environment,
-            })?;
-            if let Some(advertised) = advertised {
-                let link = HostLink::open(advertised, host.peers_listen, &sockets).await?;
-                stage.host_links.push(link);
-            }
-            stage.store_links.push(link);
-            stage.store_answers.push(store);
-            stage.hosts.push(host);
+            stage.add_host(options, folder, place).await?;
         }
         stage.wait_ready().await?;
+        if options.is_cutting && !stage.knows_machines() {
+            let cause = "connections of daemons do not come from their machines' addresses";
+            return Err(Error::Refused(cause.to_owned()));
+        }
         Ok(stage)
     }
 
+    /// Starts a daemon, and the links before it and between it and the store.
+    async fn add_host(
+        &mut self,
+        options: &SoakOptions,
+        folder: &std::path::Path,
+        place: usize,
+    ) -> Result<()> {
+        let cuts = self.sockets.cuts.clone();
+        let link = LinkProxy::start_among(self.site.store_address, cuts).await?;
+        let seed = options.seed.wrapping_mul(SERVER_SEEDS) + (self.links.len() + place) as u64;
+        let store = AnswerLink::start(link.address, seed).await?;
+        let seeds: Vec<SocketAddr> = self.hosts.iter().map(|host| host.peers).collect();
+        let has_link = options.is_silencing || options.is_cutting;
+        let advertised = has_link.then(advertised_address).transpose()?;
+        let here = IpAddr::from(Ipv4Addr::LOCALHOST);
+        let host = GatewayProcess::start(&ProcessPlan {
+            program: &options.programs.join("tealcleatd"),
+            folder,
+            name: &format!("host-{place}"),
+            domain: DOMAINS[place % self.domains],
+            machine: if options.is_cutting { machine_address(place) } else { here },
+            store: store.address,
+            seeds: &seeds,
+            advertised,
+            revocation: None,
+            environment: &options.environment,
+        })?;
+        if let Some(advertised) = advertised {
+            let link = HostLink::open(advertised, host.peers_listen, &self.sockets).await?;
+            self.host_links.push(link);
+        }
+        self.store_links.push(link);
+        self.store_answers.push(store);
+        self.hosts.push(host);
+        Ok(())
+    }
+
+    /// Whether links can tell from which machine a connection comes.
+    fn knows_machines(&self) -> bool {
+        let mut links = self.store_links.iter().zip(0..);
+        links.all(|(link, place)| link.last_source() == Some(machine_address(place)))
+    }
+
     /// Ends all faults and waits until everything serves.
     async fn heal(&mut self) -> Result<()> {
         self.site.store.set_fault(StoreFault::None);
@@ -211,6 +239,7 @@
             self.state_service(place, "ready");
         }
         self.take_limits_back();
+        self.sockets.cuts.end_all();
         self.restart_crashed().await?;
         for link in self.links.iter().chain(&self.store_links) {
             link.set(ProxyMode::Pass);
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -86,6 +86,9 @@
         limiting: bool,
         /// Open connections fall silent, and hosts are asked what is in force
         silencing: bool,
+        /// Machines are cut off, and hosts are asked what is in force; one of the daemons' variables names a library
+        /// that lets their connections come from the address that TEALCLEAT_SOURCE names
+        cutting: bool,
         /// Routes of the configuration that nobody asks for
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -34,6 +34,7 @@
             suspending,
             limiting,
             silencing,
+            cutting,
             further_routes,
             variable,
         } => {
@@ -49,6 +50,7 @@
                 is_suspending: *suspending,
                 is_limiting: *limiting,
                 is_silencing: *silencing,
+                is_cutting: *cutting,
                 further_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -7,17 +7,17 @@
 //! the contents of the request under which each server broke off, and in these tests each return reaches a server.
 
 use rstest::rstest;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tealcleat::bench::site::{RestartPlace, SiteCall, SitePlan, TestSite, call_site};
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
 use tealcleat::quarantine::CRASH_LIFE;
 
+mod machine_common;
 mod site_common;
-mod suspended_common;
 
+use machine_common::{daemon, test_folder};
 use site_common::{call, runtime};
-use suspended_common::{daemon, test_folder};
 
 const LOOK: Duration = Duration::from_millis(5);
 /// Servers that must have ended under a request before it is held against it.
@@ -155,6 +155,7 @@
             folder: &folder,
             name: "host",
             domain: "a",
+            machine: Ipv4Addr::LOCALHOST.into(),
             store: site.store_address,
             seeds: &[],
             advertised: None,
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -7,7 +7,7 @@
 //! it had sent; here the server's own count of arrivals shows that nothing changes as it names its limit.
 
 use rstest::rstest;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,11 +15,11 @@
 use tealcleat::bench::site::{LimitExcess, LimitSpeech, SitePlan, TestSite, call_site};
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
 
+mod machine_common;
 mod site_common;
-mod suspended_common;
 
+use machine_common::{daemon, held_clock, test_folder};
 use site_common::{call, runtime};
-use suspended_common::{daemon, held_clock, test_folder};
 
 const DOMAINS: &[&str] = &["a", "b", "c"];
 const HOSTS: usize = 6;
@@ -104,6 +104,7 @@
         folder,
         name: &format!("host-{place}"),
         domain: DOMAINS[place % DOMAINS.len()],
+        machine: Ipv4Addr::LOCALHOST.into(),
         store: site.store_address,
         seeds,
         advertised: None,
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -1,13 +1,13 @@
 //! A short soak of real daemons as processes of their own, with faults from outside. Seeds that
 //! ever failed stay here, each with its cause.
 
+use machine_common::held_clock;
 use rstest::rstest;
 use std::path::Path;
 use std::time::Duration;
-use suspended_common::held_clock;
 use tealcleat::bench::soak::{SoakOptions, run_soak};
 
-mod suspended_common;
+mod machine_common;
 
 #[rstest]
 #[case::first(1)]
@@ -69,6 +69,7 @@
         is_suspending: false,
         is_limiting: false,
         is_silencing: false,
+        is_cutting: false,
         further_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("a folder").to_path_buf(),
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -6,17 +6,18 @@
 //! on lets nobody in.
 
 use rstest::rstest;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 use tealcleat::bench::site::{
     SiteCall, SitePlan, StoreFault, TestSite, call_site, config, keyed_config,
 };
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
 
+mod machine_common;
 mod site_common;
-mod suspended_common;
 
+use machine_common::{daemon, held_clock, test_folder};
 use site_common::{call, runtime};
-use suspended_common::{daemon, held_clock, test_folder};
 
 const LOOK: Duration = Duration::from_millis(20);
 const REVOCATION: Duration = Duration::from_millis(2000);
@@ -57,6 +58,7 @@
             folder: &folder,
             name: "host",
             domain: "a",
+            machine: Ipv4Addr::LOCALHOST.into(),
             store: site.store_address,
             seeds: &[],
             advertised: None,
