Logs say when and why a host asks the store itself, and since when it heard nobody

The record and the logs could not tell a host that hears no other host from one that is calm: it knows of no newer view (view_behind is silent), and no line said when it began to doubt. watch_duty is written as that changes, with the age of the view, for how long the host has known itself to be behind, since when it heard no other host and since when the store refuses it.

No decision is changed: DutyView::unheard_for is not looked at yet.

--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -52,6 +52,17 @@
     Hear,
 }
 
+impl WatchDuty {
+    /// As logs say it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Watch => "watch",
+            Self::Doubt => "doubt",
+            Self::Hear => "hear",
+        }
+    }
+}
+
 /// What the duty depends on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DutyView {
@@ -66,6 +77,8 @@
     pub view_age: Duration,
     /// For how long this host has known that others have a newer view.
     pub behind_for: Option<Duration>,
+    /// Time since it heard anything of another host, if there are others.
+    pub unheard_for: Option<Duration>,
     /// How old its configuration may be, if keys of callers depend on that.
     pub config_age: Option<Duration>,
     /// Time since its own last call, if that was refused or not answered.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod crash_store;
 mod crash_watch;
 mod decode_room;
+mod duty_log;
 mod engine_call;
 mod engine_hold;
 mod event_reader;
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -1,3 +1,4 @@
+use super::duty_log::DutyLog;
 use super::gateway_host::GatewayHost;
 use super::store_contact::{FollowedKind, note_heard, note_lost};
 use super::view_lag::LagReport;
@@ -76,8 +77,12 @@
     let mut watched = None;
     let mut refused_at = None;
     let mut answered_at = None;
+    let mut report = DutyLog::new(kind);
     loop {
-        if host.watch_duty(kind, refused_at, answered_at) == WatchDuty::Hear {
+        let view = host.duty_view(kind, refused_at, answered_at);
+        let duty = watch_duty(&view);
+        report.note(duty, &view);
+        if duty == WatchDuty::Hear {
             watched = None;
             question = NextQuestion::Wait;
             tokio::time::sleep(DUTY_PERIOD).await;
@@ -132,27 +137,28 @@
 }
 
 impl GatewayHost {
-    /// Whether this host asks the store for a kind itself, or hears it from others.
+    /// What decides whether this host asks the store for a kind itself, or hears it from others.
     ///
     /// `refused_at` is the time of its own last call, if that failed, and `answered_at` that of the last one that did not.
-    fn watch_duty(
+    fn duty_view(
         &self,
         kind: FollowedKind,
         refused_at: Option<TimePoint>,
         answered_at: Option<TimePoint>,
-    ) -> WatchDuty {
+    ) -> DutyView {
         let known = self.known_revision(kind).is_some();
         let now = self.now();
         let state = self.state();
         let domain = self.domain();
         let watcher = state.watcher(now, domain);
         let is_vacant = watcher.is_none_or(|host| state.refused.is_refused(now, host));
-        watch_duty(&DutyView {
+        DutyView {
             uninformed_for: (!known).then(|| now.since(TimePoint::default())),
             elected: watcher == Some(self.incarnation),
             answered_for: answered_at.filter(|_| is_vacant).map(|at| now.since(at)),
             view_age: state.view_age(now, kind),
             behind_for: state.behind_for(now, kind),
+            unheard_for: state.members.unheard_for(now),
             config_age: match kind {
                 FollowedKind::Routes => {
                     state.longest_config_age().map(|_| state.config_age.age(now))
@@ -162,7 +168,7 @@
             refused_for: refused_at.map(|at| now.since(at)),
             domain_hosts: state.members.owners(domain).count(),
             salt: self.incarnation.0,
-        })
+        }
     }
 
     /// Waits after a call that failed; a watcher no longer than until the store has answered somebody else.
--- a/src/membership/member_state.rs
+++ b/src/membership/member_state.rs
@@ -12,3 +12,10 @@
     /// It is gone; its incarnation never comes back.
     Dead,
 }
+
+impl MemberState {
+    /// Whether such a host may own things: it is alive, or merely suspected.
+    pub const fn is_living(self) -> bool {
+        matches!(self, Self::Alive | Self::Suspect)
+    }
+}
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -101,7 +101,7 @@
     /// Hosts that may own things: alive or merely suspected, this host included.
     pub fn living(&self) -> impl Iterator<Item = (u64, MemberUpdate)> {
         self.all()
-            .filter(|update| matches!(update.state, MemberState::Alive | MemberState::Suspect))
+            .filter(|update| update.state.is_living())
             .map(|update| (update.incarnation.0, update))
     }
 
@@ -124,6 +124,14 @@
         }
     }
 
+    /// Time since anything was heard of any other host that lives; `None` if there is none to be heard.
+    pub fn unheard_for(&self, now: TimePoint) -> Option<Duration> {
+        let living = self.members.values().filter(|record| record.update.state.is_living());
+        // A host that was only told of may have been heard from the moment on at which that was.
+        let heard = living.map(|record| record.heard_at.unwrap_or(record.since)).max();
+        heard.map(|at| now.since(at))
+    }
+
     /// Those of them in `domain`.
     pub fn owners(&self, domain: NameKey) -> impl Iterator<Item = (u64, MemberUpdate)> {
         self.living().filter(move |(_, update)| update.domain == domain)
