--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -1,7 +1,7 @@
 //! A short soak of real daemons as processes of their own, with faults from outside. Seeds that
 //! ever failed stay here, each with its cause.
 
-use machine_common::held_clock;
+use machine_common::{held_clock, source_address};
 use rstest::rstest;
 use std::path::Path;
 use std::time::Duration;
@@ -57,6 +57,22 @@
     run(SoakOptions { hosts: 5, is_silencing: true, further_routes: 1400, length, ..plan });
 }
 
+/// The same beside machines that are cut off, from everything or from other hosts only, in series and beside kills.
+#[test]
+fn confirmed_changes_in_force_beside_cut_machines() {
+    let plan = options(1);
+    let environment = source_address("soak-cuts");
+    let length = Duration::from_secs(3);
+    run(SoakOptions {
+        hosts: 12,
+        is_cutting: true,
+        further_routes: 1400,
+        length,
+        environment,
+        ..plan
+    });
+}
+
 fn options(seed: u64) -> SoakOptions {
     let daemon = Path::new(env!("CARGO_BIN_EXE_tealcleatd"));
     SoakOptions {
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -198,3 +198,30 @@
     };
     assert_eq!(watch_duty(&view), expected);
 }
+
+/// Pattern: a host that reaches the store but no other host. It heard of no newer view, and took that for a sign that there
+/// was none.
+#[rstest]
+#[case::just_heard(900, WatchDuty::Hear)]
+#[case::hears_nobody(1000, WatchDuty::Doubt)]
+fn host_that_hears_nobody_asks_the_store(
+    #[case] unheard_ms: u64,
+    #[case] expected: WatchDuty,
+    #[values(2, 20, 100, 400)] domain_hosts: usize,
+) {
+    for salt in 0..1000 {
+        let view = DutyView {
+            uninformed_for: None,
+            elected: false,
+            answered_for: None,
+            view_age: Duration::from_millis(unheard_ms),
+            behind_for: None,
+            unheard_for: Some(Duration::from_millis(unheard_ms)),
+            config_age: None,
+            refused_for: None,
+            domain_hosts,
+            salt,
+        };
+        assert_eq!(watch_duty(&view), expected);
+    }
+}
