A host that hears no other host asks the store

Callers saw 404 on routes that had been confirmed 3 s before, at hosts that reached the store and the servers but no other host. Cause: such a host hears of no newer view, so it does not know itself to be behind; it took the age of the last news for the age of a calm fleet and doubted its view after 2.3 s and up to 2 s more in a small domain, 6 s in one of 24 hosts. A cut that spares the way to the store leaves a host in touch.

Ruled out: dead connections (none was tried, no call given up), versions that go back (none in any log).

Change: a host that has heard nobody for a second asks the store, at once and whatever the size of its domain; refused, it asks again each second, since its calls spare nobody else theirs. Even in a calm fleet a host hears some ten datagrams a second (loads at least each 0.8 s to six others, probes and their answers), so that a second without any is no chance.

--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -19,6 +19,12 @@
 /// Such hosts begin to ask spread over this time: those that are answered first hand their view on.
 const BEHIND_SPREAD: Duration = Duration::from_millis(400);
 
+/// A host that hears no other host for this long gets no news from any: silence says nothing of the store. Even in a calm
+/// fleet a host hears ten datagrams a second.
+const UNHEARD_LIMIT: Duration = Duration::from_millis(1000);
+/// How often such a host asks a store that refuses it: its calls spare nobody else theirs.
+const UNHEARD_PAUSE: Duration = Duration::from_millis(1000);
+
 /// A host that the store answers watches while it refuses the watcher, and all hosts that could be elected in its place: if
 /// it only asked when in doubt, its failure domain would hear of a change 2.3 s later, or more.
 const STAND_IN_TIME: Duration = Duration::from_millis(1500);
@@ -45,7 +51,7 @@
 pub enum WatchDuty {
     /// It watches for its failure domain, or has no view and heard of none.
     Watch,
-    /// It asks because nobody else seems to be answered, because it cannot get from others what they have, or to learn
+    /// It asks because nobody else is heard or seems to be answered, because it cannot get from others what they have, or to learn
     /// whether it is answered again.
     Doubt,
     /// It hears changes from others.
@@ -89,8 +95,15 @@
     pub salt: u64,
 }
 
+impl DutyView {
+    /// Whether nothing reaches the host that others could tell it.
+    pub fn is_on_its_own(&self) -> bool {
+        self.unheard_for.is_some_and(|time| time >= UNHEARD_LIMIT)
+    }
+}
+
 /// Decides who watches: one host a failure domain among those that the store answers, and any host whose watcher
-/// seems cut off or that cannot get from others what they have.
+/// seems cut off, that hears no other host or that cannot get from others what they have.
 pub fn watch_duty(view: &DutyView) -> WatchDuty {
     if let Some(time) = view.uninformed_for {
         let wait = NEIGHBOUR_WAIT + part_of(LISTING_SPREAD, view.salt);
@@ -100,12 +113,14 @@
         return WatchDuty::Watch;
     }
     let asks = match view.refused_for {
+        Some(time) if view.is_on_its_own() => time >= UNHEARD_PAUSE,
         Some(time) => time >= stretched(REFUSED_PAUSE, view.domain_hosts),
         None => {
             let spread = stretched(DOUBT_SPREAD, view.domain_hosts);
             let unsure = UNSURE_AGE + part_of(UNSURE_SPREAD, view.salt);
             let patience = BEHIND_LIMIT + part_of(BEHIND_SPREAD, view.salt);
-            view.view_age > DOUBT_AGE + part_of(spread, view.salt)
+            view.is_on_its_own()
+                || view.view_age > DOUBT_AGE + part_of(spread, view.salt)
                 || view.behind_for.is_some_and(|time| time > patience)
                 || view.config_age.is_some_and(|age| age > unsure)
         }
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -125,7 +125,9 @@
                 watched = None;
                 question = question.after_failure(&error);
                 host.pause_unless_heard(pause).await;
-                pause = (pause * 2).min(host.longest_pause(kind));
+                let longest =
+                    if view.is_on_its_own() { LONGEST_PAUSE } else { host.longest_pause(kind) };
+                pause = (pause * 2).min(longest);
                 continue;
             }
         }
