A host that knows itself to be behind asks again a second after the store refused it

The pause is there so that hosts of a large domain spare the store in an outage: others' answers serve them. They do not serve this host.

Change: who lacks news, by silence or by lag, asks again each second. store_watch::host_behind_asks_again_after_a_refusal fails without it for 20 hosts and more; calls_in_an_outage_do_not_grow_with_the_domain holds as before.

--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -23,12 +23,12 @@
 /// Even in a calm fleet a host hears ten datagrams a second, and those that are next in the watcher's office one of its
 /// each 0.8 s.
 const UNHEARD_LIMIT: Duration = Duration::from_millis(1000);
-/// How often such a host asks a store that refuses it: its calls spare nobody else theirs.
-const UNHEARD_PAUSE: Duration = Duration::from_millis(1000);
+/// How often a host that lacks news asks a store that refuses it: waiting for others does not help it.
+const LACKING_PAUSE: Duration = Duration::from_millis(1000);
 
 /// A host that the store answers watches while it refuses the watcher and all hosts that could be elected in its place, and
-/// as long as neither that one nor a newer answer is heard: if it only asked when in doubt, its failure domain would hear of a change 2.3 s later, or
-/// more.
+/// as long as neither that one nor a newer answer is heard: if it only asked when in doubt, its failure domain would hear
+/// of a change 2.3 s later, or more.
 const STAND_IN_TIME: Duration = Duration::from_millis(1500);
 
 /// A host that the store refused, and that is not elected therefore, asks again this long after its
@@ -100,9 +100,11 @@
 }
 
 impl DutyView {
-    /// Whether the host does not hear those that would tell it of news.
+    /// Whether the host does not hear those that would tell it of news, or cannot get from them what they have.
     pub fn lacks_news(&self) -> bool {
+        let patience = BEHIND_LIMIT + part_of(BEHIND_SPREAD, self.salt);
         self.unheard_for.is_some_and(|time| time >= UNHEARD_LIMIT)
+            || self.behind_for.is_some_and(|time| time > patience)
     }
 }
 
@@ -117,15 +119,13 @@
         return WatchDuty::Watch;
     }
     let asks = match view.refused_for {
-        Some(time) if view.lacks_news() => time >= UNHEARD_PAUSE,
+        Some(time) if view.lacks_news() => time >= LACKING_PAUSE,
         Some(time) => time >= stretched(REFUSED_PAUSE, view.domain_hosts),
         None => {
             let spread = stretched(DOUBT_SPREAD, view.domain_hosts);
             let unsure = UNSURE_AGE + part_of(UNSURE_SPREAD, view.salt);
-            let patience = BEHIND_LIMIT + part_of(BEHIND_SPREAD, view.salt);
             view.lacks_news()
                 || view.view_age > DOUBT_AGE + part_of(spread, view.salt)
-                || view.behind_for.is_some_and(|time| time > patience)
                 || view.config_age.is_some_and(|age| age > unsure)
         }
     };
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -246,3 +246,28 @@
     assert_eq!(ids(refused.before(now, IncarnationId(own), hosts())), before);
     assert_eq!(ids(RefusedHosts::after(IncarnationId(own), hosts())), after);
 }
+
+/// Pattern: a host that the store refused once, and that then cannot get from others what they have. In a large failure domain
+/// it left the store alone for half a minute.
+#[rstest]
+#[case::asked_just_now(900, WatchDuty::Hear)]
+#[case::asked_a_while_ago(1000, WatchDuty::Doubt)]
+fn host_behind_asks_again_after_a_refusal(
+    #[case] refused_ms: u64,
+    #[case] expected: WatchDuty,
+    #[values(3, 20, 100, 400)] domain_hosts: usize,
+) {
+    let view = DutyView {
+        uninformed_for: None,
+        elected: false,
+        answered_for: None,
+        view_age: Duration::from_millis(3000),
+        behind_for: Some(Duration::from_millis(1500)),
+        unheard_for: Some(Duration::from_millis(50)),
+        config_age: None,
+        refused_for: Some(Duration::from_millis(refused_ms)),
+        domain_hosts,
+        salt: 1234,
+    };
+    assert_eq!(watch_duty(&view), expected);
+}
