A host that knows itself to be behind does not say that a route is not there

A host that has heard of a newer configuration and not got it yet cannot know; 404 tells the caller never to come back. Such a request now ends at once with 503, cause route_unknown, and when to come back, as an unknown key does on a host whose view may be old. A host that does not know itself to be behind answers 404 as before, in an outage of the store too: there nothing newer can be confirmed.

confirmed_changes::routes_not_denied_by_a_host_that_knows_itself_to_be_behind fails without it (404).

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -21,6 +21,8 @@
     OutOfTime,
     /// Whether its caller's key is still good cannot be told.
     ConfigTooOld,
+    /// Whether its route is there cannot be told.
+    RouteUnknown,
     /// Whether its organisation is within its limit cannot be told.
     LimitUnknown,
     /// Servers crashed under it.
@@ -39,6 +41,7 @@
             Self::TurnedAway => "turned_away",
             Self::OutOfTime => "out_of_time",
             Self::ConfigTooOld => "config_too_old",
+            Self::RouteUnknown => "route_unknown",
             Self::LimitUnknown => "limit_unknown",
             Self::HeldBack => "crashes_servers",
             Self::ServersAtLimit => "servers_at_limit",
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -75,7 +75,7 @@
     }
     let route = routes.find(&head.host, parts.uri.path()).cloned();
     let Some(route) = route else {
-        return Err(CallEnd::Improper(StatusCode::NOT_FOUND, "no_route"));
+        return Err(no_route(host));
     };
     let organisation = let_in(host, &route, head.caller_key).await?;
     let body = read_body(body, routes.limits().body_bytes).await?;
@@ -125,6 +125,15 @@
     })
 }
 
+/// The end of a request on a route that this host does not know. A host that knows itself to be behind cannot say that there
+/// is none: a newer configuration may have it, and the caller would not come back.
+fn no_route(host: &GatewayHost) -> CallEnd {
+    if host.is_behind() {
+        return refuse(NotRunReason::RouteUnknown);
+    }
+    CallEnd::Improper(StatusCode::NOT_FOUND, "no_route")
+}
+
 /// The line that tells why a request that was at crashes of servers is refused or tried.
 fn log_admission(id: &str, contents: RequestKey, admission: &RequestAdmission) {
     let (name, evidence) = match admission {
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -106,6 +106,7 @@
         NotRunReason::NoServer
         | NotRunReason::NotReady
         | NotRunReason::ConfigTooOld
+        | NotRunReason::RouteUnknown
         | NotRunReason::LimitUnknown => spread(NO_SERVER_PAUSE),
         NotRunReason::PromptNotRead
         | NotRunReason::TurnedAway
--- a/src/gateway/view_lag.rs
+++ b/src/gateway/view_lag.rs
@@ -47,6 +47,11 @@
         state.freshness_mut(kind).note_complete(at, reached);
     }
 
+    /// Whether others have a newer configuration that this host has not got yet.
+    pub fn is_behind(&self) -> bool {
+        self.behind_for(self.now(), FollowedKind::Routes).is_some()
+    }
+
     /// For how long this host has known that others have a newer view.
     pub(super) fn behind_for(&self, now: TimePoint, kind: FollowedKind) -> Option<Duration> {
         self.state().behind_for(now, kind)
--- a/tests/confirmed_changes.rs
+++ b/tests/confirmed_changes.rs
@@ -146,3 +146,33 @@
         wait_until("the last version is never in force", || host.routes().version() == last).await;
     });
 }
+
+/// A host hears that there is a newer version, and gets it neither from others nor from the store. Whether a route is there
+/// it can't tell: callers may come back, or ask another host.
+#[test]
+fn routes_not_denied_by_a_host_that_knows_itself_to_be_behind() {
+    runtime().block_on(async {
+        let hosts = LinkedHosts::start().await;
+        for link in &hosts.links {
+            link.connections.set(ProxyMode::Silent);
+        }
+        hosts.site.set_config(3, &added_route(3));
+        let first = &hosts.site.hosts[0].host;
+        wait_until("the watcher never has the version", || first.routes().version() == 3).await;
+        hosts.site.store.set_fault(StoreFault::Silent);
+        let behind = &hosts.site.hosts[1];
+        wait_until("the other never hears of it", || behind.host.is_behind()).await;
+        let reply = call_site(behind.callers, &call("GET", "added-3", "asks-early")).await;
+        let reply = reply.expect("an answer");
+        assert_eq!(reply.status, 503);
+        assert!(!reply.header("retry-after").is_empty());
+        for link in &hosts.links {
+            link.connections.set(ProxyMode::Pass);
+        }
+        hosts.site.store.set_fault(StoreFault::None);
+        wait_until("it never gets the version", || behind.host.routes().version() == 3).await;
+        assert!(is_served(behind.callers, "added-3").await);
+        let reply = call_site(behind.callers, &call("GET", "never-there", "asks-late")).await;
+        assert_eq!(reply.expect("an answer").status, 404);
+    });
+}
