A host whose view is old reads the configuration first, instead of each version since

Cause, from store_call_given_up lines: as they woke, each host went on with the watch of before, the answer to which is every version since, 20 MB; the store did not begin to answer any of them within 1.4 s, nor then to the reads of the object.

Change: whoever begins to ask and whose view last lacked nothing over 2 s ago asks for the object. What a watch would tell is longer only if there were several versions, and only the last one counts.

--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -22,6 +22,9 @@
 /// The same for the watcher of a failure domain whose callers need keys: after an outage they are refused
 /// until it has read the configuration again. With the pause of a large domain that was 3 s.
 const KEYED_PAUSE: Duration = Duration::from_millis(400);
+/// A view that last lacked nothing longer ago than this may lack many versions of the configuration. A watch is told each of
+/// them whole, and of hundreds of hosts that wake together each would be.
+const READ_AGE: Duration = Duration::from_millis(2000);
 /// How often a host that does not watch looks whether it should.
 const DUTY_PERIOD: Duration = Duration::from_millis(100);
 /// How often entries that lapsed are looked through.
@@ -59,6 +62,11 @@
 }
 
 impl NextQuestion {
+    /// The first question of a host whose view last lacked nothing so long ago.
+    fn first(view_age: Duration) -> Self {
+        if view_age > READ_AGE { Self::Now } else { Self::Wait }
+    }
+
     /// The question after one that came to nothing: never the same one for ever, since an answer may be too long to
     /// arrive.
     fn after_failure(self, error: &Error) -> Self {
@@ -102,6 +110,9 @@
         if duty == WatchDuty::Doubt {
             contact.doubts_since.get_or_insert(host.now());
         }
+        if watched.is_none() && question == NextQuestion::Wait {
+            question = NextQuestion::first(view.view_age);
+        }
         let from = watched.or_else(|| host.known_revision(kind));
         let step = match (from, question) {
             (None, _) => list_or_hear(host, kind).await,
