Hosts that may watch hear each other each time; a refusal is forgotten once the store has answered

Cause, from watch_duty and store_regained lines: each host had been refused lately and left the office to another one that it did not know to be refused, since the news of that had been lost in the cut; until the four that are tried had heard each other by chance, nobody asked, and each of the refused waited 5 s. One of them had been answered on the configuration 0.3 s after the cut, and still waited for its 5 s to ask for the servers: the refusal of one kind outlived the answer to the other.

Change: the four hosts that are tried tell each other their load each time, so that they agree within 0.8 s; an answer of the store to any question of a host ends its pause after a refusal.

--- a/src/fleet/refused_hosts.rs
+++ b/src/fleet/refused_hosts.rs
@@ -67,8 +67,8 @@
         oldest
     }
 
-    /// The hosts that come after `own` in an office, if it is one of those that are tried.
-    pub fn after(
+    /// The other hosts that are tried in an office, if `own` is one of them.
+    pub fn beside(
         own: IncarnationId,
         candidates: impl Iterator<Item = IncarnationId>,
     ) -> Vec<IncarnationId> {
@@ -76,7 +76,7 @@
         if !oldest.contains(&own) {
             return Vec::new();
         }
-        oldest.retain(|host| *host > own);
+        oldest.retain(|host| *host != own);
         oldest
     }
 
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -119,6 +119,7 @@
             crashes: CrashBook::default(),
             crashes_revision: None,
             sends: SendControl::default(),
+            answered_at: TimePoint::default(),
             refused: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             unreadable: UnreadableObjects::default(),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -63,6 +63,8 @@
     pub crashes_revision: Option<u64>,
     /// What this host sends and grants under the limits that backend servers named.
     pub sends: SendControl,
+    /// When the store last answered this host, whatever it had asked.
+    pub answered_at: TimePoint,
     /// Hosts that the store does not answer, this one included.
     pub refused: RefusedHosts,
     /// The other hosts.
@@ -100,12 +102,13 @@
         self.members.unheard_for(now, |host| before.is_empty() || before.contains(&host))
     }
 
-    /// Hosts that come after this one as watchers: they listen for it.
-    pub fn next_watchers(&self) -> Vec<SocketAddr> {
+    /// The other hosts that are tried as watchers, if this is one of them: those that come next listen for it, and all must
+    /// agree on whom the store refuses, or each leaves the office to another one.
+    pub fn fellow_watchers(&self) -> Vec<SocketAddr> {
         let own = self.members.own();
         let hosts = self.members.owners(own.domain).map(|(_, member)| member.incarnation);
-        let after = RefusedHosts::after(own.incarnation, hosts);
-        let known = after.into_iter().filter_map(|host| self.members.record(host));
+        let beside = RefusedHosts::beside(own.incarnation, hosts);
+        let known = beside.into_iter().filter_map(|host| self.members.record(host));
         known.map(|record| record.update.address).collect()
     }
 
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -18,7 +18,7 @@
 const COMPARE_LIMIT: Duration = Duration::from_secs(2);
 /// How often a host tells its load.
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
-/// Hosts of the own failure domain told each time, beside those that listen for this one; in a domain of 30 each hears
+/// Hosts of the own failure domain told each time, beside those that may watch as this one may; in a domain of 30 each hears
 /// every 1.5 s.
 const LOAD_NEAR: usize = 4;
 /// Hosts of other failure domains told each time; their bytes are priced.
@@ -210,7 +210,7 @@
         let serial = self.load_serial.fetch_add(1, Ordering::Relaxed);
         let news = GatewayDatagram::Load(self.own_load(serial));
         let mut targets = self.load_targets(serial, most_near, most_abroad);
-        targets.extend(self.state().next_watchers());
+        targets.extend(self.state().fellow_watchers());
         targets.sort_unstable();
         targets.dedup();
         for target in targets {
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -37,7 +37,11 @@
         log::info!("event=store_regained kind={}", kind.name());
     }
     let now = host.now();
-    host.state().fleet.note_store_heard(now, Duration::ZERO);
+    {
+        let mut state = host.state();
+        state.fleet.note_store_heard(now, Duration::ZERO);
+        state.answered_at = now;
+    }
     let away = FollowedKind::ALL.map(|kind| host.store_away(kind).load(Ordering::Relaxed));
     if away == [false, false] {
         host.note_refused(false);
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -192,7 +192,11 @@
                 }
                 FollowedKind::Servers => None,
             },
-            refused_for: contact.refused_at.map(|at| now.since(at)),
+            // An answer to any other question since tells more.
+            refused_for: contact
+                .refused_at
+                .filter(|at| *at > state.answered_at)
+                .map(|at| now.since(at)),
             domain_hosts: state.members.owners(domain).count(),
             salt: self.incarnation.0,
         }
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -227,16 +227,16 @@
 }
 
 /// Pattern: the watcher of a failure domain falls silent, and is found dead only seconds later. The few hosts that come next
-/// listen for those before them that the store answers.
+/// listen for those before them that the store answers, and all of them hear each other.
 #[rstest]
 #[case::watcher(1, &[], &[2, 3, 4])]
-#[case::next_one(2, &[1], &[3, 4])]
-#[case::last_of_them(4, &[1, 3], &[])]
+#[case::next_one(2, &[1], &[1, 3, 4])]
+#[case::last_of_them(4, &[1, 3], &[1, 2, 3])]
 #[case::any_other(5, &[], &[])]
 fn next_watchers_listen_for_those_before_them(
     #[case] own: u64,
     #[case] before: &[u64],
-    #[case] after: &[u64],
+    #[case] beside: &[u64],
 ) {
     let now = at(1000);
     let hosts = || [6, 3, 1, 2, 5, 4].map(IncarnationId).into_iter();
@@ -244,7 +244,7 @@
     refused.note(now, IncarnationId(2), true);
     let ids = |hosts: Vec<IncarnationId>| hosts.into_iter().map(|host| host.0).collect::<Vec<_>>();
     assert_eq!(ids(refused.before(now, IncarnationId(own), hosts())), before);
-    assert_eq!(ids(RefusedHosts::after(IncarnationId(own), hosts())), after);
+    assert_eq!(ids(RefusedHosts::beside(IncarnationId(own), hosts())), beside);
 }
 
 /// Pattern: a host that the store refused once, and that then cannot get from others what they have. In a large failure domain
