--- a/src/fleet/refused_hosts.rs
+++ b/src/fleet/refused_hosts.rs
@@ -58,13 +58,9 @@
         own: IncarnationId,
         candidates: impl Iterator<Item = IncarnationId>,
     ) -> Vec<IncarnationId> {
-        let mut oldest = oldest_candidates(candidates);
-        // All others leave it to these few.
-        if !oldest.contains(&own) {
-            return Vec::new();
-        }
-        oldest.retain(|host| *host < own && !self.is_refused(now, *host));
-        oldest
+        let mut others = Self::beside(own, candidates);
+        others.retain(|host| *host < own && !self.is_refused(now, *host));
+        others
     }
 
     /// The other hosts that are tried in an office, if `own` is one of them.
@@ -73,6 +69,7 @@
         candidates: impl Iterator<Item = IncarnationId>,
     ) -> Vec<IncarnationId> {
         let mut oldest = oldest_candidates(candidates);
+        // All others leave it to these few.
         if !oldest.contains(&own) {
             return Vec::new();
         }
--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -53,8 +53,8 @@
 pub enum WatchDuty {
     /// It watches for its failure domain, or has no view and heard of none.
     Watch,
-    /// It asks because nobody else is heard or seems to be answered, because it cannot get from others what they have, or to learn
-    /// whether it is answered again.
+    /// It asks because nobody else is heard or seems to be answered, because it cannot get from others what they have,
+    /// or to learn whether it is answered again.
     Doubt,
     /// It hears changes from others.
     Hear,
@@ -78,8 +78,8 @@
     pub uninformed_for: Option<Duration>,
     /// The host is its failure domain's watcher.
     pub elected: bool,
-    /// Time since the store answered its own last call, if it refuses the watcher, or if the host had asked in doubt and heard
-    /// neither the watcher nor of a newer answer since.
+    /// Time since the store answered its own last call, if it refuses the watcher, or if the host had asked in doubt and
+    /// heard neither the watcher nor of a newer answer since.
     pub answered_for: Option<Duration>,
     /// Time since the view was last known to lack nothing, by an answer of the store to this host or to one that had
     /// no newer view.
