Repeats come from one pool a failure domain, not from even shares alone

Cause: the slack of 1,040 repeats in 10 s was shared evenly, 1,040 / 986 a host: one repeat, then none for 10 s; the ratio of a host's own 2.4 requests is a third of one. The fleet used less than a tenth of what its bound allows. A share worth less than one unit a host is lost, and grows smaller with the fleet.

Ruled out: a larger share (breaks the bound as soon as many hosts need theirs); one owner for all domains (a domain cut off would have none); counts told and summed (as late as the news).

Change: hosts keep a quarter of the slack and the ratio of their own requests; three quarters are a pool for each failure domain, from which one of its hosts grants when another one is due a repeat. An owner hands out the part of its pool that the hosts that it sees are of those it ever knew, begins with nothing unless hosts have neither come nor gone for a window, and never grants on credit.

tests/retry_window: the even share is of a quarter of the slack; the bound asserted is that quarter, so no looser than before.

--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -3,7 +3,7 @@
 use crate::bench::links::{HostLink, LinkSockets};
 use crate::gateway::{Gateway, start_gateway};
 use crate::limits::LimitBounds;
-use crate::placement::RetryBounds;
+use crate::retries::RetryBounds;
 use crate::settings::{GatewayBounds, GatewaySettings};
 use crate::{Error, Result};
 use serde_json::{Value, json};
@@ -258,7 +258,12 @@
         shared_key: "a-shared-key-of-tests".to_owned(),
         bounds: GatewayBounds {
             grace: Duration::from_secs(8),
-            retries: RetryBounds { ratio: 0.2, slack: 200.0, window: Duration::from_secs(10) },
+            retries: RetryBounds {
+                ratio: 0.2,
+                slack: 200.0,
+                window: Duration::from_secs(10),
+                domains: 1,
+            },
             lease: Duration::from_secs(3),
             revocation: Some(REVOCATION),
             limits: LimitBounds {
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -122,7 +122,7 @@
                 runs.note_lost(server.key());
             }
         }
-        if !may_run_again(context, &runs) {
+        if !may_run_again(context, &runs).await {
             return StreamEnd::Broken;
         }
         let (id, after) = (context.id(), record.last.unwrap_or_default());
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -12,7 +12,8 @@
 use crate::placement::{DomainGates, GrantBook, LoadBoard, ServerNote};
 use crate::platform::StoreClient;
 use crate::quarantine::{BreakOffs, CrashBook};
-use crate::routes::{RouteTable, ServiceKey};
+use crate::retries::{RetryPools, RetryReply};
+use crate::routes::RouteTable;
 use crate::server_limits::{SendControl, SendReply};
 use crate::settings::GatewaySettings;
 use crate::telemetry::MetricBook;
@@ -77,6 +78,7 @@
     pub(super) age_heard: Notify,
     pub(super) limit_waits: ReplyWaits<LimitAnswer>,
     pub(super) send_waits: ReplyWaits<SendReply>,
+    pub(super) retry_waits: ReplyWaits<RetryReply>,
     pub(super) load_serial: AtomicU64,
     pub(super) view_fetches: Mutex<ViewFetches>,
     pub(super) routes_away: AtomicBool,
@@ -112,6 +114,7 @@
             health: HashMap::new(),
             domains: DomainGates::default(),
             retries: HashMap::new(),
+            retry_pools: RetryPools::default(),
             work: HashMap::new(),
             heard_work: HashMap::new(),
             changes: StageChanges::default(),
@@ -140,6 +143,7 @@
             age_heard: Notify::new(),
             limit_waits: ReplyWaits::default(),
             send_waits: ReplyWaits::default(),
+            retry_waits: ReplyWaits::default(),
             load_serial: AtomicU64::new(1),
             view_fetches: Mutex::default(),
             routes_away: AtomicBool::new(false),
@@ -271,14 +275,6 @@
             }
         }
     }
-
-    /// Takes `count` repeats of a service's requests, if the bounds allow them.
-    pub(super) fn take_repeats(&self, service: ServiceKey, count: u32) -> bool {
-        let (now, hosts) = (self.now(), self.known_hosts());
-        let mut state = self.state();
-        let bounds = state.bounds.retries;
-        state.retries.entry(service).or_default().take(now, &bounds, hosts, count)
-    }
 }
 
 /// Hosts assumed before others are known.
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -4,10 +4,9 @@
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate, ViewMark};
 use crate::organisations::ConfigAge;
-use crate::placement::{
-    DomainGates, GrantBook, LoadBoard, RetryWindow, ServerHealth, WorkMeter, WorkSums,
-};
+use crate::placement::{DomainGates, GrantBook, LoadBoard, ServerHealth, WorkMeter, WorkSums};
 use crate::quarantine::{BreakOffs, CrashBook};
+use crate::retries::{RetryPools, RetryWindow};
 use crate::routes::{RouteTable, ServiceKey};
 use crate::server_limits::SendControl;
 use crate::settings::GatewayBounds;
@@ -47,8 +46,10 @@
     pub health: HashMap<ServerKey, ServerHealth>,
     /// Other failure domains, as this host reaches them.
     pub domains: DomainGates,
-    /// Repeats of each service's requests.
+    /// Repeats of each service's requests that this host may make by itself.
     pub retries: HashMap<ServiceKey, RetryWindow>,
+    /// Repeats that it grants to the hosts of its failure domain, if it is the one that does.
+    pub retry_pools: RetryPools,
     /// What an average request of each service takes.
     pub work: HashMap<ServiceKey, WorkMeter>,
     /// The same, as other hosts said and when.
@@ -133,7 +134,6 @@
             .fold(own, |sum, (_, (_, sums))| sum.plus(*sums))
     }
 
-    /// Forgets what nobody repeats.
     /// Takes note of what servers bear that have just started.
     pub(super) fn note_cold(&mut self, now: TimePoint) {
         for (server, until) in self.fleet.cold(now) {
@@ -144,6 +144,7 @@
         }
     }
 
+    /// Forgets what nobody repeats.
     pub fn expire(&mut self, now: TimePoint) {
         self.board.expire(now);
         self.grants.retain(|server| self.fleet.entry(server).is_some());
--- a/src/gateway/limit_desk.rs
+++ b/src/gateway/limit_desk.rs
@@ -267,7 +267,7 @@
     }
 
     /// Hosts of a failure domain that are there, and all that this one ever heard of, itself included.
-    fn domain_hosts(&self, domain: NameKey) -> (usize, usize) {
+    pub(super) fn domain_hosts(&self, domain: NameKey) -> (usize, usize) {
         let (mut seen, mut known) = (HashSet::new(), HashSet::new());
         for host in self.members.all().filter(|host| host.domain == domain) {
             known.insert(host.address);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod ready_server;
 mod reply_waits;
 mod run_open;
+mod retry_desk;
 mod run_start;
 mod send_owner;
 mod send_permit;
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -65,6 +65,8 @@
             Ok(GatewayDatagram::SendAsk(from, ask)) => host.hear_send_ask(address, from, &ask),
             Ok(GatewayDatagram::SendReply(reply)) => host.send_waits.end(reply.sequence, reply),
             Ok(GatewayDatagram::LimitAnswered(answered)) => host.hear_answered(&answered),
+            Ok(GatewayDatagram::RetryAsk(ask)) => host.hear_retry_ask(address, &ask),
+            Ok(GatewayDatagram::RetryReply(reply)) => host.retry_waits.end(reply.sequence, reply),
             Err(error) => {
                 log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
             }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -5,6 +5,7 @@
 use crate::organisations::{AgeAnswer, AgeQuestion};
 use crate::placement::{ServerLoad, WorkSums};
 use crate::quarantine::CrashReport;
+use crate::retries::{RetryAsk, RetryReply};
 use crate::routes::{RouteNews, ServiceKey, TableDigest};
 use crate::server_limits::{LimitAnswered, LimitNews, SendAsk, SendReply};
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,10 @@
     SendReply(SendReply),
     /// How such a server answered a request of the sender.
     LimitAnswered(LimitAnswered),
+    /// The sender asks the owner of its failure domain's pool of repeats.
+    RetryAsk(RetryAsk),
+    /// The owner's reply.
+    RetryReply(RetryReply),
 }
 
 /// What a host knows that others must not wait for.
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -98,7 +98,7 @@
     let untried = ranked.into_iter().filter(|server| !record.tried.contains(&server.key()));
     let (server, permit) = first_permitted(context, untried).await?;
     let repeat = record.sent > 0;
-    if repeat && !context.host.take_repeats(context.service, 1) {
+    if repeat && !context.host.take_repeats(context.service, 1).await {
         log::info!("event=repeat_denied request={} cause=retry_bounds", context.id());
         return None;
     }
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -60,7 +60,7 @@
             continue;
         };
         // The first read is no repeat; each further one counts as one.
-        if reads > 0 && !context.host.take_repeats(context.service, 1) {
+        if reads > 0 && !context.host.take_repeats(context.service, 1).await {
             break;
         }
         reads += 1;
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -77,7 +77,7 @@
             OpenFailure::Unknown(_) if context.left().is_zero() => CallEnd::TimedOut,
             OpenFailure::Unknown(cause) => CallEnd::Unknown(cause),
         };
-        if !may_run_again(context, runs) {
+        if !may_run_again(context, runs).await {
             return Err(end);
         }
         log::info!(
@@ -91,11 +91,11 @@
 
 /// A run that failed is repeated where the route allows it, and the retry bounds do: reading the
 /// prompt again and running again count as one repeat each.
-pub(super) fn may_run_again(context: &CallContext, runs: &RunRecord) -> bool {
+pub(super) async fn may_run_again(context: &CallContext, runs: &RunRecord) -> bool {
     context.route.is_repeatable()
         && runs.sent < context.route.most_servers
         && !context.left().is_zero()
-        && context.host.take_repeats(context.service, 2)
+        && context.host.take_repeats(context.service, 2).await
 }
 
 /// The refusal of a request that did not run, with when its caller may come back.
@@ -205,7 +205,7 @@
     let turned_away = || OpenFailure::TurnedAway(server.clone());
     let late = context.age() > context.route.objective.mul_f64(SECOND_TRY_PART);
     let gone = context.host.has_restarted(server);
-    if late || gone || !context.host.take_repeats(context.service, 1) {
+    if late || gone || !context.host.take_repeats(context.service, 1).await {
         return Err(turned_away());
     }
     let tokens = needed_tokens(context, engine, after);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod platform;
 pub mod quarantine;
+pub mod retries;
 pub mod routes;
 pub mod server_limits;
 pub mod settings;
--- a/src/placement/retry_window.rs
+++ b/src/retries/retry_window.rs
@@ -7,6 +7,9 @@
 /// Part of the ratio that this host uses, so that all hosts together stay below it although
 /// windows slide and requests of one window are repeated in the next.
 const RATIO_MARGIN: f64 = 0.7;
+/// Part of the slack that hosts share out evenly, for repeats that need no question. The rest is in the pools of the
+/// failure domains.
+pub(super) const OWN_PART: f64 = 0.25;
 
 /// Bounds on repeats, which hold over all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -17,6 +20,8 @@
     pub slack: f64,
     /// Length of the sliding window.
     pub window: Duration,
+    /// Failure domains that have hosts; each has a pool of the slack.
+    pub domains: usize,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -26,8 +31,8 @@
     repeats: u32,
 }
 
-/// Repeats that this host may make of one service's requests, without a counter in common: a
-/// ratio of its own requests, and its share of the slack.
+/// Repeats that this host may make of one service's requests without asking anybody: a ratio of its own requests, and
+/// its even share of a part of the slack.
 #[derive(Debug, Clone, Default)]
 pub struct RetryWindow {
     parts: VecDeque<WindowPart>,
@@ -39,7 +44,7 @@
         self.part(now, bounds).requests += 1;
     }
 
-    /// Takes `count` repeats if the window has room for all of them; `hosts` share the slack.
+    /// Takes `count` repeats if the window has room for all of them; `hosts` share that part of the slack.
     pub fn take(&mut self, now: TimePoint, bounds: &RetryBounds, hosts: usize, count: u32) -> bool {
         let allowed = self.room(now, bounds, hosts) >= f64::from(count);
         if allowed {
@@ -48,16 +53,11 @@
         allowed
     }
 
-    /// Counts a repeat that has already happened, as one that a server refused.
-    pub fn note_repeat(&mut self, now: TimePoint, bounds: &RetryBounds) {
-        self.part(now, bounds).repeats += 1;
-    }
-
     fn room(&mut self, now: TimePoint, bounds: &RetryBounds, hosts: usize) -> f64 {
         self.forget(now, bounds);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        let share = bounds.slack / hosts.max(1) as f64;
+        let share = bounds.slack * OWN_PART / hosts.max(1) as f64;
         bounds.ratio * RATIO_MARGIN * f64::from(requests) + share - f64::from(repeats)
     }
 
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -2,7 +2,7 @@
 use super::field_reader::{FieldReader, read_object};
 use super::host_settings::{NOWHERE, SHORTEST_KEY, read_level};
 use crate::limits::LimitBounds;
-use crate::placement::RetryBounds;
+use crate::retries::RetryBounds;
 use crate::{Error, Result};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -84,12 +84,14 @@
 }
 
 fn read_bounds(reader: &mut FieldReader<'_, '_>) -> GatewayBounds {
+    let domains = reader.strings("domains").len().max(1);
     GatewayBounds {
         grace: seconds(reader.decimal("grace_s", 0.0..=600.0, 8.0)),
         retries: RetryBounds {
             ratio: reader.decimal("retry_ratio", 0.0..=10.0, 0.1),
             slack: reader.decimal("retry_slack", 0.0..=1e6, 10.0),
             window: seconds(reader.decimal("retry_window_s", 1.0..=600.0, 10.0)),
+            domains,
         },
         lease: Duration::from_millis(reader.number("lease_ms", 0..=600_000, Some(3000))),
         revocation: reader
@@ -99,7 +101,7 @@
             window: seconds(reader.decimal("limit_window_s", 0.1..=3600.0, 10.0)),
             over: reader.decimal("limit_over", 0.0..=10.0, 0.0),
             slack: reader.decimal("limit_slack", 0.0..=1e12, 0.0),
-            domains: reader.strings("domains").len().max(1),
+            domains,
         },
     }
 }
--- a/tests/retry_window.rs
+++ b/tests/retry_window.rs
@@ -2,21 +2,21 @@
 
 use std::time::Duration;
 use tealcleat::keys::TimePoint;
-use tealcleat::placement::{RetryBounds, RetryWindow};
+use tealcleat::retries::{RetryBounds, RetryWindow};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
 }
 
 fn bounds() -> RetryBounds {
-    RetryBounds { ratio: 0.2, slack: 40.0, window: Duration::from_secs(10) }
+    RetryBounds { ratio: 0.2, slack: 160.0, window: Duration::from_secs(10), domains: 1 }
 }
 
 #[test]
 fn repeats_bounded_by_share_of_slack_and_ratio() {
     let mut window = RetryWindow::default();
     let taken = (0..100).filter(|_| window.take(at(0), &bounds(), 10, 1)).count();
-    assert_eq!(taken, 4, "a tenth of the slack");
+    assert_eq!(taken, 4, "a tenth of a quarter of the slack");
     for _ in 0..100 {
         window.note_request(at(100), &bounds());
     }
@@ -52,7 +52,7 @@
         let from = end.saturating_sub(10_000);
         let earlier = within(&requests, from.saturating_sub(10_000), from);
         let middle = within(&requests, from.saturating_sub(5000), end.saturating_sub(5000));
-        let allowed = within(&requests, from, end).max(earlier).max(middle) * 0.2 + 40.0;
+        let allowed = within(&requests, from, end).max(earlier).max(middle) * 0.2 + 160.0 * 0.25;
         assert!(within(&repeats, from, end) <= allowed, "window ending at {end}");
     }
 }
