Pools that have room are not set right

Cause: the planner makes both pools equally busy, also when equally busy means idle.

Change: a pool that is in use for less than a quarter of its time gets no server of the other one. The rate of requests is that of the hosts heard lately, scaled to all; it counts from each host's first request on, so that it is not too low at the beginning of traffic.

Why it holds: the threshold is a part of a pool, so it does not depend on the size.

--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::{NameKey, TimePoint};
 use crate::orders::{
-    ChangeOrders, OrderLease, PoolSizes, StagePlanner, may_give_orders, servers_to_change,
+    ChangeOrders, OrderLease, PoolSizes, StagePlanner, has_room, may_give_orders, servers_to_change,
 };
 use crate::routes::{EngineSpec, ServiceKey};
 use std::cmp::Reverse;
@@ -125,11 +125,15 @@
             let sizes = pool_sizes(state, now, service, &desk.orders);
             let planner = desk.planners.entry(service).or_default();
             let Some(to) = planner.decide(now, sizes, work) else { continue };
+            let requests = sums.requests_per_second(state.members.living().count());
+            if has_room(to, sizes, work, requests) {
+                continue;
+            }
             let step = servers_to_change(sizes, work);
             for server in best_to_change(state, now, service, to, step, desk) {
                 log::info!(
                     "event=stage_planned server={} to={} prefills={} decodes={} read_s={:.3} \
-                     decode_s={:.3}",
+                     decode_s={:.3} per_s={requests:.1}",
                     server.id,
                     to.name(),
                     sizes.prefills,
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -16,5 +16,5 @@
 pub use order_step::{EngineState, OrderStep, order_step};
 pub use orphan_sweep::OrphanSweep;
 pub use stage_planner::{
-    PoolSizes, StagePlanner, may_give_orders, servers_to_change, wanted_prefills,
+    PoolSizes, StagePlanner, has_room, may_give_orders, servers_to_change, wanted_prefills,
 };
--- a/src/orders/stage_planner.rs
+++ b/src/orders/stage_planner.rs
@@ -33,6 +33,11 @@
 /// Pause between two changes of a service, so that the first shows its effect.
 const CHANGE_PAUSE: Duration = Duration::from_secs(3);
 
+/// A pool that is in use for less than this part of its time needs no server of the other one: it bears a burst of
+/// four times the load as it is. Without this the pools of a fleet that is nearly idle were set right all the same: orders
+/// that grow with the servers, each told to all hosts, and servers that are away while they change.
+const SPARE_USE: f64 = 0.25;
+
 /// A host younger than this gives no orders. Hosts that start together each believe for a moment to be the
 /// oldest, and know only the first requests, which all waited: after a loss of all of 300 hosts 446 changes
 /// were ordered, 315 of them in one second. The pools fitted before, and a site's callers come ten seconds
@@ -71,6 +76,21 @@
     wanted.clamp(LEAST_PREFILLS as f64, (total - LEAST_DECODES) as f64)
 }
 
+/// Whether the pool of `stage` has so much room that a change to it would serve nobody, at `requests_per_second` over all
+/// hosts.
+pub fn has_room(
+    stage: ServerStage,
+    sizes: PoolSizes,
+    work: RequestWork,
+    requests_per_second: f64,
+) -> bool {
+    let (servers, seconds) = match stage {
+        ServerStage::Prefill => (sizes.prefills, work.read_seconds),
+        ServerStage::Decode => (sizes.decodes, work.decode_seconds),
+    };
+    requests_per_second * seconds < servers as f64 * SPARE_USE
+}
+
 /// How many servers should change together; at least one.
 pub fn servers_to_change(sizes: PoolSizes, work: RequestWork) -> usize {
     let surplus = sizes.prefills as f64 - wanted_prefills(sizes, work);
--- a/src/placement/work_meter.rs
+++ b/src/placement/work_meter.rs
@@ -1,5 +1,6 @@
 use crate::keys::TimePoint;
 use serde::{Deserialize, Serialize};
+use std::f64::consts::LN_2;
 use std::time::Duration;
 
 /// Requests count half after this time, so that the means follow the traffic.
@@ -13,6 +14,8 @@
 /// How far the best pace of reading moves towards that of each slower read, so that it follows
 /// servers that turn slow for good.
 const PACE_FORGETTING: f64 = 0.01;
+/// Requests counted in less time than this tell no rate yet, in seconds.
+const LEAST_COUNTED: f64 = 0.1;
 /// Least part of a read's mean pace that is believed to be its own work.
 const LEAST_SLOPE: f64 = 0.3;
 /// Part of a decode server's memory that running answers can fill, since each needs room for its
@@ -31,6 +34,8 @@
     streams: f64,
     /// Sum of the memory tokens times the seconds that each stream is expected to take.
     memory_seconds: f64,
+    /// Time in which the rest was counted, fading like it.
+    counted_seconds: f64,
 }
 
 /// What an average request takes of each pool.
@@ -58,7 +63,7 @@
 impl WorkMeter {
     /// A prompt of `tokens` was read in `took`.
     pub fn note_read(&mut self, now: TimePoint, tokens: u32, took: Duration) {
-        self.fade(now);
+        self.begin_or_fade(now);
         let (tokens, seconds) = (f64::from(tokens), took.as_secs_f64());
         self.sums.reads += 1.0;
         self.sums.prompt_tokens += tokens;
@@ -89,7 +94,7 @@
     /// the short ones; before the pace of tokens is known, they are not counted.
     pub fn note_stream(&mut self, now: TimePoint, prompt: u32, output: u32) {
         let Some(pace) = self.token_pace else { return };
-        self.fade(now);
+        self.begin_or_fade(now);
         let memory = f64::from(prompt) + f64::from(output) / 2.0;
         self.sums.streams += 1.0;
         self.sums.memory_seconds += memory * f64::from(output) * pace;
@@ -102,9 +107,22 @@
         faded.sums
     }
 
+    /// Time counts from the first request on, not from the start of the host.
+    fn begin_or_fade(&mut self, now: TimePoint) {
+        if self.sums == WorkSums::default() {
+            self.faded_at = now;
+        }
+        self.fade(now);
+    }
+
     fn fade(&mut self, now: TimePoint) {
+        if self.sums == WorkSums::default() {
+            return;
+        }
         let halves = now.since(self.faded_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.sums = self.sums.times(0.5_f64.powf(halves));
+        let part = 0.5_f64.powf(halves);
+        self.sums = self.sums.times(part);
+        self.sums.counted_seconds += (1.0 - part) * HALF_LIFE.as_secs_f64() / LN_2;
         self.faded_at = now;
     }
 }
@@ -121,9 +139,16 @@
             read_products: self.read_products + other.read_products,
             streams: self.streams + other.streams,
             memory_seconds: self.memory_seconds + other.memory_seconds,
+            counted_seconds: self.counted_seconds + other.counted_seconds,
         }
     }
 
+    /// Requests a second of `hosts` hosts, if those whose sums these are have as many as the others: one host hears
+    /// only some of a large fleet.
+    pub fn requests_per_second(&self, hosts: usize) -> f64 {
+        self.streams / self.counted_seconds.max(LEAST_COUNTED) * hosts as f64
+    }
+
     /// What an average request takes, once enough have begun.
     pub fn request_work(&self, memory_tokens: u32) -> Option<RequestWork> {
         if self.reads < LEAST_SAMPLES || self.streams < LEAST_SAMPLES {
@@ -159,6 +184,7 @@
             read_products: self.read_products * part,
             streams: self.streams * part,
             memory_seconds: self.memory_seconds * part,
+            counted_seconds: self.counted_seconds * part,
         }
     }
 }
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -5,7 +5,7 @@
 use tealcleat::fleet::{ServerStage, StageChanges};
 use tealcleat::keys::{NameKey, ServerKey, TimePoint};
 use tealcleat::orders::{
-    ChangeOrders, LeaseRecord, OrderLease, PoolSizes, StagePlanner, may_give_orders,
+    ChangeOrders, LeaseRecord, OrderLease, PoolSizes, StagePlanner, has_room, may_give_orders,
     servers_to_change, wanted_prefills,
 };
 use tealcleat::placement::{PromptReader, RequestWork, choose_reader};
@@ -262,3 +262,21 @@
     assert_eq!(orders.open_count(), 40);
     assert_eq!(changes.heard(at(7100)).count(), 0);
 }
+
+/// Pattern: a fleet of thousands of engines that a few hundred requests a second nearly leave idle. Nobody waits in either
+/// pool, so neither gets a server of the other one; a pool that fills up does.
+#[rstest]
+#[case::idle_fleet(ServerStage::Decode, sizes(3_368, 6_255), 140.0, true)]
+#[case::idle_fleet_of_twice_the_size(ServerStage::Decode, sizes(6_736, 12_510), 280.0, true)]
+#[case::idle_prefills(ServerStage::Prefill, sizes(100, 9_523), 140.0, true)]
+#[case::no_prefills(ServerStage::Prefill, sizes(0, 9_623), 140.0, false)]
+#[case::usual_load(ServerStage::Decode, sizes(4, 8), 12.0, false)]
+#[case::burst_on_a_small_fleet(ServerStage::Prefill, sizes(2, 10), 12.0, false)]
+fn pool_with_room_is_left_alone(
+    #[case] stage: ServerStage,
+    #[case] sizes: PoolSizes,
+    #[case] per_second: f64,
+    #[case] expected: bool,
+) {
+    assert_eq!(has_room(stage, sizes, work(0.1, 0.35), per_second), expected);
+}
--- a/tests/work_meter.rs
+++ b/tests/work_meter.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 use tealcleat::keys::TimePoint;
-use tealcleat::placement::{PaceTimer, WorkMeter};
+use tealcleat::placement::{PaceTimer, WorkMeter, WorkSums};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
@@ -113,3 +113,21 @@
     }
     assert!(meter.sums(at(10)).request_work(40_000).is_none());
 }
+
+/// One host hears some of the others: the rate of all follows from the time in which those counted, and not from when
+/// their processes started.
+#[test]
+fn rate_of_all_hosts_told_by_some() {
+    let mut heard = WorkSums::default();
+    for host in 0..20_u64 {
+        let mut meter = WorkMeter::default();
+        meter.note_pace(100, Duration::from_millis(500));
+        // One request in five seconds, by each after its own time.
+        for request in 0..12 {
+            meter.note_stream(at(60_000 + host * 250 + request * 5_000), 3_000, 600);
+        }
+        heard = heard.plus(meter.sums(at(120_000)));
+    }
+    let rate = heard.requests_per_second(1_000);
+    assert!((160.0..240.0).contains(&rate), "{rate}");
+}
