Hosts count what they send each other and ask the store, by kind

Datagrams and their bytes are counted by kind, store calls by page, read, watch and write, and every host logs its account each ten seconds (event=host_account).

--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -3,6 +3,7 @@
 use super::crash_news::run_crash_news;
 use super::crash_store::run_crash_store;
 use super::gateway_host::{GatewayHost, StopPhase};
+use super::host_account::run_account;
 use super::limit_desk::run_limits;
 use super::limit_news::run_limit_news;
 use super::peer_loop::run_peers;
@@ -67,6 +68,7 @@
     tokio::spawn(run_crash_news(Arc::clone(&host)));
     tokio::spawn(run_limit_news(Arc::clone(&host)));
     tokio::spawn(run_crash_store(Arc::clone(&host)));
+    tokio::spawn(run_account(Arc::clone(&host)));
     log::info!(
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -160,7 +160,12 @@
     pub(super) fn send(&self, address: SocketAddr, message: &GatewayDatagram) {
         match seal_datagram(&self.settings.shared_key, message) {
             Ok(bytes) => {
-                self.metrics().add("gossip_sent_bytes", bytes.len() as u64);
+                let (sent, sent_bytes) = message.counters();
+                let mut metrics = self.metrics();
+                metrics.add("gossip_sent_bytes", bytes.len() as u64);
+                metrics.add(sent, 1);
+                metrics.add(sent_bytes, bytes.len() as u64);
+                drop(metrics);
                 // A full socket buffer loses a datagram as the network may; each is repeated.
                 drop(self.socket.try_send_to(&bytes, address));
             }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -47,6 +47,27 @@
     RetryReply(RetryReply),
 }
 
+impl GatewayDatagram {
+    /// Metrics that count such datagrams and their bytes.
+    pub(super) const fn counters(&self) -> (&'static str, &'static str) {
+        match self {
+            Self::Probe(_) => ("probes_sent", "probes_sent_bytes"),
+            Self::Load(_) => ("loads_sent", "loads_sent_bytes"),
+            Self::Notice(_) => ("notices_sent", "notices_sent_bytes"),
+            Self::AgeQuestion(_) | Self::AgeAnswer(_) => ("ages_sent", "ages_sent_bytes"),
+            Self::LimitAsk(..) | Self::LimitAnswer(_) | Self::LoanAsk(_) | Self::LimitLoan(_) => {
+                ("limits_sent", "limits_sent_bytes")
+            }
+            Self::Crashes(_) => ("crashes_sent", "crashes_sent_bytes"),
+            Self::ServerLimits(_)
+            | Self::SendAsk(..)
+            | Self::SendReply(_)
+            | Self::LimitAnswered(_) => ("server_limits_sent", "server_limits_sent_bytes"),
+            Self::RetryAsk(_) | Self::RetryReply(_) => ("retries_sent", "retries_sent_bytes"),
+        }
+    }
+}
+
 /// What a host knows that others must not wait for.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HostNotice {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! project's types and back, and decides nothing.
 
 mod answer_pace;
+mod call_counts;
 mod config_wire;
 mod crash_wire;
 mod engine_messages;
@@ -18,6 +19,7 @@
 mod store_wire;
 
 pub use answer_pace::AnswerPace;
+pub use call_counts::CallKind;
 pub use config_wire::decode_config;
 pub use crash_wire::{CRASHES_OBJECT, decode_crashes, encode_crashes};
 pub use engine_messages::{
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -1,6 +1,7 @@
 //! Calls the platform's store.
 
 use super::answer_pace::AnswerPace;
+use super::call_counts::{CallCounts, CallKind};
 use super::list_walk::ListWalk;
 use super::names;
 use super::store_call::{CallLimit, ListAge, StoreWrite, WatchAnswer, WatchPlan};
@@ -17,6 +18,7 @@
 use hyper::body::Body;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -30,12 +32,19 @@
 pub struct StoreClient {
     address: SocketAddr,
     clock: HostClock,
+    calls: Arc<CallCounts>,
 }
 
 impl StoreClient {
     /// A client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, clock: HostClock::start() }
+        Self { address, clock: HostClock::start(), calls: Arc::default() }
+    }
+
+    /// How often the store was called so far, by kind of call.
+    pub fn calls(&self) -> impl Iterator<Item = (CallKind, u64)> {
+        let calls = Arc::clone(&self.calls);
+        CallKind::ALL.into_iter().map(move |kind| (kind, calls.count(kind)))
     }
 
     /// Lists all objects of a kind, page by page; each page begins within `limit`.
@@ -52,6 +61,7 @@
         };
         loop {
             let target = format!("{kind}?{stale}after={}", walk.after());
+            self.calls.note(CallKind::Page);
             let page = if walk.is_first() {
                 let (status, body) = self.get(&target, limit).await?;
                 check_status(status)?;
@@ -84,10 +94,12 @@
                 Ok(Some(page)) => return Ok(page),
                 Ok(None) => {
                     tokio::time::sleep(pause).await;
+                    self.calls.note(CallKind::Page);
                     pause *= 2;
                 }
                 Err(Error::Protocol(cause)) if is_shared => {
                     log::info!("event=store_page_repeated cause=\"{cause}\"");
+                    self.calls.note(CallKind::Page);
                     proof = AnswerProof::OwnConnection;
                 }
                 Err(error) => return Err(error),
@@ -106,6 +118,7 @@
         name: &str,
         limit: Duration,
     ) -> Result<Option<StoreObject>> {
+        self.calls.note(CallKind::Read);
         let (status, body) = self.get(&format!("{kind}/{name}"), limit).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -123,6 +136,7 @@
         let WatchPlan { wait, slack, longest } = plan;
         let target = format!("{kind}?watch={revision}&wait_ms={}", wait.as_millis());
         let limit = CallLimit { time: wait + slack, bytes: longest };
+        self.calls.note(CallKind::Watch);
         let (status, body) = match self.get(&target, limit).await {
             Err(Error::TooLong { .. }) => return Ok(WatchAnswer::TooLong),
             answered => answered?,
@@ -153,6 +167,7 @@
             Some(_) => (Method::PUT, format!("{kind}/{name}")),
             None => (Method::POST, kind.to_owned()),
         };
+        self.calls.note(CallKind::Write);
         match self.call_once(method, &target, Bytes::from(body), limit).await {
             Ok((status, body)) => read_write(status, &body),
             Err(Error::NotSent(_)) => StoreWrite::Refused,
--- a/src/telemetry/metric_book.rs
+++ b/src/telemetry/metric_book.rs
@@ -83,6 +83,11 @@
         self.counters.get(counter).copied().unwrap_or_default()
     }
 
+    /// All counters.
+    pub fn counters(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        self.counters.iter().map(|(name, value)| (*name, *value))
+    }
+
     /// All metrics in Prometheus text format.
     pub fn prometheus(&self) -> String {
         let mut text = String::new();
