A host that is handed a view does not list the servers beside it

Cause, by reading: a host without a view left its neighbours 20 to 80 ms and then listed the servers itself. A view of 10,000 servers is a megabyte and takes half a second on a link of 20 Mbit/s, so that each restart cost 50 pages of the store and two and a half megabytes beside the view that came anyway: calls grow with restarts times servers.

Ruled out: a longer wait for all, which is too long for small fleets and too short for larger ones; callers are refused meanwhile.

Change: as long as pieces of a view come, each within 150 ms of the last one and for 3 s at most, nothing is listed. A host asks up to four neighbours in turn for its first view, since those that restart with it have none.

Why it holds: the wait follows what comes, not a figure that fits one size (restarted_host_does_not_list_while_it_is_served: 3,000 to 20,000 servers).

--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -44,6 +44,13 @@
 /// calls. Callers are refused meanwhile: with up to 430 ms, the worst two seconds of a day with all
 /// hosts lost served 0.03 less of their worth than with up to 150 ms or none (0.389, 0.416, 0.422).
 const NEIGHBOUR_WAIT: Duration = Duration::from_millis(20);
+/// A host to which a neighbour is handing its view leaves it to that one as long as pieces come at least this often.
+/// What is handed over grows with the fleet, and no fixed wait from the start on fits: a megabyte for 10,000 servers takes
+/// half a second on a link of 20 Mbit/s, and each host that did not wait for it listed them in 50 pages.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(150);
+/// A neighbour that needs longer than this serves too many others; a listing takes some three times the bytes, but of
+/// the store's link.
+const LONGEST_HANDOVER: Duration = Duration::from_millis(3000);
 /// Hosts that start together and find no neighbour with a view list the servers spread over this
 /// time.
 const LISTING_SPREAD: Duration = Duration::from_millis(60);
@@ -76,6 +83,8 @@
 pub struct DutyView {
     /// Time since the host's start, as long as it has no view.
     pub uninformed_for: Option<Duration>,
+    /// Time since something last came of a view that another host is handing over, if one is.
+    pub handover_idle: Option<Duration>,
     /// The host is its failure domain's watcher.
     pub elected: bool,
     /// Time since the store answered its own last call, if it refuses the watcher, or if the host had asked in doubt and
@@ -113,7 +122,9 @@
 pub fn watch_duty(view: &DutyView) -> WatchDuty {
     if let Some(time) = view.uninformed_for {
         let wait = NEIGHBOUR_WAIT + part_of(LISTING_SPREAD, view.salt);
-        return if time >= wait { WatchDuty::Watch } else { WatchDuty::Hear };
+        let is_moving = view.handover_idle.is_some_and(|idle| idle < HANDOVER_PAUSE);
+        let is_served = is_moving && time < LONGEST_HANDOVER;
+        return if time >= wait && !is_served { WatchDuty::Watch } else { WatchDuty::Hear };
     }
     if view.elected || view.answered_for.is_some_and(|time| time < STAND_IN_TIME) {
         return WatchDuty::Watch;
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -95,8 +95,7 @@
     seeds.rotate_left(first);
     for seed in seeds {
         if seed != host.peers_address && compare(host, seed).await {
-            let near = host.state().near_member(host.incarnation.0);
-            host.fetch_view(near.map_or(seed, |member| member.address));
+            host.fetch_first_view(seed);
             return;
         }
     }
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -5,6 +5,7 @@
 use super::view_store::{ask_now, list, list_or_hear, read_in_turn, watch};
 use crate::Error;
 use crate::fleet::{DutyView, WatchDuty, stretched, watch_duty};
+use crate::host::lock;
 use crate::keys::TimePoint;
 use std::sync::Arc;
 use std::time::Duration;
@@ -178,6 +179,7 @@
         });
         DutyView {
             uninformed_for: (!known).then(|| now.since(TimePoint::default())),
+            handover_idle: lock(&self.view_fetches).moved_at().map(|at| now.since(at)),
             elected: watcher == Some(self.incarnation),
             answered_for: contact
                 .answered_at
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -4,6 +4,7 @@
 use super::peer_messages::{GatewayReply, GatewayRequest};
 use super::store_contact::FollowedKind;
 use crate::host::lock;
+use crate::keys::mix_hash;
 use crate::peers::PeerPatience;
 use crate::routes::{RouteNews, RouteTable};
 use std::net::SocketAddr;
@@ -17,6 +18,9 @@
 /// The same for a host that has no view yet and nothing else to wait for.
 const FIRST_PATIENCE: PeerPatience =
     PeerPatience { reply: Duration::from_millis(3000), pause: Duration::from_millis(1000) };
+/// Neighbours that a host without a view asks for theirs before it lists the servers: with half of them just as new, one
+/// of four has a view in nearly all cases.
+const FIRST_TRIES: u64 = 4;
 /// Hosts of the own failure domain told at once of a newly adopted view; each that adopts it tells
 /// as many.
 const VIEW_NEAR: usize = 3;
@@ -53,6 +57,25 @@
         });
     }
 
+    /// Fetches the first view of this host's life: from `seed`, or better from a neighbour. Of hosts that start together
+    /// many know no more than this one, so that some are asked in turn.
+    pub(super) fn fetch_first_view(self: &Arc<Self>, seed: SocketAddr) {
+        let host = Arc::clone(self);
+        tokio::spawn(async move {
+            for salt in 0..FIRST_TRIES {
+                let near = host.state().near_member(mix_hash(host.incarnation.0, salt));
+                let address = near.map_or(seed, |member| member.address);
+                if lock(&host.view_fetches).begin(host.now(), address) {
+                    host.fetch_view_from(address).await;
+                    lock(&host.view_fetches).end(address);
+                }
+                if host.state().fleet.revision() > 0 {
+                    return;
+                }
+            }
+        });
+    }
+
     /// Puts a configuration in force that another host told; `known` was in force as it was asked.
     fn hear_routes(&self, address: SocketAddr, known: &RouteTable, news: RouteNews) {
         let (revision, told) = (news.revision, news.told_routes());
--- a/src/peers/view_fetches.rs
+++ b/src/peers/view_fetches.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// When something last came of any of the fetches under way, or one began.
+    pub fn moved_at(&self) -> Option<TimePoint> {
+        self.open.values().copied().max()
+    }
+
     /// The fetch has ended, or was given up.
     pub fn end(&mut self, address: SocketAddr) {
         self.open.remove(&address);
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -28,6 +28,7 @@
 ) {
     let view = DutyView {
         uninformed_for: uninformed_for_ms.map(Duration::from_millis),
+        handover_idle: None,
         elected,
         answered_for: None,
         view_age: Duration::from_millis(view_age_ms),
@@ -41,6 +42,51 @@
     assert_eq!(watch_duty(&view), expected);
 }
 
+/// A view that a host without one waits for.
+fn uninformed(for_ms: u64, handover_idle_ms: Option<u64>) -> DutyView {
+    DutyView {
+        uninformed_for: Some(Duration::from_millis(for_ms)),
+        handover_idle: handover_idle_ms.map(Duration::from_millis),
+        elected: false,
+        answered_for: None,
+        view_age: Duration::ZERO,
+        behind_for: None,
+        unheard_for: None,
+        config_age: None,
+        refused_for: None,
+        domain_hosts: 3,
+        salt: 1234,
+    }
+}
+
+#[rstest]
+#[case::pieces_come(100, Some(20), WatchDuty::Hear)]
+#[case::pieces_have_stopped(400, Some(150), WatchDuty::Watch)]
+#[case::nobody_hands_over(100, None, WatchDuty::Watch)]
+#[case::neighbour_serves_too_many(3_000, Some(10), WatchDuty::Watch)]
+fn host_without_a_view_leaves_it_to_a_neighbour_that_hands_it_over(
+    #[case] for_ms: u64,
+    #[case] handover_idle_ms: Option<u64>,
+    #[case] expected: WatchDuty,
+) {
+    assert_eq!(watch_duty(&uninformed(for_ms, handover_idle_ms)), expected);
+}
+
+/// Pattern: hosts restart while all others go on. None lists the servers, however long it takes to hand a view over the
+/// link of a small host: the servers of so many hosts, at 100 bytes each and 20 Mbit/s.
+#[rstest]
+#[case::three_thousand_servers(3_000)]
+#[case::ten_thousand_servers(10_000)]
+#[case::twice_as_many(20_000)]
+fn restarted_host_does_not_list_while_it_is_served(#[case] servers: u64) {
+    let bytes_per_ms = 20_000_000 / 8 / 1000;
+    let handed_over_ms = servers * 100 / bytes_per_ms;
+    for millis in (0..handed_over_ms).step_by(10) {
+        let duty = watch_duty(&uninformed(millis, Some(millis % 20)));
+        assert_eq!(duty, WatchDuty::Hear, "after {millis} of {handed_over_ms} ms");
+    }
+}
+
 /// Pattern: an outage of the store, noticed by a whole failure domain. Each of its hosts asked by
 /// itself every second; by reckoning 295 hosts make 4,700 calls in 8 s.
 #[rstest]
@@ -56,6 +102,7 @@
             let now = Duration::from_millis(millis);
             let view = DutyView {
                 uninformed_for: None,
+                handover_idle: None,
                 elected: false,
                 answered_for: None,
                 view_age: now,
@@ -85,6 +132,7 @@
     for salt in 0..1000 {
         let view = DutyView {
             uninformed_for: None,
+            handover_idle: None,
             elected: false,
             answered_for: None,
             view_age: Duration::from_millis(100),
@@ -111,6 +159,7 @@
 ) {
     let view = DutyView {
         uninformed_for: None,
+        handover_idle: None,
         elected: false,
         answered_for: answered_ms.map(Duration::from_millis),
         view_age: Duration::from_millis(100),
@@ -186,6 +235,7 @@
 fn unsure_host_asks(#[case] config_age_ms: u64, #[case] expected: WatchDuty) {
     let view = DutyView {
         uninformed_for: None,
+        handover_idle: None,
         elected: false,
         answered_for: None,
         view_age: Duration::from_millis(300),
@@ -212,6 +262,7 @@
     for salt in 0..1000 {
         let view = DutyView {
             uninformed_for: None,
+            handover_idle: None,
             elected: false,
             answered_for: None,
             view_age: Duration::from_millis(unheard_ms),
@@ -259,6 +310,7 @@
 ) {
     let view = DutyView {
         uninformed_for: None,
+        handover_idle: None,
         elected: false,
         answered_for: None,
         view_age: Duration::from_millis(3000),
