Hosts that start together list over a time that grows with their failure domain

Change: the time is stretched with the hosts of the domain that are known, like the pauses in an outage; the first ones hand their view on, and the others leave off.

Why it holds: hosts that begin before the first listing has ended are as many at 59 hosts as at 800 (hosts_that_list_at_a_start_do_not_grow_with_the_domain).

--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -51,8 +51,9 @@
 /// A neighbour that needs longer than this serves too many others; a listing takes some three times the bytes, but of
 /// the store's link.
 const LONGEST_HANDOVER: Duration = Duration::from_millis(3000);
-/// Hosts that start together and find no neighbour with a view list the servers spread over this
-/// time.
+/// Hosts of a small failure domain that start together and find no neighbour with a view list the servers spread over
+/// this time. In a larger one it is stretched like other times between calls: the first that have listed hand their
+/// view on, and those that list meanwhile are as many whatever the size of the domain.
 const LISTING_SPREAD: Duration = Duration::from_millis(60);
 
 /// Whether a host asks the store itself.
@@ -121,7 +122,8 @@
 /// seems cut off, that hears no other host or that cannot get from others what they have.
 pub fn watch_duty(view: &DutyView) -> WatchDuty {
     if let Some(time) = view.uninformed_for {
-        let wait = NEIGHBOUR_WAIT + part_of(LISTING_SPREAD, view.salt);
+        let spread = stretched(LISTING_SPREAD, view.domain_hosts);
+        let wait = NEIGHBOUR_WAIT + part_of(spread, view.salt);
         let is_moving = view.handover_idle.is_some_and(|idle| idle < HANDOVER_PAUSE);
         let is_served = is_moving && time < LONGEST_HANDOVER;
         return if time >= wait && !is_served { WatchDuty::Watch } else { WatchDuty::Hear };
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use std::time::Duration;
 use tealcleat::fleet::{DutyView, RefusedHosts, WatchDuty, watch_duty};
-use tealcleat::keys::{IncarnationId, TimePoint};
+use tealcleat::keys::{IncarnationId, TimePoint, mix_hash};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
@@ -87,6 +87,38 @@
     }
 }
 
+/// Hosts of a domain that begin to list before the first listing has ended, if all start together.
+fn listers(domain_hosts: usize, listing: Duration) -> usize {
+    let mut begins = Vec::new();
+    for host in 0..domain_hosts {
+        let duty = |millis: &u64| {
+            let view = DutyView {
+                domain_hosts,
+                salt: mix_hash(7, host as u64),
+                ..uninformed(*millis, None)
+            };
+            watch_duty(&view) == WatchDuty::Watch
+        };
+        begins.push(Duration::from_millis((0..60_000).step_by(5).find(duty).expect("it lists")));
+    }
+    let first = begins.iter().min().copied().unwrap_or_default() + listing;
+    begins.iter().filter(|begin| **begin <= first).count()
+}
+
+/// Pattern: all hosts of a failure domain lose power and start together. Each listed the servers, in as many pages as there
+/// are servers: four times the calls at twice the size.
+#[rstest]
+#[case::quick_listing(30)]
+#[case::listing_over_a_small_link(1_000)]
+fn hosts_that_list_at_a_start_do_not_grow_with_the_domain(#[case] listing_ms: u64) {
+    let listing = Duration::from_millis(listing_ms);
+    let most = 2 * (listing_ms as usize / 60 * 8 + 8);
+    for domain_hosts in [8, 59, 200, 400, 800] {
+        let listers = listers(domain_hosts, listing);
+        assert!((1..=most).contains(&listers), "{listers} of {domain_hosts}, more than {most}");
+    }
+}
+
 /// Pattern: an outage of the store, noticed by a whole failure domain. Each of its hosts asked by
 /// itself every second; by reckoning 295 hosts make 4,700 calls in 8 s.
 #[rstest]
