A host that is no longer the owner of a limit forgets what it had saved up

Ruled out: what the lost owner had granted (pangyo's hosts were refused for want of an owner for 3 s); use without an owner (nothing was allowed, limit_alone).

Change: four times a second a host drops the accounts of organisations that another host owns by now; if it is asked again, it begins as a new owner does.

Why it holds: an account fills up only while its host is the owner.

--- a/src/gateway/limit_desk.rs
+++ b/src/gateway/limit_desk.rs
@@ -20,7 +20,7 @@
 /// configuration yet. Of what hosts took alone then, an organisation at its limit had 0.7 s of its rate.
 const YOUNG_AGE: Duration = Duration::from_millis(1200);
 const YOUNG_PAUSE: Duration = Duration::from_millis(40);
-/// How often owners are told of use that no question told them.
+/// How often owners are told of use that no question told them, and accounts that others own now are forgotten.
 const TELL_LOOK: Duration = Duration::from_millis(250);
 
 /// What a request costs its organisation.
@@ -205,6 +205,15 @@
         state.ledger.borrow(now, loan, &share);
     }
 
+    /// Forgets what this host granted for organisations that others own now.
+    fn forget_lost_accounts(&self) {
+        let (now, domain) = (self.now(), self.domain());
+        let mut state = self.state();
+        let mut ledger = std::mem::take(&mut state.ledger);
+        ledger.retain(|org| state.owner(now, org, domain) == OwnerChoice::Own);
+        state.ledger = ledger;
+    }
+
     fn tell_use(&self) {
         let now = self.now();
         let untold = self.state().meter.untold(now);
@@ -234,12 +243,14 @@
     );
 }
 
-/// Tells owners of use that they do not know of: given back, or taken while they were silent.
+/// Tells owners of use that they do not know of: given back, or taken while they were silent. Forgets accounts of which this
+/// host is the owner no more.
 pub(super) async fn run_limits(host: Arc<GatewayHost>) {
     let mut ticker = tokio::time::interval(TELL_LOOK);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticker.tick().await;
+        host.forget_lost_accounts();
         host.tell_use();
     }
 }
--- a/src/limits/limit_ledger.rs
+++ b/src/limits/limit_ledger.rs
@@ -151,6 +151,12 @@
         });
     }
 
+    /// Forgets accounts that another host owns now: what it grants is not known here, so that what fills up in them would
+    /// be granted twice if they came back. Called several times a second.
+    pub fn retain(&mut self, is_owned: impl Fn(OrgKey) -> bool) {
+        self.accounts.retain(|org, _| is_owned(*org));
+    }
+
     /// Forgets accounts that nobody asks for.
     pub fn expire(&mut self, now: TimePoint) {
         self.accounts.retain(|_, account| now.since(account.asked_at) < ACCOUNT_LIFE);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -180,6 +180,22 @@
     assert_eq!(level, 200 + gained);
 }
 
+/// An organisation far beyond its limit: its second owner grants all that there is. When hosts have come and gone and the
+/// first one is asked again, nothing has been saved up there meanwhile.
+#[rstest]
+#[case::others_owned_it(false, 400)]
+#[case::its_own_all_the_time(true, 2_000)]
+fn former_owner_begins_anew(#[case] is_owned: bool, #[case] expected: i32) {
+    let share = LimitShare { first: 400.0, ..SHARE };
+    let mut ledger = LimitLedger::default();
+    ledger.receive(at(0), FIRST_HOST, &ask(2_000, 2_000), &share, true);
+    for millis in (250..=8_000).step_by(250) {
+        ledger.retain(|_| is_owned || millis == 8_000);
+    }
+    let answer = ledger.receive(at(8_000), SECOND_HOST, &ask(0, 0), &share, false);
+    assert_eq!(answer.level, expected);
+}
+
 #[test]
 fn lower_limit_drops_what_was_saved_up() {
     let mut ledger = LimitLedger::default();
