--- a/src/fleet/refused_hosts.rs
+++ b/src/fleet/refused_hosts.rs
@@ -39,8 +39,8 @@
     /// The host elected for work that needs the store: of the oldest few candidates the first that
     /// the store answers, or the oldest if it answers none of them.
     ///
-    /// The oldest keeps its office while others come and go; by a hash of their ids, one start in 300
-    /// took it over, and each handover left the pools without orders for 4.5 s.
+    /// The oldest keeps its office while others come and go: with each handover the next holder waits until the
+    /// last one's lease has passed.
     pub fn elect(
         &self,
         now: TimePoint,
--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -40,13 +40,12 @@
 /// that each ask once a second for two kinds make 600 (reckoned).
 const ASKING_HOSTS: usize = 8;
 
-/// A host without a view leaves its neighbours this time to hand it theirs: a connection and two
-/// calls. Callers are refused meanwhile: with up to 430 ms, the worst two seconds of a day with all
-/// hosts lost served 0.03 less of their worth than with up to 150 ms or none (0.389, 0.416, 0.422).
+/// A host without a view leaves its neighbours this time to begin to hand it theirs: a connection and two
+/// calls. Callers are refused meanwhile.
 const NEIGHBOUR_WAIT: Duration = Duration::from_millis(20);
 /// A host to which a neighbour is handing its view leaves it to that one as long as pieces come at least this often.
-/// What is handed over grows with the fleet, and no fixed wait from the start on fits: a megabyte for 10,000 servers takes
-/// half a second on a link of 20 Mbit/s, and each host that did not wait for it listed them in 50 pages.
+/// What is handed over grows with the fleet, and no fixed wait from the start on fits: 600 kB for 10,000 servers take a
+/// quarter of a second on a link of 20 Mbit/s, and each host that did not wait for them began to list them in 50 pages.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(150);
 /// A neighbour that needs longer than this serves too many others; a listing takes some three times the bytes, but of
 /// the store's link.
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -16,8 +16,8 @@
 use http::{HeaderMap, StatusCode};
 use std::time::Duration;
 
-/// When a caller that found no memory may come back: about as long as a burst lasts. Of 0.3, 0.4, 1.2,
-/// 1.5, 2.5 and 4 s this served most; longer ones gained no more than chance.
+/// When a caller that found no memory may come back: about as long as a burst lasts, since one that returns
+/// earlier finds none either.
 const NO_MEMORY_PAUSE: Duration = Duration::from_secs(4);
 /// When a caller may come back whose request crashes servers: when that is forgotten.
 const HELD_BACK_PAUSE: Duration = CRASH_LIFE;
--- a/src/orders/stage_planner.rs
+++ b/src/orders/stage_planner.rs
@@ -12,7 +12,7 @@
 const SURPLUS_STEP: f64 = 0.6;
 /// Prefill servers below those wanted before one is taken back: a whole one, since decode servers
 /// can read prompts but not the reverse, and each change takes one away from them for seconds. With
-/// 0.6, pools swung with each burst and a tenth more requests found no memory.
+/// less, pools swing with each burst.
 const LACK_STEP: f64 = 1.0;
 /// Prefill servers that stay in any case, so that one may be lost.
 const LEAST_PREFILLS: usize = 2;
@@ -26,22 +26,19 @@
 /// Part of a lack that changes at once. What is wanted is an estimate, and in a burst too high: half
 /// of the way at a time reaches it in a few steps also among many servers.
 const LACK_PART: f64 = 0.5;
-/// Part of the prefill pool that changes at once if it is too many. The surplus itself is idle, and by
-/// halves of it 9 of 32 servers needed 14 s and four steps; but what is wanted is known badly in the
-/// first seconds: once all of a surplus of 16 went, and 5 had to come back.
+/// Part of the prefill pool that changes at once if it is too many. The surplus itself is idle; but what is
+/// wanted is known badly in the first seconds, and servers that went too soon have to come back.
 const LARGEST_STEP: f64 = 0.3;
 /// Pause between two changes of a service, so that the first shows its effect.
 const CHANGE_PAUSE: Duration = Duration::from_secs(3);
 
 /// A pool that is in use for less than this part of its time needs no server of the other one: it bears a burst of
-/// four times the load as it is. Without this the pools of a fleet that is nearly idle were set right all the same: orders
-/// that grow with the servers, each told to all hosts, and servers that are away while they change.
+/// four times the load as it is. Orders to set it right would grow with the servers, each is told to all hosts, and
+/// servers are away while they change.
 const SPARE_USE: f64 = 0.25;
 
 /// A host younger than this gives no orders. Hosts that start together each believe for a moment to be the
-/// oldest, and know only the first requests, which all waited: after a loss of all of 300 hosts 446 changes
-/// were ordered, 315 of them in one second. The pools fitted before, and a site's callers come ten seconds
-/// after its machines start.
+/// oldest, and know only the first requests, which all waited. The pools fitted before.
 const YOUNG_GIVER: Duration = Duration::from_secs(8);
 
 /// How many servers each pool of a service has.
--- a/src/placement/room_search.rs
+++ b/src/placement/room_search.rs
@@ -3,9 +3,8 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-/// Longest search for memory at a decode server, enough for a second round among few servers. Of 0,
-/// 60, 220 and 600 ms this served most: who waits longer mostly waits in vain, and then comes back
-/// later.
+/// Longest search for memory at a decode server, enough for a second round among few servers. Who waits
+/// longer mostly waits in vain, and then comes back later.
 const SEARCH_TIME: Duration = Duration::from_millis(60);
 /// Pause after all servers refused; about one answer ends in it.
 const ROUND_PAUSE: Duration = Duration::from_millis(25);
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -10,8 +10,7 @@
 /// Spreads equal choices of several hosts, as a part of a full server.
 const JITTER: f64 = 0.06;
 /// A server without an open connection counts like this part of a full one: less than one request, so
-/// that it decides only between servers that are about equally full. It saves one new connection in six
-/// (88 hosts before 60 engines, 18 days).
+/// that it decides only between servers that are about equally full.
 const COLD: f64 = 0.08;
 /// A server that only errs counts like this many full ones.
 const ERRORS: f64 = 3.0;
--- a/src/placement/work_meter.rs
+++ b/src/placement/work_meter.rs
@@ -19,7 +19,7 @@
 /// Least part of a read's mean pace that is believed to be its own work.
 const LEAST_SLOPE: f64 = 0.3;
 /// Part of a decode server's memory that running answers can fill, since each needs room for its
-/// whole length when it is admitted. Measured at full load: about 0.85.
+/// whole length when it is admitted.
 const MEMORY_FILL: f64 = 0.85;
 
 /// Sums over the prompts read and the streams begun lately; those of several hosts add up.
