News of hundreds of changes goes out in several datagrams

So they did not know which engines were changing their stage, and sent runs there.

Cause: a notice names all changes under way, ten bytes each; with more than some 400 it is longer than the 4,096 bytes that are read, and the end that is cut off holds the proof. News of loads carry the notice as well, and the loads of every server where a host has work.

Ruled out: a wrong key, or another sender (one address, from the moment on at which the changes under way were some 400); a longer buffer, which a fleet of twice the size fills again.

Change: changes are told 96 a datagram, all parts to all hosts at once, and one part after the other with the news of loads; of its loads a host tells the 96 largest. What is longer than a datagram is not sent, and logged.

--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -2,7 +2,8 @@
 
 use super::gateway_host::GatewayHost;
 use super::peer_messages::{GatewayDatagram, GatewayReply, GatewayRequest, HostNotice, LoadNews};
-use crate::keys::mix_hash;
+use crate::fleet::ServerStage;
+use crate::keys::{ServerKey, mix_hash};
 use crate::membership::{MemberState, MemberUpdate, TableOrder};
 use crate::peers::{PeerHandler, open_datagram, seal_datagram};
 use crate::routes::RouteNews;
@@ -13,8 +14,13 @@
 use tokio::net::UdpSocket;
 
 const TICK: Duration = Duration::from_millis(50);
-/// The longest load news: 90 servers at about 15 bytes.
+/// The longest datagram that is read; of a longer one the end is lost, and with it the proof of its sender.
 const LONGEST_DATAGRAM: usize = 4096;
+/// Changes of stage that one datagram tells, at 10 bytes each; the next ones are told in the next datagram.
+const MOST_CHANGES_TOLD: usize = 96;
+/// Servers whose loads one datagram tells, at up to 15 bytes each: of a host with work at more servers those that it
+/// loads most.
+const MOST_LOADS_TOLD: usize = 96;
 const COMPARE_LIMIT: Duration = Duration::from_secs(2);
 /// How often a host tells its load.
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
@@ -158,6 +164,9 @@
 
     pub(super) fn send(&self, address: SocketAddr, message: &GatewayDatagram) {
         match seal_datagram(&self.settings.shared_key, message) {
+            Ok(bytes) if bytes.len() > LONGEST_DATAGRAM => {
+                log::error!("event=datagram_too_long peer={address} bytes={}", bytes.len());
+            }
             Ok(bytes) => {
                 let (sent, sent_bytes) = message.counters();
                 let mut metrics = self.metrics();
@@ -206,9 +215,12 @@
     /// store refuses this host.
     pub(super) fn tell_everyone(&self) {
         let serial = self.load_serial.fetch_add(1, Ordering::Relaxed);
-        let notice = GatewayDatagram::Notice(self.own_notice());
-        for target in self.load_targets(serial, usize::MAX, usize::MAX) {
-            self.send(target, &notice);
+        let targets = self.load_targets(serial, usize::MAX, usize::MAX);
+        for notice in self.own_notices() {
+            let notice = GatewayDatagram::Notice(notice);
+            for target in &targets {
+                self.send(*target, &notice);
+            }
         }
     }
 
@@ -224,18 +236,26 @@
         }
     }
 
-    fn own_notice(&self) -> HostNotice {
+    /// What this host tells at once, in parts that fit into a datagram each; one at least.
+    fn own_notices(&self) -> Vec<HostNotice> {
         let now = self.now();
         let state = self.state();
-        HostNotice {
-            incarnation: self.incarnation,
-            store_refused: state.refused.is_refused(now, self.incarnation),
-            changing: state.changes.ordered().collect(),
+        let store_refused = state.refused.is_refused(now, self.incarnation);
+        let incarnation = self.incarnation;
+        let notice =
+            |changing: &[_]| HostNotice { incarnation, store_refused, changing: changing.to_vec() };
+        let changing: Vec<(ServerKey, ServerStage)> = state.changes.ordered().collect();
+        if changing.is_empty() {
+            return vec![notice(&[])];
         }
+        changing.chunks(MOST_CHANGES_TOLD).map(notice).collect()
     }
 
+    /// The news number `version` of this host's load; each tells another part of its changes of stage.
     fn own_load(&self, version: u64) -> LoadNews {
-        let notice = self.own_notice();
+        let mut notices = self.own_notices();
+        let place = usize::try_from(version).unwrap_or_default() % notices.len();
+        let notice = notices.swap_remove(place);
         let now = self.now();
         let state = self.state();
         LoadNews {
@@ -245,7 +265,7 @@
             view: state.view_mark(),
             ages: state.view_ages(now),
             work: state.work.iter().map(|(key, meter)| (*key, meter.sums(now))).collect(),
-            loads: state.board.own().collect(),
+            loads: state.board.own_heaviest(MOST_LOADS_TOLD),
         }
     }
 
--- a/src/placement/load_board.rs
+++ b/src/placement/load_board.rs
@@ -1,5 +1,6 @@
 use crate::keys::{IncarnationId, ServerKey, TimePoint};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -86,9 +87,18 @@
         self.changes
     }
 
-    /// This host's own work, to tell the others.
-    pub fn own(&self) -> impl Iterator<Item = (ServerKey, ServerLoad)> {
-        self.own.iter().map(|(key, load)| (*key, *load))
+    /// This host's own work, to tell the others: at the `most` servers that it loads most.
+    pub fn own_heaviest(&self, most: usize) -> Vec<(ServerKey, ServerLoad)> {
+        let mut own: Vec<(ServerKey, ServerLoad)> =
+            self.own.iter().map(|(key, load)| (*key, *load)).collect();
+        if own.len() > most {
+            own.sort_unstable_by_key(|(key, load)| {
+                let tokens = load.memory_tokens.saturating_add(load.prompt_tokens);
+                (Reverse(tokens), Reverse(load.requests), *key)
+            });
+            own.truncate(most);
+        }
+        own
     }
 
     /// Another host's news; `version` rises with each that it sends.
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -274,5 +274,5 @@
     board.take(key, memory(100));
     assert_eq!(board.total(key), memory(50));
     board.take(key, memory(50));
-    assert_eq!(board.own().count(), 0);
+    assert!(board.own_heaviest(1).is_empty());
 }
