A host that has met nobody waits for its seeds before it lists the servers

Cause, by its log: the time is stretched by the hosts of the domain that are known, and 0.1 s after the start nobody has met anybody (hosts=1 in every account); 986 hosts ask the same three seeds, and the first word of another host comes after some 0.6 s.

Ruled out: a spread too short (no host waited longer than the smallest domain's 80 ms).

Change: a host that has seeds and has met no other one waits half a second for them; then the stretched time counts. A host without seeds, or one that has met others, does as before.

Why it holds: it asks for what the stretched time rests on. What does not hold at twice the size is the seeds' answer, a table of all to each: docs/design/whole-fleet.md, next limits.

--- a/src/fleet/watch_duty.rs
+++ b/src/fleet/watch_duty.rs
@@ -43,6 +43,9 @@
 /// A host without a view leaves its neighbours this time to begin to hand it theirs: a connection and two
 /// calls. Callers are refused meanwhile.
 const NEIGHBOUR_WAIT: Duration = Duration::from_millis(20);
+/// A host that has met no other one yet knows nothing of the size of its failure domain, and waits this long for its seeds:
+/// of a thousand hosts that start together each asks the same few. They answer a single host within milliseconds.
+const SEED_WAIT: Duration = Duration::from_millis(500);
 /// A host to which a neighbour is handing its view leaves it to that one as long as pieces come at least this often.
 /// What is handed over grows with the fleet, and no fixed wait from the start on fits: 600 kB for 10,000 servers take a
 /// quarter of a second on a link of 20 Mbit/s, and each host that did not wait for them began to list them in 50 pages.
@@ -83,6 +86,8 @@
 pub struct DutyView {
     /// Time since the host's start, as long as it has no view.
     pub uninformed_for: Option<Duration>,
+    /// It has seeds and has met no other host.
+    pub is_alone: bool,
     /// Time since something last came of a view that another host is handing over, if one is.
     pub handover_idle: Option<Duration>,
     /// The host is its failure domain's watcher.
@@ -122,7 +127,8 @@
 pub fn watch_duty(view: &DutyView) -> WatchDuty {
     if let Some(time) = view.uninformed_for {
         let spread = stretched(LISTING_SPREAD, view.domain_hosts);
-        let wait = NEIGHBOUR_WAIT + part_of(spread, view.salt);
+        let others = if view.is_alone { SEED_WAIT } else { NEIGHBOUR_WAIT };
+        let wait = others + part_of(spread, view.salt);
         let is_moving = view.handover_idle.is_some_and(|idle| idle < HANDOVER_PAUSE);
         let is_served = is_moving && time < LONGEST_HANDOVER;
         return if time >= wait && !is_served { WatchDuty::Watch } else { WatchDuty::Hear };
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -179,6 +179,7 @@
         });
         DutyView {
             uninformed_for: (!known).then(|| now.since(TimePoint::default())),
+            is_alone: state.members.is_alone(),
             handover_idle: lock(&self.view_fetches).moved_at().map(|at| now.since(at)),
             elected: watcher == Some(self.incarnation),
             answered_for: contact
--- a/tests/store_watch.rs
+++ b/tests/store_watch.rs
@@ -28,6 +28,7 @@
 ) {
     let view = DutyView {
         uninformed_for: uninformed_for_ms.map(Duration::from_millis),
+        is_alone: false,
         handover_idle: None,
         elected,
         answered_for: None,
@@ -46,6 +47,7 @@
 fn uninformed(for_ms: u64, handover_idle_ms: Option<u64>) -> DutyView {
     DutyView {
         uninformed_for: Some(Duration::from_millis(for_ms)),
+        is_alone: false,
         handover_idle: handover_idle_ms.map(Duration::from_millis),
         elected: false,
         answered_for: None,
@@ -59,6 +61,20 @@
     }
 }
 
+/// Pattern: a whole fleet starts at once. A tenth of a second later nobody has met anybody, and a wait that grows with the
+/// hosts known is that of a small domain: all of 184 hosts listed.
+#[rstest]
+#[case::seeds_may_still_answer(true, 400, WatchDuty::Hear)]
+#[case::no_seed_answers(true, 560, WatchDuty::Watch)]
+#[case::others_are_known(false, 400, WatchDuty::Watch)]
+fn host_that_has_met_nobody_waits_for_its_seeds(
+    #[case] is_alone: bool,
+    #[case] for_ms: u64,
+    #[case] expected: WatchDuty,
+) {
+    assert_eq!(watch_duty(&DutyView { is_alone, ..uninformed(for_ms, None) }), expected);
+}
+
 #[rstest]
 #[case::pieces_come(100, Some(20), WatchDuty::Hear)]
 #[case::pieces_have_stopped(400, Some(150), WatchDuty::Watch)]
@@ -134,6 +150,7 @@
             let now = Duration::from_millis(millis);
             let view = DutyView {
                 uninformed_for: None,
+                is_alone: false,
                 handover_idle: None,
                 elected: false,
                 answered_for: None,
@@ -164,6 +181,7 @@
     for salt in 0..1000 {
         let view = DutyView {
             uninformed_for: None,
+            is_alone: false,
             handover_idle: None,
             elected: false,
             answered_for: None,
@@ -191,6 +209,7 @@
 ) {
     let view = DutyView {
         uninformed_for: None,
+        is_alone: false,
         handover_idle: None,
         elected: false,
         answered_for: answered_ms.map(Duration::from_millis),
@@ -267,6 +286,7 @@
 fn unsure_host_asks(#[case] config_age_ms: u64, #[case] expected: WatchDuty) {
     let view = DutyView {
         uninformed_for: None,
+        is_alone: false,
         handover_idle: None,
         elected: false,
         answered_for: None,
@@ -294,6 +314,7 @@
     for salt in 0..1000 {
         let view = DutyView {
             uninformed_for: None,
+            is_alone: false,
             handover_idle: None,
             elected: false,
             answered_for: None,
@@ -342,6 +363,7 @@
 ) {
     let view = DutyView {
         uninformed_for: None,
+        is_alone: false,
         handover_idle: None,
         elected: false,
         answered_for: None,
