News of loads tell any part of many changes, and their test ends each time

Cause: the part that news of loads tell was picked by a serial that news of crashes, limits and notices count on as well, so that parts could be left out in turn. And the test ordered changes at a host that did not always give the orders: two hosts that start within a millisecond are told apart by chance, and one that does not give orders forgets them each 0.5 s, which meets every fifth news of loads (0.8 s apart), the same part of five each time.

Ruled out: the notices to all hosts, which tell all parts at once and which orders use.

Change: the part is drawn by chance, which needs no state. The test tells the notice itself, as the giver of orders does, and asserts as before that all 450 changes are known at the other host; a second one asserts that loads arrive beside them.

--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -213,7 +213,7 @@
 
     /// Tells all hosts what they must not wait for: that a server changes its stage, or that the
     /// store refuses this host.
-    pub(super) fn tell_everyone(&self) {
+    pub fn tell_everyone(&self) {
         let serial = self.load_serial.fetch_add(1, Ordering::Relaxed);
         let targets = self.load_targets(serial, usize::MAX, usize::MAX);
         for notice in self.own_notices() {
@@ -251,10 +251,11 @@
         changing.chunks(MOST_CHANGES_TOLD).map(notice).collect()
     }
 
-    /// The news number `version` of this host's load; each tells another part of its changes of stage.
+    /// The news number `version` of this host's load, with any one part of its changes of stage: parts that followed each
+    /// other by a number that other news count on as well could leave one out for ever.
     fn own_load(&self, version: u64) -> LoadNews {
         let mut notices = self.own_notices();
-        let place = usize::try_from(version).unwrap_or_default() % notices.len();
+        let place = rand::random_range(0..notices.len());
         let notice = notices.swap_remove(place);
         let now = self.now();
         let state = self.state();
--- a/tests/many_changes.rs
+++ b/tests/many_changes.rs
@@ -10,31 +10,61 @@
 
 use site_common::runtime;
 
+const LOOK: Duration = Duration::from_millis(20);
+
 fn server(place: u64) -> ServerKey {
     NameKey::of(&format!("i-{place}"))
 }
 
+const CHANGES: u64 = 450;
+
+/// Two daemons, the first of which has ordered hundreds of changes.
+async fn ordering_site() -> TestSite {
+    let plan = SitePlan { hosts: 2, ..SitePlan::default() };
+    TestSite::start(plan).await.expect("a site")
+}
+
+/// Orders the changes again: a daemon that does not give the orders forgets them, and so does one that finds no engine there.
+fn note_ordered(site: &TestSite) {
+    let mut state = site.hosts[0].host.state();
+    for place in 0..CHANGES {
+        state.changes.note_ordered(server(place), ServerStage::Decode);
+    }
+}
+
 /// Pattern: hundreds of engines of a large fleet are ordered to change their stage at once. In one datagram the news was
 /// cut off at its end, and every host refused it.
 #[test]
 fn hundreds_of_changes_reach_another_host() {
-    const CHANGES: u64 = 450;
     runtime().block_on(async {
-        let plan = SitePlan { hosts: 2, ..SitePlan::default() };
-        let site = TestSite::start(plan).await.expect("a site");
+        let site = ordering_site().await;
         let mut known = 0;
         while known < CHANGES as usize {
-            for place in 0..CHANGES {
-                let mut state = site.hosts[0].host.state();
-                state.changes.note_ordered(server(place), ServerStage::Decode);
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            note_ordered(&site);
+            site.hosts[0].host.tell_everyone();
+            tokio::time::sleep(LOOK).await;
             let host = &site.hosts[1].host;
             known = host.state().changes.heard(host.now()).count();
         }
     });
 }
 
+/// News of loads name changes, too, and were lost with them.
+#[test]
+fn loads_are_told_beside_hundreds_of_changes() {
+    runtime().block_on(async {
+        let site = ordering_site().await;
+        let load = ServerLoad { requests: 1, ..ServerLoad::default() };
+        let mut known = 0;
+        while known == 0 {
+            note_ordered(&site);
+            site.hosts[0].host.state().board.add(server(CHANGES), load);
+            tokio::time::sleep(LOOK).await;
+            known = site.hosts[1].host.state().board.total(server(CHANGES)).requests;
+        }
+    });
+}
+
 #[test]
 fn heaviest_loads_are_told_first() {
     let mut board = LoadBoard::default();
