Soak: any host may be the first that calls the store

Cause: the check wanted the first host's source. Hosts that start together begin to list over a time that grows with their failure domain, so that another one may hand its view to the first host before that one calls.

Ruled out: the library was not loaded (its absence shows as the loopback address of every source; here each source seen was its host's own).

Change: some source must have been seen, and none may be wrong. As strict: without the library every source seen is wrong, and all daemons are ready only when one of them has called.

--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -180,7 +180,7 @@
         stage.wait_ready().await?;
         if options.is_cutting && !stage.knows_machines() {
             let cause = "connections of daemons do not come from their machines' addresses";
-            return Err(Error::Refused(cause.to_owned()));
+            return Err(Error::Refused(format!("{cause}: {:?}", stage.store_sources())));
         }
         Ok(stage)
     }
@@ -222,14 +222,19 @@
         Ok(())
     }
 
-    /// Whether links can tell from which machine a connection comes. A host that its neighbours told all has not called
-    /// the store yet, but for the first one.
+    /// Whether links can tell from which machine a connection comes: some must have come, and none from a wrong address.
+    /// A host that its neighbours told all has not called the store yet, whichever was the first to start.
     fn knows_machines(&self) -> bool {
-        let sources: Vec<_> = self.store_links.iter().map(LinkProxy::last_source).collect();
+        let sources = self.store_sources();
         let is_own = |(source, place): (&Option<IpAddr>, usize)| {
             source.is_none_or(|address| address == machine_address(place))
         };
-        sources.first().is_some_and(Option::is_some) && sources.iter().zip(0..).all(is_own)
+        sources.iter().any(Option::is_some) && sources.iter().zip(0..).all(is_own)
+    }
+
+    /// From where each daemon last called the store, if it has.
+    fn store_sources(&self) -> Vec<Option<IpAddr>> {
+        self.store_links.iter().map(LinkProxy::last_source).collect()
     }
 
     /// Ends all faults and waits until everything serves.
