Tests of first views stand in a file of their own, and name only what differs from a calm host

Nine literals of twelve fields each differed in two or three; a calm view serves all (tests/duty_common).

--- /dev/null
+++ b/tests/duty_common/mod.rs
@@ -0,0 +1,22 @@
+//! What decides whether a host asks the store itself, shared by tests.
+
+use std::time::Duration;
+use tealcleat::fleet::DutyView;
+
+/// A host of a small failure domain that lacks nothing and hears from the others what is new.
+pub fn calm_view() -> DutyView {
+    DutyView {
+        uninformed_for: None,
+        is_alone: false,
+        handover_idle: None,
+        elected: false,
+        answered_for: None,
+        view_age: Duration::ZERO,
+        behind_for: None,
+        unheard_for: None,
+        config_age: None,
+        refused_for: None,
+        domain_hosts: 3,
+        salt: 1234,
+    }
+}
