What an owner saved up counts only while it was the owner all the time

Pools of repeats (BUDGET) were never dropped at all: 20 of 20 granted at once by a former owner, in a test of the pools.

Evidence: limit worlds now look after accounts as hosts do.

Change: OwnerTerm tells how long a host has looked after what it owns without a break of 0.8 s; has_owned tells whether nobody who goes before it was there since the last look; the table of members remembers when others took this host for dead. Limits, pools of repeats and servers' limits (which had the first guard of their own) use the same three. A host that is not the owner in its own view goes on from what the last owner had left, and begins with nothing. Logs: limit_owned says owner and settled.

Why it holds: an account or pool exists only from a moment on since which its host can show that nobody else was asked.

--- a/src/bench/worlds/limit_exchange.rs
+++ b/src/bench/worlds/limit_exchange.rs
@@ -45,8 +45,14 @@
     }
 
     pub fn grant(&mut self, place: usize, from: IncarnationId, ask: &LimitAsk) -> LimitAnswer {
-        let (share, age) = (self.share(place), self.hosts[place].age(self.now));
-        let is_settled = self.hosts[place].is_settled(self.now, BOUNDS.window);
+        let (mut share, age) = (self.share(place), self.hosts[place].age(self.now));
+        let is_owner = self.owner(place, self.hosts[place].update.domain) == OwnerChoice::Own;
+        if !is_owner {
+            share.first = 0.0;
+        }
+        let is_settled = is_owner
+            && self.hosts[place].is_settled(self.now, BOUNDS.window)
+            && self.hosts[place].tools.ledger.term().lasts_for(age, BOUNDS.window);
         let ledger = &mut self.hosts[place].tools.ledger;
         let answer = ledger.receive(age, from, ask, &share, is_settled);
         if ledger.wants_loan(age, org(), &share) {
@@ -55,6 +61,19 @@
         answer
     }
 
+    /// A host looks after the account that it has as the owner.
+    pub fn look_after_account(&mut self, place: usize) {
+        let is_owner = self.owner(place, self.hosts[place].update.domain) == OwnerChoice::Own;
+        let host = &mut self.hosts[place];
+        let (age, looked_at) = (host.age(self.now), host.tools.ledger.term().looked_at());
+        // Its own clock began with its life.
+        let since = self.now - age.since(looked_at);
+        let has_owned = is_owner && host.has_owned(org(), since);
+        if self.sabotage != Sabotage::KeepLostAccounts {
+            host.tools.ledger.look_after(age, |_| has_owned);
+        }
+    }
+
     fn ask_loans(&mut self, place: usize, share: &LimitShare) {
         let domain = self.hosts[place].update.domain;
         let lenders: Vec<MemberUpdate> = (0..DOMAINS)
--- a/src/bench/worlds/limit_world.rs
+++ b/src/bench/worlds/limit_world.rs
@@ -153,6 +153,7 @@
             if !self.hosts[place].runs(self.now) {
                 continue;
             }
+            self.look_after_account(place);
             let age = self.hosts[place].age(self.now);
             for ask in self.hosts[place].tools.meter.untold(age) {
                 match self.owner(place, self.hosts[place].update.domain) {
--- a/src/bench/worlds/world_host.rs
+++ b/src/bench/worlds/world_host.rs
@@ -2,6 +2,7 @@
 use crate::keys::{IncarnationId, NameKey, TimePoint};
 use crate::limits::SilentOwners;
 use crate::membership::MemberUpdate;
+use crate::placement::rendezvous_rank;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -86,6 +87,16 @@
         all_alive && now.since(self.changed_at) >= time && now.since(self.started_at) >= time
     }
 
+    /// Whether it has been the owner of a thing of its domain ever since `since`: nobody that goes before it lives, or did
+    /// at any time after that.
+    pub fn has_owned(&self, thing: NameKey, since: TimePoint) -> bool {
+        let rank = |host: &MemberUpdate| rendezvous_rank(thing.0, host.incarnation.0);
+        let domain = self.update.domain;
+        let others = self.met.values().filter(|(update, _)| update.domain == domain);
+        let mut before = others.filter(|(update, _)| rank(update) > rank(&self.update));
+        before.all(|(_, at)| *at + DEATH_TIME <= since)
+    }
+
     /// Whether it has met nobody yet.
     pub fn is_alone(&self) -> bool {
         self.met.is_empty()
--- a/src/bench/worlds/world_report.rs
+++ b/src/bench/worlds/world_report.rs
@@ -22,6 +22,8 @@
     MuteRefutation,
     /// An owner hands out its domain's whole part, however few of the domain's hosts it sees.
     OwnWholePart,
+    /// An owner keeps what it saved up while others own its organisations, or while it is suspended.
+    KeepLostAccounts,
     /// Limits that servers name are not read.
     IgnoreServerLimits,
     /// Each host grants itself what a server's limit allows.
--- a/src/gateway/limit_desk.rs
+++ b/src/gateway/limit_desk.rs
@@ -8,7 +8,7 @@
 use super::run_open::refuse;
 use crate::keys::{IncarnationId, NameKey, OrgKey, TimePoint};
 use crate::limits::{
-    LimitAnswer, LimitAsk, LimitLoan, LimitShare, LoanAsk, OwnerChoice, choose_owner,
+    LimitAnswer, LimitAsk, LimitLoan, LimitShare, LoanAsk, OwnerChoice, choose_owner, has_owned,
 };
 use crate::membership::{MemberState, MemberUpdate};
 use std::collections::HashSet;
@@ -20,7 +20,7 @@
 /// configuration yet. Of what hosts took alone then, an organisation at its limit had 0.7 s of its rate.
 const YOUNG_AGE: Duration = Duration::from_millis(1200);
 const YOUNG_PAUSE: Duration = Duration::from_millis(40);
-/// How often owners are told of use that no question told them, and accounts that others own now are forgotten.
+/// How often owners are told of use that no question told them, and accounts that this host owns are looked after.
 const TELL_LOOK: Duration = Duration::from_millis(250);
 
 /// What a request costs its organisation.
@@ -138,12 +138,21 @@
     fn grant(&self, now: TimePoint, from: IncarnationId, ask: &LimitAsk) -> Option<LimitAnswer> {
         let (answer, share, is_short) = {
             let mut state = self.state();
-            let share = state.domain_share(ask.org, self.domain())?;
+            let is_owner = state.owner(now, ask.org, self.domain()) == OwnerChoice::Own;
+            let mut share = state.domain_share(ask.org, self.domain())?;
+            if !is_owner {
+                // The host that asks believes in another owner than this one does, and perhaps it alone: this one may go
+                // on from what the last owner had left, and has nothing to begin with.
+                share.first = 0.0;
+            }
             let is_new = !state.ledger.has(ask.org);
-            let is_settled = state.members.is_settled(now, state.bounds.limits.window);
+            let window = state.bounds.limits.window;
+            let is_settled = is_owner
+                && state.members.is_settled(now, window)
+                && state.ledger.term().lasts_for(now, window);
             let answer = state.ledger.receive(now, from, ask, &share, is_settled);
             if is_new {
-                log_account(ask, &share, &answer);
+                log_account(ask, &share, &answer, is_owner, is_settled);
             }
             (answer, share, state.ledger.wants_loan(now, ask.org, &share))
         };
@@ -205,13 +214,18 @@
         state.ledger.borrow(now, loan, &share);
     }
 
-    /// Forgets what this host granted for organisations that others own now.
-    fn forget_lost_accounts(&self) {
+    /// Forgets what this host granted for organisations, and of repeats, of which it was not the owner all the time.
+    fn look_after_accounts(&self) {
         let (now, domain) = (self.now(), self.domain());
         let mut state = self.state();
         let mut ledger = std::mem::take(&mut state.ledger);
-        ledger.retain(|org| state.owner(now, org, domain) == OwnerChoice::Own);
+        let since = ledger.term().looked_at();
+        ledger.look_after(now, |org| state.has_owned(now, org, domain, since));
         state.ledger = ledger;
+        let mut pools = std::mem::take(&mut state.retry_pools);
+        let since = pools.term().looked_at();
+        pools.look_after(now, |service| state.has_owned(now, service, domain, since));
+        state.retry_pools = pools;
     }
 
     fn tell_use(&self) {
@@ -231,10 +245,17 @@
 }
 
 /// The line that tells what a new owner began with, and from where.
-fn log_account(ask: &LimitAsk, share: &LimitShare, answer: &LimitAnswer) {
+fn log_account(
+    ask: &LimitAsk,
+    share: &LimitShare,
+    answer: &LimitAnswer,
+    is_owner: bool,
+    is_settled: bool,
+) {
     let seen = ask.seen_level.is_some();
     log::info!(
-        "event=limit_owned org={:016x} rate={:.0} burst={:.0} seen={seen} units={} left={}",
+        "event=limit_owned org={:016x} rate={:.0} burst={:.0} seen={seen} owner={is_owner} \
+         settled={is_settled} units={} left={}",
         ask.org.0,
         share.rate,
         share.burst,
@@ -243,14 +264,14 @@
     );
 }
 
-/// Tells owners of use that they do not know of: given back, or taken while they were silent. Forgets accounts of which this
-/// host is the owner no more.
+/// Tells owners of use that they do not know of: given back, or taken while they were silent. Looks after the accounts of
+/// which this host is the owner.
 pub(super) async fn run_limits(host: Arc<GatewayHost>) {
     let mut ticker = tokio::time::interval(TELL_LOOK);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticker.tick().await;
-        host.forget_lost_accounts();
+        host.look_after_accounts();
         host.tell_use();
     }
 }
@@ -263,6 +284,21 @@
         choose_owner(now, org, self.members.own().incarnation, is_alone, hosts, &self.silent)
     }
 
+    /// Whether this host is the owner of a failure domain's part of something, and has been ever since a moment.
+    pub(super) fn has_owned(
+        &self,
+        now: TimePoint,
+        thing: NameKey,
+        domain: NameKey,
+        since: TimePoint,
+    ) -> bool {
+        let own = self.members.own().incarnation;
+        let others = self.members.records().filter(|record| record.update.domain == domain);
+        self.owner(now, thing, domain) == OwnerChoice::Own
+            && !self.members.was_wronged(since)
+            && has_owned(thing, own, others, since)
+    }
+
     /// What this host may hand out as the owner of an organisation's part: of the part of its failure
     /// domain as much as the hosts that it sees there are of all that it ever saw there. The others may be
     /// cut off, and have the rest.
--- a/src/gateway/limit_news.rs
+++ b/src/gateway/limit_news.rs
@@ -3,7 +3,6 @@
 use super::gateway_host::GatewayHost;
 use super::peer_messages::GatewayDatagram;
 use crate::keys::ServerKey;
-use crate::limits::OwnerChoice;
 use crate::server_limits::{AskPurpose, CallRank, LOG_TIME, LimitChange, LimitNews, ServerLimit};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -52,10 +51,11 @@
     fn tell_trails(&self) {
         let now = self.now();
         let limited: Vec<ServerKey> = self.state().sends.limited(now);
+        let since = self.state().sends.desk.term().looked_at();
         let owned: Vec<ServerKey> = limited
             .iter()
             .copied()
-            .filter(|server| self.send_owner(*server) == OwnerChoice::Own)
+            .filter(|server| self.state().has_owned_sends(now, *server, since))
             .collect();
         self.state().sends.desk.retain(now, |server| owned.contains(&server));
         for server in limited {
--- a/src/gateway/retry_desk.rs
+++ b/src/gateway/retry_desk.rs
@@ -65,7 +65,8 @@
         let bounds = state.bounds.retries;
         let (seen, known) = state.domain_hosts(self.domain());
         let share = RetryShare::of_domain(&bounds, seen, known);
-        let is_settled = state.members.is_settled(now, bounds.window);
+        let is_settled = state.members.is_settled(now, bounds.window)
+            && state.retry_pools.term().lasts_for(now, bounds.window);
         // One that only the asking host takes for the owner would grant beside the real one.
         let is_owner = state.pool_owner(now, ask.service) == OwnerChoice::Own;
         let granted = is_owner && state.retry_pools.receive(now, ask, &share, is_settled);
--- a/src/gateway/send_owner.rs
+++ b/src/gateway/send_owner.rs
@@ -4,7 +4,7 @@
 use super::gateway_state::GatewayState;
 use super::peer_messages::GatewayDatagram;
 use crate::keys::{IncarnationId, ServerKey, TimePoint};
-use crate::limits::{OwnerChoice, choose_owner};
+use crate::limits::{OwnerChoice, choose_owner, has_owned};
 use crate::membership::MemberUpdate;
 use crate::server_limits::{AskPurpose, CallRank, SendAsk, SendDecision, SendReply};
 use std::net::SocketAddr;
@@ -112,6 +112,23 @@
 }
 
 impl GatewayState {
+    /// Whether this host is the owner of a server that has a limit, and has been ever since a moment.
+    pub(super) fn has_owned_sends(
+        &self,
+        now: TimePoint,
+        server: ServerKey,
+        since: TimePoint,
+    ) -> bool {
+        let domain = self.fleet.entry(server).map(|entry| entry.domain);
+        let own = self.members.own();
+        let others = self.members.records().filter(|record| {
+            domain.is_none_or(|domain| domain != own.domain || record.update.domain == domain)
+        });
+        self.send_owner(now, server) == OwnerChoice::Own
+            && !self.members.was_wronged(since)
+            && has_owned(server, own.incarnation, others, since)
+    }
+
     /// The owner of a server that has a limit: one of the hosts of its failure domain, or of all if there are none
     /// there, or the server is not known.
     fn send_owner(&self, now: TimePoint, server: ServerKey) -> OwnerChoice {
--- a/src/limits/limit_ledger.rs
+++ b/src/limits/limit_ledger.rs
@@ -1,4 +1,4 @@
-use super::{LimitAnswer, LimitAsk, LimitBucket, LimitLoan, LimitShare, LoanAsk};
+use super::{LimitAnswer, LimitAsk, LimitBucket, LimitLoan, LimitShare, LoanAsk, OwnerTerm};
 use crate::keys::{IncarnationId, OrgKey, TimePoint};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -33,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct LimitLedger {
     accounts: HashMap<OrgKey, OrgAccount>,
+    /// How long it has been kept without a break.
+    term: OwnerTerm,
     sequence: u32,
 }
 
@@ -47,6 +49,10 @@
         share: &LimitShare,
         is_settled: bool,
     ) -> LimitAnswer {
+        // The first question after a suspension may come before the host has looked.
+        if self.term.is_broken(now) {
+            self.accounts.clear();
+        }
         let account = self.account(now, ask, share, is_settled);
         account.asked_at = now;
         account.learn(now, ask, share);
@@ -151,8 +157,20 @@
         });
     }
 
+    /// How long this owner has looked after its accounts.
+    pub fn term(&self) -> OwnerTerm {
+        self.term
+    }
+
+    /// Forgets accounts of which this host has not been the owner ever since the last look, and all of them if it was
+    /// suspended. Called several times a second.
+    pub fn look_after(&mut self, now: TimePoint, has_owned: impl Fn(OrgKey) -> bool) {
+        let is_unbroken = self.term.look(now);
+        self.retain(|org| is_unbroken && has_owned(org));
+    }
+
     /// Forgets accounts that another host owns now: what it grants is not known here, so that what fills up in them would
-    /// be granted twice if they came back. Called several times a second.
+    /// be granted twice if they came back.
     pub fn retain(&mut self, is_owned: impl Fn(OrgKey) -> bool) {
         self.accounts.retain(|org, _| is_owned(*org));
     }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -13,10 +13,12 @@
 mod limit_meter;
 mod limit_share;
 mod owner_choice;
+mod owner_term;
 
 pub use limit_bucket::LimitBucket;
 pub use limit_ledger::LimitLedger;
 pub use limit_messages::{LimitAnswer, LimitAsk, LimitLoan, LoanAsk};
 pub use limit_meter::LimitMeter;
 pub use limit_share::{LimitBounds, LimitShare};
-pub use owner_choice::{OwnerChoice, SilentOwners, choose_owner};
+pub use owner_choice::{OwnerChoice, SilentOwners, choose_owner, has_owned};
+pub use owner_term::OwnerTerm;
--- a/src/limits/owner_choice.rs
+++ b/src/limits/owner_choice.rs
@@ -1,6 +1,6 @@
-use crate::keys::{IncarnationId, OrgKey, TimePoint};
-use crate::membership::MemberUpdate;
-use crate::placement::rendezvous_owner;
+use crate::keys::{IncarnationId, NameKey, OrgKey, TimePoint};
+use crate::membership::{MemberRecord, MemberUpdate};
+use crate::placement::{rendezvous_owner, rendezvous_rank};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -43,6 +43,19 @@
     }
 }
 
+/// Whether a host has been the owner of a thing ever since a moment: of the `others` in the failure domain nobody who goes
+/// before it is there, or was there at any time after `since`.
+pub fn has_owned<'a>(
+    thing: NameKey,
+    own: IncarnationId,
+    others: impl Iterator<Item = &'a MemberRecord>,
+    since: TimePoint,
+) -> bool {
+    let rank = |host: IncarnationId| (rendezvous_rank(thing.0, host.0), host);
+    let mut before = others.filter(|record| rank(record.update.incarnation) > rank(own));
+    before.all(|record| !record.update.state.is_living() && record.since <= since)
+}
+
 /// Chooses the owner of an organisation's part among the living `hosts` of a failure domain; the same on
 /// all hosts that know the same ones. One that has not met any other host yet (`is_alone`) does not take
 /// itself for the only one: of hosts that start together, each would hand out its domain's whole part.
--- a/src/membership/member_table.rs
+++ b/src/membership/member_table.rs
@@ -29,6 +29,8 @@
     pub(super) next_compare: TimePoint,
     /// When the last news about another host came.
     pub(super) changed_at: TimePoint,
+    /// When this host last heard that others took it for dead.
+    pub(super) wronged_at: Option<TimePoint>,
     /// Since when the hosts that write believe in others than this one does.
     pub(super) differs_since: Option<TimePoint>,
     /// When a host of each other failure domain was last heard.
@@ -51,6 +53,7 @@
             next_probe: TimePoint::default(),
             next_compare: TimePoint::default(),
             changed_at: TimePoint::default(),
+            wronged_at: None,
             differs_since: None,
             domains_heard: HashMap::new(),
             salt,
@@ -93,6 +96,11 @@
         self.members.is_empty() && !self.seeds.is_empty()
     }
 
+    /// Whether others took this host for dead at some time after `since`, and its place with that.
+    pub fn was_wronged(&self, since: TimePoint) -> bool {
+        self.wronged_at.is_some_and(|at| at > since)
+    }
+
     /// The record of one incarnation.
     pub fn record(&self, incarnation: IncarnationId) -> Option<&MemberRecord> {
         self.members.get(&incarnation)
@@ -207,6 +215,9 @@
             let slandered = matches!(update.state, MemberState::Suspect | MemberState::Dead);
             if slandered && update.version >= self.own.version {
                 self.own.version = update.version + 1;
+                if update.state == MemberState::Dead {
+                    self.wronged_at = Some(now);
+                }
             }
             return;
         }
--- a/src/membership/table_spread.rs
+++ b/src/membership/table_spread.rs
@@ -37,10 +37,11 @@
         due
     }
 
-    /// Whether this host has known the same others for `time`, all of them alive.
+    /// Whether this host has known the same others for `time`, all of them alive, and they knew it to be alive.
     pub fn is_settled(&self, now: TimePoint, time: Duration) -> bool {
         let alive = |update: &MemberUpdate| update.state == MemberState::Alive;
         now.since(self.changed_at) >= time
+            && !self.was_wronged(now - time)
             && now.since(TimePoint::default()) >= time
             && self.members.values().all(|record| alive(&record.update))
     }
--- a/src/retries/retry_pools.rs
+++ b/src/retries/retry_pools.rs
@@ -1,7 +1,7 @@
 use super::retry_window::OWN_PART;
 use super::{RetryAsk, RetryBounds};
 use crate::keys::TimePoint;
-use crate::limits::{LimitBucket, LimitShare};
+use crate::limits::{LimitBucket, LimitShare, OwnerTerm};
 use crate::routes::ServiceKey;
 use std::collections::HashMap;
 
@@ -30,6 +30,8 @@
 #[derive(Debug, Default)]
 pub struct RetryPools {
     buckets: HashMap<ServiceKey, LimitBucket>,
+    /// How long they have been kept without a break.
+    term: OwnerTerm,
 }
 
 impl RetryPools {
@@ -44,6 +46,9 @@
         is_settled: bool,
     ) -> bool {
         let RetryShare(share) = share;
+        if self.term.is_broken(now) {
+            self.buckets.clear();
+        }
         let first = if is_settled { share.burst } else { 0.0 };
         let bucket = self.buckets.entry(ask.service);
         let bucket = bucket.or_insert_with(|| LimitBucket::new(now, first));
@@ -57,4 +62,16 @@
         }
         granted
     }
+
+    /// How long this owner has looked after its pools.
+    pub fn term(&self) -> OwnerTerm {
+        self.term
+    }
+
+    /// Forgets pools of which this host has not been the owner ever since the last look, and all of them if it was
+    /// suspended: another one granted from them, while they filled up here. Called several times a second.
+    pub fn look_after(&mut self, now: TimePoint, has_owned: impl Fn(ServiceKey) -> bool) {
+        let is_unbroken = self.term.look(now);
+        self.buckets.retain(|service, _| is_unbroken && has_owned(*service));
+    }
 }
--- a/src/server_limits/send_desk.rs
+++ b/src/server_limits/send_desk.rs
@@ -1,6 +1,7 @@
 use super::send_account::SendAccount;
 use super::{SendAsk, SendDecision, ServerLimit};
 use crate::keys::{IncarnationId, ServerKey, TimePoint};
+use crate::limits::OwnerTerm;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -15,7 +16,8 @@
 #[derive(Debug, Default)]
 pub struct SendDesk {
     accounts: HashMap<ServerKey, SendAccount>,
-    kept_at: TimePoint,
+    /// How long they have been kept without a break.
+    term: OwnerTerm,
 }
 
 impl SendDesk {
@@ -31,17 +33,19 @@
         account.or_insert_with(|| SendAccount::new(now)).receive(now, from, ask, limit)
     }
 
-    /// Forgets servers that have no limit any more, or another owner: what that one grants meanwhile is not known
-    /// here. Called several times a second; if it was not, this host was suspended, others took its place, and it
-    /// learns anew.
-    pub fn retain(&mut self, now: TimePoint, is_owned: impl Fn(ServerKey) -> bool) {
-        if now.since(self.kept_at) > LEARN_TIME {
-            self.accounts.clear();
-        }
-        self.kept_at = now;
+    /// How long this owner has looked after its accounts.
+    pub fn term(&self) -> OwnerTerm {
+        self.term
+    }
+
+    /// Forgets servers that have no limit any more, or of which this host has not been the owner ever since the last look:
+    /// what another one granted meanwhile is not known here. Called several times a second; if it was not, this host was
+    /// suspended, others took its place, and it learns anew.
+    pub fn retain(&mut self, now: TimePoint, has_owned: impl Fn(ServerKey) -> bool) {
+        let is_unbroken = self.term.look(now);
         self.accounts.retain(|server, account| {
             account.expire(now);
-            is_owned(*server)
+            is_unbroken && has_owned(*server)
         });
     }
 }
--- /dev/null
+++ b/tests/owner_terms.rs
@@ -0,0 +1,177 @@
+//! What owners saved up: it counts only while they were the owners all the time.
+
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tealcleat::keys::{IncarnationId, NameKey, OrgKey, TimePoint};
+use tealcleat::limits::{
+    LimitAsk, LimitLedger, LimitShare, OwnerChoice, OwnerTerm, SilentOwners, choose_owner,
+    has_owned,
+};
+use tealcleat::membership::{MemberState, MemberTable, MemberUpdate};
+use tealcleat::retries::{RetryAsk, RetryBounds, RetryPools, RetryShare};
+
+const SHARE: LimitShare = LimitShare { rate: 1000.0, burst: 2000.0, first: 400.0 };
+const OTHER_HOST: IncarnationId = IncarnationId(77);
+const SERVICE: NameKey = NameKey(1);
+/// How often an owner looks after its accounts.
+const LOOK_MS: usize = 250;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(100_000 + millis)
+}
+
+fn org() -> OrgKey {
+    OrgKey::of("moonbook")
+}
+
+fn ask(units: u32) -> LimitAsk {
+    LimitAsk { sequence: 1, org: org(), used: i64::from(units), units, seen_level: None }
+}
+
+/// An owner that granted all that it had, and has looked after the rest until two seconds later.
+fn busy_ledger() -> LimitLedger {
+    let mut ledger = LimitLedger::default();
+    ledger.look_after(at(0), |_| true);
+    ledger.receive(at(0), OTHER_HOST, &ask(2000), &SHARE, true);
+    for millis in (250..=2000).step_by(LOOK_MS) {
+        ledger.look_after(at(millis), |_| true);
+    }
+    ledger
+}
+
+/// Guards against an owner that wakes up with full accounts, while another one granted the same units.
+#[rstest]
+#[case::asked_before_it_looked(false)]
+#[case::looked_first(true)]
+fn suspended_owner_of_limits_begins_anew(#[case] looks_first: bool) {
+    let mut ledger = busy_ledger();
+    if looks_first {
+        ledger.look_after(at(9000), |_| true);
+    }
+    let answer = ledger.receive(at(9010), OTHER_HOST, &ask(0), &SHARE, false);
+    assert_eq!(answer.level, 400);
+    assert!(!ledger.term().lasts_for(at(9010), Duration::from_secs(8)));
+}
+
+#[test]
+fn owner_of_limits_keeps_what_it_saved_up() {
+    let mut ledger = busy_ledger();
+    assert!(ledger.term().lasts_for(at(2000), Duration::from_secs(8)));
+    assert_eq!(ledger.receive(at(2000), OTHER_HOST, &ask(0), &SHARE, false).level, 2000);
+}
+
+fn retry_share() -> RetryShare {
+    let bounds =
+        RetryBounds { ratio: 0.2, slack: 80.0, window: Duration::from_secs(10), domains: 1 };
+    RetryShare::of_domain(&bounds, 4, 4)
+}
+
+fn granted(pools: &mut RetryPools, now: TimePoint) -> usize {
+    let ask = |sequence| RetryAsk { sequence, service: SERVICE, count: 1 };
+    (0..100).filter(|sequence| pools.receive(now, &ask(*sequence), &retry_share(), false)).count()
+}
+
+/// Guards against pools of repeats that fill up while another host grants, or while their owner is suspended.
+#[rstest]
+#[case::owner_all_the_time(true, LOOK_MS, 20)]
+#[case::others_owned_them(false, LOOK_MS, 0)]
+#[case::suspended(true, 20_000, 0)]
+fn pool_of_a_former_owner_is_empty(
+    #[case] is_owned: bool,
+    #[case] look_ms: usize,
+    #[case] expected: usize,
+) {
+    let mut pools = RetryPools::default();
+    granted(&mut pools, at(0));
+    for millis in (0..=20_000).step_by(look_ms) {
+        // In the end it is the owner again.
+        pools.look_after(at(millis), |_| is_owned || millis == 20_000);
+    }
+    assert_eq!(granted(&mut pools, at(20_000)), expected);
+}
+
+fn host(number: u16) -> MemberUpdate {
+    let address = SocketAddr::from(([127, 0, 0, 1], 7000 + number));
+    MemberUpdate::started(IncarnationId(number.into()), address, NameKey::of("a"))
+}
+
+/// A table of six hosts whose own one is the first or the last choice for the organisation.
+fn table(is_first: bool) -> MemberTable {
+    let hosts: Vec<MemberUpdate> = (1..=6).map(host).collect();
+    let silent = SilentOwners::default();
+    let owns = |own: &MemberUpdate, hosts: &[MemberUpdate]| {
+        let hosts = hosts.iter().copied();
+        choose_owner(at(0), org(), own.incarnation, false, hosts, &silent) == OwnerChoice::Own
+    };
+    let is_chosen = |own: &&MemberUpdate| {
+        if is_first {
+            return owns(own, &hosts);
+        }
+        hosts.iter().all(|other| other == *own || !owns(own, &[**own, *other]))
+    };
+    let own = *hosts.iter().find(is_chosen).expect("one of them");
+    let others: Vec<MemberUpdate> = hosts.into_iter().filter(|host| *host != own).collect();
+    let mut table = MemberTable::new(own, Vec::new(), 7);
+    table.merge_all(at(0), &others);
+    table
+}
+
+fn is_owner_since(table: &MemberTable, since: TimePoint) -> bool {
+    !table.was_wronged(since) && has_owned(org(), table.own().incarnation, table.records(), since)
+}
+
+fn dead(table: &MemberTable) -> Vec<MemberUpdate> {
+    let others = table.records().map(|record| record.update);
+    others.map(|update| MemberUpdate { state: MemberState::Dead, ..update }).collect()
+}
+
+#[rstest]
+#[case::first_choice(true, true)]
+#[case::last_choice(false, false)]
+fn owner_alone_has_owned(#[case] is_first: bool, #[case] expected: bool) {
+    assert_eq!(is_owner_since(&table(is_first), at(0)), expected);
+}
+
+/// Guards against an account that is kept by a host which was not the owner for a moment between two looks.
+#[test]
+fn office_lost_and_won_between_two_looks_is_a_new_one() {
+    let mut table = table(false);
+    let dead = dead(&table);
+    table.merge_all(at(5000), &dead);
+    assert!(!is_owner_since(&table, at(4900)), "another one was the owner until 5.0 s");
+    assert!(is_owner_since(&table, at(5000)));
+    // One of them comes again, and is gone, before the next look.
+    let again = MemberUpdate { state: MemberState::Alive, version: 9, ..dead[0] };
+    table.merge_all(at(6000), &[again]);
+    table.merge_all(at(6100), &[MemberUpdate { state: MemberState::Dead, ..again }]);
+    assert!(!is_owner_since(&table, at(5900)));
+    assert!(is_owner_since(&table, at(6100)));
+}
+
+/// Guards against full accounts of an owner that others took for dead meanwhile.
+#[test]
+fn owner_that_others_took_for_dead_has_a_new_office() {
+    let mut table = table(true);
+    assert!(table.is_settled(at(9000), Duration::from_secs(8)));
+    let slander = MemberUpdate { state: MemberState::Dead, ..table.own() };
+    table.merge_all(at(9000), &[slander]);
+    assert!(!is_owner_since(&table, at(8900)));
+    assert!(!table.is_settled(at(9100), Duration::from_secs(8)));
+    assert!(is_owner_since(&table, at(9000)));
+    assert!(table.is_settled(at(17_000), Duration::from_secs(8)));
+}
+
+#[test]
+fn term_of_an_owner_ends_with_a_break() {
+    let mut term = OwnerTerm::default();
+    assert!(term.look(at(0)) && term.look(at(250)) && term.look(at(1000)));
+    assert!(term.lasts_for(at(1000), Duration::from_secs(8)), "it has had no break");
+    assert!(term.is_broken(at(1900)));
+    assert!(!term.look(at(1900)) && term.look(at(2150)));
+    assert!(!term.lasts_for(at(2150), Duration::from_secs(1)));
+    for millis in (2400..=3000).step_by(LOOK_MS) {
+        assert!(term.look(at(millis)));
+    }
+    assert!(term.lasts_for(at(3000), Duration::from_secs(1)));
+}
--- a/tests/worlds.rs
+++ b/tests/worlds.rs
@@ -62,6 +62,15 @@
     assert_eq!(report.broken, Vec::<String>::new());
 }
 
+/// Guards against owners that keep what they saved up while others were the owners: these seeds break the limit then.
+#[rstest]
+fn limit_kept_by_owners_that_come_and_go(#[values(125, 149, 211)] seed: u64) {
+    let kept = run_limit_world(seed, 20_000, Sabotage::KeepLostAccounts);
+    assert!(!kept.broken.is_empty(), "the run does not notice");
+    let report = run_limit_world(seed, 20_000, Sabotage::None);
+    assert_eq!(report.broken, Vec::<String>::new());
+}
+
 #[rstest]
 fn server_limits_break_on_each_seed_when_ignored(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
     let report = run_send_world(seed, 3_000, Sabotage::IgnoreServerLimits);
