--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -3,6 +3,7 @@
 //! Each has switches for the faults that trials on the users' bench showed; none has a cost model.
 
 mod duplicate_link;
+mod engine_events;
 mod engine_fault;
 mod engine_memory;
 mod engine_orders;
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -1,6 +1,6 @@
 use super::engine_fault::EngineFault;
 use super::engine_memory::EngineMemory;
-use super::event_feed::{EventFeed, EventSender, cut_within};
+use super::event_feed::EventFeed;
 use super::life_switch::{LifeSwitch, RestartPlace};
 use super::site_arrivals::{LimitSpeech, SiteArrivals};
 use super::site_http::{
@@ -10,9 +10,7 @@
 use super::site_run::SiteRun;
 use crate::Result;
 use crate::host::lock;
-use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,10 +28,10 @@
     /// What arrives, and what it says of its limit; a new life of it says nothing.
     pub arrivals: SiteArrivals,
     pub(super) stage: Mutex<String>,
-    events: u64,
-    pause: Duration,
+    pub(super) events: u64,
+    pub(super) pause: Duration,
     fault: Mutex<EngineFault>,
-    runs: Mutex<Vec<SiteRun>>,
+    pub(super) runs: Mutex<Vec<SiteRun>>,
     pub(super) memory: Mutex<EngineMemory>,
     serials: AtomicU64,
     turned_away: AtomicU64,
@@ -209,39 +207,6 @@
         let answered = if self.fault() == EngineFault::ForeignAnswer { "another" } else { id };
         Ok(signed(hyper::Response::new(stream), answered, Some(&self.id)))
     }
-
-    async fn make_events(
-        self: Arc<Self>,
-        prompt: String,
-        first: u64,
-        place: usize,
-        events: EventSender,
-    ) {
-        for number in first..self.events {
-            let text = format!("id: {number}\ndata: {prompt} {number}\n\n");
-            let made = number - first;
-            let sent = match self.fault() {
-                EngineFault::CutAfter(most) if made >= most => {
-                    cut_within(&events, &text).await;
-                    return;
-                }
-                EngineFault::StallAfter(most) if made >= most => {
-                    events.closed().await;
-                    false
-                }
-                EngineFault::StrayAfter(most) if first == 0 && made == most => {
-                    let stray = format!("HTTP/1.1 200 OK\r\ndata: stray\r\n\r\n{text}");
-                    events.send(Ok(Frame::data(Bytes::from(stray)))).await.is_ok()
-                }
-                _ => events.send(Ok(Frame::data(Bytes::from(text)))).await.is_ok(),
-            };
-            if !sent {
-                lock(&self.runs)[place].cancelled = true;
-                return;
-            }
-            tokio::time::sleep(self.pause).await;
-        }
-    }
 }
 
 impl SiteHandler for SiteEngine {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod limit_hearing;
 mod limit_news;
 mod load_guard;
+mod load_news;
 mod peer_loop;
 mod peer_messages;
 mod plain_call;
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -10,11 +10,11 @@
 use tealcleat::platform::{StoreObject, decode_config, decode_server};
 use tealcleat::server_limits::{AskPurpose, CallRank, SendControl, SendDecision, ServerLimit};
 
-const COLD_MS: u32 = 3_000;
+mod limit_common;
 
-fn at(millis: u64) -> TimePoint {
-    TimePoint::from_millis(100_000 + millis)
-}
+use limit_common::{at, limit};
+
+const COLD_MS: u32 = 3_000;
 
 fn server(id: &str, cold_ms: u32) -> ServerEntry {
     ServerEntry {
@@ -30,10 +30,6 @@
     }
 }
 
-fn limit(text: &str) -> ServerLimit {
-    ServerLimit::try_from(text).expect("a limit")
-}
-
 fn cold_ids(view: &FleetView, now: TimePoint) -> Vec<&str> {
     view.cold(now).map(|(entry, _)| entry.id.as_str()).collect()
 }
--- /dev/null
+++ b/tests/limit_common/mod.rs
@@ -0,0 +1,26 @@
+//! Moments, a server and its limits, shared by tests.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::server_limits::{LimitNews, ServerLimit};
+
+/// A moment when hosts are no longer young.
+pub fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(100_000 + millis)
+}
+
+/// The server that has a limit.
+pub fn server() -> ServerKey {
+    NameKey::of("i-service-0")
+}
+
+/// A limit in requests a second.
+pub fn limit(text: &str) -> ServerLimit {
+    ServerLimit::try_from(text).expect("a limit")
+}
+
+/// What a host tells of the server's limit.
+pub fn news(version: u32, text: Option<&str>) -> LimitNews {
+    LimitNews { server: server(), version, limit: text.map(limit) }
+}
--- a/tests/many_changes.rs
+++ b/tests/many_changes.rs
@@ -17,6 +17,8 @@
 }
 
 const CHANGES: u64 = 450;
+/// A minute of looks ends a test that would not end, with what it waited for.
+const MOST_LOOKS: usize = 3000;
 
 /// Two daemons, the first of which has ordered hundreds of changes.
 async fn ordering_site() -> TestSite {
@@ -32,14 +34,25 @@
     }
 }
 
-/// Pattern: hundreds of engines of a large fleet are ordered to change their stage at once. In one datagram the news was
-/// cut off at its end, and every host refused it.
+/// What a test that does not end waited for.
+fn waiting(site: &TestSite, known: usize) -> String {
+    let hosts = &site.hosts;
+    let ordered = hosts[0].host.state().changes.ordered().count();
+    let met: Vec<usize> =
+        hosts.iter().map(|host| host.host.state().members.records().count()).collect();
+    format!("{known} known of {ordered} ordered; hosts met by each: {met:?}")
+}
+
+/// Guards against news that stand in a part of a datagram which is cut off, or in one that is never told. Pattern: hundreds of
+/// engines of a large fleet are ordered to change their stage at once; every host refused the one datagram.
 #[test]
 fn hundreds_of_changes_reach_another_host() {
     runtime().block_on(async {
         let site = ordering_site().await;
-        let mut known = 0;
+        let (mut known, mut looks) = (0, 0);
         while known < CHANGES as usize {
+            looks += 1;
+            assert!(looks < MOST_LOOKS, "{}", waiting(&site, known));
             note_ordered(&site);
             site.hosts[0].host.tell_everyone();
             tokio::time::sleep(LOOK).await;
@@ -49,14 +62,16 @@
     });
 }
 
-/// News of loads name changes, too, and were lost with them.
+/// Guards against loads that are lost with the changes which their news name.
 #[test]
 fn loads_are_told_beside_hundreds_of_changes() {
     runtime().block_on(async {
         let site = ordering_site().await;
         let load = ServerLoad { requests: 1, ..ServerLoad::default() };
-        let mut known = 0;
+        let (mut known, mut looks) = (0, 0);
         while known == 0 {
+            looks += 1;
+            assert!(looks < MOST_LOOKS, "{}", waiting(&site, known as usize));
             note_ordered(&site);
             site.hosts[0].host.state().board.add(server(CHANGES), load);
             tokio::time::sleep(LOOK).await;
