Waits for crash news cost no kept memory, no final answer and no storm of news; a suspended owner begins anew once

What is earlier by no more than the hosts' differences (10 ms) is kept and not told. - An owner that woke up forgot its accounts at each question until its first look, each time with a first level. It begins anew once (owner_terms; the case fails without the change). - Overlaps of runs are looked for among neighbours in time: in order n log n, for contents at hundreds of crashes.

--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -44,30 +44,36 @@
     }
 
     /// Whether this request, which was sent to `sent` servers, must go to no further one since it crashes them. Asked
-    /// before each send: a request under way learns of what it did elsewhere.
+    /// before each send: a request under way learns of what it did elsewhere, and waits until that is settled.
     pub async fn is_held_back(&self, sent: u32) -> bool {
         let is_allowed = self.is_trial && sent == 0;
         !is_allowed && self.host.settled_hold(self.id(), self.contents, self.left()).await
     }
+
+    /// The same by what is settled already, where a wait would cost what servers keep for it, or delay its final answer.
+    pub fn is_surely_held_back(&self, sent: u32) -> bool {
+        let is_allowed = self.is_trial && sent == 0;
+        let verdict = self.host.state().crashes.verdict(self.contents);
+        !is_allowed && verdict == RequestVerdict::Held
+    }
 }
 
 impl GatewayHost {
     /// Whether a request is held back, as soon as that can be told: one that seems to crash servers waits until it is known
     /// who else was there. If that takes longer than it has `left`, or ever more servers crash meanwhile, it is sent on.
     async fn settled_hold(&self, id: &str, request: RequestKey, left: Duration) -> bool {
-        let began = self.now();
         let patience = left.min(NEWS_TIME);
+        let (began, mut waited) = (self.now(), Duration::ZERO);
         loop {
             let verdict = self.state().crashes.verdict(request);
-            let waited = self.now().since(began);
             match verdict {
                 RequestVerdict::Held => return true,
                 RequestVerdict::Unsettled { wait } if waited < patience => {
-                    log::info!(
-                        "event=crash_news_awaited request={id} contents={request} wait_ms={}",
-                        wait.as_millis()
-                    );
+                    if waited.is_zero() {
+                        log_wait(id, request, wait);
+                    }
                     tokio::time::sleep(wait.max(LEAST_WAIT).min(patience - waited)).await;
+                    waited = self.now().since(began);
                 }
                 RequestVerdict::Free | RequestVerdict::Unsettled { .. } => return false,
             }
@@ -172,3 +178,8 @@
         }
     }
 }
+
+fn log_wait(id: &str, request: RequestKey, wait: Duration) {
+    let wait_ms = wait.as_millis();
+    log::info!("event=crash_news_awaited request={id} contents={request} wait_ms={wait_ms}");
+}
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -85,11 +85,8 @@
     context: &CallContext,
     record: &AttemptRecord,
 ) -> Option<(ServerEntry, SendPermit)> {
-    if context.is_held_back(record.sent).await {
-        return None;
-    }
     let spent = record.sent >= context.route.most_servers || record.unreached >= MOST_UNREACHED;
-    if spent || context.left().is_zero() {
+    if spent || context.left().is_zero() || context.is_held_back(record.sent).await {
         return None;
     }
     let (kind, near) = (ChoiceKind::Requests, context.host.domain());
@@ -133,7 +130,7 @@
             CallEnd::Unknown("no_answer")
         };
     }
-    if context.is_held_back(record.sent).await {
+    if context.is_surely_held_back(record.sent) {
         return refuse(NotRunReason::HeldBack);
     }
     if context.is_limited_out(None) {
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -144,7 +144,7 @@
         return Err(OpenFailure::NotRun(NotRunReason::OutOfTime));
     }
     // News of its other runs may have come while its prompt was read.
-    if context.is_held_back(runs.sent).await {
+    if context.is_surely_held_back(runs.sent) {
         return Err(OpenFailure::NotRun(NotRunReason::HeldBack));
     }
     if is_lost(context, &mut room.keep) {
--- a/src/limits/limit_ledger.rs
+++ b/src/limits/limit_ledger.rs
@@ -51,7 +51,7 @@
     ) -> LimitAnswer {
         // The first question after a suspension may come before the host has looked.
         if self.term.is_broken(now) {
-            self.accounts.clear();
+            self.look_after(now, |_| false);
         }
         let account = self.account(now, ask, share, is_settled);
         account.asked_at = now;
--- a/src/quarantine/crash_book.rs
+++ b/src/quarantine/crash_book.rs
@@ -10,7 +10,7 @@
 /// A crash is remembered this long after it, or after the last return of a request that was there and is held back.
 /// Whoever waits that long is sent on again: what it asked for may have been mended.
 pub const CRASH_LIFE: Duration = Duration::from_secs(600);
-/// Crashes kept. With some ten requests each 150 KB, with 64 each 700 KB (reckoned).
+/// Crashes kept. With some ten requests each 230 KB, with 64 each 1.2 MB (reckoned).
 const MOST_CRASHES: usize = 1024;
 /// Returns of a request that is held back are told to the others this often.
 pub(super) const RETURN_PERIOD: Duration = Duration::from_secs(60);
--- a/src/quarantine/crash_exchange.rs
+++ b/src/quarantine/crash_exchange.rs
@@ -7,7 +7,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-/// Request keys in one message between hosts: at nine bytes each within one datagram.
+/// Requests in one message between hosts: at up to 14 bytes each within one datagram.
 const KEYS_PER_MESSAGE: usize = 96;
 /// Crashes handed over at once, to a host that compares notes or to the store: the newest ones.
 const MOST_HANDED_OVER: usize = 256;
--- a/src/quarantine/crash_record.rs
+++ b/src/quarantine/crash_record.rs
@@ -8,6 +8,10 @@
 /// rounds (reckoned); twice as many make up for lost datagrams.
 pub(super) const TELLS: u8 = 8;
 
+/// Hosts notice the same crash so far apart, and news take so long. A run that began by so much before another server's
+/// crash may have been the answer to it; differences below it are not told on.
+pub(super) const CLOCK_SLACK: Duration = Duration::from_millis(10);
+
 /// A request that was at a crash.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct BrokenRun {
@@ -21,7 +25,7 @@
 pub(super) enum AddedRun {
     /// That it was there.
     New,
-    /// That it had been there for longer.
+    /// That it had been there for notably longer.
     Longer,
     /// Nothing, or no more is kept.
     Known,
@@ -64,8 +68,9 @@
         let has_room = self.requests.len() < MOST_REQUESTS;
         match self.requests.iter_mut().find(|known| known.request == run.request) {
             Some(known) if run.began_at < known.began_at => {
+                let is_told = known.began_at.since(run.began_at) > CLOCK_SLACK;
                 known.began_at = run.began_at;
-                AddedRun::Longer
+                if is_told { AddedRun::Longer } else { AddedRun::Known }
             }
             None if has_room => {
                 self.requests.push(run);
--- a/src/quarantine/crash_verdict.rs
+++ b/src/quarantine/crash_verdict.rs
@@ -1,6 +1,6 @@
 //! Weighs which of the requests that were at crashes caused them.
 
-use super::crash_record::CrashRecord;
+use super::crash_record::{CLOCK_SLACK, CrashRecord};
 use crate::keys::{RequestKey, ServerKey, TimePoint};
 use std::collections::HashMap;
 use std::fmt;
@@ -16,9 +16,6 @@
 /// One more is enough if it came this long after the third: a request that crashes servers may be sent on for three
 /// seconds, and hardly later.
 const LATE_CRASH: Duration = Duration::from_secs(2);
-/// Hosts notice the same crash so far apart, and news take so long; a run that began by so much before another server's
-/// crash may have been the answer to it.
-const CLOCK_SLACK: Duration = Duration::from_millis(10);
 
 /// What speaks against a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -157,15 +154,15 @@
 
     /// Whether a request was at one server before it was broken off at another one.
     fn is_spread(&self, request: RequestKey) -> bool {
-        let runs: Vec<(TimePoint, TimePoint)> = self
-            .records(request)
-            .filter_map(|record| Some((record.run(request)?.began_at, record.at)))
-            .collect();
-        let overlap = |(place, (began_at, broke_at)): (usize, &(TimePoint, TimePoint))| {
-            runs[..place].iter().any(|(other_began, other_broke)| {
-                *began_at + CLOCK_SLACK < *other_broke && *other_began + CLOCK_SLACK < *broke_at
-            })
-        };
-        runs.iter().enumerate().any(overlap)
+        let runs = self.records(request).filter_map(|record| {
+            let run = record.run(request)?;
+            Some((record.at, run.began_at))
+        });
+        let mut runs: Vec<(TimePoint, TimePoint)> = runs.collect();
+        runs.sort_unstable();
+        runs.windows(2).any(|pair| {
+            let [(first_broke, first_began), (broke, began)] = [pair[0], pair[1]];
+            began + CLOCK_SLACK < first_broke && first_began + CLOCK_SLACK < broke
+        })
     }
 }
--- a/src/retries/retry_pools.rs
+++ b/src/retries/retry_pools.rs
@@ -46,8 +46,9 @@
         is_settled: bool,
     ) -> bool {
         let RetryShare(share) = share;
+        // The first question after a suspension may come before the host has looked.
         if self.term.is_broken(now) {
-            self.buckets.clear();
+            self.look_after(now, |_| false);
         }
         let first = if is_settled { share.burst } else { 0.0 };
         let bucket = self.buckets.entry(ask.service);
--- a/tests/owner_terms.rs
+++ b/tests/owner_terms.rs
@@ -51,6 +51,10 @@
     }
     let answer = ledger.receive(at(9010), OTHER_HOST, &ask(0), &SHARE, false);
     assert_eq!(answer.level, 400);
+    let used = ledger.receive(at(9010), OTHER_HOST, &ask(400), &SHARE, false);
+    assert_eq!((used.refused_ms, used.level), (None, 0), "it begins anew once");
+    let told = LimitAsk { units: 0, ..ask(400) };
+    assert_eq!(ledger.receive(at(9010), OTHER_HOST, &told, &SHARE, false).level, 0);
     assert!(!ledger.term().lasts_for(at(9010), Duration::from_secs(8)));
 }
 
