--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -4,7 +4,7 @@
 use crate::gateway::{Gateway, start_gateway};
 use crate::limits::LimitBounds;
 use crate::retries::RetryBounds;
-use crate::settings::{GatewayBounds, GatewaySettings};
+use crate::settings::{GatewayBounds, GatewaySettings, LoadFeatures};
 use crate::{Error, Result};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -246,6 +246,7 @@
             .map_err(|error: std::net::AddrParseError| crate::Error::Protocol(error.to_string()))
     };
     Ok(GatewaySettings {
+        features: LoadFeatures::default(),
         host: format!("host-{index}"),
         domain: "a".to_owned(),
         callers_listen: any_port()?,
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,21 +1,26 @@
 use super::gateway_state::GatewayState;
 use super::pending_replies::PendingReplies;
 use super::unreadable_objects::UnreadableObjects;
+use crate::admission::AdmissionControl;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges, ViewFreshness};
 use crate::host::lock;
 use crate::keys::{HostClock, IncarnationId, NameKey, RequestHasher, TimePoint};
 use crate::limits::{LimitLedger, LimitMeter, LimitReply, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
+use crate::memory_forecast::{OutputForecast, PaceTable};
 use crate::organisations::{ConfigAge, KeyHasher};
 use crate::peers::{PeerClient, ViewFetches};
 use crate::placement::{DomainBreakers, GrantHistory, LoadTable, ServerEvent};
 use crate::platform::StoreClient;
 use crate::quarantine::{CrashTracker, UnconfirmedCrashes};
 use crate::retries::{RetryPools, RetryReply};
+use crate::return_times::ReturnCalendar;
 use crate::routes::RouteTable;
 use crate::server_limits::{PermitReply, SendControl};
+use crate::server_slots::SlotControl;
 use crate::settings::GatewaySettings;
+use crate::shared_health::SharedHealth;
 use crate::telemetry::MetricRegistry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -127,6 +132,12 @@
             refused_hosts: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             unreadable_objects: UnreadableObjects::default(),
+            shared_health: SharedHealth::default(),
+            admission: AdmissionControl::default(),
+            return_calendar: ReturnCalendar::default(),
+            output_forecast: OutputForecast::default(),
+            paces: PaceTable::default(),
+            slot_control: SlotControl::default(),
         };
         Self {
             incarnation,
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,17 +1,22 @@
 use super::unreadable_objects::UnreadableObjects;
+use crate::admission::AdmissionControl;
 use crate::fleet::{FleetView, RefusedHosts, StageChanges, ViewFreshness};
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint, mix_hash};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate, ViewMark};
+use crate::memory_forecast::{OutputForecast, PaceTable};
 use crate::organisations::ConfigAge;
 use crate::placement::{
     DomainBreakers, GrantHistory, LoadTable, ServerHealth, WorkMeter, WorkSums,
 };
 use crate::quarantine::{CrashTracker, UnconfirmedCrashes};
 use crate::retries::{RetryPools, RetryWindow};
+use crate::return_times::ReturnCalendar;
 use crate::routes::{RouteTable, ServiceKey};
 use crate::server_limits::SendControl;
+use crate::server_slots::SlotControl;
 use crate::settings::GatewayBounds;
+use crate::shared_health::SharedHealth;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -74,6 +79,18 @@
     pub members: MemberTable,
     /// Unreadable objects in the store that were logged.
     pub unreadable_objects: UnreadableObjects,
+    /// Health of the backend servers, as all hosts observed it.
+    pub shared_health: SharedHealth,
+    /// Demand for decode memory over all hosts.
+    pub admission: AdmissionControl,
+    /// Returns that all hosts promised to callers.
+    pub return_calendar: ReturnCalendar,
+    /// Lengths of answers by route.
+    pub output_forecast: OutputForecast,
+    /// Pace of the decode servers.
+    pub paces: PaceTable,
+    /// Places at plain servers that this host uses and grants.
+    pub slot_control: SlotControl,
 }
 
 impl GatewayState {
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -72,6 +72,11 @@
             Ok(GatewayDatagram::RetryReply(reply)) => {
                 host.retry_replies.complete(reply.sequence, reply)
             }
+            Ok(GatewayDatagram::Health(report)) => host.receive_health_report(&report),
+            Ok(GatewayDatagram::Pressure(update)) => host.receive_pressure(&update),
+            Ok(GatewayDatagram::Returns(update)) => host.receive_returns(&update),
+            Ok(GatewayDatagram::Paces(update)) => host.receive_paces(&update),
+            Ok(GatewayDatagram::Slots(message)) => host.receive_slot_message(address, &message),
             Err(error) => {
                 log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
             }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -1,13 +1,18 @@
+use crate::admission::PressureUpdate;
 use crate::fleet::{FleetUpdate, ServerStage};
 use crate::keys::{IncarnationId, ServerKey};
 use crate::limits::{LimitLoan, LimitReply, LimitRequest, LoanRequest};
 use crate::membership::{MemberUpdate, ProbeMessage, ViewMark};
+use crate::memory_forecast::PaceUpdate;
 use crate::organisations::{AgeReply, AgeRequest};
 use crate::placement::{ServerLoad, WorkSums};
 use crate::quarantine::CrashReport;
 use crate::retries::{RetryReply, RetryRequest};
+use crate::return_times::ReturnUpdate;
 use crate::routes::{RouteUpdate, ServiceKey, TableDigest};
 use crate::server_limits::{LimitObservation, LimitUpdate, PermitReply, PermitRequest};
+use crate::server_slots::SlotMessage;
+use crate::shared_health::HealthReport;
 use serde::{Deserialize, Serialize};
 
 /// A datagram between daemons on the platform.
@@ -45,6 +50,16 @@
     RetryRequest(RetryRequest),
     /// The owner's reply to a retry request.
     RetryReply(RetryReply),
+    /// What the sender observed of the health of backend servers.
+    Health(HealthReport),
+    /// The demand for decode memory that the sender sees.
+    Pressure(PressureUpdate),
+    /// The returns that the sender promised to its callers.
+    Returns(ReturnUpdate),
+    /// The pace of decode servers as the sender measured it.
+    Paces(PaceUpdate),
+    /// Requests, grants or releases a place at a contended server.
+    Slots(SlotMessage),
 }
 
 impl GatewayDatagram {
@@ -65,6 +80,11 @@
             | Self::PermitReply(_)
             | Self::LimitObservation(_) => ("server_limits_sent", "server_limits_sent_bytes"),
             Self::RetryRequest(_) | Self::RetryReply(_) => ("retries_sent", "retries_sent_bytes"),
+            Self::Health(_) => ("health_sent", "health_sent_bytes"),
+            Self::Pressure(_) => ("pressure_sent", "pressure_sent_bytes"),
+            Self::Returns(_) => ("returns_sent", "returns_sent_bytes"),
+            Self::Paces(_) => ("paces_sent", "paces_sent_bytes"),
+            Self::Slots(_) => ("slots_sent", "slots_sent_bytes"),
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,14 @@
 //! decode.
 //!
 //! Decision modules are pure state machines without I/O (`placement`, `streams`, `claims`, `membership`, `intents`,
-//! `orders`, `routes`, `fleet`, `organisations`, `limits`, `server_limits`, `quarantine`). Edge modules use sockets
+//! `orders`, `routes`, `fleet`, `organisations`, `limits`, `server_limits`, `quarantine`, `shared_health`, `admission`,
+//! `return_times`, `memory_forecast`, `server_slots`). Edge modules use sockets
 //! (`platform`, `engines`, `callers`, `peers`, `operators`). `host` combines them into the daemon, `gateway` into the
 //! daemon for the users' platform. Dependencies point one way: edge modules depend on decision modules, never the
 //! reverse.
 
 pub mod accounts;
+pub mod admission;
 pub mod bench;
 pub mod callers;
 pub mod claims;
@@ -21,6 +23,7 @@
 pub mod keys;
 pub mod limits;
 pub mod membership;
+pub mod memory_forecast;
 pub mod operators;
 pub mod orders;
 pub mod organisations;
@@ -29,9 +32,12 @@
 pub mod platform;
 pub mod quarantine;
 pub mod retries;
+pub mod return_times;
 pub mod routes;
 pub mod server_limits;
+pub mod server_slots;
 pub mod settings;
+pub mod shared_health;
 pub mod streams;
 pub mod telemetry;
 
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -1,3 +1,4 @@
+use super::LoadFeatures;
 use super::SourceText;
 use super::field_reader::{FieldReader, read_object};
 use super::host_settings::{MIN_KEY_LENGTH, PLACEHOLDER_ADDRESS, read_log_level};
@@ -49,6 +50,8 @@
     pub shared_key: String,
     /// Bounds that may change while the daemon runs.
     pub bounds: GatewayBounds,
+    /// Which decisions about load are switched on.
+    pub features: LoadFeatures,
     /// `error`, `warn`, `info` or `debug`.
     pub log_level: log::LevelFilter,
 }
@@ -75,6 +78,7 @@
         seeds: reader.parsed_list("seeds", "IP addresses with port"),
         shared_key: reader.string("shared_key"),
         bounds: read_bounds(reader),
+        features: LoadFeatures::read(reader),
         log_level: read_log_level(reader),
     };
     if !settings.shared_key.is_empty() && settings.shared_key.len() < MIN_KEY_LENGTH {
@@ -121,6 +125,7 @@
             ("metrics_listen", self.metrics_listen != newer.metrics_listen),
             ("store", self.store != newer.store),
             ("shared_key", self.shared_key != newer.shared_key),
+            ("features of load", self.features != newer.features),
         ];
         changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,6 +6,7 @@
 mod gateway_settings;
 mod host_settings;
 mod intent_reader;
+mod load_features;
 mod settings_findings;
 mod source_text;
 
@@ -13,5 +14,6 @@
 pub use finding::Finding;
 pub use gateway_settings::{GatewayBounds, GatewaySettings};
 pub use host_settings::HostSettings;
+pub use load_features::LoadFeatures;
 pub use settings_findings::SettingsFindings;
 pub use source_text::{DaemonSettings, SourceText, check_text};
