orders: a host leads only after it was elected for a while, and a leader survives a short loss

Cause: a leader whose call to the store failed once is not elected for half a second, and the next host took over at once. Now a host takes over only after 1.5 s of election without a break, and a leader that is elected again within that time keeps its plans. Planning goes on while the lease is waited for, so the first order follows the end of the wait. With the setting steady_pools off, nothing changes.

--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -6,8 +6,8 @@
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::{NameKey, TimePoint};
 use crate::orders::{
-    ChangeOrders, OrderLease, PoolSizes, StagePlanner, change_batch_size, has_spare_capacity,
-    may_issue_orders,
+    ChangeOrders, LeaderRole, LeaderTenure, OrderLease, PoolSizes, StagePlanner, change_batch_size,
+    has_spare_capacity, may_issue_orders,
 };
 use crate::routes::{EngineSpec, ServiceKey};
 use std::cmp::Reverse;
@@ -26,6 +26,10 @@
 /// is valid for 1 s.
 const MAX_BATCH_ORDERS: usize = 32;
 
+/// How long a host must be elected before it takes over from another leader: longer than one failed call to the store
+/// takes to be made up for, and much shorter than the wait for a lease.
+const TAKEOVER_DWELL: Duration = Duration::from_millis(1500);
+
 /// State of the host that orders stage changes.
 #[derive(Debug, Default)]
 pub(super) struct StageController {
@@ -50,15 +54,22 @@
     let mut ticker = tokio::time::interval(PLAN_PERIOD);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut controller = StageController::default();
+    let dwell = if host.settings.features.steady_pools { TAKEOVER_DWELL } else { Duration::ZERO };
+    let mut tenure = LeaderTenure::new(dwell);
     let mut rounds = 0_u32;
     loop {
         ticker.tick().await;
-        if !host.is_order_leader() {
-            // The lease is kept: a takeover that waits for the former lease continues to wait if this host is
-            // elected again.
-            controller = StageController { lease: controller.lease, ..StageController::default() };
-            host.state().stage_changes.retain_orders(|_| false);
-            continue;
+        match tenure.update(host.now(), host.is_order_leader()) {
+            LeaderRole::Leader => {}
+            LeaderRole::Suspended => continue,
+            LeaderRole::Follower | LeaderRole::Candidate => {
+                // The lease is kept: a takeover that waits for the former lease continues to wait if this host is
+                // elected again.
+                controller =
+                    StageController { lease: controller.lease, ..StageController::default() };
+                host.state().stage_changes.retain_orders(|_| false);
+                continue;
+            }
         }
         if !may_issue_orders(host.now().since(TimePoint::default())) {
             continue;
@@ -66,10 +77,15 @@
         if !controller.is_leader {
             host.acquire_leadership(&mut controller).await;
         }
-        if controller.lease.is_waiting(host.now()) {
+        let is_waiting = controller.lease.is_waiting(host.now());
+        if is_waiting && !host.settings.features.steady_pools {
             continue;
         }
         let changes = host.plan_changes(&mut controller);
+        if is_waiting {
+            // Planned all the same, so that an imbalance that lasts is known when the wait ends.
+            continue;
+        }
         rounds += 1;
         if rounds.is_multiple_of(NOTICE_ROUNDS)
             && host.state().stage_changes.ordered().next().is_some()
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -5,6 +5,7 @@
 //! order, or none if no order is needed or allowed.
 
 mod change_orders;
+mod leader_tenure;
 mod order_lease;
 mod order_planner;
 mod order_step;
@@ -12,6 +13,7 @@
 mod stage_planner;
 
 pub use change_orders::ChangeOrders;
+pub use leader_tenure::{LeaderRole, LeaderTenure};
 pub use order_lease::{LeaseRecord, OrderLease};
 pub use order_planner::{OrderPlanner, ServerOrder, ServerView};
 pub use order_step::{EngineState, OrderStep, order_step};
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -6,8 +6,8 @@
 use tealcleat::fleet::{ServerStage, StageChanges};
 use tealcleat::keys::{NameKey, ServerKey, TimePoint};
 use tealcleat::orders::{
-    ChangeOrders, LeaseRecord, OrderLease, PoolSizes, StagePlanner, change_batch_size,
-    has_spare_capacity, may_issue_orders, target_prefills,
+    ChangeOrders, LeaderRole, LeaderTenure, LeaseRecord, OrderLease, PoolSizes, StagePlanner,
+    change_batch_size, has_spare_capacity, may_issue_orders, target_prefills,
 };
 use tealcleat::placement::{PromptReader, RequestWork, choose_reader};
 
@@ -295,3 +295,54 @@
 ) {
     assert_eq!(has_spare_capacity(stage, sizes, work(0.1, 0.35), per_second), expected);
 }
+
+const DWELL: Duration = Duration::from_millis(1500);
+
+/// Roles of a host that is looked at each half second from `start_ms` on, by whether it is elected then.
+fn roles(tenure: &mut LeaderTenure, start_ms: u64, elections: &[bool]) -> Vec<LeaderRole> {
+    let times = (0..).map(|step| at(start_ms + step * 500));
+    times.zip(elections).map(|(now, elected)| tenure.update(now, *elected)).collect()
+}
+
+/// Guards against two hosts that take the lease from each other: a leader whose call to the store failed once is not
+/// elected for half a second, and each takeover waits 4.5 s for the former lease.
+#[test]
+fn leader_tenure_survives_a_short_loss_of_the_election() {
+    use LeaderRole::{Candidate, Follower, Leader, Suspended};
+    let mut first = LeaderTenure::new(DWELL);
+    let mut second = LeaderTenure::new(DWELL);
+    let of_first = roles(&mut first, 2000, &[true, true, true, true, false, true, true]);
+    assert_eq!(of_first, [Candidate, Candidate, Candidate, Leader, Suspended, Leader, Leader]);
+    let of_second = roles(&mut second, 2000, &[false, false, false, false, true, false, false]);
+    assert!(of_second.iter().all(|role| matches!(role, Follower | Candidate)));
+}
+
+/// A host that stays elected takes over after the dwell time, and the former leader has given up by then.
+#[test]
+fn leader_tenure_passes_on_when_the_loss_lasts() {
+    use LeaderRole::{Candidate, Follower, Leader, Suspended};
+    let mut first = LeaderTenure::new(DWELL);
+    let mut second = LeaderTenure::new(DWELL);
+    roles(&mut first, 2000, &[true; 5]);
+    let of_first = roles(&mut first, 4500, &[false; 4]);
+    assert_eq!(of_first, [Suspended, Suspended, Follower, Follower]);
+    roles(&mut second, 2000, &[false; 5]);
+    let of_second = roles(&mut second, 4500, &[true; 4]);
+    assert_eq!(of_second, [Candidate, Candidate, Candidate, Leader]);
+}
+
+/// Guards against a leader that was suspended and leads on when it wakes up, although another host may lead by then.
+#[test]
+fn leader_tenure_ends_with_a_suspension() {
+    let mut tenure = LeaderTenure::new(DWELL);
+    assert_eq!(roles(&mut tenure, 2000, &[true; 4])[3], LeaderRole::Leader);
+    assert_eq!(tenure.update(at(9000), true), LeaderRole::Candidate);
+}
+
+/// With the setting off a host leads whenever it is elected.
+#[test]
+fn leader_tenure_without_dwell_follows_the_election() {
+    let mut tenure = LeaderTenure::new(Duration::ZERO);
+    let roles = roles(&mut tenure, 2000, &[true, false, true]);
+    assert_eq!(roles, [LeaderRole::Leader, LeaderRole::Follower, LeaderRole::Leader]);
+}
