--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -1,4 +1,5 @@
 use super::free_ports;
+use crate::settings::LoadFeatures;
 use crate::{Error, Result};
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -33,6 +34,8 @@
     pub advertised: Option<SocketAddr>,
     /// Longest time for which a revoked key may still be served, if that is bounded.
     pub revocation: Option<Duration>,
+    /// Decisions under load that are switched on.
+    pub features: LoadFeatures,
     /// Additional environment variables.
     pub environment: &'a [(String, String)],
 }
@@ -74,12 +77,18 @@
             .advertised
             .map(|advertised| format!("\"peers_advertise\": \"{advertised}\", "))
             .unwrap_or_default();
+        let features: String = plan
+            .features
+            .settings()
+            .iter()
+            .map(|(name, is_on)| format!("\"{name}\": {is_on}, "))
+            .collect();
         let text = format!(
             "{{\"kind\": \"gateway\", \"host\": \"{}\", \"domain\": \"{}\",\n\
              \"callers_listen\": \"{}\", \"ready_listen\": \"{}\", \"peers_listen\": \"{}\",\n\
              \"metrics_listen\": \"{}\", \"store\": \"{}\", \"seeds\": [{}],\n\
              \"shared_key\": \"a-shared-key-of-the-soak\", \"grace_s\": 8, \"lease_ms\": 3000,\n\
-             {revocation}{advertise}\"retry_ratio\": 0.2, \"retry_slack\": 500, \"log_level\": \"info\"}}\n",
+             {revocation}{advertise}{features}\"retry_ratio\": 0.2, \"retry_slack\": 500, \"log_level\": \"info\"}}\n",
             plan.name,
             plan.domain,
             address(0),
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -7,6 +7,7 @@
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
 use crate::bench::{GatewayProcess, ProcessPlan, free_ports};
 use crate::host::lock;
+use crate::settings::LoadFeatures;
 use crate::{Error, Result};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -44,6 +45,8 @@
     pub suspends_hosts: bool,
     /// Whether servers announce limits.
     pub limits_servers: bool,
+    /// Decisions under load that are switched on.
+    pub features: LoadFeatures,
     /// Whether open connections stall. After the faults, each host is probed for the configuration in effect.
     pub stalls_connections: bool,
     /// Whether machines are partitioned from each other, with the same probes after the faults. The daemons'
@@ -211,6 +214,7 @@
             seeds: &peers,
             advertised,
             revocation: None,
+            features: options.features,
             environment: &options.environment,
         })?;
         if let Some(advertised) = advertised {
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -84,6 +84,8 @@
         suspending: bool,
         /// Let servers announce limits
         limiting: bool,
+        /// Switch on all decisions under load
+        loaded: bool,
         /// Silence open connections, and check which configuration is in force on the hosts
         silencing: bool,
         /// Partition machines, and check which configuration is in force on the hosts; one of the daemons' variables
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -7,7 +7,7 @@
 use tealcleat::bench::soak::SoakOptions;
 use tealcleat::bench::{Deployment, LoadOptions, LoadSummary, plot_comparison, run_load};
 use tealcleat::placement::PlacementPolicy;
-use tealcleat::settings::SourceText;
+use tealcleat::settings::{LoadFeatures, SourceText};
 use tealcleat::{Error, Result};
 
 /// Runs the experiment and returns whether it succeeded.
@@ -33,6 +33,7 @@
             crashing,
             suspending,
             limiting,
+            loaded,
             silencing,
             cutting,
             further_routes,
@@ -49,6 +50,7 @@
                 sends_crashing_requests: *crashing,
                 suspends_hosts: *suspending,
                 limits_servers: *limiting,
+                features: if *loaded { LoadFeatures::ALL } else { LoadFeatures::default() },
                 stalls_connections: *silencing,
                 partitions_network: *cutting,
                 unused_routes: *further_routes,
--- a/src/settings/load_features.rs
+++ b/src/settings/load_features.rs
@@ -18,6 +18,28 @@
 }
 
 impl LoadFeatures {
+    /// All decisions that the platform's settings switch on.
+    pub const ALL: Self = Self {
+        shared_health: true,
+        admission: true,
+        return_times: true,
+        memory_forecast: true,
+        server_slots: true,
+        steady_pools: true,
+    };
+
+    /// The names of the settings, with their values.
+    pub fn settings(self) -> [(&'static str, bool); 6] {
+        [
+            ("shared_health", self.shared_health),
+            ("admission", self.admission),
+            ("return_times", self.return_times),
+            ("memory_forecast", self.memory_forecast),
+            ("server_slots", self.server_slots),
+            ("steady_pools", self.steady_pools),
+        ]
+    }
+
     /// Reads the features from the settings.
     pub(super) fn read(reader: &mut FieldReader<'_, '_>) -> Self {
         Self {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -12,6 +12,7 @@
 use tealcleat::bench::site::{RestartAddress, SiteCall, SitePlan, TestSite, call_site};
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
 use tealcleat::quarantine::CRASH_RETENTION;
+use tealcleat::settings::LoadFeatures;
 
 mod machine_common;
 mod site_common;
@@ -160,6 +161,7 @@
             seeds: &[],
             advertised: None,
             revocation: None,
+            features: LoadFeatures::default(),
             environment: &[],
         })
         .expect("a host");
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tealcleat::bench::site::{LimitAnnouncement, LimitExcess, SitePlan, TestSite, call_site};
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::settings::LoadFeatures;
 
 mod machine_common;
 mod site_common;
@@ -109,6 +110,7 @@
         seeds,
         advertised: None,
         revocation: None,
+        features: LoadFeatures::default(),
         environment,
     };
     GatewayProcess::start(&plan).expect("a daemon")
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::time::Duration;
 use tealcleat::bench::soak::{SoakOptions, run_soak};
+use tealcleat::settings::LoadFeatures;
 
 mod machine_common;
 
@@ -86,6 +87,27 @@
     });
 }
 
+/// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
+/// guarantee while hosts are killed or suspended, or servers crash.
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+fn run_soak_with_decisions_under_load(#[case] seed: u64) {
+    let environment = held_clock(&format!("soak-load-{seed}"));
+    let defaults = options(seed);
+    run(SoakOptions {
+        hosts: 6,
+        domains: 3,
+        callers: 24,
+        sends_crashing_requests: true,
+        suspends_hosts: true,
+        limits_servers: true,
+        features: LoadFeatures::ALL,
+        environment,
+        ..defaults
+    });
+}
+
 fn options(seed: u64) -> SoakOptions {
     let daemon = Path::new(env!("CARGO_BIN_EXE_tealcleatd"));
     SoakOptions {
@@ -97,6 +119,7 @@
         sends_crashing_requests: false,
         suspends_hosts: false,
         limits_servers: false,
+        features: LoadFeatures::default(),
         stalls_connections: false,
         partitions_network: false,
         unused_routes: 0,
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -12,6 +12,7 @@
     SiteCall, SitePlan, StoreFault, TestSite, call_site, config, keyed_config,
 };
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::settings::LoadFeatures;
 
 mod machine_common;
 mod site_common;
@@ -63,6 +64,7 @@
             seeds: &[],
             advertised: None,
             revocation: Some(REVOCATION),
+            features: LoadFeatures::default(),
             environment: &environment,
         })
         .expect("a host");
