pool_abandons_idle_connections...: the test forces the overlap of its two calls

Cause: in the test. It took two joined calls to overlap, but if the caller is suspended during the first poll, the first call ends there, returns its connection to the pool, and the second call reuses it.

Change: the test begins both calls and reads the first answer only after the second call was answered. A connection is returned to the pool only when the body of its answer has been read, so the second call needs another connection. All assertions and expected numbers are unchanged.

--- a/tests/foreign_answers.rs
+++ b/tests/foreign_answers.rs
@@ -15,7 +15,7 @@
 use tealcleat::bench::site::{
     CallerReply, DuplicateLink, DuplicatePlan, EngineFault, SitePlan, SiteService, TestSite,
 };
-use tealcleat::engines::{AnswerProof, HttpPool, SendLimits};
+use tealcleat::engines::{AnswerProof, HttpPool, PooledBody, SendLimits};
 use tealcleat::keys::NameKey;
 use tealcleat::placement::GrantHistory;
 use tealcleat::{Error, Result};
@@ -72,11 +72,15 @@
 
 /// Sends a request through a pool and reads its answer.
 async fn send(pool: &HttpPool, address: SocketAddr, path: &str, id: &str) -> Result<Bytes> {
+    begin(pool, address, path, id).await?.read_all().await
+}
+
+/// Sends a request through a pool. Its connection is in use until the body of its answer has been read.
+async fn begin(pool: &HttpPool, address: SocketAddr, path: &str, id: &str) -> Result<PooledBody> {
     let request = Request::builder().uri(path).header("x-request-id", id);
     let request = request.body(Full::new(Bytes::new())).expect("a request");
     let (proof, limits) = (AnswerProof::Id("x-request-id"), SendLimits::default());
-    let answer = pool.send(address, request, proof, limits).await?;
-    answer.into_body().read_all().await
+    Ok(pool.send(address, request, proof, limits).await?.into_body())
 }
 
 /// A rejected request is sent to the same server again with the same id, so a late copy of the first answer has that
@@ -152,11 +156,9 @@
     runtime().block_on(async {
         let link = duplicating_service().await;
         let pool = HttpPool::default();
-        let (one, other) = tokio::join!(
-            send(&pool, link.address, "/a", "r1"),
-            send(&pool, link.address, "/b", "r2")
-        );
-        assert!(one.is_ok() && other.is_ok());
+        let one = begin(&pool, link.address, "/a", "r1").await.expect("an answer");
+        let other = begin(&pool, link.address, "/b", "r2").await.expect("an answer");
+        assert!(one.read_all().await.is_ok() && other.read_all().await.is_ok());
         assert_eq!(link.connections(), 2);
         send(&pool, link.address, "/first", "r3").await.expect("an answer");
         let copy = send(&pool, link.address, "/c", "r4").await;
