A host is ready only once it has joined and acquired its ledgers

Seen: new_host_during_store_outage_fetches_config_from_peers was refused as not_owner, once on, on a loaded machine.

Cause: in the product. A host reported ready as soon as it had a configuration. The ledgers that it owns are acquired by a loop that runs every 50 ms, and the members are synchronised with a seed by another task. If the configuration arrives first, the host considers itself the owner of all servers of its domain without having their ledgers, and knows no host of the other domain: all offers for a request are refusals as not_owner. Ruled out: a late acquisition alone (loop of 500 ms instead of 50 ms) fails no run, because the other domain's servers take the request.

Change: a host is ready after the ownership was updated with a configuration and with the members of its first synchronisation; later changes of either do not make it unready. If no seed answers, it stops waiting after 5 s, so a host cut off from its seeds still serves. Until then it refuses requests as `starting`, not run. The assertions of the failing test are unchanged.

Two new tests observe the host in the moment in which it becomes ready: it has all ledgers of a domain where it is alone, and it knows a host of another domain although its first seed does not answer.

--- a/src/callers/caller_server.rs
+++ b/src/callers/caller_server.rs
@@ -86,7 +86,13 @@
     if host.is_ready() {
         return Ok(());
     }
-    let reason = if host.is_draining() { "draining" } else { "no_configuration" };
+    let reason = if host.is_draining() {
+        "draining"
+    } else if host.config().version == 0 {
+        "no_configuration"
+    } else {
+        "starting"
+    };
     Err(CallerError {
         status: StatusCode::SERVICE_UNAVAILABLE,
         outcome: ErrorOutcome::NotRun,
--- a/src/host/gossip_loop.rs
+++ b/src/host/gossip_loop.rs
@@ -5,6 +5,7 @@
 use crate::peers::{PeerReply, PeerRequest, open_datagram};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -53,6 +54,7 @@
     let mut ticker = tokio::time::interval(TICK_PERIOD);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     join_cluster(&host).await;
+    host.has_joined.store(true, Ordering::Release);
     loop {
         ticker.tick().await;
         let now = host.now();
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -41,6 +41,10 @@
     pub(super) peers: PeerClient,
     pub(super) engines: EngineClient,
     pub(super) store: StoreClient,
+    /// Whether this host has met another one, or none of its seeds answered.
+    pub(super) has_joined: AtomicBool,
+    /// Whether this host has acquired the ledgers that it owned when it joined.
+    pub(super) has_ledgers: AtomicBool,
     pub(super) draining: AtomicBool,
     pub(super) in_flight: AtomicU64,
     pub(super) config_fetches: Mutex<ViewFetches>,
@@ -84,6 +88,8 @@
             peers: PeerClient::new(&settings.shared_key),
             engines: EngineClient::default(),
             store: StoreClient::new(settings.platform),
+            has_joined: AtomicBool::new(false),
+            has_ledgers: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             config_fetches: Mutex::default(),
@@ -118,9 +124,10 @@
         lock(&self.config).current()
     }
 
-    /// Whether the host serves requests: it has a confirmed configuration and is not draining.
+    /// Whether the host serves requests: it has a confirmed configuration and its ledgers, and is not draining. Without
+    /// the ledgers, it would refuse requests for the servers that it owns.
     pub fn is_ready(&self) -> bool {
-        self.config().version > 0 && !self.is_draining()
+        self.config().version > 0 && self.has_ledgers.load(Ordering::Relaxed) && !self.is_draining()
     }
 
     /// Whether a planned shutdown is in progress.
--- a/src/host/ownership_loop.rs
+++ b/src/host/ownership_loop.rs
@@ -4,7 +4,7 @@
 use super::owned_server::OwnedServer;
 use super::poll_loop::{CLAIMS_TIMEOUT, poll_while_owned};
 use crate::intents::ServerSpec;
-use crate::keys::{ServerKey, mix_hash};
+use crate::keys::{ServerKey, TimePoint, mix_hash};
 use crate::membership::{MemberState, MemberUpdate};
 use crate::peers::{PeerReply, PeerRequest};
 use crate::placement::ServerLedger;
@@ -14,16 +14,26 @@
 use std::time::Duration;
 
 const OWNERSHIP_PERIOD: Duration = Duration::from_millis(50);
+/// A host that has not joined by this age serves with the hosts that it knows. Two seeds that do not answer take 4 s;
+/// callers lose less by a host that finds too few servers than by one that stays closed.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Updates the ownership whenever the membership or the configuration changes.
 pub(super) async fn run_ownership(host: Arc<HostState>) {
     let mut last_hash = 0;
     loop {
+        // Read before the members and the configuration, so that the update below includes both.
+        let has_joined = host.has_joined.load(Ordering::Acquire)
+            || host.now().since(TimePoint::default()) >= JOIN_TIMEOUT;
+        let is_configured = host.config().version > 0;
         let hash = ownership_hash(&host);
         if hash != last_hash {
             last_hash = hash;
             update_ownership(&host);
         }
+        if has_joined && is_configured {
+            host.has_ledgers.store(true, Ordering::Relaxed);
+        }
         tokio::time::sleep(OWNERSHIP_PERIOD).await;
     }
 }
--- a/tests/intents.rs
+++ b/tests/intents.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{LocalFleet, wait_until};
+use std::net::TcpListener;
 use tealcleat::bench::{CallResult, Completion, FaultKind};
-use tealcleat::host::OperatorReply;
+use tealcleat::host::{HostState, OperatorReply, start_daemon};
 
 fn admit(operator: &str, name: &str) -> String {
     format!(r#"{{"kind":"intent","operator":"{operator}","organisations":[{{"name":"{name}"}}]}}"#)
@@ -71,6 +72,49 @@
     common::assert_whole(&completion, "by the fresh host");
 }
 
+/// Guards against requests that are refused as `not_owner` because their host reported ready before it had acquired its
+/// ledgers.
+#[test]
+fn host_is_ready_only_with_its_ledgers() {
+    let fleet = LocalFleet::unconfigured();
+    fleet.confirm(0, &fleet.deployment.intent(&fleet.addresses));
+    // The only host of its domain owns all servers there.
+    let host = fleet.host(2);
+    spin_until_ready(host);
+    let (status, config) = (host.status(), host.config());
+    let owned: Vec<&str> = status.servers.iter().map(|server| server.name.as_str()).collect();
+    let mut in_domain: Vec<&str> = config
+        .servers
+        .iter()
+        .filter(|server| server.domain_key() == host.domain())
+        .map(|server| server.name.as_str())
+        .collect();
+    in_domain.sort_unstable();
+    assert!(!in_domain.is_empty());
+    assert_eq!(owned, in_domain);
+}
+
+/// Guards against requests that are refused because their host knew the configuration, but no host of another domain
+/// yet. The seed that does not answer delays the join, not the configuration.
+#[test]
+fn host_is_ready_only_with_other_hosts() {
+    let fleet = LocalFleet::start();
+    fleet.fault("platform", FaultKind::Outage, true);
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let seeds = vec![silent.local_addr().expect("an address"), fleet.daemons[0].peers];
+    let settings = common::settings("pangyo-2", "pangyo", fleet.addresses.platform, seeds);
+    let daemon = fleet.runtime.block_on(start_daemon(settings)).expect("the daemon starts");
+    spin_until_ready(&daemon.host);
+    assert!(daemon.host.status().members.iter().any(|member| !member.same_domain));
+}
+
+/// Waits without sleeping, so that the test observes the host in the moment in which it becomes ready.
+fn spin_until_ready(host: &HostState) {
+    while !host.is_ready() {
+        std::thread::yield_now();
+    }
+}
+
 fn is_rebuilding(completion: &Completion) -> bool {
     completion.result == CallResult::NotRun && completion.reason == "rebuilding"
 }
