hold_of_a_former_incarnation_not_used: wait until the prefill has been sent

Cause: in the test; the product used no hold of a former incarnation. The list contains the runs on the prefill engine, too, and `false` is such a run: prefills use no hold. The test waited only until the decode server had granted its hold. If both servers restart before the router sends the prefill, the restarted prefill server, which is no longer silent, answers it, and the prompt is not left to the decode server. The decode run was `true`: it used a hold of the new incarnation.

Change: the stand-in engine counts the requests that it leaves without an answer, and the test restarts the servers only once the prefill is one of them. The expectation is unchanged, and the test now always reaches the case that it describes.

A restart of the decode server that takes longer than the 1.2 s that the router waits for a prefill would still end the request earlier; that was not seen.

--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -35,6 +35,7 @@
     pub(super) state: Mutex<VolatileState>,
     next_serial: AtomicU64,
     rejected_count: AtomicU64,
+    unanswered_count: AtomicU64,
     pub(super) reports: AtomicU64,
     /// Prefill engines from which results can be fetched, by address.
     sources: Mutex<HashMap<String, Arc<SiteEngine>>>,
@@ -55,6 +56,7 @@
             state: Mutex::default(),
             next_serial: AtomicU64::new(1),
             rejected_count: AtomicU64::new(0),
+            unanswered_count: AtomicU64::new(0),
             reports: AtomicU64::new(0),
             sources: Mutex::default(),
         }
@@ -129,6 +131,11 @@
         self.rejected_count.load(Ordering::Relaxed)
     }
 
+    /// Number of prefill and decode requests that [`EngineFault::Silent`] left without an answer.
+    pub fn unanswered_count(&self) -> u64 {
+        self.unanswered_count.load(Ordering::Relaxed)
+    }
+
     /// Number of report requests over all incarnations.
     pub fn reports(&self) -> u64 {
         self.reports.load(Ordering::Relaxed)
@@ -228,6 +235,9 @@
 impl SiteEngine {
     async fn answer_request(self: Arc<Self>, request: BufferedRequest) -> SiteAnswer {
         if self.fault() == EngineFault::Silent {
+            if header(&request, "x-request-id").is_some() {
+                self.unanswered_count.fetch_add(1, Ordering::Relaxed);
+            }
             std::future::pending::<()>().await;
         }
         if header(&request, "x-expect-instance").is_some_and(|id| id != self.id) {
--- a/tests/server_incarnations.rs
+++ b/tests/server_incarnations.rs
@@ -155,6 +155,10 @@
             while site.decodes[0].open_holds() == 0 {
                 tokio::time::sleep(POLL_INTERVAL).await;
             }
+            // A prefill that is sent only after the restarts succeeds, since the restarted server answers.
+            while site.prefills[0].unanswered_count() == 0 {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
             restart(&site, "i-decode-0", RestartAddress::Same).await;
             restart(&site, "i-prefill-0", RestartAddress::Same).await;
         };
