gateway: split limit_charge into charges, grants and shares

limit_charge.rs had 336 lines and three jobs. limit_charge keeps the charging of requests, limit_grants grants and lends as an owner, limit_shares chooses owners and computes shares.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,8 @@
 mod limit_answers;
 mod limit_charge;
 mod limit_gossip;
+mod limit_grants;
+mod limit_shares;
 mod load_guard;
 mod load_updates;
 mod pace_updates;
