--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod probe_message;
 mod probe_round;
 mod table_action;
+mod table_merge;
 mod table_spread;
 mod view_mark;
 
