tealcleat account: end quietly when the output pipe is closed

Seen: `tealcleat account LOG | head` panicked with "failed printing to stdout: Broken pipe".

Cause: println! panics on any error. The account is now written with error handling: a closed pipe ends the command with status 0, because the reader has all that it needs; any other error is reported.

The new test runs the real binary with a closed pipe.

--- a/src/bin/tealcleat/controller.rs
+++ b/src/bin/tealcleat/controller.rs
@@ -3,7 +3,7 @@
 use crate::app::{Command, Config};
 use crate::output;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, BufWriter, ErrorKind};
 use std::path::{Path, PathBuf};
 use tealcleat::accounts::{CallAccount, LogRecord};
 use tealcleat::bench::operator_call;
@@ -92,9 +92,12 @@
             }
         }
     }
-    output::print_account(&account.rows());
-    println!("{record_count} of {line_count} lines were log lines of hosts");
-    Ok(ExitStatus::Done)
+    let target = BufWriter::new(std::io::stdout().lock());
+    match output::write_account(target, &account.rows(), record_count, line_count) {
+        // The reader of the output, such as `head`, has all that it needs.
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => Ok(ExitStatus::Done),
+        written => Ok(written.map(|()| ExitStatus::Done)?),
+    }
 }
 
 fn open_log(file: &Path) -> Result<Box<dyn BufRead>> {
--- a/src/bin/tealcleat/output.rs
+++ b/src/bin/tealcleat/output.rs
@@ -1,5 +1,6 @@
 //! Prints results in human-readable form.
 
+use std::io::Write;
 use std::path::Path;
 use tealcleat::Error;
 use tealcleat::accounts::AccountRow;
@@ -19,13 +20,23 @@
     }
 }
 
-/// Prints an account, one line for each window, route and outcome.
-pub fn print_account(rows: &[AccountRow]) {
-    println!("{:>8}  {:<24}  {:<32}  requests", "from s", "route", "ended");
+/// Writes an account, one line for each window, route and outcome, and the number of log lines that it is based on.
+///
+/// # Errors
+/// If `target` cannot be written to, for example because the reader of a pipe has closed it.
+pub fn write_account(
+    mut target: impl Write,
+    rows: &[AccountRow],
+    record_count: u64,
+    line_count: u64,
+) -> std::io::Result<()> {
+    writeln!(target, "{:>8}  {:<24}  {:<32}  requests", "from s", "route", "ended")?;
     for row in rows {
         let (window, outcome) = (row.window_start, row.outcome.name());
-        println!("{window:>8}  {:<24}  {outcome:<32}  {}", row.route, row.requests);
+        writeln!(target, "{window:>8}  {:<24}  {outcome:<32}  {}", row.route, row.requests)?;
     }
+    writeln!(target, "{record_count} of {line_count} lines were log lines of hosts")?;
+    target.flush()
 }
 
 /// Prints a plan or the result of a confirmation.
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -150,6 +150,24 @@
     assert!(stdout.contains("1 of 2 lines"), "{stdout}");
 }
 
+/// Guards against a panic in `tealcleat account LOG | head`, whose reader closes the pipe early.
+#[test]
+fn account_command_ends_quietly_on_closed_pipe() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tealcleat"))
+        .args(["account", "-"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the tool starts");
+    // The tool writes only after the end of its input, so the pipe is closed by then.
+    drop(child.stdout.take());
+    drop(child.stdin.take());
+    let output = child.wait_with_output().expect("the tool exits");
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+    assert_eq!(output.status.code(), Some(0));
+}
+
 #[test]
 fn account_command_names_missing_file() {
     let output = Command::new(env!("CARGO_BIN_EXE_tealcleat"))
