--- a/src/settings/field_reader.rs
+++ b/src/settings/field_reader.rs
@@ -213,7 +213,7 @@
             let range = property.name.range();
             let length = range.end - range.start;
             if self.object.properties[..index].iter().any(|other| other.name.as_str() == name) {
-                let message = format!("{name} stands twice");
+                let message = format!("{name} is given more than once");
                 self.findings.push(Finding { message, offset: range.start, length });
             }
             if self.known_keys.contains(&name) {
