Places at contended plain servers are granted by one host for each server

All hosts chose the same of a few small servers by loads that were up to 1.5 s old, and it rejected them. With the setting server_slots, hosts choose at random among about equally loaded servers, and while a server is contended they request a place from its owner.

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -29,6 +29,8 @@
     HeldBack,
     /// The servers that could run it already receive as many requests from all hosts together as their limits allow.
     ServersAtLimit,
+    /// All places at the servers that could run it are in use.
+    NoPlace,
 }
 
 impl NotRunReason {
@@ -45,6 +47,7 @@
             Self::LimitUnknown => "limit_unknown",
             Self::HeldBack => "crashes_servers",
             Self::ServersAtLimit => "servers_at_limit",
+            Self::NoPlace => "no_place",
         }
     }
 }
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -18,7 +18,7 @@
 use crate::return_times::ReturnCalendar;
 use crate::routes::RouteTable;
 use crate::server_limits::{PermitReply, SendControl};
-use crate::server_slots::SlotControl;
+use crate::server_slots::{PlaceReply, SlotControl};
 use crate::settings::GatewaySettings;
 use crate::shared_health::SharedHealth;
 use crate::telemetry::MetricRegistry;
@@ -85,6 +85,9 @@
     pub(super) limit_replies: PendingReplies<LimitReply>,
     pub(super) permit_replies: PendingReplies<PermitReply>,
     pub(super) retry_replies: PendingReplies<RetryReply>,
+    pub(super) slot_replies: PendingReplies<PlaceReply>,
+    /// Wakes the task that decides on requests waiting for places.
+    pub(super) slot_waits: Notify,
     pub(super) gossip_round: AtomicU64,
     pub(super) view_fetches: Mutex<ViewFetches>,
     pub(super) routes_unreachable: AtomicBool,
@@ -156,6 +159,8 @@
             limit_replies: PendingReplies::default(),
             permit_replies: PendingReplies::default(),
             retry_replies: PendingReplies::default(),
+            slot_replies: PendingReplies::default(),
+            slot_waits: Notify::new(),
             gossip_round: AtomicU64::new(1),
             view_fetches: Mutex::default(),
             routes_unreachable: AtomicBool::new(false),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod peer_loop;
 mod peer_messages;
 mod pending_replies;
+mod place_guard;
 mod plain_call;
 mod pressure_updates;
 mod prompt_read;
--- a/src/gateway/pending_replies.rs
+++ b/src/gateway/pending_replies.rs
@@ -25,7 +25,7 @@
 impl<T> PendingReplies<T> {
     /// Registers the request `sequence` and returns the receiver of its reply; dropping the receiver cancels
     /// the wait.
-    fn register(&self, sequence: u32) -> oneshot::Receiver<T> {
+    pub fn register(&self, sequence: u32) -> oneshot::Receiver<T> {
         let (sender, receiver) = oneshot::channel();
         let mut pending = crate::host::lock(&self.0);
         pending.retain(|_, sender| !sender.is_closed());
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,6 +1,7 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
 use super::load_guard::LoadGuard;
+use super::place_guard::{PlaceAnswer, PlaceGuard, PlacePatience};
 use super::run_open::refuse;
 use super::send_permit::SendPermit;
 use super::server_call::{CallPurpose, send_request};
@@ -9,6 +10,7 @@
 use crate::keys::ServerKey;
 use crate::placement::{REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad};
 use crate::platform::{AnswerKind, CallPart, contains_answer, read_answer};
+use crate::server_slots::PlaceEnd;
 use crate::{Error, Result};
 use std::time::Duration;
 
@@ -45,14 +47,16 @@
     may_have_run: bool,
     /// The last failure that a server answered, passed on to the caller if no attempt succeeds.
     failure: Option<ServerAnswer>,
+    /// When the caller should return, if all places at the servers were in use at the last search.
+    no_place: Option<Duration>,
 }
 
 /// Runs a request on a service whose servers answer without a stream.
 pub(super) async fn serve_plain(context: &CallContext) -> CallEnd {
     let mut record = AttemptRecord::default();
-    while let Some((server, permit)) = next_server(context, &record).await {
+    while let Some((server, permit, place)) = next_server(context, &mut record).await {
         record.tried.push(server.key());
-        match attempt(context, &server, &record, permit).await {
+        match attempt(context, &server, &record, permit, place).await {
             AttemptEnd::Answered(answer) => return CallEnd::Answered(answer),
             AttemptEnd::NotSent => record.unreached += 1,
             AttemptEnd::NotRun => record.sent += 1,
@@ -83,8 +87,8 @@
 /// Selects the next server to try, if the route, the deadline and the retry budget allow one.
 async fn next_server(
     context: &CallContext,
-    record: &AttemptRecord,
-) -> Option<(ServerEntry, SendPermit)> {
+    record: &mut AttemptRecord,
+) -> Option<(ServerEntry, SendPermit, Option<PlaceGuard>)> {
     let exhausted = record.sent >= context.route.max_servers || record.unreached >= MAX_UNREACHED;
     if exhausted || context.time_left().is_zero() || context.is_held_back(record.sent).await {
         return None;
@@ -99,30 +103,49 @@
     };
     let ranked = context.host.rank_ready_servers(context.service, &criteria);
     let untried = ranked.into_iter().filter(|server| !record.tried.contains(&server.key()));
-    let (server, permit) = first_permitted(context, untried).await?;
+    let untried: Vec<ServerEntry> = untried.collect();
+    let (server, permit, place) = first_permitted(context, record, untried).await?;
     let is_retry = record.sent > 0;
     if is_retry && !context.host.take_retries(context.service, 1).await {
         log::info!("event=repeat_denied request={} cause=retry_bounds", context.id());
         return None;
     }
-    Some((server, permit))
+    Some((server, permit, place))
 }
 
-/// Selects the best server that has no limit or whose limit admits the request.
+/// Selects the best server that has a place for the request, and no limit or one that admits the request. If no server
+/// has a place, the request waits for one at the server where it is expected first.
 async fn first_permitted(
     context: &CallContext,
-    ranked: impl Iterator<Item = ServerEntry>,
-) -> Option<(ServerEntry, SendPermit)> {
+    record: &mut AttemptRecord,
+    ranked: Vec<ServerEntry>,
+) -> Option<(ServerEntry, SendPermit, Option<PlaceGuard>)> {
     let started_at = context.host.now();
+    let mut busy: Vec<(Duration, ServerEntry)> = Vec::new();
     for server in ranked {
-        if let Some(permit) = context.permit(&server).await {
-            return Some((server, permit));
+        match context.take_place(&server, PlacePatience::None).await {
+            PlaceAnswer::Open(place) => {
+                if let Some(permit) = context.permit(&server).await {
+                    return Some((server, permit, place));
+                }
+            }
+            PlaceAnswer::Busy { wait, .. } => busy.push((wait, server)),
         }
         if context.host.now().since(started_at) > PERMIT_TIME {
             break;
         }
     }
-    None
+    let (_, server) = busy.into_iter().min_by_key(|(wait, _)| *wait)?;
+    match context.take_place(&server, PlacePatience::Waits).await {
+        PlaceAnswer::Open(place) => {
+            let permit = context.permit(&server).await?;
+            Some((server, permit, place))
+        }
+        PlaceAnswer::Busy { wait, service_time } => {
+            record.no_place = Some(context.place_pause(wait, service_time));
+            None
+        }
+    }
 }
 
 async fn give_up(context: &CallContext, record: AttemptRecord) -> CallEnd {
@@ -142,6 +165,9 @@
     if context.is_blocked_by_limits(None) {
         return context.refuse_at_limit(None).await;
     }
+    if let Some(pause) = record.no_place {
+        return CallEnd::NotRun(NotRunReason::NoPlace, pause);
+    }
     let reason = if record.sent > 0 { NotRunReason::Rejected } else { NotRunReason::NoServer };
     CallEnd::NotRun(reason, REJECTED_PAUSE)
 }
@@ -151,6 +177,7 @@
     server: &ServerEntry,
     record: &AttemptRecord,
     mut permit: SendPermit,
+    mut place: Option<PlaceGuard>,
 ) -> AttemptEnd {
     let load = ServerLoad { requests: 1, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
@@ -171,6 +198,13 @@
         }
         Err(_elapsed) => AttemptEnd::Silent,
     };
+    if let Some(place) = &mut place {
+        place.set_end(match &end {
+            AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => PlaceEnd::Served,
+            AttemptEnd::NotRun => PlaceEnd::Rejected,
+            AttemptEnd::NotSent | AttemptEnd::Unknown(_) | AttemptEnd::Silent => PlaceEnd::Unused,
+        });
+    }
     record_end(context, server, &end);
     end
 }
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -111,7 +111,8 @@
         NotRunReason::PromptNotRead
         | NotRunReason::Rejected
         | NotRunReason::OutOfTime
-        | NotRunReason::ServersAtLimit => jittered(REJECTED_PAUSE),
+        | NotRunReason::ServersAtLimit
+        | NotRunReason::NoPlace => jittered(REJECTED_PAUSE),
     };
     CallEnd::NotRun(reason, pause)
 }
--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -36,6 +36,7 @@
         let warm = self.pool.warm_addresses();
         let mut state = self.state();
         state.server_loads.expire(now);
+        let weights = self.spread_weights(&state, service, criteria.criterion);
         let context = RankingContext {
             loads: &state.server_loads,
             health: &state.server_health,
@@ -44,6 +45,7 @@
             connected: &warm,
             local_domain: criteria.local_domain,
             remote_penalty: criteria.remote_penalty,
+            weights: weights.as_ref(),
             salt: salt ^ self.incarnation.0,
         };
         let candidates = state
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -17,6 +17,11 @@
 /// Penalty for a server that answers with errors only, in full servers.
 const ERROR_PENALTY: f64 = 3.0;
 
+/// Spread of the random choice among servers of a plain service, in full servers: a server that is fuller by this much is
+/// chosen e times less often. At a third of the capacity, where these services run, hosts that see loads of up to 1.5 s
+/// ago then correct a difference within about that time without overshooting.
+const REQUEST_SPREAD: f64 = 0.5;
+
 /// The resource by which servers are ranked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RankingCriterion {
@@ -45,6 +50,8 @@
     pub local_domain: NameKey,
     /// Penalty for servers in other failure domains, as a fraction of a full server.
     pub remote_penalty: f64,
+    /// Weights of servers of a plain service in a random choice; `None` if the best server is always chosen.
+    pub weights: Option<&'a HashMap<ServerKey, f64>>,
     /// Seed of the random spread, different for each request and host. If it differed between hosts
     /// only, each host would always choose the same of equal servers, which loads the servers
     /// unevenly without opening fewer connections.
@@ -90,7 +97,13 @@
         RankingCriterion::Requests => fraction(load.requests, server.slots),
     };
     let remote = if server.domain == context.local_domain { 0.0 } else { context.remote_penalty };
-    let jitter = mix_hash(context.salt, key.0) as f64 / u64::MAX as f64 * JITTER;
+    let draw = mix_hash(context.salt, key.0) as f64 / u64::MAX as f64;
+    let jitter = match (criterion, context.weights) {
+        (RankingCriterion::Requests, Some(weights)) => {
+            spread_request(draw, weights.get(&key).copied().unwrap_or(1.0))
+        }
+        _ => draw * JITTER,
+    };
     let health = context.health.get(&key);
     let errors = health.map_or(0.0, |health| health.error_rate(now)) * ERROR_PENALTY;
     let new_connection =
@@ -98,6 +111,13 @@
     fullness + remote + jitter + errors + new_connection
 }
 
+/// Random part of the score of a plain server. The server with the lowest score is then chosen with a probability
+/// proportional to its weight, times `exp(-score / REQUEST_SPREAD)` for the rest of its score (Gumbel's method).
+fn spread_request(draw: f64, weight: f64) -> f64 {
+    let draw = draw.clamp(f64::EPSILON, 1.0 - f64::EPSILON);
+    -REQUEST_SPREAD * (weight.max(f64::EPSILON).ln() - (-draw.ln()).ln())
+}
+
 fn fraction(used: u32, capacity: u32) -> f64 {
     f64::from(used) / f64::from(capacity.max(1))
 }
--- /dev/null
+++ b/src/server_slots/service_times.rs
@@ -0,0 +1,54 @@
+use crate::keys::{ServerKey, TimePoint};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Weight of one answer in the mean: about the last five answers count, which is a few seconds of one host's requests
+/// to one server.
+const ANSWER_WEIGHT: f64 = 0.2;
+/// How long a mean is used after the last answer; an older one says nothing about the present load.
+const RETENTION: Duration = Duration::from_secs(10);
+/// Bound of the ratio between the speeds of two servers. A few answers of one host vary by more than this without any
+/// difference between the servers.
+const MAX_RATIO: f64 = 2.0;
+
+#[derive(Debug, Clone, Copy)]
+struct ServiceTime {
+    seconds: f64,
+    at: TimePoint,
+}
+
+/// How long plain servers took to answer this host, as a mean of the last answers.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceTimes {
+    servers: HashMap<ServerKey, ServiceTime>,
+}
+
+impl ServiceTimes {
+    /// Records that a server answered after `time`.
+    pub fn record(&mut self, now: TimePoint, server: ServerKey, time: Duration) {
+        let seconds = time.as_secs_f64();
+        let entry = self.servers.entry(server).or_insert(ServiceTime { seconds, at: now });
+        entry.seconds += (seconds - entry.seconds) * ANSWER_WEIGHT;
+        entry.at = now;
+    }
+
+    /// Mean time of a server's answers.
+    pub fn mean(&self, server: ServerKey) -> Option<Duration> {
+        self.servers.get(&server).map(|entry| Duration::from_secs_f64(entry.seconds))
+    }
+
+    /// Speed of a server relative to the mean of `servers`; one if either is not known.
+    pub fn speed(&self, server: ServerKey, servers: &[ServerKey]) -> f64 {
+        let times = || servers.iter().filter_map(|key| self.servers.get(key));
+        let count = times().count();
+        let Some(own) = self.servers.get(&server).filter(|_| count > 0) else { return 1.0 };
+        let mean = times().map(|entry| entry.seconds).sum::<f64>() / count as f64;
+        let speed = mean / own.seconds.max(f64::MIN_POSITIVE);
+        speed.clamp(1.0 / MAX_RATIO, MAX_RATIO)
+    }
+
+    /// Drops servers that have not answered for a while.
+    pub fn expire(&mut self, now: TimePoint) {
+        self.servers.retain(|_, entry| now.since(entry.at) < RETENTION);
+    }
+}
--- a/tests/memory_search.rs
+++ b/tests/memory_search.rs
@@ -72,6 +72,7 @@
             connected: &HashSet::new(),
             local_domain,
             remote_penalty,
+            weights: None,
             salt,
         };
         rank_servers(
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -58,6 +58,7 @@
         connected: &HashSet::new(),
         local_domain: NameKey::of("a"),
         remote_penalty: REMOTE_DOMAIN_PENALTY,
+        weights: None,
         salt: 7,
     };
     let criterion = RankingCriterion::DecodeMemory(MEMORY_TOKENS);
@@ -100,6 +101,7 @@
             connected: &HashSet::from([servers[1].address]),
             local_domain: NameKey::of("a"),
             remote_penalty: REMOTE_DOMAIN_PENALTY,
+            weights: None,
             salt,
         };
         let order = rank_servers(
