Tests of places at small services: decisions under load without a network, each failure, real daemons

An owner that did not reply is not asked again for two seconds, since a host with few requests a second would delay most of them by the wait for a reply. The service time that a new owner assumes is the shortest known one: a longer estimate refused requests while slots were free.

--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -196,6 +196,18 @@
         self.add_host_with_seeds(seeds).await
     }
 
+    /// Starts another daemon like [`Self::add_host`], with adjusted settings.
+    ///
+    /// # Errors
+    /// If a port cannot be bound.
+    pub async fn add_host_with(&mut self, adjust: impl FnOnce(&mut GatewaySettings)) -> Result<()> {
+        let seeds = self.hosts.iter().map(|host| host.peers).collect();
+        let mut settings = gateway_settings(self.hosts.len(), self.store_address, seeds)?;
+        adjust(&mut settings);
+        self.hosts.push(start_gateway(settings).await?);
+        Ok(())
+    }
+
     /// Starts another daemon without seeds, so that it and the other daemons do not know of each other.
     ///
     /// # Errors
--- a/src/gateway/place_guard.rs
+++ b/src/gateway/place_guard.rs
@@ -135,6 +135,9 @@
                 PlaceAnswer::Busy { wait, service_time }
             }
             Some(PlaceDecision::NotOwner) | None => {
+                if decision.is_none() {
+                    host.state().slot_control.record_silence(host.now(), key);
+                }
                 host.metrics().add("places_unanswered", 1);
                 drop(guard);
                 unplaced()
--- a/src/gateway/slot_messages.rs
+++ b/src/gateway/slot_messages.rs
@@ -126,8 +126,12 @@
         }
     }
 
-    /// Handles a message of another host.
+    /// Handles a message of another host. With the part off there is no reply, as from a host that does not know the
+    /// message.
     pub(super) fn receive_slot_message(&self, from: SocketAddr, message: &SlotMessage) {
+        if !self.settings.features.server_slots {
+            return;
+        }
         match message {
             SlotMessage::Request(request) => {
                 let Some(decision) = self.decide_place(request) else { return };
@@ -140,9 +144,6 @@
     }
 
     fn apply_slot_message(&self, message: SlotMessage) {
-        if !self.settings.features.server_slots {
-            return;
-        }
         let now = self.now();
         match message {
             // A request needs a reply, and is handled where its sender is known.
@@ -174,8 +175,7 @@
 
     /// Decides on a request for a place; `None` while it waits.
     fn decide_place(&self, request: &PlaceRequest) -> Option<PlaceDecision> {
-        let is_owner = self.settings.features.server_slots
-            && self.send_owner(request.server) == OwnerChoice::Own;
+        let is_owner = self.send_owner(request.server) == OwnerChoice::Own;
         let now = self.now();
         let decision = {
             let mut state = self.state();
--- a/src/server_slots/mod.rs
+++ b/src/server_slots/mod.rs
@@ -15,7 +15,7 @@
 mod slot_ledger;
 mod slot_messages;
 
-pub use contended_servers::{CONTENTION_TIME, ContendedServers};
+pub use contended_servers::ContendedServers;
 pub use service_times::ServiceTimes;
 pub use slot_account::SlotAccount;
 pub use slot_control::{PlaceNeed, SlotControl};
--- a/src/server_slots/slot_account.rs
+++ b/src/server_slots/slot_account.rs
@@ -11,8 +11,10 @@
 /// Bounds of the time for which a place is held. A host that dies holds its places for at most the longest.
 const MIN_LIFETIME: Duration = Duration::from_millis(250);
 const MAX_LIFETIME: Duration = Duration::from_secs(1);
-/// Service time that is assumed until a place was released after an answer: that of the slower of the known services.
-const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(60);
+/// Longest service time that is assumed until places are released after answers: that of the fastest known service. An
+/// estimate that is too low makes the queue at the server longer for some tens of milliseconds; one that is too high
+/// refuses requests while slots are free.
+const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(30);
 /// Least mean service time, which bounds the rates computed from it.
 const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
 /// Weight of one answer in the mean service time, so that about the last 20 answers count: a tenth of a second of a
@@ -72,10 +74,12 @@
 
 impl SlotAccount {
     /// The account of a server of which this host has just become the owner. The requests that run there were granted
-    /// by another owner or none, so that all slots count as in use for the first mean service time.
-    pub fn new(now: TimePoint, slots: u32, service_time: Option<Duration>) -> Self {
+    /// by another owner or none, so that all slots count as in use for the first mean service time. `answer_time` is the
+    /// mean time of the server's answers, if this host knows it; it includes the wait in the server's queue.
+    pub fn new(now: TimePoint, slots: u32, answer_time: Option<Duration>) -> Self {
         let slots = f64::from(slots.max(1));
-        let service_time = service_time.unwrap_or(INITIAL_SERVICE_TIME).max(MIN_SERVICE_TIME);
+        let service_time = answer_time.unwrap_or(INITIAL_SERVICE_TIME);
+        let service_time = service_time.clamp(MIN_SERVICE_TIME, INITIAL_SERVICE_TIME);
         Self {
             slots,
             service_time: service_time.as_secs_f64(),
--- a/src/server_slots/slot_control.rs
+++ b/src/server_slots/slot_control.rs
@@ -16,6 +16,10 @@
 /// A server is contended when its known load exceeds its slots by this ratio: the queue is then at least as long as the
 /// load of one host may change while it is announced.
 const CROWDED_RATIO: f64 = 1.5;
+/// How long no place is requested at a server whose owner did not reply: until about the time at which the members agree
+/// that a host is dead (2.5 s) and another one owns the server. A host that sends a few requests a second would otherwise
+/// delay most of them by the time for which it waits for a reply.
+const SILENCE_TIME: Duration = Duration::from_secs(2);
 /// Number of released places that are repeated in the next requests, and for how long: about as many as one host
 /// releases within the time for which a place is held at most.
 const MAX_REPEATED: usize = 8;
@@ -46,6 +50,8 @@
     pub service_times: ServiceTimes,
     /// The accounts from which this host grants places as an owner.
     pub ledger: SlotLedger,
+    /// Servers whose owners did not reply, until a place is requested there again.
+    silent: HashMap<ServerKey, TimePoint>,
     unplaced: HashMap<ServerKey, u16>,
     released: HashMap<ServerKey, VecDeque<(TimePoint, u32)>>,
     sequence: u32,
@@ -72,7 +78,13 @@
         if Self::is_spread(hosts, slots) && is_crowded {
             self.contended.record(now, server, CONTENTION_TIME);
         }
-        self.contended.contains(now, server)
+        let is_silent = self.silent.get(&server).is_some_and(|until| now < *until);
+        self.contended.contains(now, server) && !is_silent
+    }
+
+    /// Records that the owner of a server did not reply: requests are sent there without places for a while.
+    pub fn record_silence(&mut self, now: TimePoint, server: ServerKey) {
+        self.silent.insert(server, now + SILENCE_TIME);
     }
 
     /// Creates the message to the owner of `server`. Without `may_wait` the owner decides at once.
@@ -196,8 +208,8 @@
     }
 
     fn open(&mut self, now: TimePoint, server: ServerKey, slots: u32) -> &mut SlotAccount {
-        let service_time = self.service_times.mean(server);
-        self.ledger.open(now, server, slots, service_time)
+        let answer_time = self.service_times.mean(server);
+        self.ledger.open(now, server, slots, answer_time)
     }
 
     /// The owner's decisions on waiting requests that are due.
@@ -215,6 +227,7 @@
     pub fn expire(&mut self, now: TimePoint, is_owned: impl Fn(ServerKey) -> bool) {
         self.contended.expire(now);
         self.busy.expire(now);
+        self.silent.retain(|_, until| now < *until);
         self.service_times.expire(now);
         self.released.retain(|_, released| {
             released.retain(|(at, _)| now.since(*at) < REPEAT_TIME);
--- a/src/server_slots/slot_ledger.rs
+++ b/src/server_slots/slot_ledger.rs
@@ -13,17 +13,17 @@
 }
 
 impl SlotLedger {
-    /// The account of a server with `slots` slots, which is opened if there is none. `service_time` is the server's mean
-    /// service time, if this host measured it.
+    /// The account of a server with `slots` slots, which is opened if there is none. `answer_time` is the mean time of
+    /// its answers, if this host knows it.
     pub fn open(
         &mut self,
         now: TimePoint,
         server: ServerKey,
         slots: u32,
-        service_time: Option<Duration>,
+        answer_time: Option<Duration>,
     ) -> &mut SlotAccount {
         let account = self.accounts.entry(server);
-        account.or_insert_with(|| SlotAccount::new(now, slots, service_time))
+        account.or_insert_with(|| SlotAccount::new(now, slots, answer_time))
     }
 
     /// The account of a server, if there is one.
--- /dev/null
+++ b/tests/server_slots.rs
@@ -0,0 +1,438 @@
+//! Places at small plain services: who gets one, who waits, who is refused, and what happens when a host, an owner or a
+//! message is lost.
+//!
+//! Guards against servers that reject requests while others have room: hosts that know each other's load 1.5 s late
+//! all chose the same of three servers, and a third of the arrivals was rejected.
+
+use rstest::rstest;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use tealcleat::fleet::StageChanges;
+use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
+use tealcleat::peers::seal_datagram;
+use tealcleat::placement::{
+    DomainBreakers, LoadTable, RankingContext, RankingCriterion, rank_servers,
+};
+use tealcleat::server_limits::CallRank;
+use tealcleat::server_slots::{
+    PlaceDecision, PlaceEnd, PlaceNeed, PlaceOrder, PlaceRelease, PlaceRequest, ServiceTimes,
+    SlotAccount, SlotControl, SlotMessage,
+};
+
+mod slot_common;
+
+use slot_common::{SlotFleet, SlotPlan, server};
+
+const RUN_TIME: Duration = Duration::from_secs(8);
+const SERVER: ServerKey = NameKey(7);
+const SLOTS: u32 = 6;
+/// Slots and the queue at the server.
+const PLACES: u32 = 12;
+const SERVICE_TIME: Duration = Duration::from_millis(30);
+const HOST: IncarnationId = IncarnationId(1);
+const OTHER_HOST: IncarnationId = IncarnationId(2);
+const OWNER: IncarnationId = IncarnationId(3);
+
+/// The plain service of 71 hosts.
+fn small_service(load: f64, has_slots: bool) -> SlotPlan {
+    SlotPlan {
+        hosts: 71,
+        servers: 3,
+        service_time: Duration::from_millis(30),
+        objective: Duration::from_millis(150),
+        load,
+        loss: 0.01,
+        silent_owners: false,
+        has_slots,
+    }
+}
+
+/// The plain service of 60 hosts.
+fn slower_service(load: f64, has_slots: bool) -> SlotPlan {
+    SlotPlan {
+        hosts: 60,
+        servers: 6,
+        service_time: Duration::from_millis(60),
+        objective: Duration::from_millis(300),
+        ..small_service(load, has_slots)
+    }
+}
+
+/// A request without a place costs no message while the load is moderate, and no server rejects one.
+#[rstest]
+#[case(small_service(0.35, true))]
+#[case(slower_service(0.35, true))]
+fn moderate_load_needs_no_messages(#[case] plan: SlotPlan) {
+    let tally = SlotFleet::run(plan, RUN_TIME);
+    assert_eq!((tally.rejected, tally.refused, tally.messages), (0, 0, 0), "{tally:?}");
+}
+
+#[rstest]
+#[case(small_service, 0.7, 0.99)]
+#[case(small_service, 0.95, 0.95)]
+#[case(small_service, 1.5, 0.63)]
+#[case(slower_service, 0.7, 0.99)]
+#[case(slower_service, 0.95, 0.95)]
+#[case(slower_service, 1.5, 0.63)]
+fn heavy_load_served_in_time(
+    #[case] service: fn(f64, bool) -> SlotPlan,
+    #[case] load: f64,
+    #[case] least_in_time: f64,
+) {
+    let before = SlotFleet::run(service(load, false), RUN_TIME);
+    let tally = SlotFleet::run(service(load, true), RUN_TIME);
+    println!("load {load}\nwithout {before:?}\nwith    {tally:?}");
+    assert!(tally.rejected * 20 < tally.served, "{tally:?}");
+    assert!(tally.rejected * 10 < before.rejected, "{before:?} {tally:?}");
+    let part = f64::from(tally.in_time) / f64::from(tally.requests);
+    assert!(part > least_in_time, "{part}");
+    assert_eq!(tally.refused_beside_free, 0, "{tally:?}");
+    // Requests that may run once only are served first.
+    let repeatable = tally.requests - tally.once;
+    let once_part = f64::from(tally.once_served) / f64::from(tally.once);
+    let part = f64::from(tally.served - tally.once_served) / f64::from(repeatable);
+    assert!(once_part >= part - 0.005, "{once_part} {part}");
+}
+
+/// If no owner replies, requests are sent without places: nothing is worse than a little delay.
+#[rstest]
+#[case(0.7, 0.9)]
+#[case(1.5, 0.8)]
+fn silent_owners_cost_little(#[case] load: f64, #[case] least_part: f64) {
+    let before = SlotFleet::run(small_service(load, false), RUN_TIME);
+    let plan = SlotPlan { silent_owners: true, ..small_service(load, true) };
+    let tally = SlotFleet::run(plan, RUN_TIME);
+    println!("load {load}\nwithout {before:?}\nsilent  {tally:?}");
+    let share = |part: u32, all: u32| f64::from(part) / f64::from(all);
+    let served = share(tally.served, tally.requests);
+    assert!(served > share(before.served, before.requests) - 0.02, "{tally:?}");
+    let in_time = share(tally.in_time, tally.requests);
+    assert!(in_time > share(before.in_time, before.requests) * least_part, "{tally:?}");
+}
+
+/// A lossy link delays few requests: repeated requests and releases make up for what is lost.
+#[test]
+fn lost_messages_make_up() {
+    let plan = SlotPlan { loss: 0.1, ..small_service(0.95, true) };
+    let tally = SlotFleet::run(plan, RUN_TIME);
+    println!("{tally:?}");
+    assert!(tally.rejected * 20 < tally.served, "{tally:?}");
+    assert!(tally.in_time * 10 > tally.requests * 9, "{tally:?}");
+}
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+fn rank(priority: u8) -> CallRank {
+    CallRank::new(0, priority)
+}
+
+fn request(from: IncarnationId, sequence: u32) -> PlaceRequest {
+    PlaceRequest {
+        from,
+        sequence,
+        server: SERVER,
+        order: PlaceOrder { rank: rank(1), is_repeatable: false },
+        wait_ms: 0,
+        left_ms: 1000,
+        unplaced: 0,
+        released: Vec::new(),
+    }
+}
+
+fn release(from: IncarnationId, sequence: u32, end: PlaceEnd) -> PlaceRelease {
+    PlaceRelease { from, sequence, server: SERVER, end }
+}
+
+/// The account of an owner that knows all requests at the server, with all places in use.
+fn full_account(now: TimePoint) -> SlotAccount {
+    let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+    for sequence in 0..PLACES {
+        let decision = account.receive(now, &request(HOST, sequence));
+        assert_eq!(decision, Some(PlaceDecision::Granted));
+    }
+    account
+}
+
+#[test]
+fn request_beyond_places_refused_with_time_of_next_place() {
+    let mut account = full_account(at(100));
+    let decision = account.receive(at(100), &request(HOST, 50));
+    assert_eq!(decision, Some(PlaceDecision::Busy { wait_ms: 5, service_ms: 30 }));
+}
+
+/// A place is about to be free in 5 ms; the fourth request would wait for 20 ms.
+#[test]
+fn request_waits_if_place_is_near() {
+    let mut account = full_account(at(100));
+    for sequence in 50..53 {
+        let near = PlaceRequest { wait_ms: 18, ..request(OTHER_HOST, sequence) };
+        assert_eq!(account.receive(at(100), &near), None);
+    }
+    let fourth = PlaceRequest { wait_ms: 18, ..request(OTHER_HOST, 53) };
+    let decision = account.receive(at(100), &fourth);
+    assert_eq!(decision, Some(PlaceDecision::Busy { wait_ms: 20, service_ms: 30 }));
+    assert!(account.poll(at(117), OWNER).is_empty());
+    let refused = account.poll(at(118), OWNER);
+    assert_eq!(refused.len(), 3);
+    assert!(refused.iter().all(|(_, r)| matches!(r.decision, PlaceDecision::Busy { .. })));
+}
+
+#[test]
+fn freed_places_go_to_urgent_then_once_only_requests() {
+    let mut account = full_account(at(100));
+    for (sequence, priority, is_repeatable) in [(50, 2, false), (51, 1, true), (52, 1, false)] {
+        let order = PlaceOrder { rank: rank(priority), is_repeatable };
+        let waiter = PlaceRequest { wait_ms: 40, order, ..request(OTHER_HOST, sequence) };
+        assert_eq!(account.receive(at(100), &waiter), None);
+    }
+    let granted: Vec<u32> = (0..3)
+        .flat_map(|sequence| {
+            account.release(at(105), &release(HOST, sequence, PlaceEnd::Served));
+            account.poll(at(105), OWNER)
+        })
+        .map(|(host, reply)| {
+            assert_eq!((host, reply.decision), (OTHER_HOST, PlaceDecision::Granted));
+            reply.sequence
+        })
+        .collect();
+    assert_eq!(granted, [52, 51, 50]);
+}
+
+/// Queueing at the server is useless for a request whose objective is near: it gets a slot or nothing.
+#[test]
+fn near_objective_gets_no_queue() {
+    let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+    let near = |sequence| PlaceRequest { left_ms: 60, ..request(HOST, sequence) };
+    for sequence in 0..SLOTS {
+        assert_eq!(account.receive(at(100), &near(sequence)), Some(PlaceDecision::Granted));
+    }
+    assert_ne!(account.receive(at(100), &near(50)), Some(PlaceDecision::Granted));
+    assert_eq!(account.receive(at(100), &request(HOST, 51)), Some(PlaceDecision::Granted));
+}
+
+/// A host that died holds its places for about a second at most, with any service time.
+#[rstest]
+#[case(30)]
+#[case(5000)]
+fn places_of_dead_host_expire(#[case] service_ms: u64) {
+    let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+    let mut now = at(0);
+    for sequence in 100..200 {
+        account.receive(now, &request(HOST, sequence));
+        now = now + Duration::from_millis(service_ms);
+        // The release of a place that has expired says nothing on the service time.
+        account.release(now, &release(HOST, sequence, PlaceEnd::Served));
+    }
+    for sequence in 0..SLOTS {
+        account.receive(now, &request(HOST, sequence));
+    }
+    assert_eq!(account.in_use(now) as u32, SLOTS);
+    assert_eq!(account.in_use(now + Duration::from_millis(1001)) as u32, 0);
+}
+
+/// A new owner does not know what its predecessor granted, which has left after one mean service time.
+#[test]
+fn new_owner_learns_for_one_service_time() {
+    let grant_all = |now| {
+        let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+        let requests = (0..PLACES).map(|sequence| request(HOST, sequence));
+        requests
+            .filter(|request| account.receive(now, request) == Some(PlaceDecision::Granted))
+            .count()
+    };
+    assert_eq!(grant_all(at(0)), 6);
+    assert_eq!(grant_all(at(15)), 9);
+    assert_eq!(grant_all(at(30)), 12);
+}
+
+#[test]
+fn suspended_owner_forgets_what_it_granted() {
+    let mut control = SlotControl::default();
+    control.receive(at(0), &request(HOST, 1), SLOTS);
+    control.expire(at(100), |_| true);
+    assert!(control.ledger.get(SERVER).is_some());
+    control.expire(at(1000), |_| true);
+    assert!(control.ledger.get(SERVER).is_none());
+}
+
+#[test]
+fn account_dropped_with_its_ownership() {
+    let mut control = SlotControl::default();
+    control.receive(at(0), &request(HOST, 1), SLOTS);
+    control.expire(at(100), |_| false);
+    assert!(control.ledger.get(SERVER).is_none());
+}
+
+#[test]
+fn lost_release_repeated_with_next_request() {
+    let mut account = full_account(at(100));
+    let mut control = SlotControl::default();
+    control.release(at(110), HOST, SERVER, 3, PlaceEnd::Served);
+    let need = PlaceNeed {
+        order: PlaceOrder { rank: rank(1), is_repeatable: false },
+        objective: Duration::from_millis(150),
+        age: Duration::ZERO,
+    };
+    let mut next = control.place_request(at(110), HOST, SERVER, &need, false);
+    assert_eq!(next.released, [3]);
+    next.sequence = 50;
+    assert_eq!(account.receive(at(110), &next), Some(PlaceDecision::Granted));
+}
+
+/// A request that arrives twice takes one place; one that arrives again after its release takes none.
+#[test]
+fn duplicates_take_no_second_place() {
+    let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+    for _ in 0..3 {
+        let decision = account.receive(at(100), &request(HOST, 1));
+        assert_eq!(decision, Some(PlaceDecision::Granted));
+    }
+    assert_eq!(account.in_use(at(100)) as u32, 1);
+    account.release(at(110), &release(HOST, 1, PlaceEnd::Unused));
+    account.receive(at(111), &request(HOST, 1));
+    assert_eq!(account.in_use(at(111)) as u32, 0);
+}
+
+/// The host gave up waiting for the reply before the request arrived.
+#[test]
+fn withdrawn_request_gets_no_place() {
+    let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+    account.release(at(100), &release(HOST, 1, PlaceEnd::Unused));
+    account.receive(at(101), &request(HOST, 1));
+    assert_eq!(account.in_use(at(101)) as u32, 0);
+}
+
+/// A rejection shows more requests at the server than the owner knows of; it grants again once they have left.
+#[test]
+fn rejection_stops_grants_for_a_service_time() {
+    let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+    account.record_rejection(at(100));
+    assert_ne!(account.receive(at(120), &request(HOST, 1)), Some(PlaceDecision::Granted));
+    assert_eq!(account.receive(at(131), &request(HOST, 2)), Some(PlaceDecision::Granted));
+}
+
+/// Requests that were sent without places, by hosts that did not know that the server is contended, take room.
+#[test]
+fn reported_requests_without_places_count() {
+    let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
+    let report = PlaceRequest { unplaced: 11, ..request(OTHER_HOST, 1) };
+    assert_eq!(account.receive(at(100), &report), Some(PlaceDecision::Granted));
+    assert_ne!(account.receive(at(101), &request(HOST, 1)), Some(PlaceDecision::Granted));
+    assert_eq!(account.receive(at(131), &request(HOST, 2)), Some(PlaceDecision::Granted));
+}
+
+#[test]
+fn server_contended_for_two_seconds_after_rejection() {
+    let mut control = SlotControl::default();
+    assert!(!control.needs_place(at(0), SERVER, 3, SLOTS, 0));
+    control.record_rejection(at(0), SERVER);
+    assert!(control.needs_place(at(1999), SERVER, 3, SLOTS, 0));
+    assert!(!control.needs_place(at(2000), SERVER, 3, SLOTS, 0));
+}
+
+/// Known load makes a server contended only where hosts outnumber its slots.
+#[rstest]
+#[case(6, 20, false)]
+#[case(7, 9, false)]
+#[case(7, 10, true)]
+fn load_over_slots_makes_contended(
+    #[case] hosts: usize,
+    #[case] load: u32,
+    #[case] expected: bool,
+) {
+    let mut control = SlotControl::default();
+    assert_eq!(control.needs_place(at(0), SERVER, hosts, SLOTS, load), expected);
+}
+
+#[test]
+fn silent_owner_not_asked_again_for_two_seconds() {
+    let mut control = SlotControl::default();
+    control.record_silence(at(0), SERVER);
+    control.record_rejection(at(1000), SERVER);
+    assert!(!control.needs_place(at(1999), SERVER, 71, SLOTS, 0));
+    assert!(control.needs_place(at(2000), SERVER, 71, SLOTS, 0));
+}
+
+/// Callers that are refused together do not return together.
+#[test]
+fn refused_callers_return_spread_over_service_times() {
+    let pause = |draw| SlotControl::return_pause(Duration::from_millis(10), SERVICE_TIME, draw);
+    assert_eq!(pause(0.0), Duration::from_millis(40));
+    assert_eq!(pause(1.0), Duration::from_millis(130));
+}
+
+/// Of servers without known load, each gets requests in proportion to its slots and its speed.
+#[test]
+fn uncontended_servers_chosen_by_slots_and_speed() {
+    let mut servers = [server("plain"), server("wide"), server("fast")];
+    servers[1].slots *= 2;
+    let keys: Vec<ServerKey> = servers.iter().map(tealcleat::fleet::ServerEntry::key).collect();
+    let mut control = SlotControl::default();
+    for (key, millis) in keys.iter().zip([50, 50, 25]) {
+        control.service_times.record(at(0), *key, Duration::from_millis(millis));
+    }
+    let slots: Vec<_> = servers.iter().map(|server| (server.key(), server.slots)).collect();
+    let weights = control.weights(&slots);
+    let mut chosen: HashMap<String, u32> = HashMap::new();
+    for salt in 0..4000 {
+        let context = RankingContext {
+            loads: &LoadTable::default(),
+            health: &HashMap::new(),
+            domains: &DomainBreakers::default(),
+            stage_changes: &StageChanges::default(),
+            connected: &HashSet::new(),
+            local_domain: NameKey::of("a"),
+            remote_penalty: 0.0,
+            weights: Some(&weights),
+            salt,
+        };
+        let ranked = rank_servers(at(0), &context, RankingCriterion::Requests, servers.iter());
+        *chosen.entry(ranked[0].id.clone()).or_default() += 1;
+    }
+    let expected = [("plain", 800), ("wide", 1600), ("fast", 1600)];
+    for (id, expected) in expected {
+        assert!(chosen[id].abs_diff(expected) < 150, "{chosen:?}");
+    }
+}
+
+/// A few slow answers do not exclude a server.
+#[test]
+fn speed_is_bounded() {
+    let mut times = ServiceTimes::default();
+    times.record(at(0), SERVER, Duration::from_secs(5));
+    times.record(at(0), NameKey(8), Duration::from_millis(1));
+    times.record(at(0), NameKey(9), Duration::from_millis(1));
+    let servers = [SERVER, NameKey(8), NameKey(9)];
+    assert_eq!((times.speed(SERVER, &servers), times.speed(NameKey(8), &servers)), (0.5, 2.0));
+}
+
+/// The figures of the design note on bytes a second rest on these sizes, which include the signature.
+#[test]
+fn messages_are_small() {
+    let incarnation = IncarnationId(u64::MAX >> 1);
+    let server = NameKey(u64::MAX);
+    let released = vec![1_000_000; 8];
+    let (sequence, unplaced) = (1_000_000, 3);
+    let largest = PlaceRequest {
+        from: incarnation,
+        server,
+        sequence,
+        released,
+        unplaced,
+        ..request(HOST, 1)
+    };
+    let usual = PlaceRequest { released: vec![1_000_000; 2], ..largest.clone() };
+    let release = PlaceRelease { server, ..release(incarnation, sequence, PlaceEnd::Served) };
+    let contended = SlotMessage::Contended { from: incarnation, server, remaining_ms: 2000 };
+    let messages = [
+        SlotMessage::Request(largest),
+        SlotMessage::Request(usual),
+        SlotMessage::Release(release),
+        contended,
+    ];
+    let sizes = messages.map(|message| seal_datagram("a-key", &message).expect("bytes").len());
+    println!("{sizes:?}");
+    assert!(sizes.iter().zip([100, 70, 50, 50]).all(|(size, most)| *size <= most), "{sizes:?}");
+}
