--- a/src/gateway/place_guard.rs
+++ b/src/gateway/place_guard.rs
@@ -73,14 +73,14 @@
         if self.hold == PlaceHold::Unplaced {
             self.host.state().slot_control.remove_unplaced(self.server);
         }
+        let now = self.host.now();
+        let time = now.since(self.begun_at);
         if self.end == PlaceEnd::Served {
-            let now = self.host.now();
-            let time = now.since(self.begun_at);
             self.host.state().slot_control.service_times.record(now, self.server, time);
         }
         match self.hold {
             PlaceHold::Placed(sequence) => {
-                self.host.release_place(self.server, sequence, self.end);
+                self.host.release_place(self.server, sequence, (self.end, time));
             }
             PlaceHold::Unplaced if self.end == PlaceEnd::Rejected => {
                 self.host.report_rejection(self.server);
--- a/src/gateway/slot_messages.rs
+++ b/src/gateway/slot_messages.rs
@@ -93,11 +93,16 @@
     }
 
     /// Releases a place, or withdraws a request for one.
-    pub(super) fn release_place(&self, server: ServerKey, sequence: u32, end: PlaceEnd) {
+    pub(super) fn release_place(
+        &self,
+        server: ServerKey,
+        sequence: u32,
+        end: (PlaceEnd, Duration),
+    ) {
         let now = self.now();
         let release = {
             let mut state = self.state();
-            if end == PlaceEnd::Rejected {
+            if end.0 == PlaceEnd::Rejected {
                 state.slot_control.record_rejection(now, server);
             }
             state.slot_control.release(now, self.incarnation, server, sequence, end)
--- a/src/server_slots/slot_account.rs
+++ b/src/server_slots/slot_account.rs
@@ -152,16 +152,18 @@
     /// Applies the release of a place.
     pub fn release(&mut self, now: TimePoint, release: &PlaceRelease) {
         let place = self.remove(now, (release.from, release.sequence));
-        match (release.end, place) {
-            (PlaceEnd::Served, Some(place)) => {
-                // The time at the server contains the wait in its queue, which grows with the requests there.
-                let queued = (place.in_use / self.slots).max(1.0);
-                let sample = now.since(place.granted_at).as_secs_f64() / queued;
+        match release.end {
+            PlaceEnd::Served => {
+                // The time at the server contains the wait in its queue, which grows with the requests there. A place
+                // that has expired counts too: otherwise the estimate for a slow server would never rise.
+                let in_use = place.map_or_else(|| self.in_use(now), |place| place.in_use);
+                let queued = (in_use / self.slots).max(1.0);
+                let sample = f64::from(release.held_ms) / 1000.0 / queued;
                 let mean = self.service_time + (sample - self.service_time) * SERVICE_WEIGHT;
                 self.service_time = mean.max(MIN_SERVICE_TIME.as_secs_f64());
             }
-            (PlaceEnd::Rejected, _) => self.record_rejection(now),
-            (PlaceEnd::Served | PlaceEnd::Unused, _) => {}
+            PlaceEnd::Rejected => self.record_rejection(now),
+            PlaceEnd::Unused => {}
         }
     }
 
--- a/src/server_slots/slot_control.rs
+++ b/src/server_slots/slot_control.rs
@@ -20,6 +20,9 @@
 /// that a host is dead (2.5 s) and another one owns the server. A host that sends a few requests a second would otherwise
 /// delay most of them by the time for which it waits for a reply.
 const SILENCE_TIME: Duration = Duration::from_secs(2);
+/// Servers that answer more slowly than this are left alone: a place is held for a second at most, so that a dead host
+/// does not block it, and would expire while it is in use.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Number of released places that are repeated in the next requests, and for how long: about as many as one host
 /// releases within the time for which a place is held at most.
 const MAX_REPEATED: usize = 8;
@@ -79,7 +82,8 @@
             self.contended.record(now, server, CONTENTION_TIME);
         }
         let is_silent = self.silent.get(&server).is_some_and(|until| now < *until);
-        self.contended.contains(now, server) && !is_silent
+        let answer_time = self.service_times.mean(server).unwrap_or_default();
+        self.contended.contains(now, server) && !is_silent && answer_time < MAX_ANSWER_TIME
     }
 
     /// Records that the owner of a server did not reply: requests are sent there without places for a while.
@@ -153,21 +157,21 @@
         }
     }
 
-    /// Creates the message that releases a place.
+    /// Creates the message that releases a place, with how its use ended and how long it took.
     pub fn release(
         &mut self,
         now: TimePoint,
         from: IncarnationId,
         server: ServerKey,
         sequence: u32,
-        end: PlaceEnd,
+        (end, held): (PlaceEnd, Duration),
     ) -> PlaceRelease {
         let released = self.released.entry(server).or_default();
         released.push_back((now, sequence));
         if released.len() > MAX_REPEATED {
             released.pop_front();
         }
-        PlaceRelease { from, sequence, server, end }
+        PlaceRelease { from, sequence, server, end, held_ms: millis(held) }
     }
 
     /// Records that a server rejected a request of this host. Returns whether the server was not contended before.
--- a/src/server_slots/slot_messages.rs
+++ b/src/server_slots/slot_messages.rs
@@ -109,4 +109,6 @@
     pub server: ServerKey,
     /// How the use of the place ended.
     pub end: PlaceEnd,
+    /// For how long the place was used, in milliseconds.
+    pub held_ms: u16,
 }
--- a/tests/server_slots.rs
+++ b/tests/server_slots.rs
@@ -15,8 +15,8 @@
 };
 use tealcleat::server_limits::CallRank;
 use tealcleat::server_slots::{
-    PlaceDecision, PlaceEnd, PlaceNeed, PlaceOrder, PlaceRelease, PlaceRequest, ServiceTimes,
-    SlotAccount, SlotControl, SlotMessage,
+    PlaceDecision, PlaceEnd, PlaceNeed, PlaceOrder, PlaceRelease, PlaceReply, PlaceRequest,
+    ServiceTimes, SlotAccount, SlotControl, SlotMessage,
 };
 
 mod slot_common;
@@ -94,6 +94,18 @@
     assert!(once_part >= part - 0.005, "{once_part} {part}");
 }
 
+/// Messages grow with the requests, not with the hosts, but for the announcements to all hosts.
+#[rstest]
+#[case(300)]
+#[case(1000)]
+fn more_hosts_served_alike(#[case] hosts: usize) {
+    let plan = SlotPlan { hosts, ..small_service(0.95, true) };
+    let tally = SlotFleet::run(plan, Duration::from_secs(4));
+    println!("{hosts} hosts {tally:?}");
+    assert!(tally.rejected * 20 < tally.served, "{tally:?}");
+    assert!(tally.in_time * 100 > tally.requests * 95, "{tally:?}");
+}
+
 /// If no owner replies, requests are sent without places: nothing is worse than a little delay.
 #[rstest]
 #[case(0.7, 0.9)]
@@ -142,7 +154,7 @@
 }
 
 fn release(from: IncarnationId, sequence: u32, end: PlaceEnd) -> PlaceRelease {
-    PlaceRelease { from, sequence, server: SERVER, end }
+    PlaceRelease { from, sequence, server: SERVER, end, held_ms: 30 }
 }
 
 /// The account of an owner that knows all requests at the server, with all places in use.
@@ -222,12 +234,14 @@
     for sequence in 100..200 {
         account.receive(now, &request(HOST, sequence));
         now = now + Duration::from_millis(service_ms);
-        // The release of a place that has expired says nothing on the service time.
-        account.release(now, &release(HOST, sequence, PlaceEnd::Served));
+        let held_ms = u16::try_from(service_ms).expect("a short time");
+        let served = release(HOST, sequence, PlaceEnd::Served);
+        account.release(now, &PlaceRelease { held_ms, ..served });
     }
     for sequence in 0..SLOTS {
         account.receive(now, &request(HOST, sequence));
     }
+    assert!(account.service_time().abs_diff(Duration::from_millis(service_ms)) < SERVICE_TIME);
     assert_eq!(account.in_use(now) as u32, SLOTS);
     assert_eq!(account.in_use(now + Duration::from_millis(1001)) as u32, 0);
 }
@@ -269,7 +283,7 @@
 fn lost_release_repeated_with_next_request() {
     let mut account = full_account(at(100));
     let mut control = SlotControl::default();
-    control.release(at(110), HOST, SERVER, 3, PlaceEnd::Served);
+    control.release(at(110), HOST, SERVER, 3, (PlaceEnd::Served, SERVICE_TIME));
     let need = PlaceNeed {
         order: PlaceOrder { rank: rank(1), is_repeatable: false },
         objective: Duration::from_millis(150),
@@ -346,6 +360,15 @@
     assert_eq!(control.needs_place(at(0), SERVER, hosts, SLOTS, load), expected);
 }
 
+/// The places of requests that run longer than a second would expire while they are in use.
+#[test]
+fn slow_server_left_alone() {
+    let mut control = SlotControl::default();
+    control.record_rejection(at(0), SERVER);
+    control.service_times.record(at(0), SERVER, Duration::from_secs(1));
+    assert!(!control.needs_place(at(1), SERVER, 71, SLOTS, 30));
+}
+
 #[test]
 fn silent_owner_not_asked_again_for_two_seconds() {
     let mut control = SlotControl::default();
@@ -426,13 +449,21 @@
     let usual = PlaceRequest { released: vec![1_000_000; 2], ..largest.clone() };
     let release = PlaceRelease { server, ..release(incarnation, sequence, PlaceEnd::Served) };
     let contended = SlotMessage::Contended { from: incarnation, server, remaining_ms: 2000 };
+    let rejected = SlotMessage::Rejected { from: incarnation, server };
+    let decision = PlaceDecision::Busy { wait_ms: 1000, service_ms: 1000 };
+    let reply = SlotMessage::Reply(PlaceReply { from: incarnation, sequence, decision });
     let messages = [
         SlotMessage::Request(largest),
         SlotMessage::Request(usual),
         SlotMessage::Release(release),
         contended,
+        reply,
+        rejected,
     ];
     let sizes = messages.map(|message| seal_datagram("a-key", &message).expect("bytes").len());
     println!("{sizes:?}");
-    assert!(sizes.iter().zip([100, 70, 50, 50]).all(|(size, most)| *size <= most), "{sizes:?}");
+    assert!(
+        sizes.iter().zip([100, 70, 50, 50, 50, 50]).all(|(size, most)| *size <= most),
+        "{sizes:?}"
+    );
 }
--- a/tests/slot_common/mod.rs
+++ b/tests/slot_common/mod.rs
@@ -237,7 +237,7 @@
                 if let Some((message, server, _)) = pending {
                     let control = &mut self.hosts[self.requests[request].host].control;
                     control.record_silence(now, message.server);
-                    let (from, end) = (message.from, PlaceEnd::Unused);
+                    let (from, end) = (message.from, (PlaceEnd::Unused, Duration::ZERO));
                     let release = control.release(now, from, message.server, sequence, end);
                     self.message(Event::Released(server, release));
                     self.send(request, server, None);
@@ -422,6 +422,8 @@
         let (from, sends, order_left) = (request.host, request.sends, !request.order.is_empty());
         match request.place.take() {
             Some(sequence) => {
+                let held = now.since(TimePoint(request.sent_at));
+                let end = (end, held);
                 let release = host.control.release(now, id_of(from), key, sequence, end);
                 self.message(Event::Released(server, release));
             }
