--- a/tests/slot_gateways.rs
+++ b/tests/slot_gateways.rs
@@ -40,6 +40,19 @@
     })
 }
 
+/// Makes the first server contended by one rejection, and waits until all hosts know and its owner grants places.
+async fn contend(site: &TestSite) {
+    let service = &site.services[0];
+    service.set_fault(ServiceFault::Full);
+    let reply = call_first_host(site, &call("POST", "once", "first")).await;
+    assert_eq!(reply.status.as_u16(), 503);
+    while !is_contended_everywhere(site, ServerKey::of(&service.id)) {
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+    // The owner takes the server for full until the requests that it did not grant could have been served.
+    tokio::time::sleep(Duration::from_millis(250)).await;
+}
+
 /// One rejection makes the server contended on all hosts, and together they then send it no more than it has places.
 /// Guards against hosts that each learn of a full server by their own rejections.
 #[test]
@@ -47,14 +60,7 @@
     runtime().block_on(async {
         let site = start_site(1, &[true, true, true]).await;
         let service = &site.services[0];
-        service.set_fault(ServiceFault::Full);
-        let reply = call_first_host(&site, &call("POST", "once", "first")).await;
-        assert_eq!(reply.status.as_u16(), 503);
-        while !is_contended_everywhere(&site, ServerKey::of(&service.id)) {
-            tokio::time::sleep(POLL_PERIOD).await;
-        }
-        // The owner takes the server for full until twice its slots could have been served.
-        tokio::time::sleep(Duration::from_millis(250)).await;
+        contend(&site).await;
         service.set_fault(ServiceFault::Slow(Duration::from_millis(800)));
         let calls = (0..45).map(|index| {
             let host = site.hosts[index % site.hosts.len()].callers;
@@ -82,6 +88,34 @@
     });
 }
 
+/// Guards against places that stay in use after their callers have left.
+#[test]
+fn callers_that_leave_release_their_places() {
+    runtime().block_on(async {
+        let site = start_site(1, &[true, true]).await;
+        contend(&site).await;
+        site.services[0].set_fault(ServiceFault::Slow(Duration::from_secs(5)));
+        let send = |index: u64, name: &str| {
+            let host = site.hosts[index as usize % site.hosts.len()].callers;
+            let request = call("POST", "once", &format!("{name}-{index}"));
+            tokio::spawn(async move { call_site(host, &request).await })
+        };
+        let leaving: Vec<_> = (0..PLACES).map(|index| send(index, "leaving")).collect();
+        while (site.services[0].runs().len() as u64) < PLACES / 2 {
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+        leaving.iter().for_each(tokio::task::JoinHandle::abort);
+        // Shorter than the time after which the places would expire.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        site.services[0].set_fault(ServiceFault::None);
+        let calls: Vec<_> = (0..PLACES).map(|index| send(index, "next")).collect();
+        for task in calls {
+            let reply = task.await.expect("a call").expect("a reply");
+            assert_eq!(reply.status.as_u16(), 200);
+        }
+    });
+}
+
 /// Hosts without the setting neither request nor grant places, and those with it are served beside them.
 #[test]
 fn hosts_without_the_setting_stay_as_before() {
