--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -18,8 +18,8 @@
 const ERROR_PENALTY: f64 = 3.0;
 
 /// Spread of the random choice among servers of a plain service, in full servers: a server that is fuller by this much is
-/// chosen e times less often. At a third of the capacity, where these services run, hosts that see loads of up to 1.5 s
-/// ago then correct a difference within about that time without overshooting.
+/// chosen e times less often. At a third of the capacity, where these services run, a host then corrects about 0.7 of a
+/// difference that it sees; a smaller spread would correct more than the difference, by loads that are up to 1.5 s old.
 const REQUEST_SPREAD: f64 = 0.5;
 
 /// The resource by which servers are ranked.
