Places: refusals hold for duplicates, a suspended owner decides as a new one, less work per request

A duplicate of a refused request that arrived after a place became free took that place until it expired. An owner that handled messages after a suspension and before its next check granted places to requests that had long gone. The entries of ended requests are swept by the periodic check instead of by each message, and speeds of servers are computed in one pass.

--- a/src/server_slots/service_times.rs
+++ b/src/server_slots/service_times.rs
@@ -37,14 +37,15 @@
         self.servers.get(&server).map(|entry| Duration::from_secs_f64(entry.seconds))
     }
 
-    /// Speed of a server relative to the mean of `servers`; one if either is not known.
-    pub fn speed(&self, server: ServerKey, servers: &[ServerKey]) -> f64 {
-        let times = || servers.iter().filter_map(|key| self.servers.get(key));
-        let count = times().count();
-        let Some(own) = self.servers.get(&server).filter(|_| count > 0) else { return 1.0 };
-        let mean = times().map(|entry| entry.seconds).sum::<f64>() / count as f64;
-        let speed = mean / own.seconds.max(f64::MIN_POSITIVE);
-        speed.clamp(1.0 / MAX_RATIO, MAX_RATIO)
+    /// Speeds of `servers` relative to their mean; one for those that are not known.
+    pub fn speeds(&self, servers: &[ServerKey]) -> Vec<f64> {
+        let times: Vec<Option<f64>> =
+            servers.iter().map(|key| self.servers.get(key).map(|entry| entry.seconds)).collect();
+        let known = || times.iter().flatten();
+        let mean = known().sum::<f64>() / known().count().max(1) as f64;
+        let speed =
+            |own: f64| (mean / own.max(f64::MIN_POSITIVE)).clamp(1.0 / MAX_RATIO, MAX_RATIO);
+        times.iter().map(|own| own.map_or(1.0, speed)).collect()
     }
 
     /// Drops servers that have not answered for a while.
--- a/src/server_slots/slot_account.rs
+++ b/src/server_slots/slot_account.rs
@@ -67,8 +67,8 @@
     unknown: UnknownLoad,
     places: HashMap<PlaceId, Place>,
     unplaced: HashMap<IncarnationId, (TimePoint, u16)>,
-    /// Requests whose places were released, so that a duplicate that arrives late gets no place.
-    released: HashMap<PlaceId, TimePoint>,
+    /// Requests that were refused, or whose places were released, so that a duplicate that arrives late gets no place.
+    ended: HashMap<PlaceId, TimePoint>,
     waiting: Vec<PlaceWaiter>,
 }
 
@@ -86,7 +86,7 @@
             unknown: UnknownLoad { count: slots, at: now },
             places: HashMap::new(),
             unplaced: HashMap::new(),
-            released: HashMap::new(),
+            ended: HashMap::new(),
             waiting: Vec::new(),
         }
     }
@@ -94,10 +94,12 @@
     /// Decides on a request for a place; `None` while it waits for one, in which case [`Self::poll`] returns the
     /// decision.
     pub fn receive(&mut self, now: TimePoint, request: &PlaceRequest) -> Option<PlaceDecision> {
-        self.expire(now);
         let id = (request.from, request.sequence);
         for sequence in &request.released {
-            self.remove(now, (request.from, *sequence));
+            let released = (request.from, *sequence);
+            if !self.ended.contains_key(&released) {
+                self.remove(now, released);
+            }
         }
         self.unplaced.insert(request.from, (now, request.unplaced));
         if self.places.contains_key(&id) {
@@ -113,7 +115,7 @@
             until: now + Duration::from_millis(request.wait_ms.into()),
             objective_at: now + Duration::from_millis(request.left_ms.into()),
         };
-        if self.released.contains_key(&id) {
+        if self.ended.contains_key(&id) {
             return Some(self.busy(now, &waiter));
         }
         if self.places_ahead(now, &waiter) < 0.0 {
@@ -121,7 +123,7 @@
             return Some(PlaceDecision::Granted);
         }
         if now + self.wait(now, &waiter) > waiter.until || self.waiting.len() >= MAX_WAITING {
-            return Some(self.busy(now, &waiter));
+            return Some(self.refuse(now, &waiter));
         }
         self.waiting.push(waiter);
         None
@@ -130,7 +132,9 @@
     /// The decisions on waiting requests that are due: places that have become free, most urgent requests first, and
     /// refusals of requests that waited for as long as they may.
     pub fn poll(&mut self, now: TimePoint, own: IncarnationId) -> Vec<(IncarnationId, PlaceReply)> {
-        self.expire(now);
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
         self.waiting.sort_by_key(|waiter| (waiter.order, waiter.arrived_at));
         let mut decided = Vec::new();
         for waiter in std::mem::take(&mut self.waiting) {
@@ -138,7 +142,7 @@
                 self.grant(now, waiter.id);
                 PlaceDecision::Granted
             } else if now >= waiter.until {
-                self.busy(now, &waiter)
+                self.refuse(now, &waiter)
             } else {
                 self.waiting.push(waiter);
                 continue;
@@ -201,11 +205,12 @@
         Duration::from_secs_f64(self.service_time)
     }
 
-    /// Drops places and reports that nobody renewed.
+    /// Drops places and reports that nobody renewed, and requests that ended a while ago. Called several times a second;
+    /// decisions in between leave out the expired places and reports themselves.
     pub fn expire(&mut self, now: TimePoint) {
         let lifetime = self.lifetime();
         self.places.retain(|_, place| now.since(place.granted_at) < lifetime);
-        self.released.retain(|_, at| now.since(*at) < MAX_LIFETIME);
+        self.ended.retain(|_, at| now.since(*at) < MAX_LIFETIME);
         let service_time = self.service_time();
         self.unplaced.retain(|_, (at, count)| *count > 0 && now.since(*at) < service_time);
     }
@@ -256,6 +261,11 @@
         }
     }
 
+    fn refuse(&mut self, now: TimePoint, waiter: &PlaceWaiter) -> PlaceDecision {
+        self.ended.insert(waiter.id, now);
+        self.busy(now, waiter)
+    }
+
     fn grant(&mut self, now: TimePoint, id: PlaceId) {
         let in_use = self.in_use(now) + 1.0;
         self.places.insert(id, Place { granted_at: now, in_use });
@@ -263,7 +273,7 @@
 
     fn remove(&mut self, now: TimePoint, id: PlaceId) -> Option<Place> {
         self.waiting.retain(|waiter| waiter.id != id);
-        self.released.insert(id, now);
+        self.ended.insert(id, now);
         self.places.remove(&id)
     }
 }
--- a/src/server_slots/slot_control.rs
+++ b/src/server_slots/slot_control.rs
@@ -138,9 +138,9 @@
     /// The weights with which hosts choose among servers at random: their slots times their speed.
     pub fn weights(&self, servers: &[(ServerKey, u32)]) -> HashMap<ServerKey, f64> {
         let keys: Vec<ServerKey> = servers.iter().map(|(key, _)| *key).collect();
-        let weight =
-            |key, slots: u32| f64::from(slots.max(1)) * self.service_times.speed(key, &keys);
-        servers.iter().map(|(key, slots)| (*key, weight(*key, *slots))).collect()
+        let speeds = self.service_times.speeds(&keys);
+        let weights = servers.iter().zip(speeds);
+        weights.map(|((key, slots), speed)| (*key, f64::from((*slots).max(1)) * speed)).collect()
     }
 
     /// Records that a request is sent to a server without a place.
@@ -200,6 +200,7 @@
         if release.end == PlaceEnd::Rejected {
             self.contended.record(now, release.server, CONTENTION_TIME);
         }
+        self.ledger.drop_if_suspended(now);
         if let Some(account) = self.ledger.get(release.server) {
             account.release(now, release);
         }
@@ -213,11 +214,13 @@
 
     fn open(&mut self, now: TimePoint, server: ServerKey, slots: u32) -> &mut SlotAccount {
         let answer_time = self.service_times.mean(server);
+        self.ledger.drop_if_suspended(now);
         self.ledger.open(now, server, slots, answer_time)
     }
 
     /// The owner's decisions on waiting requests that are due.
     pub fn poll(&mut self, now: TimePoint, own: IncarnationId) -> Vec<(IncarnationId, PlaceReply)> {
+        self.ledger.drop_if_suspended(now);
         self.ledger.accounts().flat_map(|(_, account)| account.poll(now, own)).collect()
     }
 
--- a/src/server_slots/slot_ledger.rs
+++ b/src/server_slots/slot_ledger.rs
@@ -31,6 +31,16 @@
         self.accounts.get_mut(&server)
     }
 
+    /// Drops everything that this host granted if it was suspended since its last check: it may have been replaced, and
+    /// the requests that waited have gone. Must be called before each decision, since messages that arrived during the
+    /// suspension may be handled before the next check.
+    pub fn drop_if_suspended(&mut self, now: TimePoint) {
+        if self.term.is_broken(now) {
+            self.term.renew(now);
+            self.accounts.clear();
+        }
+    }
+
     /// All accounts.
     pub fn accounts(&mut self) -> impl Iterator<Item = (ServerKey, &mut SlotAccount)> {
         self.accounts.iter_mut().map(|(server, account)| (*server, account))
--- a/tests/server_slots.rs
+++ b/tests/server_slots.rs
@@ -67,6 +67,8 @@
     assert_eq!((tally.rejected, tally.refused, tally.messages), (0, 0, 0), "{tally:?}");
 }
 
+/// Guards against rejections by full servers, against refusals while places are free, and against repeatable requests
+/// that are served before those that may run only once.
 #[rstest]
 #[case(small_service, 0.7, 0.99)]
 #[case(small_service, 0.95, 0.95)]
@@ -167,6 +169,7 @@
     account
 }
 
+/// Guards against more requests at a server than its slots and the queue, and against callers that return too early.
 #[test]
 fn request_beyond_places_refused_with_time_of_next_place() {
     let mut account = full_account(at(100));
@@ -191,6 +194,7 @@
     assert!(refused.iter().all(|(_, r)| matches!(r.decision, PlaceDecision::Busy { .. })));
 }
 
+/// Guards against urgent requests, and those that cannot be sent to a second server, that wait behind others.
 #[test]
 fn freed_places_go_to_urgent_then_once_only_requests() {
     let mut account = full_account(at(100));
@@ -261,6 +265,7 @@
     assert_eq!(grant_all(at(30)), 12);
 }
 
+/// Guards against an owner that grants by what it knew before another one replaced it.
 #[test]
 fn suspended_owner_forgets_what_it_granted() {
     let mut control = SlotControl::default();
@@ -271,6 +276,24 @@
     assert!(control.ledger.get(SERVER).is_none());
 }
 
+/// Messages that arrived during a suspension are handled before the next check. Guards against grants to requests that
+/// waited before the suspension, and against a host that takes all places for free though another one granted some.
+#[test]
+fn suspended_owner_decides_as_a_new_one() {
+    let mut control = SlotControl::default();
+    control.expire(at(0), |_| true);
+    let waiting = |sequence| PlaceRequest { wait_ms: 40, ..request(HOST, sequence) };
+    let decisions = (0..PLACES).map(|sequence| control.receive(at(10), &waiting(sequence), SLOTS));
+    assert!(decisions.collect::<Vec<_>>().contains(&None));
+    assert!(control.poll(at(2000), OWNER).is_empty());
+    let granted = (20..40).filter(|sequence| {
+        let decision = control.receive(at(2000), &request(HOST, *sequence), SLOTS);
+        decision == Some(PlaceDecision::Granted)
+    });
+    assert_eq!(granted.count() as u32, PLACES - SLOTS);
+}
+
+/// Guards against two owners that both grant the places of a server.
 #[test]
 fn account_dropped_with_its_ownership() {
     let mut control = SlotControl::default();
@@ -279,6 +302,7 @@
     assert!(control.ledger.get(SERVER).is_none());
 }
 
+/// Guards against a place that stays in use until it expires because one message was lost.
 #[test]
 fn lost_release_repeated_with_next_request() {
     let mut account = full_account(at(100));
@@ -309,6 +333,29 @@
     assert_eq!(account.in_use(at(111)) as u32, 0);
 }
 
+/// Guards against a place that nobody uses: the host has gone on to another server after the refusal, and a place
+/// becomes free before the duplicate of its request arrives.
+#[rstest]
+#[case(0)]
+#[case(18)]
+fn duplicate_of_refused_request_gets_no_place(#[case] wait_ms: u16) {
+    let mut account = full_account(at(100));
+    for sequence in 50..53 {
+        let waiter = PlaceRequest { wait_ms: 18, ..request(OTHER_HOST, sequence) };
+        assert_eq!(account.receive(at(100), &waiter), None);
+    }
+    let refused = PlaceRequest { wait_ms, ..request(OTHER_HOST, 53) };
+    assert_ne!(account.receive(at(100), &refused), None);
+    assert_eq!(account.poll(at(118), OWNER).len(), 3);
+    account.release(at(119), &release(HOST, 1, PlaceEnd::Served));
+    for sequence in 50..54 {
+        let duplicate = PlaceRequest { wait_ms, ..request(OTHER_HOST, sequence) };
+        let decision = account.receive(at(120), &duplicate);
+        assert!(matches!(decision, Some(PlaceDecision::Busy { .. })), "{decision:?}");
+    }
+    assert_eq!(account.in_use(at(120)) as u32, PLACES - 1);
+}
+
 /// The host gave up waiting for the reply before the request arrived.
 #[test]
 fn withdrawn_request_gets_no_place() {
@@ -337,6 +384,7 @@
     assert_eq!(account.receive(at(131), &request(HOST, 2)), Some(PlaceDecision::Granted));
 }
 
+/// Guards against hosts that request places long after a shortage, or return to outdated loads too early.
 #[test]
 fn server_contended_for_two_seconds_after_rejection() {
     let mut control = SlotControl::default();
@@ -369,6 +417,7 @@
     assert!(!control.needs_place(at(1), SERVER, 71, SLOTS, 30));
 }
 
+/// Guards against a wait for the reply of a dead owner by each request.
 #[test]
 fn silent_owner_not_asked_again_for_two_seconds() {
     let mut control = SlotControl::default();
@@ -428,7 +477,7 @@
     times.record(at(0), NameKey(8), Duration::from_millis(1));
     times.record(at(0), NameKey(9), Duration::from_millis(1));
     let servers = [SERVER, NameKey(8), NameKey(9)];
-    assert_eq!((times.speed(SERVER, &servers), times.speed(NameKey(8), &servers)), (0.5, 2.0));
+    assert_eq!(times.speeds(&servers), [0.5, 2.0, 2.0]);
 }
 
 /// The figures of the design note on bytes a second rest on these sizes, which include the signature.
