--- a/src/gateway/slot_messages.rs
+++ b/src/gateway/slot_messages.rs
@@ -12,9 +12,7 @@
 use crate::limits::OwnerChoice;
 use crate::placement::RankingCriterion;
 use crate::routes::ServiceKey;
-use crate::server_slots::{
-    PlaceDecision, PlaceEnd, PlaceReply, PlaceRequest, SlotControl, SlotMessage,
-};
+use crate::server_slots::{PlaceDecision, PlaceEnd, PlaceReply, PlaceRequest, SlotMessage};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -63,8 +61,7 @@
         let hosts = state.members.living().count();
         let ready = || state.fleet.ready(service);
         let acts = ready().any(|server| {
-            let is_contended = state.slot_control.contended.contains(now, server.key());
-            is_contended || SlotControl::is_spread(hosts, server.slots)
+            state.slot_control.needs_random_choice(now, server.key(), hosts, server.slots)
         });
         let servers: Vec<_> = ready().map(|server| (server.key(), server.slots)).collect();
         acts.then(|| state.slot_control.weights(&servers))
--- a/src/server_slots/slot_control.rs
+++ b/src/server_slots/slot_control.rs
@@ -21,7 +21,7 @@
 /// delay most of them by the time for which it waits for a reply.
 const SILENCE_TIME: Duration = Duration::from_secs(2);
 /// Servers that answer more slowly than this are left alone: a place is held for a second at most, so that a dead host
-/// does not block it, and would expire while it is in use.
+/// does not block it, and would expire while it is in use. The known loads are also hardly older than their requests.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(1);
 /// Number of released places that are repeated in the next requests, and for how long: about as many as one host
 /// releases within the time for which a place is held at most.
@@ -64,7 +64,7 @@
     /// Whether the load of a server is spread over all hosts, so that each of them sees little of it: hosts outnumber
     /// the server's slots. With fewer hosts, a host's own requests tell it more of the server's load than the outdated
     /// load of the others misleads it.
-    pub fn is_spread(hosts: usize, slots: u32) -> bool {
+    fn is_spread(hosts: usize, slots: u32) -> bool {
         hosts > slots as usize
     }
 
@@ -82,8 +82,23 @@
             self.contended.record(now, server, CONTENTION_TIME);
         }
         let is_silent = self.silent.get(&server).is_some_and(|until| now < *until);
-        let answer_time = self.service_times.mean(server).unwrap_or_default();
-        self.contended.contains(now, server) && !is_silent && answer_time < MAX_ANSWER_TIME
+        self.contended.contains(now, server) && !is_silent && !self.is_slow(server)
+    }
+
+    /// Whether hosts choose this server at random rather than by the known loads, which are older than its service time.
+    pub fn needs_random_choice(
+        &self,
+        now: TimePoint,
+        server: ServerKey,
+        hosts: usize,
+        slots: u32,
+    ) -> bool {
+        let is_outdated = Self::is_spread(hosts, slots) || self.contended.contains(now, server);
+        is_outdated && !self.is_slow(server)
+    }
+
+    fn is_slow(&self, server: ServerKey) -> bool {
+        self.service_times.mean(server).is_some_and(|time| time >= MAX_ANSWER_TIME)
     }
 
     /// Records that the owner of a server did not reply: requests are sent there without places for a while.
--- a/tests/server_slots.rs
+++ b/tests/server_slots.rs
@@ -408,13 +408,16 @@
     assert_eq!(control.needs_place(at(0), SERVER, hosts, SLOTS, load), expected);
 }
 
-/// The places of requests that run longer than a second would expire while they are in use.
+/// The places of requests that run longer than a second would expire while they are in use. Guards also against a random
+/// choice where the known loads are fresh enough.
 #[test]
 fn slow_server_left_alone() {
     let mut control = SlotControl::default();
     control.record_rejection(at(0), SERVER);
+    assert!(control.needs_random_choice(at(1), SERVER, 3, SLOTS));
     control.service_times.record(at(0), SERVER, Duration::from_secs(1));
     assert!(!control.needs_place(at(1), SERVER, 71, SLOTS, 30));
+    assert!(!control.needs_random_choice(at(1), SERVER, 71, SLOTS));
 }
 
 /// Guards against a wait for the reply of a dead owner by each request.
