--- a/src/gateway/pending_replies.rs
+++ b/src/gateway/pending_replies.rs
@@ -25,7 +25,7 @@
 impl<T> PendingReplies<T> {
     /// Registers the request `sequence` and returns the receiver of its reply; dropping the receiver cancels
     /// the wait.
-    fn register(&self, sequence: u32) -> oneshot::Receiver<T> {
+    pub fn register(&self, sequence: u32) -> oneshot::Receiver<T> {
         let (sender, receiver) = oneshot::channel();
         let mut pending = crate::host::lock(&self.0);
         pending.retain(|_, sender| !sender.is_closed());
@@ -43,13 +43,30 @@
 }
 
 impl GatewayHost {
-    /// Sends a request to an owner and waits for its reply; sends it a second time if the first gets no reply.
+    /// Sends a request to an owner and waits for its reply. An owner that does not reply gets no request of any kind for
+    /// a while.
     pub(super) async fn request_reply<T>(
         &self,
         pending: &PendingReplies<T>,
         sequence: u32,
         owner: MemberUpdate,
         request: &GatewayDatagram,
+    ) -> Option<T> {
+        let reply = self.exchange_datagrams(pending, sequence, owner, request).await;
+        if reply.is_none() {
+            let now = self.now();
+            self.state().silent_owners.record(now, owner.incarnation);
+        }
+        reply
+    }
+
+    /// Sends a request to another host and waits for its reply; sends it a second time if the first gets no reply.
+    pub(super) async fn exchange_datagrams<T>(
+        &self,
+        pending: &PendingReplies<T>,
+        sequence: u32,
+        owner: MemberUpdate,
+        request: &GatewayDatagram,
     ) -> Option<T> {
         let mut reply = pending.register(sequence);
         for timeout in [FIRST_TIMEOUT, SECOND_TIMEOUT] {
@@ -58,8 +75,6 @@
                 return Some(reply);
             }
         }
-        let now = self.now();
-        self.state().silent_owners.record(now, owner.incarnation);
         None
     }
 }
