--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -81,11 +81,7 @@
         if is_waiting && !host.settings.features.steady_pools {
             continue;
         }
-        let changes = host.plan_changes(&mut controller);
-        if is_waiting {
-            // Planned all the same, so that an imbalance that lasts is known when the wait ends.
-            continue;
-        }
+        let changes = host.plan_changes(&mut controller, is_waiting);
         rounds += 1;
         if rounds.is_multiple_of(NOTICE_ROUNDS)
             && host.state().stage_changes.ordered().next().is_some()
@@ -135,7 +131,13 @@
         );
     }
 
-    fn plan_changes(&self, controller: &mut StageController) -> Vec<PlannedChange> {
+    /// Plans the changes that are due. While the host waits for its lease there are none, but the planners observe the
+    /// pools, so that a lasting imbalance is known when the wait ends.
+    fn plan_changes(
+        &self,
+        controller: &mut StageController,
+        is_waiting: bool,
+    ) -> Vec<PlannedChange> {
         let now = self.now();
         let mut state = self.state();
         let state = &mut *state;
@@ -149,6 +151,9 @@
             let sizes = pool_sizes(state, now, service, &controller.orders);
             let planner = controller.planners.entry(service).or_default();
             let Some(to) = planner.decide(now, sizes, work) else { continue };
+            if is_waiting {
+                continue;
+            }
             let requests = sums.requests_per_second(state.members.living().count());
             if has_spare_capacity(to, sizes, work, requests) {
                 continue;
