Return times: refused callers are told when capacity is expected

The pause of a refused caller is a constant: 4 s without memory, 0.3 s when a plain service rejects, so callers of one burst return together. A calendar of promised returns and of the demand in the failure domain places each return; hosts exchange it while callers are refused. Off unless return_times is set.

--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -110,6 +110,7 @@
     if let Some(charge) = charge {
         charge_request(host, &head.request_id, charge).await?;
     }
+    host.record_arrival(&head.request_id, service, rank, contents);
     let call = ServerCall::new(parts.method, &parts.uri, &parts.headers, organisation, body);
     Ok(CallContext {
         host: Arc::clone(host),
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -8,6 +8,7 @@
 use super::limit_gossip::run_limit_gossip;
 use super::peer_loop::run_peers;
 use super::ready_server::{EndpointKind, serve_endpoint};
+use super::return_updates::run_return_updates;
 use super::stage_loop::run_stages;
 use super::stop_plan::StopPlan;
 use super::view_loop::run_view;
@@ -69,6 +70,9 @@
     tokio::spawn(run_limit_gossip(Arc::clone(&host)));
     tokio::spawn(run_crash_store(Arc::clone(&host)));
     tokio::spawn(run_account(Arc::clone(&host)));
+    if host.settings.features.return_times {
+        tokio::spawn(run_return_updates(Arc::clone(&host)));
+    }
     log::info!(
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -53,7 +53,10 @@
     while let Some((server, permit)) = next_server(context, &record).await {
         record.tried.push(server.key());
         match attempt(context, &server, &record, permit).await {
-            AttemptEnd::Answered(answer) => return CallEnd::Answered(answer),
+            AttemptEnd::Answered(answer) => {
+                context.record_plain_answer();
+                return CallEnd::Answered(answer);
+            }
             AttemptEnd::NotSent => record.unreached += 1,
             AttemptEnd::NotRun => record.sent += 1,
             AttemptEnd::Failed(answer) => {
@@ -143,7 +146,7 @@
         return context.refuse_at_limit(None).await;
     }
     let reason = if record.sent > 0 { NotRunReason::Rejected } else { NotRunReason::NoServer };
-    CallEnd::NotRun(reason, REJECTED_PAUSE)
+    CallEnd::NotRun(reason, context.return_pause(reason, REJECTED_PAUSE))
 }
 
 async fn attempt(
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -71,8 +71,10 @@
             OpenFailure::NotRun(NotRunReason::ServersAtLimit) => {
                 return Err(context.refuse_at_limit(Some(ServerStage::Decode)).await);
             }
-            OpenFailure::NotRun(reason) => return Err(refuse(reason)),
-            OpenFailure::Rejected(_) => return Err(refuse(NotRunReason::Rejected)),
+            OpenFailure::NotRun(reason) => return Err(refuse_run(context, reason, after, runs)),
+            OpenFailure::Rejected(_) => {
+                return Err(refuse_run(context, NotRunReason::Rejected, after, runs));
+            }
             OpenFailure::Failed(answer) => CallEnd::Answered(answer),
             OpenFailure::Unknown(_) if context.time_left().is_zero() => CallEnd::TimedOut,
             OpenFailure::Unknown(cause) => CallEnd::Unknown(cause),
@@ -98,9 +100,27 @@
         && context.host.take_retries(context.service, 2).await
 }
 
-/// Refuses a request that did not run, with a retry delay for its caller.
+/// Refuses a request that did not run, with a constant retry delay for its caller.
 pub(super) fn refuse(reason: NotRunReason) -> CallEnd {
-    let pause = match reason {
+    CallEnd::NotRun(reason, constant_pause(reason))
+}
+
+/// Refuses a run. Where it is the caller's first one, the caller gets a planned return time; the others are tried again
+/// by this host, or end as unknown.
+fn refuse_run(
+    context: &CallContext,
+    reason: NotRunReason,
+    after: Option<u64>,
+    runs: &RunRecord,
+) -> CallEnd {
+    let constant = constant_pause(reason);
+    let is_first = after == context.head.last_event && !runs.may_have_run;
+    let pause = if is_first { context.return_pause(reason, constant) } else { constant };
+    CallEnd::NotRun(reason, pause)
+}
+
+fn constant_pause(reason: NotRunReason) -> Duration {
+    match reason {
         NotRunReason::NoMemory => jittered(NO_MEMORY_PAUSE),
         NotRunReason::HeldBack => HELD_BACK_PAUSE,
         NotRunReason::NoServer
@@ -112,8 +132,7 @@
         | NotRunReason::Rejected
         | NotRunReason::OutOfTime
         | NotRunReason::ServersAtLimit => jittered(REJECTED_PAUSE),
-    };
-    CallEnd::NotRun(reason, pause)
+    }
 }
 
 fn jittered(pause: Duration) -> Duration {
@@ -134,6 +153,7 @@
 ) -> Result<OpenRun, OpenFailure> {
     let mut reservation =
         reserve_memory(context, engine, after, &runs.lost).await.map_err(OpenFailure::NotRun)?;
+    context.record_memory_grant();
     let held_at = context.host.now();
     let mut prompt = match read_prompt(context, reservation.hold.server.domain).await {
         PromptEnd::Read(resource) => Some(resource),
--- /dev/null
+++ b/src/return_times/promise_table.rs
@@ -0,0 +1,93 @@
+use crate::keys::{RequestKey, TimePoint};
+use crate::routes::ServiceKey;
+use crate::server_limits::CallRank;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// A caller may return this much before the promised time: the update that told of the promise took time, which is added
+/// to it.
+const EARLY_TOLERANCE: Duration = Duration::from_millis(300);
+/// A caller is recognised until this long after the promised time: its request takes a round trip and may be
+/// retransmitted once.
+const LATE_TOLERANCE: Duration = Duration::from_secs(1);
+/// Most promises that are kept, about 60 bytes each: 100 refusals a second for 5 s are 500.
+const MAX_PROMISES: usize = 8192;
+
+/// A return that a caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Promise {
+    /// The service that the caller needs.
+    pub service: ServiceKey,
+    /// The rank of its request.
+    pub rank: CallRank,
+    /// When it returns.
+    pub at: TimePoint,
+    /// Updates that told other hosts of it; `None` if another host promised it.
+    pub told: Option<u32>,
+}
+
+/// The returns that this host and others promised, by request.
+#[derive(Debug, Default)]
+pub struct PromiseTable {
+    promises: HashMap<RequestKey, Promise>,
+}
+
+impl PromiseTable {
+    /// Adds a promise. A promise that is known already keeps the earlier time, since an update that is repeated or late
+    /// names a later one.
+    pub fn insert(&mut self, now: TimePoint, key: RequestKey, promise: Promise) {
+        if self.promises.len() >= MAX_PROMISES {
+            self.expire(now);
+        }
+        if let Some(known) = self.promises.get_mut(&key) {
+            let is_repeated = promise.told.is_none() && known.at + LATE_TOLERANCE > now;
+            if !(is_repeated && known.at <= promise.at) {
+                *known = promise;
+            }
+        } else if self.promises.len() < MAX_PROMISES {
+            self.promises.insert(key, promise);
+        }
+    }
+
+    /// Whether the caller of a request returns as it was told.
+    pub fn is_return(&self, now: TimePoint, key: RequestKey) -> bool {
+        self.promises.get(&key).is_some_and(|promise| {
+            promise.at <= now + EARLY_TOLERANCE && now < promise.at + LATE_TOLERANCE
+        })
+    }
+
+    /// Promises that are still to come.
+    pub fn ahead(&self, now: TimePoint) -> impl Iterator<Item = (RequestKey, &Promise)> {
+        let ahead = self.promises.iter().filter(move |(_, promise)| promise.at > now);
+        ahead.map(|(key, promise)| (*key, promise))
+    }
+
+    /// At most `count` of this host's own promises to tell to other hosts: those told least often first, then those that
+    /// come first.
+    pub fn take_told(&mut self, now: TimePoint, count: usize) -> Vec<(RequestKey, Promise)> {
+        let mut own: Vec<(RequestKey, &mut Promise)> = self
+            .promises
+            .iter_mut()
+            .filter(|(_, promise)| promise.told.is_some() && promise.at > now)
+            .map(|(key, promise)| (*key, promise))
+            .collect();
+        own.sort_unstable_by_key(|(key, promise)| (promise.told, promise.at, *key));
+        own.truncate(count);
+        own.into_iter()
+            .map(|(key, promise)| {
+                promise.told = promise.told.map(|times| times.saturating_add(1));
+                (key, *promise)
+            })
+            .collect()
+    }
+
+    /// Whether this host promised a return that no update has told of.
+    pub fn has_untold(&self, now: TimePoint) -> bool {
+        self.ahead(now).any(|(_, promise)| promise.told == Some(0))
+    }
+
+    /// Drops the promises whose callers are no longer recognised.
+    pub fn expire(&mut self, now: TimePoint) {
+        self.promises.retain(|_, promise| now < promise.at + LATE_TOLERANCE);
+    }
+}
--- /dev/null
+++ b/src/return_times/slot_plan.rs
@@ -0,0 +1,109 @@
+use std::time::Duration;
+
+/// Width of a slot. The load updates that tell of promises are sent as often.
+pub const SLOT_TIME: Duration = Duration::from_millis(250);
+/// Slots of a plan, 8 s: no caller that the platform allows 14 s returns later than after 4.7 s.
+const SLOT_COUNT: usize = 32;
+/// Excess demand is assumed to fade evenly within this time: bursts last 4 to 5 s, and of a burst that is met at a
+/// random time, the chance that it still lasts falls evenly to zero over its length.
+const EXCESS_TIME: Duration = Duration::from_secs(5);
+
+/// The demand expected in each slot from the present time on, in requests per slot.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SlotPlan {
+    demand: [f64; SLOT_COUNT],
+    capacity: f64,
+}
+
+impl SlotPlan {
+    /// A plan without promises. Rates are per second: `capacity` is granted, `present` arrives now, and `mean` arrived
+    /// over a longer time.
+    pub fn new(capacity: f64, present: f64, mean: f64) -> Self {
+        // An overload is assumed to pass, as its mean does not tell how it goes on; if it does not, all slots are alike.
+        let base = present.min(mean).min(capacity);
+        let slot_seconds = SLOT_TIME.as_secs_f64();
+        let demand = std::array::from_fn(|slot| {
+            let ahead = (slot as f64 + 0.5) * slot_seconds;
+            let lasting = (1.0 - ahead / EXCESS_TIME.as_secs_f64()).max(0.0);
+            (present - base).mul_add(lasting, base) * slot_seconds
+        });
+        Self { demand, capacity: capacity * slot_seconds }
+    }
+
+    /// Adds a promised return `after` the present time.
+    pub fn add_return(&mut self, after: Duration) {
+        if let Some(demand) = self.demand.get_mut(slot_of(after)) {
+            *demand += 1.0;
+        }
+    }
+
+    /// Whether some capacity is expected to be free between `earliest` and `latest`.
+    pub fn has_free(&self, earliest: Duration, latest: Duration) -> bool {
+        self.shares(earliest, latest).any(|(slot, _)| self.demand[slot] + 1.0 <= self.capacity)
+    }
+
+    /// Places a return between `earliest` and `latest`, where `unseen` others are being placed by other hosts at the same
+    /// time. All of them fill the free capacity first, from the earliest slot on, and then the slots with the least
+    /// demand; `draw` selects one of them.
+    pub fn place(&self, earliest: Duration, latest: Duration, unseen: f64, draw: f64) -> Duration {
+        let shares: Vec<(usize, f64)> = self.shares(earliest, latest).collect();
+        let mut missing = 1.0 + unseen;
+        let mut fills: Vec<f64> = Vec::with_capacity(shares.len());
+        for (slot, share) in &shares {
+            let fill = ((self.capacity - self.demand[*slot]).max(0.0) * share).min(missing);
+            missing -= fill;
+            fills.push(fill);
+        }
+        if missing > 0.0 {
+            let loads: Vec<(f64, f64)> = shares
+                .iter()
+                .zip(&fills)
+                .map(|((slot, share), fill)| (self.demand[*slot] + fill / share, *share))
+                .collect();
+            let level = fill_level(&loads, missing);
+            for (fill, (load, share)) in fills.iter_mut().zip(&loads) {
+                *fill += (level - load).max(0.0) * share;
+            }
+        }
+        let mut point = draw * fills.iter().sum::<f64>();
+        for ((slot, _), fill) in shares.iter().zip(&fills) {
+            if point < *fill {
+                let begin = (SLOT_TIME * *slot as u32).max(earliest);
+                let end = (SLOT_TIME * (*slot as u32 + 1)).min(latest);
+                return begin + end.saturating_sub(begin).mul_f64(point / fill);
+            }
+            point -= fill;
+        }
+        latest
+    }
+
+    /// The slots between `earliest` and `latest`, each with the part of it that lies between them.
+    fn shares(&self, earliest: Duration, latest: Duration) -> impl Iterator<Item = (usize, f64)> {
+        (0..SLOT_COUNT).filter_map(move |slot| {
+            let begin = (SLOT_TIME * slot as u32).max(earliest);
+            let end = (SLOT_TIME * (slot as u32 + 1)).min(latest);
+            let part = end.saturating_sub(begin);
+            (!part.is_zero()).then(|| (slot, part.as_secs_f64() / SLOT_TIME.as_secs_f64()))
+        })
+    }
+}
+
+/// The level to which slots with the given loads and widths fill if `amount` flows to the lowest ones.
+fn fill_level(loads: &[(f64, f64)], amount: f64) -> f64 {
+    let mut sorted = loads.to_vec();
+    sorted.sort_by(|left, right| left.0.total_cmp(&right.0));
+    let (mut width, mut area, mut level) = (0.0, 0.0, 0.0);
+    for (index, (load, share)) in sorted.iter().enumerate() {
+        width += share;
+        area += load * share;
+        level = (area + amount) / width;
+        if sorted.get(index + 1).is_none_or(|next| level <= next.0) {
+            break;
+        }
+    }
+    level
+}
+
+fn slot_of(after: Duration) -> usize {
+    usize::try_from(after.as_micros() / SLOT_TIME.as_micros()).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/src/return_times/update_schedule.rs
@@ -0,0 +1,33 @@
+/// Most hosts that one round tells. A domain of 24 hosts is told in one round, one of 100 within a second.
+const ROUND_TARGETS: usize = 32;
+/// Rounds after which figures are sent again without a new promise: they expire after 1.5 s, so that one lost update is
+/// compensated by the next one.
+const REPEAT_ROUNDS: u64 = 3;
+
+/// Which hosts of the failure domain are told in each round, in turn.
+#[derive(Debug, Default)]
+pub struct UpdateSchedule {
+    rounds: u64,
+    cursor: usize,
+    /// Hosts that the present content has not been sent to yet.
+    pending: usize,
+}
+
+impl UpdateSchedule {
+    /// The positions of the hosts to tell in this round, among `hosts`. `is_new`: there are promises that no host was
+    /// told; `is_short`: hosts exchange figures since callers are being refused.
+    pub fn next_round(&mut self, hosts: usize, is_new: bool, is_short: bool) -> Vec<usize> {
+        self.rounds += 1;
+        if is_new || (is_short && self.rounds.is_multiple_of(REPEAT_ROUNDS)) {
+            self.pending = hosts;
+        }
+        if !is_short && !is_new {
+            self.pending = 0;
+        }
+        let count = self.pending.min(ROUND_TARGETS).min(hosts);
+        self.pending -= count;
+        let first = self.cursor;
+        self.cursor = (first + count) % hosts.max(1);
+        (first..first + count).map(|place| place % hosts).collect()
+    }
+}
