Return times: updates within 1,200 bytes, plain pauses scaled to hosts not heard

With many ranks or promises an update exceeded its target size. A host that had heard no others yet compared its own rejections with the places of the domain, and told callers of plain services to return too early.

--- a/src/return_times/call_figures.rs
+++ b/src/return_times/call_figures.rs
@@ -22,13 +22,13 @@
 }
 
 impl AddAssign for CallFigures {
-    fn add_assign(&mut self, other: Self) {
-        self.fresh = self.fresh.saturating_add(other.fresh);
-        self.granted = self.granted.saturating_add(other.granted);
-        self.refused = self.refused.saturating_add(other.refused);
+    fn add_assign(&mut self, rhs: Self) {
+        self.fresh = self.fresh.saturating_add(rhs.fresh);
+        self.granted = self.granted.saturating_add(rhs.granted);
+        self.refused = self.refused.saturating_add(rhs.refused);
         // A broken mean of another host must not make the sum unusable.
-        if other.mean_fresh.is_finite() {
-            self.mean_fresh += other.mean_fresh.max(0.0);
+        if rhs.mean_fresh.is_finite() {
+            self.mean_fresh += rhs.mean_fresh.max(0.0);
         }
     }
 }
--- a/src/return_times/promise_table.rs
+++ b/src/return_times/promise_table.rs
@@ -22,7 +22,7 @@
     pub rank: CallRank,
     /// When it returns.
     pub at: TimePoint,
-    /// Updates that told other hosts of it; `None` if another host promised it.
+    /// Updates that told other hosts of it; `None` if another host promised it, or no host needs to know.
     pub told: Option<u32>,
 }
 
--- a/src/return_times/return_calendar.rs
+++ b/src/return_times/return_calendar.rs
@@ -23,15 +23,17 @@
 const MIN_REQUESTS: u32 = 8;
 /// Returns that other hosts promised within this time are not known here yet: half of a round of updates, and the way.
 const UNSEEN_SECONDS: f64 = 0.3;
+/// Shorter promises are not told to other hosts, since the caller would arrive before the update.
+const MIN_TOLD_PAUSE: Duration = Duration::from_millis(500);
 /// Expected time until servers accept requests again if none does: a crashed server restarts within seconds, and one that
 /// is excluded is tried again after 0.5 to 8 s. An earlier return is refused again, and a later one is rarely possible.
 const SERVER_BACK_TIME: Duration = Duration::from_secs(2);
 /// Part of the time until a server is back over which returns are spread.
 const SERVER_BACK_SPREAD: f64 = 0.3;
-/// Most promises in an update of the target size of 1,200 bytes, at up to 26 bytes each.
-const MAX_UPDATE_PROMISES: usize = 36;
-/// Most services and ranks in an update, at up to 30 bytes each.
-const MAX_UPDATE_FIGURES: usize = 32;
+/// Most promises in an update of the target size of 1,200 bytes, at up to 24 bytes each.
+const MAX_UPDATE_PROMISES: usize = 34;
+/// Most services and ranks in an update, at up to 26 bytes each; with more, those with the fewest requests are left out.
+const MAX_UPDATE_FIGURES: usize = 12;
 
 /// A time in which callers were refused for lack of memory or places.
 #[derive(Debug, Clone, Copy)]
@@ -110,7 +112,8 @@
         if !request.latest().is_zero() && !self.is_return(now, request.key) {
             let at = now + time.pause.min(request.latest());
             let (service, rank) = (request.service, request.rank);
-            let promise = Promise { service, rank, at, told: Some(0) };
+            let told = (time.pause >= MIN_TOLD_PAUSE).then_some(0);
+            let promise = Promise { service, rank, at, told };
             self.promises.insert(now, request.key, promise);
         }
         time
@@ -145,7 +148,7 @@
             return None;
         }
         self.version += 1;
-        let figures = self
+        let mut figures: Vec<ServiceFigures> = self
             .meters
             .iter()
             .map(|((service, rank), meter)| ServiceFigures {
@@ -154,8 +157,10 @@
                 figures: meter.figures(now),
             })
             .filter(|entry| !entry.figures.is_idle())
-            .take(MAX_UPDATE_FIGURES)
             .collect();
+        let activity = |figures: CallFigures| figures.fresh + figures.granted + figures.refused;
+        figures.sort_by_key(|entry| std::cmp::Reverse(activity(entry.figures)));
+        figures.truncate(MAX_UPDATE_FIGURES);
         let promises = self.promises.take_told(now, MAX_UPDATE_PROMISES);
         let promises = promises
             .into_iter()
@@ -266,12 +271,18 @@
         if answer_time >= latest {
             return time(latest, ReturnBasis::OutOfTime);
         }
+        if figures.granted + figures.refused < MIN_REQUESTS {
+            return time(request.usual, ReturnBasis::Usual);
+        }
+        // Hosts that are not heard are assumed to have as many requests as the others.
+        let heard = self.peers.host_count(now) as f64 + 1.0;
+        let scale = ((request.neighbours as f64 + 1.0) / heard).max(1.0);
         // In full queues an answer takes longer than its work, and the answers of the last second are the better measure.
         let by_places = places / answer_time.as_secs_f64().max(f64::EPSILON);
-        let capacity = by_places.max(figures.granted.into());
-        let free = capacity - f64::from(figures.fresh);
+        let capacity = by_places.max(f64::from(figures.granted) * scale);
+        let free = f64::from(figures.fresh).mul_add(-scale, capacity);
         let room = latest.saturating_sub(answer_time);
-        let refused = f64::from(figures.refused);
+        let refused = f64::from(figures.refused) * scale;
         let spread = if refused < free * room.as_secs_f64() {
             Duration::from_secs_f64(refused / free).max(answer_time).min(room)
         } else {
