--- a/tests/gateway_returns.rs
+++ b/tests/gateway_returns.rs
@@ -1,7 +1,7 @@
 //! When real daemons on simulated platform servers tell refused callers to return.
 
 use std::time::Duration;
-use tealcleat::bench::site::{EngineFault, SitePlan, TestSite, call_site};
+use tealcleat::bench::site::{EngineFault, ServiceFault, SiteCall, SitePlan, TestSite, call_site};
 use tealcleat::keys::RequestKey;
 use tealcleat::settings::LoadFeatures;
 
@@ -54,7 +54,7 @@
         }
         let left = returns_at.since(site.hosts[1].host.now());
         tokio::time::sleep(left).await;
-        let returning = tealcleat::bench::site::SiteCall { id: "second".to_owned(), ..refused };
+        let returning = SiteCall { id: "second".to_owned(), ..refused };
         let reply = call_site(site.hosts[1].callers, &returning).await.expect("an answer");
         assert_eq!(reply.status, 200);
         let metrics = site.hosts[1].host.metrics().prometheus_text();
@@ -63,6 +63,29 @@
     });
 }
 
+/// Callers of plain services return within a third of their time, and after the servers' answer time rather than a
+/// constant.
+#[test]
+fn plain_return_follows_the_answer_time() {
+    runtime().block_on(async {
+        let site = site_with_two_hosts().await;
+        let set_fault = |fault| site.services.iter().for_each(|service| service.set_fault(fault));
+        set_fault(ServiceFault::Slow(Duration::from_millis(40)));
+        for number in 0..10 {
+            call_site(site.hosts[0].callers, &call("GET", "safe", &format!("n{number}")))
+                .await
+                .expect("an answer");
+        }
+        set_fault(ServiceFault::Full);
+        let mut refused = call("GET", "safe", "refused");
+        refused.headers[0].1 = "900".to_owned();
+        let reply = call_site(site.hosts[0].callers, &refused).await.expect("an answer");
+        assert_eq!(reply.status, 503);
+        let pause: f64 = reply.header("retry-after").parse().expect("seconds");
+        assert!((0.04..0.3).contains(&pause), "{pause}");
+    });
+}
+
 /// Without the setting, a refusal is as before, and no host is told of it.
 #[test]
 fn constant_pause_without_the_setting() {
