Return times: count a served return once per request, neighbours by their incarnation

A request that runs repeatedly was counted in returns_served for each run. Whether other hosts are told of a promise depends on the time at which its caller returns, not on a longer pause.

--- a/src/gateway/return_updates.rs
+++ b/src/gateway/return_updates.rs
@@ -54,10 +54,10 @@
     fn send_returns(&self) {
         let now = self.now();
         let mut state = self.state();
-        let neighbours = state.neighbour_count();
+        let neighbours = state.neighbours().count();
         let update = state.return_calendar.next_update(now, self.incarnation, neighbours);
         let Some((update, targets)) = update else { return };
-        let others = state.domain_neighbours();
+        let others = state.sorted_neighbours();
         drop(state);
         let datagram = GatewayDatagram::Returns(update);
         for target in targets {
@@ -67,26 +67,25 @@
 }
 
 impl GatewayState {
-    /// The other living hosts of this host's failure domain, in the same order each time.
-    fn domain_neighbours(&self) -> Vec<MemberUpdate> {
+    /// The other living hosts of this host's failure domain.
+    fn neighbours(&self) -> impl Iterator<Item = MemberUpdate> {
         let own = self.members.own();
         let hosts = self.members.living_in(own.domain).map(|(_, host)| host);
-        let mut others: Vec<MemberUpdate> =
-            hosts.filter(|host| host.incarnation != own.incarnation).collect();
-        others.sort_unstable_by_key(|host| host.incarnation);
-        others
+        hosts.filter(move |host| host.incarnation != own.incarnation)
     }
 
-    /// Number of the other living hosts of this host's failure domain.
-    fn neighbour_count(&self) -> usize {
-        self.members.living_in(self.members.own().domain).count().saturating_sub(1)
+    /// The neighbours in the same order each time, for updates that are sent to them in turn.
+    fn sorted_neighbours(&self) -> Vec<MemberUpdate> {
+        let mut others: Vec<MemberUpdate> = self.neighbours().collect();
+        others.sort_unstable_by_key(|host| host.incarnation);
+        others
     }
 
     /// Requests of this failure domain that the ready servers of a service run at a time, if each domain has a share in
     /// proportion to its hosts.
     fn domain_places(&self, service: ServiceKey) -> f64 {
         let slots: u32 = self.fleet.ready(service).map(|server| server.slots).sum();
-        let domain = self.neighbour_count() + 1;
+        let domain = self.neighbours().count() + 1;
         let all = self.members.living().count();
         f64::from(slots) * domain as f64 / all.max(1) as f64
     }
@@ -117,7 +116,7 @@
             cause,
             usual: constant,
             time_left: self.time_left(),
-            neighbours: state.neighbour_count(),
+            neighbours: state.neighbours().count(),
             draw,
         };
         let calendar = &mut state.return_calendar;
@@ -153,7 +152,6 @@
         if self.host.settings.features.return_times {
             let now = self.host.now();
             self.host.state().return_calendar.record_grant(now, self.service, self.rank);
-            self.count_served_return();
         }
     }
 
@@ -168,8 +166,12 @@
         }
     }
 
-    /// Counts a return that was served, unless that took longer than returns are recognised.
-    fn count_served_return(&self) {
+    /// Counts a return that was served, unless that took longer than returns are recognised. Of a request that runs
+    /// repeatedly, only the first run is counted.
+    pub fn count_served_return(&self) {
+        if !self.host.settings.features.return_times {
+            return;
+        }
         let now = self.host.now();
         if self.host.state().return_calendar.is_return(now, self.contents) {
             self.host.metrics().add("returns_served", 1);
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -154,6 +154,9 @@
     let mut reservation =
         reserve_memory(context, engine, after, &runs.lost).await.map_err(OpenFailure::NotRun)?;
     context.record_memory_grant();
+    if runs.sent == 0 {
+        context.count_served_return();
+    }
     let held_at = context.host.now();
     let mut prompt = match read_prompt(context, reservation.hold.server.domain).await {
         PromptEnd::Read(resource) => Some(resource),
--- a/src/return_times/return_calendar.rs
+++ b/src/return_times/return_calendar.rs
@@ -112,9 +112,9 @@
         let time = self.choose_time(now, request);
         // A caller returns once only, and no later than it can.
         if !request.latest().is_zero() && !self.is_return(now, request.key) {
-            let at = now + time.pause.min(request.latest());
-            let (service, rank) = (request.service, request.rank);
-            let told = (time.pause >= MIN_TOLD_PAUSE).then_some(0);
+            let pause = time.pause.min(request.latest());
+            let (service, rank, at) = (request.service, request.rank, now + pause);
+            let told = (pause >= MIN_TOLD_PAUSE).then_some(0);
             let promise = Promise { service, rank, at, told };
             self.promises.insert(now, request.key, promise);
         }
