Return times: tests name the failures they guard against, limits on bytes follow the measured ones

The test of promises known within a second allowed 30,000 bytes a second from each host; it now allows 3,000 at 71 hosts, 11,500 at 300 and 15,000 at 1,000.

--- a/tests/gateway_returns.rs
+++ b/tests/gateway_returns.rs
@@ -30,7 +30,8 @@
     site
 }
 
-/// The balancer may bring the return to another host of the failure domain, which knows of it before the caller comes.
+/// The balancer may bring the return to another host of the failure domain. Guards against a host that takes it for a
+/// new request, since it was not told of the promise before the caller comes.
 #[test]
 fn return_promised_by_one_host_recognised_by_another() {
     runtime().block_on(async {
@@ -63,8 +64,8 @@
     });
 }
 
-/// Callers of plain services return within a third of their time, and after the servers' answer time rather than a
-/// constant.
+/// Guards against a constant pause for callers of plain services, who return after the servers' answer time and within a
+/// third of their own.
 #[test]
 fn plain_return_follows_the_answer_time() {
     runtime().block_on(async {
@@ -86,7 +87,7 @@
     });
 }
 
-/// Without the setting, a refusal is as before, and no host is told of it.
+/// Guards against pauses, promises and messages that differ from those of before without the setting.
 #[test]
 fn constant_pause_without_the_setting() {
     runtime().block_on(async {
--- a/tests/return_times.rs
+++ b/tests/return_times.rs
@@ -246,6 +246,7 @@
     times.iter().map(|time| time.pause).sum::<Duration>() / times.len() as u32
 }
 
+/// Guards against more returns in a slot than it has free capacity for.
 #[test]
 fn free_capacity_promised_only_once() {
     let (now, mut calendar) = short_calendar(20);
@@ -260,6 +261,7 @@
     }
 }
 
+/// Guards against returns during the burst, and against all callers in the last slot.
 #[test]
 fn returns_in_a_burst_late_and_spread() {
     let (now, mut calendar) = short_calendar(66);
@@ -270,6 +272,7 @@
     assert!(last <= 20, "{last} of 40 return in the last slot");
 }
 
+/// Guards against less urgent callers that keep urgent ones from the next free capacity.
 #[test]
 fn urgent_caller_placed_earlier() {
     let (now, mut calendar) = short_calendar(20);
@@ -280,6 +283,7 @@
     assert!(more + Duration::from_millis(1000) < less, "{more:?} against {less:?}");
 }
 
+/// Guards against times computed from too few requests, too short a shortage or too few hosts.
 #[test]
 fn usual_pause_while_little_is_known() {
     let cause = RefusalCause::NoMemory;
@@ -297,6 +301,7 @@
     assert_eq!(alone.promise(now, &request).basis, ReturnBasis::Usual);
 }
 
+/// Guards against a time at which the caller has given up already.
 #[rstest]
 #[case::no_time(0, 4100)]
 #[case::less_than_the_minimum(900, 300)]
@@ -308,6 +313,7 @@
     assert_eq!((time.basis, time.pause.as_millis()), (ReturnBasis::OutOfTime, pause_ms));
 }
 
+/// Guards against a return that is taken for a new request, and a new request that is taken for a return.
 #[test]
 fn caller_that_returns_recognised_around_its_time() {
     let (now, mut calendar) = short_calendar(20);
@@ -322,6 +328,8 @@
     assert!(!calendar.is_return(at + Duration::from_secs(4), request.key));
 }
 
+/// Guards against callers that return before the queues are served, and against more of them at a time than the servers
+/// have places for.
 #[rstest]
 #[case::few_rejected(5, 80)]
 #[case::many_rejected(400, 200)]
@@ -379,6 +387,7 @@
     assert_eq!((time.basis, time.pause.as_millis()), (basis, pause_ms));
 }
 
+/// Guards against a return before any server accepts requests, and against one that the deadline does not allow.
 #[rstest]
 #[case::unknown(None, 13_800, 1400, 2000)]
 #[case::trial_known(Some(800), 13_800, 800, 1143)]
@@ -405,7 +414,8 @@
     update
 }
 
-/// A host whose figures come from another one, which died after it had sent them.
+/// Guards against capacity that is counted at a host that has died, and against the loss of its promises, which its
+/// callers keep.
 #[test]
 fn dead_host_forgotten_but_its_promises_kept() {
     let (now, mut dead) = short_calendar(20);
@@ -426,7 +436,7 @@
     assert!(calendar.is_return(at, promised.key));
 }
 
-/// A host behind a cut decides by its own figures once the others are no longer members.
+/// Guards against a host behind a cut that keeps the constant pause after the others are no longer members.
 #[test]
 fn partitioned_host_uses_its_own_figures() {
     let (now, mut calendar) = short_calendar(20);
@@ -434,7 +444,7 @@
     assert_eq!((time.basis, time.granted), (ReturnBasis::Free, 30));
 }
 
-/// A lost update is compensated by the next one, and one that is late or repeated changes nothing.
+/// Guards against a promise that is lost with one update, or moved to a later time by a late one.
 #[test]
 fn lost_late_and_repeated_updates_harmless() {
     let (now, mut sender) = short_calendar(20);
@@ -454,7 +464,7 @@
     assert!(!calendar.is_return(at + Duration::from_millis(1400), promised.key));
 }
 
-/// The memory of a server that died is not counted: a second later, its grants are no longer in the rates.
+/// Guards against returns that are promised the memory of a dead server: a second later, its grants are not counted.
 #[test]
 fn dead_server_lowers_the_capacity() {
     let (_, mut calendar) = short_calendar(20);
@@ -464,7 +474,7 @@
     assert_eq!((time.basis, time.granted), (ReturnBasis::LeastDemand, 10));
 }
 
-/// After a gap in its own clock, a host uses nothing from before.
+/// Guards against a host that decides by figures and promises from before a gap in its own clock.
 #[test]
 fn suspended_host_starts_with_the_usual_pause() {
     let (now, mut calendar) = short_calendar(20);
@@ -501,10 +511,14 @@
 /// 100 refusals a second over 71 hosts are 34 a second in a domain of 24. Guards against promises that arrive after their
 /// callers, and against updates that use much of a host's link.
 #[rstest]
-#[case::hosts_71(24, 99)]
-#[case::hosts_300(100, 95)]
-#[case::hosts_1000(334, 35)]
-fn promises_known_in_the_domain_within_a_second(#[case] count: usize, #[case] percent: usize) {
+#[case::hosts_71(24, 99, 3000)]
+#[case::hosts_300(100, 95, 11_500)]
+#[case::hosts_1000(334, 35, 15_000)]
+fn promises_known_in_the_domain_within_a_second(
+    #[case] count: usize,
+    #[case] percent: usize,
+    #[case] max_bytes: usize,
+) {
     let mut hosts: Vec<ReturnCalendar> = (0..count).map(|_| ReturnCalendar::default()).collect();
     let mut random = StdRng::seed_from_u64(1);
     let mut promises: VecDeque<(u64, TimePoint, RequestKey)> = VecDeque::new();
@@ -542,5 +556,5 @@
     let per_host = sent_bytes / count / 5;
     println!("{count} hosts: {known} of {all} known, {per_host} bytes a second from each host");
     assert!(known * 100 >= all * percent);
-    assert!(per_host < 30_000, "{per_host} bytes a second");
+    assert!(per_host <= max_bytes, "{per_host} bytes a second");
 }
