--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -57,7 +57,10 @@
     while let Some((server, permit, place)) = next_server(context, &mut record).await {
         record.tried.push(server.key());
         match attempt(context, &server, &record, permit, place).await {
-            AttemptEnd::Answered(answer) => return CallEnd::Answered(answer),
+            AttemptEnd::Answered(answer) => {
+                context.record_plain_answer();
+                return CallEnd::Answered(answer);
+            }
             AttemptEnd::NotSent => record.unreached += 1,
             AttemptEnd::NotRun => record.sent += 1,
             AttemptEnd::Failed(answer) => {
@@ -169,7 +172,7 @@
         return CallEnd::NotRun(NotRunReason::NoPlace, pause);
     }
     let reason = if record.sent > 0 { NotRunReason::Rejected } else { NotRunReason::NoServer };
-    CallEnd::NotRun(reason, REJECTED_PAUSE)
+    CallEnd::NotRun(reason, context.return_pause(reason, REJECTED_PAUSE))
 }
 
 async fn attempt(
