Hosts share which backend servers fail

Each of 71 hosts found out on its own that a server breaks off, refuses connections or stays silent. A plain server that goes down and up never opened a breaker, since a break-off counted as an error.

With the setting shared_health, hosts send each other what they observe. Two reports exclude a server at all hosts, at most half of a pool; one host tries it after a pause that doubles while the server is unstable. A break-off is an event of its own, which the host's own breaker still counts as an error.

--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -62,6 +62,7 @@
             local_domain,
             remote_penalty: search.remote_penalty(),
             rank: context.rank,
+            is_repeatable: context.route.is_retryable(),
         };
         // The servers are ranked again for each step: one that did not answer took time, in which
         // others may have started draining.
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -132,7 +132,7 @@
             refused_hosts: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             unreadable_objects: UnreadableObjects::default(),
-            shared_health: SharedHealth::default(),
+            shared_health: SharedHealth::new(incarnation, domain),
             admission: AdmissionControl::default(),
             return_calendar: ReturnCalendar::default(),
             output_forecast: OutputForecast::default(),
@@ -263,6 +263,7 @@
 
     /// Records the outcome of a step of a call to a server.
     pub(super) fn record_server_event(&self, server: &ServerEntry, event: ServerEvent) {
+        self.share_server_event(server, event);
         let now = self.now();
         let mut state = self.state();
         // A late event of a former incarnation, such as a broken stream, would create an entry that is never removed.
@@ -275,7 +276,10 @@
         }
         match event {
             ServerEvent::Sent => state.domain_breakers.record_sent(now, server.domain),
-            ServerEvent::Answered | ServerEvent::Served | ServerEvent::Errored => {
+            ServerEvent::Answered
+            | ServerEvent::Served
+            | ServerEvent::Errored
+            | ServerEvent::BrokeOff => {
                 state.domain_breakers.record_answer(server.domain);
             }
             ServerEvent::Unresponsive => {
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -3,6 +3,7 @@
 use super::crash_store::run_crash_store;
 use super::crash_updates::run_crash_updates;
 use super::gateway_host::{GatewayHost, StopPhase};
+use super::health_reports::run_health_reports;
 use super::host_account::run_account;
 use super::limit_charge::run_limit_charges;
 use super::limit_gossip::run_limit_gossip;
@@ -69,6 +70,9 @@
     tokio::spawn(run_limit_gossip(Arc::clone(&host)));
     tokio::spawn(run_crash_store(Arc::clone(&host)));
     tokio::spawn(run_account(Arc::clone(&host)));
+    if host.settings.features.shared_health {
+        tokio::spawn(run_health_reports(Arc::clone(&host)));
+    }
     log::info!(
         "event=started incarnation={} callers={callers} ready={ready} peers={peers} metrics={metrics}",
         host.incarnation
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -24,6 +24,9 @@
 /// Retry delay for a caller after all servers rejected the request: a few service times.
 const REJECTED_PAUSE: Duration = Duration::from_millis(300);
 
+/// Cause of an attempt that the server broke off after the request was sent.
+const SERVER_BROKE_OFF: &str = "server_broke_off";
+
 /// How one attempt at one server ended.
 #[derive(Debug)]
 enum AttemptEnd {
@@ -96,6 +99,7 @@
         local_domain,
         remote_penalty: REMOTE_DOMAIN_PENALTY,
         rank: context.rank,
+        is_repeatable: context.route.is_retryable(),
     };
     let ranked = context.host.rank_ready_servers(context.service, &criteria);
     let untried = ranked.into_iter().filter(|server| !record.tried.contains(&server.key()));
@@ -167,7 +171,7 @@
         Ok(Err(error)) => {
             context.record_failure(server, &error);
             log::debug!("event=server_broke_off server={} cause=\"{error}\"", server.id);
-            AttemptEnd::Unknown("server_broke_off")
+            AttemptEnd::Unknown(SERVER_BROKE_OFF)
         }
         Err(_elapsed) => AttemptEnd::Silent,
     };
@@ -211,6 +215,7 @@
 fn record_end(context: &CallContext, server: &ServerEntry, end: &AttemptEnd) {
     let event = match end {
         AttemptEnd::Answered(_) => ServerEvent::Served,
+        AttemptEnd::Unknown(SERVER_BROKE_OFF) => ServerEvent::BrokeOff,
         AttemptEnd::Failed(_) | AttemptEnd::NotRun | AttemptEnd::Unknown(_) => ServerEvent::Errored,
         AttemptEnd::NotSent | AttemptEnd::Silent => ServerEvent::Unresponsive,
     };
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -47,6 +47,7 @@
         local_domain: decode_domain,
         remote_penalty: REMOTE_DOMAIN_PENALTY,
         rank,
+        is_repeatable: context.route.is_retryable(),
     };
     let ranked = context.host.rank_ready_servers(context.service, &criteria);
     let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -22,6 +22,8 @@
     pub remote_penalty: f64,
     /// Priority of the request: servers whose limit leaves no capacity for it at present are excluded.
     pub rank: CallRank,
+    /// Whether the request may run more than once, so that it can try a server that failed.
+    pub is_repeatable: bool,
 }
 
 impl GatewayHost {
@@ -36,6 +38,9 @@
         let warm = self.pool.warm_addresses();
         let mut state = self.state();
         state.server_loads.expire(now);
+        let standings = self.server_standings(now, &state, service, criteria.stage);
+        // At an engine the first step is a hold or the reading of a prompt, after whose failure the request goes on.
+        let may_try = criteria.is_repeatable || criteria.stage.is_some();
         let context = RankingContext {
             loads: &state.server_loads,
             health: &state.server_health,
@@ -50,8 +55,16 @@
             .fleet
             .ready(service)
             .filter(|server| criteria.stage.is_none_or(|stage| server.stage == Some(stage)))
-            .filter(|server| state.send_control.is_open(now, server.key(), criteria.rank));
-        rank_servers(now, &context, criteria.criterion, candidates).into_iter().cloned().collect()
+            .filter(|server| state.send_control.is_open(now, server.key(), criteria.rank))
+            .filter(|server| standings.admits(server.key(), may_try));
+        let ranked = rank_servers(now, &context, criteria.criterion, candidates);
+        let mut ranked: Vec<ServerEntry> = ranked.into_iter().cloned().collect();
+        if !standings.is_empty() {
+            standings.reorder(&mut ranked, criteria.is_repeatable, may_try);
+            drop(state);
+            self.metrics().add("rankings_with_suspects", 1);
+        }
+        ranked
     }
 
     /// How long a prompt waits at a prefill server until the prompts queued before it are processed; zero
--- a/src/gateway/server_restarts.rs
+++ b/src/gateway/server_restarts.rs
@@ -19,6 +19,7 @@
         state.record_cold_servers(now);
         for change in changes.iter().filter(|change| !change.is_outdated()) {
             state.server_health.remove(&change.known);
+            state.shared_health.forget(change.known);
         }
         drop(state);
         for change in changes {
--- a/src/placement/server_health.rs
+++ b/src/placement/server_health.rs
@@ -18,6 +18,9 @@
     Served,
     /// The server answered with an error or a refusal.
     Errored,
+    /// The server broke off the connection after the request was sent. Its own circuit breaker counts this as an error,
+    /// since a single connection may have failed; the reports of several hosts tell the two apart.
+    BrokeOff,
     /// The connection failed, or the answer was late or incomplete.
     Unresponsive,
 }
@@ -38,7 +41,7 @@
             ServerEvent::Sent => self.record_sent(now),
             ServerEvent::Answered => self.record_abandoned(),
             ServerEvent::Served => self.record_success(now),
-            ServerEvent::Errored => self.record_error(now),
+            ServerEvent::Errored | ServerEvent::BrokeOff => self.record_error(now),
             ServerEvent::Unresponsive => self.record_unresponsive(now),
         }
     }
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -45,6 +45,12 @@
         self.crashes.contains_key(&server)
     }
 
+    /// Whether a server incarnation crashed while it processed a request that is held back because it crashes servers.
+    pub fn was_crashed_by_request(&self, server: ServerKey) -> bool {
+        let record = self.crashes.get(&server);
+        record.is_some_and(|record| record.requests.iter().any(|run| self.is_held(run.request)))
+    }
+
     /// Records that a server crashed at `now` while it processed a request whose run time is unknown. Returns true if
     /// this is new evidence against the request.
     pub fn record_crash(&mut self, now: TimePoint, server: ServerKey, request: RequestKey) -> bool {
--- /dev/null
+++ b/src/shared_health/shared_health_table.rs
@@ -0,0 +1,337 @@
+use super::host_failure::HostFailure;
+use super::own_observations::OwnObservations;
+use super::suspect_server::{REPORT_TTL, SuspectServer};
+use super::{
+    HealthChange, HealthChangeKind, HealthReport, OutgoingReport, PoolStandings, ServerObservation,
+    ServerStanding,
+};
+use crate::fleet::{FleetView, ServerEntry};
+use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
+use crate::placement::{ServerEvent, rendezvous_rank};
+use crate::routes::ServiceKey;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+/// A host whose clock jumps by this much was suspended: what it knows is out of date, and so is what waits in its
+/// socket. A busy host of 0.12 of a core pauses for some 0.1 s at a time.
+const SUSPENSION_GAP: Duration = Duration::from_secs(1);
+/// A host that pauses this long may take its own pause for the silence of a server, which it tells by 0.2 s without an
+/// answer to a hold request.
+const STALL_GAP: Duration = Duration::from_millis(150);
+/// How long after a pause a host ignores silence and, after a suspension, the reports in its socket.
+const SETTLE_TIME: Duration = Duration::from_millis(250);
+/// How long the version of a host's last report is kept: longer than a datagram may be late.
+const VERSION_RETENTION: Duration = Duration::from_secs(30);
+
+/// What all hosts observed of backend servers.
+///
+/// A server that two hosts report within [`REPORT_TTL`] is excluded at all hosts, until one host tries it with success.
+/// Reports count only at hosts of the reporter's failure domain and, for servers of that domain, everywhere: failures
+/// across a broken link between two domains are no evidence for a third.
+#[derive(Debug)]
+pub struct SharedHealth {
+    own: IncarnationId,
+    domain: NameKey,
+    suspects: HashMap<ServerKey, SuspectServer>,
+    /// Version of the last report of each host, and when it arrived.
+    versions: HashMap<IncarnationId, (u32, TimePoint)>,
+    observations: OwnObservations,
+    ticked_at: Option<TimePoint>,
+    /// Until when silence of servers is not counted, since this host paused.
+    stalled_until: TimePoint,
+    /// Until when reports are not counted, since this host was suspended.
+    suspended_until: TimePoint,
+}
+
+impl SharedHealth {
+    /// The state of a host `own` in the failure domain `domain`.
+    pub fn new(own: IncarnationId, domain: NameKey) -> Self {
+        Self {
+            own,
+            domain,
+            suspects: HashMap::new(),
+            versions: HashMap::new(),
+            observations: OwnObservations::default(),
+            ticked_at: None,
+            stalled_until: TimePoint::default(),
+            suspended_until: TimePoint::default(),
+        }
+    }
+
+    /// Records the outcome of a step of a call of this host to a server. What it means for others goes into the next
+    /// [`Self::due_report`].
+    pub fn record_own(
+        &mut self,
+        now: TimePoint,
+        server: &ServerEntry,
+        event: ServerEvent,
+        fleet: &FleetView,
+    ) -> Vec<HealthChange> {
+        self.notice_pause(now);
+        let key = server.key();
+        let change = match event {
+            ServerEvent::Sent => {
+                self.suspects.get_mut(&key).and_then(|known| known.record_sent(now))
+            }
+            ServerEvent::Answered | ServerEvent::Errored => {
+                if let Some(known) = self.suspects.get_mut(&key) {
+                    known.record_no_result();
+                }
+                None
+            }
+            ServerEvent::Served => self.record_own_success(now, server),
+            ServerEvent::BrokeOff => {
+                return self.record_own_failure(now, server, ServerObservation::BrokeOff, fleet);
+            }
+            ServerEvent::Unresponsive => {
+                if now < self.stalled_until {
+                    return Vec::new();
+                }
+                let silence = ServerObservation::Unresponsive;
+                return self.record_own_failure(now, server, silence, fleet);
+            }
+        };
+        change.map(|kind| HealthChange { server: key, kind }).into_iter().collect()
+    }
+
+    fn record_own_success(
+        &mut self,
+        now: TimePoint,
+        server: &ServerEntry,
+    ) -> Option<HealthChangeKind> {
+        let key = server.key();
+        let known = self.suspects.get_mut(&key)?;
+        if !known.is_proved_by_answer(now) {
+            return None;
+        }
+        let is_local = server.domain == self.domain;
+        self.observations.add(now, key, ServerObservation::Served, is_local);
+        known.record_served(now, now, false)
+    }
+
+    fn record_own_failure(
+        &mut self,
+        now: TimePoint,
+        server: &ServerEntry,
+        observation: ServerObservation,
+        fleet: &FleetView,
+    ) -> Vec<HealthChange> {
+        let key = server.key();
+        if !fleet.is_ready(key) {
+            return Vec::new();
+        }
+        let known = self.suspects.entry(key).or_insert_with(|| SuspectServer::new(server.domain));
+        // Others have reported it, and this host was not asked to try it.
+        if known.is_excluded() && !known.is_on_trial(now) {
+            return Vec::new();
+        }
+        self.observations.add(now, key, observation, server.domain == self.domain);
+        if self.is_own_fault(now, server.service, fleet) {
+            // The next report leaves the service out, which withdraws earlier ones at all hosts.
+            self.observations.mark_changed(true);
+            return self.withdraw_service(now, self.own, server.service, fleet);
+        }
+        let failure = HostFailure { domain: self.domain, at: now };
+        let known = self.suspects.get_mut(&key);
+        let kind = known.and_then(|known| known.record_failure(now, self.own, failure));
+        kind.map(|kind| HealthChange { server: key, kind }).into_iter().collect()
+    }
+
+    /// Whether more than half of a service's servers fail for this host, so that the fault is probably its own.
+    fn is_own_fault(&self, now: TimePoint, service: ServiceKey, fleet: &FleetView) -> bool {
+        let failed: HashSet<ServerKey> = self.observations.failed(now).collect();
+        is_majority(&failed, service, fleet)
+    }
+
+    /// Applies the report of another host of the failure domain `domain`.
+    pub fn apply(
+        &mut self,
+        now: TimePoint,
+        domain: NameKey,
+        report: &HealthReport,
+        fleet: &FleetView,
+    ) -> Vec<HealthChange> {
+        self.notice_pause(now);
+        let reporter = report.from;
+        if now < self.suspended_until || reporter == self.own {
+            return Vec::new();
+        }
+        // A copy or a late report: the newer one was complete.
+        let known = self.versions.get(&reporter);
+        if known.is_some_and(|(version, _)| report.version <= *version) {
+            return Vec::new();
+        }
+        self.versions.insert(reporter, (report.version, now));
+        let failed: HashSet<ServerKey> = report
+            .entries
+            .iter()
+            .filter(|entry| entry.observation.is_failure())
+            .map(|entry| entry.server)
+            .collect();
+        let mut changes = Vec::new();
+        let mut counted = HashSet::new();
+        for entry in &report.entries {
+            let Some(server) = fleet.entry(entry.server) else { continue };
+            if domain != self.domain && domain != server.domain {
+                continue;
+            }
+            let key = entry.server;
+            let at = now - Duration::from_millis(entry.age_ms.into());
+            let kind = match entry.observation {
+                ServerObservation::Served => self
+                    .suspects
+                    .get_mut(&key)
+                    .and_then(|known| known.record_served(now, at, domain != self.domain)),
+                ServerObservation::BrokeOff | ServerObservation::Unresponsive => {
+                    let is_old = now.since(at) >= REPORT_TTL;
+                    if is_old || !fleet.is_ready(key) || is_majority(&failed, server.service, fleet)
+                    {
+                        continue;
+                    }
+                    counted.insert(key);
+                    let suspect = || SuspectServer::new(server.domain);
+                    let known = self.suspects.entry(key).or_insert_with(suspect);
+                    known.record_failure(now, reporter, HostFailure { domain, at })
+                }
+            };
+            changes.extend(kind.map(|kind| HealthChange { server: key, kind }));
+        }
+        for (key, known) in &mut self.suspects {
+            if !counted.contains(key) {
+                let kind = known.withdraw(now, reporter);
+                changes.extend(kind.map(|kind| HealthChange { server: *key, kind }));
+            }
+        }
+        changes
+    }
+
+    fn withdraw_service(
+        &mut self,
+        now: TimePoint,
+        reporter: IncarnationId,
+        service: ServiceKey,
+        fleet: &FleetView,
+    ) -> Vec<HealthChange> {
+        let mut changes = Vec::new();
+        for (key, known) in &mut self.suspects {
+            if fleet.entry(*key).is_some_and(|entry| entry.service == service) {
+                let kind = known.withdraw(now, reporter);
+                changes.extend(kind.map(|kind| HealthChange { server: *key, kind }));
+            }
+        }
+        changes
+    }
+
+    /// The report to send now, if one is due.
+    pub fn due_report(&mut self, now: TimePoint, fleet: &FleetView) -> Option<OutgoingReport> {
+        let failed: HashSet<ServerKey> = self.observations.failed(now).collect();
+        let is_withheld = |key: ServerKey| {
+            failed.contains(&key)
+                && fleet.entry(key).is_none_or(|entry| is_majority(&failed, entry.service, fleet))
+        };
+        self.observations.due_report(now, self.own, is_withheld)
+    }
+
+    /// Standings of the servers of one pool: the ready servers of a service and stage. `hosts` returns the living hosts
+    /// of a failure domain.
+    ///
+    /// At most half of the pool is excluded, and never its last server. Beyond that, failed servers are used last.
+    pub fn standings<'a>(
+        &self,
+        now: TimePoint,
+        pool: impl Iterator<Item = &'a ServerEntry>,
+        hosts: impl Fn(NameKey) -> Vec<IncarnationId>,
+    ) -> PoolStandings {
+        let mut standings = PoolStandings::default();
+        if self.suspects.is_empty() {
+            return standings;
+        }
+        let (mut size, mut excluded) = (0, Vec::new());
+        for server in pool {
+            size += 1;
+            let key = server.key();
+            let Some(known) = self.suspects.get(&key) else { continue };
+            match known.exclusion_rank() {
+                Some(rank) => excluded.push((rank, key, server.domain, known)),
+                None => standings.insert(key, known.standing(now, self.own, |_| Vec::new())),
+            }
+        }
+        excluded.sort_by_key(|(rank, key, _, _)| (*rank, *key));
+        for (index, (_, key, domain, known)) in excluded.into_iter().enumerate() {
+            let trial_hosts = |is_local: bool| {
+                // Without a living host in the server's domain, each other domain makes its own trial.
+                let of_server = if is_local { Vec::new() } else { hosts(domain) };
+                let candidates = if of_server.is_empty() { hosts(self.domain) } else { of_server };
+                trial_order(key, candidates)
+            };
+            let standing = if index < size / 2 {
+                known.standing(now, self.own, trial_hosts)
+            } else {
+                ServerStanding::LastResort
+            };
+            standings.insert(key, standing);
+        }
+        standings
+    }
+
+    /// Whether a server is excluded.
+    pub fn is_excluded(&self, server: ServerKey) -> bool {
+        self.suspects.get(&server).is_some_and(SuspectServer::is_excluded)
+    }
+
+    /// Whether a server is not excluded, but a host reports a failure.
+    pub fn is_doubtful(&self, now: TimePoint, server: ServerKey) -> bool {
+        let known = self.suspects.get(&server);
+        known.is_some_and(|known| !known.is_excluded() && known.reporters(now) > 0)
+    }
+
+    /// Forgets a server incarnation that has ended.
+    pub fn forget(&mut self, server: ServerKey) {
+        self.suspects.remove(&server);
+        self.observations.remove(server);
+    }
+
+    /// Drops what has expired, and notices pauses of this host. Called several times a second.
+    pub fn tick(&mut self, now: TimePoint, fleet: &FleetView) -> Vec<HealthChange> {
+        self.notice_pause(now);
+        self.versions.retain(|_, (_, at)| now.since(*at) < VERSION_RETENTION);
+        let mut changes = Vec::new();
+        for (key, known) in &mut self.suspects {
+            let kind = known.expire(now);
+            changes.extend(kind.map(|kind| HealthChange { server: *key, kind }));
+        }
+        self.suspects
+            .retain(|key, known| fleet.entry(*key).is_some() && !known.is_forgettable(now));
+        self.ticked_at = Some(now);
+        changes
+    }
+
+    /// Checks whether this host paused since its last tick.
+    fn notice_pause(&mut self, now: TimePoint) {
+        let pause = self.ticked_at.map(|at| now.since(at)).unwrap_or_default();
+        if pause >= STALL_GAP {
+            self.stalled_until = now + SETTLE_TIME;
+        }
+        if pause >= SUSPENSION_GAP {
+            self.suspended_until = now + SETTLE_TIME;
+            self.suspects.clear();
+            self.observations = self.observations.without_observations();
+        }
+    }
+}
+
+/// Whether `failed` contains more than half of a service's ready servers.
+fn is_majority(failed: &HashSet<ServerKey>, service: ServiceKey, fleet: &FleetView) -> bool {
+    let (mut ready, mut matching) = (0, 0);
+    for server in fleet.ready(service) {
+        ready += 1;
+        matching += usize::from(failed.contains(&server.key()));
+    }
+    matching * 2 > ready
+}
+
+/// The order in which hosts try a server; equal at all hosts that know the same hosts.
+fn trial_order(server: ServerKey, mut hosts: Vec<IncarnationId>) -> Vec<IncarnationId> {
+    hosts.sort_by_key(|host| std::cmp::Reverse((rendezvous_rank(server.0, host.0), *host)));
+    hosts
+}
--- /dev/null
+++ b/src/shared_health/suspect_server.rs
@@ -0,0 +1,246 @@
+use super::host_failure::HostFailure;
+use super::{HealthChangeKind, ServerStanding};
+use crate::keys::{IncarnationId, NameKey, TimePoint};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long a report counts. While a server fails, each request to it renews its host's report; at 190 requests a second
+/// over three servers two hosts meet a failure within some 20 ms, and 2 s leave room for services with little traffic.
+pub const REPORT_TTL: Duration = Duration::from_secs(2);
+/// Hosts that must report a server before it is excluded: the word of one may be a fault of its own.
+const REPORTERS_TO_EXCLUDE: usize = 2;
+/// First pause before a trial: about the length of the restart of a process or of a brief link failure, and short
+/// compared to the deadlines of plain requests (1 s).
+pub const INITIAL_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause. A server that comes and goes costs a few requests on each return, and a server that stays longer is
+/// missed for at most this time.
+pub const MAX_PAUSE: Duration = Duration::from_secs(8);
+/// A server that fails again within this time of its return is not stable, and its pause doubles.
+const UNSTABLE_TIME: Duration = Duration::from_secs(10);
+/// Longest turn of one host in the order of trials. Each of 71 hosts gets a plain request about every 0.4 s, so that a
+/// host without one in this time has hardly any traffic.
+const MAX_TURN: Duration = Duration::from_secs(1);
+/// A request that must run only once becomes the trial only after this time without a repeatable one.
+const ONCE_ONLY_WAIT: Duration = Duration::from_secs(1);
+/// A trial whose result is missing after this time is given up, and the host may make another one. It is the longest
+/// time that a server may take for the first event of a run.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(3);
+/// An exclusion ends this long after the trial was due if no result is reported: ten hosts had their turn, or the
+/// report of a success was lost.
+const LAPSE_TIME: Duration = Duration::from_secs(10);
+/// An answer this long after the latest failure shows that the server serves again. Answers that were sent before the
+/// failure arrive earlier.
+const ANSWER_DELAY: Duration = Duration::from_millis(100);
+
+/// Why a server is excluded at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ExclusionState {
+    since: TimePoint,
+    /// Most hosts that reported it at a time.
+    reporters: usize,
+    /// Whether fewer than two hosts of the server's own failure domain reported it. The link between the two domains
+    /// may be what failed, so that the trial is up to each domain.
+    is_local: bool,
+}
+
+/// What is known of a server that failed.
+#[derive(Debug, Clone)]
+pub(super) struct SuspectServer {
+    /// Failure domain of the server.
+    domain: NameKey,
+    /// Latest failure that each host reported, this one included.
+    failures: HashMap<IncarnationId, HostFailure>,
+    /// Latest failure that any host reported.
+    last_failure_at: TimePoint,
+    exclusion: Option<ExclusionState>,
+    pause: Duration,
+    /// When the last exclusion ended.
+    returned_at: Option<TimePoint>,
+    /// When a host was last served.
+    served_at: Option<TimePoint>,
+    /// When this host sent a request on trial that has not ended.
+    trial_at: Option<TimePoint>,
+}
+
+impl SuspectServer {
+    pub fn new(domain: NameKey) -> Self {
+        Self {
+            domain,
+            failures: HashMap::new(),
+            last_failure_at: TimePoint::default(),
+            exclusion: None,
+            pause: INITIAL_PAUSE,
+            returned_at: None,
+            served_at: None,
+            trial_at: None,
+        }
+    }
+
+    pub const fn is_excluded(&self) -> bool {
+        self.exclusion.is_some()
+    }
+
+    /// Whether this host has a trial in flight.
+    pub fn is_on_trial(&self, now: TimePoint) -> bool {
+        self.trial_at.is_some_and(|at| now.since(at) < TRIAL_TIMEOUT)
+    }
+
+    /// Number of hosts whose reports count at `now`.
+    pub fn reporters(&self, now: TimePoint) -> usize {
+        self.failures.values().filter(|failure| now.since(failure.at) < REPORT_TTL).count()
+    }
+
+    /// Rank among the excluded servers of a pool, of which only half may be excluded: those with the most reports come
+    /// first. `None` if the server is not excluded.
+    pub fn exclusion_rank(&self) -> Option<(std::cmp::Reverse<usize>, TimePoint)> {
+        self.exclusion.map(|exclusion| (std::cmp::Reverse(exclusion.reporters), exclusion.since))
+    }
+
+    /// Records that `reporter`, a host of `failure.domain`, observed a failure.
+    pub fn record_failure(
+        &mut self,
+        now: TimePoint,
+        reporter: IncarnationId,
+        failure: HostFailure,
+    ) -> Option<HealthChangeKind> {
+        if self.served_at.is_some_and(|served_at| failure.at <= served_at) {
+            return None;
+        }
+        let known = self.failures.entry(reporter).or_insert(failure);
+        known.at = known.at.max(failure.at);
+        self.last_failure_at = self.last_failure_at.max(failure.at);
+        let reporters = self.reporters(now);
+        let is_local = self.is_local(now);
+        let Some(exclusion) = &mut self.exclusion else {
+            return (reporters >= REPORTERS_TO_EXCLUDE).then(|| self.exclude(now, reporters));
+        };
+        exclusion.reporters = exclusion.reporters.max(reporters);
+        exclusion.is_local &= is_local;
+        if failure.at < exclusion.since + self.pause {
+            return None;
+        }
+        exclusion.since = now;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+        self.trial_at = None;
+        Some(HealthChangeKind::TrialFailed { pause: self.pause })
+    }
+
+    fn exclude(&mut self, now: TimePoint, reporters: usize) -> HealthChangeKind {
+        let is_unstable = self.returned_at.is_some_and(|at| now.since(at) < UNSTABLE_TIME);
+        self.pause = if is_unstable { (self.pause * 2).min(MAX_PAUSE) } else { INITIAL_PAUSE };
+        let is_local = self.is_local(now);
+        self.exclusion = Some(ExclusionState { since: now, reporters, is_local });
+        self.trial_at = None;
+        HealthChangeKind::Excluded { reporters, pause: self.pause, is_local }
+    }
+
+    fn is_local(&self, now: TimePoint) -> bool {
+        let recent = self.failures.values().filter(|failure| now.since(failure.at) < REPORT_TTL);
+        recent.filter(|failure| failure.domain == self.domain).count() < REPORTERS_TO_EXCLUDE
+    }
+
+    /// Drops the failure that a host no longer reports. If it was recent, the host took it back, and the exclusion ends
+    /// unless other reports suffice for it.
+    pub fn withdraw(
+        &mut self,
+        now: TimePoint,
+        reporter: IncarnationId,
+    ) -> Option<HealthChangeKind> {
+        let failure = self.failures.remove(&reporter)?;
+        // An entry that just expired at its sender may seem younger here by its delay on the way.
+        let was_recent = now.since(failure.at) < REPORT_TTL * 3 / 4;
+        let is_enough = self.reporters(now) >= REPORTERS_TO_EXCLUDE;
+        if !was_recent || is_enough {
+            return None;
+        }
+        self.exclusion.take().map(|_| HealthChangeKind::Withdrawn)
+    }
+
+    /// Records that this host sends a request to the server.
+    pub fn record_sent(&mut self, now: TimePoint) -> Option<HealthChangeKind> {
+        let exclusion = self.exclusion?;
+        if now < exclusion.since + self.pause || self.is_on_trial(now) {
+            return None;
+        }
+        self.trial_at = Some(now);
+        Some(HealthChangeKind::TrialSent)
+    }
+
+    /// Records that the trial of this host ended without a result.
+    pub fn record_no_result(&mut self) {
+        self.trial_at = None;
+    }
+
+    /// Whether an answer received at `now` shows that the server serves again.
+    pub fn is_proved_by_answer(&self, now: TimePoint) -> bool {
+        let is_suspect = self.exclusion.is_some() || !self.failures.is_empty();
+        is_suspect && now >= self.last_failure_at + ANSWER_DELAY
+    }
+
+    /// Records that a host was served at `at`. A host in another failure domain than this one (`is_remote`) proves
+    /// nothing if only the link to the server's domain is suspected.
+    pub fn record_served(
+        &mut self,
+        now: TimePoint,
+        at: TimePoint,
+        is_remote: bool,
+    ) -> Option<HealthChangeKind> {
+        if is_remote && self.exclusion.is_some_and(|exclusion| exclusion.is_local) {
+            return None;
+        }
+        self.served_at = self.served_at.max(Some(at));
+        self.failures.retain(|_, failure| failure.at > at);
+        if at <= self.last_failure_at {
+            return None;
+        }
+        self.trial_at = None;
+        self.exclusion.take()?;
+        self.returned_at = Some(now);
+        Some(HealthChangeKind::Readmitted)
+    }
+
+    /// How requests of this host may use the server, if it is not one too many. `hosts` are the living hosts that may
+    /// make the trial, in their order.
+    pub fn standing(
+        &self,
+        now: TimePoint,
+        own: IncarnationId,
+        hosts: impl FnOnce(bool) -> Vec<IncarnationId>,
+    ) -> ServerStanding {
+        let Some(exclusion) = self.exclusion else {
+            let is_doubtful = self.reporters(now) > 0;
+            return if is_doubtful { ServerStanding::Doubtful } else { ServerStanding::Trusted };
+        };
+        let due = exclusion.since + self.pause;
+        if now < due || self.is_on_trial(now) {
+            return ServerStanding::Excluded;
+        }
+        let hosts = hosts(exclusion.is_local);
+        let turn = now.since(due).as_micros() / self.pause.min(MAX_TURN).as_micros();
+        let index = usize::try_from(turn).unwrap_or(usize::MAX) % hosts.len().max(1);
+        if hosts.get(index) != Some(&own) {
+            return ServerStanding::Excluded;
+        }
+        let is_overdue = now.since(due) >= ONCE_ONLY_WAIT;
+        if is_overdue { ServerStanding::AnyTrial } else { ServerStanding::Trial }
+    }
+
+    /// Ends an exclusion of which nothing is heard any more.
+    pub fn expire(&mut self, now: TimePoint) -> Option<HealthChangeKind> {
+        self.failures.retain(|_, failure| now.since(failure.at) < REPORT_TTL);
+        let exclusion = self.exclusion?;
+        if now < exclusion.since + self.pause + LAPSE_TIME {
+            return None;
+        }
+        self.exclusion = None;
+        self.returned_at = Some(now);
+        Some(HealthChangeKind::Lapsed)
+    }
+
+    /// Whether nothing is left that matters to later decisions.
+    pub fn is_forgettable(&self, now: TimePoint) -> bool {
+        let is_stable = self.returned_at.is_none_or(|at| now.since(at) >= UNSTABLE_TIME);
+        let is_settled = self.served_at.is_none_or(|at| now.since(at) >= REPORT_TTL);
+        self.exclusion.is_none() && self.failures.is_empty() && is_stable && is_settled
+    }
+}
