--- a/src/shared_health/mod.rs
+++ b/src/shared_health/mod.rs
@@ -20,4 +20,4 @@
 pub use server_observation::ServerObservation;
 pub use server_standing::ServerStanding;
 pub use shared_health_table::SharedHealth;
-pub use suspect_server::{INITIAL_PAUSE, MAX_PAUSE, REPORT_TTL};
+pub use suspect_server::{INITIAL_PAUSE, MAX_PAUSE, MAX_TRIAL_PAUSE, REPORT_TTL};
--- a/src/shared_health/own_observations.rs
+++ b/src/shared_health/own_observations.rs
@@ -35,19 +35,21 @@
 }
 
 impl OwnObservations {
-    /// Adds an observation. A failure that was reported a moment ago is not reported again.
+    /// Adds an observation. One that was reported a moment ago is not reported again unless it is new to others
+    /// (`is_news`), such as the result of a trial or a failure after the server's return.
     pub fn add(
         &mut self,
         now: TimePoint,
         server: ServerKey,
         observation: ServerObservation,
         is_local: bool,
+        is_news: bool,
     ) {
         let is_known = self.observations.get(&server).is_some_and(|known| {
             known.observation.is_failure() == observation.is_failure()
                 && now.since(known.at) < RENEW_INTERVAL
         });
-        if is_known {
+        if is_known && !is_news {
             return;
         }
         self.observations.insert(server, OwnObservation { observation, at: now, is_local });
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -105,7 +105,7 @@
             return None;
         }
         let is_local = server.domain == self.domain;
-        self.observations.add(now, key, ServerObservation::Served, is_local);
+        self.observations.add(now, key, ServerObservation::Served, is_local, true);
         known.record_served(now, now, false)
     }
 
@@ -122,10 +122,13 @@
         }
         let known = self.suspects.entry(key).or_insert_with(|| SuspectServer::new(server.domain));
         // Others have reported it, and this host was not asked to try it.
-        if known.is_excluded() && !known.is_on_trial(now) {
+        let is_trial = known.is_on_trial(now);
+        if known.is_excluded() && !is_trial {
             return Vec::new();
         }
-        self.observations.add(now, key, observation, server.domain == self.domain);
+        let is_local = server.domain == self.domain;
+        let is_news = is_trial || !known.has_failure_of(self.own);
+        self.observations.add(now, key, observation, is_local, is_news);
         if self.is_own_fault(now, server.service, fleet) {
             // The next report leaves the service out, which withdraws earlier ones at all hosts.
             self.observations.mark_changed(true);
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -12,9 +12,12 @@
 /// First pause before a trial: about the length of the restart of a process or of a brief link failure, and short
 /// compared to the deadlines of plain requests (1 s).
 pub const INITIAL_PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause. A server that comes and goes costs a few requests on each return, and a server that stays longer is
+/// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each return, and a server that stays longer is
 /// missed for at most this time.
 pub const MAX_PAUSE: Duration = Duration::from_secs(8);
+/// Longest pause that failed trials lead to. A failed trial costs the delay of one request that can be repeated, while a
+/// server of three that is missed costs a third of a service.
+pub const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(2);
 /// A server that fails again within this time of its return is not stable, and its pause doubles.
 const UNSTABLE_TIME: Duration = Duration::from_secs(10);
 /// Longest turn of one host in the order of trials. Each of 71 hosts gets a plain request about every 0.4 s, so that a
@@ -85,6 +88,11 @@
         self.trial_at.is_some_and(|at| now.since(at) < TRIAL_TIMEOUT)
     }
 
+    /// Whether a failure that a host observed is known and no host was served since.
+    pub fn has_failure_of(&self, host: IncarnationId) -> bool {
+        self.failures.contains_key(&host)
+    }
+
     /// Number of hosts whose reports count at `now`.
     pub fn reporters(&self, now: TimePoint) -> usize {
         self.failures.values().filter(|failure| now.since(failure.at) < REPORT_TTL).count()
@@ -120,7 +128,7 @@
             return None;
         }
         exclusion.since = now;
-        self.pause = (self.pause * 2).min(MAX_PAUSE);
+        self.pause = self.pause.max((self.pause * 2).min(MAX_TRIAL_PAUSE));
         self.trial_at = None;
         Some(HealthChangeKind::TrialFailed { pause: self.pause })
     }
