--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -102,6 +102,35 @@
     assert!(group.excluding(0).is_empty());
 }
 
+/// The same if the reports arrive in the third domain; and a host of the server's domain does not speak for the link.
+#[test]
+fn broken_link_is_judged_by_its_own_side() {
+    let mut group = group(3);
+    let failed = [(0, ServerObservation::Unresponsive, 0)];
+    for to in [2, 7] {
+        for from in [1, 4] {
+            group.deliver(at(0), to, &report(from, 1, &failed));
+        }
+    }
+    assert_eq!(group.excluding(0), [7]);
+    assert!(!group.hosts[2].is_doubtful(at(1), key(0)));
+    group.deliver(at(600), 7, &report(0, 1, &[(0, ServerObservation::Served, 0)]));
+    assert_eq!(group.excluding(0), [7]);
+    group.deliver(at(600), 7, &report(1, 2, &[(0, ServerObservation::Served, 0)]));
+    assert!(group.excluding(0).is_empty());
+}
+
+/// Answers that a server sent before it failed arrive after the failure, and show nothing.
+#[rstest]
+#[case::on_its_way(50, true)]
+#[case::after_the_failure(100, false)]
+fn answer_shows_a_return_only_after_a_delay(#[case] answer_ms: u64, #[case] doubtful: bool) {
+    let mut group = group(3);
+    group.observe(at(0), 0, 0, ServerEvent::BrokeOff);
+    group.observe(at(answer_ms), 0, 0, ServerEvent::Served);
+    assert_eq!(group.hosts[0].is_doubtful(at(answer_ms), key(0)), doubtful);
+}
+
 /// A domain is cut off: the others exclude its servers, and its hosts, for which most servers fail, exclude none.
 #[test]
 fn cut_off_domain_takes_no_servers_from_others() {
