--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -3,11 +3,13 @@
 use super::call_context::CallContext;
 use super::call_end::NotRunReason;
 use super::engine_resource::{EngineResource, acquire_hold};
+use super::hold_forecast::{HoldForecast, generated_tokens};
 use super::load_guard::LoadGuard;
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::ServerKey;
+use crate::memory_forecast::HoldNeed;
 use crate::placement::{MemorySearch, RankingCriterion, SearchStep, ServerEvent, ServerLoad};
 use crate::platform::TokenCounts;
 use crate::routes::EngineSpec;
@@ -37,10 +39,7 @@
 /// estimates it.
 pub(super) fn needed_tokens(context: &CallContext, engine: &EngineSpec, after: Option<u64>) -> u32 {
     let tokens = &context.head.tokens;
-    let generated = after.map_or(0, |event| {
-        u32::try_from(event + 1).unwrap_or(u32::MAX).saturating_mul(engine.tokens_per_event)
-    });
-    let output = expected_output(tokens).max(generated);
+    let output = expected_output(tokens).max(generated_tokens(engine, after));
     let total = tokens.prompt.saturating_add(output).saturating_add(1);
     total.min(engine.memory_tokens)
 }
@@ -52,7 +51,8 @@
     after: Option<u64>,
     lost: &[ServerKey],
 ) -> Result<DecodeReservation, NotRunReason> {
-    let tokens = needed_tokens(context, engine, after);
+    let forecast = HoldForecast::new(context, engine, after);
+    let mut last = None;
     let local_domain = context.host.domain();
     let mut search = MemorySearch::new(context.host.now(), local_domain);
     loop {
@@ -79,6 +79,9 @@
                 let Some(permit) = context.permit(server).await else {
                     continue;
                 };
+                let hold = forecast.need(context, key);
+                last = Some(hold);
+                let tokens = hold.tokens();
                 if let Some(reservation) =
                     request_reservation(context, engine, server, tokens, permit).await
                 {
@@ -88,7 +91,7 @@
             }
             SearchStep::Pause(pause) => tokio::time::sleep(pause).await,
             SearchStep::Refuse => {
-                log_no_memory(context, engine, tokens, ranked.len(), &search);
+                log_no_memory(context, engine, (&forecast, last), ranked.len(), &search);
                 return Err(prefer_at_limit(context, NotRunReason::NoMemory));
             }
         }
@@ -102,22 +105,24 @@
     if is_limited { NotRunReason::ServersAtLimit } else { reason }
 }
 
-/// Logs what a refusal for lack of memory is based on: the tokens requested, the number of servers, and the mean
-/// memory known to be in use per server (by this host and, as last received, by the others).
+/// Logs what a refusal for lack of memory is based on: the tokens of the last request, the number of servers, and the
+/// mean memory known to be in use per server (by this host and, as last received, by the others).
 fn log_no_memory(
     context: &CallContext,
     engine: &EngineSpec,
-    tokens: u32,
+    (forecast, last): (&HoldForecast, Option<HoldNeed>),
     servers: usize,
     search: &MemorySearch,
 ) {
     let state = context.host.state();
     let decodes = state.fleet.ready_in_stage(context.service, ServerStage::Decode);
+    let hold = last.unwrap_or_else(|| forecast.fixed());
+    let (tokens, forecast) = (hold.tokens(), forecast.log_fields(hold));
     let used: u64 =
         decodes.map(|server| u64::from(state.server_loads.total(server.key()).memory_tokens)).sum();
     log::info!(
         "event=no_room request={} tokens={tokens} servers={servers} asked={} mean_used={} \
-         memory={}",
+         memory={}{forecast}",
         context.id(),
         search.request_count(),
         used / (servers as u64).max(1),
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -2,11 +2,12 @@
 use super::call_end::{CallEnd, NotRunReason};
 use super::caller_body::StreamPart;
 use super::decode_reservation::expected_output;
+use super::hold_forecast::{answer_size, generated_tokens};
 use super::in_flight_guard::InFlightGuard;
 use super::run_open::{OpenRun, may_retry_run, open_stream};
 use super::run_start::RunRecord;
 use crate::Result;
-use crate::keys::TimePoint;
+use crate::keys::{NameKey, TimePoint};
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
 use crate::streams::ServerSentEvent;
@@ -93,6 +94,9 @@
     let server = run.server.id.clone();
     record_stream(&context);
     let end = relay_runs(&context, &engine, run, runs, &events, &mut record).await;
+    if end == StreamEnd::Whole {
+        record_length(&context, &engine, record.last);
+    }
     match end {
         // Sending fails only if the caller has just left.
         StreamEnd::Whole => drop(events.send(StreamPart::End).await),
@@ -259,6 +263,21 @@
     let (now, output) = (context.host.now(), expected_output(tokens));
     let mut state = context.host.state();
     state.work_meters.entry(context.service).or_default().record_stream(now, tokens.prompt, output);
+    if context.host.settings.features.memory_forecast {
+        let size = answer_size(tokens);
+        state.output_forecast.record_start(now, context.service, tokens.prompt, size);
+    }
+}
+
+/// Reports the length of a whole answer to the forecast. An answer that was cut is not reported: its length is unknown.
+fn record_length(context: &CallContext, engine: &EngineSpec, last: Option<u64>) {
+    if !context.host.settings.features.memory_forecast {
+        return;
+    }
+    let (now, route) = (context.host.now(), NameKey::of(&context.route.name));
+    let size = answer_size(&context.head.tokens);
+    let length = generated_tokens(engine, last);
+    context.host.state().output_forecast.record(now, context.service, route, size, length);
 }
 
 /// Reports to the work meter the pace of a run, once a group of its events has arrived.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod gateway_start;
 mod gateway_state;
 mod health_reports;
+mod hold_forecast;
 mod host_account;
 mod in_flight_guard;
 mod limit_answers;
--- a/src/memory_forecast/mod.rs
+++ b/src/memory_forecast/mod.rs
@@ -1,19 +1,23 @@
 //! Memory forecast estimates the memory that answers will need, and the pace of each decode server.
+//!
+//! Inputs are finished answers, measured paces and the loads of servers; outputs are the tokens that a hold names and
+//! the pace of a server among those of its service. All types are state machines without I/O that receive the current
+//! time as an argument.
 
-use crate::keys::IncarnationId;
-use serde::{Deserialize, Serialize};
+mod answer_size;
+mod growth_forecast;
+mod hold_need;
+mod output_forecast;
+mod pace_table;
+mod pace_update;
+mod route_lengths;
+mod run_count;
+mod run_mix;
 
-/// The pace of servers as one host measured it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PaceUpdate {
-    /// The host that measured it.
-    pub from: IncarnationId,
-}
-
-/// The pace of each server.
-#[derive(Debug, Default)]
-pub struct PaceTable {}
-
-/// The lengths of answers by route.
-#[derive(Debug, Default)]
-pub struct OutputForecast {}
+pub use answer_size::AnswerSize;
+pub use growth_forecast::GrowthForecast;
+pub use hold_need::{EngineMemory, HoldNeed};
+pub use output_forecast::OutputForecast;
+pub use pace_table::PaceTable;
+pub use pace_update::{MAX_PACES_SENT, PaceUpdate, ServerPace};
+pub use run_count::RunCount;
--- /dev/null
+++ b/src/memory_forecast/pace_table.rs
@@ -0,0 +1,3 @@
+/// The pace of each server.
+#[derive(Debug, Default)]
+pub struct PaceTable {}
