--- a/src/memory_forecast/route_lengths.rs
+++ b/src/memory_forecast/route_lengths.rs
@@ -5,8 +5,12 @@
 /// Largest factor, as a power of two, by which an answer differs from its caller's estimate; larger ones count as this.
 const MAX_DOUBLINGS: f64 = 3.0;
 
+/// Weight of the assumption that estimates are right in the median, in answers. A host of a large fleet serves about one
+/// answer per second, and should know the estimates of a route after some ten of them.
+const ESTIMATE_WEIGHT: f64 = 8.0;
+
 /// Lengths of the answers of one route.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct RouteLengths {
     /// Logarithm of the length over the caller's estimate, scaled to the range from 0 to 1.
     by_estimate: LengthModel,
@@ -16,6 +20,16 @@
     pub used_at: TimePoint,
 }
 
+impl Default for RouteLengths {
+    fn default() -> Self {
+        Self {
+            by_estimate: LengthModel::centred(ESTIMATE_WEIGHT),
+            by_max: LengthModel::default(),
+            used_at: TimePoint::default(),
+        }
+    }
+}
+
 impl RouteLengths {
     /// Records a finished answer of `actual` tokens.
     pub fn record(&mut self, now: TimePoint, size: AnswerSize, actual: u32) {
--- a/src/placement/length_model.rs
+++ b/src/placement/length_model.rs
@@ -19,6 +19,14 @@
 }
 
 impl LengthModel {
+    /// A distribution that is highest at a half and falls evenly to zero at 0 and 1, as if `weight` answers had been
+    /// recorded.
+    pub fn centred(weight: f64) -> Self {
+        let height = |bucket: usize| bucket.min(BUCKETS - 1 - bucket) as f64 + 0.5;
+        let total: f64 = (0..BUCKETS).map(height).sum();
+        Self { counts: std::array::from_fn(|bucket| weight * height(bucket) / total) }
+    }
+
     /// Records that an answer used `fraction` of its token limit, from 0 to 1.
     pub fn record_used(&mut self, fraction: f64) {
         for count in &mut self.counts {
