Headroom for the runs at a server beside the median of the own answer, at a risk of 0.3

The own answer at its 0.8 quantile hid most of the headroom, and asked as much at a server with few runs as at a full one. The pace weighs a little less, so that with the random spread a fast server in another failure domain does not go before a slow local one.

--- a/src/memory_forecast/growth_forecast.rs
+++ b/src/memory_forecast/growth_forecast.rs
@@ -1,8 +1,8 @@
 /// Probability that the runs of a full server grow by more than the headroom that a new run leaves them. A preempted
 /// answer loses about 0.7 of its value to its pause and is prefilled again; a token of headroom costs a four-thousandth
-/// of a run. In a pool of 10 engines (`tests/memory_forecast.rs`) the value served is flat between 0.2 and 0.5 and falls
-/// below 0.1; of that range, 0.2 preempts least.
-const OVERRUN_RISK: f64 = 0.2;
+/// of a run. In trials with a pool like that of `tests/memory_forecast.rs`, 0.3 served the most value at and above
+/// capacity, and 0.1 and 0.5 less.
+const OVERRUN_RISK: f64 = 0.3;
 /// Steps in which the growth is followed between two points of the curve.
 const STEPS_PER_POINT: usize = 2;
 
@@ -31,24 +31,22 @@
         self.run_tokens
     }
 
-    /// The growth that `runs` runs and a new one, which generates `own` tokens, do not exceed at any time but for a
-    /// small risk.
+    /// The growth that the memory of `runs` runs together does not exceed at any time but for the accepted risk.
     ///
     /// All runs of a server grow alike, and each frees its memory when it ends. So their memory rises until the first
     /// ends, and falls below its present size then unless the prompts are short. That they all grow to their full
     /// length without an end between them is much less likely than the risk accepted here.
-    pub fn peak_growth(&self, runs: u32, own: u32) -> u32 {
+    pub fn peak_growth(&self, runs: u32) -> u32 {
         let steps = (self.curve.len().max(1) - 1) * STEPS_PER_POINT;
         let peak = (1..=steps)
             .map(|step| {
                 let fraction = step as f64 / steps as f64;
                 let grown = fraction * self.max_tokens;
                 let ended = fewest_ends(runs, self.remaining_probability(fraction));
-                let running = f64::from(runs - ended) * grown;
-                running - f64::from(ended) * self.run_tokens + grown.min(f64::from(own))
+                f64::from(runs - ended) * grown - f64::from(ended) * self.run_tokens
             })
             .fold(0.0, f64::max);
-        (peak.ceil() as u32).max(own)
+        peak.ceil() as u32
     }
 
     fn remaining_probability(&self, fraction: f64) -> f64 {
--- a/src/memory_forecast/hold_need.rs
+++ b/src/memory_forecast/hold_need.rs
@@ -33,13 +33,12 @@
         output: u32,
         count: RunCount,
     ) -> Self {
-        let start = start.saturating_add(1);
-        let need = start.saturating_add(output).min(engine.tokens);
+        let need = start.saturating_add(output).saturating_add(1).min(engine.tokens);
         let beside = f64::from(engine.tokens - need) / growth.run_tokens();
         let full = (beside.floor() as u32).min(engine.slots.saturating_sub(1));
         let runs = count.upper().map_or(full, |upper| upper.min(full));
-        let peak = start.saturating_add(growth.peak_growth(runs, output)).min(engine.tokens);
-        Self { need, headroom: peak.saturating_sub(need), runs }
+        let headroom = growth.peak_growth(runs).min(engine.tokens - need);
+        Self { need, headroom, runs }
     }
 
     /// The tokens that the request names.
--- a/src/memory_forecast/output_forecast.rs
+++ b/src/memory_forecast/output_forecast.rs
@@ -7,9 +7,9 @@
 /// Most routes and most services whose answers are remembered; at 0.6 KB each. The one that was used longest ago is
 /// dropped.
 const MAX_ENTRIES: usize = 256;
-/// Probability that an answer needs no more than it is expected to. In a trial pool at its capacity, 0.5 left 1.9 times
-/// as many preemptions as 0.8, which served a little more value. At an empty server a high quantile costs nothing.
-const NEED_QUANTILE: f64 = 0.8;
+/// Probability that an answer needs no more than it is expected to. A longer one is likely to outlast runs that free
+/// their memory in the meantime; in trials with a pool, 0.8 served less than 0.5 with a larger accepted risk.
+const NEED_QUANTILE: f64 = 0.5;
 
 /// The lengths of answers, by route and by service.
 #[derive(Debug, Default)]
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -18,11 +18,10 @@
 const ERROR_PENALTY: f64 = 3.0;
 /// Weight of the logarithm of the pace, in full servers. The time for which a request holds memory is inverse to the
 /// pace, so that equal factors between two paces count alike. A server that is 2.3 times as fast as another one goes
-/// first unless it is fuller by 0.27, about two requests of 3,800 tokens at 28,800; the traffic to another failure domain
-/// is charged, and a fast server there does not make up for that alone.
-const PACE_WEIGHT: f64 = 0.32;
-/// Largest factor from the median that is considered, so that a wrong measurement moves a server by less than a
-/// [`REMOTE_DOMAIN_PENALTY`].
+/// first unless it is fuller by 0.22, between one and two requests of 3,800 tokens at 28,800. Traffic to another failure
+/// domain is charged: with the random spread, a fast server there does not make up for [`REMOTE_DOMAIN_PENALTY`].
+const PACE_WEIGHT: f64 = 0.26;
+/// Largest factor from the median that is considered, so that a wrong measurement moves a server by a quarter at most.
 const MAX_PACE_FACTOR: f64 = 2.5;
 
 /// The resource by which servers are ranked.
--- a/tests/forecast_hosts.rs
+++ b/tests/forecast_hosts.rs
@@ -39,8 +39,8 @@
         let tokens = site.decodes[0].hold_tokens();
         if is_on {
             // The run's own need alone at the empty server, and more than that beside other runs.
-            assert!((149..=197).contains(&tokens[0]), "{tokens:?}");
-            assert!(tokens[1] > tokens[0], "{tokens:?}");
+            assert!((145..=153).contains(&tokens[0]), "{tokens:?}");
+            assert!(tokens[1] > tokens[0] + 24, "{tokens:?}");
         } else {
             assert_eq!(tokens, [149, 149]);
         }
--- a/tests/memory_forecast.rs
+++ b/tests/memory_forecast.rs
@@ -325,7 +325,7 @@
     let hold = HoldNeed::new(&growth(), ENGINE, 3200, 900, count);
     assert_eq!(hold, HoldNeed::new(&growth(), ENGINE, 3200, 900, known(12)));
     assert!((5..=7).contains(&hold.runs), "{hold:?}");
-    assert!((1000..=4000).contains(&hold.headroom), "{hold:?}");
+    assert!((900..=1800).contains(&hold.headroom), "{hold:?}");
 }
 
 /// Guards against requests that no server can ever grant.
@@ -345,17 +345,20 @@
 /// With prompts shorter than answers, the end of one run does not make up for the growth of the others.
 #[test]
 fn headroom_is_larger_for_short_prompts() {
-    let growth = |start| OutputForecast::default().growth(SERVICE, start, SIZE).peak_growth(7, 900);
+    let growth = |start| OutputForecast::default().growth(SERVICE, start, SIZE).peak_growth(7);
     assert!(growth(100) > growth(3200), "{} {}", growth(100), growth(3200));
     assert!(growth(3200) >= growth(20_000));
 }
 
 #[test]
-fn unknown_route_needs_more_than_its_estimate_and_no_more_than_its_maximum() {
+fn unknown_route_needs_its_estimate_and_no_more_than_its_maximum() {
     let forecast = OutputForecast::default();
-    assert!((900..=MAX_OUTPUT).contains(&forecast.expected(ROUTE, SIZE)));
+    assert!((890..=910).contains(&forecast.expected(ROUTE, SIZE)));
+    let too_high = AnswerSize { estimate: Some(9000), max: MAX_OUTPUT };
+    assert_eq!(forecast.expected(ROUTE, too_high), MAX_OUTPUT);
     let without_estimate = AnswerSize { estimate: None, max: MAX_OUTPUT };
-    assert!((MAX_OUTPUT / 2..MAX_OUTPUT).contains(&forecast.expected(ROUTE, without_estimate)));
+    let half = MAX_OUTPUT / 2;
+    assert!((half - 10..half + 10).contains(&forecast.expected(ROUTE, without_estimate)));
     assert_eq!(forecast.expected(ROUTE, AnswerSize { estimate: Some(5), max: 0 }), 0);
 }
 
@@ -369,10 +372,10 @@
         forecast.record(TimePoint::from_millis(millis), SERVICE, ROUTE, size, actual);
     }
     let expected = forecast.expected(ROUTE, size);
-    assert!((actual..actual + 150).contains(&expected), "{expected}");
-    assert!(forecast.expected(NameKey(99), size) > 1000, "another route is not affected");
+    assert!((actual - 50..actual + 50).contains(&expected), "{expected}");
+    assert!(forecast.expected(NameKey(99), size) > 850, "another route is not affected");
     let remaining = forecast.remaining(ROUTE, size, 400);
-    assert!((50..250).contains(&remaining), "{remaining}");
+    assert!((20..150).contains(&remaining), "{remaining}");
     assert_eq!(forecast.remaining(ROUTE, size, MAX_OUTPUT), 0);
 }
 
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -74,6 +74,43 @@
     assert_eq!(ranked(at(0), &loads, &HashMap::new(), &servers), ["empty", "full"]);
 }
 
+/// Guards against requests that hold memory 2.3 times as long at a slow server while a fast one is about equally full,
+/// and against traffic between failure domains for the sake of a pace.
+#[rstest]
+#[case::equally_full("a", 3000, 3000, "fast")]
+#[case::fast_a_little_fuller("a", 4000, 3000, "fast")]
+#[case::fast_much_fuller("a", 7000, 3000, "slow")]
+#[case::fast_remote("b", 3000, 3000, "slow")]
+fn ranking_prefers_fast_server_between_equals(
+    #[case] fast_domain: &str,
+    #[case] fast_tokens: u32,
+    #[case] slow_tokens: u32,
+    #[case] expected: &str,
+) {
+    let servers = [server("slow", "a"), server("fast", fast_domain)];
+    let mut loads = LoadTable::default();
+    loads.add(ServerKey::of("slow"), memory(slow_tokens));
+    loads.add(ServerKey::of("fast"), memory(fast_tokens));
+    let relative_paces =
+        HashMap::from([(ServerKey::of("slow"), 1.0), (ServerKey::of("fast"), 2.3)]);
+    for salt in 0..50 {
+        let context = RankingContext {
+            loads: &loads,
+            health: &HashMap::new(),
+            domains: &DomainBreakers::default(),
+            stage_changes: &StageChanges::default(),
+            connected: &HashSet::new(),
+            relative_paces: Some(&relative_paces),
+            local_domain: NameKey::of("a"),
+            remote_penalty: REMOTE_DOMAIN_PENALTY,
+            salt,
+        };
+        let criterion = RankingCriterion::DecodeMemory(MEMORY_TOKENS);
+        let order = rank_servers(at(0), &context, criterion, servers.iter());
+        assert_eq!(order[0].id, expected, "salt {salt}");
+    }
+}
+
 /// A new connection occupies a slot of its server for a moment, so it is opened only if it leads to
 /// a clearly less loaded server. Without this preference, 88 hosts in front of 60 engines opened
 /// 2.2 connections per stream.
