--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -3,13 +3,12 @@
 use super::call_context::CallContext;
 use super::call_end::NotRunReason;
 use super::engine_resource::{EngineResource, acquire_hold};
-use super::hold_forecast::{HoldForecast, generated_tokens};
+use super::hold_forecast::{generated_tokens, hold_tokens};
 use super::load_guard::LoadGuard;
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::ServerKey;
-use crate::memory_forecast::HoldNeed;
 use crate::placement::{MemorySearch, RankingCriterion, SearchStep, ServerEvent, ServerLoad};
 use crate::platform::TokenCounts;
 use crate::routes::EngineSpec;
@@ -51,8 +50,7 @@
     after: Option<u64>,
     lost: &[ServerKey],
 ) -> Result<DecodeReservation, NotRunReason> {
-    let forecast = HoldForecast::new(context, engine, after);
-    let mut last = None;
+    let tokens = hold_tokens(context, engine, after);
     let local_domain = context.host.domain();
     let mut search = MemorySearch::new(context.host.now(), local_domain);
     loop {
@@ -79,10 +77,6 @@
                 let Some(permit) = context.permit(server).await else {
                     continue;
                 };
-                let hold = forecast.need(context, key);
-                last = Some(hold);
-                forecast.count_hold(context, hold);
-                let tokens = hold.tokens();
                 if let Some(reservation) =
                     request_reservation(context, engine, server, tokens, permit).await
                 {
@@ -92,7 +86,7 @@
             }
             SearchStep::Pause(pause) => tokio::time::sleep(pause).await,
             SearchStep::Refuse => {
-                log_no_memory(context, engine, (&forecast, last), ranked.len(), &search);
+                log_no_memory(context, engine, tokens, ranked.len(), &search);
                 return Err(prefer_at_limit(context, NotRunReason::NoMemory));
             }
         }
@@ -106,24 +100,22 @@
     if is_limited { NotRunReason::ServersAtLimit } else { reason }
 }
 
-/// Logs what a refusal for lack of memory is based on: the tokens of the last request, the number of servers, and the
-/// mean memory known to be in use per server (by this host and, as last received, by the others).
+/// Logs what a refusal for lack of memory is based on: the tokens requested, the number of servers, and the mean
+/// memory known to be in use per server (by this host and, as last received, by the others).
 fn log_no_memory(
     context: &CallContext,
     engine: &EngineSpec,
-    (forecast, last): (&HoldForecast, Option<HoldNeed>),
+    tokens: u32,
     servers: usize,
     search: &MemorySearch,
 ) {
     let state = context.host.state();
     let decodes = state.fleet.ready_in_stage(context.service, ServerStage::Decode);
-    let hold = last.unwrap_or_else(|| forecast.fixed());
-    let (tokens, forecast) = (hold.tokens(), forecast.log_fields(hold));
     let used: u64 =
         decodes.map(|server| u64::from(state.server_loads.total(server.key()).memory_tokens)).sum();
     log::info!(
         "event=no_room request={} tokens={tokens} servers={servers} asked={} mean_used={} \
-         memory={}{forecast}",
+         memory={}",
         context.id(),
         search.request_count(),
         used / (servers as u64).max(1),
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -263,10 +263,6 @@
     let (now, output) = (context.host.now(), expected_output(tokens));
     let mut state = context.host.state();
     state.work_meters.entry(context.service).or_default().record_stream(now, tokens.prompt, output);
-    if context.host.settings.features.memory_forecast {
-        let size = answer_size(tokens);
-        state.output_forecast.record_start(now, context.service, tokens.prompt, size);
-    }
 }
 
 /// Reports the length of a whole answer to the forecast. An answer that was cut is not reported: its length is unknown.
@@ -277,7 +273,7 @@
     let (now, route) = (context.host.now(), NameKey::of(&context.route.name));
     let size = answer_size(&context.head.tokens);
     let length = generated_tokens(engine, last);
-    context.host.state().output_forecast.record(now, context.service, route, size, length);
+    context.host.state().output_forecast.record(now, route, size, length);
 }
 
 /// Reports the pace of a run to the work meter and the pace table, once a group of its events has arrived.
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -5,7 +5,7 @@
 use super::decode_reservation::{decode_load, reserve_memory};
 use super::engine_resource::{EngineResource, acquire_hold};
 use super::event_reader::EventReader;
-use super::hold_forecast::HoldForecast;
+use super::hold_forecast::hold_tokens;
 use super::load_guard::LoadGuard;
 use super::prompt_read::{PromptEnd, read_prompt};
 use super::run_start::{OpenFailure, RunRecord, run_at};
@@ -211,7 +211,7 @@
     if late || restarted || !context.host.take_retries(context.service, 1).await {
         return Err(rejected());
     }
-    let tokens = HoldForecast::new(context, engine, after).need(context, server.key()).tokens();
+    let tokens = hold_tokens(context, engine, after);
     let mut permit = context.permit(server).await.ok_or_else(at_limit)?;
     let hold = acquire_hold(&context.host, server, tokens, engine.max_hold).await;
     let Ok(Some(mut hold)) = hold else {
--- a/src/placement/load_table.rs
+++ b/src/placement/load_table.rs
@@ -138,11 +138,6 @@
         }
     }
 
-    /// Number of other hosts whose loads are known.
-    pub fn known_hosts(&self) -> usize {
-        self.others.len()
-    }
-
     /// Known load of all hosts on one server.
     pub fn total(&self, key: ServerKey) -> ServerLoad {
         let own = self.own.get(&key).copied().unwrap_or_default();
