--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -145,13 +145,13 @@
         context.host.record_server_event(server, ServerEvent::Served);
         let now = context.host.now();
         let took = now.since(started_at);
-        context
-            .host
-            .state()
-            .work_meters
-            .entry(context.service)
-            .or_default()
-            .record_read(now, tokens, took);
+        let mut state = context.host.state();
+        state.work_meters.entry(context.service).or_default().record_read(now, tokens, took);
+        if context.host.settings.features.memory_forecast
+            && state.fleet.entry(server.key()).is_some()
+        {
+            state.paces.record_read(now, (context.service, server.key()), tokens, took);
+        }
     }
     Ok(read)
 }
--- a/src/memory_forecast/mod.rs
+++ b/src/memory_forecast/mod.rs
@@ -8,6 +8,7 @@
 mod output_forecast;
 mod pace_table;
 mod pace_update;
+mod read_speed;
 mod route_lengths;
 
 pub use answer_size::AnswerSize;
--- a/src/memory_forecast/pace_table.rs
+++ b/src/memory_forecast/pace_table.rs
@@ -1,3 +1,4 @@
+use super::read_speed::ReadSpeed;
 use super::{MAX_PACES_SENT, PaceUpdate, ServerPace};
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint, mix_hash};
 use std::cmp::Reverse;
@@ -27,14 +28,15 @@
 }
 
 /// The pace of each server, as this host measured it or received it from others. The newest value counts: a pace is a
-/// property of the server.
+/// property of the server. Servers that have run no answer yet are known by how fast they read prompts.
 #[derive(Debug, Default)]
 pub struct PaceTable {
     paces: HashMap<ServerKey, KnownPace>,
-    /// Pace over the median of the service.
+    reads: HashMap<ServerKey, ReadSpeed>,
+    /// Speed over the median of the service.
     relative: HashMap<ServerKey, f64>,
     compared_at: TimePoint,
-    /// Whether any pace has changed since the last update was sent.
+    /// Whether any value has changed since the last update was sent.
     has_news: bool,
 }
 
@@ -66,6 +68,27 @@
         self.compare(now, is_new);
     }
 
+    /// Records that a server of `service` read a prompt of `tokens` in `took`.
+    pub fn record_read(
+        &mut self,
+        now: TimePoint,
+        (service, server): (NameKey, ServerKey),
+        tokens: u32,
+        took: Duration,
+    ) {
+        let millis = took.as_secs_f64() * 1000.0;
+        if tokens == 0 || millis <= 0.0 {
+            return;
+        }
+        let speed = f64::from(tokens) / millis;
+        let is_new = !self.reads.contains_key(&server);
+        let read = self.reads.entry(server).or_insert_with(|| ReadSpeed::new(service));
+        read.own.record(now, speed);
+        read.known.record(now, speed);
+        self.has_news = true;
+        self.compare(now, is_new);
+    }
+
     /// Applies what another host knows; `service_of` names the service of a server that exists.
     pub fn apply(
         &mut self,
@@ -75,10 +98,16 @@
     ) {
         let mut is_new = false;
         for entry in update.paces.iter().take(MAX_PACES_SENT) {
-            let Some(service) = service_of(entry.server).filter(|_| entry.tokens_per_second > 0)
-            else {
+            let Some(service) = service_of(entry.server) else { continue };
+            if entry.read_tokens_per_ms > 0 {
+                is_new |= !self.reads.contains_key(&entry.server);
+                let read =
+                    self.reads.entry(entry.server).or_insert_with(|| ReadSpeed::new(service));
+                read.known.record(now, entry.read_tokens_per_ms.into());
+            }
+            if entry.tokens_per_second == 0 {
                 continue;
-            };
+            }
             let measured_at = now - Duration::from_millis(u64::from(entry.age_tenths) * 100);
             let known = self.paces.get(&entry.server);
             if known.is_some_and(|known| measured_at.since(known.measured_at) < MIN_NEWER) {
@@ -98,12 +127,13 @@
         self.paces.get(&server).map(|pace| pace.tokens_per_second)
     }
 
-    /// Pace of a server over the median of its service; 1.0 if it is not known.
+    /// Speed of a server over the median of its service; 1.0 if it is not known. It is compared by its pace, or by its
+    /// reads of prompts while no run is known there, each with the servers known in the same way.
     pub fn relative(&self, server: ServerKey) -> f64 {
         self.relative.get(&server).copied().unwrap_or(1.0)
     }
 
-    /// The relative paces of all servers whose pace is known.
+    /// The relative speeds of all servers that are known by their pace or their reads.
     pub fn relative_paces(&self) -> &HashMap<ServerKey, f64> {
         &self.relative
     }
@@ -111,6 +141,7 @@
     /// Drops servers that no longer exist.
     pub fn retain(&mut self, exists: impl Fn(ServerKey) -> bool) {
         self.paces.retain(|server, _| exists(*server));
+        self.reads.retain(|server, _| exists(*server));
         self.relative.retain(|server, _| exists(*server));
     }
 
@@ -120,23 +151,36 @@
         if !std::mem::take(&mut self.has_news) {
             return None;
         }
-        let mut known: Vec<(ServerKey, KnownPace)> =
-            self.paces.iter().map(|(server, pace)| (*server, *pace)).collect();
+        let paces = self.paces.iter().map(|(server, pace)| (pace.measured_at, *server));
+        let only_read = self.reads.iter().filter_map(|(server, read)| {
+            let is_news = read.own.recent_value(now).is_some() && !self.paces.contains_key(server);
+            is_news.then_some((read.own.started_at, *server))
+        });
+        let mut known: Vec<(TimePoint, ServerKey)> = paces.chain(only_read).collect();
         if known.len() > MAX_PACES_SENT {
-            known.sort_unstable_by_key(|(server, pace)| (Reverse(pace.measured_at), *server));
+            known.sort_unstable_by_key(|(known_at, server)| (Reverse(*known_at), *server));
             known[MAX_PACES_SENT / 2..]
-                .sort_unstable_by_key(|(server, _)| mix_hash(salt, server.0));
+                .sort_unstable_by_key(|(_, server)| mix_hash(salt, server.0));
             known.truncate(MAX_PACES_SENT);
         }
-        let entry = |(server, pace): (ServerKey, KnownPace)| ServerPace {
+        let paces = known.into_iter().map(|(_, server)| self.entry(now, server)).collect();
+        Some(PaceUpdate { from, paces })
+    }
+
+    fn entry(&self, now: TimePoint, server: ServerKey) -> ServerPace {
+        let pace = self.paces.get(&server);
+        let read = self.reads.get(&server).and_then(|read| read.own.recent_value(now));
+        // Rounded up, so that a pace never seems newer than it is.
+        let age = |pace: &KnownPace| now.since(pace.measured_at).as_millis() / 100 + 1;
+        ServerPace {
             server,
-            tokens_per_second: pace.tokens_per_second.round().clamp(1.0, f64::from(u16::MAX))
-                as u16,
-            // Rounded up, so that a pace never seems newer than it is.
-            age_tenths: u16::try_from(now.since(pace.measured_at).as_millis() / 100 + 1)
-                .unwrap_or(u16::MAX),
-        };
-        Some(PaceUpdate { from, paces: known.into_iter().map(entry).collect() })
+            tokens_per_second: pace.map_or(0, |pace| {
+                pace.tokens_per_second.round().clamp(1.0, f64::from(u16::MAX)) as u16
+            }),
+            age_tenths: pace.map_or(0, |pace| u16::try_from(age(pace)).unwrap_or(u16::MAX)),
+            read_tokens_per_ms: read
+                .map_or(0, |speed| speed.round().clamp(1.0, f64::from(u8::MAX)) as u8),
+        }
     }
 
     /// Compares the servers of each service, at once for a new server.
@@ -145,21 +189,25 @@
             return;
         }
         self.compared_at = now;
-        let mut by_service: HashMap<NameKey, Vec<f64>> = HashMap::new();
-        for pace in self.paces.values() {
-            by_service.entry(pace.service).or_default().push(pace.tokens_per_second);
-        }
-        for paces in by_service.values_mut() {
-            paces.sort_unstable_by(f64::total_cmp);
-        }
-        let median = |service| {
-            let paces: &Vec<f64> = &by_service[service];
-            f64::midpoint(paces[(paces.len() - 1) / 2], paces[paces.len() / 2])
-        };
-        let relative = self
-            .paces
-            .iter()
-            .map(|(server, pace)| (*server, pace.tokens_per_second / median(&pace.service)));
-        self.relative = relative.collect();
+        let reads = self.reads.iter();
+        self.relative = over_median(
+            reads.map(|(server, read)| (*server, read.service, read.known.value())).collect(),
+        );
+        let paces = self.paces.iter();
+        self.relative.extend(over_median(
+            paces.map(|(server, pace)| (*server, pace.service, pace.tokens_per_second)).collect(),
+        ));
     }
 }
+
+/// Speeds of servers over the median of their service.
+fn over_median(mut speeds: Vec<(ServerKey, NameKey, f64)>) -> HashMap<ServerKey, f64> {
+    speeds.sort_unstable_by(|left, right| left.1.cmp(&right.1).then(left.2.total_cmp(&right.2)));
+    let by_service = speeds.chunk_by(|left, right| left.1 == right.1);
+    let relative = by_service.flat_map(|servers| {
+        let median =
+            f64::midpoint(servers[(servers.len() - 1) / 2].2, servers[servers.len() / 2].2);
+        servers.iter().map(move |(server, _, speed)| (*server, speed / median))
+    });
+    relative.collect()
+}
