--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -71,7 +71,7 @@
     pub domains: &'static [&'static str],
     /// The address that the store listens on.
     pub store_address: SocketAddr,
-    /// Decisions about load that daemons started from now on make.
+    /// Features that are switched on at daemons started from now on.
     pub features: LoadFeatures,
     pub(super) restarts: AtomicU64,
 }
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -3,6 +3,7 @@
 use super::call_context::CallContext;
 use super::call_end::NotRunReason;
 use super::engine_resource::{EngineResource, acquire_hold};
+use super::hold_forecast::{generated_tokens, hold_tokens};
 use super::load_guard::LoadGuard;
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
@@ -37,10 +38,7 @@
 /// estimates it.
 pub(super) fn needed_tokens(context: &CallContext, engine: &EngineSpec, after: Option<u64>) -> u32 {
     let tokens = &context.head.tokens;
-    let generated = after.map_or(0, |event| {
-        u32::try_from(event + 1).unwrap_or(u32::MAX).saturating_mul(engine.tokens_per_event)
-    });
-    let output = expected_output(tokens).max(generated);
+    let output = expected_output(tokens).max(generated_tokens(engine, after));
     let total = tokens.prompt.saturating_add(output).saturating_add(1);
     total.min(engine.memory_tokens)
 }
@@ -52,7 +50,7 @@
     after: Option<u64>,
     lost: &[ServerKey],
 ) -> Result<DecodeReservation, NotRunReason> {
-    let tokens = needed_tokens(context, engine, after);
+    let tokens = hold_tokens(context, engine, after);
     let local_domain = context.host.domain();
     let mut search = MemorySearch::new(context.host.now(), local_domain);
     loop {
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -2,11 +2,12 @@
 use super::call_end::{CallEnd, NotRunReason};
 use super::caller_body::StreamPart;
 use super::decode_reservation::expected_output;
+use super::hold_forecast::{answer_size, generated_tokens};
 use super::in_flight_guard::InFlightGuard;
 use super::run_open::{OpenRun, may_retry_run, open_stream};
 use super::run_start::RunRecord;
 use crate::Result;
-use crate::keys::TimePoint;
+use crate::keys::{NameKey, ServerKey, TimePoint};
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
 use crate::streams::ServerSentEvent;
@@ -93,6 +94,9 @@
     let server = run.server.id.clone();
     record_stream(&context);
     let end = relay_runs(&context, &engine, run, runs, &events, &mut record).await;
+    if end == StreamEnd::Whole {
+        record_length(&context, &engine, record.last);
+    }
     match end {
         // Sending fails only if the caller has just left.
         StreamEnd::Whole => drop(events.send(StreamPart::End).await),
@@ -203,7 +207,7 @@
             () = tokio::time::sleep_until(deadline) => return RunEnd::Stream(StreamEnd::TimedOut),
         };
         if matches!(next, Ok(Some(_))) {
-            record_pace(context, engine, &mut timer);
+            record_pace(context, engine, server.key(), &mut timer);
         }
     }
 }
@@ -261,11 +265,33 @@
     state.work_meters.entry(context.service).or_default().record_stream(now, tokens.prompt, output);
 }
 
-/// Reports to the work meter the pace of a run, once a group of its events has arrived.
-fn record_pace(context: &CallContext, engine: &EngineSpec, timer: &mut PaceTimer) {
-    let Some((events, took)) = timer.record_event(context.host.now()) else { return };
+/// Reports the length of a whole answer to the forecast. An answer that was cut is not reported: its length is unknown.
+fn record_length(context: &CallContext, engine: &EngineSpec, last: Option<u64>) {
+    if !context.host.settings.features.memory_forecast {
+        return;
+    }
+    let (now, route) = (context.host.now(), NameKey::of(&context.route.name));
+    let size = answer_size(&context.head.tokens);
+    let length = generated_tokens(engine, last);
+    context.host.state().output_forecast.record(now, route, size, length);
+}
+
+/// Reports the pace of a run to the work meter and the pace table, once a group of its events has arrived.
+fn record_pace(
+    context: &CallContext,
+    engine: &EngineSpec,
+    server: ServerKey,
+    timer: &mut PaceTimer,
+) {
+    let now = context.host.now();
+    let Some((events, took)) = timer.record_event(now) else { return };
     let tokens = events.saturating_mul(engine.tokens_per_event);
-    context.host.state().work_meters.entry(context.service).or_default().record_pace(tokens, took);
+    let mut state = context.host.state();
+    state.work_meters.entry(context.service).or_default().record_pace(tokens, took);
+    if context.host.settings.features.memory_forecast && state.fleet.entry(server).is_some() {
+        let group = (events, engine.tokens_per_event);
+        state.paces.record(now, (context.service, server), group, took);
+    }
 }
 
 fn log_stream(context: &CallContext, server: &str, end: StreamEnd, record: &RelayRecord) {
--- a/src/memory_forecast/mod.rs
+++ b/src/memory_forecast/mod.rs
@@ -1,19 +1,17 @@
 //! Memory forecast estimates the memory that answers will need, and the pace of each decode server.
+//!
+//! Inputs are finished answers and measured paces; outputs are the length of an answer that a hold assumes and the pace
+//! of a server among those of its service. All types are state machines without I/O that receive the current time as an
+//! argument.
 
-use crate::keys::IncarnationId;
-use serde::{Deserialize, Serialize};
+mod answer_size;
+mod output_forecast;
+mod pace_table;
+mod pace_update;
+mod read_speed;
+mod route_lengths;
 
-/// The pace of servers as one host measured it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PaceUpdate {
-    /// The host that measured it.
-    pub from: IncarnationId,
-}
-
-/// The pace of each server.
-#[derive(Debug, Default)]
-pub struct PaceTable {}
-
-/// The lengths of answers by route.
-#[derive(Debug, Default)]
-pub struct OutputForecast {}
+pub use answer_size::AnswerSize;
+pub use output_forecast::OutputForecast;
+pub use pace_table::PaceTable;
+pub use pace_update::{MAX_PACES_SENT, PaceUpdate, ServerPace};
--- a/src/placement/length_model.rs
+++ b/src/placement/length_model.rs
@@ -1,5 +1,7 @@
 const BUCKETS: usize = 32;
 const DECAY: f64 = 0.995;
+/// Halvings of the interval in which a quantile is searched; the result is exact to a thousandth.
+const QUANTILE_STEPS: u32 = 10;
 
 /// Distribution of the fraction of their token limit that answers use, learned from completed
 /// answers.
@@ -17,6 +19,14 @@
 }
 
 impl LengthModel {
+    /// A distribution that is highest at a half and falls evenly to zero at 0 and 1, as if `weight` answers had been
+    /// recorded.
+    pub fn centred(weight: f64) -> Self {
+        let height = |bucket: usize| bucket.min(BUCKETS - 1 - bucket) as f64 + 0.5;
+        let total: f64 = (0..BUCKETS).map(height).sum();
+        Self { counts: std::array::from_fn(|bucket| weight * height(bucket) / total) }
+    }
+
     /// Records that an answer used `fraction` of its token limit, from 0 to 1.
     pub fn record_used(&mut self, fraction: f64) {
         for count in &mut self.counts {
@@ -40,6 +50,21 @@
         }
     }
 
+    /// The fraction of its token limit that an answer that reached the fraction `reached` does not exceed with this
+    /// probability.
+    pub fn quantile(&self, reached: f64, probability: f64) -> f64 {
+        let (mut low, mut high) = (reached.clamp(0.0, 1.0), 1.0);
+        for _ in 0..QUANTILE_STEPS {
+            let middle = f64::midpoint(low, high);
+            if self.survival(reached, middle) > 1.0 - probability {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        high
+    }
+
     /// Weight of the answers longer than `fraction`, assuming an even spread within its bucket.
     fn weight_beyond(&self, fraction: f64) -> f64 {
         let position = fraction.clamp(0.0, 1.0) * BUCKETS as f64;
--- a/tests/shared_health_load.rs
+++ b/tests/shared_health_load.rs
@@ -130,6 +130,8 @@
             connected: &HashSet::new(),
             local_domain: domain(host),
             remote_penalty: REMOTE_DOMAIN_PENALTY,
+            relative_paces: None,
+            weights: None,
             salt,
         };
         let entries: Vec<ServerEntry> = (0..3).map(|index| self.group.entry(index)).collect();
