--- /dev/null
+++ b/src/admission/admission_decision.rs
@@ -0,0 +1,45 @@
+use crate::keys::ServerKey;
+use std::collections::HashSet;
+
+/// Which decode servers a request may search.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AdmissionDecision {
+    /// All of them, in the usual order.
+    Everywhere,
+    /// First these, which are reserved for its rank, then the others.
+    ReservedFirst(HashSet<ServerKey>),
+    /// All but these, which are reserved for more urgent requests.
+    WithoutReserved(HashSet<ServerKey>),
+    /// None; it is refused at once.
+    Refuse(AdmissionRefusal),
+}
+
+/// Why a request is refused without a search.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Its organisation demands more than its fair share.
+    OrgOverShare,
+    /// Its rank demands more than is left for it.
+    RankOverCapacity,
+}
+
+impl RefusalCause {
+    /// The cause's name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::OrgOverShare => "org_over_share",
+            Self::RankOverCapacity => "rank_over_capacity",
+        }
+    }
+}
+
+/// A refusal without a search, with the figures that it is based on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionRefusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// Tokens that the organisation or rank demands.
+    pub demand: f64,
+    /// Tokens that it may use.
+    pub share: f64,
+}
--- /dev/null
+++ b/src/admission/admission_request.rs
@@ -0,0 +1,46 @@
+use crate::keys::{NameKey, OrgKey, ServerKey};
+use crate::routes::ServiceKey;
+
+/// The decode servers of a service, and whose requests compete for them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DecodePool {
+    /// The service.
+    pub service: ServiceKey,
+    /// Ready decode servers with their failure domains.
+    pub servers: Vec<(ServerKey, NameKey)>,
+    /// Memory of one server in tokens.
+    pub memory_tokens: u32,
+    /// The priorities of the routes to the service, most urgent first.
+    pub ranks: Vec<u8>,
+    /// Whether requests belong to organisations.
+    pub has_orgs: bool,
+    /// Number of hosts in this host's failure domain, itself included.
+    pub host_count: usize,
+}
+
+impl DecodePool {
+    /// Whether there is anything to decide: requests of several ranks or organisations compete.
+    pub fn is_contested(&self) -> bool {
+        self.ranks.len() > 1 || self.has_orgs
+    }
+
+    /// Memory of all servers in tokens.
+    pub fn capacity(&self) -> f64 {
+        self.servers.len() as f64 * f64::from(self.memory_tokens)
+    }
+}
+
+/// A request that needs decode memory.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionRequest {
+    /// Priority of its route; zero is the most urgent.
+    pub rank: u8,
+    /// Its organisation.
+    pub org: Option<OrgKey>,
+    /// Memory tokens that it needs.
+    pub tokens: u32,
+    /// Whether its caller was refused before and returns at the time it was given.
+    pub is_return: bool,
+    /// A random number from 0 to 1; a request with 0 is never refused without a search.
+    pub draw: f64,
+}
--- /dev/null
+++ b/src/admission/heard_pressure.rs
@@ -0,0 +1,18 @@
+use super::ServicePressure;
+use crate::keys::{IncarnationId, TimePoint};
+
+/// The last update of another host or failure domain.
+#[derive(Debug, Clone)]
+pub(super) struct HeardPressure {
+    pub at: TimePoint,
+    pub from: IncarnationId,
+    pub version: u64,
+    pub services: Vec<ServicePressure>,
+}
+
+impl HeardPressure {
+    /// The figures of `service`, if the update contains any.
+    pub fn service(&self, service: crate::routes::ServiceKey) -> Option<&ServicePressure> {
+        self.services.iter().find(|known| known.service == service)
+    }
+}
--- /dev/null
+++ b/src/admission/pressure_table.rs
@@ -0,0 +1,79 @@
+use super::heard_pressure::HeardPressure;
+use super::{PressureScope, PressureUpdate, ServicePressure};
+use crate::keys::{IncarnationId, NameKey, TimePoint};
+use crate::routes::ServiceKey;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Lifetime of another host's figures. A host of a domain of 24 hears from each other one every 0.6 s on average, so one
+/// lost update leaves no gap; a dead host's runs end within about 3 s.
+const FIGURES_LIFETIME: Duration = Duration::from_millis(1500);
+/// With fewer hosts heard, the figures are not extrapolated to the others: a host that is cut off decides by its own.
+const MIN_SAMPLE: usize = 4;
+/// Largest factor of the extrapolation. Of 1,000 hosts in three domains, a host hears about 60 of 333 within the
+/// lifetime, a factor of 5.5.
+const MAX_FACTOR: f64 = 8.0;
+
+/// The figures of other hosts and failure domains.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PressureTable {
+    hosts: HashMap<IncarnationId, HeardPressure>,
+    domains: HashMap<NameKey, HeardPressure>,
+}
+
+impl PressureTable {
+    /// Applies an update, unless it is a late or repeated one.
+    pub fn apply(&mut self, now: TimePoint, update: PressureUpdate) {
+        let PressureUpdate { from, version, scope, services } = update;
+        let heard = HeardPressure { at: now, from, version, services };
+        let is_late =
+            |known: &HeardPressure| known.from == heard.from && known.version >= heard.version;
+        match scope {
+            PressureScope::Host if !self.hosts.get(&from).is_some_and(is_late) => {
+                self.hosts.insert(from, heard);
+            }
+            PressureScope::Domain(domain) if !self.domains.get(&domain).is_some_and(is_late) => {
+                self.domains.insert(domain, heard);
+            }
+            PressureScope::Host | PressureScope::Domain(_) => {}
+        }
+    }
+
+    /// Drops figures that nobody has renewed.
+    pub fn expire(&mut self, now: TimePoint) {
+        let is_current = |heard: &HeardPressure| now.since(heard.at) < FIGURES_LIFETIME;
+        self.hosts.retain(|_, heard| is_current(heard));
+        self.domains.retain(|_, heard| is_current(heard));
+    }
+
+    /// Drops all figures.
+    pub fn clear(&mut self) {
+        self.hosts.clear();
+        self.domains.clear();
+    }
+
+    /// The demand of this host's failure domain, which has `host_count` hosts: the sum over the hosts heard,
+    /// extrapolated to the others.
+    pub fn domain_total(&self, own: ServicePressure, host_count: usize) -> ServicePressure {
+        let service = own.service;
+        let mut total = own;
+        for known in self.hosts.values().filter_map(|heard| heard.service(service)) {
+            total.add(known);
+        }
+        let sample = self.hosts.len() + 1;
+        if sample >= MIN_SAMPLE && host_count > sample {
+            total.scale((host_count as f64 / sample as f64).min(MAX_FACTOR));
+        }
+        total
+    }
+
+    /// The demand over all failure domains.
+    pub fn total(&self, own: ServicePressure, host_count: usize) -> ServicePressure {
+        let service: ServiceKey = own.service;
+        let mut total = self.domain_total(own, host_count);
+        for known in self.domains.values().filter_map(|heard| heard.service(service)) {
+            total.add(known);
+        }
+        total
+    }
+}
--- /dev/null
+++ b/src/admission/rank_pressure.rs
@@ -0,0 +1,94 @@
+use super::OrgPressure;
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+
+/// The demand of one rank for decode memory.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RankPressure {
+    /// The priority of the routes; zero is the most urgent.
+    pub rank: u8,
+    /// Searches of the last second that were granted.
+    pub granted: u32,
+    /// Searches of the last second that found no memory.
+    pub refused: u32,
+    /// Running requests.
+    pub running: u32,
+    /// Memory tokens that the running requests need.
+    pub tokens: u32,
+    /// Memory tokens that the refused requests of the last second needed, including those refused without a search.
+    pub unmet_tokens: u32,
+    /// The most active organisations.
+    pub orgs: Vec<OrgPressure>,
+}
+
+impl RankPressure {
+    /// Adds the figures of `other`, which has the same rank.
+    pub fn add(&mut self, other: &Self) {
+        self.granted = self.granted.saturating_add(other.granted);
+        self.refused = self.refused.saturating_add(other.refused);
+        self.running = self.running.saturating_add(other.running);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.unmet_tokens = self.unmet_tokens.saturating_add(other.unmet_tokens);
+        for org in &other.orgs {
+            self.add_org(*org);
+        }
+    }
+
+    /// Adds the figures of an organisation.
+    pub fn add_org(&mut self, org: OrgPressure) {
+        match self.orgs.iter_mut().find(|known| known.org == org.org) {
+            Some(known) => {
+                known.tokens = known.tokens.saturating_add(org.tokens);
+                known.unmet_tokens = known.unmet_tokens.saturating_add(org.unmet_tokens);
+            }
+            None => self.orgs.push(org),
+        }
+    }
+
+    /// Multiplies all figures by `factor`.
+    pub fn scale(&mut self, factor: f64) {
+        let scaled = |figure: &mut u32| *figure = (f64::from(*figure) * factor).round() as u32;
+        scaled(&mut self.granted);
+        scaled(&mut self.refused);
+        scaled(&mut self.running);
+        scaled(&mut self.tokens);
+        scaled(&mut self.unmet_tokens);
+        for org in &mut self.orgs {
+            scaled(&mut org.tokens);
+            scaled(&mut org.unmet_tokens);
+        }
+    }
+
+    /// Keeps the `limit` organisations with the most demand.
+    pub fn truncate_orgs(&mut self, limit: usize) {
+        let demand = |org: &OrgPressure| org.tokens.saturating_add(org.unmet_tokens);
+        self.orgs.sort_unstable_by_key(|org| (Reverse(demand(org)), org.org));
+        self.orgs.truncate(limit);
+    }
+
+    /// Fraction of the searches that found no memory.
+    pub fn refused_fraction(&self) -> f64 {
+        f64::from(self.refused) / f64::from((self.granted + self.refused).max(1))
+    }
+
+    /// Mean tokens that a running request needs.
+    pub fn mean_tokens(&self) -> f64 {
+        f64::from(self.tokens) / f64::from(self.running.max(1))
+    }
+
+    /// How long a request runs, in seconds, by Little's law.
+    pub fn run_seconds(&self) -> f64 {
+        let seconds = f64::from(self.running) / f64::from(self.granted.max(1));
+        seconds.clamp(MIN_RUN_SECONDS, MAX_RUN_SECONDS)
+    }
+
+    /// Tokens that all requests of an organisation or rank would need at the same time if none were refused.
+    pub fn demand_tokens(&self, tokens: u32, unmet_tokens: u32) -> f64 {
+        f64::from(unmet_tokens).mul_add(self.run_seconds(), f64::from(tokens))
+    }
+}
+
+/// Bounds of the estimated duration of a run. The estimate is far off when almost nothing was granted in the last
+/// second; responses have at most 170 events of about 40 ms each, and are rarely shorter than a second.
+const MIN_RUN_SECONDS: f64 = 1.0;
+const MAX_RUN_SECONDS: f64 = 6.0;
