Admission wired into the search for decode memory; runs carry Priority where routes differ

Cause: nothing allocates decode memory by priority, so the urgent kind is served as seldom as the other. Hosts exchange their demand for memory five times a second. While memory is short, servers are reserved for urgent requests and for large ones, and requests beyond a fair share are refused at once.

--- a/src/admission/admission_control.rs
+++ b/src/admission/admission_control.rs
@@ -1,11 +1,11 @@
-use super::own_demand::OwnDemand;
+use super::own_demand::{DemandKey, OwnDemand};
 use super::pressure_table::PressureTable;
 use super::service_state::ServiceState;
 use super::{
     AdmissionDecision, AdmissionRequest, DecodePool, PressureLevel, PressureScope, PressureUpdate,
     SearchOutcome, ServicePressure,
 };
-use crate::keys::{IncarnationId, NameKey, OrgKey, TimePoint};
+use crate::keys::{IncarnationId, NameKey, TimePoint};
 use crate::routes::ServiceKey;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,6 +14,9 @@
 const SUSPENSION_GAP: Duration = Duration::from_secs(1);
 /// For how long after a suspension updates are ignored: they waited in the socket and are old.
 const RESUME_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest time between two announcements of a shortage, as long as a search counts: the figures of the first one still
+/// contain it.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// Organisations in the figures of one rank.
 const MAX_ORGS: usize = 32;
 /// Organisations in one update, at up to 15 bytes each.
@@ -21,6 +24,13 @@
 /// Services in one update, so that it fits into a datagram.
 const MAX_SERVICES: usize = 3;
 
+/// Memory that a run of this host uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryUse {
+    key: DemandKey,
+    tokens: u32,
+}
+
 /// The demand for decode memory over all hosts, and the decisions based on it.
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionControl {
@@ -28,6 +38,7 @@
     table: PressureTable,
     states: HashMap<ServiceKey, ServiceState>,
     version: u64,
+    announced_at: Option<TimePoint>,
     active_at: Option<TimePoint>,
     resumed_at: Option<TimePoint>,
 }
@@ -41,18 +52,25 @@
         request: &AdmissionRequest,
         outcome: SearchOutcome,
     ) {
-        let key = (service, request.rank, request.org);
-        self.own.record_search(now, key, request.tokens, outcome);
+        self.own.record_search(now, self.demand_key(service, request), request.tokens, outcome);
     }
 
-    /// Records that a run of this host begins to use memory.
-    pub fn record_begin(&mut self, service: ServiceKey, request: &AdmissionRequest) {
-        self.own.record_begin((service, request.rank, request.org), request.tokens);
+    /// Records that a run of this host begins to use memory. Returns what to pass to [`Self::record_end`].
+    pub fn record_begin(&mut self, service: ServiceKey, request: &AdmissionRequest) -> MemoryUse {
+        let key = self.demand_key(service, request);
+        self.own.record_begin(key, request.tokens);
+        MemoryUse { key, tokens: request.tokens }
     }
 
     /// Records that a run of this host has ended.
-    pub fn record_end(&mut self, service: ServiceKey, rank: u8, org: Option<OrgKey>, tokens: u32) {
-        self.own.record_end((service, rank, org), tokens);
+    pub fn record_end(&mut self, memory: MemoryUse) {
+        self.own.record_end(memory.key, memory.tokens);
+    }
+
+    fn demand_key(&self, service: ServiceKey, request: &AdmissionRequest) -> DemandKey {
+        let state = self.states.get(&service);
+        let is_large = state.is_some_and(|state| state.is_large(request.rank, request.tokens));
+        DemandKey { service, rank: request.rank, org: request.org, is_large }
     }
 
     /// Applies the figures of another host or failure domain.
@@ -82,16 +100,11 @@
         if let Some(refusal) = state.refusal(&total, pool, request) {
             return AdmissionDecision::Refuse(refusal);
         }
-        let reserved = state.reserved_against(pool, request.rank);
-        if !reserved.is_empty() {
-            return AdmissionDecision::WithoutReserved(reserved);
-        }
-        let next = pool.ranks.iter().copied().find(|rank| *rank > request.rank);
-        let own = next.map(|next| state.reserved_against(pool, next)).unwrap_or_default();
-        if own.is_empty() {
+        let parts = state.search_parts(pool, request);
+        if parts.first.is_empty() && parts.without.is_empty() {
             return AdmissionDecision::Everywhere;
         }
-        AdmissionDecision::ReservedFirst(own)
+        AdmissionDecision::Search(parts)
     }
 
     /// Updates the level of a service; returns the new one, with the demand that it is based on, if it has changed.
@@ -115,7 +128,16 @@
         let (Some(state), Some(rank)) = (self.states.get(&pool.service), pool.ranks.last()) else {
             return 0;
         };
-        state.reserved_against(pool, *rank).len()
+        state.reserved_count(pool, *rank)
+    }
+
+    /// Whether this host is to announce a shortage that it has just met; not again before [`ANNOUNCE_PAUSE`] has passed.
+    pub fn begin_announcement(&mut self, now: TimePoint) -> bool {
+        if self.announced_at.is_some_and(|at| now.since(at) < ANNOUNCE_PAUSE) {
+            return false;
+        }
+        self.announced_at = Some(now);
+        true
     }
 
     /// This host's own figures, for the hosts of its failure domain.
@@ -136,9 +158,9 @@
         pools: &[DecodePool],
     ) -> PressureUpdate {
         self.expire(now);
-        let figures = pools.iter().map(|pool| {
-            self.table.domain_total(self.own.figures(pool.service), pool.host_count)
-        });
+        let figures = pools
+            .iter()
+            .map(|pool| self.table.domain_total(self.own.figures(pool.service), pool.host_count));
         let services = bounded(figures.collect());
         self.version += 1;
         let scope = PressureScope::Domain(domain);
--- a/src/admission/admission_decision.rs
+++ b/src/admission/admission_decision.rs
@@ -6,14 +6,23 @@
 pub enum AdmissionDecision {
     /// All of them, in the usual order.
     Everywhere,
-    /// First these, which are reserved for its rank, then the others.
-    ReservedFirst(HashSet<ServerKey>),
-    /// All but these, which are reserved for more urgent requests.
-    WithoutReserved(HashSet<ServerKey>),
+    /// A part of them.
+    Search(SearchParts),
     /// None; it is refused at once.
     Refuse(AdmissionRefusal),
 }
 
+/// The parts of the decode servers that are set aside, as one request sees them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct SearchParts {
+    /// Servers that are kept for requests such as this one; it searches them before all others.
+    pub first: HashSet<ServerKey>,
+    /// Servers that are kept for other requests; it does not search them.
+    pub without: HashSet<ServerKey>,
+    /// Whether it belongs to a rank that others make way for, and so may search again for a while.
+    pub is_urgent: bool,
+}
+
 /// Why a request is refused without a search.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalCause {
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -23,8 +23,8 @@
 mod service_pressure;
 mod service_state;
 
-pub use admission_control::AdmissionControl;
-pub use admission_decision::{AdmissionDecision, AdmissionRefusal, RefusalCause};
+pub use admission_control::{AdmissionControl, MemoryUse};
+pub use admission_decision::{AdmissionDecision, AdmissionRefusal, RefusalCause, SearchParts};
 pub use admission_request::{AdmissionRequest, DecodePool};
 pub use fair_share::fair_share;
 pub use org_pressure::OrgPressure;
--- a/src/admission/own_demand.rs
+++ b/src/admission/own_demand.rs
@@ -8,7 +8,14 @@
 const SEARCH_WINDOW: Duration = Duration::from_secs(1);
 
 /// Whose demand a figure counts: rank and organisation within a service.
-type DemandKey = (ServiceKey, u8, Option<OrgKey>);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct DemandKey {
+    pub service: ServiceKey,
+    pub rank: u8,
+    pub org: Option<OrgKey>,
+    /// Whether the requests are large ones of their rank.
+    pub is_large: bool,
+}
 
 /// The searches and runs of this host.
 #[derive(Debug, Clone, Default)]
@@ -55,9 +62,9 @@
 
     /// The services for which there is any demand.
     pub fn services(&self) -> Vec<ServiceKey> {
-        let searched = self.searches.iter().map(|(_, (service, ..), ..)| *service);
+        let searched = self.searches.iter().map(|(_, key, ..)| key.service);
         let mut services: Vec<ServiceKey> =
-            searched.chain(self.runs.keys().map(|(service, ..)| *service)).collect();
+            searched.chain(self.runs.keys().map(|key| key.service)).collect();
         services.sort_unstable();
         services.dedup();
         services
@@ -69,19 +76,22 @@
         let org_row = |org: Option<OrgKey>, tokens, unmet_tokens| {
             org.map(|org| OrgPressure { org: OrgPressure::short_key(org), tokens, unmet_tokens })
         };
-        for ((of, rank, org), (count, tokens)) in &self.runs {
-            if *of == service {
-                let figures = figures.rank_mut(*rank);
+        for (key, (count, tokens)) in &self.runs {
+            if key.service == service {
+                let figures = figures.rank_mut(key.rank);
+                if key.is_large {
+                    figures.large_tokens = figures.large_tokens.saturating_add(*tokens);
+                }
                 figures.running += count;
                 figures.tokens = figures.tokens.saturating_add(*tokens);
-                org_row(*org, *tokens, 0).into_iter().for_each(|row| figures.add_org(row));
+                org_row(key.org, *tokens, 0).into_iter().for_each(|row| figures.add_org(row));
             }
         }
-        for (_, (of, rank, org), tokens, outcome) in &self.searches {
-            if *of != service {
+        for (_, key, tokens, outcome) in &self.searches {
+            if key.service != service {
                 continue;
             }
-            let figures = figures.rank_mut(*rank);
+            let figures = figures.rank_mut(key.rank);
             match outcome {
                 SearchOutcome::Granted => {
                     figures.granted += 1;
@@ -91,7 +101,10 @@
                 SearchOutcome::Withheld => {}
             }
             figures.unmet_tokens = figures.unmet_tokens.saturating_add(*tokens);
-            org_row(*org, 0, *tokens).into_iter().for_each(|row| figures.add_org(row));
+            if key.is_large {
+                figures.large_unmet_tokens = figures.large_unmet_tokens.saturating_add(*tokens);
+            }
+            org_row(key.org, 0, *tokens).into_iter().for_each(|row| figures.add_org(row));
         }
         figures
     }
--- a/src/admission/reserved_part.rs
+++ b/src/admission/reserved_part.rs
@@ -6,7 +6,7 @@
 const RESERVE_SEED: u64 = 0x6164_6d69_7373_696f;
 /// Margin for the random variation of the number of urgent runs, in standard deviations of a Poisson distribution. A
 /// burst of twice the urgent load exceeds it after about 2 s, within which the measured use has enlarged the part.
-const MARGIN_DEVIATIONS: f64 = 2.5;
+const MARGIN_DEVIATIONS: f64 = 1.5;
 /// Largest fraction of the servers that is reserved: less urgent ranks keep at least a quarter of the memory.
 pub(super) const MAX_RESERVED: f64 = 0.75;
 
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -1,10 +1,10 @@
 use super::reserved_part::MAX_RESERVED;
 use super::{
     AdmissionRefusal, AdmissionRequest, DecodePool, OrgPressure, PressureLevel, RankPressure,
-    RefusalCause, ServicePressure, fair_share, reserve_order, reserve_tokens,
+    RefusalCause, SearchParts, ServicePressure, fair_share, reserve_order, reserve_tokens,
 };
-use crate::keys::{ServerKey, TimePoint};
-use std::collections::{HashMap, HashSet};
+use crate::keys::TimePoint;
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Memory is short when this fraction of searches finds none. A single large request finds none now and then although
@@ -25,14 +25,15 @@
 const FULL_DECLINE: Duration = Duration::from_secs(10);
 /// Time constant with which a reserved part shrinks. Urgent requests arrive a few times a second, so their number varies
 /// by half within a second or two.
-const RESERVE_DECLINE: Duration = Duration::from_secs(2);
+const RESERVE_DECLINE: Duration = Duration::from_secs(1);
 /// Requests admitted beyond the share, as a fraction of it. The figures are about half a second old; the excess keeps
 /// memory from staying free when the share is estimated too low.
-const SLACK: f64 = 0.12;
+const SLACK: f64 = 0.25;
 /// Below this fraction of its share, a rank is not restricted: memory has become free.
-const FREE_FRACTION: f64 = 0.95;
-/// A request that needs more than this multiple of the mean is large: about the largest three tenths.
-const LARGE_MULTIPLE: f64 = 1.2;
+const FREE_FRACTION: f64 = 0.98;
+/// Part of the large requests' proportionate share that is kept for them. They are to be served at least half as often
+/// as their kind; what is kept above that is small, since gaps remain between large runs.
+const LARGE_FRACTION: f64 = 0.5;
 
 /// How scarce the memory of one service is, and what is reserved there.
 #[derive(Debug, Clone)]
@@ -44,6 +45,10 @@
     full: f64,
     /// Tokens reserved against each rank.
     reserved: HashMap<u8, f64>,
+    /// Tokens kept for large requests of the least urgent rank.
+    large: f64,
+    /// Tokens above which a request of a rank is large.
+    large_limits: HashMap<u8, f64>,
     level: PressureLevel,
 }
 
@@ -55,6 +60,8 @@
             tight_until: TimePoint::default(),
             full: DEFAULT_FULL,
             reserved: HashMap::new(),
+            large: 0.0,
+            large_limits: HashMap::new(),
             level: PressureLevel::Calm,
         }
     }
@@ -86,6 +93,9 @@
             let reserved = self.reserved.entry(*rank).or_default();
             *reserved = declined(*reserved, target, elapsed, RESERVE_DECLINE);
         }
+        self.large_limits =
+            total.ranks.iter().map(|rank| (rank.rank, rank.large_limit())).collect();
+        self.large = declined(self.large, self.large_target(total, pool), elapsed, RESERVE_DECLINE);
         let level = if now < self.short_until {
             PressureLevel::Short
         } else if now < self.tight_until {
@@ -103,13 +113,59 @@
         self.level
     }
 
-    /// Servers that are reserved for ranks more urgent than `rank`.
-    pub fn reserved_against(&self, pool: &DecodePool, rank: u8) -> HashSet<ServerKey> {
+    /// Whether a request of `rank` that needs `tokens` is a large one.
+    pub fn is_large(&self, rank: u8, tokens: u32) -> bool {
+        self.large_limits.get(&rank).is_some_and(|limit| f64::from(tokens) > *limit)
+    }
+
+    /// The parts of the servers that are set aside, as `request` sees them.
+    ///
+    /// Servers are reserved for urgent ranks from the start of the common order, and kept for large requests of the
+    /// least urgent rank from its end.
+    pub fn search_parts(&self, pool: &DecodePool, request: &AdmissionRequest) -> SearchParts {
+        let order = reserve_order(&pool.servers);
+        let inner = self.reserved_count(pool, request.rank);
+        let without = order.iter().take(inner).copied().collect();
+        let next = pool.ranks.iter().copied().find(|rank| *rank > request.rank);
+        let mut parts = SearchParts { without, ..SearchParts::default() };
+        if let Some(next) = next {
+            let outer = self.reserved_count(pool, next);
+            parts.first = order.iter().take(outer).skip(inner).copied().collect();
+            parts.is_urgent = true;
+            return parts;
+        }
+        let most = (order.len() - inner) / 2;
+        let large = self.server_count(pool, self.large).round() as usize;
+        let large = order.iter().rev().take(large.min(most)).copied();
+        if self.is_large(request.rank, request.tokens) {
+            parts.first = large.collect();
+        } else {
+            parts.without.extend(large);
+        }
+        parts
+    }
+
+    /// Number of servers that are reserved for ranks more urgent than `rank`.
+    pub fn reserved_count(&self, pool: &DecodePool, rank: u8) -> usize {
         let tokens = self.reserved.get(&rank).copied().unwrap_or_default();
-        let per_server = self.full * f64::from(pool.memory_tokens);
-        let wanted = (tokens / per_server.max(1.0)).ceil() as usize;
         let limit = (pool.servers.len() as f64 * MAX_RESERVED).floor() as usize;
-        reserve_order(&pool.servers).into_iter().take(wanted.min(limit)).collect()
+        (self.server_count(pool, tokens).round() as usize).min(limit)
+    }
+
+    /// Number of servers that hold `tokens` when full.
+    fn server_count(&self, pool: &DecodePool, tokens: f64) -> f64 {
+        tokens / (self.full * f64::from(pool.memory_tokens)).max(1.0)
+    }
+
+    /// Tokens to keep for large requests of the least urgent rank.
+    fn large_target(&self, total: &ServicePressure, pool: &DecodePool) -> f64 {
+        let Some(rank) = pool.ranks.last().and_then(|rank| total.rank(*rank)) else {
+            return 0.0;
+        };
+        let demand = rank.demand_tokens(rank.tokens, rank.unmet_tokens);
+        let large = rank.demand_tokens(rank.large_tokens, rank.large_unmet_tokens);
+        let served = (self.rank_capacity(pool, rank.rank) / demand.max(1.0)).clamp(0.0, 1.0);
+        large * served * LARGE_FRACTION
     }
 
     /// Refuses a request whose rank or organisation demands more than its share, with a probability that brings the
@@ -132,7 +188,7 @@
             return None;
         }
         let (cause, demand, share) = share_of(rank, capacity, request);
-        let is_large = f64::from(request.tokens) > rank.mean_tokens() * LARGE_MULTIPLE;
+        let is_large = self.is_large(request.rank, request.tokens);
         let admitted = if is_large { 1.0 } else { share * (1.0 + SLACK) / demand.max(1.0) };
         (!request.is_return && request.draw > admitted).then_some(AdmissionRefusal {
             cause,
--- a/src/bench/site/site_run.rs
+++ b/src/bench/site/site_run.rs
@@ -13,6 +13,8 @@
     pub held: bool,
     /// The hold that it named.
     pub hold: Option<String>,
+    /// The priority that it named.
+    pub priority: Option<String>,
     /// The event after which it resumed.
     pub after: Option<u64>,
     /// Whether its caller disconnected before the end.
@@ -30,6 +32,7 @@
             fetched: header(request, "kv-from").is_some(),
             held: false,
             hold: header(request, "hold").map(str::to_owned),
+            priority: header(request, "priority").map(str::to_owned),
             after: header(request, "last-event-id").and_then(|text| text.parse().ok()),
             cancelled: false,
             caller: CallerRecord::of(request, id),
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -210,6 +210,17 @@
         Ok(())
     }
 
+    /// Starts another daemon with decisions about load switched on and the present daemons as its seeds.
+    ///
+    /// # Errors
+    /// If a port cannot be bound.
+    pub async fn add_featured_host(&mut self, features: LoadFeatures) -> Result<()> {
+        let seeds = self.hosts.iter().map(|host| host.peers).collect();
+        let settings = gateway_settings(self.hosts.len(), self.store_address, seeds)?;
+        self.hosts.push(start_gateway(GatewaySettings { features, ..settings }).await?);
+        Ok(())
+    }
+
     /// Starts another daemon that the others reach through a [`HostLink`].
     ///
     /// # Errors
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -1,6 +1,6 @@
 use super::gateway_host::GatewayHost;
 use super::limit_charge::LimitCharge;
-use crate::keys::{RequestKey, TimePoint};
+use crate::keys::{OrgKey, RequestKey, TimePoint};
 use crate::platform::{CallHead, ServerCall};
 use crate::routes::{Route, ServiceKey, ServiceSpec};
 use crate::server_limits::CallRank;
@@ -16,6 +16,8 @@
     pub service: ServiceKey,
     pub spec: Arc<ServiceSpec>,
     pub head: CallHead,
+    /// The organisation that it runs for.
+    pub org: Option<OrgKey>,
     /// Its priority among the requests to a server.
     pub rank: CallRank,
     /// Hash of its contents: the same for each attempt at this request, on every host.
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -117,6 +117,7 @@
         service,
         spec,
         head,
+        org: organisation.map(Organisation::key),
         rank,
         contents,
         is_trial: matches!(admission, RequestAdmission::Trial(_)),
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -4,6 +4,8 @@
 use super::call_end::NotRunReason;
 use super::engine_resource::{EngineResource, acquire_hold};
 use super::load_guard::LoadGuard;
+use super::memory_admission::MemoryAdmission;
+use super::memory_guard::MemoryGuard;
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
@@ -17,6 +19,8 @@
 pub(super) struct DecodeReservation {
     pub hold: EngineResource,
     pub load: LoadGuard,
+    /// Its use of memory, as other hosts are told.
+    pub memory: Option<MemoryGuard>,
     /// Permission to send the run there.
     pub permit: SendPermit,
 }
@@ -53,6 +57,11 @@
     lost: &[ServerKey],
 ) -> Result<DecodeReservation, NotRunReason> {
     let tokens = needed_tokens(context, engine, after);
+    let admit = || {
+        let admission = MemoryAdmission::decide(context, tokens, after);
+        admission.ok_or(NotRunReason::NoMemory)
+    };
+    let mut admission = admit()?;
     let local_domain = context.host.domain();
     let mut search = MemorySearch::new(context.host.now(), local_domain);
     loop {
@@ -70,8 +79,9 @@
         if ranked.is_empty() {
             return Err(prefer_at_limit(context, NotRunReason::NoServer));
         }
+        admission.order(&mut ranked);
         let keys = ranked.iter().map(ServerEntry::key);
-        match search.next(context.host.now(), keys) {
+        match admission.limit(search.next(context.host.now(), keys)) {
             SearchStep::Request(key) => {
                 let Some(server) = ranked.iter().find(|server| server.key() == key) else {
                     continue;
@@ -82,12 +92,19 @@
                 if let Some(reservation) =
                     request_reservation(context, engine, server, tokens, permit).await
                 {
-                    return Ok(reservation);
+                    let memory = admission.record_granted(context);
+                    return Ok(DecodeReservation { memory, ..reservation });
                 }
                 search.record_refusal(server.domain);
             }
             SearchStep::Pause(pause) => tokio::time::sleep(pause).await,
             SearchStep::Refuse => {
+                if admission.wait_to_search_again(context).await {
+                    admission = admit()?;
+                    search = MemorySearch::new(context.host.now(), local_domain);
+                    continue;
+                }
+                admission.record_refused(context);
                 log_no_memory(context, engine, tokens, ranked.len(), &search);
                 return Err(prefer_at_limit(context, NotRunReason::NoMemory));
             }
@@ -139,7 +156,7 @@
         context.host.record_server_event(server, ServerEvent::Answered);
     }
     match hold {
-        Ok(Some(hold)) => Some(DecodeReservation { hold, load, permit }),
+        Ok(Some(hold)) => Some(DecodeReservation { hold, load, memory: None, permit }),
         Ok(None) => None,
         Err(error) => {
             context.host.record_server_event(server, ServerEvent::Unresponsive);
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -7,6 +7,7 @@
 use super::limit_charge::run_limit_charges;
 use super::limit_gossip::run_limit_gossip;
 use super::peer_loop::run_peers;
+use super::pressure_updates::run_pressure_updates;
 use super::ready_server::{EndpointKind, serve_endpoint};
 use super::stage_loop::run_stages;
 use super::stop_plan::StopPlan;
@@ -67,6 +68,7 @@
     tokio::spawn(run_limit_charges(Arc::clone(&host)));
     tokio::spawn(run_crash_updates(Arc::clone(&host)));
     tokio::spawn(run_limit_gossip(Arc::clone(&host)));
+    tokio::spawn(run_pressure_updates(Arc::clone(&host)));
     tokio::spawn(run_crash_store(Arc::clone(&host)));
     tokio::spawn(run_account(Arc::clone(&host)));
     log::info!(
--- /dev/null
+++ b/src/gateway/memory_admission.rs
@@ -0,0 +1,159 @@
+//! Which decode servers a request may search for memory while it is short.
+
+use super::call_context::CallContext;
+use super::memory_guard::MemoryGuard;
+use crate::admission::{
+    AdmissionDecision, AdmissionRefusal, AdmissionRequest, DecodePool, PressureLevel,
+    SearchOutcome, SearchParts,
+};
+use crate::fleet::ServerEntry;
+use crate::keys::ServerKey;
+use crate::placement::SearchStep;
+use std::time::Duration;
+
+/// An urgent request that found no memory searches again until this part of its objective has passed: callers lose
+/// nothing by a delay of up to an eighth.
+const MAX_SEARCH_PART: u32 = 8;
+/// Pause between these searches, in which about one run of a reserved part ends.
+const SEARCH_PAUSE: Duration = Duration::from_millis(20);
+
+/// The admission of one request to the decode servers. Without anything to decide, all servers are searched as usual.
+#[derive(Debug, Default)]
+pub(super) struct MemoryAdmission {
+    /// The request, if requests of several ranks or organisations compete for memory.
+    request: Option<AdmissionRequest>,
+    parts: Option<SearchParts>,
+}
+
+impl MemoryAdmission {
+    /// Decides where a request for `tokens` may search; `None` if it is refused at once. A stream that continues after
+    /// the event `after` is never refused without a search.
+    pub fn decide(context: &CallContext, tokens: u32, after: Option<u64>) -> Option<Self> {
+        let Some(pool) = contested_pool(context) else {
+            return Some(Self::default());
+        };
+        let request = memory_request(context, tokens, after);
+        let (host, now) = (&context.host, context.host.now());
+        let decision = host.state().admission.decide(now, &pool, &request);
+        let parts = match decision {
+            AdmissionDecision::Everywhere => None,
+            AdmissionDecision::Search(parts) => Some(parts),
+            AdmissionDecision::Refuse(refusal) => {
+                let outcome = SearchOutcome::Withheld;
+                host.state().admission.record_search(now, context.service, &request, outcome);
+                log_refusal(context, &request, &refusal);
+                return None;
+            }
+        };
+        Some(Self { request: Some(request), parts })
+    }
+
+    /// Removes servers that are kept for other requests, and puts those that are kept for this one first.
+    pub fn order(&self, ranked: &mut Vec<ServerEntry>) {
+        let Some(parts) = &self.parts else {
+            return;
+        };
+        let contains = |set: &std::collections::HashSet<ServerKey>, server: &ServerEntry| {
+            set.contains(&server.key())
+        };
+        ranked.retain(|server| !contains(&parts.without, server));
+        ranked.sort_by_key(|server| !contains(&parts.first, server));
+    }
+
+    /// The step to carry out: a less urgent request that all servers of its part refused does not wait for a second
+    /// round, since others would take its place in the meantime.
+    pub fn limit(&self, step: SearchStep) -> SearchStep {
+        match step {
+            SearchStep::Pause(_) if self.parts.as_ref().is_some_and(|parts| !parts.is_urgent) => {
+                SearchStep::Refuse
+            }
+            step => step,
+        }
+    }
+
+    /// Waits before a further search of an urgent request; returns whether there is to be one.
+    pub async fn wait_to_search_again(&self, context: &CallContext) -> bool {
+        let is_urgent = self.parts.as_ref().is_some_and(|parts| parts.is_urgent);
+        let limit = context.route.objective / MAX_SEARCH_PART;
+        if !is_urgent || context.age() + SEARCH_PAUSE > limit {
+            return false;
+        }
+        tokio::time::sleep(SEARCH_PAUSE).await;
+        true
+    }
+
+    /// Records that a server granted memory.
+    pub fn record_granted(&self, context: &CallContext) -> Option<MemoryGuard> {
+        let request = self.request.as_ref()?;
+        let (host, now, service) = (&context.host, context.host.now(), context.service);
+        let outcome = SearchOutcome::Granted;
+        host.state().admission.record_search(now, service, request, outcome);
+        Some(MemoryGuard::new(host, service, request))
+    }
+
+    /// Records that no server granted memory.
+    pub fn record_refused(&self, context: &CallContext) {
+        let Some(request) = &self.request else {
+            return;
+        };
+        let (host, now, service) = (&context.host, context.host.now(), context.service);
+        let level = {
+            let mut state = host.state();
+            state.admission.record_search(now, service, request, SearchOutcome::Refused);
+            state.admission.level(service)
+        };
+        if level < PressureLevel::Short {
+            host.announce_shortage();
+        }
+    }
+}
+
+/// Records the use of memory by a run that is opened without a search.
+pub(super) fn memory_guard(
+    context: &CallContext,
+    tokens: u32,
+    after: Option<u64>,
+) -> Option<MemoryGuard> {
+    contested_pool(context)?;
+    let request = memory_request(context, tokens, after);
+    Some(MemoryGuard::new(&context.host, context.service, &request))
+}
+
+/// The priority that decode servers are told; `None` where the routes to the service do not differ in theirs.
+pub(super) fn run_priority(context: &CallContext) -> Option<u8> {
+    let pool = contested_pool(context).filter(|pool| pool.ranks.len() > 1)?;
+    pool.ranks.contains(&context.route.priority).then_some(context.route.priority)
+}
+
+fn contested_pool(context: &CallContext) -> Option<DecodePool> {
+    let host = &context.host;
+    if !host.settings.features.admission {
+        return None;
+    }
+    host.state().decode_pool(context.service).filter(DecodePool::is_contested)
+}
+
+fn memory_request(context: &CallContext, tokens: u32, after: Option<u64>) -> AdmissionRequest {
+    AdmissionRequest {
+        rank: context.route.priority,
+        org: context.org,
+        tokens,
+        is_return: false,
+        draw: if after.is_some() { 0.0 } else { rand::random() },
+    }
+}
+
+fn log_refusal(context: &CallContext, request: &AdmissionRequest, refusal: &AdmissionRefusal) {
+    log::info!(
+        "event=admission_refused request={} rank={} org={:016x} tokens={} cause={} demand={:.0} \
+         share={:.0}",
+        context.id(),
+        request.rank,
+        request.org.unwrap_or_default().0,
+        request.tokens,
+        refusal.cause.name(),
+        refusal.demand,
+        refusal.share
+    );
+    context.host.metrics().add(refusal.cause.name(), 1);
+}
--- /dev/null
+++ b/src/gateway/memory_guard.rs
@@ -0,0 +1,24 @@
+use super::gateway_host::GatewayHost;
+use crate::admission::{AdmissionRequest, MemoryUse};
+use crate::routes::ServiceKey;
+use std::sync::Arc;
+
+/// Memory that a run of this host uses, as other hosts are told; removed from the figures when the guard is dropped.
+#[derive(Debug)]
+pub(super) struct MemoryGuard {
+    host: Arc<GatewayHost>,
+    memory: MemoryUse,
+}
+
+impl MemoryGuard {
+    pub fn new(host: &Arc<GatewayHost>, service: ServiceKey, request: &AdmissionRequest) -> Self {
+        let memory = host.state().admission.record_begin(service, request);
+        Self { host: Arc::clone(host), memory }
+    }
+}
+
+impl Drop for MemoryGuard {
+    fn drop(&mut self) {
+        self.host.state().admission.record_end(self.memory);
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,8 @@
 mod limit_gossip;
 mod load_guard;
 mod load_updates;
+mod memory_admission;
+mod memory_guard;
 mod pace_updates;
 mod peer_loop;
 mod peer_messages;
--- a/src/gateway/pressure_updates.rs
+++ b/src/gateway/pressure_updates.rs
@@ -1,12 +1,133 @@
 //! Exchanges the demand for decode memory with other hosts.
 
 use super::gateway_host::GatewayHost;
-use crate::admission::PressureUpdate;
+use super::gateway_state::GatewayState;
+use super::peer_messages::GatewayDatagram;
+use crate::admission::{DecodePool, PressureLevel, PressureScope, PressureUpdate};
+use crate::fleet::ServerStage;
+use crate::routes::ServiceKey;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How often a host sends its figures.
+const PRESSURE_PERIOD: Duration = Duration::from_millis(200);
+/// While no memory is short or nearly so, a host sends its figures every this many periods.
+const CALM_PERIODS: u64 = 2;
+/// Hosts of the same failure domain in each round: in a domain of 24, a host hears from each other one every 0.6 s, and
+/// the figures that it decides by are 0.3 s old on average.
+const LOCAL_TARGETS: usize = 8;
+/// Hosts of other failure domains in each round, which get the sum of the sender's domain: each host hears the sum of
+/// another domain of about equal size every 0.4 s. Traffic between domains is charged.
+const REMOTE_TARGETS: usize = 1;
+
+/// Sends the demand for decode memory periodically, where requests of several ranks or organisations compete for it.
+pub(super) async fn run_pressure_updates(host: Arc<GatewayHost>) {
+    if !host.settings.features.admission {
+        return;
+    }
+    let mut ticker = tokio::time::interval(PRESSURE_PERIOD);
+    ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut round = 0_u64;
+    loop {
+        ticker.tick().await;
+        round += 1;
+        let pools = host.state().contested_pools();
+        if pools.is_empty() {
+            continue;
+        }
+        let level = host.update_pressure_levels(&pools);
+        if level > PressureLevel::Calm || round.is_multiple_of(CALM_PERIODS) {
+            host.send_own_pressure(LOCAL_TARGETS);
+            host.send_domain_pressure(&pools);
+        }
+    }
+}
+
+impl GatewayState {
+    /// The decode servers of a service of model engines.
+    pub(super) fn decode_pool(&self, service: ServiceKey) -> Option<DecodePool> {
+        let engine = self.routes.service(service)?.engine.as_ref()?;
+        let servers = self.fleet.ready_in_stage(service, ServerStage::Decode);
+        Some(DecodePool {
+            service,
+            servers: servers.map(|server| (server.key(), server.domain)).collect(),
+            memory_tokens: engine.memory_tokens,
+            ranks: self.routes.priorities(service).to_vec(),
+            has_orgs: !self.routes.organisations().is_empty(),
+            host_count: self.members.living_in(self.members.own().domain).count(),
+        })
+    }
+
+    /// The pools for which requests of several ranks or organisations compete.
+    fn contested_pools(&self) -> Vec<DecodePool> {
+        let services = self.routes.services().map(|(service, _)| service);
+        let pools = services.filter_map(|service| self.decode_pool(service));
+        pools.filter(DecodePool::is_contested).collect()
+    }
+}
 
 impl GatewayHost {
     /// Handles a message of another host.
-    pub(super) fn receive_pressure(&self, update: &PressureUpdate) {
-        drop(self.state());
-        log::debug!("event=pressure_reported from={}", update.from);
+    pub(super) fn receive_pressure(&self, update: PressureUpdate) {
+        // The figures of this host's own domain come from each of its hosts.
+        let is_own_sum = update.scope == PressureScope::Domain(self.domain());
+        if self.settings.features.admission && !is_own_sum {
+            self.state().admission.apply(self.now(), update);
+        }
+    }
+
+    /// Sends this host's figures to all hosts of its failure domain as a shortage begins, once for each shortage.
+    pub(super) fn announce_shortage(&self) {
+        let now = self.now();
+        if self.state().admission.begin_announcement(now) {
+            self.send_own_pressure(usize::MAX);
+        }
+    }
+
+    fn send_own_pressure(&self, max_targets: usize) {
+        let round = self.gossip_round.fetch_add(1, Ordering::Relaxed);
+        let update = self.state().admission.own_update(self.now(), self.incarnation);
+        let update = GatewayDatagram::Pressure(update);
+        for target in self.gossip_targets(round, max_targets, 0) {
+            self.send(target, &update);
+        }
+    }
+
+    fn send_domain_pressure(&self, pools: &[DecodePool]) {
+        let round = self.gossip_round.fetch_add(1, Ordering::Relaxed);
+        let (now, from, domain) = (self.now(), self.incarnation, self.domain());
+        let update = self.state().admission.domain_update(now, from, domain, pools);
+        let update = GatewayDatagram::Pressure(update);
+        for target in self.gossip_targets(round, 0, REMOTE_TARGETS) {
+            self.send(target, &update);
+        }
+    }
+
+    /// Updates how scarce the memory of each pool is, logs changes, and returns the highest level.
+    fn update_pressure_levels(&self, pools: &[DecodePool]) -> PressureLevel {
+        let now = self.now();
+        let mut highest = PressureLevel::Calm;
+        for pool in pools {
+            let mut state = self.state();
+            let change = state.admission.update_level(now, pool);
+            let reserved = state.admission.reserved_count(pool);
+            highest = highest.max(state.admission.level(pool.service));
+            drop(state);
+            if let Some((level, total)) = change {
+                let (refused, searches) = total.searches();
+                log::info!(
+                    "event=memory_pressure service={:016x} level={} searches={searches} \
+                     refused={refused} tokens={} memory={} servers={} reserved={reserved}",
+                    pool.service.0,
+                    level.name(),
+                    total.tokens(),
+                    pool.capacity(),
+                    pool.servers.len()
+                );
+                self.metrics().add("memory_pressure_changes", 1);
+            }
+        }
+        highest
     }
 }
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -6,6 +6,8 @@
 use super::engine_resource::{EngineResource, acquire_hold};
 use super::event_reader::EventReader;
 use super::load_guard::LoadGuard;
+use super::memory_admission::{memory_guard, run_priority};
+use super::memory_guard::MemoryGuard;
 use super::prompt_read::{PromptEnd, read_prompt};
 use super::run_start::{OpenFailure, RunRecord, run_at};
 use crate::fleet::{ServerEntry, ServerStage};
@@ -44,6 +46,9 @@
     pub first: Option<ServerSentEvent>,
     /// Its entry in the load table.
     pub load: LoadGuard,
+    /// Its use of memory, as other hosts are told.
+    #[allow(dead_code, reason = "dropped with the run")]
+    pub memory: Option<MemoryGuard>,
 }
 
 /// Opens a run that continues after the event `after`, trying as many servers as the route allows.
@@ -167,6 +172,7 @@
         source: source.as_ref().map(|(address, name)| (*address, name.as_str())),
         hold: reservation.hold.name(),
         after_event: after,
+        priority: run_priority(context),
     };
     let mut permit = reservation.permit.renewed(context, &server).await.ok_or_else(at_limit)?;
     let opened = run_at(context, &server, part, runs, &mut permit).await;
@@ -176,7 +182,8 @@
         resource.mark_used();
     }
     let (head, reader, first) = opened?;
-    Ok(OpenRun { server, head, reader, first, load: reservation.load })
+    let (load, memory) = (reservation.load, reservation.memory);
+    Ok(OpenRun { server, head, reader, first, load, memory })
 }
 
 fn at_limit() -> OpenFailure {
@@ -217,7 +224,9 @@
         return Err(rejected());
     };
     let load = decode_load(context, server);
-    let part = DecodePart { source: None, hold: hold.name(), after_event: after };
+    let memory = memory_guard(context, tokens, after);
+    let priority = run_priority(context);
+    let part = DecodePart { source: None, hold: hold.name(), after_event: after, priority };
     let opened = run_at(context, server, part, runs, &mut permit).await;
     hold.mark_used();
     if let Err(OpenFailure::Rejected(_)) = &opened {
@@ -227,5 +236,5 @@
         context.host.state().stage_changes.record_suspicion(now, server.key());
     }
     let (head, reader, first) = opened?;
-    Ok(OpenRun { server: server.clone(), head, reader, first, load })
+    Ok(OpenRun { server: server.clone(), head, reader, first, load, memory })
 }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -25,6 +25,8 @@
 pub const KV_FROM: &str = "kv-from";
 /// Id of a held slot that the request uses.
 pub const HOLD: &str = "hold";
+/// Priority of a run on a decode server, from 0 (most urgent) to 9; only the router sets it.
+pub const PRIORITY: &str = "priority";
 /// Server that receives copies of the request's KV cache as it grows.
 pub const KV_BACKUP: &str = "kv-backup";
 
@@ -46,7 +48,7 @@
     KV_BACKUP,
     "kv-fetch",
     "pin-ms",
-    "priority",
+    PRIORITY,
     "expect-version",
     "wait-ms",
     NOT_RUN,
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -67,6 +67,8 @@
     pub hold: Option<&'a str>,
     /// Number of the event after which the stream continues.
     pub after_event: Option<u64>,
+    /// The priority of the request's route, if the server is to be told; zero is the most urgent.
+    pub priority: Option<u8>,
 }
 
 /// A caller's request, ready to be sent to any backend server.
@@ -168,6 +170,9 @@
     }
 }
 
+/// The largest value of the header `Priority`; less urgent routes are told as this one.
+const MAX_PRIORITY: u8 = 9;
+
 fn set_decode_headers(headers: &mut HeaderMap, part: DecodePart<'_>) {
     if let Some((address, handle)) = part.source {
         set_header(headers, names::KV_FROM, &format!("{address}/{handle}"));
@@ -178,6 +183,9 @@
     if let Some(event) = part.after_event {
         set_header(headers, names::LAST_EVENT, &event.to_string());
     }
+    if let Some(priority) = part.priority {
+        set_header(headers, names::PRIORITY, &priority.min(MAX_PRIORITY).to_string());
+    }
 }
 
 fn set_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
--- a/src/routes/route_table.rs
+++ b/src/routes/route_table.rs
@@ -29,6 +29,8 @@
     parts: RouteParts,
     by_host: HashMap<String, Vec<Arc<Route>>>,
     by_key: HashMap<ServiceKey, Arc<ServiceSpec>>,
+    /// The different priorities of the routes to each service, most urgent first.
+    priorities: HashMap<ServiceKey, Vec<u8>>,
     organisations: OrgDirectory,
     /// Hashes of the routes in their order, computed on first use.
     hashes: OnceLock<Vec<RouteHash>>,
@@ -49,11 +51,26 @@
         let keyed =
             |service: &Arc<ServiceSpec>| (ServiceKey::of(&service.name), Arc::clone(service));
         let by_key = parts.services.iter().map(keyed).collect();
+        let priorities = route_priorities(&parts.routes);
         let organisations = OrgDirectory::try_from(&parts.organisations[..])?;
-        Ok(Self { parts, by_host, by_key, organisations, hashes: OnceLock::new() })
+        Ok(Self { parts, by_host, by_key, priorities, organisations, hashes: OnceLock::new() })
     }
 }
 
+fn route_priorities(routes: &[Arc<Route>]) -> HashMap<ServiceKey, Vec<u8>> {
+    let mut priorities: HashMap<ServiceKey, Vec<u8>> = HashMap::new();
+    for route in routes {
+        for target in &route.targets {
+            priorities.entry(target.service).or_default().push(route.priority);
+        }
+    }
+    for ranks in priorities.values_mut() {
+        ranks.sort_unstable();
+        ranks.dedup();
+    }
+    priorities
+}
+
 impl RouteTable {
     /// Version of the configuration; zero before the first one.
     pub fn version(&self) -> u64 {
@@ -93,6 +110,11 @@
         self.by_key.get(&key)
     }
 
+    /// The different priorities of the routes to a service, most urgent first.
+    pub fn priorities(&self, service: ServiceKey) -> &[u8] {
+        self.priorities.get(&service).map_or(&[], Vec::as_slice)
+    }
+
     /// Directory of the organisations.
     pub fn organisations(&self) -> &OrgDirectory {
         &self.organisations
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -8,7 +8,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tealcleat::admission::{
-    AdmissionControl, AdmissionDecision, AdmissionRequest, DecodePool, PressureScope,
+    AdmissionControl, AdmissionDecision, AdmissionRequest, DecodePool, MemoryUse, PressureScope,
     PressureUpdate, RankPressure, SearchOutcome, ServicePressure, fair_share, reserve_order,
 };
 use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
@@ -25,6 +25,8 @@
 const SEND_STEPS: usize = 40;
 /// Most servers that one search asks.
 const MAX_ASKED: usize = 18;
+/// How often an urgent request that found no memory searches again, each after 20 ms.
+const URGENT_SEARCHES: u32 = 5;
 
 /// What callers send, and what goes wrong.
 #[derive(Debug, Clone)]
@@ -41,7 +43,13 @@
 
 impl Load {
     const fn burst(urgent: f64, less_urgent: f64) -> Self {
-        Self { with_admission: true, burst: (urgent, less_urgent), org_burst: 1.0, loss: 0.02, seed: 1 }
+        Self {
+            with_admission: true,
+            burst: (urgent, less_urgent),
+            org_burst: 1.0,
+            loss: 0.02,
+            seed: 1,
+        }
     }
 }
 
@@ -51,7 +59,8 @@
 
 impl Served {
     fn fraction(&self, is_counted: impl Fn(u8, NameKey, u32) -> bool) -> f64 {
-        let counted = self.0.iter().filter(|(rank, org, tokens, _)| is_counted(*rank, *org, *tokens));
+        let counted =
+            self.0.iter().filter(|(rank, org, tokens, _)| is_counted(*rank, *org, *tokens));
         let (served, all) =
             counted.fold((0_u32, 0_u32), |(served, all), row| (served + u32::from(row.3), all + 1));
         f64::from(served) / f64::from(all.max(1))
@@ -77,10 +86,13 @@
     host: usize,
     server: usize,
     request: AdmissionRequest,
+    memory: MemoryUse,
 }
 
 struct Cluster {
     load: Load,
+    /// Draws what callers send, which is the same with and without admission.
+    callers: StdRng,
     random: StdRng,
     hosts: Vec<AdmissionControl>,
     pool: DecodePool,
@@ -88,7 +100,9 @@
     announced: Vec<u32>,
     runs: Vec<Run>,
     messages: Vec<(TimePoint, usize, PressureUpdate)>,
+    waiting: Vec<(TimePoint, usize, (AdmissionRequest, u32), u32)>,
     served: Served,
+    stats: [[u32; 3]; 120],
 }
 
 fn decode_pool() -> DecodePool {
@@ -106,6 +120,7 @@
 impl Cluster {
     fn new(load: Load) -> Self {
         Self {
+            callers: StdRng::seed_from_u64(load.seed + 1000),
             random: StdRng::seed_from_u64(load.seed),
             load,
             hosts: vec![AdmissionControl::default(); HOSTS],
@@ -114,6 +129,8 @@
             announced: vec![0; SERVERS],
             runs: Vec::new(),
             messages: Vec::new(),
+            waiting: Vec::new(),
+            stats: [[0; 3]; 120],
             served: Served::default(),
         }
     }
@@ -130,6 +147,41 @@
                 self.announced.clone_from(&self.used);
             }
             self.arrive(now);
+            let ready: Vec<_> = self.waiting.extract_if(.., |waiting| waiting.0 <= now).collect();
+            for (_, host, request, searches) in ready {
+                self.serve(now, host, request, searches);
+            }
+            if std::env::var("TRACE").is_ok() && step % 100 == 99 {
+                let s = self.stats[step / 100];
+                let o = reserve_order(&self.pool.servers);
+                let c = self.hosts[0].clone().reserved_count(&self.pool);
+                let idx = |k: &ServerKey| self.pool.servers.iter().position(|s| s.0 == *k).unwrap();
+                let ru: f64 = o.iter().take(c).map(|k| self.used[idx(k)] as f64 / 28798.0).sum();
+                let lu: Vec<String> = o
+                    .iter()
+                    .rev()
+                    .take(8)
+                    .map(|k| format!("{:.2}", self.used[idx(k)] as f64 / 28798.0))
+                    .collect();
+                let c = format!(
+                    "{c} resused {ru:.2} last8 {lu:?} level {:?}",
+                    self.hosts[0].level(SERVICE)
+                );
+                println!(
+                    "  t {:.1} used {:.3} granted {} refused {} withheld {} reserved {c} urgent {}",
+                    now.0 as f64 / 1e6,
+                    self.used.iter().sum::<u32>() as f64 / (MEMORY as f64 * 39.0),
+                    s[0],
+                    s[1],
+                    s[2],
+                    self.runs
+                        .iter()
+                        .filter(|r| r.request.rank == 0)
+                        .map(|r| r.request.tokens)
+                        .sum::<u32>()
+                        / 28798
+                );
+            }
         }
         self.served
     }
@@ -137,8 +189,7 @@
     fn end_runs(&mut self, now: TimePoint) {
         for run in self.runs.extract_if(.., |run| run.ends_at <= now) {
             self.used[run.server] -= run.request.tokens;
-            let request = run.request;
-            self.hosts[run.host].record_end(SERVICE, request.rank, request.org, request.tokens);
+            self.hosts[run.host].record_end(run.memory);
         }
     }
 
@@ -180,7 +231,7 @@
             for org in 0..16 {
                 let org_factor = if org == 0 { factor(self.load.org_burst) } else { 1.0 };
                 let rate = rate / 16.0 * factor(burst) * org_factor * STEP.as_secs_f64();
-                if self.random.random::<f64>() < rate {
+                if self.callers.random::<f64>() < rate {
                     self.request(now, rank, NameKey(org));
                 }
             }
@@ -188,37 +239,62 @@
     }
 
     fn request(&mut self, now: TimePoint, rank: u8, org: NameKey) {
-        let spread = |random: &mut StdRng| {
-            let normal: f64 = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
-            (normal * 0.5 - 0.125).exp()
-        };
-        let events = (69.0 * spread(&mut self.random)).min(170.0);
-        let tokens = (3200.0 * spread(&mut self.random) + 13.0 * events) as u32;
-        let draw = self.random.random();
+        let tokens = (3200.0 * self.spread()) as u32;
+        let events = (69.0 * self.spread()).min(170.0) as u32;
+        let draw = self.callers.random();
+        let tokens = tokens + 13 * events;
         let request = AdmissionRequest { rank, org: Some(org), tokens, is_return: false, draw };
-        let host = self.random.random_range(0..HOSTS);
+        let host = self.callers.random_range(0..HOSTS);
+        self.serve(now, host, (request, events), 0);
+    }
+
+    /// Serves a request that has searched `searches` times before.
+    fn serve(
+        &mut self,
+        now: TimePoint,
+        host: usize,
+        (request, events): (AdmissionRequest, u32),
+        searches: u32,
+    ) {
         let decision = match self.load.with_admission {
             true => self.hosts[host].decide(now, &self.pool, &request),
             false => AdmissionDecision::Everywhere,
         };
         let server = self.search(host, &request, &decision);
+        let may_wait = matches!(&decision, AdmissionDecision::Search(parts) if parts.is_urgent);
+        if server.is_none() && may_wait && searches < URGENT_SEARCHES {
+            let at = now + Duration::from_millis(20);
+            return self.waiting.push((at, host, (request, events), searches + 1));
+        }
         let outcome = match (server, decision) {
             (Some(_), _) => SearchOutcome::Granted,
             (None, AdmissionDecision::Refuse(_)) => SearchOutcome::Withheld,
             (None, _) => SearchOutcome::Refused,
         };
+        self.stats[(now.0 / 500_000) as usize][match outcome {
+            SearchOutcome::Granted => 0,
+            SearchOutcome::Refused => 1,
+            _ => 2,
+        }] += 1;
         self.hosts[host].record_search(now, SERVICE, &request, outcome);
         if let Some(server) = server {
-            let ends_at = now + Duration::from_millis((events * 43.0) as u64);
-            self.used[server] += tokens;
-            self.hosts[host].record_begin(SERVICE, &request);
-            self.runs.push(Run { ends_at, host, server, request });
+            let ends_at = now + Duration::from_millis(u64::from(events) * 43);
+            self.used[server] += request.tokens;
+            let memory = self.hosts[host].record_begin(SERVICE, &request);
+            self.runs.push(Run { ends_at, host, server, request, memory });
         }
         if now >= TimePoint::from_millis(6000) {
-            self.served.0.push((rank, org, tokens, server.is_some()));
+            let org = request.org.unwrap_or_default();
+            self.served.0.push((request.rank, org, request.tokens, server.is_some()));
         }
     }
 
+    /// A random factor with a mean of 1 and a spread of half.
+    fn spread(&mut self) -> f64 {
+        let normal: f64 = (0..12).map(|_| self.callers.random::<f64>()).sum::<f64>() - 6.0;
+        (normal * 0.5 - 0.125).exp()
+    }
+
     /// The first server with memory among those that a search asks, best by announced loads first.
     fn search(
         &mut self,
@@ -229,8 +305,7 @@
         let none = HashSet::new();
         let (first, excluded) = match decision {
             AdmissionDecision::Everywhere => (&none, &none),
-            AdmissionDecision::ReservedFirst(first) => (first, &none),
-            AdmissionDecision::WithoutReserved(excluded) => (&none, excluded),
+            AdmissionDecision::Search(parts) => (&parts.first, &parts.without),
             AdmissionDecision::Refuse(_) => return None,
         };
         let mut ranked: Vec<(bool, f64, usize)> = (0..SERVERS)
@@ -258,6 +333,7 @@
 #[test]
 fn explore() {
     for (name, load) in [
+        ("orgT", Load { org_burst: 7.5, ..Load::burst(1.0, 1.0) }),
         ("base", Load::burst(1.0, 1.0)),
         ("2.3", Load::burst(2.3, 2.3)),
         ("1.6", Load::burst(1.6, 1.6)),
@@ -270,13 +346,24 @@
         for with_admission in [false, true] {
             let load = Load { with_admission, ..load.clone() };
             let served: Vec<Served> =
-                (1..=4).map(|seed| Cluster::new(Load { seed, ..load.clone() }).play()).collect();
+                (1..=8).map(|seed| Cluster::new(Load { seed, ..load.clone() }).play()).collect();
             let all = Served(served.into_iter().flat_map(|served| served.0).collect());
             let others = all.fraction(|rank, org, _| rank == LESS_URGENT && org != NameKey(0));
             let first = all.fraction(|rank, org, _| rank == LESS_URGENT && org == NameKey(0));
             let tokens: f64 = all.0.iter().filter(|row| row.3).map(|row| f64::from(row.2)).sum();
-            println!("{name:9} {with_admission:5} urgent {:.3} less {:.3} org0 {first:.3} others {others:.3} top {:.3} next {:.3} n {} tokens {:.0}k",
-                all.rank(URGENT), all.rank(LESS_URGENT), all.size(0.9, 1.0), all.size(0.7, 0.9), all.0.len(), tokens/1000.0);
+            println!(
+                "{name:9} {with_admission:5} urgent {:.3} less {:.3} org0 {first:.3} others {others:.3} top {:.3} next {:.3} n {} tokens {:.0}k value {:.3}",
+                all.rank(URGENT),
+                all.rank(LESS_URGENT),
+                all.size(0.9, 1.0),
+                all.size(0.7, 0.9),
+                all.0.len(),
+                tokens / 1000.0,
+                (74.0 * all.0.iter().filter(|r| r.3 && r.0 == 0).count() as f64
+                    + 19.0 * all.0.iter().filter(|r| r.3 && r.0 == 2).count() as f64)
+                    / (74.0 * 4.45 + 19.0 * 63.2)
+                    / 40.0
+            );
         }
     }
 }
