Urgent requests without a hold may preempt (setting urgent_preempts, off)

Cause: an urgent request that finds no memory in the whole pool is refused although less urgent runs hold all of it. With the setting on, it is sent without a hold to the best server outside the reserved part, under its Priority. Each preemption costs a less urgent response its target for pauses, so a test run has to show whether it is worthwhile.

--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -106,6 +106,11 @@
                 }
                 admission.record_refused(context);
                 log_no_memory(context, engine, tokens, ranked.len(), &search);
+                if let Some(server) = admission.preempted_server(context, &ranked)
+                    && let Some(reservation) = reserve_nothing(context, &admission, server).await
+                {
+                    return Ok(reservation);
+                }
                 return Err(prefer_at_limit(context, NotRunReason::NoMemory));
             }
         }
@@ -142,6 +147,22 @@
     );
 }
 
+/// Chooses `server` for a run without a hold. The engine preempts a less urgent run for it, which must be read again and
+/// usually misses its target for pauses; so it is done only for urgent requests that found no memory anywhere.
+async fn reserve_nothing(
+    context: &CallContext,
+    admission: &MemoryAdmission,
+    server: &ServerEntry,
+) -> Option<DecodeReservation> {
+    let permit = context.permit(server).await?;
+    let load = decode_load(context, server);
+    log::info!("event=sent_without_hold request={} server={}", context.id(), server.id);
+    context.host.metrics().add("sent_without_hold", 1);
+    let hold = EngineResource::none(&context.host, server.clone());
+    let memory = admission.begin_use(context);
+    Some(DecodeReservation { hold, load, memory, permit })
+}
+
 async fn request_reservation(
     context: &CallContext,
     engine: &EngineSpec,
--- a/src/gateway/engine_resource.rs
+++ b/src/gateway/engine_resource.rs
@@ -44,6 +44,11 @@
         Self { host: Arc::clone(host), server, kind }
     }
 
+    /// Reserves nothing, for a run that is sent without a hold.
+    pub fn none(host: &Arc<GatewayHost>, server: ServerEntry) -> Self {
+        Self { host: Arc::clone(host), server, kind: None }
+    }
+
     /// Its name at the engine; `None` once it was used.
     pub fn name(&self) -> Option<&str> {
         match &self.kind {
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -88,7 +88,29 @@
         let (host, now, service) = (&context.host, context.host.now(), context.service);
         let outcome = SearchOutcome::Granted;
         host.state().admission.record_search(now, service, request, outcome);
-        Some(MemoryGuard::new(host, service, request))
+        self.begin_use(context)
+    }
+
+    /// Records the use of memory by the request's run.
+    pub fn begin_use(&self, context: &CallContext) -> Option<MemoryGuard> {
+        let request = self.request.as_ref()?;
+        Some(MemoryGuard::new(&context.host, context.service, request))
+    }
+
+    /// The server to which a request that found no memory is sent without a hold, if any. It must be of the most urgent
+    /// of several ranks, and memory must be set aside for it, so that the shortage is known to all hosts. The servers
+    /// outside that part run what is less urgent.
+    pub fn preempted_server<'a>(
+        &self,
+        context: &CallContext,
+        ranked: &'a [ServerEntry],
+    ) -> Option<&'a ServerEntry> {
+        let parts = self.parts.as_ref().filter(|parts| parts.is_urgent)?;
+        let routes = context.host.routes();
+        let is_first = routes.priorities(context.service).first() == Some(&context.route.priority);
+        let may_preempt = context.host.settings.features.urgent_preempts && is_first;
+        let mut others = ranked.iter().filter(|server| !parts.first.contains(&server.key()));
+        others.next().filter(|_| may_preempt)
     }
 
     /// Records that no server granted memory.
--- a/src/settings/load_features.rs
+++ b/src/settings/load_features.rs
@@ -7,6 +7,8 @@
     pub shared_health: bool,
     /// Urgent requests and organisations below their share come first while decode memory is short.
     pub admission: bool,
+    /// An urgent request that found no memory in the whole pool is sent without a hold, and preempts less urgent runs.
+    pub urgent_preempts: bool,
     /// Refused callers get retry delays that are planned over all hosts.
     pub return_times: bool,
     /// Memory is reserved for what answers are expected to need, and the pace of each server is known.
@@ -23,6 +25,7 @@
         Self {
             shared_health: reader.flag("shared_health", false),
             admission: reader.flag("admission", false),
+            urgent_preempts: reader.flag("urgent_preempts", false),
             return_times: reader.flag("return_times", false),
             memory_forecast: reader.flag("memory_forecast", false),
             server_slots: reader.flag("server_slots", false),
