--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -21,6 +21,9 @@
 const TIGHT_HOLD: Duration = Duration::from_secs(2);
 /// Use at which searches find no memory, as a fraction of the memory, until it is measured.
 const DEFAULT_FULL: f64 = 0.9;
+/// Bounds of that use. Servers that refuse for another reason would make it seem small, and requests count with what they
+/// need in the end, which is up to a fifth more than what they use at a time.
+const FULL_BOUNDS: (f64, f64) = (0.5, 1.2);
 /// Time constant with which that measured use declines to the present one.
 const FULL_DECLINE: Duration = Duration::from_secs(10);
 /// Time constant with which a reserved part shrinks. Urgent requests arrive a few times a second, so their number varies
@@ -33,7 +36,7 @@
 const FREE_FRACTION: f64 = 0.98;
 /// Part of the large requests' proportionate share that is kept for them. They are to be served at least half as often
 /// as their kind; what is kept above that is small, since gaps remain between large runs.
-const LARGE_FRACTION: f64 = 0.5;
+const LARGE_FRACTION: f64 = 0.65;
 
 /// How scarce the memory of one service is, and what is reserved there.
 #[derive(Debug, Clone)]
@@ -83,7 +86,8 @@
             refused >= MIN_REFUSED && f64::from(refused) >= f64::from(searches) * SHORT_FRACTION;
         if is_short {
             self.short_until = now + SHORT_HOLD;
-            self.full = declined(self.full, used, elapsed, FULL_DECLINE);
+            let full = declined(self.full, used, elapsed, FULL_DECLINE);
+            self.full = full.clamp(FULL_BOUNDS.0, FULL_BOUNDS.1);
         }
         if is_short || used >= self.full * TIGHT_FRACTION {
             self.tight_until = now + TIGHT_HOLD;
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -9,6 +9,7 @@
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
 use crate::placement::SearchStep;
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// An urgent request that found no memory searches again until this part of its objective has passed: callers lose
@@ -53,9 +54,7 @@
         let Some(parts) = &self.parts else {
             return;
         };
-        let contains = |set: &std::collections::HashSet<ServerKey>, server: &ServerEntry| {
-            set.contains(&server.key())
-        };
+        let contains = |set: &HashSet<ServerKey>, server: &ServerEntry| set.contains(&server.key());
         ranked.retain(|server| !contains(&parts.without, server));
         ranked.sort_by_key(|server| !contains(&parts.first, server));
     }
@@ -136,15 +135,18 @@
     tokens: u32,
     after: Option<u64>,
 ) -> Option<MemoryGuard> {
-    contested_pool(context)?;
+    let host = &context.host;
+    if !host.settings.features.admission || !host.state().is_contested(context.service) {
+        return None;
+    }
     let request = memory_request(context, tokens, after);
     Some(MemoryGuard::new(&context.host, context.service, &request))
 }
 
 /// The priority that decode servers are told; `None` where the routes to the service do not differ in theirs.
 pub(super) fn run_priority(context: &CallContext) -> Option<u8> {
-    let pool = contested_pool(context).filter(|pool| pool.ranks.len() > 1)?;
-    pool.ranks.contains(&context.route.priority).then_some(context.route.priority)
+    let differ = context.host.routes().priorities(context.service).len() > 1;
+    (context.host.settings.features.admission && differ).then_some(context.route.priority)
 }
 
 fn contested_pool(context: &CallContext) -> Option<DecodePool> {
@@ -152,7 +154,8 @@
     if !host.settings.features.admission {
         return None;
     }
-    host.state().decode_pool(context.service).filter(DecodePool::is_contested)
+    let state = host.state();
+    state.is_contested(context.service).then(|| state.decode_pool(context.service)).flatten()
 }
 
 fn memory_request(context: &CallContext, tokens: u32, after: Option<u64>) -> AdmissionRequest {
--- a/src/gateway/pressure_updates.rs
+++ b/src/gateway/pressure_updates.rs
@@ -59,11 +59,16 @@
         })
     }
 
+    /// Whether requests of several ranks or organisations compete for the memory of a service.
+    pub(super) fn is_contested(&self, service: ServiceKey) -> bool {
+        self.routes.priorities(service).len() > 1 || !self.routes.organisations().is_empty()
+    }
+
     /// The pools for which requests of several ranks or organisations compete.
     fn contested_pools(&self) -> Vec<DecodePool> {
         let services = self.routes.services().map(|(service, _)| service);
-        let pools = services.filter_map(|service| self.decode_pool(service));
-        pools.filter(DecodePool::is_contested).collect()
+        let contested = services.filter(|service| self.is_contested(*service));
+        contested.filter_map(|service| self.decode_pool(service)).collect()
     }
 }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -5,7 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::time::Duration;
 use tealcleat::admission::{
     AdmissionControl, AdmissionDecision, AdmissionRequest, DecodePool, MemoryUse, PressureScope,
@@ -66,6 +66,10 @@
         f64::from(served) / f64::from(all.max(1))
     }
 
+    fn org(&self, org: NameKey) -> f64 {
+        self.fraction(|rank, of, _| rank == LESS_URGENT && of == org)
+    }
+
     fn rank(&self, rank: u8) -> f64 {
         self.fraction(|of, _, _| of == rank)
     }
@@ -151,37 +155,6 @@
             for (_, host, request, searches) in ready {
                 self.serve(now, host, request, searches);
             }
-            if std::env::var("TRACE").is_ok() && step % 100 == 99 {
-                let s = self.stats[step / 100];
-                let o = reserve_order(&self.pool.servers);
-                let c = self.hosts[0].clone().reserved_count(&self.pool);
-                let idx = |k: &ServerKey| self.pool.servers.iter().position(|s| s.0 == *k).unwrap();
-                let ru: f64 = o.iter().take(c).map(|k| self.used[idx(k)] as f64 / 28798.0).sum();
-                let lu: Vec<String> = o
-                    .iter()
-                    .rev()
-                    .take(8)
-                    .map(|k| format!("{:.2}", self.used[idx(k)] as f64 / 28798.0))
-                    .collect();
-                let c = format!(
-                    "{c} resused {ru:.2} last8 {lu:?} level {:?}",
-                    self.hosts[0].level(SERVICE)
-                );
-                println!(
-                    "  t {:.1} used {:.3} granted {} refused {} withheld {} reserved {c} urgent {}",
-                    now.0 as f64 / 1e6,
-                    self.used.iter().sum::<u32>() as f64 / (MEMORY as f64 * 39.0),
-                    s[0],
-                    s[1],
-                    s[2],
-                    self.runs
-                        .iter()
-                        .filter(|r| r.request.rank == 0)
-                        .map(|r| r.request.tokens)
-                        .sum::<u32>()
-                        / 28798
-                );
-            }
         }
         self.served
     }
@@ -271,11 +244,6 @@
             (None, AdmissionDecision::Refuse(_)) => SearchOutcome::Withheld,
             (None, _) => SearchOutcome::Refused,
         };
-        self.stats[(now.0 / 500_000) as usize][match outcome {
-            SearchOutcome::Granted => 0,
-            SearchOutcome::Refused => 1,
-            _ => 2,
-        }] += 1;
         self.hosts[host].record_search(now, SERVICE, &request, outcome);
         if let Some(server) = server {
             let ends_at = now + Duration::from_millis(u64::from(events) * 43);
@@ -324,46 +292,262 @@
     }
 }
 
-fn mean(load: &Load, figure: impl Fn(&Served) -> f64) -> f64 {
-    let seeds = 1..=4;
-    let figures = seeds.map(|seed| figure(&Cluster::new(Load { seed, ..load.clone() }).play()));
-    figures.sum::<f64>() / 4.0
+/// The burst as it ends with several seeds.
+fn play(load: &Load) -> Served {
+    let played = (1..=8).map(|seed| Cluster::new(Load { seed, ..load.clone() }).play());
+    Served(played.flat_map(|served| served.0).collect())
+}
+
+fn without(load: &Load) -> Load {
+    Load { with_admission: false, ..load.clone() }
+}
+
+/// Guards against urgent requests that find no memory because the others, of which there are 14 times as many, take
+/// each free gap first: 0.62 to 0.83 of them were served in these bursts. The others pay for it with little more than
+/// the memory that it takes.
+#[rstest]
+#[case::all(Load::burst(2.3, 2.3))]
+#[case::all_small(Load::burst(1.6, 1.6))]
+#[case::urgent(Load::burst(2.0, 1.0))]
+#[case::less_urgent(Load::burst(1.0, 2.0))]
+#[case::less_urgent_large(Load::burst(1.0, 3.0))]
+#[case::lossy_links(Load { loss: 0.3, ..Load::burst(2.3, 2.3) })]
+fn urgent_served_first_in_burst(#[case] load: Load) {
+    let (before, after) = (play(&without(&load)), play(&load));
+    let figures = (before.rank(URGENT), after.rank(URGENT));
+    assert!(figures.1 >= 0.9 && figures.1 >= figures.0, "urgent {figures:?}");
+    let figures = (before.rank(LESS_URGENT), after.rank(LESS_URGENT));
+    assert!(figures.1 >= figures.0 - 0.07, "less urgent {figures:?}");
+}
+
+/// Guards against large prompts that find no gap on servers that are nearly full: in a burst of the less urgent kind,
+/// the largest tenth was served 0.3 times as often as the kind.
+#[rstest]
+#[case::all(Load::burst(2.3, 2.3))]
+#[case::less_urgent(Load::burst(1.0, 2.0))]
+#[case::less_urgent_large(Load::burst(1.0, 3.0))]
+fn large_prompts_not_starved(#[case] load: Load) {
+    let served = play(&load);
+    let kind = served.rank(LESS_URGENT);
+    for (from, to) in [(0.9, 1.0), (0.7, 0.9)] {
+        let large = served.size(from, to);
+        assert!(large >= kind / 2.0, "{large} of the sizes from {from}, {kind} of the kind");
+    }
+}
+
+/// Guards against one organisation whose burst takes the memory of all others.
+#[test]
+fn burst_of_one_organisation_restricted() {
+    let load = Load { org_burst: 7.5, ..Load::burst(1.6, 1.6) };
+    let (before, after) = (play(&without(&load)), play(&load));
+    let others =
+        |served: &Served| served.fraction(|rank, org, _| rank == LESS_URGENT && org != NameKey(0));
+    assert!(after.org(NameKey(0)) < others(&after) * 0.8, "{}", after.org(NameKey(0)));
+    assert!(others(&after) > others(&before) - 0.01, "{} {}", others(&before), others(&after));
+    for org in 1..16 {
+        let served = after.org(NameKey(org));
+        assert!(served >= others(&after) * 0.75, "organisation {org}: {served}");
+    }
+}
+
+fn request(rank: u8, draw: f64) -> AdmissionRequest {
+    AdmissionRequest { rank, org: None, tokens: 4000, is_return: false, draw }
+}
+
+/// Figures of a host whose searches find no memory half of the time.
+fn shortage(from: u64, version: u64) -> PressureUpdate {
+    let rank = |rank, running| RankPressure {
+        rank,
+        granted: 10,
+        refused: 10,
+        running,
+        tokens: running * 4000,
+        unmet_tokens: 40_000,
+        ..RankPressure::default()
+    };
+    PressureUpdate {
+        from: IncarnationId(from),
+        version,
+        scope: PressureScope::Host,
+        services: vec![ServicePressure {
+            service: SERVICE,
+            ranks: vec![rank(URGENT, 20), rank(LESS_URGENT, 230)],
+        }],
+    }
+}
+
+fn small_pool() -> DecodePool {
+    DecodePool { host_count: 2, has_orgs: false, ..decode_pool() }
+}
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+fn reserved(decision: AdmissionDecision) -> usize {
+    match decision {
+        AdmissionDecision::Search(parts) => parts.without.len(),
+        _ => 0,
+    }
+}
+
+#[test]
+fn parts_of_the_ranks_match() {
+    let (mut control, pool) = (AdmissionControl::default(), small_pool());
+    control.apply(at(0), shortage(1, 1));
+    let urgent = control.decide(at(1), &pool, &request(URGENT, 0.99));
+    let AdmissionDecision::Search(urgent) = urgent else { panic!("{urgent:?}") };
+    assert!(urgent.is_urgent && urgent.without.is_empty());
+    let other = control.decide(at(1), &pool, &request(LESS_URGENT, 0.0));
+    let AdmissionDecision::Search(other) = other else { panic!("{other:?}") };
+    assert_eq!(urgent.first, other.without);
+    // 20 runs of 4,000 tokens, 40,000 refused ones and a margin of 1.5 deviations of 20 runs: 146,832 tokens.
+    assert_eq!(other.without.len(), 6);
+}
+
+/// A dead host's figures are not taken for present ones.
+#[test]
+fn figures_of_dead_host_expire() {
+    let (mut control, pool) = (AdmissionControl::default(), small_pool());
+    control.apply(at(0), shortage(1, 1));
+    assert!(reserved(control.decide(at(700), &pool, &request(LESS_URGENT, 0.0))) > 0);
+    control.decide(at(1400), &pool, &request(LESS_URGENT, 0.0));
+    // Its figures end after 1.5 s, and what they caused 2 s later.
+    for millis in [2300, 3200] {
+        control.decide(at(millis), &pool, &request(LESS_URGENT, 0.0));
+    }
+    let decision = control.decide(at(4000), &pool, &request(LESS_URGENT, 0.99));
+    assert_eq!(decision, AdmissionDecision::Everywhere);
+}
+
+/// A host that hears no other one neither stops nor takes its own few requests for those of all hosts.
+#[test]
+fn host_that_is_cut_off_decides_by_own_figures() {
+    let (mut control, pool) = (AdmissionControl::default(), decode_pool());
+    for _ in 0..3 {
+        control.record_search(at(0), SERVICE, &request(LESS_URGENT, 0.0), SearchOutcome::Refused);
+    }
+    for _ in 0..2 {
+        control.record_begin(SERVICE, &request(URGENT, 0.0));
+    }
+    // 8,000 tokens and a margin of 8,485 are about half of a server.
+    assert_eq!(reserved(control.decide(at(1), &pool, &request(LESS_URGENT, 0.0))), 1);
+}
+
+/// Guards against updates that waited in the socket of a suspended host and seem new when it reads them.
+#[test]
+fn suspended_host_ignores_updates_of_that_time() {
+    let (mut control, pool) = (AdmissionControl::default(), small_pool());
+    control.apply(at(0), shortage(1, 1));
+    assert!(reserved(control.decide(at(100), &pool, &request(LESS_URGENT, 0.0))) > 0);
+    control.apply(at(5000), shortage(1, 2));
+    let decision = control.decide(at(5001), &pool, &request(LESS_URGENT, 0.99));
+    assert_eq!(decision, AdmissionDecision::Everywhere);
+    control.apply(at(5200), shortage(1, 3));
+    assert!(reserved(control.decide(at(5201), &pool, &request(LESS_URGENT, 0.0))) > 0);
+}
+
+/// A late or repeated datagram does not replace newer figures.
+#[test]
+fn late_update_ignored() {
+    let (mut control, pool) = (AdmissionControl::default(), small_pool());
+    control.apply(at(0), PressureUpdate { services: Vec::new(), ..shortage(1, 2) });
+    control.apply(at(1), shortage(1, 1));
+    let decision = control.decide(at(2), &pool, &request(LESS_URGENT, 0.99));
+    assert_eq!(decision, AdmissionDecision::Everywhere);
+}
+
+/// Without anything that competes, and without a shortage, nothing changes.
+#[rstest]
+#[case::one_rank(DecodePool { ranks: vec![LESS_URGENT], ..small_pool() }, true)]
+#[case::no_shortage(small_pool(), false)]
+fn nothing_restricted(#[case] pool: DecodePool, #[case] is_short: bool) {
+    let mut control = AdmissionControl::default();
+    if is_short {
+        control.apply(at(0), shortage(1, 1));
+    }
+    let decision = control.decide(at(1), &pool, &request(LESS_URGENT, 0.99));
+    assert_eq!(decision, AdmissionDecision::Everywhere);
+}
+
+/// A caller that returns at the time it was given, and a stream that continues, are not refused for their share.
+#[test]
+fn returning_caller_not_refused_for_its_share() {
+    let (mut control, pool) = (AdmissionControl::default(), small_pool());
+    let update = PressureUpdate {
+        services: vec![ServicePressure {
+            service: SERVICE,
+            ranks: vec![RankPressure {
+                rank: LESS_URGENT,
+                granted: 80,
+                refused: 80,
+                running: 250,
+                tokens: 1_000_000,
+                unmet_tokens: 1_000_000,
+                ..RankPressure::default()
+            }],
+        }],
+        ..shortage(1, 1)
+    };
+    control.apply(at(0), update);
+    let refused = |decision| matches!(decision, AdmissionDecision::Refuse(_));
+    assert!(refused(control.decide(at(1), &pool, &request(LESS_URGENT, 0.99))));
+    assert!(!refused(control.decide(at(1), &pool, &request(LESS_URGENT, 0.0))));
+    let returned = AdmissionRequest { is_return: true, ..request(LESS_URGENT, 0.99) };
+    assert!(!refused(control.decide(at(1), &pool, &returned)));
+}
+
+/// However much urgent requests demand, a quarter of the servers stays with the others.
+#[test]
+fn quarter_kept_for_less_urgent() {
+    let (mut control, pool) = (AdmissionControl::default(), small_pool());
+    let mut update = shortage(1, 1);
+    update.services[0].ranks[0].running = 1000;
+    update.services[0].ranks[0].tokens = 4_000_000;
+    control.apply(at(0), update);
+    let kept = SERVERS - reserved(control.decide(at(1), &pool, &request(LESS_URGENT, 0.0)));
+    assert!(kept * 4 >= SERVERS, "{kept}");
+}
+
+/// A server that leaves changes the order of the others by no more than its own place, and failure domains take turns.
+#[test]
+fn reserve_order_stable() {
+    let servers = decode_pool().servers;
+    let order = reserve_order(&servers);
+    let domain = |key| servers.iter().find(|server| server.0 == key).expect("known").1;
+    for turn in order.chunks(3) {
+        assert_eq!(turn.iter().map(|key| domain(*key)).collect::<HashSet<_>>().len(), 3);
+    }
+    let left: Vec<_> = servers.iter().copied().filter(|server| server.0 != order[2]).collect();
+    let after: HashSet<_> = reserve_order(&left).into_iter().take(6).collect();
+    let common = order[..6].iter().filter(|key| after.contains(key)).count();
+    assert_eq!(common, 5);
+}
+
+#[rstest]
+#[case::all_fit(10.0, &[1.0, 2.0], f64::INFINITY)]
+#[case::largest_cut(10.0, &[1.0, 2.0, 20.0], 7.0)]
+#[case::all_cut(9.0, &[5.0, 6.0, 20.0], 3.0)]
+fn fair_share_is_max_min(#[case] capacity: f64, #[case] demands: &[f64], #[case] share: f64) {
+    let found = fair_share(capacity, demands.iter().copied());
+    assert!((found - share).abs() < 1e-9 || found == share, "{found}");
 }
 
+/// Updates fit into a datagram of the target size, with 16 organisations of two ranks in a domain's sum.
 #[test]
-fn explore() {
-    for (name, load) in [
-        ("orgT", Load { org_burst: 7.5, ..Load::burst(1.0, 1.0) }),
-        ("base", Load::burst(1.0, 1.0)),
-        ("2.3", Load::burst(2.3, 2.3)),
-        ("1.6", Load::burst(1.6, 1.6)),
-        ("urgent 2", Load::burst(2.0, 1.0)),
-        ("less 2", Load::burst(1.0, 2.0)),
-        ("less 3", Load::burst(1.0, 3.0)),
-        ("org", Load { org_burst: 7.5, ..Load::burst(1.0, 1.0) }),
-        ("org 1.6", Load { org_burst: 7.5, ..Load::burst(1.6, 1.6) }),
-    ] {
-        for with_admission in [false, true] {
-            let load = Load { with_admission, ..load.clone() };
-            let served: Vec<Served> =
-                (1..=8).map(|seed| Cluster::new(Load { seed, ..load.clone() }).play()).collect();
-            let all = Served(served.into_iter().flat_map(|served| served.0).collect());
-            let others = all.fraction(|rank, org, _| rank == LESS_URGENT && org != NameKey(0));
-            let first = all.fraction(|rank, org, _| rank == LESS_URGENT && org == NameKey(0));
-            let tokens: f64 = all.0.iter().filter(|row| row.3).map(|row| f64::from(row.2)).sum();
-            println!(
-                "{name:9} {with_admission:5} urgent {:.3} less {:.3} org0 {first:.3} others {others:.3} top {:.3} next {:.3} n {} tokens {:.0}k value {:.3}",
-                all.rank(URGENT),
-                all.rank(LESS_URGENT),
-                all.size(0.9, 1.0),
-                all.size(0.7, 0.9),
-                all.0.len(),
-                tokens / 1000.0,
-                (74.0 * all.0.iter().filter(|r| r.3 && r.0 == 0).count() as f64
-                    + 19.0 * all.0.iter().filter(|r| r.3 && r.0 == 2).count() as f64)
-                    / (74.0 * 4.45 + 19.0 * 63.2)
-                    / 40.0
-            );
+fn update_size() {
+    let mut control = AdmissionControl::default();
+    for org in 0..16 {
+        for rank in [URGENT, LESS_URGENT] {
+            let org = Some(NameKey(u64::MAX - org));
+            let request = AdmissionRequest { org, tokens: 28_000, ..request(rank, 0.0) };
+            control.record_begin(SERVICE, &request);
+            control.record_search(at(0), SERVICE, &request, SearchOutcome::Refused);
         }
     }
+    let (from, domain) = (IncarnationId(u64::MAX), NameKey(u64::MAX));
+    let update = control.domain_update(at(1), from, domain, &[decode_pool()]);
+    let config = bincode::config::standard();
+    let bytes = bincode::serde::encode_to_vec(&update, config).expect("it can be encoded").len();
+    assert!(bytes <= 600, "{bytes}");
 }
