--- /dev/null
+++ b/src/admission/service_state.rs
@@ -0,0 +1,224 @@
+use super::reserved_part::MAX_RESERVED;
+use super::{
+    AdmissionRefusal, AdmissionRequest, DecodePool, OrgPressure, PressureLevel, SearchParts,
+    ServicePressure, fair_share, reserve_order, reserve_tokens,
+};
+use crate::keys::TimePoint;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Memory is short when this fraction of searches finds none. A single large request finds none now and then although
+/// memory is left; the fraction is below what [`SLACK`] lets remain, so that a shortage lasts as long as its cause.
+const SHORT_FRACTION: f64 = 0.05;
+/// Fewest refused searches that count as a shortage.
+const MIN_REFUSED: u32 = 2;
+/// A shortage ends this long after its last sign, so that it does not end between two requests of a quiet second.
+const SHORT_HOLD: Duration = Duration::from_millis(500);
+/// The pool is nearly full at this fraction of the use at which searches find no memory. Runs in a part that is newly
+/// reserved take about 3 s to end, so it is reserved before the shortage begins.
+const TIGHT_FRACTION: f64 = 0.85;
+/// The pool stays nearly full for this long, so that the part does not vanish between two bursts.
+const TIGHT_HOLD: Duration = Duration::from_secs(2);
+/// Use at which searches find no memory, as a fraction of the memory, until it is measured.
+const DEFAULT_FULL: f64 = 0.9;
+/// Bounds of that use. Servers that refuse for another reason would make it seem small, and requests count with what they
+/// need in the end, which is up to a fifth more than what they use at a time.
+const FULL_BOUNDS: (f64, f64) = (0.5, 1.2);
+/// Time constant with which that measured use declines to the present one.
+const FULL_DECLINE: Duration = Duration::from_secs(10);
+/// Time constant with which a reserved part shrinks. Urgent requests arrive a few times a second, so their number varies
+/// by half within a second or two.
+const RESERVE_DECLINE: Duration = Duration::from_secs(1);
+/// Requests admitted beyond the share, as a fraction of it. The figures are about half a second old and the demand of an
+/// organisation varies by a third at random; with less, equal organisations are refused in vain.
+const SLACK: f64 = 0.6;
+/// Below this fraction of its share, a rank is not restricted: memory has become free.
+const FREE_FRACTION: f64 = 0.98;
+/// Part of the large requests' proportionate share that is kept for them. They are to be served at least half as often
+/// as their kind, also in a burst of three times the load, where half of the share would not do. Each large request takes
+/// the memory of two small ones, so no more is kept.
+const LARGE_FRACTION: f64 = 0.65;
+
+/// How scarce the memory of one service is, and what is reserved there.
+#[derive(Debug, Clone)]
+pub(super) struct ServiceState {
+    updated_at: TimePoint,
+    short_until: TimePoint,
+    tight_until: TimePoint,
+    /// Use at which searches find no memory, as a fraction of the memory.
+    full: f64,
+    /// Tokens reserved against each rank.
+    reserved: HashMap<u8, f64>,
+    /// Tokens kept for large requests of the least urgent rank.
+    large: f64,
+    /// Tokens above which a request of a rank is large.
+    large_limits: HashMap<u8, f64>,
+    level: PressureLevel,
+    /// The level that was reported last.
+    reported: PressureLevel,
+}
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self {
+            updated_at: TimePoint::default(),
+            short_until: TimePoint::default(),
+            tight_until: TimePoint::default(),
+            full: DEFAULT_FULL,
+            reserved: HashMap::new(),
+            large: 0.0,
+            large_limits: HashMap::new(),
+            level: PressureLevel::Calm,
+            reported: PressureLevel::Calm,
+        }
+    }
+}
+
+impl ServiceState {
+    /// Updates the state with the demand over all hosts.
+    pub fn update(&mut self, now: TimePoint, total: &ServicePressure, pool: &DecodePool) {
+        let elapsed = now.since(self.updated_at);
+        self.updated_at = now;
+        let (refused, searches) = total.searches();
+        let used = total.tokens() / pool.capacity().max(1.0);
+        let is_short =
+            refused >= MIN_REFUSED && f64::from(refused) >= f64::from(searches) * SHORT_FRACTION;
+        if is_short {
+            self.short_until = now + SHORT_HOLD;
+            let full = declined(self.full, used, elapsed, FULL_DECLINE);
+            self.full = full.clamp(FULL_BOUNDS.0, FULL_BOUNDS.1);
+        }
+        if is_short || used >= self.full * TIGHT_FRACTION {
+            self.tight_until = now + TIGHT_HOLD;
+        }
+        for rank in pool.ranks.iter().skip(1) {
+            let target = reserve_tokens(total, *rank);
+            let reserved = self.reserved.entry(*rank).or_default();
+            *reserved = declined(*reserved, target, elapsed, RESERVE_DECLINE);
+        }
+        self.large_limits =
+            total.ranks.iter().map(|rank| (rank.rank, rank.large_limit())).collect();
+        self.large = declined(self.large, self.large_target(total, pool), elapsed, RESERVE_DECLINE);
+        self.level = if now < self.short_until {
+            PressureLevel::Short
+        } else if now < self.tight_until {
+            PressureLevel::Tight
+        } else {
+            PressureLevel::Calm
+        };
+    }
+
+    /// The level, if it differs from the one that was reported last.
+    pub fn take_change(&mut self) -> Option<PressureLevel> {
+        let is_new = self.level != self.reported;
+        self.reported = self.level;
+        is_new.then_some(self.level)
+    }
+
+    /// The present level.
+    pub const fn level(&self) -> PressureLevel {
+        self.level
+    }
+
+    /// Whether a request of `rank` that needs `tokens` is a large one.
+    pub fn is_large(&self, rank: u8, tokens: u32) -> bool {
+        self.large_limits.get(&rank).is_some_and(|limit| f64::from(tokens) > *limit)
+    }
+
+    /// The parts of the servers that are set aside, as `request` sees them.
+    ///
+    /// Servers are reserved for urgent ranks from the start of the common order, and kept for large requests of the
+    /// least urgent rank from its end.
+    pub fn search_parts(&self, pool: &DecodePool, request: &AdmissionRequest) -> SearchParts {
+        let order = reserve_order(&pool.servers);
+        let inner = self.reserved_count(pool, request.rank);
+        let without = order.iter().take(inner).copied().collect();
+        let next = pool.ranks.iter().copied().find(|rank| *rank > request.rank);
+        let mut parts = SearchParts { without, ..SearchParts::default() };
+        if let Some(next) = next {
+            let outer = self.reserved_count(pool, next);
+            parts.first = order.iter().take(outer).skip(inner).copied().collect();
+            parts.is_urgent = true;
+            return parts;
+        }
+        let most = (order.len() - inner) / 2;
+        let large = self.server_count(pool, self.large).round() as usize;
+        let large = order.iter().rev().take(large.min(most)).copied();
+        if self.is_large(request.rank, request.tokens) {
+            parts.first = large.collect();
+        } else {
+            parts.without.extend(large);
+        }
+        parts
+    }
+
+    /// Number of servers that are reserved for ranks more urgent than `rank`.
+    pub fn reserved_count(&self, pool: &DecodePool, rank: u8) -> usize {
+        let tokens = self.reserved.get(&rank).copied().unwrap_or_default();
+        let limit = (pool.servers.len() as f64 * MAX_RESERVED).floor() as usize;
+        (self.server_count(pool, tokens).round() as usize).min(limit)
+    }
+
+    /// Number of servers that hold `tokens` when full.
+    fn server_count(&self, pool: &DecodePool, tokens: f64) -> f64 {
+        tokens / (self.full * f64::from(pool.memory_tokens)).max(1.0)
+    }
+
+    /// Tokens to keep for large requests of the least urgent rank.
+    fn large_target(&self, total: &ServicePressure, pool: &DecodePool) -> f64 {
+        let Some(rank) = pool.ranks.last().and_then(|rank| total.rank(*rank)) else {
+            return 0.0;
+        };
+        let demand = rank.demand_tokens(rank.tokens, rank.unmet_tokens);
+        let large = rank.demand_tokens(rank.large_tokens, rank.large_unmet_tokens);
+        let served = (self.rank_capacity(pool, rank.rank) / demand.max(1.0)).clamp(0.0, 1.0);
+        large * served * LARGE_FRACTION
+    }
+
+    /// Refuses a request whose organisation demands more than its share of what the rank may use, with a probability that
+    /// brings the demand down to the share and [`SLACK`].
+    ///
+    /// With a fixed bound on what an organisation may use, a third of 16 equal ones would be refused in random peaks
+    /// although memory is free, or the bound would be too high for the one that bursts.
+    pub fn refusal(
+        &self,
+        total: &ServicePressure,
+        pool: &DecodePool,
+        request: &AdmissionRequest,
+    ) -> Option<AdmissionRefusal> {
+        let rank = total.rank(request.rank)?;
+        if self.level != PressureLevel::Short || rank.refused_fraction() < SHORT_FRACTION {
+            return None;
+        }
+        let used = f64::from(rank.tokens);
+        let capacity = self.rank_capacity(pool, request.rank).max(used);
+        if used < capacity * FREE_FRACTION {
+            return None;
+        }
+        let key = OrgPressure::short_key(request.org?);
+        let demand = |org: &OrgPressure| rank.demand_tokens(org.tokens, org.unmet_tokens);
+        let share = fair_share(capacity, rank.orgs.iter().map(demand));
+        let demand = rank.orgs.iter().find(|org| org.org == key).map(demand)?;
+        let admitted = share * (1.0 + SLACK) / demand.max(1.0);
+        let is_refused = !request.is_return && request.draw > admitted;
+        is_refused.then_some(AdmissionRefusal { demand, share })
+    }
+
+    /// Memory tokens that the requests of a rank may use: what is not reserved for more urgent ones, and a quarter less
+    /// if there are less urgent ones.
+    fn rank_capacity(&self, pool: &DecodePool, rank: u8) -> f64 {
+        let full = self.full * pool.capacity();
+        let reserved = self.reserved.get(&rank).copied().unwrap_or_default();
+        let left = if pool.ranks.last() == Some(&rank) { 0.0 } else { 1.0 - MAX_RESERVED };
+        full * (1.0 - left) - reserved.min(full * MAX_RESERVED)
+    }
+}
+
+/// A value that follows a larger target at once and declines to a smaller one.
+fn declined(value: f64, target: f64, elapsed: Duration, constant: Duration) -> f64 {
+    if target >= value {
+        return target;
+    }
+    let kept = (-elapsed.as_secs_f64() / constant.as_secs_f64()).exp();
+    target + (value - target) * kept
+}
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -5,6 +5,8 @@
 use super::engine_resource::{EngineResource, acquire_hold};
 use super::hold_forecast::{generated_tokens, hold_tokens};
 use super::load_guard::LoadGuard;
+use super::memory_admission::MemoryAdmission;
+use super::memory_guard::MemoryGuard;
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
@@ -18,6 +20,8 @@
 pub(super) struct DecodeReservation {
     pub hold: EngineResource,
     pub load: LoadGuard,
+    /// Its use of memory, as other hosts are told.
+    pub memory: Option<MemoryGuard>,
     /// Permission to send the run there.
     pub permit: SendPermit,
 }
@@ -51,6 +55,11 @@
     lost: &[ServerKey],
 ) -> Result<DecodeReservation, NotRunReason> {
     let tokens = hold_tokens(context, engine, after);
+    let admit = || {
+        let admission = MemoryAdmission::decide(context, tokens, after);
+        admission.ok_or(NotRunReason::NoMemory)
+    };
+    let mut admission = admit()?;
     let local_domain = context.host.domain();
     let mut search = MemorySearch::new(context.host.now(), local_domain);
     loop {
@@ -69,8 +78,9 @@
         if ranked.is_empty() {
             return Err(prefer_at_limit(context, NotRunReason::NoServer));
         }
+        admission.order(&mut ranked);
         let keys = ranked.iter().map(ServerEntry::key);
-        match search.next(context.host.now(), keys) {
+        match admission.limit(search.next(context.host.now(), keys)) {
             SearchStep::Request(key) => {
                 let Some(server) = ranked.iter().find(|server| server.key() == key) else {
                     continue;
@@ -81,13 +91,25 @@
                 if let Some(reservation) =
                     request_reservation(context, engine, server, tokens, permit).await
                 {
-                    return Ok(reservation);
+                    let memory = admission.record_granted(context);
+                    return Ok(DecodeReservation { memory, ..reservation });
                 }
                 search.record_refusal(server.domain);
             }
             SearchStep::Pause(pause) => tokio::time::sleep(pause).await,
             SearchStep::Refuse => {
+                if admission.wait_to_search_again(context).await {
+                    admission = admit()?;
+                    search = MemorySearch::new(context.host.now(), local_domain);
+                    continue;
+                }
+                admission.record_refused(context);
                 log_no_memory(context, engine, tokens, ranked.len(), &search);
+                if let Some(server) = admission.preempted_server(context, &ranked)
+                    && let Some(reservation) = reserve_nothing(context, &admission, server).await
+                {
+                    return Ok(reservation);
+                }
                 return Err(prefer_at_limit(context, NotRunReason::NoMemory));
             }
         }
@@ -124,6 +146,22 @@
     );
 }
 
+/// Chooses `server` for a run without a hold. The engine preempts a less urgent run for it, which must be read again and
+/// usually misses its target for pauses; so it is done only for urgent requests that found no memory anywhere.
+async fn reserve_nothing(
+    context: &CallContext,
+    admission: &MemoryAdmission,
+    server: &ServerEntry,
+) -> Option<DecodeReservation> {
+    let permit = context.permit(server).await?;
+    let load = decode_load(context, server);
+    log::info!("event=sent_without_hold request={} server={}", context.id(), server.id);
+    context.host.metrics().add("sent_without_hold", 1);
+    let hold = EngineResource::none(&context.host, server.clone());
+    let memory = admission.begin_use(context);
+    Some(DecodeReservation { hold, load, memory, permit })
+}
+
 async fn request_reservation(
     context: &CallContext,
     engine: &EngineSpec,
@@ -138,7 +176,7 @@
         context.host.record_server_event(server, ServerEvent::Answered);
     }
     match hold {
-        Ok(Some(hold)) => Some(DecodeReservation { hold, load, permit }),
+        Ok(Some(hold)) => Some(DecodeReservation { hold, load, memory: None, permit }),
         Ok(None) => None,
         Err(error) => {
             context.host.record_server_event(server, ServerEvent::Unresponsive);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,8 @@
 mod limit_shares;
 mod load_guard;
 mod load_updates;
+mod memory_admission;
+mod memory_guard;
 mod pace_updates;
 mod peer_loop;
 mod peer_messages;
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -7,6 +7,8 @@
 use super::event_reader::EventReader;
 use super::hold_forecast::hold_tokens;
 use super::load_guard::LoadGuard;
+use super::memory_admission::{memory_guard, run_priority};
+use super::memory_guard::MemoryGuard;
 use super::prompt_read::{PromptEnd, read_prompt};
 use super::run_start::{OpenFailure, RunRecord, run_at};
 use crate::fleet::{ServerEntry, ServerStage};
@@ -45,6 +47,9 @@
     pub first: Option<ServerSentEvent>,
     /// Its entry in the load table.
     pub load: LoadGuard,
+    /// Its use of memory, as other hosts are told.
+    #[allow(dead_code, reason = "dropped with the run")]
+    pub memory: Option<MemoryGuard>,
 }
 
 /// Opens a run that continues after the event `after`, trying as many servers as the route allows.
@@ -192,6 +197,7 @@
         source: source.as_ref().map(|(address, name)| (*address, name.as_str())),
         hold: reservation.hold.name(),
         after_event: after,
+        priority: run_priority(context),
     };
     let mut permit = reservation.permit.renewed(context, &server).await.ok_or_else(at_limit)?;
     let opened = run_at(context, &server, part, runs, &mut permit).await;
@@ -201,7 +207,8 @@
         resource.mark_used();
     }
     let (head, reader, first) = opened?;
-    Ok(OpenRun { server, head, reader, first, load: reservation.load })
+    let (load, memory) = (reservation.load, reservation.memory);
+    Ok(OpenRun { server, head, reader, first, load, memory })
 }
 
 fn at_limit() -> OpenFailure {
@@ -242,7 +249,9 @@
         return Err(rejected());
     };
     let load = decode_load(context, server);
-    let part = DecodePart { source: None, hold: hold.name(), after_event: after };
+    let memory = memory_guard(context, tokens, after);
+    let priority = run_priority(context);
+    let part = DecodePart { source: None, hold: hold.name(), after_event: after, priority };
     let opened = run_at(context, server, part, runs, &mut permit).await;
     hold.mark_used();
     if let Err(OpenFailure::Rejected(_)) = &opened {
@@ -252,5 +261,5 @@
         context.host.state().stage_changes.record_suspicion(now, server.key());
     }
     let (head, reader, first) = opened?;
-    Ok(OpenRun { server: server.clone(), head, reader, first, load })
+    Ok(OpenRun { server: server.clone(), head, reader, first, load, memory })
 }
--- a/tests/memory_forecast.rs
+++ b/tests/memory_forecast.rs
@@ -264,6 +264,7 @@
             relative_paces: self.uses.pace.then(|| self.paces.relative_paces()),
             local_domain: NameKey(0),
             remote_penalty: 0.0,
+            weights: None,
             salt,
         };
         let criterion = RankingCriterion::DecodeMemory(MEMORY);
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -104,6 +104,7 @@
             relative_paces: Some(&relative_paces),
             local_domain: NameKey::of("a"),
             remote_penalty: REMOTE_DOMAIN_PENALTY,
+            weights: None,
             salt,
         };
         let criterion = RankingCriterion::DecodeMemory(MEMORY_TOKENS);
--- a/tests/server_slots.rs
+++ b/tests/server_slots.rs
@@ -460,6 +460,7 @@
             connected: &HashSet::new(),
             local_domain: NameKey::of("a"),
             remote_penalty: 0.0,
+            relative_paces: None,
             weights: Some(&weights),
             salt,
         };
--- a/tests/slot_common/mod.rs
+++ b/tests/slot_common/mod.rs
@@ -312,6 +312,7 @@
             connected: &HashSet::new(),
             local_domain: NameKey::of("a"),
             remote_penalty: 0.0,
+            relative_paces: None,
             weights: weights.as_ref(),
             salt,
         };
