--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -219,17 +219,6 @@
         self.add_host_with_seeds(Vec::new()).await
     }
 
-    /// Starts another daemon that makes some decisions about load, with the present daemons as its seeds.
-    ///
-    /// # Errors
-    /// If a port cannot be bound.
-    pub async fn add_host_with_features(&mut self, features: LoadFeatures) -> Result<()> {
-        let seeds = self.hosts.iter().map(|host| host.peers).collect();
-        let settings = gateway_settings(self.hosts.len(), self.store_address, seeds)?;
-        self.hosts.push(start_gateway(GatewaySettings { features, ..settings }).await?);
-        Ok(())
-    }
-
     async fn add_host_with_seeds(&mut self, seeds: Vec<SocketAddr>) -> Result<()> {
         let mut settings = gateway_settings(self.hosts.len(), self.store_address, seeds)?;
         settings.features = self.features;
@@ -237,17 +226,6 @@
         Ok(())
     }
 
-    /// Starts another daemon with decisions about load switched on and the present daemons as its seeds.
-    ///
-    /// # Errors
-    /// If a port cannot be bound.
-    pub async fn add_featured_host(&mut self, features: LoadFeatures) -> Result<()> {
-        let seeds = self.hosts.iter().map(|host| host.peers).collect();
-        let settings = gateway_settings(self.hosts.len(), self.store_address, seeds)?;
-        self.hosts.push(start_gateway(GatewaySettings { features, ..settings }).await?);
-        Ok(())
-    }
-
     /// Starts another daemon that the others reach through a [`HostLink`].
     ///
     /// # Errors
--- a/src/server_slots/slot_account.rs
+++ b/src/server_slots/slot_account.rs
@@ -27,6 +27,9 @@
 /// A request is queued at the server only if this many mean service times remain after its wait there: one for the
 /// work, and one because service times vary about as much as their mean.
 const RESERVED_SERVICES: f64 = 2.0;
+/// One in this many repeatable requests is treated like one that must run only once. Otherwise repeatable requests would
+/// get nothing while the others alone exceed the capacity; a caller's kind of request must not starve another one.
+const PROMOTION_INTERVAL: u32 = 2;
 /// Most requests that wait at the owner. A place becomes free each five to ten milliseconds, so that more could not
 /// be served in the 40 ms for which requests wait.
 const MAX_WAITING: usize = 64;
@@ -70,6 +73,8 @@
     /// Requests that were refused, or whose places were released, so that a duplicate that arrives late gets no place.
     ended: HashMap<PlaceId, TimePoint>,
     waiting: Vec<PlaceWaiter>,
+    /// Number of repeatable requests that asked for a place.
+    repeatable_count: u32,
 }
 
 impl SlotAccount {
@@ -88,6 +93,7 @@
             unplaced: HashMap::new(),
             ended: HashMap::new(),
             waiting: Vec::new(),
+            repeatable_count: 0,
         }
     }
 
@@ -108,9 +114,10 @@
         if self.waiting.iter().any(|waiter| waiter.id == id) {
             return None;
         }
+        let order = self.promoted(request.order);
         let waiter = PlaceWaiter {
             id,
-            order: request.order,
+            order,
             arrived_at: now,
             until: now + Duration::from_millis(request.wait_ms.into()),
             objective_at: now + Duration::from_millis(request.left_ms.into()),
@@ -254,6 +261,16 @@
         Duration::from_secs_f64(ahead * self.service_time / self.slots)
     }
 
+    /// The order in which a request gets its place: some repeatable ones come as early as the others.
+    fn promoted(&mut self, order: PlaceOrder) -> PlaceOrder {
+        if !order.is_repeatable {
+            return order;
+        }
+        self.repeatable_count = self.repeatable_count.wrapping_add(1);
+        let is_promoted = self.repeatable_count.is_multiple_of(PROMOTION_INTERVAL);
+        PlaceOrder { is_repeatable: !is_promoted, ..order }
+    }
+
     fn busy(&self, now: TimePoint, waiter: &PlaceWaiter) -> PlaceDecision {
         PlaceDecision::Busy {
             wait_ms: millis(self.wait(now, waiter)).max(1),
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -14,7 +14,7 @@
 pub const INITIAL_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each return, and a server that stays longer is
 /// missed for at most this time.
-pub const MAX_PAUSE: Duration = Duration::from_secs(8);
+pub const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Longest pause that failed trials lead to. A failed trial costs the delay of one request that can be repeated, while a
 /// server of three that is missed costs a third of a service.
 pub const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(2);
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -32,7 +32,7 @@
     let mut config = config(2);
     config["routes"][1]["priority"] = priority.into();
     site.set_config(2, &config);
-    site.add_featured_host(features).await.expect("a host");
+    site.add_host_with(|settings| settings.features = features).await.expect("a host");
     site.wait_ready().await;
     while site.hosts[0].host.routes().version() < 2 {
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/tests/gateway_returns.rs
+++ b/tests/gateway_returns.rs
@@ -21,7 +21,7 @@
     let mut site = TestSite::start(plan).await.expect("a site");
     for _ in 0..2 {
         let features = LoadFeatures { return_times: true, ..LoadFeatures::default() };
-        site.add_host_with_features(features).await.expect("a host");
+        site.add_host_with(|settings| settings.features = features).await.expect("a host");
     }
     site.wait_ready().await;
     while site.hosts.iter().any(|host| host.host.state().members.records().count() == 0) {
--- a/tests/server_slots.rs
+++ b/tests/server_slots.rs
@@ -216,6 +216,25 @@
     assert_eq!(granted, [52, 51, 50]);
 }
 
+/// Guards against repeatable requests that get nothing while once-only ones alone exceed the capacity.
+#[test]
+fn freed_places_go_to_every_second_repeatable_request_as_to_once_only_ones() {
+    let mut account = full_account(at(100));
+    for (sequence, is_repeatable) in [(50, true), (51, true), (52, false)] {
+        let order = PlaceOrder { rank: rank(1), is_repeatable };
+        let waiter = PlaceRequest { wait_ms: 40, order, ..request(OTHER_HOST, sequence) };
+        assert_eq!(account.receive(at(100), &waiter), None);
+    }
+    let granted: Vec<u32> = (0..3)
+        .flat_map(|sequence| {
+            account.release(at(105), &release(HOST, sequence, PlaceEnd::Served));
+            account.poll(at(105), OWNER)
+        })
+        .map(|(_, reply)| reply.sequence)
+        .collect();
+    assert_eq!(granted, [51, 52, 50]);
+}
+
 /// Queueing at the server is useless for a request whose objective is near: it gets a slot or nothing.
 #[test]
 fn near_objective_gets_no_queue() {
