orders: the load alone decides again which servers change their stage

Choosing servers by speed left the prefill pool with slow servers only. It needs pool sizes that count speed instead of servers, which is not built.

--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -7,7 +7,7 @@
 use crate::keys::{NameKey, TimePoint};
 use crate::orders::{
     ChangeOrders, LeaderRole, LeaderTenure, OrderLease, PoolSizes, StagePlanner, change_batch_size,
-    has_spare_capacity, may_issue_orders, pace_preference,
+    has_spare_capacity, may_issue_orders,
 };
 use crate::routes::{EngineSpec, ServiceKey};
 use std::cmp::Reverse;
@@ -200,7 +200,7 @@
 }
 
 /// Selects `count` servers of the other stage to change: those in the failure domains with the most
-/// candidates first; within a domain those whose speed suits the stage, and the least loaded of these.
+/// candidates first, and the least loaded within a domain.
 fn select_servers(
     state: &GatewayState,
     now: TimePoint,
@@ -231,10 +231,7 @@
         let best = candidates
             .iter()
             .enumerate()
-            .min_by_key(|(_, entry)| {
-                let pace = pace_preference(to, state.paces.relative(entry.key()));
-                (Reverse(domain_count(entry)), pace, tokens_of(entry))
-            })
+            .min_by_key(|(_, entry)| (Reverse(domain_count(entry)), tokens_of(entry)))
             .map(|(index, _)| index);
         let Some(index) = best else { break };
         let entry = candidates.swap_remove(index);
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -20,5 +20,5 @@
 pub use orphan_tracker::OrphanTracker;
 pub use stage_planner::{
     PoolSizes, StagePlanner, change_batch_size, has_spare_capacity, may_issue_orders,
-    pace_preference, target_prefills,
+    target_prefills,
 };
--- a/src/orders/stage_planner.rs
+++ b/src/orders/stage_planner.rs
@@ -44,10 +44,6 @@
 /// pools were sized correctly before the restart.
 const MIN_HOST_AGE: Duration = Duration::from_secs(8);
 
-/// Relative speeds from which a server counts as fast or slow. Measured speeds of equal servers vary by about a tenth.
-const FAST_PACE: f64 = 1.25;
-const SLOW_PACE: f64 = 0.8;
-
 /// Sizes of the two pools of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolSizes {
@@ -96,17 +92,6 @@
     requests_per_second * seconds < servers as f64 * LOW_UTILISATION
 }
 
-/// How well a server suits a stage by its speed relative to the median of its service; the lowest value suits best. A
-/// run occupies the memory of a slow decode server for longer, whereas a slow prefill server only takes fewer prompts.
-/// Speeds near the median count as equal, so that the load decides between them.
-pub fn pace_preference(stage: ServerStage, relative_pace: f64) -> i8 {
-    let class = i8::from(relative_pace > FAST_PACE) - i8::from(relative_pace < SLOW_PACE);
-    match stage {
-        ServerStage::Decode => -class,
-        ServerStage::Prefill => class,
-    }
-}
-
 /// Number of servers that should change together; at least one.
 pub fn change_batch_size(sizes: PoolSizes, work: RequestWork) -> usize {
     let surplus = sizes.prefills as f64 - target_prefills(sizes, work);
