--- a/src/shared_health/own_observations.rs
+++ b/src/shared_health/own_observations.rs
@@ -1,4 +1,4 @@
-use super::suspect_server::REPORT_TTL;
+use super::suspect_server::{ANSWER_DELAY, REPORT_TTL};
 use super::{HealthEntry, HealthReport, MAX_ENTRIES, OutgoingReport, ServerObservation};
 use crate::keys::{IncarnationId, ServerKey, TimePoint};
 use std::collections::HashMap;
@@ -64,6 +64,16 @@
         }
     }
 
+    /// Drops the failure of a server that has answered since, so that no later report contains it.
+    pub fn drop_refuted(&mut self, now: TimePoint, server: ServerKey) {
+        let known = self.observations.get(&server);
+        if known.is_some_and(|known| {
+            known.observation.is_failure() && now.since(known.at) >= ANSWER_DELAY
+        }) {
+            self.observations.remove(&server);
+        }
+    }
+
     /// The state of a host that was suspended: it reports nothing until it observes something, under newer versions.
     pub fn without_observations(&self) -> Self {
         Self { version: self.version, sent_at: self.sent_at, ..Self::default() }
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -2,8 +2,8 @@
 use super::own_observations::OwnObservations;
 use super::suspect_server::{REPORT_TTL, SuspectServer};
 use super::{
-    HealthChange, HealthChangeKind, HealthReport, OutgoingReport, PoolStandings, ServerObservation,
-    ServerStanding,
+    HealthChange, HealthChangeKind, HealthReport, MAX_ENTRIES, OutgoingReport, PoolStandings,
+    ServerObservation, ServerStanding,
 };
 use crate::fleet::{FleetView, ServerEntry};
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
@@ -100,8 +100,15 @@
         server: &ServerEntry,
     ) -> Option<HealthChangeKind> {
         let key = server.key();
-        let known = self.suspects.get_mut(&key)?;
+        let Some(known) = self.suspects.get_mut(&key) else {
+            self.observations.drop_refuted(now, key);
+            return None;
+        };
         if !known.is_proved_by_answer(now) {
+            // A failure that was withheld as this host's own fault is not known to the table.
+            if !known.has_failure_of(self.own) {
+                self.observations.drop_refuted(now, key);
+            }
             return None;
         }
         let is_local = server.domain == self.domain;
@@ -207,8 +214,10 @@
             };
             changes.extend(kind.map(|kind| HealthChange { server: key, kind }));
         }
+        // A full report may have left out older failures, which is no withdrawal.
+        let is_complete = report.entries.len() < MAX_ENTRIES;
         for (key, known) in &mut self.suspects {
-            if !counted.contains(key) {
+            if (is_complete || failed.contains(key)) && !counted.contains(key) {
                 let kind = known.withdraw(now, reporter);
                 changes.extend(kind.map(|kind| HealthChange { server: *key, kind }));
             }
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -12,8 +12,8 @@
 /// First pause before a trial: about the length of the restart of a process or of a brief link failure, and short
 /// compared to the deadlines of plain requests (1 s).
 pub const INITIAL_PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each return, and a server that stays longer is
-/// missed for at most this time.
+/// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each
+/// return, and a server that stays longer is missed for at most this time.
 pub const MAX_PAUSE: Duration = Duration::from_secs(8);
 /// Longest pause that failed trials lead to. A failed trial costs the delay of one request that can be repeated, while a
 /// server of three that is missed costs a third of a service.
@@ -28,12 +28,15 @@
 /// A trial whose result is missing after this time is given up, and the host may make another one. It is the longest
 /// time that a server may take for the first event of a run.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(3);
+/// By how much the exclusion may begin later at this host than at the one that makes the trial: the report that led to
+/// it arrives only with its repetition. A failure this long before the trial is due here may thus be its result.
+const EXCLUSION_SPREAD: Duration = Duration::from_millis(150);
 /// An exclusion ends this long after the trial was due if no result is reported: ten hosts had their turn, or the
 /// report of a success was lost.
 const LAPSE_TIME: Duration = Duration::from_secs(10);
 /// An answer this long after the latest failure shows that the server serves again. Answers that were sent before the
 /// failure arrive earlier.
-const ANSWER_DELAY: Duration = Duration::from_millis(100);
+pub(super) const ANSWER_DELAY: Duration = Duration::from_millis(100);
 
 /// Why a server is excluded at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,7 +132,7 @@
         };
         exclusion.reporters = exclusion.reporters.max(reporters);
         exclusion.is_local &= is_local;
-        if failure.at < exclusion.since + self.pause {
+        if failure.at + EXCLUSION_SPREAD < exclusion.since + self.pause {
             return None;
         }
         exclusion.since = now;
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -519,3 +519,58 @@
     let bytes = bincode::serde::encode_to_vec(&report, config).expect("it can be encoded").len();
     assert!(bytes + 17 <= 1_200, "{bytes} bytes");
 }
+
+/// Guards against stale failures of a host that was cut off: once most of them have expired, the rest no longer looks
+/// like its own fault, although the servers have answered it since.
+#[test]
+fn healed_host_reports_no_failures_that_answers_refuted() {
+    let mut group = group(9);
+    for (failed_at, end, servers) in [(0, 1_000, [0, 2, 3]), (1_000, 1_500, [5, 6, 8])] {
+        for index in servers {
+            for host in [1, 4] {
+                group.observe(at(failed_at), host, index, ServerEvent::Unresponsive);
+            }
+        }
+        group.run(failed_at, end);
+    }
+    for index in [0, 2, 3, 5, 6, 8] {
+        for host in [1, 4] {
+            group.observe(at(1_500), host, index, ServerEvent::Served);
+        }
+    }
+    group.run(1_500, 2_100);
+    for host in [1, 4] {
+        group.observe(at(2_100), host, 7, ServerEvent::Unresponsive);
+    }
+    group.run(2_100, 2_200);
+    for index in [5, 6, 8] {
+        assert!(group.excluding(index).is_empty(), "server {index}");
+    }
+    assert!(!group.excluding(7).is_empty());
+}
+
+/// Guards against a trial failure that is lost on hosts whose exclusion began later: the report came on a slower way.
+#[test]
+fn failed_trial_counts_at_hosts_that_excluded_later() {
+    let mut group = group(3);
+    let failed = ServerObservation::BrokeOff;
+    for from in [0, 3] {
+        group.deliver(at(100), 6, &report(from, 1, &[(0, failed, 0)]));
+    }
+    // The trial host excluded the server at 0 ms and tried it when the pause ended.
+    group.deliver(at(505), 6, &report(3, 2, &[(0, failed, 5)]));
+    assert_eq!(group.hosts[6].trial_due_at(key(0)), Some(at(505) + INITIAL_PAUSE * 2));
+}
+
+/// Guards against exclusions that end because a report has no space for the failure any more.
+#[test]
+fn full_report_withdraws_nothing() {
+    let mut group = group(2 * MAX_ENTRIES + 2);
+    let failed = ServerObservation::Unresponsive;
+    for from in [0, 3] {
+        group.deliver(at(0), 6, &report(from, 1, &[(0, failed, 0)]));
+    }
+    let others: Vec<_> = (1..=MAX_ENTRIES).map(|index| (index, failed, 0)).collect();
+    group.deliver(at(100), 6, &report(0, 2, &others));
+    assert!(group.excluding(0).contains(&6));
+}
