--- a/src/shared_health/own_observations.rs
+++ b/src/shared_health/own_observations.rs
@@ -87,6 +87,21 @@
         recent.map(|(server, _)| *server)
     }
 
+    /// Drops observations that are too old to count.
+    pub fn expire(&mut self, now: TimePoint) {
+        self.observations.retain(|_, known| now.since(known.at) < REPORT_TTL);
+    }
+
+    /// Whether a report with news or the repetition of the last one is to be sent now.
+    pub fn is_report_due(&self, now: TimePoint) -> bool {
+        let is_repeat_due = self.sent_at.is_some_and(|at| now.since(at) >= REPEAT_DELAY);
+        self.is_new_report_due(now) || (self.needs_repeat.is_some() && is_repeat_due)
+    }
+
+    fn is_new_report_due(&self, now: TimePoint) -> bool {
+        self.has_changed && self.sent_at.is_none_or(|at| now.since(at) >= MIN_INTERVAL)
+    }
+
     /// The report to send now, if one is due. Observations of servers for which `is_withheld` holds are left out.
     pub fn due_report(
         &mut self,
@@ -94,14 +109,12 @@
         from: IncarnationId,
         is_withheld: impl Fn(ServerKey) -> bool,
     ) -> Option<OutgoingReport> {
-        self.observations.retain(|_, known| now.since(known.at) < REPORT_TTL);
-        let since_sent = self.sent_at.map(|at| now.since(at));
-        let is_new = self.has_changed && since_sent.is_none_or(|time| time >= MIN_INTERVAL);
-        let is_repeat = since_sent.is_some_and(|time| time >= REPEAT_DELAY);
-        let repeat = self.needs_repeat.filter(|_| is_repeat && !is_new);
-        if !is_new && repeat.is_none() {
+        if !self.is_report_due(now) {
             return None;
         }
+        self.expire(now);
+        let is_new = self.is_new_report_due(now);
+        let repeat = self.needs_repeat.filter(|_| !is_new);
         let is_for_all = repeat.unwrap_or(self.has_local_change);
         self.needs_repeat = is_new.then_some(is_for_all);
         if is_new {
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -1,6 +1,6 @@
 use super::host_failure::HostFailure;
 use super::own_observations::OwnObservations;
-use super::suspect_server::{REPORT_TTL, SuspectServer};
+use super::suspect_server::{REPORT_TTL, SuspectServer, TrialTurn};
 use super::{
     HealthChange, HealthChangeKind, HealthReport, MAX_ENTRIES, OutgoingReport, PoolStandings,
     ServerObservation, ServerStanding,
@@ -186,6 +186,7 @@
             .filter(|entry| entry.observation.is_failure())
             .map(|entry| entry.server)
             .collect();
+        let at_fault = majority_services(&failed, fleet);
         let mut changes = Vec::new();
         let mut counted = HashSet::new();
         for entry in &report.entries {
@@ -202,8 +203,7 @@
                     .and_then(|known| known.record_served(now, at, domain != self.domain)),
                 ServerObservation::BrokeOff | ServerObservation::Unresponsive => {
                     let is_old = now.since(at) >= REPORT_TTL;
-                    if is_old || !fleet.is_ready(key) || is_majority(&failed, server.service, fleet)
-                    {
+                    if is_old || !fleet.is_ready(key) || at_fault.contains(&server.service) {
                         continue;
                     }
                     counted.insert(key);
@@ -244,10 +244,14 @@
 
     /// The report to send now, if one is due.
     pub fn due_report(&mut self, now: TimePoint, fleet: &FleetView) -> Option<OutgoingReport> {
+        if !self.observations.is_report_due(now) {
+            return None;
+        }
         let failed: HashSet<ServerKey> = self.observations.failed(now).collect();
+        let at_fault = majority_services(&failed, fleet);
         let is_withheld = |key: ServerKey| {
             failed.contains(&key)
-                && fleet.entry(key).is_none_or(|entry| is_majority(&failed, entry.service, fleet))
+                && fleet.entry(key).is_none_or(|entry| at_fault.contains(&entry.service))
         };
         self.observations.due_report(now, self.own, is_withheld)
     }
@@ -273,19 +277,19 @@
             let Some(known) = self.suspects.get(&key) else { continue };
             match known.exclusion_rank() {
                 Some(rank) => excluded.push((rank, key, server.domain, known)),
-                None => standings.insert(key, known.standing(now, self.own, |_| Vec::new())),
+                None => standings.insert(key, known.standing(now, |_| None)),
             }
         }
         excluded.sort_by_key(|(rank, key, _, _)| (*rank, *key));
         for (index, (_, key, domain, known)) in excluded.into_iter().enumerate() {
-            let trial_hosts = |is_local: bool| {
+            let turn = |is_local: bool| {
                 // Without a living host in the server's domain, each other domain makes its own trial.
                 let of_server = if is_local { Vec::new() } else { hosts(domain) };
                 let candidates = if of_server.is_empty() { hosts(self.domain) } else { of_server };
-                trial_order(key, candidates)
+                trial_turn(key, self.own, &candidates)
             };
             let standing = if index < size / 2 {
-                known.standing(now, self.own, trial_hosts)
+                known.standing(now, turn)
             } else {
                 ServerStanding::LastResort
             };
@@ -319,6 +323,7 @@
     /// Drops what has expired, and notices pauses of this host. Called several times a second.
     pub fn tick(&mut self, now: TimePoint, fleet: &FleetView) -> Vec<HealthChange> {
         self.notice_pause(now);
+        self.observations.expire(now);
         self.versions.retain(|_, (_, at)| now.since(*at) < VERSION_RETENTION);
         let mut changes = Vec::new();
         for (key, known) in &mut self.suspects {
@@ -355,8 +360,20 @@
     matching * 2 > ready
 }
 
-/// The order in which hosts try a server; equal at all hosts that know the same hosts.
-fn trial_order(server: ServerKey, mut hosts: Vec<IncarnationId>) -> Vec<IncarnationId> {
-    hosts.sort_by_key(|host| std::cmp::Reverse((rendezvous_rank(server.0, host.0), *host)));
-    hosts
+/// The services of which more than half of the ready servers are in `failed`.
+fn majority_services(failed: &HashSet<ServerKey>, fleet: &FleetView) -> HashSet<ServiceKey> {
+    let services = failed.iter().filter_map(|key| fleet.entry(*key)).map(|entry| entry.service);
+    let mut services: HashSet<ServiceKey> = services.collect();
+    services.retain(|service| is_majority(failed, *service, fleet));
+    services
+}
+
+/// The turn of `own` among the hosts that try a server, in rendezvous order; equal at all hosts that know the same hosts.
+fn trial_turn(server: ServerKey, own: IncarnationId, hosts: &[IncarnationId]) -> Option<TrialTurn> {
+    let rank = |host: IncarnationId| (rendezvous_rank(server.0, host.0), host);
+    let own_rank = rank(own);
+    hosts.contains(&own).then(|| TrialTurn {
+        place: hosts.iter().filter(|host| rank(**host) > own_rank).count(),
+        hosts: hosts.len(),
+    })
 }
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -38,6 +38,15 @@
 /// failure arrive earlier.
 pub(super) const ANSWER_DELAY: Duration = Duration::from_millis(100);
 
+/// The turn of this host among the hosts that may try a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct TrialTurn {
+    /// Number of hosts that come before this one.
+    pub place: usize,
+    /// Number of hosts that take turns, at least this one.
+    pub hosts: usize,
+}
+
 /// Why a server is excluded at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ExclusionState {
@@ -215,13 +224,12 @@
         Some(HealthChangeKind::Readmitted)
     }
 
-    /// How requests of this host may use the server, if it is not one too many. `hosts` are the living hosts that may
-    /// make the trial, in their order.
+    /// How requests of this host may use the server, if it is not one too many. `turn` is this host's turn among those
+    /// that may make the trial, given whether the exclusion is local.
     pub fn standing(
         &self,
         now: TimePoint,
-        own: IncarnationId,
-        hosts: impl FnOnce(bool) -> Vec<IncarnationId>,
+        turn: impl FnOnce(bool) -> Option<TrialTurn>,
     ) -> ServerStanding {
         let Some(exclusion) = self.exclusion else {
             let is_doubtful = self.reporters(now) > 0;
@@ -231,10 +239,10 @@
         if now < due || self.is_on_trial(now) {
             return ServerStanding::Excluded;
         }
-        let hosts = hosts(exclusion.is_local);
-        let turn = now.since(due).as_micros() / self.pause.min(MAX_TURN).as_micros();
-        let index = usize::try_from(turn).unwrap_or(usize::MAX) % hosts.len().max(1);
-        if hosts.get(index) != Some(&own) {
+        let Some(turn) = turn(exclusion.is_local) else { return ServerStanding::Excluded };
+        let passed = now.since(due).as_micros() / self.pause.min(MAX_TURN).as_micros();
+        let passed = usize::try_from(passed).unwrap_or(usize::MAX);
+        if passed % turn.hosts != turn.place {
             return ServerStanding::Excluded;
         }
         let is_overdue = now.since(due) >= ONCE_ONLY_WAIT;
