--- a/src/gateway/health_reports.rs
+++ b/src/gateway/health_reports.rs
@@ -3,11 +3,10 @@
 use super::gateway_host::GatewayHost;
 use super::gateway_state::GatewayState;
 use super::peer_messages::GatewayDatagram;
-use crate::fleet::{ServerEntry, ServerStage};
+use crate::fleet::ServerEntry;
 use crate::keys::{IncarnationId, NameKey, TimePoint};
 use crate::membership::MemberState;
 use crate::placement::ServerEvent;
-use crate::routes::ServiceKey;
 use crate::shared_health::{HealthChange, HealthChangeKind, HealthReport, PoolStandings};
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,22 +75,20 @@
     }
 
     /// Standings of the servers of one pool according to the reports of all hosts.
-    pub(super) fn server_standings(
+    pub(super) fn server_standings<'a>(
         &self,
         now: TimePoint,
         state: &GatewayState,
-        service: ServiceKey,
-        stage: Option<ServerStage>,
+        pool: impl Iterator<Item = &'a ServerEntry>,
+        is_usable: impl Fn(&ServerEntry) -> bool,
     ) -> PoolStandings {
         if !self.settings.features.shared_health {
             return PoolStandings::default();
         }
-        let servers = state.fleet.ready(service);
-        let pool = servers.filter(|server| stage.is_none_or(|stage| server.stage == Some(stage)));
         let hosts = |domain: NameKey| -> Vec<IncarnationId> {
             state.members.living_in(domain).map(|(_, member)| member.incarnation).collect()
         };
-        state.shared_health.standings(now, pool, hosts)
+        state.shared_health.standings(now, pool, is_usable, hosts)
     }
 
     fn send_health_report(&self) {
--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -38,7 +38,6 @@
         let warm = self.pool.warm_addresses();
         let mut state = self.state();
         state.server_loads.expire(now);
-        let standings = self.server_standings(now, &state, service, criteria.stage);
         // At an engine the first step is a hold or the reading of a prompt, after whose failure the request goes on.
         let may_try = criteria.is_repeatable || criteria.stage.is_some();
         let context = RankingContext {
@@ -51,10 +50,15 @@
             remote_penalty: criteria.remote_penalty,
             salt: salt ^ self.incarnation.0,
         };
+        let in_stage =
+            |server: &&ServerEntry| criteria.stage.is_none_or(|stage| server.stage == Some(stage));
+        let pool = state.fleet.ready(service).filter(in_stage);
+        let is_usable = |server: &ServerEntry| context.admits(now, server);
+        let standings = self.server_standings(now, &state, pool, is_usable);
         let candidates = state
             .fleet
             .ready(service)
-            .filter(|server| criteria.stage.is_none_or(|stage| server.stage == Some(stage)))
+            .filter(in_stage)
             .filter(|server| state.send_control.is_open(now, server.key(), criteria.rank))
             .filter(|server| standings.admits(server.key(), may_try));
         let ranked = rank_servers(now, &context, criteria.criterion, candidates);
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -51,6 +51,15 @@
     pub salt: u64,
 }
 
+impl RankingContext<'_> {
+    /// Whether neither the circuit breakers of this host nor a change of stage keep requests from a server.
+    pub fn admits(&self, now: TimePoint, server: &ServerEntry) -> bool {
+        let server_admits = self.health.get(&server.key()).is_none_or(|health| health.admits(now));
+        let domain_admits = self.domains.admits(now, server.domain);
+        server_admits && domain_admits && !self.stage_changes.is_changing(now, server)
+    }
+}
+
 /// Ranks candidates from best to worst.
 ///
 /// Servers that recently failed to respond are excluded except for occasional trials, so that a
@@ -62,14 +71,8 @@
     criterion: RankingCriterion,
     candidates: impl Iterator<Item = &'a ServerEntry>,
 ) -> Vec<&'a ServerEntry> {
-    let is_admitted = |server: &&ServerEntry| {
-        let key = server.key();
-        let server_admits = context.health.get(&key).is_none_or(|health| health.admits(now));
-        let domain_admits = context.domains.admits(now, server.domain);
-        server_admits && domain_admits && !context.stage_changes.is_changing(now, server)
-    };
     let mut ranked: Vec<(f64, &ServerEntry)> = candidates
-        .filter(is_admitted)
+        .filter(|server| context.admits(now, server))
         .map(|server| (score(now, context, criterion, server), server))
         .collect();
     ranked.sort_by(|left, right| left.0.total_cmp(&right.0));
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -256,23 +256,29 @@
         self.observations.due_report(now, self.own, is_withheld)
     }
 
-    /// Standings of the servers of one pool: the ready servers of a service and stage. `hosts` returns the living hosts
-    /// of a failure domain.
+    /// Standings of the servers of one pool: the ready servers of a service and stage. `is_usable` tells whether this
+    /// host's own breakers admit a server, and `hosts` returns the living hosts of a failure domain.
     ///
-    /// At most half of the pool is excluded, and never its last server. Beyond that, failed servers are used last.
+    /// At most half of the pool is excluded, counting servers that are not usable, and never its last server. Beyond
+    /// that, failed servers are used last.
     pub fn standings<'a>(
         &self,
         now: TimePoint,
         pool: impl Iterator<Item = &'a ServerEntry>,
+        is_usable: impl Fn(&ServerEntry) -> bool,
         hosts: impl Fn(NameKey) -> Vec<IncarnationId>,
     ) -> PoolStandings {
         let mut standings = PoolStandings::default();
         if self.suspects.is_empty() {
             return standings;
         }
-        let (mut size, mut excluded) = (0, Vec::new());
+        let (mut size, mut unusable, mut excluded) = (0_usize, 0_usize, Vec::new());
         for server in pool {
             size += 1;
+            if !is_usable(server) {
+                unusable += 1;
+                continue;
+            }
             let key = server.key();
             let Some(known) = self.suspects.get(&key) else { continue };
             match known.exclusion_rank() {
@@ -281,6 +287,7 @@
             }
         }
         excluded.sort_by_key(|(rank, key, _, _)| (*rank, *key));
+        let limit = (size / 2).saturating_sub(unusable);
         for (index, (_, key, domain, known)) in excluded.into_iter().enumerate() {
             let turn = |is_local: bool| {
                 // Without a living host in the server's domain, each other domain makes its own trial.
@@ -288,11 +295,8 @@
                 let candidates = if of_server.is_empty() { hosts(self.domain) } else { of_server };
                 trial_turn(key, self.own, &candidates)
             };
-            let standing = if index < size / 2 {
-                known.standing(now, turn)
-            } else {
-                ServerStanding::LastResort
-            };
+            let standing =
+                if index < limit { known.standing(now, turn) } else { ServerStanding::LastResort };
             standings.insert(key, standing);
         }
         standings
--- a/tests/health_common/mod.rs
+++ b/tests/health_common/mod.rs
@@ -158,7 +158,7 @@
             let alive = (0..self.hosts.len()).filter(|index| !self.dead.contains(index));
             alive.filter(|index| domain(*index) == of).map(incarnation).collect()
         };
-        self.hosts[host].standings(now, pool, living)
+        self.hosts[host].standings(now, pool, |_| true, living)
     }
 
     pub fn standing(&self, now: TimePoint, host: usize, index: usize) -> ServerStanding {
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -574,3 +574,18 @@
     group.deliver(at(100), 6, &report(0, 2, &others));
     assert!(group.excluding(0).contains(&6));
 }
+
+/// Guards against a host without any server: its own breakers hold one back, and reports of others exclude the rest.
+#[rstest]
+#[case::one_of_the_others(1, ServerStanding::LastResort)]
+#[case::none(9, ServerStanding::Excluded)]
+fn servers_held_back_by_own_breakers_count_as_excluded(
+    #[case] held_back: usize,
+    #[case] expected: ServerStanding,
+) {
+    let group = group_excluding_first();
+    let pool = group.fleet.ready(tealcleat::keys::NameKey::of("app"));
+    let is_usable = |server: &ServerEntry| server.key() != key(held_back);
+    let standings = group.hosts[1].standings(at(30), pool, is_usable, |_| Vec::new());
+    assert_eq!(standings.of(key(0)), expected);
+}
