--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -282,7 +282,7 @@
             | ServerEvent::BrokeOff => {
                 state.domain_breakers.record_answer(server.domain);
             }
-            ServerEvent::Unresponsive => {
+            ServerEvent::Unresponsive | ServerEvent::OutOfTime => {
                 // A server that restarts and stays unresponsive counts as one server.
                 if state.domain_breakers.record_unresponsive(now, server.domain, server.id_key()) {
                     let domain = server.domain.0;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -175,7 +175,7 @@
         }
         Err(_elapsed) => AttemptEnd::Silent,
     };
-    record_end(context, server, &end);
+    record_end(context, server, &end, timeout < silence_timeout);
     end
 }
 
@@ -212,8 +212,10 @@
     })
 }
 
-fn record_end(context: &CallContext, server: &ServerEntry, end: &AttemptEnd) {
+/// `is_short` says that the request had less time than after which a server counts as silent.
+fn record_end(context: &CallContext, server: &ServerEntry, end: &AttemptEnd, is_short: bool) {
     let event = match end {
+        AttemptEnd::Silent if is_short => ServerEvent::OutOfTime,
         AttemptEnd::Answered(_) => ServerEvent::Served,
         AttemptEnd::Unknown(SERVER_BROKE_OFF) => ServerEvent::BrokeOff,
         AttemptEnd::Failed(_) | AttemptEnd::NotRun | AttemptEnd::Unknown(_) => ServerEvent::Errored,
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -17,6 +17,8 @@
 /// A decode server that has the prompt makes its first event within a few steps; after a longer
 /// silence a retryable request may be sent to another server.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Cause of a run whose first event did not arrive in time.
+const NO_FIRST_EVENT: &str = "no_first_event";
 
 /// Why a run did not open.
 #[derive(Debug)]
@@ -68,10 +70,13 @@
     let started =
         match tokio::time::timeout(timeout, start_run(context, server, part, permit)).await {
             Ok(started) => started,
-            Err(_elapsed) => Err(OpenFailure::Unknown("no_first_event")),
+            Err(_elapsed) => Err(OpenFailure::Unknown(NO_FIRST_EVENT)),
         };
     let event = match &started {
         Ok(_) => ServerEvent::Served,
+        Err(OpenFailure::Unknown(NO_FIRST_EVENT)) if timeout < FIRST_EVENT_TIMEOUT => {
+            ServerEvent::OutOfTime
+        }
         Err(OpenFailure::Unknown(_)) => ServerEvent::Unresponsive,
         Err(_) => ServerEvent::Errored,
     };
--- a/src/placement/server_health.rs
+++ b/src/placement/server_health.rs
@@ -23,6 +23,9 @@
     BrokeOff,
     /// The connection failed, or the answer was late or incomplete.
     Unresponsive,
+    /// The request's own deadline passed before an answer could be called late. The circuit breaker of this host counts
+    /// it as [`Self::Unresponsive`], but it is no evidence for other hosts.
+    OutOfTime,
 }
 
 /// Recent health of a server: a circuit breaker for missing answers and an error rate for the answers
@@ -42,7 +45,7 @@
             ServerEvent::Answered => self.record_abandoned(),
             ServerEvent::Served => self.record_success(now),
             ServerEvent::Errored | ServerEvent::BrokeOff => self.record_error(now),
-            ServerEvent::Unresponsive => self.record_unresponsive(now),
+            ServerEvent::Unresponsive | ServerEvent::OutOfTime => self.record_unresponsive(now),
         }
     }
 
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -73,7 +73,7 @@
             ServerEvent::Sent => {
                 self.suspects.get_mut(&key).and_then(|known| known.record_sent(now))
             }
-            ServerEvent::Answered | ServerEvent::Errored => {
+            ServerEvent::Answered | ServerEvent::Errored | ServerEvent::OutOfTime => {
                 if let Some(known) = self.suspects.get_mut(&key) {
                     known.record_no_result();
                 }
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -589,3 +589,14 @@
     let standings = group.hosts[1].standings(at(30), pool, is_usable, |_| Vec::new());
     assert_eq!(standings.of(key(0)), expected);
 }
+
+/// Guards against healthy servers that are excluded since callers left their requests too little time.
+#[test]
+fn requests_out_of_time_are_no_evidence() {
+    let mut group = group(3);
+    for host in [0, 3] {
+        group.observe(at(0), host, 0, ServerEvent::OutOfTime);
+    }
+    group.run(0, 30);
+    assert!(group.excluding(0).is_empty() && !group.hosts[0].is_doubtful(at(30), key(0)));
+}
