--- a/src/gateway/health_reports.rs
+++ b/src/gateway/health_reports.rs
@@ -122,9 +122,9 @@
             let (event, metric) = kind.names();
             self.metrics().add(metric, 1);
             match kind {
-                HealthChangeKind::Excluded { reporters, pause, is_local } => log::warn!(
+                HealthChangeKind::Excluded { reporters, pause, is_own_domain_only } => log::warn!(
                     "event={event} server={id} life={life:016x} reporters={reporters} \
-                     pause_ms={} own_domain_only={is_local}",
+                     pause_ms={} own_domain_only={is_own_domain_only}",
                     pause.as_millis()
                 ),
                 HealthChangeKind::TrialFailed { pause } => log::info!(
--- a/src/shared_health/health_change.rs
+++ b/src/shared_health/health_change.rs
@@ -20,7 +20,7 @@
         /// Time until the first trial.
         pause: Duration,
         /// Whether only hosts of this host's failure domain, in which the server is not, reported it.
-        is_local: bool,
+        is_own_domain_only: bool,
     },
     /// This host sent a request on trial.
     TrialSent,
--- a/src/shared_health/pool_standings.rs
+++ b/src/shared_health/pool_standings.rs
@@ -42,12 +42,12 @@
     /// place although the pool has better servers; requests that run only once use doubtful servers after others.
     pub fn reorder(&self, ranked: &mut [ServerEntry], is_repeatable: bool, may_try: bool) {
         ranked.sort_by_key(|server| match self.of(server.key()) {
-            ServerStanding::Trial | ServerStanding::AnyTrial if may_try => 0,
+            // A request that runs only once is the trial only after the time in which a repeatable one could be.
+            ServerStanding::AnyTrial => 0,
+            ServerStanding::Trial if may_try => 0,
             ServerStanding::Trusted => 1,
             ServerStanding::Doubtful if is_repeatable => 1,
             ServerStanding::Doubtful => 2,
-            // A request that runs only once is the trial only after the time in which a repeatable one could be.
-            ServerStanding::AnyTrial => 0,
             ServerStanding::LastResort | ServerStanding::Trial | ServerStanding::Excluded => 3,
         });
     }
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -289,9 +289,9 @@
         excluded.sort_by_key(|(rank, key, _, _)| (*rank, *key));
         let limit = (size / 2).saturating_sub(unusable);
         for (index, (_, key, domain, known)) in excluded.into_iter().enumerate() {
-            let turn = |is_local: bool| {
+            let turn = |is_own_domain_only: bool| {
                 // Without a living host in the server's domain, each other domain makes its own trial.
-                let of_server = if is_local { Vec::new() } else { hosts(domain) };
+                let of_server = if is_own_domain_only { Vec::new() } else { hosts(domain) };
                 let candidates = if of_server.is_empty() { hosts(self.domain) } else { of_server };
                 trial_turn(key, self.own, &candidates)
             };
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -55,7 +55,7 @@
     reporters: usize,
     /// Whether fewer than two hosts of the server's own failure domain reported it. The link between the two domains
     /// may be what failed, so that the trial is up to each domain.
-    is_local: bool,
+    is_own_domain_only: bool,
 }
 
 /// What is known of a server that failed.
@@ -135,12 +135,12 @@
         known.at = known.at.max(failure.at);
         self.last_failure_at = self.last_failure_at.max(failure.at);
         let reporters = self.reporters(now);
-        let is_local = self.is_local(now);
+        let is_own_domain_only = self.is_own_domain_only(now);
         let Some(exclusion) = &mut self.exclusion else {
             return (reporters >= REPORTERS_TO_EXCLUDE).then(|| self.exclude(now, reporters));
         };
         exclusion.reporters = exclusion.reporters.max(reporters);
-        exclusion.is_local &= is_local;
+        exclusion.is_own_domain_only &= is_own_domain_only;
         if failure.at + EXCLUSION_SPREAD < exclusion.since + self.pause {
             return None;
         }
@@ -153,13 +153,13 @@
     fn exclude(&mut self, now: TimePoint, reporters: usize) -> HealthChangeKind {
         let is_unstable = self.returned_at.is_some_and(|at| now.since(at) < UNSTABLE_TIME);
         self.pause = if is_unstable { (self.pause * 2).min(MAX_PAUSE) } else { INITIAL_PAUSE };
-        let is_local = self.is_local(now);
-        self.exclusion = Some(ExclusionState { since: now, reporters, is_local });
+        let is_own_domain_only = self.is_own_domain_only(now);
+        self.exclusion = Some(ExclusionState { since: now, reporters, is_own_domain_only });
         self.trial_at = None;
-        HealthChangeKind::Excluded { reporters, pause: self.pause, is_local }
+        HealthChangeKind::Excluded { reporters, pause: self.pause, is_own_domain_only }
     }
 
-    fn is_local(&self, now: TimePoint) -> bool {
+    fn is_own_domain_only(&self, now: TimePoint) -> bool {
         let recent = self.failures.values().filter(|failure| now.since(failure.at) < REPORT_TTL);
         recent.filter(|failure| failure.domain == self.domain).count() < REPORTERS_TO_EXCLUDE
     }
@@ -210,7 +210,7 @@
         at: TimePoint,
         is_remote: bool,
     ) -> Option<HealthChangeKind> {
-        if is_remote && self.exclusion.is_some_and(|exclusion| exclusion.is_local) {
+        if is_remote && self.exclusion.is_some_and(|exclusion| exclusion.is_own_domain_only) {
             return None;
         }
         self.served_at = self.served_at.max(Some(at));
@@ -225,7 +225,7 @@
     }
 
     /// How requests of this host may use the server, if it is not one too many. `turn` is this host's turn among those
-    /// that may make the trial, given whether the exclusion is local.
+    /// that may make the trial, given whether only hosts of this host's domain reported the server.
     pub fn standing(
         &self,
         now: TimePoint,
@@ -239,7 +239,9 @@
         if now < due || self.is_on_trial(now) {
             return ServerStanding::Excluded;
         }
-        let Some(turn) = turn(exclusion.is_local) else { return ServerStanding::Excluded };
+        let Some(turn) = turn(exclusion.is_own_domain_only) else {
+            return ServerStanding::Excluded;
+        };
         let passed = now.since(due).as_micros() / self.pause.min(MAX_TURN).as_micros();
         let passed = usize::try_from(passed).unwrap_or(usize::MAX);
         if passed % turn.hosts != turn.place {
