--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -1,9 +1,9 @@
 use super::host_failure::HostFailure;
 use super::own_observations::OwnObservations;
-use super::suspect_server::{REPORT_TTL, SuspectServer};
+use super::suspect_server::{REPORT_TTL, SuspectServer, TrialTurn};
 use super::{
-    HealthChange, HealthChangeKind, HealthReport, OutgoingReport, PoolStandings, ServerObservation,
-    ServerStanding,
+    HealthChange, HealthChangeKind, HealthReport, MAX_ENTRIES, OutgoingReport, PoolStandings,
+    ServerObservation, ServerStanding,
 };
 use crate::fleet::{FleetView, ServerEntry};
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
@@ -73,7 +73,7 @@
             ServerEvent::Sent => {
                 self.suspects.get_mut(&key).and_then(|known| known.record_sent(now))
             }
-            ServerEvent::Answered | ServerEvent::Errored => {
+            ServerEvent::Answered | ServerEvent::Errored | ServerEvent::OutOfTime => {
                 if let Some(known) = self.suspects.get_mut(&key) {
                     known.record_no_result();
                 }
@@ -100,8 +100,15 @@
         server: &ServerEntry,
     ) -> Option<HealthChangeKind> {
         let key = server.key();
-        let known = self.suspects.get_mut(&key)?;
+        let Some(known) = self.suspects.get_mut(&key) else {
+            self.observations.drop_refuted(now, key);
+            return None;
+        };
         if !known.is_proved_by_answer(now) {
+            // A failure that was withheld as this host's own fault is not known to the table.
+            if !known.has_failure_of(self.own) {
+                self.observations.drop_refuted(now, key);
+            }
             return None;
         }
         let is_local = server.domain == self.domain;
@@ -179,6 +186,7 @@
             .filter(|entry| entry.observation.is_failure())
             .map(|entry| entry.server)
             .collect();
+        let at_fault = majority_services(&failed, fleet);
         let mut changes = Vec::new();
         let mut counted = HashSet::new();
         for entry in &report.entries {
@@ -195,8 +203,7 @@
                     .and_then(|known| known.record_served(now, at, domain != self.domain)),
                 ServerObservation::BrokeOff | ServerObservation::Unresponsive => {
                     let is_old = now.since(at) >= REPORT_TTL;
-                    if is_old || !fleet.is_ready(key) || is_majority(&failed, server.service, fleet)
-                    {
+                    if is_old || !fleet.is_ready(key) || at_fault.contains(&server.service) {
                         continue;
                     }
                     counted.insert(key);
@@ -207,8 +214,10 @@
             };
             changes.extend(kind.map(|kind| HealthChange { server: key, kind }));
         }
+        // A full report may have left out older failures, which is no withdrawal.
+        let is_complete = report.entries.len() < MAX_ENTRIES;
         for (key, known) in &mut self.suspects {
-            if !counted.contains(key) {
+            if (is_complete || failed.contains(key)) && !counted.contains(key) {
                 let kind = known.withdraw(now, reporter);
                 changes.extend(kind.map(|kind| HealthChange { server: *key, kind }));
             }
@@ -235,51 +244,59 @@
 
     /// The report to send now, if one is due.
     pub fn due_report(&mut self, now: TimePoint, fleet: &FleetView) -> Option<OutgoingReport> {
+        if !self.observations.is_report_due(now) {
+            return None;
+        }
         let failed: HashSet<ServerKey> = self.observations.failed(now).collect();
+        let at_fault = majority_services(&failed, fleet);
         let is_withheld = |key: ServerKey| {
             failed.contains(&key)
-                && fleet.entry(key).is_none_or(|entry| is_majority(&failed, entry.service, fleet))
+                && fleet.entry(key).is_none_or(|entry| at_fault.contains(&entry.service))
         };
         self.observations.due_report(now, self.own, is_withheld)
     }
 
-    /// Standings of the servers of one pool: the ready servers of a service and stage. `hosts` returns the living hosts
-    /// of a failure domain.
+    /// Standings of the servers of one pool: the ready servers of a service and stage. `is_usable` tells whether this
+    /// host's own breakers admit a server, and `hosts` returns the living hosts of a failure domain.
     ///
-    /// At most half of the pool is excluded, and never its last server. Beyond that, failed servers are used last.
+    /// At most half of the pool is excluded, counting servers that are not usable, and never its last server. Beyond
+    /// that, failed servers are used last.
     pub fn standings<'a>(
         &self,
         now: TimePoint,
         pool: impl Iterator<Item = &'a ServerEntry>,
+        is_usable: impl Fn(&ServerEntry) -> bool,
         hosts: impl Fn(NameKey) -> Vec<IncarnationId>,
     ) -> PoolStandings {
         let mut standings = PoolStandings::default();
         if self.suspects.is_empty() {
             return standings;
         }
-        let (mut size, mut excluded) = (0, Vec::new());
+        let (mut size, mut unusable, mut excluded) = (0_usize, 0_usize, Vec::new());
         for server in pool {
             size += 1;
+            if !is_usable(server) {
+                unusable += 1;
+                continue;
+            }
             let key = server.key();
             let Some(known) = self.suspects.get(&key) else { continue };
             match known.exclusion_rank() {
                 Some(rank) => excluded.push((rank, key, server.domain, known)),
-                None => standings.insert(key, known.standing(now, self.own, |_| Vec::new())),
+                None => standings.insert(key, known.standing(now, |_| None)),
             }
         }
         excluded.sort_by_key(|(rank, key, _, _)| (*rank, *key));
+        let limit = (size / 2).saturating_sub(unusable);
         for (index, (_, key, domain, known)) in excluded.into_iter().enumerate() {
-            let trial_hosts = |is_local: bool| {
+            let turn = |is_own_domain_only: bool| {
                 // Without a living host in the server's domain, each other domain makes its own trial.
-                let of_server = if is_local { Vec::new() } else { hosts(domain) };
+                let of_server = if is_own_domain_only { Vec::new() } else { hosts(domain) };
                 let candidates = if of_server.is_empty() { hosts(self.domain) } else { of_server };
-                trial_order(key, candidates)
-            };
-            let standing = if index < size / 2 {
-                known.standing(now, self.own, trial_hosts)
-            } else {
-                ServerStanding::LastResort
+                trial_turn(key, self.own, &candidates)
             };
+            let standing =
+                if index < limit { known.standing(now, turn) } else { ServerStanding::LastResort };
             standings.insert(key, standing);
         }
         standings
@@ -310,6 +327,7 @@
     /// Drops what has expired, and notices pauses of this host. Called several times a second.
     pub fn tick(&mut self, now: TimePoint, fleet: &FleetView) -> Vec<HealthChange> {
         self.notice_pause(now);
+        self.observations.expire(now);
         self.versions.retain(|_, (_, at)| now.since(*at) < VERSION_RETENTION);
         let mut changes = Vec::new();
         for (key, known) in &mut self.suspects {
@@ -346,8 +364,20 @@
     matching * 2 > ready
 }
 
-/// The order in which hosts try a server; equal at all hosts that know the same hosts.
-fn trial_order(server: ServerKey, mut hosts: Vec<IncarnationId>) -> Vec<IncarnationId> {
-    hosts.sort_by_key(|host| std::cmp::Reverse((rendezvous_rank(server.0, host.0), *host)));
-    hosts
+/// The services of which more than half of the ready servers are in `failed`.
+fn majority_services(failed: &HashSet<ServerKey>, fleet: &FleetView) -> HashSet<ServiceKey> {
+    let services = failed.iter().filter_map(|key| fleet.entry(*key)).map(|entry| entry.service);
+    let mut services: HashSet<ServiceKey> = services.collect();
+    services.retain(|service| is_majority(failed, *service, fleet));
+    services
+}
+
+/// The turn of `own` among the hosts that try a server, in rendezvous order; equal at all hosts that know the same hosts.
+fn trial_turn(server: ServerKey, own: IncarnationId, hosts: &[IncarnationId]) -> Option<TrialTurn> {
+    let rank = |host: IncarnationId| (rendezvous_rank(server.0, host.0), host);
+    let own_rank = rank(own);
+    hosts.contains(&own).then(|| TrialTurn {
+        place: hosts.iter().filter(|host| rank(**host) > own_rank).count(),
+        hosts: hosts.len(),
+    })
 }
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -12,8 +12,8 @@
 /// First pause before a trial: about the length of the restart of a process or of a brief link failure, and short
 /// compared to the deadlines of plain requests (1 s).
 pub const INITIAL_PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each return, and a server that stays longer is
-/// missed for at most this time.
+/// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each
+/// return, and a server that stays longer is missed for at most this time.
 pub const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Longest pause that failed trials lead to. A failed trial costs the delay of one request that can be repeated, while a
 /// server of three that is missed costs a third of a service.
@@ -28,12 +28,24 @@
 /// A trial whose result is missing after this time is given up, and the host may make another one. It is the longest
 /// time that a server may take for the first event of a run.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(3);
+/// By how much the exclusion may begin later at this host than at the one that makes the trial: the report that led to
+/// it arrives only with its repetition. A failure this long before the trial is due here may thus be its result.
+const EXCLUSION_SPREAD: Duration = Duration::from_millis(150);
 /// An exclusion ends this long after the trial was due if no result is reported: ten hosts had their turn, or the
 /// report of a success was lost.
 const LAPSE_TIME: Duration = Duration::from_secs(10);
 /// An answer this long after the latest failure shows that the server serves again. Answers that were sent before the
 /// failure arrive earlier.
-const ANSWER_DELAY: Duration = Duration::from_millis(100);
+pub(super) const ANSWER_DELAY: Duration = Duration::from_millis(100);
+
+/// The turn of this host among the hosts that may try a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct TrialTurn {
+    /// Number of hosts that come before this one.
+    pub place: usize,
+    /// Number of hosts that take turns, at least this one.
+    pub hosts: usize,
+}
 
 /// Why a server is excluded at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,7 +55,7 @@
     reporters: usize,
     /// Whether fewer than two hosts of the server's own failure domain reported it. The link between the two domains
     /// may be what failed, so that the trial is up to each domain.
-    is_local: bool,
+    is_own_domain_only: bool,
 }
 
 /// What is known of a server that failed.
@@ -123,13 +135,13 @@
         known.at = known.at.max(failure.at);
         self.last_failure_at = self.last_failure_at.max(failure.at);
         let reporters = self.reporters(now);
-        let is_local = self.is_local(now);
+        let is_own_domain_only = self.is_own_domain_only(now);
         let Some(exclusion) = &mut self.exclusion else {
             return (reporters >= REPORTERS_TO_EXCLUDE).then(|| self.exclude(now, reporters));
         };
         exclusion.reporters = exclusion.reporters.max(reporters);
-        exclusion.is_local &= is_local;
-        if failure.at < exclusion.since + self.pause {
+        exclusion.is_own_domain_only &= is_own_domain_only;
+        if failure.at + EXCLUSION_SPREAD < exclusion.since + self.pause {
             return None;
         }
         exclusion.since = now;
@@ -141,13 +153,13 @@
     fn exclude(&mut self, now: TimePoint, reporters: usize) -> HealthChangeKind {
         let is_unstable = self.returned_at.is_some_and(|at| now.since(at) < UNSTABLE_TIME);
         self.pause = if is_unstable { (self.pause * 2).min(MAX_PAUSE) } else { INITIAL_PAUSE };
-        let is_local = self.is_local(now);
-        self.exclusion = Some(ExclusionState { since: now, reporters, is_local });
+        let is_own_domain_only = self.is_own_domain_only(now);
+        self.exclusion = Some(ExclusionState { since: now, reporters, is_own_domain_only });
         self.trial_at = None;
-        HealthChangeKind::Excluded { reporters, pause: self.pause, is_local }
+        HealthChangeKind::Excluded { reporters, pause: self.pause, is_own_domain_only }
     }
 
-    fn is_local(&self, now: TimePoint) -> bool {
+    fn is_own_domain_only(&self, now: TimePoint) -> bool {
         let recent = self.failures.values().filter(|failure| now.since(failure.at) < REPORT_TTL);
         recent.filter(|failure| failure.domain == self.domain).count() < REPORTERS_TO_EXCLUDE
     }
@@ -198,7 +210,7 @@
         at: TimePoint,
         is_remote: bool,
     ) -> Option<HealthChangeKind> {
-        if is_remote && self.exclusion.is_some_and(|exclusion| exclusion.is_local) {
+        if is_remote && self.exclusion.is_some_and(|exclusion| exclusion.is_own_domain_only) {
             return None;
         }
         self.served_at = self.served_at.max(Some(at));
@@ -212,13 +224,12 @@
         Some(HealthChangeKind::Readmitted)
     }
 
-    /// How requests of this host may use the server, if it is not one too many. `hosts` are the living hosts that may
-    /// make the trial, in their order.
+    /// How requests of this host may use the server, if it is not one too many. `turn` is this host's turn among those
+    /// that may make the trial, given whether only hosts of this host's domain reported the server.
     pub fn standing(
         &self,
         now: TimePoint,
-        own: IncarnationId,
-        hosts: impl FnOnce(bool) -> Vec<IncarnationId>,
+        turn: impl FnOnce(bool) -> Option<TrialTurn>,
     ) -> ServerStanding {
         let Some(exclusion) = self.exclusion else {
             let is_doubtful = self.reporters(now) > 0;
@@ -228,10 +239,12 @@
         if now < due || self.is_on_trial(now) {
             return ServerStanding::Excluded;
         }
-        let hosts = hosts(exclusion.is_local);
-        let turn = now.since(due).as_micros() / self.pause.min(MAX_TURN).as_micros();
-        let index = usize::try_from(turn).unwrap_or(usize::MAX) % hosts.len().max(1);
-        if hosts.get(index) != Some(&own) {
+        let Some(turn) = turn(exclusion.is_own_domain_only) else {
+            return ServerStanding::Excluded;
+        };
+        let passed = now.since(due).as_micros() / self.pause.min(MAX_TURN).as_micros();
+        let passed = usize::try_from(passed).unwrap_or(usize::MAX);
+        if passed % turn.hosts != turn.place {
             return ServerStanding::Excluded;
         }
         let is_overdue = now.since(due) >= ONCE_ONLY_WAIT;
