--- a/src/gateway/pace_updates.rs
+++ b/src/gateway/pace_updates.rs
@@ -1,4 +1,4 @@
-//! Exchanges the pace of decode servers with other hosts.
+//! Exchanges the pace of servers with other hosts.
 
 use super::gateway_host::GatewayHost;
 use super::peer_messages::GatewayDatagram;
