--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -50,13 +50,16 @@
         Some(Self { request: Some(request), parts })
     }
 
-    /// Removes servers that are kept for other requests, and puts those that are kept for this one first.
+    /// Removes servers that are kept for other requests, and puts those that are kept for this one first. Where no other
+    /// server is usable (failures, limits), it removes none: it would refuse requests although memory is free.
     pub fn order(&self, ranked: &mut Vec<ServerEntry>) {
         let Some(parts) = &self.parts else {
             return;
         };
         let contains = |set: &HashSet<ServerKey>, server: &ServerEntry| set.contains(&server.key());
-        ranked.retain(|server| !contains(&parts.without, server));
+        if !ranked.iter().all(|server| contains(&parts.without, server)) {
+            ranked.retain(|server| !contains(&parts.without, server));
+        }
         ranked.sort_by_key(|server| !contains(&parts.first, server));
     }
 
