Admission: organisations near the median are not refused for their share; figures are sent rarely while the pool is quiet

Where a whole kind demands too much, refusals of the organisation that happens to demand most left memory idle.

--- a/src/admission/admission_control.rs
+++ b/src/admission/admission_control.rs
@@ -1,6 +1,6 @@
 use super::own_demand::{DemandKey, OwnDemand};
 use super::pressure_table::PressureTable;
-use super::service_state::ServiceState;
+use super::service_state::{MIN_SEND_PERIOD, ServiceState};
 use super::{
     AdmissionDecision, AdmissionRequest, DecodePool, PressureLevel, PressureScope, PressureUpdate,
     SearchOutcome, ServicePressure,
@@ -125,6 +125,11 @@
         self.states.get(&service).map(ServiceState::level).unwrap_or_default()
     }
 
+    /// How often a host sends its figures of a service; [`MIN_SEND_PERIOD`] is the shortest.
+    pub fn send_period(&self, service: ServiceKey) -> Duration {
+        self.states.get(&service).map_or(MIN_SEND_PERIOD, ServiceState::send_period)
+    }
+
     /// Number of servers reserved against the least urgent rank.
     pub fn reserved_count(&self, pool: &DecodePool) -> usize {
         let (Some(state), Some(rank)) = (self.states.get(&pool.service), pool.ranks.last()) else {
--- a/src/admission/heard_pressure.rs
+++ b/src/admission/heard_pressure.rs
@@ -1,5 +1,6 @@
 use super::ServicePressure;
 use crate::keys::{IncarnationId, TimePoint};
+use crate::routes::ServiceKey;
 
 /// The last update of another host or failure domain.
 #[derive(Debug, Clone)]
@@ -12,7 +13,7 @@
 
 impl HeardPressure {
     /// The figures of `service`, if the update contains any.
-    pub fn service(&self, service: crate::routes::ServiceKey) -> Option<&ServicePressure> {
+    pub fn service(&self, service: ServiceKey) -> Option<&ServicePressure> {
         self.services.iter().find(|known| known.service == service)
     }
 }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -34,3 +34,4 @@
 pub use reserved_part::{reserve_order, reserve_tokens};
 pub use search_outcome::SearchOutcome;
 pub use service_pressure::ServicePressure;
+pub use service_state::MIN_SEND_PERIOD;
--- a/src/admission/pressure_table.rs
+++ b/src/admission/pressure_table.rs
@@ -1,12 +1,12 @@
 use super::heard_pressure::HeardPressure;
 use super::{PressureScope, PressureUpdate, ServicePressure};
 use crate::keys::{IncarnationId, NameKey, TimePoint};
-use crate::routes::ServiceKey;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Lifetime of another host's figures. A host of a domain of 24 hears from each other one every 0.6 s on average, so one
-/// lost update leaves no gap; a dead host's runs end within about 3 s.
+/// Lifetime of another host's figures. Unless the pool is calm, a host of a domain of 24 hears from each other one every 0.6 s on
+/// average, so one lost update leaves no gap; while it is calm, figures of hosts not heard are extrapolated. A dead host's runs
+/// end within about 3 s.
 const FIGURES_LIFETIME: Duration = Duration::from_millis(1500);
 /// With fewer hosts heard, the figures are not extrapolated to the others: a host that is cut off decides by its own.
 const MIN_SAMPLE: usize = 4;
@@ -69,7 +69,7 @@
 
     /// The demand over all failure domains.
     pub fn total(&self, own: ServicePressure, host_count: usize) -> ServicePressure {
-        let service: ServiceKey = own.service;
+        let service = own.service;
         let mut total = self.domain_total(own, host_count);
         for known in self.domains.values().filter_map(|heard| heard.service(service)) {
             total.add(known);
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -37,7 +37,18 @@
 /// Part of the large requests' proportionate share that is kept for them. They are to be served at least half as often
 /// as their kind, also in a burst of three times the load, where half of the share would not do. Each large request takes
 /// the memory of two small ones, so no more is kept.
-const LARGE_FRACTION: f64 = 0.65;
+const LARGE_FRACTION: f64 = 0.7;
+
+/// Below this fraction of the use at which searches find no memory, a burst of the load takes a second or more to fill the
+/// pool, so that figures are sent rarely.
+const QUIET_FRACTION: f64 = 0.6;
+/// How often a host sends its figures below [`QUIET_FRACTION`].
+const QUIET_SEND_PERIOD: Duration = Duration::from_millis(1000);
+/// How often a host sends its figures above it while the level is calm. A burst may fill
+/// the pool within a second, and hosts that hear less often learn of the shortage later.
+const CALM_SEND_PERIOD: Duration = Duration::from_millis(400);
+/// How often a host sends its figures while servers are reserved by them.
+pub const MIN_SEND_PERIOD: Duration = Duration::from_millis(200);
 
 /// How scarce the memory of one service is, and what is reserved there.
 #[derive(Debug, Clone)]
@@ -47,6 +58,8 @@
     tight_until: TimePoint,
     /// Use at which searches find no memory, as a fraction of the memory.
     full: f64,
+    /// Whether the use is below [`QUIET_FRACTION`].
+    is_quiet: bool,
     /// Tokens reserved against each rank.
     reserved: HashMap<u8, f64>,
     /// Tokens kept for large requests of the least urgent rank.
@@ -65,6 +78,7 @@
             short_until: TimePoint::default(),
             tight_until: TimePoint::default(),
             full: DEFAULT_FULL,
+            is_quiet: true,
             reserved: HashMap::new(),
             large: 0.0,
             large_limits: HashMap::new(),
@@ -88,6 +102,7 @@
             let full = declined(self.full, used, elapsed, FULL_DECLINE);
             self.full = full.clamp(FULL_BOUNDS.0, FULL_BOUNDS.1);
         }
+        self.is_quiet = used < self.full * QUIET_FRACTION;
         if is_short || used >= self.full * TIGHT_FRACTION {
             self.tight_until = now + TIGHT_HOLD;
         }
@@ -120,6 +135,15 @@
         self.level
     }
 
+    /// How often a host sends its figures.
+    pub const fn send_period(&self) -> Duration {
+        match self.level {
+            PressureLevel::Calm if self.is_quiet => QUIET_SEND_PERIOD,
+            PressureLevel::Calm => CALM_SEND_PERIOD,
+            PressureLevel::Tight | PressureLevel::Short => MIN_SEND_PERIOD,
+        }
+    }
+
     /// Whether a request of `rank` that needs `tokens` is a large one.
     pub fn is_large(&self, rank: u8, tokens: u32) -> bool {
         self.large_limits.get(&rank).is_some_and(|limit| f64::from(tokens) > *limit)
@@ -197,7 +221,12 @@
         }
         let key = OrgPressure::short_key(request.org?);
         let demand = |org: &OrgPressure| rank.demand_tokens(org.tokens, org.unmet_tokens);
-        let share = fair_share(capacity, rank.orgs.iter().map(demand));
+        let mut demands: Vec<f64> = rank.orgs.iter().map(demand).collect();
+        demands.sort_by(f64::total_cmp);
+        // Where most organisations demand more than the share, the kind as a whole does; refusing the one that happens to
+        // demand most at the moment would leave memory idle and help no other.
+        let median = demands.get(demands.len().saturating_sub(1) / 2).copied()?;
+        let share = fair_share(capacity, demands.into_iter()).max(median);
         let demand = rank.orgs.iter().find(|org| org.org == key).map(demand)?;
         let admitted = share * (1.0 + SLACK) / demand.max(1.0);
         let is_refused = !request.is_return && request.draw > admitted;
--- a/src/gateway/pressure_updates.rs
+++ b/src/gateway/pressure_updates.rs
@@ -3,22 +3,19 @@
 use super::gateway_host::GatewayHost;
 use super::gateway_state::GatewayState;
 use super::peer_messages::GatewayDatagram;
-use crate::admission::{DecodePool, PressureLevel, PressureScope, PressureUpdate};
+use crate::admission::{DecodePool, MIN_SEND_PERIOD, PressureLevel, PressureScope, PressureUpdate};
 use crate::fleet::ServerStage;
 use crate::routes::ServiceKey;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// How often a host sends its figures.
-const PRESSURE_PERIOD: Duration = Duration::from_millis(200);
-/// While no memory is short or nearly so, a host sends its figures every this many periods.
-const CALM_PERIODS: u64 = 2;
-/// Hosts of the same failure domain in each round: in a domain of 24, a host hears from each other one every 0.6 s, and
-/// the figures that it decides by are 0.3 s old on average.
+/// Hosts of the same failure domain in each round: unless the pool is calm, in a
+/// domain of 24, a host hears from each other one
+/// every 0.6 s, and the figures that it decides by are 0.3 s old on average.
 const LOCAL_TARGETS: usize = 8;
 /// Hosts of other failure domains in each round, which get the sum of the sender's domain: each host hears the sum of
-/// another domain of about equal size every 0.4 s. Traffic between domains is charged.
+/// another domain of about equal size every 0.4 s then. Traffic between domains is charged.
 const REMOTE_TARGETS: usize = 1;
 /// The same, as a shortage begins.
 const ANNOUNCE_REMOTE_TARGETS: usize = 4;
@@ -28,25 +25,29 @@
     if !host.settings.features.admission {
         return;
     }
-    let mut ticker = tokio::time::interval(PRESSURE_PERIOD);
+    let mut ticker = tokio::time::interval(MIN_SEND_PERIOD);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut round = 0_u64;
+    let mut sent_at = host.now();
     loop {
         ticker.tick().await;
-        round += 1;
         let pools = host.state().contested_pools();
         if pools.is_empty() {
             continue;
         }
         let begins = host.update_pressure_levels(&pools);
-        let level = host.highest_pressure(&pools);
+        let now = host.now();
+        // A tick may come a little early.
+        let is_due = now.since(sent_at) + MIN_SEND_PERIOD / 2 >= host.pressure_period(&pools);
         if begins {
             host.send_own_pressure(usize::MAX);
             host.send_domain_pressure(&pools, ANNOUNCE_REMOTE_TARGETS);
-        } else if level > PressureLevel::Calm || round.is_multiple_of(CALM_PERIODS) {
+        } else if is_due {
             host.send_own_pressure(LOCAL_TARGETS);
             host.send_domain_pressure(&pools, REMOTE_TARGETS);
+        } else {
+            continue;
         }
+        sent_at = now;
     }
 }
 
@@ -88,7 +89,7 @@
         }
     }
 
-    /// Sends this host's figures to all hosts of its failure domain as a shortage begins, once for each shortage.
+    /// Sends this host's figures to all hosts of its failure domain as a shortage begins, once a second at most.
     pub(super) fn announce_shortage(&self) {
         let now = self.now();
         if self.state().admission.begin_announcement(now) {
@@ -115,10 +116,10 @@
         }
     }
 
-    fn highest_pressure(&self, pools: &[DecodePool]) -> PressureLevel {
+    fn pressure_period(&self, pools: &[DecodePool]) -> Duration {
         let state = self.state();
-        let levels = pools.iter().map(|pool| state.admission.level(pool.service));
-        levels.max().unwrap_or_default()
+        let periods = pools.iter().map(|pool| state.admission.send_period(pool.service));
+        periods.min().unwrap_or(MIN_SEND_PERIOD)
     }
 
     /// Updates how scarce the memory of each pool is, and logs changes. Returns whether a shortage begins.
