--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -9,15 +9,15 @@
 pub const REPORT_TTL: Duration = Duration::from_secs(2);
 /// Hosts that must report a server before it is excluded: the word of one may be a fault of its own.
 const REPORTERS_TO_EXCLUDE: usize = 2;
-/// First pause before a trial: about the length of the restart of a process or of a brief link failure, and short
-/// compared to the deadlines of plain requests (1 s).
-pub const INITIAL_PAUSE: Duration = Duration::from_millis(500);
+/// First pause before a trial. Plain requests have about a second in all, so that a server that is back at once is used
+/// again within a quarter of it; the failed trial of one host costs one request that can be repeated.
+pub const INITIAL_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each
-/// return, and a server that stays longer is missed for at most this time.
-pub const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// return, but while it is missed the other servers may have to refuse many more.
+pub const MAX_PAUSE: Duration = Duration::from_secs(1);
 /// Longest pause that failed trials lead to. A failed trial costs the delay of one request that can be repeated, while a
 /// server of three that is missed costs a third of a service.
-pub const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(2);
+pub const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(1);
 /// A server that fails again within this time of its return is not stable, and its pause doubles.
 const UNSTABLE_TIME: Duration = Duration::from_secs(10);
 /// Longest turn of one host in the order of trials. Each of 71 hosts gets a plain request about every 0.4 s, so that a
