--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -51,6 +51,12 @@
     (status, runs.into_iter().filter(|run| run.stage == "decode").collect())
 }
 
+/// The decode servers in the order in which they are reserved.
+fn decode_order() -> Vec<ServerKey> {
+    let server = |index| (ServerKey::of(&format!("i-decode-{index}")), NameKey::of("a"));
+    reserve_order(&(0..DECODES).map(server).collect::<Vec<_>>())
+}
+
 /// Tells the host that searches find no memory, and that urgent requests use about a third of it.
 fn report_shortage(site: &TestSite, version: u64) {
     let rank = |rank, running| RankPressure {
@@ -100,10 +106,7 @@
 fn reserved_servers_serve_urgent_requests_only() {
     runtime().block_on(async {
         let site = site(ADMISSION, 0).await;
-        let servers: Vec<(ServerKey, NameKey)> = (0..DECODES)
-            .map(|index| (ServerKey::of(&format!("i-decode-{index}")), NameKey::of("a")))
-            .collect();
-        let reserved: HashSet<ServerKey> = reserve_order(&servers).into_iter().take(2).collect();
+        let reserved: HashSet<ServerKey> = decode_order().into_iter().take(2).collect();
         let runs_at = |id: &str| -> Vec<ServerKey> {
             let engines = site.decodes.iter();
             let used = engines.filter(|engine| engine.runs().iter().any(|run| run.request == id));
@@ -127,6 +130,27 @@
     });
 }
 
+/// Guards against refusals of less urgent requests although memory is free: the servers that are not reserved for others
+/// do not respond, and are avoided for that.
+#[test]
+fn reserved_servers_serve_all_where_no_other_is_usable() {
+    runtime().block_on(async {
+        let site = site(ADMISSION, 0).await;
+        for server in decode_order().into_iter().skip(2) {
+            let mut engines = site.decodes.iter();
+            let engine = engines.find(|engine| ServerKey::of(&engine.id) == server);
+            engine.expect("known").set_fault(EngineFault::Silent);
+        }
+        let mut last = 0;
+        for round in 0..8 {
+            report_shortage(&site, round + 1);
+            last = decode_runs(&site, "stream", &format!("stream-{round}")).await.0;
+        }
+        assert_eq!(last, 200);
+        wait_released(&site).await;
+    });
+}
+
 /// All engines refuse holds. Only an urgent request is sent without one, and only if that is switched on.
 #[rstest]
 #[case::off(ADMISSION, 503)]
