Admission: shares of organisations follow their limits

Cause: equal shares. A large organisation demands several times what a small one does, and its limit says so. Shares are now weighted by the limits that organisations agreed on.

--- a/src/admission/admission_request.rs
+++ b/src/admission/admission_request.rs
@@ -1,5 +1,7 @@
+use super::OrgPressure;
 use crate::keys::{NameKey, OrgKey, ServerKey};
 use crate::routes::ServiceKey;
+use std::collections::HashMap;
 
 /// The decode servers of a service, and whose requests compete for them.
 #[derive(Debug, Clone, PartialEq)]
@@ -12,8 +14,8 @@
     pub memory_tokens: u32,
     /// The priorities of the routes to the service, most urgent first.
     pub ranks: Vec<u8>,
-    /// Whether requests belong to organisations.
-    pub has_orgs: bool,
+    /// The shares of the organisations relative to each other, by the short form of their keys; empty if there are none.
+    pub org_weights: HashMap<u32, f64>,
     /// Number of hosts in this host's failure domain, itself included.
     pub host_count: usize,
 }
@@ -21,7 +23,12 @@
 impl DecodePool {
     /// Whether there is anything to decide: requests of several ranks or organisations compete.
     pub fn is_contested(&self) -> bool {
-        self.ranks.len() > 1 || self.has_orgs
+        self.ranks.len() > 1 || !self.org_weights.is_empty()
+    }
+
+    /// The share of an organisation relative to those of the others.
+    pub fn org_weight(&self, org: &OrgPressure) -> f64 {
+        self.org_weights.get(&org.org).copied().unwrap_or(1.0)
     }
 
     /// Memory of all servers in tokens.
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -26,7 +26,7 @@
 pub use admission_control::{AdmissionControl, MemoryUse};
 pub use admission_decision::{AdmissionDecision, AdmissionRefusal, SearchParts};
 pub use admission_request::{AdmissionRequest, DecodePool};
-pub use fair_share::fair_share;
+pub use fair_share::{WeightedDemand, fair_share};
 pub use org_pressure::OrgPressure;
 pub use pressure_level::PressureLevel;
 pub use pressure_update::{PressureScope, PressureUpdate};
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -1,7 +1,7 @@
 use super::reserved_part::MAX_RESERVED;
 use super::{
     AdmissionRefusal, AdmissionRequest, DecodePool, OrgPressure, PressureLevel, SearchParts,
-    ServicePressure, fair_share, reserve_order, reserve_tokens,
+    ServicePressure, WeightedDemand, fair_share, reserve_order, reserve_tokens,
 };
 use crate::keys::TimePoint;
 use std::collections::HashMap;
@@ -220,14 +220,18 @@
             return None;
         }
         let key = OrgPressure::short_key(request.org?);
-        let demand = |org: &OrgPressure| rank.demand_tokens(org.tokens, org.unmet_tokens);
-        let mut demands: Vec<f64> = rank.orgs.iter().map(demand).collect();
-        demands.sort_by(f64::total_cmp);
+        let weighted = |org: &OrgPressure| WeightedDemand {
+            demand: rank.demand_tokens(org.tokens, org.unmet_tokens),
+            weight: pool.org_weight(org),
+        };
+        let mut demands: Vec<WeightedDemand> = rank.orgs.iter().map(weighted).collect();
+        demands.sort_by(|left, right| left.per_weight().total_cmp(&right.per_weight()));
         // Where most organisations demand more than the share, the kind as a whole does; refusing the one that happens to
         // demand most at the moment would leave memory idle and help no other.
-        let median = demands.get(demands.len().saturating_sub(1) / 2).copied()?;
-        let share = fair_share(capacity, demands.into_iter()).max(median);
-        let demand = rank.orgs.iter().find(|org| org.org == key).map(demand)?;
+        let median = demands.get(demands.len().saturating_sub(1) / 2)?.per_weight();
+        let own = rank.orgs.iter().find(|org| org.org == key).map(weighted)?;
+        let share = fair_share(capacity, demands.into_iter()).max(median) * own.weight;
+        let demand = own.demand;
         let admitted = share * (1.0 + SLACK) / demand.max(1.0);
         let is_refused = !request.is_return && request.draw > admitted;
         is_refused.then_some(AdmissionRefusal { demand, share })
--- a/src/gateway/pressure_updates.rs
+++ b/src/gateway/pressure_updates.rs
@@ -3,9 +3,13 @@
 use super::gateway_host::GatewayHost;
 use super::gateway_state::GatewayState;
 use super::peer_messages::GatewayDatagram;
-use crate::admission::{DecodePool, MIN_SEND_PERIOD, PressureLevel, PressureScope, PressureUpdate};
+use crate::admission::{
+    DecodePool, MIN_SEND_PERIOD, OrgPressure, PressureLevel, PressureScope, PressureUpdate,
+};
 use crate::fleet::ServerStage;
+use crate::organisations::Organisation;
 use crate::routes::ServiceKey;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -61,11 +65,25 @@
             servers: servers.map(|server| (server.key(), server.domain)).collect(),
             memory_tokens: engine.memory_tokens,
             ranks: self.routes.priorities(service).to_vec(),
-            has_orgs: !self.routes.organisations().is_empty(),
+            org_weights: self.org_weights(),
             host_count: self.members.living_in(self.members.own().domain).count(),
         })
     }
 
+    /// Shares of memory follow the limits that organisations agreed on: the usual demand of a large one is not too much
+    /// only because others are small. One without a limit counts like the largest limit.
+    fn org_weights(&self) -> HashMap<u32, f64> {
+        let rate =
+            |organisation: &Organisation| organisation.limit.as_ref().map(|limit| limit.rate);
+        let organisations = self.routes.organisations();
+        let largest = organisations.iter().filter_map(|entry| rate(entry)).fold(0.0, f64::max);
+        let largest = if largest > 0.0 { largest } else { 1.0 };
+        let weight =
+            |entry: &Organisation| rate(entry).filter(|rate| *rate > 0.0).unwrap_or(largest);
+        let short_key = |entry: &Organisation| OrgPressure::short_key(entry.key());
+        organisations.iter().map(|entry| (short_key(entry), weight(entry) / largest)).collect()
+    }
+
     /// Whether requests of several ranks or organisations compete for the memory of a service.
     pub(super) fn is_contested(&self, service: ServiceKey) -> bool {
         self.routes.priorities(service).len() > 1 || !self.routes.organisations().is_empty()
--- a/src/organisations/org_directory.rs
+++ b/src/organisations/org_directory.rs
@@ -48,6 +48,11 @@
         self.by_key.get(&digest)
     }
 
+    /// All organisations.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.by_name.values()
+    }
+
     /// An organisation by the key of its name.
     pub fn organisation(&self, key: OrgKey) -> Option<&Arc<Organisation>> {
         self.by_name.get(&key)
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -5,12 +5,12 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tealcleat::admission::{
     AdmissionControl, AdmissionDecision, AdmissionRequest, DecodePool, MemoryUse, OrgPressure,
     PressureLevel, PressureScope, PressureUpdate, RankPressure, SearchOutcome, ServicePressure,
-    fair_share, reserve_order,
+    WeightedDemand, fair_share, reserve_order,
 };
 use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 
@@ -118,7 +118,7 @@
         servers: (0..SERVERS).map(server).collect(),
         memory_tokens: MEMORY,
         ranks: vec![URGENT, LESS_URGENT],
-        has_orgs: true,
+        org_weights: HashMap::from([(0, 1.0)]),
         host_count: HOSTS / 3,
     }
 }
@@ -430,7 +430,7 @@
 }
 
 fn small_pool() -> DecodePool {
-    DecodePool { host_count: 2, has_orgs: false, ..decode_pool() }
+    DecodePool { host_count: 2, org_weights: HashMap::new(), ..decode_pool() }
 }
 
 fn at(millis: u64) -> TimePoint {
@@ -604,10 +604,23 @@
 #[case::largest_cut(10.0, &[1.0, 2.0, 20.0], 7.0)]
 #[case::all_cut(9.0, &[5.0, 6.0, 20.0], 3.0)]
 fn fair_share_is_max_min(#[case] capacity: f64, #[case] demands: &[f64], #[case] share: f64) {
-    let found = fair_share(capacity, demands.iter().copied());
+    let weighted = |demand: &f64| WeightedDemand { demand: *demand, weight: 1.0 };
+    let found = fair_share(capacity, demands.iter().map(weighted));
     assert!((found - share).abs() < 1e-9 || found == share, "{found}");
 }
 
+/// Guards against a large organisation that is refused its usual demand because most others are small.
+#[test]
+fn fair_share_follows_the_weights() {
+    let demand = |demand, weight| WeightedDemand { demand, weight };
+    let usual = [demand(8.0, 8.0), demand(1.0, 1.0), demand(1.0, 1.0)];
+    assert_eq!(fair_share(10.0, usual.into_iter()), 1.0);
+    let surge = [demand(8.0, 8.0), demand(7.0, 1.0), demand(1.0, 1.0)];
+    assert_eq!(fair_share(10.0, surge.into_iter()), 1.0);
+    let spare = [demand(4.0, 8.0), demand(7.0, 1.0), demand(1.0, 1.0)];
+    assert_eq!(fair_share(10.0, spare.into_iter()), 5.0);
+}
+
 /// Updates fit into a datagram of the target size, with 16 organisations of two ranks in a domain's sum.
 #[test]
 fn update_size() {
