--- a/src/return_times/call_meter.rs
+++ b/src/return_times/call_meter.rs
@@ -4,13 +4,17 @@
 
 /// Width of a bin in microseconds.
 const BIN_MICROS: u64 = 250_000;
+/// Positions of the counts in a bin.
+const FRESH: usize = 0;
+const GRANTED: usize = 1;
+const REFUSED: usize = 2;
 /// Bins of one second.
 const BIN_COUNT: usize = 4;
 /// Time constant of the mean rate. Demand varies within 15 s and bursts last 4 to 5 s, so that a burst moves the mean by
 /// a fifth, while a lasting overload becomes the mean within a minute.
 const MEAN_TIME: Duration = Duration::from_secs(20);
-
-/// Weight of the first seconds in a mean; that of a shorter time would be that of single requests.
+/// Least weight by which the mean of a new meter is divided. With a smaller one, the mean of the first few seconds would
+/// follow single requests.
 const MIN_WEIGHT: f64 = 0.2;
 
 /// Counts the requests of one service and rank at this host.
@@ -32,17 +36,17 @@
     pub fn record_fresh(&mut self, now: TimePoint) {
         self.average(now);
         self.mean_fresh += 1.0 / MEAN_TIME.as_secs_f64();
-        self.count(now, 0);
+        self.count(now, FRESH);
     }
 
     /// Records a request that was granted memory or answered.
     pub fn record_granted(&mut self, now: TimePoint) {
-        self.count(now, 1);
+        self.count(now, GRANTED);
     }
 
     /// Records a request that was refused.
     pub fn record_refused(&mut self, now: TimePoint) {
-        self.count(now, 2);
+        self.count(now, REFUSED);
     }
 
     /// The figures of the last second.
@@ -53,7 +57,12 @@
         let sum = |kind: usize| current.bins.iter().map(|bin| bin[kind]).sum();
         // The mean of a meter that has just started is that of the time since its start.
         let mean = current.mean_fresh / current.mean_weight.max(MIN_WEIGHT);
-        CallFigures { fresh: sum(0), granted: sum(1), refused: sum(2), mean_fresh: mean as f32 }
+        CallFigures {
+            fresh: sum(FRESH),
+            granted: sum(GRANTED),
+            refused: sum(REFUSED),
+            mean_fresh: mean as f32,
+        }
     }
 
     fn count(&mut self, now: TimePoint, kind: usize) {
--- a/src/return_times/promise_table.rs
+++ b/src/return_times/promise_table.rs
@@ -4,13 +4,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// A caller may return this much before the promised time: the update that told of the promise took time, which is added
-/// to it.
+/// A caller may return this much before the promised time: a host that received the promise in an update assumes a time
+/// that is too late by the delay of the update.
 const EARLY_TOLERANCE: Duration = Duration::from_millis(300);
 /// A caller is recognised until this long after the promised time: its request takes a round trip and may be
 /// retransmitted once.
 const LATE_TOLERANCE: Duration = Duration::from_secs(1);
-/// Most promises that are kept, about 60 bytes each: 100 refusals a second for 5 s are 500.
+/// Most promises that are kept, about 60 bytes each: a burst of 100 refusals a second for 5 s needs 500.
 const MAX_PROMISES: usize = 8192;
 
 /// A return that a caller was told.
@@ -22,8 +22,8 @@
     pub rank: CallRank,
     /// When it returns.
     pub at: TimePoint,
-    /// Updates that told other hosts of it; `None` if another host promised it, or no host needs to know.
-    pub told: Option<u32>,
+    /// Number of updates that announced it to other hosts; `None` if another host promised it, or no host needs to know.
+    pub announced: Option<u32>,
 }
 
 /// The returns that this host and others promised, by request.
@@ -40,7 +40,7 @@
             self.expire(now);
         }
         if let Some(known) = self.promises.get_mut(&key) {
-            let is_repeated = promise.told.is_none() && known.at + LATE_TOLERANCE > now;
+            let is_repeated = promise.announced.is_none() && known.at + LATE_TOLERANCE > now;
             if !(is_repeated && known.at <= promise.at) {
                 *known = promise;
             }
@@ -62,39 +62,44 @@
         ahead.map(|(key, promise)| (*key, promise))
     }
 
-    /// At most `count` of this host's own promises to tell to other hosts, of those that fewer than `max_told` updates
-    /// contained: those told least often first, then those that come first.
-    pub fn take_told(
+    /// At most `count` of this host's own promises to announce to other hosts, of those that fewer than `max_announced`
+    /// updates contained: those announced least often first, then those that are due first.
+    pub fn take_unannounced(
         &mut self,
         now: TimePoint,
         count: usize,
-        max_told: u32,
+        max_announced: u32,
     ) -> Vec<(RequestKey, Promise)> {
         let mut own: Vec<(RequestKey, &mut Promise)> = self
             .promises
             .iter_mut()
             .filter(|(_, promise)| {
-                promise.told.is_some_and(|told| told < max_told) && promise.at > now
+                promise.announced.is_some_and(|count| count < max_announced) && promise.at > now
             })
             .map(|(key, promise)| (*key, promise))
             .collect();
-        own.sort_unstable_by_key(|(key, promise)| (promise.told, promise.at, *key));
+        own.sort_unstable_by_key(|(key, promise)| (promise.announced, promise.at, *key));
         own.truncate(count);
         own.into_iter()
             .map(|(key, promise)| {
-                promise.told = promise.told.map(|times| times.saturating_add(1));
+                promise.announced = promise.announced.map(|times| times.saturating_add(1));
                 (key, *promise)
             })
             .collect()
     }
 
-    /// Whether this host promised a return that no update has told of, or one that fewer than `max_told` updates have
-    /// told of and that comes before `repeat_at`, the next regular update.
-    pub fn has_untold(&self, now: TimePoint, max_told: u32, repeat_at: TimePoint) -> bool {
+    /// Whether this host promised a return that no update has announced, or one that fewer than `max_announced` updates
+    /// have announced and that is due before `repeat_at`, the next regular update.
+    pub fn has_unannounced(
+        &self,
+        now: TimePoint,
+        max_announced: u32,
+        repeat_at: TimePoint,
+    ) -> bool {
         self.ahead(now).any(|(_, promise)| {
-            promise
-                .told
-                .is_some_and(|told| told == 0 || (told < max_told && promise.at < repeat_at))
+            promise.announced.is_some_and(|count| {
+                count == 0 || (count < max_announced && promise.at < repeat_at)
+            })
         })
     }
 
--- a/src/return_times/return_calendar.rs
+++ b/src/return_times/return_calendar.rs
@@ -11,10 +11,10 @@
 
 /// Earliest return of a caller that found no memory: the promise reaches the other hosts within this time.
 const MIN_MEMORY_PAUSE: Duration = Duration::from_millis(500);
-/// A shortage that began less than this ago is not in the rates of the last second yet: they would promise capacity in
-/// the burst that has just begun.
+/// A shortage that began less than this ago is not in the rates of the last second yet. Computed from them, returns would
+/// be promised for the burst that has just begun.
 const MIN_SHORTAGE: Duration = Duration::from_secs(1);
-/// A shortage has ended when nobody was refused for this long. Figures of other hosts name refusals of the last second
+/// A shortage has ended when nobody was refused for this long. Figures of other hosts count refusals of the last second
 /// and arrive up to 0.75 s later.
 const SHORTAGE_GAP: Duration = Duration::from_secs(2);
 /// The mean rate is used only once requests have arrived for this long; before, it is that of the present demand.
@@ -23,16 +23,16 @@
 const MIN_REQUESTS: u32 = 8;
 /// Returns that other hosts promised within this time are not known here yet: half of a round of updates, and the way.
 const UNSEEN_SECONDS: f64 = 0.3;
-/// Shorter promises are not told to other hosts, since the caller would arrive before the update.
-const MIN_TOLD_PAUSE: Duration = Duration::from_millis(500);
+/// Promises of less than this are not announced to other hosts, since the caller would arrive before the update.
+const MIN_ANNOUNCED_PAUSE: Duration = Duration::from_millis(500);
 /// Expected time until servers accept requests again if none does: a crashed server restarts within seconds, and one that
-/// is excluded is tried again after 0.5 to 8 s. An earlier return is refused again, and a later one is rarely possible.
+/// is excluded is tried again after 0.25 to 1 s. An earlier return is refused again, and a later one is rarely possible.
 const SERVER_BACK_TIME: Duration = Duration::from_secs(2);
 /// Part of the time until a server is back over which returns are spread.
 const SERVER_BACK_SPREAD: f64 = 0.3;
 /// Most promises in an update of the target size of 1,200 bytes, at up to 24 bytes each.
 const MAX_UPDATE_PROMISES: usize = 34;
-/// Times that each host is told of a promise. With one update in 20 lost, one host in 400 misses both.
+/// Number of updates that announce a promise to each host. With one update in 20 lost, one host in 400 misses both.
 const PROMISE_REPEATS: usize = 2;
 /// Most services and ranks in an update, at up to 26 bytes each; with more, those with the fewest requests are left out.
 const MAX_UPDATE_FIGURES: usize = 12;
@@ -114,8 +114,8 @@
         if !request.latest().is_zero() && !self.is_return(now, request.key) {
             let pause = time.pause.min(request.latest());
             let (service, rank, at) = (request.service, request.rank, now + pause);
-            let told = (pause >= MIN_TOLD_PAUSE).then_some(0);
-            let promise = Promise { service, rank, at, told };
+            let announced = (pause >= MIN_ANNOUNCED_PAUSE).then_some(0);
+            let promise = Promise { service, rank, at, announced };
             self.promises.insert(now, request.key, promise);
         }
         time
@@ -129,13 +129,13 @@
         }
         for entry in &update.promises {
             let at = now + Duration::from_millis(entry.after_ms.into());
-            let promise = Promise { service: entry.service, rank: entry.rank, at, told: None };
+            let promise = Promise { service: entry.service, rank: entry.rank, at, announced: None };
             self.promises.insert(now, entry.key, promise);
         }
     }
 
     /// The update for this round, and the positions of its receivers among the `hosts` other hosts of the failure domain;
-    /// `None` if there is nothing to tell.
+    /// `None` if there is nothing to send.
     pub fn next_update(
         &mut self,
         now: TimePoint,
@@ -143,8 +143,8 @@
         hosts: usize,
     ) -> Option<(ReturnUpdate, Vec<usize>)> {
         self.expire(now);
-        let max_told = (UpdateSchedule::turn_rounds(hosts) * PROMISE_REPEATS) as u32;
-        let is_new = self.promises.has_untold(now, max_told, now + REPEAT_TIME);
+        let max_announced = (UpdateSchedule::turn_rounds(hosts) * PROMISE_REPEATS) as u32;
+        let is_new = self.promises.has_unannounced(now, max_announced, now + REPEAT_TIME);
         let is_short = is_new || !self.shortages.is_empty();
         let targets = self.schedule.next_round(hosts, is_new, is_short);
         if targets.is_empty() {
@@ -164,7 +164,7 @@
         let activity = |figures: CallFigures| figures.fresh + figures.granted + figures.refused;
         figures.sort_by_key(|entry| std::cmp::Reverse(activity(entry.figures)));
         figures.truncate(MAX_UPDATE_FIGURES);
-        let promises = self.promises.take_told(now, MAX_UPDATE_PROMISES, max_told);
+        let promises = self.promises.take_unannounced(now, MAX_UPDATE_PROMISES, max_announced);
         let promises = promises
             .into_iter()
             .map(|(key, promise)| PromiseEntry {
@@ -277,9 +277,9 @@
         if figures.granted + figures.refused < MIN_REQUESTS {
             return time(request.usual, ReturnBasis::Usual);
         }
-        // Hosts that are not heard are assumed to have as many requests as the others.
-        let heard = self.peers.host_count(now) as f64 + 1.0;
-        let scale = ((request.neighbours as f64 + 1.0) / heard).max(1.0);
+        // Hosts without recent figures are assumed to have as many requests as the others.
+        let known = self.peers.host_count(now) as f64 + 1.0;
+        let scale = ((request.neighbours as f64 + 1.0) / known).max(1.0);
         // In full queues an answer takes longer than its work, and the answers of the last second are the better measure.
         let by_places = places / answer_time.as_secs_f64().max(f64::EPSILON);
         let capacity = by_places.max(f64::from(figures.granted) * scale);
@@ -294,7 +294,8 @@
         time(answer_time + spread.mul_f64(request.draw), ReturnBasis::AnswerTime)
     }
 
-    /// Whether enough is known to place a return: the shortage is in the rates, and most hosts of the domain are heard.
+    /// Whether enough is known to place a return: the shortage is in the rates, and the figures of most hosts of the domain
+    /// are known.
     fn is_known(&self, now: TimePoint, request: &ReturnRequest, figures: &CallFigures) -> bool {
         let is_old = |at: Option<&TimePoint>, age| at.is_some_and(|at| now.since(*at) >= age);
         let shortage = self.shortages.get(&request.service);
--- a/src/return_times/return_time.rs
+++ b/src/return_times/return_time.rs
@@ -5,7 +5,7 @@
 pub enum ReturnBasis {
     /// Capacity is expected to be free then.
     Free,
-    /// No capacity is expected to be free while the caller can return; fewest compete for it then.
+    /// No capacity is expected to be free while the caller can return; this is when the fewest requests compete for it.
     LeastDemand,
     /// The caller has too little time; it is told the latest time at which it returns.
     OutOfTime,
@@ -38,9 +38,9 @@
     pub pause: Duration,
     /// What the time is based on.
     pub basis: ReturnBasis,
-    /// Requests granted in the last second by the hosts heard from.
+    /// Requests granted in the last second, over the hosts whose figures are known.
     pub granted: u32,
-    /// Requests that arrived for the first time there in the last second.
+    /// Requests that arrived for the first time in the last second, over the same hosts.
     pub fresh: u32,
     /// Promised returns of the same or a more urgent rank that are still to come.
     pub promised: usize,
--- a/src/return_times/return_update.rs
+++ b/src/return_times/return_update.rs
@@ -37,8 +37,8 @@
     pub version: u64,
     /// All services with requests at the sender.
     pub figures: Vec<ServiceFigures>,
-    /// Promised returns that are still to come and that not all hosts were told of twice. Those of other updates stay
-    /// valid, since callers act on them.
+    /// Promised returns that are still to come and that were not yet announced twice to all hosts. Promises of earlier
+    /// updates stay valid, since callers act on them.
     pub promises: Vec<PromiseEntry>,
 }
 
--- a/src/return_times/update_schedule.rs
+++ b/src/return_times/update_schedule.rs
@@ -1,7 +1,7 @@
 use super::SLOT_TIME;
 use std::time::Duration;
 
-/// Most hosts that one round tells. A domain of 24 hosts is told in one round, one of 100 within a second.
+/// Most receivers in one round. A domain of 24 hosts needs one round, one of 100 hosts four, which take a second.
 const ROUND_TARGETS: usize = 32;
 /// Rounds after which figures are sent again without a new promise: they expire after 1.5 s, so that one lost update is
 /// compensated by the next one.
@@ -9,7 +9,7 @@
 /// Longest time between two updates while callers are refused.
 pub const REPEAT_TIME: Duration = SLOT_TIME.saturating_mul(REPEAT_ROUNDS);
 
-/// Which hosts of the failure domain are told in each round, in turn.
+/// Selects the hosts of the failure domain that receive an update in each round, in turn.
 #[derive(Debug, Default)]
 pub struct UpdateSchedule {
     /// Rounds since content was last scheduled for all hosts.
@@ -20,8 +20,8 @@
 }
 
 impl UpdateSchedule {
-    /// The positions of the hosts to tell in this round, among `hosts`. `is_new`: there are promises that no host was
-    /// told; `is_short`: hosts exchange figures since callers are being refused.
+    /// The positions of this round's receivers among `hosts`. `is_new`: there are promises that were not announced yet;
+    /// `is_short`: hosts exchange figures because callers are being refused.
     pub fn next_round(&mut self, hosts: usize, is_new: bool, is_short: bool) -> Vec<usize> {
         self.rounds += 1;
         if is_new || (is_short && self.rounds >= REPEAT_ROUNDS) {
@@ -38,7 +38,7 @@
         (first..first + count).map(|place| place % hosts).collect()
     }
 
-    /// Rounds in which each of the hosts is told once.
+    /// Number of rounds in which each of the hosts receives one update.
     pub const fn turn_rounds(hosts: usize) -> usize {
         hosts.div_ceil(ROUND_TARGETS)
     }
