--- a/src/admission/admission_control.rs
+++ b/src/admission/admission_control.rs
@@ -12,10 +12,10 @@
 
 /// A gap between two calls after which the host is taken to have been suspended; calls come five times a second.
 const SUSPENSION_GAP: Duration = Duration::from_secs(1);
-/// For how long after a suspension updates are ignored: they waited in the socket and are old.
+/// How long after a suspension updates are ignored: they waited in the socket and are out of date.
 const RESUME_PAUSE: Duration = Duration::from_millis(100);
-/// Shortest time between two announcements of a shortage, as long as a search counts: the figures of the first one still
-/// contain it.
+/// Shortest time between two announcements of a shortage: as long as a search counts, so that the first announcement still
+/// contains it.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// Organisations in the figures of one rank.
 const MAX_ORGS: usize = 32;
--- a/src/admission/rank_pressure.rs
+++ b/src/admission/rank_pressure.rs
@@ -2,6 +2,15 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 
+/// A request that needs more than this multiple of the mean is large. With sizes spread by half it is about the largest
+/// eighth, which finds no gap on servers that are nearly full; the fifth below it finds one often enough.
+const LARGE_MULTIPLE: f64 = 1.5;
+/// Least estimated duration of a run: responses rarely take less. The estimate needs bounds, since it is far off when almost
+/// nothing was granted in the last second.
+const MIN_RUN_SECONDS: f64 = 1.0;
+/// Largest estimated duration of a run: responses have at most 170 events of about 40 ms each.
+const MAX_RUN_SECONDS: f64 = 6.0;
+
 /// The demand of one rank for decode memory.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct RankPressure {
@@ -98,11 +107,3 @@
         f64::from(unmet_tokens).mul_add(self.run_seconds(), f64::from(tokens))
     }
 }
-
-/// A request that needs more than this multiple of the mean is large. With sizes spread by half it is about the largest
-/// eighth, which finds no gap on servers that are nearly full; the fifth below it finds one often enough.
-const LARGE_MULTIPLE: f64 = 1.5;
-/// Bounds of the estimated duration of a run. The estimate is far off when almost nothing was granted in the last
-/// second; responses have at most 170 events of about 40 ms each, and are rarely shorter than a second.
-const MIN_RUN_SECONDS: f64 = 1.0;
-const MAX_RUN_SECONDS: f64 = 6.0;
--- a/src/admission/heard_pressure.rs
+++ b/src/admission/received_pressure.rs
@@ -4,14 +4,14 @@
 
 /// The last update of another host or failure domain.
 #[derive(Debug, Clone)]
-pub(super) struct HeardPressure {
+pub(super) struct ReceivedPressure {
     pub at: TimePoint,
     pub from: IncarnationId,
     pub version: u64,
     pub services: Vec<ServicePressure>,
 }
 
-impl HeardPressure {
+impl ReceivedPressure {
     /// The figures of `service`, if the update contains any.
     pub fn service(&self, service: ServiceKey) -> Option<&ServicePressure> {
         self.services.iter().find(|known| known.service == service)
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -17,7 +17,7 @@
 /// The pool is nearly full at this fraction of the use at which searches find no memory. Runs in a part that is newly
 /// reserved take about 3 s to end, so it is reserved before the shortage begins.
 const TIGHT_FRACTION: f64 = 0.85;
-/// The pool stays nearly full for this long, so that the part does not vanish between two bursts.
+/// The pool counts as nearly full for this long after the last sign, so that servers stay reserved between two bursts.
 const TIGHT_HOLD: Duration = Duration::from_secs(2);
 /// Use at which searches find no memory, as a fraction of the memory, until it is measured.
 const DEFAULT_FULL: f64 = 0.9;
@@ -30,13 +30,13 @@
 /// by half within a second or two.
 const RESERVE_DECLINE: Duration = Duration::from_secs(1);
 /// Requests admitted beyond the share, as a fraction of it. The figures are about half a second old and the demand of an
-/// organisation varies by a third at random; with less, equal organisations are refused in vain.
+/// organisation varies by a third at random; with less, organisations of equal demand are refused although memory is free.
 const SLACK: f64 = 0.6;
 /// Below this fraction of its share, a rank is not restricted: memory has become free.
 const FREE_FRACTION: f64 = 0.98;
 /// Part of the large requests' proportionate share that is kept for them. They are to be served at least half as often
-/// as their kind, also in a burst of three times the load, where half of the share would not do. Each large request takes
-/// the memory of two small ones, so no more is kept.
+/// as the others of their rank, also in a burst of three times the load, for which half of the share is too little. Each
+/// large request takes the memory of two small ones, so no more is kept.
 const LARGE_FRACTION: f64 = 0.7;
 
 /// Below this fraction of the use at which searches find no memory, a burst of the load takes a second or more to fill the
@@ -44,8 +44,8 @@
 const QUIET_FRACTION: f64 = 0.6;
 /// How often a host sends its figures below [`QUIET_FRACTION`].
 const QUIET_SEND_PERIOD: Duration = Duration::from_millis(1000);
-/// How often a host sends its figures above it while the level is calm. A burst may fill
-/// the pool within a second, and hosts that hear less often learn of the shortage later.
+/// How often a host sends its figures above [`QUIET_FRACTION`] while the level is calm. A burst may fill the pool within a
+/// second, and hosts that receive figures less often learn of the shortage later.
 const CALM_SEND_PERIOD: Duration = Duration::from_millis(400);
 /// How often a host sends its figures while servers are reserved by them.
 pub const MIN_SEND_PERIOD: Duration = Duration::from_millis(200);
@@ -202,8 +202,8 @@
     /// Refuses a request whose organisation demands more than its share of what the rank may use, with a probability that
     /// brings the demand down to the share and [`SLACK`].
     ///
-    /// With a fixed bound on what an organisation may use, a third of 16 equal ones would be refused in random peaks
-    /// although memory is free, or the bound would be too high for the one that bursts.
+    /// A fixed bound on what an organisation may use would refuse organisations of equal demand in random peaks although
+    /// memory is free, or be too high for one whose demand is far above the others'.
     pub fn refusal(
         &self,
         total: &ServicePressure,
@@ -226,8 +226,8 @@
         };
         let mut demands: Vec<WeightedDemand> = rank.orgs.iter().map(weighted).collect();
         demands.sort_by(|left, right| left.per_weight().total_cmp(&right.per_weight()));
-        // Where most organisations demand more than the share, the kind as a whole does; refusing the one that happens to
-        // demand most at the moment would leave memory idle and help no other.
+        // Where most organisations demand more than the share, the rank as a whole demands too much. Refusing the one that
+        // demands most at the moment would leave memory idle and help no other.
         let median = demands.get(demands.len().saturating_sub(1) / 2)?.per_weight();
         let own = rank.orgs.iter().find(|org| org.org == key).map(weighted)?;
         let share = fair_share(capacity, demands.into_iter()).max(median) * own.weight;
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -20,7 +20,7 @@
 pub(super) struct DecodeReservation {
     pub hold: EngineResource,
     pub load: LoadGuard,
-    /// Its use of memory, as other hosts are told.
+    /// Counts its memory in the figures for other hosts until the run ends.
     pub memory: Option<MemoryGuard>,
     /// Permission to send the run there.
     pub permit: SendPermit,
@@ -146,8 +146,8 @@
     );
 }
 
-/// Chooses `server` for a run without a hold. The engine preempts a less urgent run for it, which must be read again and
-/// usually misses its target for pauses; so it is done only for urgent requests that found no memory anywhere.
+/// Chooses `server` for a run without a hold. The engine preempts a less urgent run for it, whose prompt must be read again
+/// and which usually exceeds its pause limit; so this is done only for urgent requests that found no memory anywhere.
 async fn reserve_nothing(
     context: &CallContext,
     admission: &MemoryAdmission,
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -15,8 +15,8 @@
 /// An urgent request that found no memory searches again until this part of its objective has passed: callers lose
 /// nothing by a delay of up to an eighth.
 const MAX_SEARCH_PART: u32 = 8;
-/// Pause between these searches. In the whole time, of 100 ms for an objective of 800 ms, about one run of five reserved
-/// servers ends.
+/// Pause between these searches. With an objective of 800 ms they last for 100 ms in all; in this time, about one of the
+/// runs on five reserved servers ends.
 const SEARCH_PAUSE: Duration = Duration::from_millis(20);
 
 /// The admission of one request to the decode servers. Without anything to decide, all servers are searched as usual.
@@ -101,8 +101,8 @@
     }
 
     /// The server to which a request that found no memory is sent without a hold, if any. It must be of the most urgent
-    /// of several ranks, and memory must be set aside for it, so that the shortage is known to all hosts. The servers
-    /// outside that part run what is less urgent.
+    /// of several ranks, and servers must be reserved for it, so that the shortage is known to all hosts. The server is one
+    /// outside the reserved part, since less urgent requests run there.
     pub fn preempted_server<'a>(
         &self,
         context: &CallContext,
@@ -147,7 +147,7 @@
     Some(MemoryGuard::new(&context.host, context.service, &request))
 }
 
-/// The priority that decode servers are told; `None` where the routes to the service do not differ in theirs.
+/// The priority that is sent to decode servers; `None` where the routes to the service do not differ in theirs.
 pub(super) fn run_priority(context: &CallContext) -> Option<u8> {
     let differ = context.host.routes().priorities(context.service).len() > 1;
     (context.host.settings.features.admission && differ).then_some(context.route.priority)
--- a/src/gateway/memory_guard.rs
+++ b/src/gateway/memory_guard.rs
@@ -3,7 +3,7 @@
 use crate::routes::ServiceKey;
 use std::sync::Arc;
 
-/// Memory that a run of this host uses, as other hosts are told; removed from the figures when the guard is dropped.
+/// Counts the memory of a run in this host's figures until it is dropped.
 #[derive(Debug)]
 pub(super) struct MemoryGuard {
     host: Arc<GatewayHost>,
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -47,7 +47,7 @@
     pub first: Option<ServerSentEvent>,
     /// Its entry in the load table.
     pub load: LoadGuard,
-    /// Its use of memory, as other hosts are told.
+    /// Counts its memory in the figures for other hosts until the run ends.
     #[allow(dead_code, reason = "dropped with the run")]
     pub memory: Option<MemoryGuard>,
 }
