--- a/src/admission/admission_control.rs
+++ b/src/admission/admission_control.rs
@@ -14,8 +14,8 @@
 const SUSPENSION_GAP: Duration = Duration::from_secs(1);
 /// How long after a suspension updates are ignored: they waited in the socket and are out of date.
 const RESUME_PAUSE: Duration = Duration::from_millis(100);
-/// Shortest time between two announcements of a shortage: as long as a search counts, so that the first announcement still
-/// contains it.
+/// Shortest time between two announcements of a shortage: as long as a search counts, so that the first announcement
+/// still contains it.
 const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
 /// Organisations in the figures of one rank.
 const MAX_ORGS: usize = 32;
--- a/src/admission/pressure_table.rs
+++ b/src/admission/pressure_table.rs
@@ -4,9 +4,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Lifetime of another host's figures. Unless the pool is calm, a host in a domain of 24 receives those of each other one
-/// every 0.6 s on average, so one lost update leaves no gap. While it is calm, figures are extrapolated to the hosts whose
-/// own have expired. A dead host's runs end within about 3 s.
+/// Lifetime of another host's figures. Unless the pool is calm, a host in a domain of 24 receives those of each other
+/// one every 0.6 s on average, so one lost update leaves no gap. While it is calm, figures are extrapolated to the
+/// hosts whose own have expired. A dead host's runs end within about 3 s.
 const FIGURES_LIFETIME: Duration = Duration::from_millis(1500);
 /// With figures of fewer hosts, they are not extrapolated to the others: a host that is cut off decides by its own.
 const MIN_SAMPLE: usize = 4;
--- a/src/admission/rank_pressure.rs
+++ b/src/admission/rank_pressure.rs
@@ -5,8 +5,8 @@
 /// A request that needs more than this multiple of the mean is large. With sizes spread by half it is about the largest
 /// eighth, which finds no gap on servers that are nearly full; the fifth below it finds one often enough.
 const LARGE_MULTIPLE: f64 = 1.5;
-/// Least estimated duration of a run: responses rarely take less. The estimate needs bounds, since it is far off when almost
-/// nothing was granted in the last second.
+/// Least estimated duration of a run: responses rarely take less. The estimate needs bounds, since it is far off when
+/// almost nothing was granted in the last second.
 const MIN_RUN_SECONDS: f64 = 1.0;
 /// Largest estimated duration of a run: responses have at most 170 events of about 40 ms each.
 const MAX_RUN_SECONDS: f64 = 6.0;
--- a/src/admission/reserved_part.rs
+++ b/src/admission/reserved_part.rs
@@ -4,9 +4,9 @@
 
 /// Seed of the order in which servers are reserved; the same on all hosts.
 const RESERVE_SEED: u64 = 0x6164_6d69_7373_696f;
-/// Margin for the random variation of the number of urgent runs, in standard deviations of a Poisson distribution. It is
-/// small, since the part follows a larger use at once, and urgent requests also search the other servers and search again.
-/// A larger margin leaves memory idle that less urgent requests could use.
+/// Margin for the random variation of the number of urgent runs, in standard deviations of a Poisson distribution. It
+/// is small, since the part follows a larger use at once, and urgent requests also search the other servers and search
+/// again. A larger margin leaves memory idle that less urgent requests could use.
 const MARGIN_DEVIATIONS: f64 = 0.5;
 /// Largest fraction of the servers that is reserved: less urgent ranks keep at least a quarter of the memory.
 pub(super) const MAX_RESERVED: f64 = 0.75;
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -21,16 +21,17 @@
 const TIGHT_HOLD: Duration = Duration::from_secs(2);
 /// Use at which searches find no memory, as a fraction of the memory, until it is measured.
 const DEFAULT_FULL: f64 = 0.9;
-/// Bounds of that use. Servers that refuse for another reason would make it seem small, and requests count with what they
-/// need in the end, which is up to a fifth more than what they use at a time.
+/// Bounds of that use. Servers that refuse for another reason would make it seem small, and requests count with what
+/// they need in the end, which is up to a fifth more than what they use at a time.
 const FULL_BOUNDS: (f64, f64) = (0.5, 1.2);
 /// Time constant with which that measured use declines to the present one.
 const FULL_DECLINE: Duration = Duration::from_secs(10);
 /// Time constant with which a reserved part shrinks. Urgent requests arrive a few times a second, so their number varies
 /// by half within a second or two.
 const RESERVE_DECLINE: Duration = Duration::from_secs(1);
-/// Requests admitted beyond the share, as a fraction of it. The figures are about half a second old and the demand of an
-/// organisation varies by a third at random; with less, organisations of equal demand are refused although memory is free.
+/// Requests admitted beyond the share, as a fraction of it. The figures are about half a second old and the demand of
+/// an organisation varies by a third at random; with less, organisations of equal demand are refused although memory is
+/// free.
 const SLACK: f64 = 0.6;
 /// Below this fraction of its share, a rank is not restricted: memory has become free.
 const FREE_FRACTION: f64 = 0.98;
@@ -39,13 +40,13 @@
 /// large request takes the memory of two small ones, so no more is kept.
 const LARGE_FRACTION: f64 = 0.7;
 
-/// Below this fraction of the use at which searches find no memory, a burst of the load takes a second or more to fill the
-/// pool, so that figures are sent rarely.
+/// Below this fraction of the use at which searches find no memory, a burst of the load takes a second or more to fill
+/// the pool, so that figures are sent rarely.
 const QUIET_FRACTION: f64 = 0.6;
 /// How often a host sends its figures below [`QUIET_FRACTION`].
 const QUIET_SEND_PERIOD: Duration = Duration::from_millis(1000);
-/// How often a host sends its figures above [`QUIET_FRACTION`] while the level is calm. A burst may fill the pool within a
-/// second, and hosts that receive figures less often learn of the shortage later.
+/// How often a host sends its figures above [`QUIET_FRACTION`] while the level is calm. A burst may fill the pool
+/// within a second, and hosts that receive figures less often learn of the shortage later.
 const CALM_SEND_PERIOD: Duration = Duration::from_millis(400);
 /// How often a host sends its figures while servers are reserved by them.
 pub const MIN_SEND_PERIOD: Duration = Duration::from_millis(200);
@@ -199,8 +200,8 @@
         large * served * LARGE_FRACTION
     }
 
-    /// Refuses a request whose organisation demands more than its share of what the rank may use, with a probability that
-    /// brings the demand down to the share and [`SLACK`].
+    /// Refuses a request whose organisation demands more than its share of what the rank may use, with a probability
+    /// that brings the demand down to the share and [`SLACK`].
     ///
     /// A fixed bound on what an organisation may use would refuse organisations of equal demand in random peaks although
     /// memory is free, or be too high for one whose demand is far above the others'.
@@ -226,8 +227,8 @@
         };
         let mut demands: Vec<WeightedDemand> = rank.orgs.iter().map(weighted).collect();
         demands.sort_by(|left, right| left.per_weight().total_cmp(&right.per_weight()));
-        // Where most organisations demand more than the share, the rank as a whole demands too much. Refusing the one that
-        // demands most at the moment would leave memory idle and help no other.
+        // Where most organisations demand more than the share, the rank as a whole demands too much. Refusing the one
+        // that demands most at the moment would leave memory idle and help no other.
         let median = demands.get(demands.len().saturating_sub(1) / 2)?.per_weight();
         let own = rank.orgs.iter().find(|org| org.org == key).map(weighted)?;
         let share = fair_share(capacity, demands.into_iter()).max(median) * own.weight;
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -146,8 +146,9 @@
     );
 }
 
-/// Chooses `server` for a run without a hold. The engine preempts a less urgent run for it, whose prompt must be read again
-/// and which usually exceeds its pause limit; so this is done only for urgent requests that found no memory anywhere.
+/// Chooses `server` for a run without a hold. The engine preempts a less urgent run for it, whose prompt must be read
+/// again and which usually exceeds its pause limit; so this is done only for urgent requests that found no memory
+/// anywhere.
 async fn reserve_nothing(
     context: &CallContext,
     admission: &MemoryAdmission,
--- a/src/gateway/health_reports.rs
+++ b/src/gateway/health_reports.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How often reports that could not be sent immediately are checked: the interval between two reports.
+/// How often this host checks for reports that could not be sent immediately: the shortest interval between two reports.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 
 /// Sends reports that are due later and drops what has expired.
@@ -32,7 +32,7 @@
 }
 
 impl GatewayHost {
-    /// Records the outcome of a step of a call to a server for all hosts, and reports it if that is due.
+    /// Records the outcome of a step of a call to a server, and sends a report to other hosts if one is due.
     pub(super) fn share_server_event(&self, server: &ServerEntry, event: ServerEvent) {
         if !self.settings.features.shared_health {
             return;
@@ -62,7 +62,7 @@
         let changes = {
             let mut state = self.state();
             let sender = state.members.record(report.from).map(|record| record.update);
-            // The domain of an unknown host is not known, and a host that was declared dead is not believed.
+            // The failure domain of an unknown host is not known, and reports of a host declared dead do not count.
             let Some(sender) = sender.filter(|sender| sender.state != MemberState::Dead) else {
                 drop(state);
                 self.metrics().add("health_from_strangers", 1);
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -101,8 +101,8 @@
     }
 
     /// The server to which a request that found no memory is sent without a hold, if any. It must be of the most urgent
-    /// of several ranks, and servers must be reserved for it, so that the shortage is known to all hosts. The server is one
-    /// outside the reserved part, since less urgent requests run there.
+    /// of several ranks, and servers must be reserved for it, so that the shortage is known to all hosts. The server is
+    /// one outside the reserved part, since less urgent requests run there.
     pub fn preempted_server<'a>(
         &self,
         context: &CallContext,
--- a/src/gateway/pressure_updates.rs
+++ b/src/gateway/pressure_updates.rs
@@ -14,11 +14,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Receivers in the same failure domain in each round. Unless the pool is calm, a host in a domain of 24 then receives the
-/// figures of each other one every 0.6 s, and those that it decides by are 0.3 s old on average.
+/// Receivers in the same failure domain in each round. Unless the pool is calm, a host in a domain of 24 then receives
+/// the figures of each other one every 0.6 s, and those that it decides by are 0.3 s old on average.
 const LOCAL_TARGETS: usize = 8;
-/// Receivers in other failure domains in each round, which get the sum of the sender's domain: each host then receives the
-/// sum of another domain of about equal size every 0.4 s. Traffic between domains is charged.
+/// Receivers in other failure domains in each round, which get the sum of the sender's domain: each host then receives
+/// the sum of another domain of about equal size every 0.4 s. Traffic between domains is charged.
 const REMOTE_TARGETS: usize = 1;
 /// Receivers in other failure domains when a shortage begins.
 const ANNOUNCE_REMOTE_TARGETS: usize = 4;
--- a/src/gateway/slot_messages.rs
+++ b/src/gateway/slot_messages.rs
@@ -1,8 +1,8 @@
 //! Requests places at contended plain servers from their owners, and grants them as an owner.
 //!
 //! The owner of a server's places is the owner of its sends (`send_owner`), and replies are awaited in the same way
-//! (`pending_replies`). Permits themselves are not reused: they count sends in a window of four seconds, while a place is
-//! in use until its release.
+//! (`pending_replies`). Permits themselves are not reused: they count sends in a window of four seconds, while a place
+//! is in use until its release.
 
 use super::gateway_host::GatewayHost;
 use super::gateway_state::GatewayState;
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -24,9 +24,10 @@
 /// Largest factor from the median that is considered, so that a wrong measurement moves a server by a quarter at most.
 const MAX_PACE_FACTOR: f64 = 2.5;
 
-/// Spread of the random choice among servers of a plain service, in full servers: a server that is fuller by this much is
-/// chosen e times less often. At a third of the capacity, where these services run, a host then corrects about 0.7 of a
-/// difference that it sees; a smaller spread would correct more than the difference, by loads that are up to 1.5 s old.
+/// Spread of the random choice among servers of a plain service, in full servers: a server that is fuller by this much
+/// is chosen e times less often. At a third of the capacity, where these services run, a host then corrects about 0.7
+/// of a difference that it sees; a smaller spread would correct more than the difference, by loads that are up to 1.5 s
+/// old.
 const REQUEST_SPREAD: f64 = 0.5;
 
 /// The resource by which servers are ranked.
--- a/src/return_times/return_calendar.rs
+++ b/src/return_times/return_calendar.rs
@@ -11,8 +11,8 @@
 
 /// Earliest return of a caller that found no memory: the promise reaches the other hosts within this time.
 const MIN_MEMORY_PAUSE: Duration = Duration::from_millis(500);
-/// A shortage that began less than this ago is not in the rates of the last second yet. Computed from them, returns would
-/// be promised for the burst that has just begun.
+/// A shortage that began less than this ago is not in the rates of the last second yet. Computed from them, returns
+/// would be promised for the burst that has just begun.
 const MIN_SHORTAGE: Duration = Duration::from_secs(1);
 /// A shortage has ended when nobody was refused for this long. Figures of other hosts count refusals of the last second
 /// and arrive up to 0.75 s later.
@@ -25,8 +25,9 @@
 const UNSEEN_SECONDS: f64 = 0.3;
 /// Promises of less than this are not announced to other hosts, since the caller would arrive before the update.
 const MIN_ANNOUNCED_PAUSE: Duration = Duration::from_millis(500);
-/// Expected time until servers accept requests again if none does: a crashed server restarts within seconds, and one that
-/// is excluded is tried again after 0.25 to 1 s. An earlier return is refused again, and a later one is rarely possible.
+/// Expected time until servers accept requests again if none does: a crashed server restarts within seconds, and one
+/// that is excluded is tried again after 0.25 to 1 s. An earlier return is refused again, and a later one is rarely
+/// possible.
 const SERVER_BACK_TIME: Duration = Duration::from_secs(2);
 /// Part of the time until a server is back over which returns are spread.
 const SERVER_BACK_SPREAD: f64 = 0.3;
@@ -97,7 +98,8 @@
         self.record_shortage(now, service);
     }
 
-    /// Whether the caller of a request returns as it was told. Two requests with the same contents are not distinguished.
+    /// Whether the caller of a request returns as it was told. Two requests with the same contents are not
+    /// distinguished.
     pub fn is_return(&self, now: TimePoint, key: RequestKey) -> bool {
         self.promises.is_return(now, key)
     }
@@ -134,7 +136,8 @@
         }
     }
 
-    /// The update for this round, and the positions of its receivers among the `hosts` other hosts of the failure domain;
+    /// The update for this round, and the positions of its receivers among the `hosts` other hosts of the failure
+    /// domain;
     /// `None` if there is nothing to send.
     pub fn next_update(
         &mut self,
@@ -280,7 +283,8 @@
         // Hosts without recent figures are assumed to have as many requests as the others.
         let known = self.peers.host_count(now) as f64 + 1.0;
         let scale = ((request.neighbours as f64 + 1.0) / known).max(1.0);
-        // In full queues an answer takes longer than its work, and the answers of the last second are the better measure.
+        // In full queues an answer takes longer than its work, and the answers of the last second are the better
+        // measure.
         let by_places = places / answer_time.as_secs_f64().max(f64::EPSILON);
         let capacity = by_places.max(f64::from(figures.granted) * scale);
         let free = f64::from(figures.fresh).mul_add(-scale, capacity);
@@ -294,8 +298,8 @@
         time(answer_time + spread.mul_f64(request.draw), ReturnBasis::AnswerTime)
     }
 
-    /// Whether enough is known to place a return: the shortage is in the rates, and the figures of most hosts of the domain
-    /// are known.
+    /// Whether enough is known to place a return: the shortage is in the rates, and the figures of most hosts of the
+    /// domain are known.
     fn is_known(&self, now: TimePoint, request: &ReturnRequest, figures: &CallFigures) -> bool {
         let is_old = |at: Option<&TimePoint>, age| at.is_some_and(|at| now.since(*at) >= age);
         let shortage = self.shortages.get(&request.service);
--- a/src/return_times/slot_plan.rs
+++ b/src/return_times/slot_plan.rs
@@ -43,9 +43,9 @@
             >= 1.0
     }
 
-    /// Places a return between `earliest` and `latest`, where `unseen` others are being placed by other hosts at the same
-    /// time. All of them fill the free capacity first, from the earliest slot on, and then the slots with the least
-    /// demand; `draw` selects one of them.
+    /// Places a return between `earliest` and `latest`, where `unseen` others are being placed by other hosts at the
+    /// same time. All of them fill the free capacity first, from the earliest slot on, and then the slots with the
+    /// least demand; `draw` selects one of them.
     pub fn place(&self, earliest: Duration, latest: Duration, unseen: f64, draw: f64) -> Duration {
         let shares: Vec<(usize, f64)> = self.shares(earliest, latest).collect();
         let mut missing = 1.0 + unseen;
--- a/src/server_slots/slot_control.rs
+++ b/src/server_slots/slot_control.rs
@@ -16,9 +16,9 @@
 /// A server is contended when its known load exceeds its slots by this ratio: the queue is then at least as long as the
 /// load of one host may change while it is announced.
 const CROWDED_RATIO: f64 = 1.5;
-/// How long no place is requested at a server whose owner did not reply: until about the time at which the members agree
-/// that a host is dead (2.5 s) and another one owns the server. A host that sends a few requests a second would otherwise
-/// delay most of them by the time for which it waits for a reply.
+/// How long no place is requested at a server whose owner did not reply: until about the time at which the members
+/// agree that a host is dead (2.5 s) and another one owns the server. A host that sends a few requests a second would
+/// otherwise delay most of them by the time for which it waits for a reply.
 const SILENCE_TIME: Duration = Duration::from_secs(2);
 /// Servers that answer more slowly than this are left alone: a place is held for a second at most, so that a dead host
 /// does not block it, and would expire while it is in use. The known loads are also hardly older than their requests.
--- a/src/shared_health/health_change.rs
+++ b/src/shared_health/health_change.rs
@@ -33,7 +33,7 @@
     Readmitted,
     /// The reports were withdrawn.
     Withdrawn,
-    /// Nobody reported the result of a trial for a long time.
+    /// No host reported the result of a trial in time.
     Lapsed,
 }
 
--- a/src/shared_health/mod.rs
+++ b/src/shared_health/mod.rs
@@ -1,7 +1,7 @@
 //! Shared health tells all hosts what each of them observes of the health of backend servers.
 //!
-//! A server that breaks off, refuses connections or stays silent would otherwise be detected by each host on its own,
-//! at the cost of one or two requests per host. [`SharedHealth`] keeps what this host observed and what others report
+//! Otherwise each host would have to detect a server that breaks off, refuses connections or stays silent on its own, at
+//! the cost of one or two requests per host. [`SharedHealth`] keeps what this host observed and what others report
 //! ([`HealthReport`]), excludes a server once two hosts report it, and readmits it after the trial of one host.
 
 mod health_change;
--- a/src/shared_health/own_observations.rs
+++ b/src/shared_health/own_observations.rs
@@ -35,22 +35,22 @@
 }
 
 impl OwnObservations {
-    /// Adds an observation. One that was reported a moment ago is not reported again unless it is new to others
-    /// (`is_news`), such as the result of a trial or a failure after the server's return. Returns whether it is to be
-    /// reported, for [`Self::mark_changed`].
+    /// Adds an observation. One that was reported a moment ago is not reported again unless `is_new_to_others`, such as
+    /// the result of a trial or a failure after the server's return. Returns whether it is to be reported, for
+    /// [`Self::mark_changed`].
     pub fn add(
         &mut self,
         now: TimePoint,
         server: ServerKey,
         observation: ServerObservation,
         is_local: bool,
-        is_news: bool,
+        is_new_to_others: bool,
     ) -> bool {
         let is_known = self.observations.get(&server).is_some_and(|known| {
             known.observation.is_failure() == observation.is_failure()
                 && now.since(known.at) < RENEW_INTERVAL
         });
-        if is_known && !is_news {
+        if is_known && !is_new_to_others {
             return false;
         }
         self.observations.insert(server, OwnObservation { observation, at: now, is_local });
@@ -92,7 +92,7 @@
         self.observations.retain(|_, known| now.since(known.at) < REPORT_TTL);
     }
 
-    /// Whether a report with news or the repetition of the last one is to be sent now.
+    /// Whether a changed report or the repetition of the last one is to be sent now.
     pub fn is_report_due(&self, now: TimePoint) -> bool {
         let is_repeat_due = self.sent_at.is_some_and(|at| now.since(at) >= REPEAT_DELAY);
         self.is_new_report_due(now) || (self.needs_repeat.is_some() && is_repeat_due)
--- a/src/shared_health/pool_standings.rs
+++ b/src/shared_health/pool_standings.rs
@@ -42,7 +42,7 @@
     /// place although the pool has better servers; requests that run only once use doubtful servers after others.
     pub fn reorder(&self, ranked: &mut [ServerEntry], is_repeatable: bool, may_try: bool) {
         ranked.sort_by_key(|server| match self.of(server.key()) {
-            // A request that runs only once is the trial only after the time in which a repeatable one could be.
+            // Also for requests that run only once: no repeatable one came in time.
             ServerStanding::AnyTrial => 0,
             ServerStanding::Trial if may_try => 0,
             ServerStanding::Trusted => 1,
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -12,11 +12,11 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-/// A host whose clock jumps by this much was suspended: what it knows is out of date, and so is what waits in its
-/// socket. A busy host of 0.12 of a core pauses for some 0.1 s at a time.
+/// A host whose clock jumps by this much was suspended: its state and the datagrams in its socket are out of date. Busy
+/// hosts with 0.12 of a core pause for about 0.1 s at a time, which must not count.
 const SUSPENSION_GAP: Duration = Duration::from_secs(1);
-/// A host that pauses this long may take its own pause for the silence of a server, which it tells by 0.2 s without an
-/// answer to a hold request.
+/// A host that pauses this long may mistake its own pause for the silence of a server: it considers a server silent
+/// after 0.2 s without an answer to a hold request.
 const STALL_GAP: Duration = Duration::from_millis(150);
 /// How long after a pause a host ignores silence and, after a suspension, the reports in its socket.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
@@ -67,7 +67,7 @@
         event: ServerEvent,
         fleet: &FleetView,
     ) -> Vec<HealthChange> {
-        self.notice_pause(now);
+        self.detect_pause(now);
         let key = server.key();
         let change = match event {
             ServerEvent::Sent => {
@@ -130,15 +130,15 @@
             return Vec::new();
         }
         let known = self.suspects.entry(key).or_insert_with(|| SuspectServer::new(server.domain));
-        // Others have reported it, and this host was not asked to try it.
+        // Others have reported it, and this host does not make the trial.
         let is_trial = known.is_on_trial(now);
         if known.is_excluded() && !is_trial {
             return Vec::new();
         }
         let is_local = server.domain == self.domain;
-        let is_news = is_trial || !known.has_failure_of(self.own);
+        let is_new_to_others = is_trial || !known.has_failure_of(self.own);
         let was_own_fault = self.is_own_fault(now, server.service, fleet);
-        let is_due = self.observations.add(now, key, observation, is_local, is_news);
+        let is_due = self.observations.add(now, key, observation, is_local, is_new_to_others);
         if self.is_own_fault(now, server.service, fleet) {
             if !was_own_fault {
                 // The next report leaves the service out, which withdraws earlier ones at all hosts.
@@ -169,7 +169,7 @@
         report: &HealthReport,
         fleet: &FleetView,
     ) -> Vec<HealthChange> {
-        self.notice_pause(now);
+        self.detect_pause(now);
         let reporter = report.from;
         if now < self.suspended_until || reporter == self.own {
             return Vec::new();
@@ -324,9 +324,9 @@
         self.observations.remove(server);
     }
 
-    /// Drops what has expired, and notices pauses of this host. Called several times a second.
+    /// Drops what has expired, and detects pauses of this host. Called several times a second.
     pub fn tick(&mut self, now: TimePoint, fleet: &FleetView) -> Vec<HealthChange> {
-        self.notice_pause(now);
+        self.detect_pause(now);
         self.observations.expire(now);
         self.versions.retain(|_, (_, at)| now.since(*at) < VERSION_RETENTION);
         let mut changes = Vec::new();
@@ -341,7 +341,7 @@
     }
 
     /// Checks whether this host paused since its last tick.
-    fn notice_pause(&mut self, now: TimePoint) {
+    fn detect_pause(&mut self, now: TimePoint) {
         let pause = self.ticked_at.map(|at| now.since(at)).unwrap_or_default();
         if pause >= STALL_GAP {
             self.stalled_until = now + SETTLE_TIME;
@@ -372,7 +372,8 @@
     services
 }
 
-/// The turn of `own` among the hosts that try a server, in rendezvous order; equal at all hosts that know the same hosts.
+/// The turn of `own` among the hosts that try a server, in rendezvous order; equal at all hosts that know the same
+/// hosts.
 fn trial_turn(server: ServerKey, own: IncarnationId, hosts: &[IncarnationId]) -> Option<TrialTurn> {
     let rank = |host: IncarnationId| (rendezvous_rank(server.0, host.0), host);
     let own_rank = rank(own);
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -4,32 +4,32 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// How long a report counts. While a server fails, each request to it renews its host's report; at 190 requests a second
-/// over three servers two hosts meet a failure within some 20 ms, and 2 s leave room for services with little traffic.
+/// How long a report counts. Two hosts must report a server within this time. With 190 requests a second over three
+/// servers that takes some 20 ms; 2 s suffice for services with little traffic too.
 pub const REPORT_TTL: Duration = Duration::from_secs(2);
-/// Hosts that must report a server before it is excluded: the word of one may be a fault of its own.
+/// Hosts that must report a server before it is excluded: a single reporter may itself be at fault.
 const REPORTERS_TO_EXCLUDE: usize = 2;
-/// First pause before a trial. Plain requests have about a second in all, so that a server that is back at once is used
-/// again within a quarter of it; the failed trial of one host costs one request that can be repeated.
+/// First pause before a trial. Callers of plain services wait for about a second in all, so a server that has recovered
+/// is used again within a quarter of that. A failed trial delays one request, which can be repeated.
 pub const INITIAL_PAUSE: Duration = Duration::from_millis(250);
-/// Longest pause, for a server that keeps failing after its return. One that comes and goes costs a few requests on each
-/// return, but while it is missed the other servers may have to refuse many more.
+/// Longest pause, for a server that keeps failing after its return. Each return costs a few requests, but while the
+/// server is excluded, the other servers may have to refuse many more.
 pub const MAX_PAUSE: Duration = Duration::from_secs(1);
-/// Longest pause that failed trials lead to. A failed trial costs the delay of one request that can be repeated, while a
-/// server of three that is missed costs a third of a service.
+/// Longest pause after failed trials. A failed trial delays one request that can be repeated, while the exclusion of one
+/// server of three costs a third of the service's capacity.
 pub const MAX_TRIAL_PAUSE: Duration = Duration::from_secs(1);
 /// A server that fails again within this time of its return is not stable, and its pause doubles.
 const UNSTABLE_TIME: Duration = Duration::from_secs(10);
-/// Longest turn of one host in the order of trials. Each of 71 hosts gets a plain request about every 0.4 s, so that a
+/// Longest turn of one host in the order of trials. Each of 71 hosts receives a plain request about every 0.4 s, so a
 /// host without one in this time has hardly any traffic.
 const MAX_TURN: Duration = Duration::from_secs(1);
 /// A request that must run only once becomes the trial only after this time without a repeatable one.
 const ONCE_ONLY_WAIT: Duration = Duration::from_secs(1);
-/// A trial whose result is missing after this time is given up, and the host may make another one. It is the longest
-/// time that a server may take for the first event of a run.
+/// A trial without a result after this time is abandoned, and the host may make another one. It is the longest time that
+/// a server may take for the first event of a run.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(3);
-/// By how much the exclusion may begin later at this host than at the one that makes the trial: the report that led to
-/// it arrives only with its repetition. A failure this long before the trial is due here may thus be its result.
+/// By how much the exclusion may begin later at this host than at the one that makes the trial, if only the repetition
+/// of a report arrives here. A failure this long before the trial is due here may thus be the trial's result.
 const EXCLUSION_SPREAD: Duration = Duration::from_millis(150);
 /// An exclusion ends this long after the trial was due if no result is reported: ten hosts had their turn, or the
 /// report of a success was lost.
@@ -53,8 +53,8 @@
     since: TimePoint,
     /// Most hosts that reported it at a time.
     reporters: usize,
-    /// Whether fewer than two hosts of the server's own failure domain reported it. The link between the two domains
-    /// may be what failed, so that the trial is up to each domain.
+    /// Whether fewer than two hosts of the server's own failure domain reported it. The link between the domains may
+    /// have failed instead of the server, so each domain makes its own trial.
     is_own_domain_only: bool,
 }
 
@@ -224,8 +224,9 @@
         Some(HealthChangeKind::Readmitted)
     }
 
-    /// How requests of this host may use the server, if it is not one too many. `turn` is this host's turn among those
-    /// that may make the trial, given whether only hosts of this host's domain reported the server.
+    /// How requests of this host may use the server, apart from the limit on excluded servers of a pool. `turn` is this
+    /// host's turn among those that may make the trial, given whether only hosts of this host's domain reported the
+    /// server.
     pub fn standing(
         &self,
         now: TimePoint,
@@ -251,7 +252,7 @@
         if is_overdue { ServerStanding::AnyTrial } else { ServerStanding::Trial }
     }
 
-    /// Ends an exclusion of which nothing is heard any more.
+    /// Ends an exclusion for which no trial result has arrived in time.
     pub fn expire(&mut self, now: TimePoint) -> Option<HealthChangeKind> {
         self.failures.retain(|_, failure| now.since(failure.at) < REPORT_TTL);
         let exclusion = self.exclusion?;
