--- a/src/gateway/place_guard.rs
+++ b/src/gateway/place_guard.rs
@@ -10,11 +10,11 @@
 
 /// Whether a request may wait at the owner for a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum PlacePatience {
+pub(super) enum WaitMode {
     /// The owner decides at once, so that other servers can be tried.
-    None,
+    Immediate,
     /// It waits for an eighth of its objective at most.
-    Waits,
+    MayWait,
 }
 
 /// Whether a request may be sent to a server.
@@ -92,7 +92,7 @@
 
 impl CallContext {
     /// Takes a place at a server, if the server is contended. Servers that have a limit are left to their permits.
-    pub async fn take_place(&self, server: &ServerEntry, patience: PlacePatience) -> PlaceAnswer {
+    pub async fn take_place(&self, server: &ServerEntry, mode: WaitMode) -> PlaceAnswer {
         let host = &self.host;
         if !host.settings.features.server_slots {
             return PlaceAnswer::Open(None);
@@ -110,14 +110,14 @@
         };
         let request = {
             let mut state = host.state();
-            let waits = patience == PlacePatience::Waits;
+            let waits = mode == WaitMode::MayWait;
             let service_time = state.slot_control.service_times.mean(key).unwrap_or_default();
             match state.slot_control.busy_for(now, key, self.rank) {
                 Some(wait) if !waits => return PlaceAnswer::Busy { wait, service_time },
                 _ => state.slot_control.place_request(now, host.incarnation, key, &need, waits),
             }
         };
-        // Created before the reply, so that the owner is told if the caller leaves meanwhile.
+        // Created before the reply arrives: if the caller leaves meanwhile, the guard withdraws the request.
         let mut guard = PlaceGuard::new(host, key, PlaceHold::Placed(request.sequence));
         let decision = host.query_slot_owner(&request).await;
         match decision {
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,7 +1,7 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
 use super::load_guard::LoadGuard;
-use super::place_guard::{PlaceAnswer, PlaceGuard, PlacePatience};
+use super::place_guard::{PlaceAnswer, PlaceGuard, WaitMode};
 use super::run_open::refuse;
 use super::send_permit::SendPermit;
 use super::server_call::{CallPurpose, send_request};
@@ -130,7 +130,7 @@
     let started_at = context.host.now();
     let mut busy: Vec<(Duration, ServerEntry)> = Vec::new();
     for server in ranked {
-        match context.take_place(&server, PlacePatience::None).await {
+        match context.take_place(&server, WaitMode::Immediate).await {
             PlaceAnswer::Open(place) => {
                 if let Some(permit) = context.permit(&server).await {
                     return Some((server, permit, place));
@@ -143,7 +143,7 @@
         }
     }
     let (_, server) = busy.into_iter().min_by_key(|(wait, _)| *wait)?;
-    match context.take_place(&server, PlacePatience::Waits).await {
+    match context.take_place(&server, WaitMode::MayWait).await {
         PlaceAnswer::Open(place) => {
             let permit = context.permit(&server).await?;
             Some((server, permit, place))
@@ -249,7 +249,7 @@
     })
 }
 
-/// `is_short` says that the request had less time than after which a server counts as silent.
+/// `is_short`: the request had less time left than the timeout after which a server counts as silent.
 fn record_end(context: &CallContext, server: &ServerEntry, end: &AttemptEnd, is_short: bool) {
     let event = match end {
         AttemptEnd::Silent if is_short => ServerEvent::OutOfTime,
--- a/src/gateway/return_updates.rs
+++ b/src/gateway/return_updates.rs
@@ -74,7 +74,7 @@
         hosts.filter(move |host| host.incarnation != own.incarnation)
     }
 
-    /// The neighbours in the same order each time, for updates that are sent to them in turn.
+    /// The neighbours in a stable order, since updates are sent to them in turn.
     fn sorted_neighbours(&self) -> Vec<MemberUpdate> {
         let mut others: Vec<MemberUpdate> = self.neighbours().collect();
         others.sort_unstable_by_key(|host| host.incarnation);
--- a/src/gateway/slot_messages.rs
+++ b/src/gateway/slot_messages.rs
@@ -18,8 +18,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How often an owner looks for places that become free without a message: about the time in which one does at a server
-/// of six slots with a service time of 30 ms.
+/// How often an owner looks for places that become free without a message, because they expired or requests without a
+/// place have left: about the time between two answers of a server of six slots with a service time of 30 ms.
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 /// How often ownership is checked and expired entries are dropped.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(100);
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -26,8 +26,8 @@
 /// is valid for 1 s.
 const MAX_BATCH_ORDERS: usize = 32;
 
-/// How long a host must be elected before it takes over from another leader: longer than one failed call to the store
-/// takes to be made up for, and much shorter than the wait for a lease.
+/// How long a host must be elected before it takes over from another leader: longer than the half second for which a
+/// leader is not elected after one failed call to the store, and much shorter than the wait for a lease.
 const TAKEOVER_DWELL: Duration = Duration::from_millis(1500);
 
 /// State of the host that orders stage changes.
--- a/src/host/ownership_loop.rs
+++ b/src/host/ownership_loop.rs
@@ -15,7 +15,7 @@
 
 const OWNERSHIP_PERIOD: Duration = Duration::from_millis(50);
 /// A host that has not joined by this age serves with the hosts that it knows. Two seeds that do not answer take 4 s;
-/// callers lose less by a host that finds too few servers than by one that stays closed.
+/// callers lose less by a host that finds too few servers than by one that refuses all requests.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Updates the ownership whenever the membership or the configuration changes.
--- a/src/memory_forecast/mod.rs
+++ b/src/memory_forecast/mod.rs
@@ -1,4 +1,4 @@
-//! Memory forecast estimates the memory that answers will need, and the pace of each server.
+//! Forecasts the memory that answers will need, and measures the pace of each server.
 //!
 //! Inputs are finished answers and measured paces; outputs are the length of an answer that a hold assumes and the speed
 //! of a server among those of its service. All types are state machines without I/O that receive the current time as an
--- a/src/memory_forecast/output_forecast.rs
+++ b/src/memory_forecast/output_forecast.rs
@@ -8,7 +8,7 @@
 /// Probability that an answer needs no more than its hold names. An answer that outgrows its hold is preempted if no
 /// memory is left: it exceeds its pause limit, so that its caller loses most of its value, and its prompt is read again.
 /// But the engine reserves what the hold named for the whole run, so a higher quantile, or memory for the growth of
-/// other runs, takes more answers from refused callers than it saves.
+/// other runs, refuses more callers than it saves from preemption.
 const HOLD_QUANTILE: f64 = 0.65;
 
 /// The lengths of answers by route.
@@ -20,7 +20,7 @@
 impl OutputForecast {
     /// Records a finished answer of `actual` tokens.
     pub fn record(&mut self, now: TimePoint, route: NameKey, size: AnswerSize, actual: u32) {
-        self.make_place(route);
+        self.evict_oldest(route);
         self.routes.entry(route).or_default().record(now, size, actual);
     }
 
@@ -34,8 +34,8 @@
         length.max(reached)
     }
 
-    /// Drops the route that was used longest ago if there is no place for a new one.
-    fn make_place(&mut self, route: NameKey) {
+    /// Drops the route that was used longest ago if `route` is new and the table is full.
+    fn evict_oldest(&mut self, route: NameKey) {
         if self.routes.len() < MAX_ROUTES || self.routes.contains_key(&route) {
             return;
         }
--- a/src/memory_forecast/pace_table.rs
+++ b/src/memory_forecast/pace_table.rs
@@ -14,8 +14,8 @@
 /// Minimum interval between two comparisons of the servers. Sorting thousands of them for each event would be costly,
 /// and a pace hardly changes.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
-/// By how much a received pace must be newer than the known one. Ages are rounded to tenths of a second, and a pace that
-/// was sent back and forth must not seem new.
+/// By how much a received pace must be newer than the known one. Ages are rounded to tenths of a second, so a pace that
+/// returns to its sender could seem newer.
 const MIN_NEWER: Duration = Duration::from_millis(200);
 
 /// The pace of one server.
@@ -37,7 +37,7 @@
     relative: HashMap<ServerKey, f64>,
     compared_at: TimePoint,
     /// Whether any value has changed since the last update was sent.
-    has_news: bool,
+    has_changed: bool,
 }
 
 impl PaceTable {
@@ -64,7 +64,7 @@
         };
         let pace = KnownPace { service, tokens_per_second, measured_at: now };
         let is_new = self.paces.insert(server, pace).is_none();
-        self.has_news = true;
+        self.has_changed = true;
         self.compare(now, is_new);
     }
 
@@ -85,7 +85,7 @@
         let read = self.reads.entry(server).or_insert_with(|| ReadSpeed::new(service));
         read.own.record(now, speed);
         read.known.record(now, speed);
-        self.has_news = true;
+        self.has_changed = true;
         self.compare(now, is_new);
     }
 
@@ -117,7 +117,7 @@
             let tokens_per_second = f64::from(entry.tokens_per_second);
             let pace = KnownPace { service, tokens_per_second, measured_at };
             self.paces.insert(entry.server, pace);
-            self.has_news = true;
+            self.has_changed = true;
         }
         self.compare(now, is_new);
     }
@@ -148,13 +148,14 @@
     /// What to send to other hosts: the newest paces and, if there are too many, some of the others by `salt`. `None` if
     /// nothing has changed since the last call.
     pub fn update(&mut self, now: TimePoint, from: IncarnationId, salt: u64) -> Option<PaceUpdate> {
-        if !std::mem::take(&mut self.has_news) {
+        if !std::mem::take(&mut self.has_changed) {
             return None;
         }
         let paces = self.paces.iter().map(|(server, pace)| (pace.measured_at, *server));
         let only_read = self.reads.iter().filter_map(|(server, read)| {
-            let is_news = read.own.recent_value(now).is_some() && !self.paces.contains_key(server);
-            is_news.then_some((read.own.started_at, *server))
+            let is_recent =
+                read.own.recent_value(now).is_some() && !self.paces.contains_key(server);
+            is_recent.then_some((read.own.started_at, *server))
         });
         let mut known: Vec<(TimePoint, ServerKey)> = paces.chain(only_read).collect();
         if known.len() > MAX_PACES_SENT {
--- a/src/memory_forecast/read_speed.rs
+++ b/src/memory_forecast/read_speed.rs
@@ -1,8 +1,8 @@
 use crate::keys::{NameKey, TimePoint};
 use std::time::Duration;
 
-/// Time for which the fastest read counts, at least; a server reads some ten prompts per second, of which some did not
-/// queue.
+/// Least time for which the fastest read counts. A server reads some ten prompts per second, so that within this time
+/// some of them did not queue.
 const READ_WINDOW: Duration = Duration::from_secs(5);
 
 /// How fast a server reads prompts. Queueing only slows reads, so the fastest recent one counts.
--- a/src/orders/leader_tenure.rs
+++ b/src/orders/leader_tenure.rs
@@ -4,9 +4,10 @@
 /// The part that a host has in giving stage orders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaderRole {
-    /// Another host is elected, and has been for so long that it leads.
+    /// Another host is elected, and this host has not led within the dwell time.
     Follower,
-    /// Another host is elected, but not for long enough to lead. This host gives no orders and keeps its plans.
+    /// Another host is elected, but this host led within the dwell time, so no other can lead yet. It gives no orders
+    /// and keeps its plans.
     Suspended,
     /// This host is elected, but not for long enough to lead.
     Candidate,
@@ -19,7 +20,7 @@
 /// Elections follow what each host believes at the moment: a leader whose call to the store failed once is not elected
 /// for half a second. If the next host took over at once, both would have to wait for each other's lease in turn. A
 /// host therefore leads only after it has been elected without a break for the dwell time, and a leader that is
-/// elected again within that time goes on as if nothing had happened, since nobody else can have led.
+/// elected again within that time continues with its plans, since no other host can have led.
 #[derive(Debug, Clone, Copy)]
 pub struct LeaderTenure {
     dwell: Duration,
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -115,7 +115,7 @@
     let draw = mix_hash(context.salt, key.0) as f64 / u64::MAX as f64;
     let jitter = match (criterion, context.weights) {
         (RankingCriterion::Requests, Some(weights)) => {
-            spread_request(draw, weights.get(&key).copied().unwrap_or(1.0))
+            random_score(draw, weights.get(&key).copied().unwrap_or(1.0))
         }
         _ => draw * JITTER,
     };
@@ -128,7 +128,7 @@
 
 /// Random part of the score of a plain server. The server with the lowest score is then chosen with a probability
 /// proportional to its weight, times `exp(-score / REQUEST_SPREAD)` for the rest of its score (Gumbel's method).
-fn spread_request(draw: f64, weight: f64) -> f64 {
+fn random_score(draw: f64, weight: f64) -> f64 {
     let draw = draw.clamp(f64::EPSILON, 1.0 - f64::EPSILON);
     -REQUEST_SPREAD * (weight.max(f64::EPSILON).ln() - (-draw.ln()).ln())
 }
--- a/src/server_slots/service_times.rs
+++ b/src/server_slots/service_times.rs
@@ -7,8 +7,8 @@
 const ANSWER_WEIGHT: f64 = 0.2;
 /// How long a mean is used after the last answer; an older one says nothing about the present load.
 const RETENTION: Duration = Duration::from_secs(10);
-/// Bound of the ratio between the speeds of two servers. A few answers of one host vary by more than this without any
-/// difference between the servers.
+/// Bound of the ratio between a server's speed and the mean. The answers that one host sees vary by more than this even
+/// if the servers are equally fast.
 const MAX_RATIO: f64 = 2.0;
 
 #[derive(Debug, Clone, Copy)]
--- a/src/server_slots/slot_account.rs
+++ b/src/server_slots/slot_account.rs
@@ -27,8 +27,8 @@
 /// A request is queued at the server only if this many mean service times remain after its wait there: one for the
 /// work, and one because service times vary about as much as their mean.
 const RESERVED_SERVICES: f64 = 2.0;
-/// One in this many repeatable requests is treated like one that must run only once. Otherwise repeatable requests would
-/// get nothing while the others alone exceed the capacity; a caller's kind of request must not starve another one.
+/// One in this many repeatable requests is ordered like one that must run only once. Otherwise repeatable requests would
+/// get no places while the others alone exceed the capacity.
 const PROMOTION_INTERVAL: u32 = 2;
 /// Most requests that wait at the owner. A place becomes free each five to ten milliseconds, so that more could not
 /// be served in the 40 ms for which requests wait.
@@ -69,6 +69,7 @@
     service_time: f64,
     unknown: UnknownLoad,
     places: HashMap<PlaceId, Place>,
+    /// Requests that each host reported to run at the server without a place, and when it did.
     unplaced: HashMap<IncarnationId, (TimePoint, u16)>,
     /// Requests that were refused, or whose places were released, so that a duplicate that arrives late gets no place.
     ended: HashMap<PlaceId, TimePoint>,
@@ -261,7 +262,7 @@
         Duration::from_secs_f64(ahead * self.service_time / self.slots)
     }
 
-    /// The order in which a request gets its place: some repeatable ones come as early as the others.
+    /// The order in which a request gets its place; one in [`PROMOTION_INTERVAL`] repeatable ones is promoted.
     fn promoted(&mut self, order: PlaceOrder) -> PlaceOrder {
         if !order.is_repeatable {
             return order;
--- a/src/server_slots/slot_control.rs
+++ b/src/server_slots/slot_control.rs
@@ -20,15 +20,16 @@
 /// agree that a host is dead (2.5 s) and another one owns the server. A host that sends a few requests a second would
 /// otherwise delay most of them by the time for which it waits for a reply.
 const SILENCE_TIME: Duration = Duration::from_secs(2);
-/// Servers that answer more slowly than this are left alone: a place is held for a second at most, so that a dead host
-/// does not block it, and would expire while it is in use. The known loads are also hardly older than their requests.
+/// No places are granted at servers that answer more slowly than this: a place is held for a second at most, so that a
+/// dead host does not block it, and would expire while it is in use. The known loads are also hardly older than their
+/// requests.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(1);
-/// Number of released places that are repeated in the next requests, and for how long: about as many as one host
-/// releases within the time for which a place is held at most.
+/// Most released places that the next requests repeat: about as many as one host releases within [`REPEAT_TIME`].
 const MAX_REPEATED: usize = 8;
+/// How long a released place is repeated: the longest time for which a place is held.
 const REPEAT_TIME: Duration = Duration::from_secs(1);
-/// A refused caller returns one to this many mean service times after the next place is free, so that the callers
-/// refused at one time do not return at one time.
+/// A refused caller returns one to this many mean service times after the next place is free, so that callers that are
+/// refused together do not return together.
 const RETURN_SPREAD: f64 = 4.0;
 
 /// What a host needs to know of a request to take a place for it.
@@ -55,8 +56,11 @@
     pub ledger: SlotLedger,
     /// Servers whose owners did not reply, until a place is requested there again.
     silent: HashMap<ServerKey, TimePoint>,
+    /// This host's requests that run without a place.
     unplaced: HashMap<ServerKey, u16>,
+    /// Places that this host released lately, with the times.
     released: HashMap<ServerKey, VecDeque<(TimePoint, u32)>>,
+    /// Sequence of this host's last request for a place.
     sequence: u32,
 }
 
--- a/src/settings/load_features.rs
+++ b/src/settings/load_features.rs
@@ -31,7 +31,7 @@
         steady_pools: true,
     };
 
-    /// The names of the settings, with their values.
+    /// The names and values of the settings that [`Self::ALL`] switches on.
     pub fn settings(self) -> [(&'static str, bool); 6] {
         [
             ("shared_health", self.shared_health),
--- a/tests/memory_forecast.rs
+++ b/tests/memory_forecast.rs
@@ -464,7 +464,7 @@
     table.record_read(TimePoint::from_millis(millis), (SERVICE, NameKey(server)), 3200, took);
 }
 
-/// The planner of the pools compares servers of both pools; one in the prefill pool has run nothing yet.
+/// A server that comes from the prefill pool has run no answer yet; only its reads tell how fast it is.
 #[test]
 fn relative_speed_of_a_server_that_only_reads_follows_its_fastest_reads() {
     let mut table = PaceTable::default();
