--- a/src/server_slots/slot_account.rs
+++ b/src/server_slots/slot_account.rs
@@ -11,9 +11,8 @@
 /// Bounds of the time for which a place is held. A host that dies holds its places for at most the longest.
 const MIN_LIFETIME: Duration = Duration::from_millis(250);
 const MAX_LIFETIME: Duration = Duration::from_secs(1);
-/// Longest service time that is assumed until places are released after answers: that of the fastest known service. An
-/// estimate that is too low makes the queue at the server longer for some tens of milliseconds; one that is too high
-/// refuses requests while slots are free.
+/// Longest service time that is assumed before the first answer: that of the fastest known service. Too short an estimate
+/// lengthens the server's queue for some tens of milliseconds; too long a one refuses requests while slots are free.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(30);
 /// Least mean service time, which bounds the rates computed from it.
 const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
@@ -69,7 +68,7 @@
     service_time: f64,
     unknown: UnknownLoad,
     places: HashMap<PlaceId, Place>,
-    /// Requests that each host reported to run at the server without a place, and when it did.
+    /// Requests at the server without a place, as each host reported them.
     unplaced: HashMap<IncarnationId, (TimePoint, u16)>,
     /// Requests that were refused, or whose places were released, so that a duplicate that arrives late gets no place.
     ended: HashMap<PlaceId, TimePoint>,
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -102,7 +102,7 @@
     assert!(group.excluding(0).is_empty());
 }
 
-/// The same if the reports arrive in the third domain; and a host of the server's domain does not speak for the link.
+/// The same if the reports arrive in the third domain; and a report of the server's own domain is no evidence about the link.
 #[test]
 fn broken_link_is_judged_by_its_own_side() {
     let mut group = group(3);
@@ -151,7 +151,7 @@
     }
 }
 
-/// A host whose connections all fail, while its datagrams arrive (it is out of file descriptors), is not believed.
+/// Reports of a host whose connections all fail, while its datagrams arrive (it is out of file descriptors), do not count.
 /// Two such hosts at a time would otherwise exclude one server after the other.
 #[test]
 fn hosts_that_see_all_servers_fail_are_not_counted() {
@@ -279,7 +279,7 @@
     assert!(group.excluding(0).is_empty(), "one success readmits it for all hosts");
 }
 
-/// Guards against a server that comes and goes, which would cost requests at each return.
+/// Guards against a server that fails repeatedly soon after its return, which would cost requests each time.
 #[rstest]
 #[case::unstable(5_000, INITIAL_PAUSE * 2)]
 #[case::stable(11_000, INITIAL_PAUSE)]
@@ -437,9 +437,9 @@
     assert!(group.excluding(0).len() >= 67, "{}", group.excluding(0).len());
 }
 
-/// A host that misses the news of the return uses the server again after some time.
+/// A host that does not receive the report of the return uses the server again after some time.
 #[test]
-fn exclusion_without_news_lapses() {
+fn exclusion_without_reports_lapses() {
     let mut group = group_excluding_first();
     group.run(30, 540);
     group.loss_percent = 100;
