--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -18,16 +18,15 @@
 const ERROR_PENALTY: f64 = 3.0;
 /// Weight of the logarithm of the pace, in full servers. The time for which a request holds memory is inverse to the
 /// pace, so that equal factors between two paces count alike. A server that is 2.3 times as fast as another one goes
-/// first unless it is fuller by 0.22, between one and two requests of 3,800 tokens at 28,800. Traffic to another failure
-/// domain is charged: with the random spread, a fast server there does not make up for [`REMOTE_DOMAIN_PENALTY`].
+/// first unless it is fuller by 0.22, or one to two requests. Traffic to another failure domain is charged: even with the
+/// random part of the score, a fast server there does not make up for [`REMOTE_DOMAIN_PENALTY`].
 const PACE_WEIGHT: f64 = 0.26;
 /// Largest factor from the median that is considered, so that a wrong measurement moves a server by a quarter at most.
 const MAX_PACE_FACTOR: f64 = 2.5;
 
 /// Spread of the random choice among servers of a plain service, in full servers: a server that is fuller by this much
-/// is chosen e times less often. At a third of the capacity, where these services run, a host then corrects about 0.7
-/// of a difference that it sees; a smaller spread would correct more than the difference, by loads that are up to 1.5 s
-/// old.
+/// is chosen e times less often. The known loads are up to 1.5 s old, so with a smaller spread the hosts together would
+/// correct more than the difference that they see, and overload the server that seemed empty.
 const REQUEST_SPREAD: f64 = 0.5;
 
 /// The resource by which servers are ranked.
--- a/src/return_times/return_calendar.rs
+++ b/src/return_times/return_calendar.rs
@@ -21,7 +21,8 @@
 const MIN_MEAN_TIME: Duration = Duration::from_secs(5);
 /// Fewest requests in the last second from which rates are computed; the rate of eight is right within a third.
 const MIN_REQUESTS: u32 = 8;
-/// Returns that other hosts promised within this time are not known here yet: half of a round of updates, and the way.
+/// Returns that other hosts promised within this time are not known here yet: half of a round of updates, and the delay
+/// of a message.
 const UNSEEN_SECONDS: f64 = 0.3;
 /// Promises of less than this are not announced to other hosts, since the caller would arrive before the update.
 const MIN_ANNOUNCED_PAUSE: Duration = Duration::from_millis(500);
--- a/src/return_times/update_schedule.rs
+++ b/src/return_times/update_schedule.rs
@@ -15,7 +15,7 @@
     /// Rounds since content was last scheduled for all hosts.
     rounds: u32,
     cursor: usize,
-    /// Hosts that the present content has not been sent to yet.
+    /// Number of hosts that the present content has not been sent to yet.
     pending: usize,
 }
 
