--- a/src/gateway/slot_messages.rs
+++ b/src/gateway/slot_messages.rs
@@ -1,8 +1,8 @@
 //! Requests places at contended plain servers from their owners, and grants them as an owner.
 //!
 //! The owner of a server's places is the owner of its sends (`send_owner`), and replies are awaited in the same way
-//! (`pending_replies`). Permits themselves are not reused: they count sends in a window of four seconds, while a place is
-//! in use until its release.
+//! (`pending_replies`). Permits themselves are not reused: they count sends in a window of four seconds, while a place
+//! is in use until its release.
 
 use super::gateway_host::GatewayHost;
 use super::gateway_state::GatewayState;
@@ -18,8 +18,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How often an owner looks for places that become free without a message: about the time in which one does at a server
-/// of six slots with a service time of 30 ms.
+/// How often an owner looks for places that become free without a message, because they expired or requests without a
+/// place have left: about the time between two answers of a server of six slots with a service time of 30 ms.
 const POLL_PERIOD: Duration = Duration::from_millis(5);
 /// How often ownership is checked and expired entries are dropped.
 const EXPIRY_PERIOD: Duration = Duration::from_millis(100);
