--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -4,10 +4,11 @@
 use super::decode_reservation::expected_output;
 use super::hold_forecast::{answer_size, generated_tokens};
 use super::in_flight_guard::InFlightGuard;
+use super::relay_record::RelayRecord;
 use super::run_open::{OpenRun, may_retry_run, open_stream};
 use super::run_start::RunRecord;
 use crate::Result;
-use crate::keys::{NameKey, ServerKey, TimePoint};
+use crate::keys::{NameKey, ServerKey};
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
 use crate::streams::ServerSentEvent;
@@ -58,29 +59,6 @@
     ServerLost,
 }
 
-/// The events relayed so far.
-#[derive(Debug, Default)]
-struct RelayRecord {
-    events: u64,
-    last: Option<u64>,
-    first_after: Option<Duration>,
-    /// When the last event was relayed.
-    relayed_at: Option<TimePoint>,
-    /// The longest pause between two events.
-    longest_pause: Duration,
-}
-
-impl RelayRecord {
-    /// Records an event that is relayed at `now`.
-    fn record_event(&mut self, now: TimePoint, age: Duration) {
-        self.events += 1;
-        self.first_after.get_or_insert(age);
-        if let Some(last) = self.relayed_at.replace(now) {
-            self.longest_pause = self.longest_pause.max(now.since(last));
-        }
-    }
-}
-
 /// Relays a stream to its caller, over as many runs as the route allows.
 pub(super) async fn relay_events(
     context: Arc<CallContext>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 mod pressure_updates;
 mod prompt_read;
 mod ready_server;
+mod relay_record;
 mod retry_grants;
 mod return_updates;
 mod role_log;
--- a/src/return_times/mod.rs
+++ b/src/return_times/mod.rs
@@ -15,6 +15,7 @@
 mod peer_figures;
 mod promise_table;
 mod return_calendar;
+mod return_choice;
 mod return_request;
 mod return_time;
 mod return_update;
--- a/src/shared_health/mod.rs
+++ b/src/shared_health/mod.rs
@@ -9,8 +9,10 @@
 mod host_failure;
 mod own_observations;
 mod pool_standings;
+mod received_reports;
 mod server_observation;
 mod server_standing;
+mod service_majority;
 mod shared_health_table;
 mod suspect_server;
 
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -1,9 +1,10 @@
 use super::host_failure::HostFailure;
 use super::own_observations::OwnObservations;
-use super::suspect_server::{REPORT_TTL, SuspectServer, TrialTurn};
+use super::service_majority::{is_majority, majority_services};
+use super::suspect_server::{SuspectServer, TrialTurn};
 use super::{
-    HealthChange, HealthChangeKind, HealthReport, MAX_ENTRIES, OutgoingReport, PoolStandings,
-    ServerObservation, ServerStanding,
+    HealthChange, HealthChangeKind, OutgoingReport, PoolStandings, ServerObservation,
+    ServerStanding,
 };
 use crate::fleet::{FleetView, ServerEntry};
 use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
@@ -25,22 +26,22 @@
 
 /// What all hosts observed of backend servers.
 ///
-/// A server that two hosts report within [`REPORT_TTL`] is excluded at all hosts, until one host tries it with success.
+/// A server that two hosts report within [`REPORT_TTL`](super::REPORT_TTL) is excluded at all hosts, until one host tries it with success.
 /// Reports count only at hosts of the reporter's failure domain and, for servers of that domain, everywhere: failures
 /// across a broken link between two domains are no evidence for a third.
 #[derive(Debug)]
 pub struct SharedHealth {
-    own: IncarnationId,
-    domain: NameKey,
-    suspects: HashMap<ServerKey, SuspectServer>,
+    pub(super) own: IncarnationId,
+    pub(super) domain: NameKey,
+    pub(super) suspects: HashMap<ServerKey, SuspectServer>,
     /// Version of the last report of each host, and when it arrived.
-    versions: HashMap<IncarnationId, (u32, TimePoint)>,
+    pub(super) versions: HashMap<IncarnationId, (u32, TimePoint)>,
     observations: OwnObservations,
     ticked_at: Option<TimePoint>,
     /// Until when silence of servers is not counted, since this host paused.
     stalled_until: TimePoint,
     /// Until when reports are not counted, since this host was suspended.
-    suspended_until: TimePoint,
+    pub(super) suspended_until: TimePoint,
 }
 
 impl SharedHealth {
@@ -161,87 +162,6 @@
         is_majority(&failed, service, fleet)
     }
 
-    /// Applies the report of another host of the failure domain `domain`.
-    pub fn apply(
-        &mut self,
-        now: TimePoint,
-        domain: NameKey,
-        report: &HealthReport,
-        fleet: &FleetView,
-    ) -> Vec<HealthChange> {
-        self.detect_pause(now);
-        let reporter = report.from;
-        if now < self.suspended_until || reporter == self.own {
-            return Vec::new();
-        }
-        // A copy or a late report: the newer one was complete.
-        let known = self.versions.get(&reporter);
-        if known.is_some_and(|(version, _)| report.version <= *version) {
-            return Vec::new();
-        }
-        self.versions.insert(reporter, (report.version, now));
-        let failed: HashSet<ServerKey> = report
-            .entries
-            .iter()
-            .filter(|entry| entry.observation.is_failure())
-            .map(|entry| entry.server)
-            .collect();
-        let at_fault = majority_services(&failed, fleet);
-        let mut changes = Vec::new();
-        let mut counted = HashSet::new();
-        for entry in &report.entries {
-            let Some(server) = fleet.entry(entry.server) else { continue };
-            if domain != self.domain && domain != server.domain {
-                continue;
-            }
-            let key = entry.server;
-            let at = now - Duration::from_millis(entry.age_ms.into());
-            let kind = match entry.observation {
-                ServerObservation::Served => self
-                    .suspects
-                    .get_mut(&key)
-                    .and_then(|known| known.record_served(now, at, domain != self.domain)),
-                ServerObservation::BrokeOff | ServerObservation::Unresponsive => {
-                    let is_old = now.since(at) >= REPORT_TTL;
-                    if is_old || !fleet.is_ready(key) || at_fault.contains(&server.service) {
-                        continue;
-                    }
-                    counted.insert(key);
-                    let suspect = || SuspectServer::new(server.domain);
-                    let known = self.suspects.entry(key).or_insert_with(suspect);
-                    known.record_failure(now, reporter, HostFailure { domain, at })
-                }
-            };
-            changes.extend(kind.map(|kind| HealthChange { server: key, kind }));
-        }
-        // A full report may have left out older failures, which is no withdrawal.
-        let is_complete = report.entries.len() < MAX_ENTRIES;
-        for (key, known) in &mut self.suspects {
-            if (is_complete || failed.contains(key)) && !counted.contains(key) {
-                let kind = known.withdraw(now, reporter);
-                changes.extend(kind.map(|kind| HealthChange { server: *key, kind }));
-            }
-        }
-        changes
-    }
-
-    fn withdraw_service(
-        &mut self,
-        now: TimePoint,
-        reporter: IncarnationId,
-        service: ServiceKey,
-        fleet: &FleetView,
-    ) -> Vec<HealthChange> {
-        let mut changes = Vec::new();
-        for (key, known) in &mut self.suspects {
-            if fleet.entry(*key).is_some_and(|entry| entry.service == service) {
-                let kind = known.withdraw(now, reporter);
-                changes.extend(kind.map(|kind| HealthChange { server: *key, kind }));
-            }
-        }
-        changes
-    }
-
     /// The report to send now, if one is due.
     pub fn due_report(&mut self, now: TimePoint, fleet: &FleetView) -> Option<OutgoingReport> {
         if !self.observations.is_report_due(now) {
@@ -341,7 +261,7 @@
     }
 
     /// Checks whether this host paused since its last tick.
-    fn detect_pause(&mut self, now: TimePoint) {
+    pub(super) fn detect_pause(&mut self, now: TimePoint) {
         let pause = self.ticked_at.map(|at| now.since(at)).unwrap_or_default();
         if pause >= STALL_GAP {
             self.stalled_until = now + SETTLE_TIME;
@@ -354,24 +274,6 @@
     }
 }
 
-/// Whether `failed` contains more than half of a service's ready servers.
-fn is_majority(failed: &HashSet<ServerKey>, service: ServiceKey, fleet: &FleetView) -> bool {
-    let (mut ready, mut matching) = (0, 0);
-    for server in fleet.ready(service) {
-        ready += 1;
-        matching += usize::from(failed.contains(&server.key()));
-    }
-    matching * 2 > ready
-}
-
-/// The services of which more than half of the ready servers are in `failed`.
-fn majority_services(failed: &HashSet<ServerKey>, fleet: &FleetView) -> HashSet<ServiceKey> {
-    let services = failed.iter().filter_map(|key| fleet.entry(*key)).map(|entry| entry.service);
-    let mut services: HashSet<ServiceKey> = services.collect();
-    services.retain(|service| is_majority(failed, *service, fleet));
-    services
-}
-
 /// The turn of `own` among the hosts that try a server, in rendezvous order; equal at all hosts that know the same
 /// hosts.
 fn trial_turn(server: ServerKey, own: IncarnationId, hosts: &[IncarnationId]) -> Option<TrialTurn> {
