Sight: a request that finds no server tells what excluded the ready ones

Refusals as no_server looked alike whether servers could not be connected to or were passed over for earlier failures. The line no_usable_server counts the ready servers of the pool and what excludes them. No decision is changed.

--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -76,6 +76,7 @@
         let mut ranked = context.host.rank_ready_servers(context.service, &criteria);
         ranked.retain(|server| !lost.contains(&server.key()));
         if ranked.is_empty() {
+            context.log_no_server(Some(ServerStage::Decode), search.request_count());
             return Err(prefer_at_limit(context, NotRunReason::NoServer));
         }
         admission.order(&mut ranked);
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -176,6 +176,9 @@
         return CallEnd::NotRun(NotRunReason::NoPlace, pause);
     }
     let reason = if record.sent > 0 { NotRunReason::Rejected } else { NotRunReason::NoServer };
+    if reason == NotRunReason::NoServer {
+        context.log_no_server(None, record.tried.len());
+    }
     CallEnd::NotRun(reason, context.return_pause(reason, REJECTED_PAUSE))
 }
 
--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -1,5 +1,6 @@
 //! Ranks backend servers by what this host knows of them.
 
+use super::call_context::CallContext;
 use super::gateway_host::GatewayHost;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::NameKey;
@@ -82,4 +83,63 @@
         let queue = state.server_loads.total(server.key()).prompt_tokens;
         state.work_meters.get(&service).map(|meter| meter.read_time(queue)).unwrap_or_default()
     }
+
+    /// Counts why the ready servers of a pool are not used for a request.
+    fn count_passed_over(
+        &self,
+        service: ServiceKey,
+        stage: Option<ServerStage>,
+        rank: CallRank,
+    ) -> PassedOver {
+        let now = self.now();
+        let state = self.state();
+        let in_stage =
+            |server: &&ServerEntry| stage.is_none_or(|stage| server.stage == Some(stage));
+        let pool = || state.fleet.ready(service).filter(in_stage);
+        let has_closed_breaker = |server: &ServerEntry| {
+            state.server_health.get(&server.key()).is_none_or(|health| health.admits(now))
+        };
+        let is_usable = |server: &ServerEntry| {
+            has_closed_breaker(server) && state.domain_breakers.admits(now, server.domain)
+        };
+        let standings = self.server_standings(now, &state, pool(), is_usable);
+        let count = |is_passed_over: &dyn Fn(&ServerEntry) -> bool| {
+            pool().filter(|server| is_passed_over(server)).count()
+        };
+        PassedOver {
+            ready: pool().count(),
+            own_breaker: count(&|server| !has_closed_breaker(server)),
+            domain_breaker: count(&|server| !state.domain_breakers.admits(now, server.domain)),
+            standing: count(&|server| !standings.admits(server.key(), true)),
+            limit: count(&|server| !state.send_control.is_open(now, server.key(), rank)),
+        }
+    }
+}
+
+/// Number of ready servers of a pool, and how many of them each cause excludes; a server may have several.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PassedOver {
+    ready: usize,
+    own_breaker: usize,
+    domain_breaker: usize,
+    standing: usize,
+    limit: usize,
+}
+
+impl CallContext {
+    /// Logs why the request found no server: how many are ready, and what excludes them. `tried` servers were asked
+    /// before.
+    pub(super) fn log_no_server(&self, stage: Option<ServerStage>, tried: usize) {
+        let passed_over = self.host.count_passed_over(self.service, stage, self.rank);
+        log::info!(
+            "event=no_usable_server request={} tried={tried} ready={} own_breaker={} domain_breaker={} \
+             standing={} limit={}",
+            self.id(),
+            passed_over.ready,
+            passed_over.own_breaker,
+            passed_over.domain_breaker,
+            passed_over.standing,
+            passed_over.limit
+        );
+    }
 }
