--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -12,6 +12,9 @@
 /// Environment variable with the source address of a daemon's connections. It takes effect only if the daemon's
 /// environment loads a library that reads it.
 const SOURCE_ADDRESS_VARIABLE: &str = "TEALCLEAT_SOURCE";
+/// Environment variable with the path of a file that holds how new connections to servers end, if the machine lost its
+/// path to them. It takes effect only if the daemon's environment loads a library that reads it.
+const SERVER_CUT_VARIABLE: &str = "TEALCLEAT_SERVER_CUT";
 
 /// How a daemon that uses stand-ins of the platform is started.
 #[derive(Debug, Clone, Copy)]
@@ -40,6 +43,15 @@
     pub environment: &'a [(String, String)],
 }
 
+/// How new connections to servers end at a machine without a path to them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionCut {
+    /// They hang.
+    Hang,
+    /// They are refused.
+    Refuse,
+}
+
 /// One daemon in a separate process.
 #[derive(Debug)]
 pub struct GatewayProcess {
@@ -131,6 +143,7 @@
             .arg(&self.settings)
             .env(SUSPENDED_TIME_VARIABLE, self.suspended_time_file())
             .env(SOURCE_ADDRESS_VARIABLE, self.callers.ip().to_string())
+            .env(SERVER_CUT_VARIABLE, self.server_cut_file())
             .envs(self.environment.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -176,6 +189,23 @@
         self.signal("-CONT")
     }
 
+    /// Sets how new connections to servers end; `None` if they work.
+    ///
+    /// # Errors
+    /// If the file that the process reads cannot be written.
+    pub fn set_server_cut(&self, cut: Option<ConnectionCut>) -> Result<()> {
+        let kind: &[u8] = match cut {
+            None => b"-",
+            Some(ConnectionCut::Hang) => b"h",
+            Some(ConnectionCut::Refuse) => b"r",
+        };
+        Ok(std::fs::write(self.server_cut_file(), kind)?)
+    }
+
+    fn server_cut_file(&self) -> PathBuf {
+        self.settings.with_extension("cut")
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         match &mut self.process {
--- a/src/bench/links/link_proxy.rs
+++ b/src/bench/links/link_proxy.rs
@@ -10,6 +10,9 @@
 use tokio::sync::watch;
 
 const ANY_PORT: &str = "127.0.0.1:0";
+/// Partitions of these scopes silence a link to a server; those of the other one reset its connections.
+const SERVER_LINK_SCOPES: [PartitionScope; 2] = [PartitionScope::All, PartitionScope::Servers];
+const RESET_SCOPES: [PartitionScope; 1] = [PartitionScope::ServersReset];
 const CHUNK_BYTES: usize = 16 << 10;
 /// Bandwidth that all connections of a proxy share in [`ProxyMode::Narrow`]: 10 Mbit/s.
 const NARROW_BYTES_PER_S: f64 = 1_250_000.0;
@@ -60,6 +63,18 @@
         Self::listen(TcpListener::bind(ANY_PORT).await?, target, partitions, &[PartitionScope::All])
     }
 
+    /// Starts a proxy in front of the server at `target` on a free port. Also partitions that separate machines from
+    /// the servers only block its connections.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn start_before_server(
+        target: SocketAddr,
+        partitions: NetworkPartitions,
+    ) -> Result<Self> {
+        Self::listen(TcpListener::bind(ANY_PORT).await?, target, partitions, &SERVER_LINK_SCOPES)
+    }
+
     /// Proxies the connections of a listener; partitions of `scopes` block them.
     ///
     /// # Errors
@@ -85,8 +100,10 @@
                 let partitions = partitions.clone();
                 let modes = modes.clone();
                 tokio::spawn(async move {
-                    let blocked = partitions.blocked([from.ip(), target.ip()], scopes);
-                    relay(client, target, modes, stalls, blocked, bandwidth_lock).await;
+                    let ends = [from.ip(), target.ip()];
+                    let blocked = partitions.blocked(ends, scopes);
+                    let resets = partitions.blocked(ends, &RESET_SCOPES);
+                    relay(client, target, modes, stalls, blocked, resets, bandwidth_lock).await;
                 });
             }
         });
@@ -115,9 +132,10 @@
     modes: watch::Receiver<ProxyMode>,
     mut stalls: watch::Receiver<u64>,
     blocked: impl Future<Output = ()>,
+    resets: impl Future<Output = ()>,
     bandwidth_lock: Arc<tokio::sync::Mutex<()>>,
 ) {
-    tokio::pin!(blocked);
+    tokio::pin!(blocked, resets);
     // A connection that is opened during a partition is held open without a connection to the target.
     let server = tokio::select! {
         biased;
@@ -141,6 +159,7 @@
             changed = stalls.changed() => changed.map_or(RelayEnd::ProxyGone, |()| RelayEnd::Dead),
             // Neither end is notified, and the connection stays dead after the partition has ended.
             () = &mut blocked => RelayEnd::Dead,
+            () = &mut resets => RelayEnd::Down(ForwardEnd::Reset),
         }
     };
     // Once one direction has ended, both sockets are dropped, which ends the other direction.
--- a/src/bench/links/mod.rs
+++ b/src/bench/links/mod.rs
@@ -6,8 +6,10 @@
 mod host_link;
 mod link_proxy;
 mod network_partitions;
+mod unanswered_port;
 
 pub use host_link::{HostLink, LinkSockets};
 pub use link_proxy::{LinkProxy, ProxyMode};
 pub(in crate::bench) use link_proxy::{connect_as, reset};
 pub use network_partitions::{NetworkPartitions, PartitionScope};
+pub use unanswered_port::UnansweredPort;
--- a/src/bench/links/network_partitions.rs
+++ b/src/bench/links/network_partitions.rs
@@ -9,6 +9,10 @@
     All,
     /// Traffic with other hosts; the store and the servers remain reachable.
     Hosts,
+    /// Traffic with the servers, whose connections fall silent; the store and other hosts remain reachable.
+    Servers,
+    /// As [`Self::Servers`], but open connections are reset.
+    ServersReset,
 }
 
 /// The machines that are partitioned from the network, by IP address.
--- a/src/bench/soak/answer_link.rs
+++ b/src/bench/soak/answer_link.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use rand::Rng;
 use rand::rngs::StdRng;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -35,7 +35,12 @@
 impl AnswerLink {
     /// Starts a link to `target`. `seed` determines which answers a fault affects.
     pub async fn start(target: SocketAddr, seed: u64) -> Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::start_at(Ipv4Addr::LOCALHOST, target, seed).await
+    }
+
+    /// Starts a link to `target` at an address of `machine`.
+    pub async fn start_at(machine: Ipv4Addr, target: SocketAddr, seed: u64) -> Result<Self> {
+        let listener = TcpListener::bind((machine, 0)).await?;
         let address = listener.local_addr()?;
         let (fault, fault_receiver) = watch::channel(None);
         let (is_open, open_receiver) = watch::channel(true);
--- a/src/bench/soak/partition_group.rs
+++ b/src/bench/soak/partition_group.rs
@@ -19,6 +19,8 @@
     Domain(usize),
     /// A third of the hosts, taken from all failure domains.
     Third(usize),
+    /// All hosts but one.
+    AllBut(usize),
 }
 
 impl PartitionGroup {
@@ -37,6 +39,7 @@
             Self::Host(host) => index == host,
             Self::Domain(domain) => index % domains == domain,
             Self::Third(group) => (index / domains) % GROUP_COUNT == group,
+            Self::AllBut(host) => index != host,
         }
     }
 }
@@ -58,7 +61,8 @@
         self.sockets.partitions.end(&self.machines(group), scope);
     }
 
-    fn machines(&self, group: PartitionGroup) -> Vec<IpAddr> {
+    /// The addresses of the machines of a group.
+    pub fn machines(&self, group: PartitionGroup) -> Vec<IpAddr> {
         let targets = (0..self.hosts.len()).filter(|index| group.contains(*index, self.domains));
         targets.map(machine_address).collect()
     }
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -53,6 +53,22 @@
     pub detail: String,
 }
 
+/// Requests that were sent once, and how many of them were served.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CutTries {
+    /// Number of requests.
+    pub sent: u64,
+    /// Number of requests that received a complete answer of a server.
+    pub served: u64,
+}
+
+impl CutTries {
+    pub(super) fn add(&mut self, other: Self) {
+        self.sent += other.sent;
+        self.served += other.served;
+    }
+}
+
 /// The results of a soak test.
 #[derive(Debug, Clone, Default)]
 pub struct SoakReport {
@@ -68,6 +84,8 @@
     pub faults: u64,
     /// Number of calls to the store.
     pub store_calls: u64,
+    /// First tries at hosts without a path to the servers, and at the other hosts meanwhile.
+    pub cut_tries: (CutTries, CutTries),
     /// Violations of guarantees.
     pub violations: Vec<SoakViolation>,
 }
--- a/src/bench/soak/soak_fault.rs
+++ b/src/bench/soak/soak_fault.rs
@@ -1,5 +1,6 @@
 use super::answer_fault::AnswerFault;
 use super::partition_group::PartitionGroup;
+use super::server_cut::ServerCut;
 use crate::bench::links::{PartitionScope, ProxyMode};
 use crate::bench::site::{EngineFault, ServiceFault, StoreFault};
 use rand::Rng;
@@ -29,6 +30,8 @@
     Suspend(usize),
     /// A network partition.
     Cut(PartitionGroup, PartitionScope),
+    /// Hosts lose their paths to all servers.
+    ServerCut(PartitionGroup, ServerCut),
     Reload(usize),
     /// The configuration changes.
     Configure,
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -1,9 +1,11 @@
 //! Begins and ends the faults of a soak test.
 
 use super::partition_group::PartitionGroup;
+use super::server_cut::ServerCut;
 use super::soak_burst::{BurstStep, draw_burst};
 use super::soak_fault::{FaultTargets, SoakFault, draw_fault};
-use super::soak_run::{SoakCluster, SoakOptions};
+use super::soak_options::SoakOptions;
+use super::soak_run::SoakCluster;
 use crate::Result;
 use crate::bench::links::{PartitionScope, ProxyMode};
 use crate::bench::site::{EngineFault, RestartAddress, ServiceFault, SiteEngine, StoreFault};
@@ -41,6 +43,11 @@
 const PARTITION_PROBABILITY: f64 = 0.25;
 const PARTITION_SALT: u64 = 0xc0_7ab1e;
 const PARTITION_MS: Range<u64> = 300..5500;
+/// Probability that a draw also separates hosts from all servers, the salt of these random draws, and the range of
+/// durations.
+const SERVER_CUT_PROBABILITY: f64 = 0.15;
+const SERVER_CUT_SALT: u64 = 0x5e_c07ed;
+const SERVER_CUT_MS: Range<u64> = 300..5500;
 /// How long a server stays down after it crashed under a request.
 const DOWNTIME_MS: Range<u64> = 300..2500;
 
@@ -56,6 +63,7 @@
         let mut limits = StdRng::seed_from_u64(options.seed ^ LIMIT_SALT);
         let mut stalls = StdRng::seed_from_u64(options.seed ^ STALL_SALT);
         let mut partitions = StdRng::seed_from_u64(options.seed ^ PARTITION_SALT);
+        let mut server_cuts = StdRng::seed_from_u64(options.seed ^ SERVER_CUT_SALT);
         let mut restart_times = BTreeMap::new();
         let targets = self.fault_targets();
         let deadline = Instant::now() + options.duration;
@@ -97,6 +105,14 @@
                 let duration = Duration::from_millis(partitions.random_range(PARTITION_MS));
                 active.push((fault, Instant::now() + duration));
             }
+            if options.cuts_servers && server_cuts.random_bool(SERVER_CUT_PROBABILITY) {
+                let group = PartitionGroup::draw(&mut server_cuts, targets.hosts, self.domains);
+                let fault = SoakFault::ServerCut(group, ServerCut::draw(&mut server_cuts));
+                self.begin_fault(fault)?;
+                count += 1;
+                let duration = Duration::from_millis(server_cuts.random_range(SERVER_CUT_MS));
+                active.push((fault, Instant::now() + duration));
+            }
             count += self.restart_due(&mut restart_times, &mut restarts).await?;
             let gap = random.random_range(0..MAX_GAP_MS);
             sleep(Duration::from_millis(gap)).await;
@@ -195,6 +211,7 @@
             SoakFault::Pause(index) => self.hosts[index].signal("-STOP")?,
             SoakFault::Suspend(index) => self.hosts[index].suspend()?,
             SoakFault::Cut(group, scope) => self.begin_partition(group, scope),
+            SoakFault::ServerCut(group, cut) => self.begin_server_cut(group, cut)?,
             SoakFault::Reload(index) => self.hosts[index].signal("-HUP")?,
             SoakFault::Configure => self.confirm_version(),
             SoakFault::DrainServer(index) => self.write_service_entry(index, "draining"),
@@ -220,6 +237,7 @@
             }
             SoakFault::Pause(index) | SoakFault::Suspend(index) => self.hosts[index].resume()?,
             SoakFault::Cut(group, scope) => self.end_partition(group, scope),
+            SoakFault::ServerCut(group, cut) => self.end_server_cut(group, cut)?,
             SoakFault::DrainServer(index) => self.write_service_entry(index, "ready"),
             SoakFault::StoreForgets | SoakFault::Reload(_) | SoakFault::Configure => {}
         }
--- /dev/null
+++ b/src/bench/soak/soak_options.rs
@@ -0,0 +1,47 @@
+use crate::settings::LoadFeatures;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The settings of a soak test.
+#[derive(Debug, Clone)]
+pub struct SoakOptions {
+    /// Seed of the random draws of faults and requests.
+    pub seed: u64,
+    /// How long faults are injected.
+    pub duration: Duration,
+    /// Number of daemons.
+    pub hosts: usize,
+    /// Number of failure domains over which the daemons are spread, at most three.
+    pub domains: usize,
+    /// Number of callers.
+    pub callers: usize,
+    /// Whether some requests crash the servers that run them.
+    pub sends_crashing_requests: bool,
+    /// Whether daemons are suspended. Their environment must provide a clock that stops meanwhile.
+    pub suspends_hosts: bool,
+    /// Whether servers announce limits.
+    pub limits_servers: bool,
+    /// Decisions under load that are switched on.
+    pub features: LoadFeatures,
+    /// Whether open connections stall. After the faults, each host is probed for the configuration in effect.
+    pub stalls_connections: bool,
+    /// Whether machines are partitioned from each other, with the same probes after the faults. The daemons'
+    /// environment must provide a library that makes their connections come from the address of their machine.
+    pub partitions_network: bool,
+    /// Whether hosts lose their paths to all servers. After the faults, callers of such hosts must be served like others.
+    /// The daemons' environment must provide the same library.
+    pub cuts_servers: bool,
+    /// Number of routes in the configuration that no request uses.
+    pub unused_routes: usize,
+    /// Environment variables of the daemons.
+    pub environment: Vec<(String, String)>,
+    /// Folder that contains the built programs.
+    pub programs: PathBuf,
+}
+
+impl SoakOptions {
+    /// Whether each daemon needs a machine with an address of its own.
+    pub(super) const fn needs_machines(&self) -> bool {
+        self.partitions_network || self.cuts_servers
+    }
+}
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -3,20 +3,23 @@
 use super::partition_group::machine_address;
 use super::soak_caller::{CallerPlan, CallerResults, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
-use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode};
+use super::soak_options::SoakOptions;
+use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode, UnansweredPort};
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
 use crate::bench::{GatewayProcess, ProcessPlan, free_ports};
 use crate::host::lock;
-use crate::settings::LoadFeatures;
 use crate::{Error, Result};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Difference between the link seeds of successive soak seeds. It keeps the seeds of all links apart.
 const LINK_SEED_STRIDE: u64 = 1000;
+/// The machine of all servers, by whose address the daemons' library knows a connection to a server.
+const SERVER_MACHINE: Ipv4Addr = Ipv4Addr::new(127, 4, 0, 1);
+/// Environment variable with the port at which a daemon's connections hang while it has no path to the servers.
+const UNANSWERED_VARIABLE: &str = "TEALCLEAT_UNANSWERED";
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Ends a soak test that hangs. No guarantee depends on this value.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
@@ -26,40 +29,6 @@
 
 static NEXT_SERIAL: AtomicU64 = AtomicU64::new(0);
 
-/// The settings of a soak test.
-#[derive(Debug, Clone)]
-pub struct SoakOptions {
-    /// Seed of the random draws of faults and requests.
-    pub seed: u64,
-    /// How long faults are injected.
-    pub duration: Duration,
-    /// Number of daemons.
-    pub hosts: usize,
-    /// Number of failure domains over which the daemons are spread, at most three.
-    pub domains: usize,
-    /// Number of callers.
-    pub callers: usize,
-    /// Whether some requests crash the servers that run them.
-    pub sends_crashing_requests: bool,
-    /// Whether daemons are suspended. Their environment must provide a clock that stops meanwhile.
-    pub suspends_hosts: bool,
-    /// Whether servers announce limits.
-    pub limits_servers: bool,
-    /// Decisions under load that are switched on.
-    pub features: LoadFeatures,
-    /// Whether open connections stall. After the faults, each host is probed for the configuration in effect.
-    pub stalls_connections: bool,
-    /// Whether machines are partitioned from each other, with the same probes after the faults. The daemons'
-    /// environment must provide a library that makes their connections come from the address of their machine.
-    pub partitions_network: bool,
-    /// Number of routes in the configuration that no request uses.
-    pub unused_routes: usize,
-    /// Environment variables of the daemons.
-    pub environment: Vec<(String, String)>,
-    /// Folder that contains the built programs.
-    pub programs: PathBuf,
-}
-
 /// The daemons, the stand-ins, and the links between them.
 pub(super) struct SoakCluster {
     pub site: TestSite,
@@ -81,6 +50,7 @@
     pub version: u64,
     pub unused_routes: usize,
     pub fault_log: FaultLog,
+    unanswered_port: UnansweredPort,
 }
 
 /// Runs a soak test and returns its results.
@@ -110,6 +80,13 @@
     let over_limits =
         if options.limits_servers { cluster.check_limits(options.seed).await? } else { Vec::new() };
     let propagation = cluster.check_propagation(options).await?;
+    let mut cut_records = Vec::new();
+    let mut cut_tries = Default::default();
+    let cut_violations = if options.cuts_servers {
+        cluster.check_server_cuts(options, &mut cut_records, &mut cut_tries).await?
+    } else {
+        Vec::new()
+    };
     results.is_stopped.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
@@ -119,12 +96,15 @@
     let mut report = lock(&results.report).clone();
     report.faults = faults;
     report.store_calls = cluster.site.store.call_counts().0;
+    report.cut_tries = cut_tries;
     let recovery = cluster.check_recovery(options.seed).await;
     let mut records = lock(&results.records).clone();
     records.extend(recovery.1);
     records.extend(propagation.1);
+    records.extend(cut_records);
     report.violations.extend(recovery.0);
     report.violations.extend(propagation.0);
+    report.violations.extend(cut_violations);
     let site = &cluster.site;
     report.violations.extend(check_runs(&records, &site.decodes, &site.services));
     let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
@@ -146,9 +126,10 @@
         let mut links = Vec::new();
         let mut answer_links = Vec::new();
         for (server, index) in site.servers.iter().zip(0..) {
-            let link = LinkProxy::start_with(server.address, sockets.partitions.clone()).await?;
+            let partitions = sockets.partitions.clone();
+            let link = LinkProxy::start_before_server(server.address, partitions).await?;
             let seed = options.seed.wrapping_mul(LINK_SEED_STRIDE) + index;
-            let answers = AnswerLink::start(link.address, seed).await?;
+            let answers = AnswerLink::start_at(SERVER_MACHINE, link.address, seed).await?;
             site.write_entry(&server.id, server.service, answers.address, server.stage, "ready");
             answers.refuse_while_down(site.incarnation_switch(&server.id)?.clone());
             links.push(link);
@@ -176,13 +157,14 @@
             version: 1,
             unused_routes: options.unused_routes,
             fault_log: FaultLog::create(folder)?,
+            unanswered_port: UnansweredPort::open().await?,
         };
         cluster.confirm_version();
         for index in 0..options.hosts {
             cluster.add_host(options, folder, index).await?;
         }
         cluster.wait_ready().await?;
-        if options.partitions_network && !cluster.sources_match_machines() {
+        if options.needs_machines() && !cluster.sources_match_machines() {
             let cause = "connections of daemons do not come from their machines' addresses";
             return Err(Error::Refused(format!("{cause}: {:?}", cluster.store_sources())));
         }
@@ -202,6 +184,9 @@
         let store_answers = AnswerLink::start(link.address, seed).await?;
         let peers: Vec<SocketAddr> = self.hosts.iter().map(|host| host.peers).collect();
         let has_link = options.stalls_connections || options.partitions_network;
+        let unanswered_port = self.unanswered_port.address.port().to_string();
+        let mut environment = options.environment.clone();
+        environment.push((UNANSWERED_VARIABLE.to_owned(), unanswered_port));
         let advertised = has_link.then(advertised_address).transpose()?;
         let loopback = IpAddr::from(Ipv4Addr::LOCALHOST);
         let host = GatewayProcess::start(&ProcessPlan {
@@ -209,13 +194,13 @@
             folder,
             name: &format!("host-{index}"),
             domain: DOMAINS[index % self.domains],
-            machine: if options.partitions_network { machine_address(index) } else { loopback },
+            machine: if options.needs_machines() { machine_address(index) } else { loopback },
             store: store_answers.address,
             seeds: &peers,
             advertised,
             revocation: None,
             features: options.features,
-            environment: &options.environment,
+            environment: &environment,
         })?;
         if let Some(advertised) = advertised {
             let link = HostLink::open(advertised, host.peers_listen, &self.sockets).await?;
@@ -254,6 +239,7 @@
         }
         self.clear_limits();
         self.sockets.partitions.end_all();
+        self.end_server_cuts()?;
         self.restart_crashed().await?;
         for link in self.links.iter().chain(&self.store_links) {
             link.set(ProxyMode::Pass);
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -91,6 +91,8 @@
         /// Partition machines, and check which configuration is in force on the hosts; one of the daemons' variables
         /// names a library that binds their connections to the address in TEALCLEAT_SOURCE
         cutting: bool,
+        /// Separate hosts from all servers, and check that their callers are served like others; needs the same library
+        separating: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -36,6 +36,7 @@
             loaded,
             silencing,
             cutting,
+            separating,
             further_routes,
             variable,
         } => {
@@ -53,6 +54,7 @@
                 features: if *loaded { LoadFeatures::ALL } else { LoadFeatures::default() },
                 stalls_connections: *silencing,
                 partitions_network: *cutting,
+                cuts_servers: *separating,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -20,6 +20,13 @@
             report.store_calls,
             report.violations.len()
         );
+        let (cut, others) = report.cut_tries;
+        if cut.sent > 0 {
+            println!(
+                "  hosts without servers served {} of {} first tries, the others {} of {}",
+                cut.served, cut.sent, others.served, others.sent
+            );
+        }
         for violation in &report.violations {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -87,6 +87,26 @@
     });
 }
 
+/// Hosts lose their paths to all servers while callers, the store and the other hosts reach them: one host, a failure
+/// domain, all hosts but one.
+///
+/// The test guards against hosts that refuse every request as long as they reach no server, although other hosts do.
+#[test]
+fn run_soak_with_hosts_without_servers() {
+    let defaults = options(1);
+    let environment = source_address("soak-servers");
+    let duration = Duration::from_secs(3);
+    run(SoakOptions {
+        hosts: 6,
+        domains: 3,
+        cuts_servers: true,
+        features: LoadFeatures::ALL,
+        duration,
+        environment,
+        ..defaults
+    });
+}
+
 /// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
 /// guarantee while hosts are killed or suspended, or servers crash.
 #[rstest]
@@ -122,6 +142,7 @@
         features: LoadFeatures::default(),
         stalls_connections: false,
         partitions_network: false,
+        cuts_servers: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
