Connections to servers go through another host where the own path has failed

Class: a failure of one's own path is taken for a failure of what lies at its end. The same cause elsewhere: it recorded five crashes of servers that had not crashed (sign=connection_refused), and opened breakers of domains and servers. Change: server_paths decides by which path a connection is tried first (own path, and a tunnel after a head start or a failure; a tunnel at once while the own path is known to fail), recognises that the host itself is cut off, and chooses the hosts that help. A tunnel is an HTTP/2 CONNECT on the connection that hosts have with each other. Orders to engines go on the own path only: an engine knows the holder by where it comes from. The probe after a broken connection asks through another host before a refused connection counts as a crash. Why it holds: everything that counts a request (limit, key, retries, deadline, at most once, 'not run') stays with the host that its caller asked; the other one sees bytes. No connection passes through two hosts, so no circle. A tunnel that breaks reads as broken, never as ended, so an answer without a length never looks whole.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -1,8 +1,10 @@
+use super::PathRecord;
 use super::answer_proof::AnswerProof;
 use super::idle_connections::{
     CallSender, DEFAULT_KEEP_ALIVE, IdleConnections, PooledConnection, keep_alive_time,
 };
 use super::pooled_body::{PooledBody, ReturnPath};
+use crate::server_paths::ConnectionPath;
 use crate::{Error, Result};
 use bytes::Bytes;
 use http::header::HeaderValue;
@@ -14,6 +16,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -37,6 +40,41 @@
     }
 }
 
+/// A connection that was opened and has carried no call.
+#[derive(Debug)]
+pub struct DialedConnection {
+    sender: CallSender,
+    path: ConnectionPath,
+}
+
+impl DialedConnection {
+    /// Starts HTTP on a stream that leads to a server by `path`.
+    ///
+    /// # Errors
+    /// If the stream is broken.
+    pub async fn start(
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        path: ConnectionPath,
+    ) -> Result<Self> {
+        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            // The calls on the connection receive the error, so the task ignores it.
+            let _ = connection.await;
+        });
+        Ok(Self { sender, path })
+    }
+
+    /// Connects to a server on this host's own path. There is no timeout; the caller sets one.
+    ///
+    /// # Errors
+    /// If the connection could not be opened.
+    pub async fn open(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Self::start(stream, ConnectionPath::Direct).await
+    }
+}
+
 /// Pool of HTTP/1.1 connections to backend servers.
 #[derive(Debug, Clone, Default)]
 pub struct HttpPool {
@@ -44,14 +82,30 @@
 }
 
 impl HttpPool {
-    /// Sends a request on a pooled connection that has not been idle for too long, or on a new one, and checks by
-    /// `proof` that the answer belongs to the request.
+    /// Sends a request on a pooled connection or on a new one on this host's own path, see [`Self::send_through`].
+    ///
+    /// # Errors
+    /// As [`Self::send_through`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        proof: AnswerProof,
+        limits: SendLimits,
+    ) -> Result<Response<PooledBody>> {
+        let dial = async || Self::open_within(address, limits.connect_timeout).await;
+        self.send_through(dial, address, request, proof, limits).await
+    }
+
+    /// Sends a request on a pooled connection that has not been idle for too long, or on a new one that `dial` opens, and
+    /// checks by `proof` that the answer belongs to the request.
     ///
     /// # Errors
     /// [`Error::NotSent`] if it is certain that nothing reached the server; [`Error::Foreign`] if the answer may belong
     /// to another call. After `Foreign` and any other error, the request may have reached the server.
-    pub async fn send(
+    pub async fn send_through(
         &self,
+        dial: impl AsyncFnOnce() -> Result<DialedConnection>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         proof: AnswerProof,
@@ -65,7 +119,7 @@
             if !matches!(ready, Ok(Ok(()))) {
                 continue;
             }
-            let pending = self.idle.start_call(address);
+            let pending = self.idle.start_call(address, &pooled);
             let result = pooled.sender.try_send_request(request).await;
             pending.complete();
             match result {
@@ -77,11 +131,12 @@
                 },
             }
         }
-        let sender = Self::connect_within(address, limits.connect_timeout)
-            .await
-            .map_err(|error| Error::NotSent(error.to_string()))?;
-        let mut fresh = PooledConnection::new(sender);
-        match fresh.sender.try_send_request(request).await {
+        let dialed = dial().await.map_err(|error| Error::NotSent(error.to_string()))?;
+        let mut fresh = self.idle.begin(dialed.sender, dialed.path);
+        let pending = self.idle.start_call(address, &fresh);
+        let result = fresh.sender.try_send_request(request).await;
+        pending.complete();
+        match result {
             Ok(response) => self.accept(address, fresh, proof, id, response),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Error::NotSent(error.into_error().to_string())),
@@ -100,31 +155,34 @@
     /// # Errors
     /// If the connection could not be opened; nothing was sent in this case.
     pub async fn connect(address: SocketAddr) -> Result<CallSender> {
-        Self::connect_within(address, CONNECT_TIMEOUT).await
+        Ok(Self::open_within(address, CONNECT_TIMEOUT).await?.sender)
     }
 
-    /// Opens a connection and adds it to the pool for the next call.
-    ///
-    /// # Errors
-    /// If the connection could not be opened within `timeout`.
-    pub async fn warm(&self, address: SocketAddr, timeout: Duration) -> Result<()> {
-        let connection = PooledConnection::new(Self::connect_within(address, timeout).await?);
+    /// Adds a connection to the pool for the next call.
+    pub fn keep(&self, address: SocketAddr, connection: DialedConnection) {
+        let connection = self.idle.begin(connection.sender, connection.path);
         self.idle.put(address, connection, DEFAULT_KEEP_ALIVE);
-        Ok(())
     }
 
-    async fn connect_within(address: SocketAddr, timeout: Duration) -> Result<CallSender> {
-        let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(timeout, connecting)
+    /// What the pool's connections show of this host's own paths.
+    pub fn paths(&self) -> &PathRecord {
+        self.idle.paths()
+    }
+
+    /// Closes the idle connections through hosts for which `is_usable` does not hold.
+    pub fn retain_tunnels(&self, is_usable: impl Fn(SocketAddr) -> bool) {
+        self.idle.retain_tunnels(is_usable);
+    }
+
+    /// Whether idle connections through other hosts exist.
+    pub fn has_tunnels(&self) -> bool {
+        self.idle.has_tunnels()
+    }
+
+    async fn open_within(address: SocketAddr, timeout: Duration) -> Result<DialedConnection> {
+        tokio::time::timeout(timeout, DialedConnection::open(address))
             .await
-            .map_err(|_elapsed| Error::Timeout)??;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
-        tokio::spawn(async move {
-            // The calls on the connection receive the error, so the task ignores it.
-            let _ = connection.await;
-        });
-        Ok(sender)
+            .map_err(|_elapsed| Error::Timeout)?
     }
 
     fn take_pooled(
@@ -151,7 +209,7 @@
         id: Option<HeaderValue>,
         response: Response<Incoming>,
     ) -> Result<Response<PooledBody>> {
-        self.idle.record_answer(address);
+        self.idle.record_answer(address, &connection);
         let mut connection = connection;
         proof
             .check(id.as_ref(), connection.calls + 1, &response)
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,4 +1,6 @@
-use crate::keys::{HostClock, TimePoint, stable_hash};
+use super::PathRecord;
+use crate::keys::{TimePoint, stable_hash};
+use crate::server_paths::ConnectionPath;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::HeaderValue;
@@ -20,6 +22,9 @@
 const FOREIGN_COOLDOWN: Duration = Duration::from_secs(2);
 /// Minimum time without an answer after which an abandoned call counts against its connection.
 const MIN_SILENCE: Duration = Duration::from_millis(150);
+/// Age at which a connection through another host is closed, so that requests return to this host's own paths and spread
+/// over the hosts that help.
+const MAX_TUNNEL_AGE: Duration = Duration::from_secs(10);
 /// Number of calls after which a connection is closed. It bounds the set of call ids that a connection remembers.
 const MAX_CALLS: u32 = 256;
 
@@ -29,6 +34,8 @@
 #[derive(Debug)]
 pub(super) struct PooledConnection {
     pub sender: CallSender,
+    path: ConnectionPath,
+    opened_at: TimePoint,
     /// Number of calls sent on this connection.
     pub calls: u32,
     /// Hashes of the ids of these calls. The ids themselves are not stored: an id would keep alive the buffer into
@@ -37,8 +44,8 @@
 }
 
 impl PooledConnection {
-    pub fn new(sender: CallSender) -> Self {
-        Self { sender, calls: 0, ids: HashSet::new() }
+    fn new(sender: CallSender, path: ConnectionPath, now: TimePoint) -> Self {
+        Self { sender, path, opened_at: now, calls: 0, ids: HashSet::new() }
     }
 
     /// Records a call on this connection.
@@ -72,7 +79,7 @@
 /// Connections that are idle between calls, by address.
 #[derive(Debug, Clone, Default)]
 pub(super) struct IdleConnections {
-    clock: HostClock,
+    paths: PathRecord,
     servers: Arc<Mutex<HashMap<SocketAddr, AddressConnections>>>,
 }
 
@@ -93,6 +100,16 @@
 }
 
 impl IdleConnections {
+    /// What the connections show of this host's own paths.
+    pub fn paths(&self) -> &PathRecord {
+        &self.paths
+    }
+
+    /// Begins the record of a connection that has just been opened.
+    pub fn begin(&self, sender: CallSender, path: ConnectionPath) -> PooledConnection {
+        PooledConnection::new(sender, path, self.paths.now())
+    }
+
     /// Takes the connection with the shortest idle time that has not carried `id`; `None` if that idle time exceeds
     /// `max_idle`.
     pub fn take(
@@ -101,10 +118,14 @@
         max_idle: Duration,
         id: Option<&HeaderValue>,
     ) -> Option<PooledConnection> {
-        let now = self.clock.now();
+        let now = self.paths.now();
         let mut servers = self.servers.lock().ok()?;
         let connections = servers.get_mut(&address)?;
-        connections.idle.retain(|idle| idle.is_usable(now));
+        connections.idle.retain(|idle| {
+            let is_cut = idle.connection.path == ConnectionPath::Direct
+                && !self.paths.is_direct_usable(idle.idle_since);
+            idle.is_usable(now) && !is_cut
+        });
         let index = connections.idle.iter().rposition(|idle| idle.connection.may_carry(id))?;
         if now.since(connections.idle[index].idle_since) > max_idle {
             return None;
@@ -114,10 +135,13 @@
 
     /// Returns a connection to the pool; the server keeps it open for `keep_alive`.
     pub fn put(&self, address: SocketAddr, connection: PooledConnection, keep_alive: Duration) {
-        let now = self.clock.now();
+        let now = self.paths.now();
         let Ok(mut servers) = self.servers.lock() else { return };
         let connections = servers.entry(address).or_default();
-        let is_used_up = connection.sender.is_closed() || connection.calls >= MAX_CALLS;
+        let is_old_tunnel = connection.path != ConnectionPath::Direct
+            && now.since(connection.opened_at) > MAX_TUNNEL_AGE;
+        let is_used_up =
+            connection.sender.is_closed() || connection.calls >= MAX_CALLS || is_old_tunnel;
         if !is_used_up
             && connections.is_trusted(now)
             && connections.idle.len() < MAX_IDLE_PER_ADDRESS
@@ -126,26 +150,54 @@
         }
     }
 
-    /// Records that an answer began to arrive.
-    pub fn record_answer(&self, address: SocketAddr) {
-        let now = self.clock.now();
+    /// Records that an answer began to arrive on `connection`.
+    pub fn record_answer(&self, address: SocketAddr, connection: &PooledConnection) {
+        if connection.path == ConnectionPath::Direct {
+            self.paths.record_answer(address, connection.opened_at);
+        }
+        let now = self.paths.now();
         let Ok(mut servers) = self.servers.lock() else { return };
         servers.entry(address).or_default().answered_at = Some(now);
     }
 
-    /// Records that a call is sent on a pooled connection.
-    pub fn start_call(&self, address: SocketAddr) -> PendingCall {
-        PendingCall { idle: self.clone(), address, sent_at: self.clock.now(), is_complete: false }
+    /// Records that a call is sent on `connection`.
+    pub fn start_call(&self, address: SocketAddr, connection: &PooledConnection) -> PendingCall {
+        let (path, opened_at) = (connection.path, connection.opened_at);
+        let sent_at = self.paths.now();
+        PendingCall { idle: self.clone(), address, path, opened_at, sent_at, is_complete: false }
     }
 
-    /// Closes the idle connections to a server after a call sent at `sent_at` was abandoned without an answer, unless
-    /// another answer has arrived from the server since.
-    fn record_unanswered(&self, address: SocketAddr, sent_at: TimePoint) {
-        let now = self.clock.now();
+    /// Closes the idle connections through hosts for which `is_usable` does not hold.
+    pub fn retain_tunnels(&self, is_usable: impl Fn(SocketAddr) -> bool) {
         let Ok(mut servers) = self.servers.lock() else { return };
-        let Some(connections) = servers.get_mut(&address) else { return };
+        for connections in servers.values_mut() {
+            connections.idle.retain(|idle| match idle.connection.path {
+                ConnectionPath::Direct => true,
+                ConnectionPath::Tunnel(helper) => is_usable(helper),
+            });
+        }
+    }
+
+    /// Whether idle connections through other hosts exist.
+    pub fn has_tunnels(&self) -> bool {
+        let Ok(servers) = self.servers.lock() else { return false };
+        let mut idle = servers.values().flat_map(|connections| &connections.idle);
+        idle.any(|idle| idle.connection.path != ConnectionPath::Direct)
+    }
+
+    /// Closes the idle connections to a server after a call was abandoned without an answer, unless another answer has
+    /// arrived from the server since.
+    fn record_unanswered(&self, call: &PendingCall) {
+        let now = self.paths.now();
+        let PendingCall { address, sent_at, .. } = *call;
+        let Ok(mut servers) = self.servers.lock() else { return };
+        let connections = servers.entry(address).or_default();
         let is_responsive = connections.answered_at.is_some_and(|at| at >= sent_at);
-        if is_responsive || now.since(sent_at) < MIN_SILENCE || connections.idle.is_empty() {
+        if is_responsive || now.since(sent_at) < MIN_SILENCE {
+            return;
+        }
+        self.paths.record_silence(address, call.path, call.opened_at, sent_at);
+        if connections.idle.is_empty() {
             return;
         }
         log::info!(
@@ -159,15 +211,16 @@
     /// Records an answer without proof. The idle connections to its server are closed, because it may have sent other
     /// answers twice as well.
     pub fn record_foreign(&self, address: SocketAddr) {
+        let now = self.paths.now();
         let Ok(mut servers) = self.servers.lock() else { return };
         let connections = servers.entry(address).or_default();
         connections.idle.clear();
-        connections.foreign_at = Some(self.clock.now());
+        connections.foreign_at = Some(now);
     }
 
     /// Returns the addresses that have a usable connection, and closes connections that are no longer usable.
     pub fn addresses(&self) -> HashSet<SocketAddr> {
-        let now = self.clock.now();
+        let now = self.paths.now();
         let Ok(mut servers) = self.servers.lock() else { return HashSet::new() };
         servers.retain(|_, connections| {
             connections.idle.retain(|idle| idle.is_usable(now));
@@ -178,13 +231,16 @@
     }
 }
 
-/// A call in flight on a pooled connection. If it is dropped without an answer, and no other answer has arrived from
+/// A call in flight on a connection. If it is dropped without an answer, and no other answer has arrived from
 /// its server since, the idle connections to this server are closed: all open connections may stop responding at once
 /// without being closed, and each one would fail another request.
 #[derive(Debug)]
 pub(super) struct PendingCall {
     idle: IdleConnections,
     address: SocketAddr,
+    path: ConnectionPath,
+    /// When its connection was opened.
+    opened_at: TimePoint,
     sent_at: TimePoint,
     is_complete: bool,
 }
@@ -199,7 +255,7 @@
 impl Drop for PendingCall {
     fn drop(&mut self) {
         if !self.is_complete {
-            self.idle.record_unanswered(self.address, self.sent_at);
+            self.idle.record_unanswered(self);
         }
     }
 }
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -10,6 +10,7 @@
 mod http_pool;
 mod idle_connections;
 mod line_stream;
+mod path_record;
 mod pooled_body;
 
 pub use answer_proof::{AnswerOwner, AnswerProof};
@@ -18,6 +19,7 @@
     CALL_ID, CacheEvent, CacheEvents, CancelCall, CancelReply, DecodeCall, EngineLoad, PrefillCall,
     PrefillReply, ResumeCall, StreamEvent,
 };
-pub use http_pool::{HttpPool, SendLimits};
+pub use http_pool::{DialedConnection, HttpPool, SendLimits};
 pub use line_stream::LineStream;
+pub use path_record::PathRecord;
 pub use pooled_body::{PooledBody, has_explicit_end};
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -129,12 +129,14 @@
         }
     }
 
-    /// Probes whether a server that dropped a connection still accepts connections. If it does, either a single
+    /// Probes whether a server that dropped a connection still accepts connections, also from another host if it refuses
+    /// those of this one. If it does, either a single
     /// connection failed, or a proxy accepts connections on behalf of a crashed server; in the second case a later
     /// change of its entry shows the crash.
     async fn probe_server(&self, server: &ServerEntry) {
         tokio::time::sleep(PROBE_DELAY).await;
-        let outcome = match self.pool.warm(server.address, PROBE_TIMEOUT).await {
+        let dialed = self.dial_server(server.address, PROBE_TIMEOUT).await;
+        let outcome = match dialed.map(|connection| self.pool.keep(server.address, connection)) {
             Err(error) if error.is_refused_connection() => {
                 let losses = self.state().unconfirmed_crashes.confirm(server.key());
                 self.record_crash(server.key(), &server.id, &losses, "connection_refused");
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -94,6 +94,8 @@
     pub(super) servers_unreachable: AtomicBool,
     pub(super) stop_sender: watch::Sender<StopPhase>,
     pub(super) in_flight: AtomicU64,
+    /// Connections of other hosts that this host forwards.
+    pub(super) open_tunnels: AtomicU64,
 }
 
 impl GatewayHost {
@@ -167,6 +169,7 @@
             servers_unreachable: AtomicBool::new(false),
             stop_sender: watch::Sender::new(StopPhase::Serving),
             in_flight: AtomicU64::new(0),
+            open_tunnels: AtomicU64::new(0),
             settings,
         }
     }
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -11,6 +11,7 @@
 use super::pressure_updates::run_pressure_updates;
 use super::ready_server::{EndpointKind, serve_endpoint};
 use super::return_updates::run_return_updates;
+use super::server_dial::run_path_upkeep;
 use super::slot_messages::run_slots;
 use super::stage_loop::run_stages;
 use super::stop_plan::StopPlan;
@@ -76,6 +77,7 @@
     if host.settings.features.server_slots {
         tokio::spawn(run_slots(Arc::clone(&host)));
     }
+    tokio::spawn(run_path_upkeep(Arc::clone(&host)));
     tokio::spawn(run_account(Arc::clone(&host)));
     if host.settings.features.return_times {
         tokio::spawn(run_return_updates(Arc::clone(&host)));
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -5,8 +5,9 @@
 use super::load_updates::run_load_updates;
 use super::pace_updates::run_pace_updates;
 use super::peer_messages::{GatewayDatagram, GatewayReply, GatewayRequest};
+use crate::Result;
 use crate::membership::TableAction;
-use crate::peers::{PeerHandler, open_datagram, seal_datagram};
+use crate::peers::{PeerHandler, TunnelOpening, open_datagram, seal_datagram};
 use crate::routes::RouteUpdate;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -176,6 +177,10 @@
     type Request = GatewayRequest;
     type Reply = GatewayReply;
 
+    async fn tunnel(self: Arc<Self>, server: SocketAddr, opening: TunnelOpening) -> Result<()> {
+        self.serve_tunnel(server, opening).await
+    }
+
     async fn handle(self: Arc<Self>, request: GatewayRequest) -> GatewayReply {
         match request {
             GatewayRequest::Sync { members, crashes, limits } => {
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -111,7 +111,15 @@
     limits: SendLimits,
 ) -> Result<Response<PooledBody>> {
     let id = request.headers().get(REQUEST_ID).cloned();
-    let sent = host.pool.send(server.address, request, purpose.proof(), limits).await;
+    let (address, proof) = (server.address, purpose.proof());
+    let sent = match purpose {
+        // An engine takes orders of one host only, the holder of the lease, and knows it by where they come from.
+        CallPurpose::Order => host.pool.send(address, request, proof, limits).await,
+        CallPurpose::Read | CallPurpose::Run | CallPurpose::Plain | CallPurpose::Control => {
+            let dial = async || host.dial_server(address, limits.connect_timeout).await;
+            host.pool.send_through(dial, address, request, proof, limits).await
+        }
+    };
     if let Err(Error::Foreign { owner, status, calls }) = &sent {
         let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
         log::info!(
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -8,6 +8,9 @@
 mod peer_message;
 mod peer_server;
 mod proof;
+mod tunnel_client;
+mod tunnel_opening;
+mod tunnel_stream;
 mod view_fetches;
 
 pub use datagram::{open_datagram, seal_datagram};
@@ -18,6 +21,8 @@
 };
 pub use peer_server::{PeerHandler, serve_peers};
 pub use proof::{prove_as_client, prove_as_server};
+pub use tunnel_opening::TunnelOpening;
+pub use tunnel_stream::TunnelStream;
 pub use view_fetches::ViewFetches;
 
 use crate::Result;
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -139,7 +139,7 @@
 
     /// Discards a connection that failed, or that was silent while a call waited for its reply. A connection can become
     /// silent without being closed, and nothing else would detect that.
-    async fn discard_on_error(
+    pub(super) async fn discard_on_error(
         &self,
         address: SocketAddr,
         connection: &PeerConnection,
@@ -170,7 +170,7 @@
         }
     }
 
-    async fn connection(&self, address: SocketAddr) -> Result<PeerConnection> {
+    pub(super) async fn connection(&self, address: SocketAddr) -> Result<PeerConnection> {
         let silent_at = *self.silent_at.lock().unwrap_or_else(PoisonError::into_inner);
         let link = self.link(address)?;
         let mut link = link.lock().await;
@@ -198,6 +198,14 @@
         }
     }
 
+    pub(super) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    pub(super) fn record_received(&self, connection: &PeerConnection) {
+        connection.record_received(&self.clock);
+    }
+
     fn link(&self, address: SocketAddr) -> Result<Arc<tokio::sync::Mutex<PeerLink>>> {
         let mut links = self.links.lock().map_err(|_poison| Error::Timeout)?;
         Ok(Arc::clone(links.entry(address).or_default()))
--- a/src/peers/peer_server.rs
+++ b/src/peers/peer_server.rs
@@ -1,11 +1,13 @@
 use super::proof::prove_as_server;
-use super::{MESSAGE_LIMIT, decode, encode};
+use super::{MESSAGE_LIMIT, TunnelOpening, decode, encode};
+use crate::server_paths::TunnelRefusal;
 use crate::{Error, Result};
 use bytes::{Bytes, BytesMut};
 use h2::RecvStream;
 use h2::server::SendResponse;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,6 +28,16 @@
 
     /// Handles one request; the future is dropped when the other side cancels the call.
     fn handle(self: Arc<Self>, request: Self::Request) -> impl Future<Output = Self::Reply> + Send;
+
+    /// Serves another daemon's request for a connection to `server`, up to the end of the connection. By default no daemon
+    /// opens any.
+    fn tunnel(
+        self: Arc<Self>,
+        _server: SocketAddr,
+        opening: TunnelOpening,
+    ) -> impl Future<Output = Result<()>> + Send {
+        async { opening.refuse(TunnelRefusal::UnknownServer) }
+    }
 }
 
 /// Accepts and serves connections of other daemons; never returns.
@@ -74,12 +86,32 @@
         let Some(accepted) = accepted else { return Ok(()) };
         let (request, respond) = accepted?;
         let handler = Arc::clone(&handler);
+        if request.method() == http::Method::CONNECT {
+            tokio::spawn(serve_tunnel(request, respond, handler));
+            continue;
+        }
         tokio::spawn(async move {
             let _ = serve_call(request.into_body(), respond, handler).await;
         });
     }
 }
 
+async fn serve_tunnel<H: PeerHandler>(
+    request: http::Request<RecvStream>,
+    respond: SendResponse<Bytes>,
+    handler: Arc<H>,
+) {
+    let server = request.uri().authority().and_then(|server| server.as_str().parse().ok());
+    let opening = TunnelOpening::new(respond, request.into_body());
+    let ended = match server {
+        Some(server) => handler.tunnel(server, opening).await,
+        None => opening.refuse(TunnelRefusal::UnknownServer),
+    };
+    if let Err(error) = ended {
+        log::debug!("event=tunnel_ended cause=\"{error}\"");
+    }
+}
+
 async fn serve_call<H: PeerHandler>(
     body: RecvStream,
     mut respond: SendResponse<Bytes>,
