Paths: crashed servers and cut domains are not taken for a host without servers; idle connections are distrusted together

Cause: two refused connections within one search for memory counted, without waiting for what the other host says of the server; a partition between domains looks like a cut host to a host that meets only remote servers. And a silence at one server said nothing of the others. Change: a server that another host does not reach either is at fault itself, its failure counts no more; a host counts as cut off only if a server of its own domain failed too, where there is one; once a tunnel led to a server to which the own path did not, idle connections from before the failure are not used any more.

--- a/src/engines/path_record.rs
+++ b/src/engines/path_record.rs
@@ -4,6 +4,7 @@
 use crate::server_paths::{
     ConnectionPath, Helper, HelperTable, PathChange, PathPlan, PathTable, TunnelRefusal,
 };
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -21,6 +22,11 @@
         self.table().plan(self.clock.now(), server)
     }
 
+    /// Sets which servers are in this host's failure domain.
+    pub fn set_local_servers(&self, servers: HashSet<SocketAddr>) {
+        self.table().set_local_servers(servers);
+    }
+
     /// Whether this host reaches no server on its own paths.
     pub fn is_cut_off(&self) -> bool {
         self.table().is_cut_off()
@@ -57,6 +63,16 @@
         }
     }
 
+    /// Records that a connection to `server` was opened through another host.
+    pub fn record_detour(&self, server: SocketAddr) {
+        self.table().record_detour(self.clock.now(), server);
+    }
+
+    /// Records that another host does not reach `server` either.
+    pub fn record_server_fault(&self, server: SocketAddr) {
+        self.table().record_server_fault(self.clock.now(), server);
+    }
+
     /// Drops failures that no longer count.
     pub fn expire(&self) {
         let now = self.clock.now();
--- a/src/gateway/server_dial.rs
+++ b/src/gateway/server_dial.rs
@@ -41,9 +41,14 @@
 pub(super) async fn run_path_upkeep(host: Arc<GatewayHost>) {
     let mut ticker = tokio::time::interval(UPKEEP_PERIOD);
     ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut was_cut_off = false;
+    let (mut was_cut_off, mut known_revision) = (false, 0);
     loop {
         ticker.tick().await;
+        let revision = host.state().fleet.revision();
+        if revision != known_revision {
+            known_revision = revision;
+            host.update_local_servers();
+        }
         host.pool.paths().expire();
         let is_cut_off = host.pool.paths().is_cut_off();
         if is_cut_off && !was_cut_off {
@@ -115,6 +120,7 @@
             dialed = &mut tunnel => match dialed {
                 Ok(connection) => {
                     self.record_unopened(server, Error::Timeout);
+                    self.pool.paths().record_detour(server);
                     Ok(connection)
                 }
                 Err(failure) => {
@@ -164,6 +170,7 @@
                     self.log_unhelped(server, helper, refusal.name());
                     match refusal {
                         TunnelRefusal::ConnectionRefused => {
+                            paths.record_server_fault(server);
                             let refused = std::io::ErrorKind::ConnectionRefused;
                             return Err(TunnelFailure::Server(Error::Io(refused.into())));
                         }
@@ -182,6 +189,9 @@
                 }
             }
         }
+        if matches!(failure, TunnelFailure::Server(_)) {
+            paths.record_server_fault(server);
+        }
         Err(failure)
     }
 
@@ -196,6 +206,13 @@
             .collect()
     }
 
+    fn update_local_servers(&self) {
+        let domain = self.domain();
+        let state = self.state();
+        let local = state.fleet.entries().filter(|server| server.domain == domain);
+        self.pool.paths().set_local_servers(local.map(|server| server.address).collect());
+    }
+
     /// Forgets which servers did not respond: this host's own path was at fault, and tunnels lead to them.
     fn forget_own_failures(&self) {
         let mut state = self.state();
@@ -205,6 +222,7 @@
 
     fn record_tunnel(&self, server: SocketAddr, helper: SocketAddr, started_at: TimePoint) {
         self.pool.paths().record_helper(helper, Some(Ok(())));
+        self.pool.paths().record_detour(server);
         self.metrics().add("tunnels_opened", 1);
         let took = self.now().since(started_at).as_millis();
         log::info!("event=tunnel_opened address={server} helper={helper} took_ms={took}");
--- a/src/server_paths/path_table.rs
+++ b/src/server_paths/path_table.rs
@@ -1,5 +1,5 @@
 use crate::keys::TimePoint;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,6 +18,9 @@
 /// How long a failure counts without a new one. It exceeds the longest pause between two tries.
 const FAILURE_TTL: Duration = Duration::from_secs(8);
 
+/// How long it counts that another host does not reach a server either: some tries of one connection.
+const SERVER_FAULT_TTL: Duration = Duration::from_millis(500);
+
 /// How a new connection to a server is opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathPlan {
@@ -67,6 +70,11 @@
         self.unopened_at.max(self.silent_since).unwrap_or_default()
     }
 
+    fn first_at(&self) -> TimePoint {
+        let times = self.unopened_at.into_iter().chain(self.silent_since);
+        times.min().unwrap_or_default()
+    }
+
     /// Whether the path itself failed. A silent connection alone proves nothing of a new one.
     const fn is_lost(&self) -> bool {
         self.unopened_at.is_some() || self.is_silent_on_new
@@ -100,8 +108,6 @@
 #[derive(Debug, Clone, Copy)]
 struct CutOffState {
     since: TimePoint,
-    /// The first of the failures that showed it.
-    first_failure_at: TimePoint,
     retry: RetryTimer,
 }
 
@@ -109,9 +115,17 @@
 #[derive(Debug, Clone, Default)]
 pub struct PathTable {
     failures: HashMap<SocketAddr, PathFailure>,
+    /// When another host last found that it does not reach a server either.
+    server_faults: HashMap<SocketAddr, TimePoint>,
+    /// Servers of this host's failure domain.
+    local_servers: HashSet<SocketAddr>,
     /// When any server last answered on an own path.
     answered_at: Option<TimePoint>,
     cut_off: Option<CutOffState>,
+    /// When a tunnel last led to a server to which the own path did not.
+    detour_at: Option<TimePoint>,
+    /// Idle connections on own paths, on which nothing came since, are not used.
+    distrusted_before: TimePoint,
 }
 
 impl PathTable {
@@ -131,19 +145,39 @@
         }
     }
 
+    /// Sets which servers are in this host's failure domain.
+    pub fn set_local_servers(&mut self, servers: HashSet<SocketAddr>) {
+        self.local_servers = servers;
+    }
+
     /// Whether this host reaches no server on its own paths.
     pub const fn is_cut_off(&self) -> bool {
         self.cut_off.is_some()
     }
 
-    /// Whether an idle connection on an own path, on which an answer last arrived at `answered_at`, may still be used. A
-    /// connection from before a cut is dead, also after the cut.
+    /// Whether an idle connection on an own path, on which an answer last arrived at `answered_at`, may still be used.
+    /// Connections usually fall silent together, and each of them would cost a request; they stay dead after the cut.
     pub fn is_direct_usable(&self, answered_at: TimePoint) -> bool {
-        self.cut_off.is_none_or(|cut_off| answered_at >= cut_off.first_failure_at)
+        answered_at >= self.distrusted_before
+    }
+
+    /// Records that a connection to `server` was opened through a tunnel. If the own path to it had failed, the path was at
+    /// fault and not the server, and probably not this path alone.
+    pub fn record_detour(&mut self, now: TimePoint, server: SocketAddr) {
+        let Some(failure) = self.failures.get(&server) else { return };
+        // Connections that live on while new ones are refused are not given up at each further detour.
+        if self.detour_at.is_none_or(|at| now.since(at) > FAILURE_TTL) {
+            self.distrusted_before = self.distrusted_before.max(failure.first_at());
+        }
+        self.detour_at = Some(now);
     }
 
     /// Records that a connection to `server` could not be opened on the own path.
     pub fn record_unopened(&mut self, now: TimePoint, server: SocketAddr) -> Option<PathChange> {
+        let fault_at = self.server_faults.get(&server);
+        if fault_at.is_some_and(|at| now.since(*at) < SERVER_FAULT_TTL) {
+            return None;
+        }
         self.change_failure(now, server, |failure| failure.unopened_at = Some(now));
         self.update_cut_off(now)
     }
@@ -185,9 +219,19 @@
         Some(PathChange::Restored { after: now.since(cut_off.since) })
     }
 
+    /// Records that another host does not reach `server` either: the server is at fault, not the own path.
+    pub fn record_server_fault(&mut self, now: TimePoint, server: SocketAddr) {
+        self.server_faults.insert(server, now);
+        self.failures.remove(&server);
+        if self.failures.len() < FAILURES_TO_CUT_OFF {
+            self.cut_off = None;
+        }
+    }
+
     /// Drops failures that no longer count.
     pub fn expire(&mut self, now: TimePoint) {
         self.failures.retain(|_, failure| now.since(failure.last_at()) < FAILURE_TTL);
+        self.server_faults.retain(|_, at| now.since(*at) < SERVER_FAULT_TTL);
         // A host without requests of its own does not notice that its paths work again.
         if self.failures.is_empty() {
             self.cut_off = None;
@@ -217,14 +261,17 @@
         let counts = |at: &TimePoint| {
             now.since(*at) < FAILURE_TTL && answered_at.is_none_or(|answered_at| *at > answered_at)
         };
-        let failed = self.failures.values().map(PathFailure::last_at);
-        let failed: Vec<TimePoint> = failed.filter(counts).collect();
-        if failed.len() < FAILURES_TO_CUT_OFF {
+        let failed = self.failures.iter().map(|(server, failure)| (*server, failure.last_at()));
+        let failed: Vec<(SocketAddr, TimePoint)> = failed.filter(|(_, at)| counts(at)).collect();
+        // A partition between failure domains leaves a host the servers of its own one.
+        let is_domain_lost = self.local_servers.is_empty()
+            || failed.iter().any(|(server, _)| self.local_servers.contains(server));
+        if failed.len() < FAILURES_TO_CUT_OFF || !is_domain_lost {
             return None;
         }
-        let first_failure_at = failed.iter().min().copied().unwrap_or(now);
-        self.cut_off =
-            Some(CutOffState { since: now, first_failure_at, retry: RetryTimer::new(now) });
+        let first_failure_at = failed.iter().map(|(_, at)| *at).min().unwrap_or(now);
+        self.distrusted_before = self.distrusted_before.max(first_failure_at);
+        self.cut_off = Some(CutOffState { since: now, retry: RetryTimer::new(now) });
         Some(PathChange::CutOff { servers: failed.len() })
     }
 }
--- a/tests/server_paths.rs
+++ b/tests/server_paths.rs
@@ -64,6 +64,16 @@
     assert_eq!(paths.plan(at(30), server(3)), PathPlan::TunnelFirst);
 }
 
+/// Guards against taking a partition between failure domains for a host without servers.
+#[test]
+fn record_unopened_in_other_domains_shows_no_cut() {
+    let mut paths = PathTable::default();
+    paths.set_local_servers(HashSet::from([server(3)]));
+    paths.record_unopened(at(0), server(1));
+    assert_eq!(paths.record_unopened(at(1), server(2)), None);
+    assert_eq!(paths.record_unopened(at(2), server(3)), Some(PathChange::CutOff { servers: 3 }));
+}
+
 /// Servers that fail while others answer are at fault themselves.
 #[test]
 fn record_answer_between_failures_refutes_cut() {
@@ -127,6 +137,47 @@
     assert!(paths.is_direct_usable(at(1200)));
 }
 
+/// Guards against taking two crashed servers for a lost path.
+#[test]
+fn record_server_fault_refutes_cut() {
+    let mut paths = PathTable::default();
+    paths.record_unopened(at(0), server(1));
+    paths.record_server_fault(at(1), server(1));
+    assert_eq!(paths.record_unopened(at(2), server(2)), None);
+    // The own path's try of the first server ends later than the other host's.
+    assert_eq!(paths.record_unopened(at(3), server(1)), None);
+    paths.record_unopened(at(4), server(3));
+    assert!(paths.is_cut_off());
+    paths.record_server_fault(at(5), server(2));
+    assert!(!paths.is_cut_off());
+    assert!(is_direct(paths.plan(at(6), server(2))));
+}
+
+/// Guards against one request lost at each server whose idle connection fell silent with all others.
+#[test]
+fn record_detour_distrusts_idle_connections_from_before() {
+    let mut paths = PathTable::default();
+    paths.record_silence(at(1000), server(1), at(0), at(800));
+    assert!(paths.is_direct_usable(at(500)), "the server may be silent itself");
+    paths.record_unopened(at(1100), server(1));
+    paths.record_detour(at(1110), server(1));
+    assert!(!paths.is_direct_usable(at(500)));
+    assert!(paths.is_direct_usable(at(900)));
+    // While connections live on, further detours do not make them unusable.
+    paths.record_answer(at(1500), server(3), at(0));
+    paths.record_unopened(at(2000), server(2));
+    paths.record_detour(at(2010), server(2));
+    assert!(paths.is_direct_usable(at(900)));
+}
+
+/// A tunnel that was opened for another reason says nothing of the own path.
+#[test]
+fn record_detour_without_failure_distrusts_nothing() {
+    let mut paths = PathTable::default();
+    paths.record_detour(at(1000), server(1));
+    assert!(paths.is_direct_usable(at(0)));
+}
+
 #[test]
 fn expire_ends_cut_without_requests() {
     let mut paths = PathTable::default();
