Stand-in: a cut that resets connections to servers leaves those to the store and between hosts alone

Cause: every link between programs reset its connections when its machine was separated from the servers with a reset, also links to the store and between hosts, so that these hosts were cut off from everything (store_call_given_up, tunnel_not_opened with a reset). No product code is at fault there. Change: a link names which partitions silence it and which reset it; only links to servers have the latter. No bound or check is changed.

--- a/src/bench/links/host_link.rs
+++ b/src/bench/links/host_link.rs
@@ -1,4 +1,4 @@
-use super::{LinkProxy, NetworkPartitions, PartitionScope};
+use super::{LinkProxy, LinkScopes, NetworkPartitions, PartitionScope};
 use crate::Result;
 use crate::host::lock;
 use std::collections::HashMap;
@@ -10,7 +10,8 @@
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
 /// Partitions of these scopes block a link between hosts.
-const HOST_LINK_SCOPES: [PartitionScope; 2] = [PartitionScope::All, PartitionScope::Hosts];
+const HOST_LINK_SCOPES: LinkScopes =
+    LinkScopes { silent: &[PartitionScope::All, PartitionScope::Hosts], reset: &[] };
 
 /// The datagram sockets of all links, keyed by the address from which the daemon behind each link sends.
 #[derive(Debug, Clone, Default)]
@@ -39,7 +40,7 @@
     ) -> Result<Self> {
         let listener = TcpListener::bind(advertised).await?;
         let connections =
-            LinkProxy::listen(listener, target, links.partitions.clone(), &HOST_LINK_SCOPES)?;
+            LinkProxy::listen(listener, target, links.partitions.clone(), HOST_LINK_SCOPES)?;
         let socket = Arc::new(UdpSocket::bind(advertised).await?);
         lock(&links.sockets).insert(target, Arc::clone(&socket));
         tokio::spawn(relay(socket, target, links.clone()));
@@ -55,7 +56,7 @@
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        if links.partitions.is_blocked([from.ip(), target.ip()], &HOST_LINK_SCOPES) {
+        if links.partitions.is_blocked([from.ip(), target.ip()], HOST_LINK_SCOPES.silent) {
             continue;
         }
         let sender_socket = lock(&links.sockets).get(&from).cloned();
--- a/src/bench/links/link_proxy.rs
+++ b/src/bench/links/link_proxy.rs
@@ -10,9 +10,25 @@
 use tokio::sync::watch;
 
 const ANY_PORT: &str = "127.0.0.1:0";
-/// Partitions of these scopes silence a link to a server; those of the other one reset its connections.
-const SERVER_LINK_SCOPES: [PartitionScope; 2] = [PartitionScope::All, PartitionScope::Servers];
-const RESET_SCOPES: [PartitionScope; 1] = [PartitionScope::ServersReset];
+
+/// Which partitions affect the connections of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::bench) struct LinkScopes {
+    /// Partitions of these scopes silence them.
+    pub silent: &'static [PartitionScope],
+    /// Partitions of these scopes reset them.
+    pub reset: &'static [PartitionScope],
+}
+
+impl LinkScopes {
+    /// A link to the store.
+    const STORE: Self = Self { silent: &[PartitionScope::All], reset: &[] };
+    /// A link to a server.
+    const SERVER: Self = Self {
+        silent: &[PartitionScope::All, PartitionScope::Servers],
+        reset: &[PartitionScope::ServersReset],
+    };
+}
 const CHUNK_BYTES: usize = 16 << 10;
 /// Bandwidth that all connections of a proxy share in [`ProxyMode::Narrow`]: 10 Mbit/s.
 const NARROW_BYTES_PER_S: f64 = 1_250_000.0;
@@ -60,7 +76,7 @@
     /// # Errors
     /// If no port can be bound.
     pub async fn start_with(target: SocketAddr, partitions: NetworkPartitions) -> Result<Self> {
-        Self::listen(TcpListener::bind(ANY_PORT).await?, target, partitions, &[PartitionScope::All])
+        Self::listen(TcpListener::bind(ANY_PORT).await?, target, partitions, LinkScopes::STORE)
     }
 
     /// Starts a proxy in front of the server at `target` on a free port. Also partitions that separate machines from
@@ -72,18 +88,18 @@
         target: SocketAddr,
         partitions: NetworkPartitions,
     ) -> Result<Self> {
-        Self::listen(TcpListener::bind(ANY_PORT).await?, target, partitions, &SERVER_LINK_SCOPES)
+        Self::listen(TcpListener::bind(ANY_PORT).await?, target, partitions, LinkScopes::SERVER)
     }
 
-    /// Proxies the connections of a listener; partitions of `scopes` block them.
+    /// Proxies the connections of a listener; partitions of `scopes` affect them.
     ///
     /// # Errors
     /// If the listener's address cannot be read.
-    pub fn listen(
+    pub(in crate::bench) fn listen(
         listener: TcpListener,
         target: SocketAddr,
         partitions: NetworkPartitions,
-        scopes: &'static [PartitionScope],
+        scopes: LinkScopes,
     ) -> Result<Self> {
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(ProxyMode::Pass);
@@ -101,8 +117,8 @@
                 let modes = modes.clone();
                 tokio::spawn(async move {
                     let ends = [from.ip(), target.ip()];
-                    let blocked = partitions.blocked(ends, scopes);
-                    let resets = partitions.blocked(ends, &RESET_SCOPES);
+                    let blocked = partitions.blocked(ends, scopes.silent);
+                    let resets = partitions.blocked(ends, scopes.reset);
                     relay(client, target, modes, stalls, blocked, resets, bandwidth_lock).await;
                 });
             }
--- a/src/bench/links/mod.rs
+++ b/src/bench/links/mod.rs
@@ -10,6 +10,6 @@
 
 pub use host_link::{HostLink, LinkSockets};
 pub use link_proxy::{LinkProxy, ProxyMode};
-pub(in crate::bench) use link_proxy::{connect_as, reset};
+pub(in crate::bench) use link_proxy::{LinkScopes, connect_as, reset};
 pub use network_partitions::{NetworkPartitions, PartitionScope};
 pub use unanswered_port::UnansweredPort;
