Paths: a host's word against a server counts only if its own paths are known to work

Cause: a cut host asked another cut host, whose refused connection counted as evidence that the server is at fault; the breakers then kept the first host from asking anybody else. And hosts that did not know yet that they were cut off opened tunnels that led nowhere. Change: a host opens connections for others, and speaks of a server's fault, only if a server answered it just now and its new connections to other servers can be opened; otherwise it says that it cannot tell, and is asked again only if no other host can help. What comes back through a tunnel is proof as well.

--- a/src/engines/path_record.rs
+++ b/src/engines/path_record.rs
@@ -32,6 +32,11 @@
         self.table().is_cut_off()
     }
 
+    /// Whether the own paths apart from the one to `server` are known to work.
+    pub fn is_proven(&self, server: SocketAddr) -> bool {
+        self.table().is_proven(self.clock.now(), server)
+    }
+
     /// Records that a connection to `server` could not be opened on the own path.
     pub fn record_unopened(&self, server: SocketAddr, error: &Error) {
         log::debug!("event=path_failed address={server} cause=\"{error}\"");
@@ -80,7 +85,8 @@
         self.helpers().expire(now);
     }
 
-    pub(super) fn now(&self) -> TimePoint {
+    /// The present time on the clock of this record.
+    pub fn now(&self) -> TimePoint {
         self.clock.now()
     }
 
@@ -107,7 +113,8 @@
         }
     }
 
-    pub(super) fn record_answer(&self, server: SocketAddr, opened_at: TimePoint) {
+    /// Records that `server` answered on a connection that was opened on the own path at `opened_at`.
+    pub fn record_answer(&self, server: SocketAddr, opened_at: TimePoint) {
         let change = self.table().record_answer(self.clock.now(), server, opened_at);
         log_change(change);
     }
--- a/src/gateway/server_dial.rs
+++ b/src/gateway/server_dial.rs
@@ -37,6 +37,24 @@
     }
 }
 
+/// Why one host did not open a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HelperFailure {
+    /// It refused to.
+    Refused(TunnelRefusal),
+    /// It did not reply, or the connection to it broke.
+    NoReply,
+}
+
+impl HelperFailure {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Refused(refusal) => refusal.name(),
+            Self::NoReply => "no_reply",
+        }
+    }
+}
+
 /// Keeps what this host knows of its paths up to date.
 pub(super) async fn run_path_upkeep(host: Arc<GatewayHost>) {
     let mut ticker = tokio::time::interval(UPKEEP_PERIOD);
@@ -148,50 +166,68 @@
         }
     }
 
-    /// Opens a connection through another host.
+    /// Opens a connection through another host: one that is known to reach servers, or any if none is.
     async fn dial_tunnel(
         &self,
         server: SocketAddr,
     ) -> std::result::Result<DialedConnection, TunnelFailure> {
-        let started_at = self.now();
         let paths = self.pool.paths();
         let selected = paths.select_helpers(&self.helpers(), self.domain(), rand::random());
+        let mut unproven = None;
         let mut failure = TunnelFailure::NoEvidence;
         for helper in selected {
-            match self.peers.open_tunnel(helper, server, HELPER_TIMEOUT).await {
-                Ok(Ok(stream)) => {
-                    self.record_tunnel(server, helper, started_at);
-                    let connection =
-                        DialedConnection::start(stream, ConnectionPath::Tunnel(helper));
-                    return connection.await.map_err(TunnelFailure::Server);
+            match self.ask_helper(helper, server, true).await {
+                Ok(connection) => return Ok(connection),
+                Err(HelperFailure::Refused(TunnelRefusal::ConnectionRefused)) => {
+                    paths.record_server_fault(server);
+                    let refused = std::io::ErrorKind::ConnectionRefused;
+                    return Err(TunnelFailure::Server(Error::Io(refused.into())));
                 }
-                Ok(Err(refusal)) => {
-                    paths.record_helper(helper, Some(Err(refusal)));
-                    self.log_unhelped(server, helper, refusal.name());
-                    match refusal {
-                        TunnelRefusal::ConnectionRefused => {
-                            paths.record_server_fault(server);
-                            let refused = std::io::ErrorKind::ConnectionRefused;
-                            return Err(TunnelFailure::Server(Error::Io(refused.into())));
-                        }
-                        TunnelRefusal::Unanswered => {
-                            failure = TunnelFailure::Server(Error::Timeout)
-                        }
-                        TunnelRefusal::UnknownServer
-                        | TunnelRefusal::Busy
-                        | TunnelRefusal::Stopping
-                        | TunnelRefusal::CutOff => {}
-                    }
+                Err(HelperFailure::Refused(TunnelRefusal::Unanswered)) => {
+                    failure = TunnelFailure::Server(Error::Timeout);
                 }
-                Err(error) => {
-                    paths.record_helper(helper, None);
-                    self.log_unhelped(server, helper, &error.to_string());
+                Err(HelperFailure::Refused(TunnelRefusal::Unproven)) => {
+                    unproven = unproven.or(Some(helper));
                 }
+                Err(HelperFailure::Refused(_) | HelperFailure::NoReply) => {}
             }
         }
         if matches!(failure, TunnelFailure::Server(_)) {
             paths.record_server_fault(server);
+            return Err(failure);
         }
+        let Some(helper) = unproven else { return Err(failure) };
+        self.ask_helper(helper, server, false).await.map_err(|_refusal| failure)
+    }
+
+    /// Asks one host for a connection.
+    async fn ask_helper(
+        &self,
+        helper: SocketAddr,
+        server: SocketAddr,
+        needs_proof: bool,
+    ) -> std::result::Result<DialedConnection, HelperFailure> {
+        let (paths, started_at) = (self.pool.paths(), self.now());
+        let opened = self.peers.open_tunnel(helper, server, needs_proof, HELPER_TIMEOUT).await;
+        let failure = match opened {
+            Ok(Ok(stream)) => {
+                self.record_tunnel(server, helper, started_at);
+                let path = ConnectionPath::Tunnel(helper);
+                let connection = DialedConnection::start(stream, path).await;
+                return connection.map_err(|_error| HelperFailure::NoReply);
+            }
+            Ok(Err(refusal)) => {
+                paths.record_helper(helper, Some(Err(refusal)));
+                HelperFailure::Refused(refusal)
+            }
+            Err(_) => {
+                paths.record_helper(helper, None);
+                HelperFailure::NoReply
+            }
+        };
+        self.metrics().add("tunnels_not_opened", 1);
+        let cause = failure.name();
+        log::info!("event=tunnel_not_opened address={server} helper={helper} cause={cause}");
         Err(failure)
     }
 
@@ -228,11 +264,6 @@
         log::info!("event=tunnel_opened address={server} helper={helper} took_ms={took}");
     }
 
-    fn log_unhelped(&self, server: SocketAddr, helper: SocketAddr, cause: &str) {
-        self.metrics().add("tunnels_not_opened", 1);
-        log::info!("event=tunnel_not_opened address={server} helper={helper} cause=\"{cause}\"");
-    }
-
     /// Records that the own path to a server could not be used for a new connection, and returns the error.
     fn record_unopened(&self, server: SocketAddr, error: Error) -> Error {
         self.pool.paths().record_unopened(server, &error);
--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -54,11 +54,11 @@
         server: SocketAddr,
         opening: TunnelOpening,
     ) -> Result<()> {
-        match self.open_for_other(server).await {
+        match self.open_for_other(server, opening.needs_proof()).await {
             Ok((stream, guard)) => {
                 self.metrics().add("tunnels_served", 1);
                 let tunnel = opening.accept()?;
-                let end = self.forward(tunnel, stream).await;
+                let end = self.forward(tunnel, server, stream).await;
                 drop(guard);
                 end
             }
@@ -74,6 +74,7 @@
     async fn open_for_other(
         self: &Arc<Self>,
         server: SocketAddr,
+        needs_proof: bool,
     ) -> std::result::Result<(TcpStream, TunnelGuard), TunnelRefusal> {
         if self.stop_phase() != StopPhase::Serving {
             return Err(TunnelRefusal::Stopping);
@@ -84,6 +85,10 @@
         if self.pool.paths().is_cut_off() {
             return Err(TunnelRefusal::CutOff);
         }
+        let is_proven = self.pool.paths().is_proven(server);
+        if needs_proof && !is_proven {
+            return Err(TunnelRefusal::Unproven);
+        }
         let guard = TunnelGuard::begin(self).ok_or(TunnelRefusal::Busy)?;
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(server));
         let error = match connecting.await {
@@ -91,20 +96,34 @@
             Ok(Err(error)) => Error::Io(error),
             Err(_elapsed) => Error::Timeout,
         };
-        self.pool.paths().record_unopened(server, &error);
+        // The other host takes the refusal for evidence against the server, and this one may have lost its own path.
+        if !is_proven {
+            self.pool.paths().record_unopened(server, &error);
+            return Err(TunnelRefusal::Unproven);
+        }
         let is_refused = error.is_refused_connection();
         Err(if is_refused { TunnelRefusal::ConnectionRefused } else { TunnelRefusal::Unanswered })
     }
 
     /// Forwards bytes in both directions until both have ended. If one breaks, so does the other: both streams are dropped,
     /// the tunnel before its proper end.
-    async fn forward(&self, tunnel: TunnelStream, server: TcpStream) -> Result<()> {
-        server.set_nodelay(true)?;
-        let activity = ActivityClock::start();
+    async fn forward(
+        &self,
+        tunnel: TunnelStream,
+        server: SocketAddr,
+        stream: TcpStream,
+    ) -> Result<()> {
+        stream.set_nodelay(true)?;
+        let (activity, paths) = (ActivityClock::start(), self.pool.paths());
+        let opened_at = paths.now();
         let (tunnel_read, tunnel_write) = tokio::io::split(tunnel);
-        let (server_read, server_write) = server.into_split();
-        let up = copy(tunnel_read, server_write, &activity);
-        let down = copy(server_read, tunnel_write, &activity);
+        let (server_read, server_write) = stream.into_split();
+        let up = copy(tunnel_read, server_write, || activity.record());
+        // What comes from the server shows that this host's own path leads there.
+        let down = copy(server_read, tunnel_write, || {
+            activity.record();
+            paths.record_answer(server, opened_at);
+        });
         tokio::select! {
             ended = async { tokio::try_join!(up, down) } => Ok(ended.map(|_| ())?),
             () = self.wait_idle(&activity) => Ok(()),
@@ -149,7 +168,7 @@
 async fn copy(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    activity: &ActivityClock,
+    on_received: impl Fn(),
 ) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -157,7 +176,7 @@
         if count == 0 {
             return to.shutdown().await;
         }
-        activity.record();
+        on_received();
         to.write_all(&buffer[..count]).await?;
     }
 }
--- a/src/peers/peer_server.rs
+++ b/src/peers/peer_server.rs
@@ -1,4 +1,5 @@
 use super::proof::prove_as_server;
+use super::tunnel_client::PROOF_HEADER;
 use super::{MESSAGE_LIMIT, TunnelOpening, decode, encode};
 use crate::server_paths::TunnelRefusal;
 use crate::{Error, Result};
@@ -102,7 +103,8 @@
     handler: Arc<H>,
 ) {
     let server = request.uri().authority().and_then(|server| server.as_str().parse().ok());
-    let opening = TunnelOpening::new(respond, request.into_body());
+    let needs_proof = request.headers().contains_key(PROOF_HEADER);
+    let opening = TunnelOpening::new(respond, request.into_body(), needs_proof);
     let ended = match server {
         Some(server) => handler.tunnel(server, opening).await,
         None => opening.refuse(TunnelRefusal::UnknownServer),
--- a/src/peers/tunnel_client.rs
+++ b/src/peers/tunnel_client.rs
@@ -8,9 +8,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Header of a request for a connection that is to be opened only by a daemon that is known to reach servers.
+pub(super) const PROOF_HEADER: &str = "tealcleat-needs-proof";
+
 impl PeerClient {
     /// Asks the daemon at `address` for a connection to `server`, and waits at most `limit`. Returns the refusal if the
-    /// daemon does not open one.
+    /// daemon does not open one; with `needs_proof`, it does so only if it is known to reach servers.
     ///
     /// # Errors
     /// If the daemon cannot be reached or does not reply in time.
@@ -18,13 +21,15 @@
         &self,
         address: SocketAddr,
         server: SocketAddr,
+        needs_proof: bool,
         limit: Duration,
     ) -> Result<std::result::Result<TunnelStream, TunnelRefusal>> {
         let started_at = self.now();
         let connected = tokio::time::timeout(limit, self.connection(address)).await;
         let connection = connected.map_err(|_elapsed| Error::Timeout)??;
         let left = limit.saturating_sub(self.now().since(started_at));
-        let opened = tokio::time::timeout(left, self.request_tunnel(&connection, server)).await;
+        let request = self.request_tunnel(&connection, server, needs_proof);
+        let opened = tokio::time::timeout(left, request).await;
         let opened = opened.unwrap_or(Err(Error::Timeout));
         self.discard_on_error(address, &connection, started_at, opened.as_ref().err()).await;
         opened
@@ -34,13 +39,15 @@
         &self,
         connection: &PeerConnection,
         server: SocketAddr,
+        needs_proof: bool,
     ) -> Result<std::result::Result<TunnelStream, TunnelRefusal>> {
         let mut sender = connection.sender.clone().ready().await?;
-        let request = http::Request::builder()
-            .method(http::Method::CONNECT)
-            .uri(server.to_string())
-            .body(())
-            .map_err(|error| Error::Protocol(error.to_string()))?;
+        let mut request =
+            http::Request::builder().method(http::Method::CONNECT).uri(server.to_string());
+        if needs_proof {
+            request = request.header(PROOF_HEADER, "1");
+        }
+        let request = request.body(()).map_err(|error| Error::Protocol(error.to_string()))?;
         let (response, stream) = sender.send_request(request, false)?;
         let response = response.await?;
         self.record_received(connection);
--- a/src/peers/tunnel_opening.rs
+++ b/src/peers/tunnel_opening.rs
@@ -10,11 +10,21 @@
 pub struct TunnelOpening {
     respond: SendResponse<Bytes>,
     receiver: RecvStream,
+    needs_proof: bool,
 }
 
 impl TunnelOpening {
-    pub(super) fn new(respond: SendResponse<Bytes>, receiver: RecvStream) -> Self {
-        Self { respond, receiver }
+    pub(super) fn new(
+        respond: SendResponse<Bytes>,
+        receiver: RecvStream,
+        needs_proof: bool,
+    ) -> Self {
+        Self { respond, receiver, needs_proof }
+    }
+
+    /// Whether the other daemon wants the connection only if this one is known to reach servers.
+    pub fn needs_proof(&self) -> bool {
+        self.needs_proof
     }
 
     /// Accepts the request; the stream carries the bytes of the connection from now on.
--- a/src/server_paths/path_table.rs
+++ b/src/server_paths/path_table.rs
@@ -21,6 +21,10 @@
 /// How long it counts that another host does not reach a server either: some tries of one connection.
 const SERVER_FAULT_TTL: Duration = Duration::from_millis(500);
 
+/// How recently a server must have answered this host for it to be known to reach servers. Hosts with little traffic are
+/// asked without that if no other can help.
+const PROOF_TIME: Duration = Duration::from_millis(500);
+
 /// How a new connection to a server is opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PathPlan {
@@ -155,6 +159,14 @@
         self.cut_off.is_some()
     }
 
+    /// Whether this host's own paths are known to work apart from the one to `server`: a server answered just now, and new
+    /// connections can be opened. If the one to `server` does not work then, the server is at fault itself.
+    pub fn is_proven(&self, now: TimePoint, server: SocketAddr) -> bool {
+        let is_answered = self.answered_at.is_some_and(|at| now.since(at) < PROOF_TIME);
+        let mut others = self.failures.iter().filter(|(other, _)| **other != server);
+        is_answered && others.all(|(_, failure)| failure.unopened_at.is_none())
+    }
+
     /// Whether an idle connection on an own path, on which an answer last arrived at `answered_at`, may still be used.
     /// Connections usually fall silent together, and each of them would cost a request; they stay dead after the cut.
     pub fn is_direct_usable(&self, answered_at: TimePoint) -> bool {
--- a/src/server_paths/tunnel_refusal.rs
+++ b/src/server_paths/tunnel_refusal.rs
@@ -11,6 +11,8 @@
     Stopping,
     /// It reaches no server itself.
     CutOff,
+    /// No server answered it just now, so it cannot tell whether it reaches any.
+    Unproven,
     /// The server's machine refused the connection.
     ConnectionRefused,
     /// The server did not answer it.
@@ -18,11 +20,12 @@
 }
 
 impl TunnelRefusal {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::UnknownServer,
         Self::Busy,
         Self::Stopping,
         Self::CutOff,
+        Self::Unproven,
         Self::ConnectionRefused,
         Self::Unanswered,
     ];
@@ -34,6 +37,7 @@
             Self::Busy => StatusCode::TOO_MANY_REQUESTS,
             Self::Stopping => StatusCode::GONE,
             Self::CutOff => StatusCode::FAILED_DEPENDENCY,
+            Self::Unproven => StatusCode::PRECONDITION_REQUIRED,
             Self::ConnectionRefused => StatusCode::BAD_GATEWAY,
             Self::Unanswered => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -54,6 +58,7 @@
             Self::Busy => "busy",
             Self::Stopping => "stopping",
             Self::CutOff => "cut_off",
+            Self::Unproven => "unproven",
             Self::ConnectionRefused => "connection_refused",
             Self::Unanswered => "unanswered",
         }
@@ -62,7 +67,7 @@
     /// Whether the host is at fault, so that it is not asked again for a while. The others concern only this server.
     pub(super) const fn concerns_helper(self) -> bool {
         match self {
-            Self::Busy | Self::Stopping | Self::CutOff => true,
+            Self::Busy | Self::Stopping | Self::CutOff | Self::Unproven => true,
             Self::UnknownServer | Self::ConnectionRefused | Self::Unanswered => false,
         }
     }
--- a/tests/server_paths.rs
+++ b/tests/server_paths.rs
@@ -171,6 +171,26 @@
 }
 
 /// A tunnel that was opened for another reason says nothing of the own path.
+/// Guards against two hosts without servers that take each other's failures for evidence against the servers.
+#[test]
+fn is_proven_needs_a_recent_answer() {
+    let mut paths = PathTable::default();
+    assert!(!paths.is_proven(at(0), server(2)));
+    paths.record_answer(at(1000), server(1), at(0));
+    assert!(paths.is_proven(at(1400), server(2)));
+    assert!(!paths.is_proven(at(1500), server(2)));
+}
+
+/// Guards against the word of a host whose open connections live on while its new ones are refused.
+#[test]
+fn is_proven_needs_new_connections_to_work() {
+    let mut paths = PathTable::default();
+    paths.record_unopened(at(1000), server(1));
+    paths.record_answer(at(1100), server(2), at(0));
+    assert!(!paths.is_proven(at(1100), server(3)));
+    assert!(paths.is_proven(at(1100), server(1)), "only the one that is asked about fails");
+}
+
 #[test]
 fn record_detour_without_failure_distrusts_nothing() {
     let mut paths = PathTable::default();
@@ -227,6 +247,7 @@
 
 #[rstest]
 #[case::cut_off(TunnelRefusal::CutOff, true)]
+#[case::unproven(TunnelRefusal::Unproven, true)]
 #[case::busy(TunnelRefusal::Busy, true)]
 #[case::stopping(TunnelRefusal::Stopping, true)]
 #[case::server_refuses(TunnelRefusal::ConnectionRefused, false)]
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -12,7 +12,7 @@
 
 mod site_common;
 
-use site_common::runtime;
+use site_common::{call, call_first_host, runtime};
 
 const KEY: &str = "a-shared-key-of-tests";
 /// Ends a test that hangs. No guarantee depends on this value.
@@ -23,7 +23,7 @@
     server: SocketAddr,
 ) -> std::result::Result<TunnelStream, TunnelRefusal> {
     let client = PeerClient::new(KEY);
-    client.open_tunnel(host, server, LIMIT).await.expect("the host replies")
+    client.open_tunnel(host, server, false, LIMIT).await.expect("the host replies")
 }
 
 async fn site() -> TestSite {
@@ -104,7 +104,8 @@
     });
 }
 
-/// The refusal is what tells a crashed server from a lost path.
+/// The refusal is what tells a crashed server from a lost path. Guards against hosts whose word counts although they may
+/// have lost their own paths.
 #[test]
 fn tunnel_to_a_server_that_is_gone_is_refused() {
     runtime().block_on(async {
@@ -117,11 +118,42 @@
         while !host.state().fleet.entries().any(|entry| entry.address == address) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        let refusal = open(site.hosts[0].peers, address).await.err();
+        let host = site.hosts[0].peers;
+        assert_eq!(open(host, address).await.err(), Some(TunnelRefusal::Unproven));
+        // A server that answers at the same time shows that the host's own path works.
+        let mut refusal = None;
+        for index in 0.. {
+            let call = call("POST", "safe", &format!("safe-{index}"));
+            call_first_host(&site, &call).await;
+            refusal = open(host, address).await.err();
+            if refusal != Some(TunnelRefusal::Unproven) {
+                break;
+            }
+        }
         assert_eq!(refusal, Some(TunnelRefusal::ConnectionRefused));
     });
 }
 
+/// Guards against connections through a host that has lost its own paths and does not know it yet.
+#[test]
+fn tunnel_that_needs_proof_is_refused_by_a_host_without_answers() {
+    runtime().block_on(async {
+        let site = site().await;
+        let (host, server) = (site.hosts[0].peers, site.servers[0].address);
+        let client = PeerClient::new(KEY);
+        let opened = client.open_tunnel(host, server, true, LIMIT).await.expect("a reply");
+        assert_eq!(opened.err(), Some(TunnelRefusal::Unproven));
+        for index in 0.. {
+            let call = call("POST", "safe", &format!("safe-{index}"));
+            call_first_host(&site, &call).await;
+            let opened = client.open_tunnel(host, server, true, LIMIT).await.expect("a reply");
+            if opened.is_ok() {
+                return;
+            }
+        }
+    });
+}
+
 /// A host that is shutting down takes no further connections, so that it can end.
 #[test]
 fn tunnel_through_a_host_that_shuts_down_is_refused() {
