Paths: whoever speaks against a server has opened a new connection since the last that failed

Cause: from the kept logs, a cut host whose own open connections answered refused 118 tunnels with connection_refused: it took itself for proven, and did not count the connections that it failed to open for others. Change: these count, and its word does only if a server answered on a connection that was opened after the last failure at another server. The test is_proven_needs_new_connections_to_work covers both sides.

--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -96,9 +96,9 @@
             Ok(Err(error)) => Error::Io(error),
             Err(_elapsed) => Error::Timeout,
         };
+        self.pool.paths().record_unopened(server, &error);
         // The other host takes the refusal for evidence against the server, and this one may have lost its own path.
         if !is_proven {
-            self.pool.paths().record_unopened(server, &error);
             return Err(TunnelRefusal::Unproven);
         }
         let is_refused = error.is_refused_connection();
--- a/src/server_paths/path_table.rs
+++ b/src/server_paths/path_table.rs
@@ -125,6 +125,8 @@
     local_servers: HashSet<SocketAddr>,
     /// When any server last answered on an own path.
     answered_at: Option<TimePoint>,
+    /// When the last of the connections on which servers answered was opened.
+    opened_at: TimePoint,
     cut_off: Option<CutOffState>,
     /// When a tunnel last led to a server to which the own path did not.
     detour_at: Option<TimePoint>,
@@ -163,8 +165,9 @@
     /// connections can be opened. If the one to `server` does not work then, the server is at fault itself.
     pub fn is_proven(&self, now: TimePoint, server: SocketAddr) -> bool {
         let is_answered = self.answered_at.is_some_and(|at| now.since(at) < PROOF_TIME);
-        let mut others = self.failures.iter().filter(|(other, _)| **other != server);
-        is_answered && others.all(|(_, failure)| failure.unopened_at.is_none())
+        let others = self.failures.iter().filter(|(other, _)| **other != server);
+        let last_unopened = others.filter_map(|(_, failure)| failure.unopened_at).max();
+        is_answered && last_unopened.is_none_or(|at| at < self.opened_at)
     }
 
     /// Whether an idle connection on an own path, on which an answer last arrived at `answered_at`, may still be used.
@@ -218,6 +221,7 @@
         opened_at: TimePoint,
     ) -> Option<PathChange> {
         self.answered_at = Some(now);
+        self.opened_at = self.opened_at.max(opened_at);
         if let Some(failure) = self.failures.get_mut(&server) {
             failure.silent_since = None;
             failure.is_silent_on_new = false;
--- a/tests/server_paths.rs
+++ b/tests/server_paths.rs
@@ -189,6 +189,8 @@
     paths.record_answer(at(1100), server(2), at(0));
     assert!(!paths.is_proven(at(1100), server(3)));
     assert!(paths.is_proven(at(1100), server(1)), "only the one that is asked about fails");
+    paths.record_answer(at(1300), server(2), at(1200));
+    assert!(paths.is_proven(at(1300), server(3)), "a new connection was opened since");
 }
 
 #[test]
