--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Most connections that a host forwards at a time: 512 of the 4,100 descriptors of a small machine, and 6 MB of buffers.
+/// Most connections that a host forwards at a time: 256 of the 4,100 descriptors of a small machine, and 4 MB of buffers.
 const MAX_TUNNELS: u64 = 256;
 /// A server within a site answers within a few milliseconds; the other host waits for 120 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
