Sight: logs name the software version of servers and runs, and the stream that a caller takes up

Neither hypothesis of the incident could be told from the others: the version in a server's entry was checked for its type and thrown away, and Resumes was read nowhere. Now server_stated, run_opened and stream_resumed name the version, and stream_taken_up names the attempt that began the stream. No decision changes.

--- a/src/fleet/server_entry.rs
+++ b/src/fleet/server_entry.rs
@@ -47,6 +47,8 @@
     pub id: String,
     /// Unix time in milliseconds at which this incarnation started; older platforms do not report it.
     pub started_at: Option<u64>,
+    /// Version of its software. Servers of several versions may serve at the same time.
+    pub version: String,
     /// Service that the server runs.
     pub service: ServiceKey,
     /// Address on which the server listens.
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -15,6 +15,7 @@
     let Some(engine) = context.spec.engine.clone() else {
         return refuse(NotRunReason::NoServer).into_answer(context.id());
     };
+    log_resumption(&context);
     let mut runs = RunRecord::default();
     match open_stream(&context, &engine, context.head.last_event, &mut runs).await {
         Ok(run) => stream_answer(context, engine, run, runs, guard),
@@ -22,6 +23,17 @@
     }
 }
 
+/// Logs which stream a caller takes up, as it names it.
+fn log_resumption(context: &CallContext) {
+    if !context.head.is_resumption {
+        return;
+    }
+    let (id, after) = (context.id(), context.head.last_event);
+    let first = context.head.first_attempt.as_deref().unwrap_or("none");
+    log::info!("event=stream_taken_up request={id} resumes={first:?} after={after:?}");
+    context.host.metrics().add("streams_taken_up", 1);
+}
+
 /// Reports a refusal as an unknown outcome. An earlier run of the request may have begun, so the refusal of a later
 /// attempt does not show that it did not run.
 fn unknown_if_refused(end: CallEnd) -> CallEnd {
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -110,7 +110,11 @@
             return StreamEnd::Broken;
         }
         let (id, after) = (context.id(), record.last.unwrap_or_default());
-        log::info!("event=stream_resumed request={id} lost={} after={after}", server.id);
+        log::info!(
+            "event=stream_resumed request={id} lost={} version={:?} after={after}",
+            server.id,
+            server.version
+        );
         let opening = resume_run(context, engine, record.last, &mut runs);
         let opened = tokio::select! {
             opened = opening => opened,
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -94,14 +94,14 @@
     prefilled: bool,
     started: &Result<RunStart, OpenFailure>,
 ) {
-    let (id, server) = (context.id(), &server.id);
+    let (id, version, server) = (context.id(), &server.version, &server.id);
     let cause = match started {
         Ok(_) => {
             let reader = if prefilled { "prefill" } else { "decode" };
             let (route, age) = (&context.route.name, context.age().as_millis());
             log::info!(
-                "event=run_opened request={id} route={route} server={server} reader={reader} \
-                 age_ms={age}"
+                "event=run_opened request={id} route={route} server={server} version={version:?} \
+                 reader={reader} age_ms={age}"
             );
             return;
         }
--- a/src/gateway/view_servers.rs
+++ b/src/gateway/view_servers.rs
@@ -65,8 +65,9 @@
         FleetChange::Updated(entry) => {
             let stage = entry.stage.map_or("none", ServerStage::name);
             let (state, domain) = (entry.state, entry.domain.0);
+            let version = logged(&entry.version);
             log::info!(
-                "event=server_stated server={id} state={state:?} stage={stage} \
+                "event=server_stated server={id} version=\"{version}\" state={state:?} stage={stage} \
                  domain={domain:016x} revision={revision}"
             );
         }
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -11,6 +11,8 @@
 pub const LENGTH_HINT: &str = "length-hint";
 /// Number of the last event that the caller or a previous run received.
 pub const LAST_EVENT: &str = "last-event-id";
+/// Id of the caller's attempt that received the first event of the stream that the request continues.
+pub const RESUMES: &str = "resumes";
 /// Id of the only server incarnation that may run the request.
 pub const EXPECT_INSTANCE: &str = "x-expect-instance";
 /// Signature of a backend server over its whole answer.
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -43,6 +43,10 @@
     pub tokens: TokenCounts,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that received the first event of the stream that this request continues.
+    pub first_attempt: Option<String>,
+    /// Whether the request continues a stream, even if its headers do not tell properly which one.
+    pub is_resumption: bool,
     /// The caller's key.
     pub caller_key: Option<KeyDigest>,
 }
@@ -94,11 +98,22 @@
                 .map(|value| Duration::from_secs_f64(value.min(MAX_DEADLINE_MS) / 1000.0)),
             tokens: read_tokens(text(names::TOKEN_COUNT), number(names::LENGTH_HINT)),
             last_event: text(names::LAST_EVENT).and_then(|value| value.trim().parse().ok()),
+            first_attempt: read_first_attempt(headers),
+            is_resumption: headers.contains_key(names::LAST_EVENT)
+                || headers.contains_key(names::RESUMES),
             caller_key: read_key(headers, hasher),
         }
     }
 }
 
+/// Reads the attempt that began the stream to continue. Several values name several streams, and so none.
+fn read_first_attempt(headers: &HeaderMap) -> Option<String> {
+    let mut values = headers.get_all(names::RESUMES).iter();
+    let value = values.next()?.to_str().ok()?.trim();
+    let is_only = values.next().is_none();
+    (is_only && !value.is_empty()).then(|| value.to_owned())
+}
+
 /// Reads and hashes the caller's key. A request with several keys cannot be attributed to an organisation, so it counts
 /// as a request without a key.
 fn read_key(headers: &HeaderMap, hasher: &KeyHasher) -> Option<KeyDigest> {
--- a/src/platform/server_wire.rs
+++ b/src/platform/server_wire.rs
@@ -19,8 +19,7 @@
     service: String,
     address: SocketAddr,
     zone: String,
-    /// Version of the server's software.
-    #[expect(dead_code, reason = "only its type is checked")]
+    /// Version of the server's software, not of its weights.
     version: String,
     slots: u32,
     state: String,
@@ -57,6 +56,7 @@
     Ok(ServerEntry {
         id: object.name.clone(),
         started_at: wire.born,
+        version: wire.version,
         service: ServiceKey::of(non_empty(&wire.service, "service")?),
         address: wire.address,
         domain: NameKey::of(non_empty(&wire.zone, "zone")?),
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -20,6 +20,7 @@
     ServerEntry {
         id: id.to_owned(),
         started_at: Some(7),
+        version: "v1".to_owned(),
         service: NameKey::of("app"),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: NameKey::of("a"),
--- a/tests/fleet_incarnations.rs
+++ b/tests/fleet_incarnations.rs
@@ -20,6 +20,7 @@
     ServerEntry {
         id: id.to_owned(),
         started_at: None,
+        version: "v1".to_owned(),
         service: NameKey::of("engines"),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: NameKey::of("a"),
--- a/tests/health_common/mod.rs
+++ b/tests/health_common/mod.rs
@@ -20,6 +20,7 @@
     ServerEntry {
         id: format!("i-{index}"),
         started_at: None,
+        version: "v1".to_owned(),
         service: NameKey::of("app"),
         address: std::net::SocketAddr::from(([127, 0, 0, 1], 1 + index as u16)),
         domain: NameKey::of(DOMAINS[index % 3]),
--- a/tests/memory_forecast.rs
+++ b/tests/memory_forecast.rs
@@ -149,6 +149,7 @@
     ServerEntry {
         id: format!("decode-{engine}"),
         started_at: None,
+        version: "v1".to_owned(),
         service: SERVICE,
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: NameKey(0),
--- a/tests/memory_search.rs
+++ b/tests/memory_search.rs
@@ -89,6 +89,7 @@
     ServerEntry {
         id: format!("decode-{index}"),
         started_at: None,
+        version: "v1".to_owned(),
         service: NameKey::of("engines"),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: NameKey::of(DOMAINS[index % DOMAINS.len()]),
--- a/tests/message_sizes.rs
+++ b/tests/message_sizes.rs
@@ -17,6 +17,7 @@
     ServerEntry {
         id: format!("i-{index:010x}"),
         started_at: Some(1_792_691_007_128 + index as u64),
+        version: "v1".to_owned(),
         service: NameKey::of("engines"),
         address: address(index),
         domain: NameKey::of("a"),
--- a/tests/slot_common/mod.rs
+++ b/tests/slot_common/mod.rs
@@ -125,6 +125,7 @@
     ServerEntry {
         id: id.to_owned(),
         started_at: None,
+        version: "v1".to_owned(),
         service: NameKey::of("plain"),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: NameKey::of("a"),
