--- a/src/bench/site/engine_events.rs
+++ b/src/bench/site/engine_events.rs
@@ -17,8 +17,9 @@
         run_index: usize,
         events: EventSender,
     ) {
+        let (version, interval) = (self.software().event_line(), self.event_interval());
         for number in first..self.events {
-            let text = format!("id: {number}\ndata: {prompt} {number}\n\n");
+            let text = format!("id: {number}\ndata: {prompt} {number}\n{version}\n");
             let sent_count = number - first;
             let is_sent = match self.fault() {
                 EngineFault::CutAfter(limit) if sent_count >= limit => {
@@ -39,7 +40,7 @@
                 lock(&self.runs)[run_index].cancelled = true;
                 return;
             }
-            tokio::time::sleep(self.event_interval).await;
+            tokio::time::sleep(interval).await;
         }
     }
 }
--- a/src/bench/site/site_caller.rs
+++ b/src/bench/site/site_caller.rs
@@ -7,6 +7,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// A request of a stand-in caller.
 #[derive(Debug, Clone)]
@@ -42,6 +44,12 @@
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
+    /// The software versions that the events in the body name, one for each event that names one.
+    pub fn event_versions(&self) -> Vec<String> {
+        let text = String::from_utf8_lossy(&self.body).into_owned();
+        text.lines().filter_map(|line| Some(line.strip_prefix(": ")?.to_owned())).collect()
+    }
+
     /// The numbers of the events in the body.
     pub fn events(&self) -> Vec<u64> {
         let text = String::from_utf8_lossy(&self.body).into_owned();
@@ -74,6 +82,14 @@
     /// # Errors
     /// If no response head arrived.
     pub async fn call(&mut self, call: &SiteCall) -> Result<CallerReply> {
+        self.call_within(call, Duration::MAX).await
+    }
+
+    /// Sends a request and reads the response until its end, or until nothing arrives for `gap`.
+    ///
+    /// # Errors
+    /// If no response head arrived.
+    pub async fn call_within(&mut self, call: &SiteCall, gap: Duration) -> Result<CallerReply> {
         let mut builder = Request::builder()
             .method(call.method)
             .uri(&call.path)
@@ -85,19 +101,20 @@
         let body = Full::new(Bytes::from_static(call.body.as_bytes()));
         let request = builder.body(body).map_err(|error| Error::Protocol(error.to_string()))?;
         self.sender.ready().await?;
-        let (parts, body) = self.sender.send_request(request).await?.into_parts();
-        let (body, complete) = read_to_end(body).await;
+        let response = timeout(gap, self.sender.send_request(request)).await;
+        let (parts, body) = response.map_err(|_elapsed| Error::Timeout)??.into_parts();
+        let (body, complete) = read_to_end(body, gap).await;
         Ok(CallerReply { status: parts.status, headers: parts.headers, body, complete })
     }
 }
 
-async fn read_to_end(mut body: Incoming) -> (Bytes, bool) {
+async fn read_to_end(mut body: Incoming, gap: Duration) -> (Bytes, bool) {
     let mut bytes = BytesMut::new();
     loop {
-        match body.frame().await {
-            None => return (bytes.freeze(), true),
-            Some(Err(_)) => return (bytes.freeze(), false),
-            Some(Ok(frame)) => {
+        match timeout(gap, body.frame()).await {
+            Ok(None) => return (bytes.freeze(), true),
+            Ok(Some(Err(_))) | Err(_) => return (bytes.freeze(), false),
+            Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     bytes.extend_from_slice(&data);
                 }
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -1,4 +1,5 @@
 use super::engine_fault::EngineFault;
+use super::engine_software::EngineSoftware;
 use super::event_feed::EventFeed;
 use super::incarnation_switch::{IncarnationSwitch, RestartAddress};
 use super::site_arrivals::{LimitAnnouncement, SiteArrivals};
@@ -25,11 +26,12 @@
     /// The engine's id, the same in all incarnations.
     pub id: String,
     incarnations: IncarnationSwitch,
+    software: Mutex<EngineSoftware>,
     /// Arrived requests and the announced limit; a new incarnation announces none.
     pub arrivals: SiteArrivals,
     pub(super) stage: Mutex<String>,
     pub(super) events: u64,
-    pub(super) event_interval: Duration,
+    event_interval: Mutex<Duration>,
     fault: Mutex<EngineFault>,
     pub(super) runs: Mutex<Vec<SiteRun>>,
     /// Tokens that each hold request named.
@@ -49,10 +51,11 @@
         Self {
             id: id.to_owned(),
             incarnations: IncarnationSwitch::default(),
+            software: Mutex::new(EngineSoftware::first(id)),
             arrivals: SiteArrivals::default(),
             stage: Mutex::new(stage.to_owned()),
             events,
-            event_interval,
+            event_interval: Mutex::new(event_interval),
             fault: Mutex::default(),
             runs: Mutex::default(),
             hold_tokens: Mutex::default(),
@@ -99,6 +102,31 @@
         &self.incarnations
     }
 
+    /// Replaces the engine's software: from now on it runs as another instance, which its entry in the store names, and
+    /// its events tell the version. The caller restarts it and writes the entry.
+    pub fn replace_software(&self, version: &str) {
+        lock(&self.software).replace(&self.id, version);
+    }
+
+    /// The version of its software, and the instance that runs it.
+    pub fn software(&self) -> EngineSoftware {
+        lock(&self.software).clone()
+    }
+
+    /// Whether it has crashed and not been restarted.
+    pub fn is_down(&self) -> bool {
+        self.incarnations.is_down()
+    }
+
+    /// Sets the time between the events of runs that begin from now on.
+    pub fn set_event_interval(&self, interval: Duration) {
+        *lock(&self.event_interval) = interval;
+    }
+
+    pub(in crate::bench) fn event_interval(&self) -> Duration {
+        *lock(&self.event_interval)
+    }
+
     /// Adds an engine from which results can be fetched.
     pub fn add_source(&self, address: SocketAddr, engine: &Arc<Self>) {
         lock(&self.sources).insert(address.to_string(), Arc::clone(engine));
@@ -186,7 +214,7 @@
 
     fn record_run(&self, request: &BufferedRequest, id: &str, stage: &str) -> usize {
         let mut runs = lock(&self.runs);
-        runs.push(SiteRun::of(request, id, stage));
+        runs.push(SiteRun::of(request, id, stage, &lock(&self.software).version));
         runs.len() - 1
     }
 
@@ -250,7 +278,8 @@
             }
             std::future::pending::<()>().await;
         }
-        if header(&request, "x-expect-instance").is_some_and(|id| id != self.id) {
+        let instance = self.software().instance;
+        if header(&request, "x-expect-instance").is_some_and(|id| id != instance) {
             return Ok(full_response(421, ""));
         }
         let path = request.uri().path().to_owned();
--- a/src/bench/site/site_restart.rs
+++ b/src/bench/site/site_restart.rs
@@ -1,7 +1,7 @@
 //! Restarts servers of a test site under the same ids.
 
 use super::incarnation_switch::IncarnationSwitch;
-use super::{RestartAddress, SiteEngine, SiteServer, TestSite};
+use super::{EngineSoftware, RestartAddress, SiteEngine, SiteServer, TestSite};
 use crate::{Error, Result};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,6 +46,25 @@
         Ok((started_at, address))
     }
 
+    /// Replaces an engine of this site by one with another software version at the same address. Running streams are
+    /// cut, as at the end of a drain that was too short.
+    ///
+    /// # Errors
+    /// If no port can be bound, or there is no such engine.
+    pub async fn replace_software(&self, id: &str, version: &str) -> Result<()> {
+        let engine = self.engine(id).ok_or_else(|| unknown_server(id))?;
+        let former = engine.software().instance;
+        engine.replace_software(version);
+        self.store.change(|objects| objects.remove("servers", &former));
+        let (_, address) = self.begin_incarnation(id, RestartAddress::Same).await?;
+        self.write_incarnation_entry(id, address)
+    }
+
+    /// The software of a server of this site.
+    pub(super) fn software(&self, id: &str) -> EngineSoftware {
+        self.engine(id).map_or_else(|| EngineSoftware::first(id), |engine| engine.software())
+    }
+
     /// Waits until a server of this site has crashed.
     ///
     /// # Errors
--- a/src/bench/site/site_run.rs
+++ b/src/bench/site/site_run.rs
@@ -7,6 +7,8 @@
     pub request: String,
     /// `prefill` or `decode`.
     pub stage: String,
+    /// Version of the engine's software.
+    pub version: String,
     /// Whether it used a prefill result.
     pub fetched: bool,
     /// Whether it used a hold that the engine had granted.
@@ -25,10 +27,11 @@
 
 impl SiteRun {
     /// The run that `request` starts.
-    pub(super) fn of(request: &BufferedRequest, id: &str, stage: &str) -> Self {
+    pub(super) fn of(request: &BufferedRequest, id: &str, stage: &str, version: &str) -> Self {
         Self {
             request: id.to_owned(),
             stage: stage.to_owned(),
+            version: version.to_owned(),
             fetched: header(request, "kv-from").is_some(),
             held: false,
             hold: header(request, "hold").map(str::to_owned),
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -155,15 +155,16 @@
         stage: Option<&str>,
         state: &str,
     ) {
+        let software = self.software(id);
         let mut entry = json!({"service": service, "address": address.to_string(), "zone": self.domain(id),
-            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 0});
+            "version": software.version, "slots": 8, "state": state, "cold_left_ms": 0, "seq": 0});
         if let Some(stage) = stage {
             entry["stage"] = json!(stage);
         }
         if let Some(started_at) = self.started_at(id) {
             entry["born"] = json!(started_at);
         }
-        self.store.change(|objects| objects.set("servers", id, entry));
+        self.store.change(|objects| objects.set("servers", &software.instance, entry));
     }
 
     /// Puts a [`DuplicateLink`] in front of a server of this site and writes the link's address to the server's entry.
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -23,7 +23,10 @@
 mod soak_options;
 mod soak_recovery;
 mod soak_run;
+mod stream_taker;
+mod version_check;
 
 pub use soak_check::{CutTries, SoakReport, SoakViolation};
 pub use soak_options::SoakOptions;
 pub use soak_run::run_soak;
+pub use stream_taker::{StreamTries, VersionTally};
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -1,3 +1,4 @@
+use super::stream_taker::VersionTally;
 use crate::bench::site::{CallerReply, SiteEngine, SiteService};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -86,6 +87,8 @@
     pub store_calls: u64,
     /// First tries at hosts without a path to the servers, and at the other hosts meanwhile.
     pub cut_tries: (CutTries, CutTries),
+    /// What callers found that took their streams up, if servers of several versions served.
+    pub versions: VersionTally,
     /// Violations of guarantees.
     pub violations: Vec<SoakViolation>,
 }
@@ -138,8 +141,13 @@
         let detail = format!("{id}: {} events", events.len());
         return Some(SoakViolation { guarantee: "a stream that looks whole is whole", detail });
     }
-    let expected: String =
-        events.iter().map(|event| format!("id: {event}\ndata: {id} {event}\n\n")).collect();
+    // Engines whose software was replaced name its version in each event. All events of an answer name the same.
+    let version = reply.event_versions().first().map(|version| format!(": {version}\n"));
+    let version = version.unwrap_or_default();
+    let expected: String = events
+        .iter()
+        .map(|event| format!("id: {event}\ndata: {id} {event}\n{version}\n"))
+        .collect();
     let text = String::from_utf8_lossy(&reply.body);
     // A stream that was cut off contains only complete events as well.
     (text != expected).then(|| SoakViolation {
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -124,6 +124,9 @@
     /// Crashes a server and restarts it under the same id, behind the same link.
     async fn restart_server(&mut self, index: usize) -> Result<()> {
         self.fault_log.record_restart(index)?;
+        if self.mixes_versions && self.site.servers[index].stage.is_some() {
+            return self.advance_version(index).await;
+        }
         let id = &self.site.servers[index].id;
         self.site.begin_incarnation(id, RestartAddress::Same).await?;
         self.site.write_incarnation_entry(id, self.answer_links[index].address)
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -31,6 +31,9 @@
     /// Whether hosts lose their paths to all servers. After the faults, callers of such hosts must be served like others.
     /// The daemons' environment must provide the same library.
     pub cuts_servers: bool,
+    /// Whether engines of several software versions serve side by side. After the faults, callers take their streams up
+    /// at other hosts. The daemons' environment must provide the same library.
+    pub mixes_versions: bool,
     /// Number of routes in the configuration that no request uses.
     pub unused_routes: usize,
     /// Environment variables of the daemons.
@@ -42,6 +45,6 @@
 impl SoakOptions {
     /// Whether each daemon needs a machine with an address of its own.
     pub(super) const fn needs_machines(&self) -> bool {
-        self.partitions_network || self.cuts_servers
+        self.partitions_network || self.cuts_servers || self.mixes_versions
     }
 }
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -4,6 +4,7 @@
 use super::soak_caller::{CallerPlan, CallerResults, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
 use super::soak_options::SoakOptions;
+use super::stream_taker::VersionTally;
 use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode, UnansweredPort};
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
 use crate::bench::{GatewayProcess, ProcessPlan, free_ports};
@@ -49,6 +50,8 @@
     /// Version of the configuration.
     pub version: u64,
     pub unused_routes: usize,
+    /// Whether engines run several software versions.
+    pub mixes_versions: bool,
     pub fault_log: FaultLog,
     unanswered_port: UnansweredPort,
 }
@@ -80,6 +83,11 @@
     let over_limits =
         if options.limits_servers { cluster.check_limits(options.seed).await? } else { Vec::new() };
     let propagation = cluster.check_propagation(options).await?;
+    let versions = if options.mixes_versions {
+        cluster.check_versions(options, &results).await?
+    } else {
+        VersionTally::default()
+    };
     let mut cut_records = Vec::new();
     let mut cut_tries = Default::default();
     let cut_violations = if options.cuts_servers {
@@ -97,6 +105,8 @@
     report.faults = faults;
     report.store_calls = cluster.site.store.call_counts().0;
     report.cut_tries = cut_tries;
+    report.violations.extend(versions.violations());
+    report.versions = versions;
     let recovery = cluster.check_recovery(options.seed).await;
     let mut records = lock(&results.records).clone();
     records.extend(recovery.1);
@@ -120,7 +130,9 @@
 
 impl SoakCluster {
     async fn start(options: &SoakOptions, folder: &std::path::Path) -> Result<Self> {
-        let plan = SitePlan { prefills: 2, decodes: 3, services: 3, hosts: 0 };
+        // With several versions, more than one server of each generates answers.
+        let (prefills, decodes) = if options.mixes_versions { (3, 9) } else { (2, 3) };
+        let plan = SitePlan { prefills, decodes, services: 3, hosts: 0 };
         let site = TestSite::start(plan).await?;
         let sockets = LinkSockets::default();
         let mut links = Vec::new();
@@ -156,10 +168,14 @@
             domains: options.domains.clamp(1, DOMAINS.len()),
             version: 1,
             unused_routes: options.unused_routes,
+            mixes_versions: options.mixes_versions,
             fault_log: FaultLog::create(folder)?,
             unanswered_port: UnansweredPort::open().await?,
         };
         cluster.confirm_version();
+        if options.mixes_versions {
+            cluster.mix_versions().await?;
+        }
         for index in 0..options.hosts {
             cluster.add_host(options, folder, index).await?;
         }
@@ -183,7 +199,8 @@
         let seed = options.seed.wrapping_mul(LINK_SEED_STRIDE) + (self.links.len() + index) as u64;
         let store_answers = AnswerLink::start(link.address, seed).await?;
         let peers: Vec<SocketAddr> = self.hosts.iter().map(|host| host.peers).collect();
-        let has_link = options.stalls_connections || options.partitions_network;
+        let has_link =
+            options.stalls_connections || options.partitions_network || options.mixes_versions;
         let unanswered_port = self.unanswered_port.address.port().to_string();
         let mut environment = options.environment.clone();
         environment.push((UNANSWERED_VARIABLE.to_owned(), unanswered_port));
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -93,6 +93,9 @@
         cutting: bool,
         /// Separate hosts from all servers, and check that their callers are served like others; needs the same library
         separating: bool,
+        /// Run engines of several software versions, and check that streams that are taken up go on at the version that
+        /// began them; needs the same library
+        mixing: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -37,6 +37,7 @@
             silencing,
             cutting,
             separating,
+            mixing,
             further_routes,
             variable,
         } => {
@@ -55,6 +56,7 @@
                 stalls_connections: *silencing,
                 partitions_network: *cutting,
                 cuts_servers: *separating,
+                mixes_versions: *mixing,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -27,6 +27,21 @@
                 cut.served, cut.sent, others.served, others.sent
             );
         }
+        let versions = &report.versions;
+        if versions.streams > 0 {
+            let (new, taken_up) = (versions.new, versions.taken_up);
+            println!(
+                "  {} streams, {} with events of several versions ({} within one answer); taken up {} of {}, \
+                 new {} of {}",
+                versions.streams,
+                versions.mixed.len(),
+                versions.mixed_in_answer,
+                taken_up.begun,
+                taken_up.sent,
+                new.begun,
+                new.sent
+            );
+        }
         for violation in &report.violations {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -107,6 +107,25 @@
     });
 }
 
+/// Engines of several software versions serve side by side, crash and are replaced, while hosts are killed, paused and
+/// cut off, and callers take their streams up at other hosts.
+///
+/// The test guards against streams that go on at another version than the one that began them.
+#[test]
+fn run_soak_with_several_software_versions() {
+    let defaults = options(1);
+    let environment = source_address("soak-versions");
+    let duration = Duration::from_secs(3);
+    run(SoakOptions {
+        hosts: 6,
+        domains: 3,
+        mixes_versions: true,
+        duration,
+        environment,
+        ..defaults
+    });
+}
+
 /// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
 /// guarantee while hosts are killed or suspended, or servers crash.
 #[rstest]
@@ -143,6 +162,7 @@
         stalls_connections: false,
         partitions_network: false,
         cuts_servers: false,
+        mixes_versions: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
