Streams: a stream goes on within its answer only at the software version that began it

Callers got, in one answer, events of two software versions of a service, when the server of a stream was lost and the host resumed the stream elsewhere. The host chose among all decode servers; the version of the lost one was not part of the choice. Change: a run names the versions at which it may go on (RunVersion). From the first event on that is the one version. A prompt is read only by prefill servers of the version of the decode server that fetches the result; where there is none, the decode server reads it, as for full prefill queues.

--- a/src/fleet/server_entry.rs
+++ b/src/fleet/server_entry.rs
@@ -1,4 +1,4 @@
-use crate::keys::{IdKey, NameKey, ServerKey, mix_hash};
+use crate::keys::{IdKey, NameKey, ServerKey, VersionKey, mix_hash};
 use crate::routes::ServiceKey;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -77,4 +77,8 @@
     pub fn id_key(&self) -> IdKey {
         IdKey::of(&self.id)
     }
+    /// Key of the version of its software.
+    pub fn version_key(&self) -> VersionKey {
+        NameKey::of(&self.version)
+    }
 }
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -7,10 +7,10 @@
 use super::load_guard::LoadGuard;
 use super::memory_admission::MemoryAdmission;
 use super::memory_guard::MemoryGuard;
+use super::run_start::RunRecord;
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
-use crate::keys::ServerKey;
 use crate::placement::{MemorySearch, RankingCriterion, SearchStep, ServerEvent, ServerLoad};
 use crate::platform::TokenCounts;
 use crate::routes::EngineSpec;
@@ -47,12 +47,13 @@
     total.min(engine.memory_tokens)
 }
 
-/// Reserves memory at the best decode server that has some, except at the servers that `lost` a run of the request.
+/// Reserves memory at the best decode server that has some, except at the servers that lost a run of the request and at
+/// those of a version at which it must not run.
 pub(super) async fn reserve_memory(
     context: &CallContext,
     engine: &EngineSpec,
     after: Option<u64>,
-    lost: &[ServerKey],
+    runs: &RunRecord,
 ) -> Result<DecodeReservation, NotRunReason> {
     let tokens = hold_tokens(context, engine, after);
     let admit = || {
@@ -74,7 +75,7 @@
         // The servers are ranked again for each step: one that did not answer took time, in which
         // others may have started draining.
         let mut ranked = context.host.rank_ready_servers(context.service, &criteria);
-        ranked.retain(|server| !lost.contains(&server.key()));
+        ranked.retain(|server| !runs.lost.contains(&server.key()) && runs.version.admits(server));
         if ranked.is_empty() {
             context.log_no_server(Some(ServerStage::Decode), search.request_count());
             return Err(prefer_at_limit(context, NotRunReason::NoServer));
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -11,6 +11,7 @@
 use crate::keys::{NameKey, ServerKey};
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
+use crate::stream_origins::RunVersion;
 use crate::streams::ServerSentEvent;
 use std::sync::Arc;
 use std::time::Duration;
@@ -96,6 +97,8 @@
     record: &mut RelayRecord,
 ) -> StreamEnd {
     let mut run = run;
+    // The stream goes on only at the version that began it.
+    runs.version = RunVersion::Only(run.server.version_key());
     loop {
         let server = run.server.clone();
         match relay_run(context, engine, run, events, record).await {
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -5,7 +5,6 @@
 use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
-use crate::keys::NameKey;
 use crate::placement::{
     PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
 };
@@ -34,8 +33,9 @@
     Failed,
 }
 
-/// Has the prompt read by a prefill server, preferably in the failure domain of its decode server.
-pub(super) async fn read_prompt(context: &CallContext, decode_domain: NameKey) -> PromptEnd {
+/// Has the prompt read by a prefill server, preferably in the failure domain of its decode server. Only one of the same
+/// software version can write what the decode server fetches.
+pub(super) async fn read_prompt(context: &CallContext, decode: &ServerEntry) -> PromptEnd {
     if context.is_trial {
         // A request on trial is sent to its decode server only, since one server suffices for the trial.
         return PromptEnd::LeftToDecode;
@@ -44,12 +44,13 @@
     let criteria = ServerCriteria {
         stage: Some(ServerStage::Prefill),
         criterion,
-        local_domain: decode_domain,
+        local_domain: decode.domain,
         remote_penalty: REMOTE_DOMAIN_PENALTY,
         rank,
         is_repeatable: context.route.is_retryable(),
     };
-    let ranked = context.host.rank_ready_servers(context.service, &criteria);
+    let mut ranked = context.host.rank_ready_servers(context.service, &criteria);
+    ranked.retain(|server| server.version == decode.version);
     let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
     if choose_reader(wait, context.route.objective) == PromptReader::Decode {
         let wait = wait.map_or(-1, |wait| i64::try_from(wait.as_millis()).unwrap_or(i64::MAX));
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -159,13 +159,13 @@
     runs: &mut RunRecord,
 ) -> Result<OpenRun, OpenFailure> {
     let mut reservation =
-        reserve_memory(context, engine, after, &runs.lost).await.map_err(OpenFailure::NotRun)?;
+        reserve_memory(context, engine, after, runs).await.map_err(OpenFailure::NotRun)?;
     context.record_memory_grant();
     if runs.sent == 0 {
         context.count_served_return();
     }
     let held_at = context.host.now();
-    let mut prompt = match read_prompt(context, reservation.hold.server.domain).await {
+    let mut prompt = match read_prompt(context, &reservation.hold.server).await {
         PromptEnd::Read(resource) => Some(resource),
         PromptEnd::LeftToDecode => None,
         PromptEnd::Failed => return Err(OpenFailure::NotRun(NotRunReason::PromptNotRead)),
@@ -178,9 +178,8 @@
         return Err(OpenFailure::NotRun(NotRunReason::HeldBack));
     }
     if discard_if_lost(context, &mut reservation.hold) {
-        reservation = reserve_memory(context, engine, after, &runs.lost)
-            .await
-            .map_err(OpenFailure::NotRun)?;
+        reservation =
+            reserve_memory(context, engine, after, runs).await.map_err(OpenFailure::NotRun)?;
     }
     let server = reservation.hold.server.clone();
     let held_for = context.host.now().since(held_at);
@@ -190,6 +189,8 @@
     if prompt.as_mut().is_some_and(|resource| discard_if_lost(context, resource)) {
         prompt = None;
     }
+    // The memory may have been reserved anew, at a server of another version than the first one's.
+    prompt = prompt.filter(|resource| resource.server.version == server.version);
     let source = prompt.as_ref().and_then(|resource| {
         resource.name().map(|name| (resource.server.address, name.to_owned()))
     });
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -10,6 +10,7 @@
 use crate::keys::ServerKey;
 use crate::placement::ServerEvent;
 use crate::platform::{AnswerKind, CallPart, DecodePart, read_answer};
+use crate::stream_origins::RunVersion;
 use crate::streams::ServerSentEvent;
 use http::{HeaderMap, StatusCode};
 use std::time::Duration;
@@ -40,6 +41,8 @@
     pub sent: u32,
     /// Servers that lost a run; no further run is opened there.
     pub lost: Vec<ServerKey>,
+    /// The software versions at which it may run.
+    pub version: RunVersion,
     /// Whether one of its runs may have begun: the request can then no longer be reported as not run.
     pub may_have_run: bool,
 }
--- a/src/keys/name_key.rs
+++ b/src/keys/name_key.rs
@@ -16,6 +16,9 @@
 /// Key of an organisation, a partner or customer whose callers have one fair share together.
 pub type OrgKey = NameKey;
 
+/// Key of a version of the software of a service's servers.
+pub type VersionKey = NameKey;
+
 impl NameKey {
     /// Computes the key of `name`.
     pub fn of(name: &str) -> Self {
--- a/src/platform/crash_wire.rs
+++ b/src/platform/crash_wire.rs
@@ -1,11 +1,12 @@
 //! Encodes and decodes the object that records server crashes.
 
+use super::wire_values::{read_key, unix_millis};
 use crate::Result;
 use crate::keys::{NameKey, RequestKey};
 use crate::quarantine::{CrashUpdate, InterruptedRequest};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::SystemTime;
 
 /// Kind and name of the object.
 pub const CRASHES_OBJECT: (&str, &str) = ("tealcleat-crashes", "main");
@@ -76,17 +77,7 @@
     json!({"crashes": wire})
 }
 
-fn read_key(text: &str) -> Result<u64> {
-    u64::from_str_radix(text, 16)
-        .map_err(|error| crate::Error::Protocol(format!("invalid key {text:?}: {error}")))
-}
-
 /// Returns the milliseconds from `at` to `now`; zero if the clock was set back in between.
 fn age(now: u64, at: u64) -> u32 {
     u32::try_from(now.saturating_sub(at)).unwrap_or(u32::MAX)
 }
-
-fn unix_millis(time: SystemTime) -> u64 {
-    let elapsed = time.duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,6 +17,7 @@
 mod store_client;
 mod store_object;
 mod store_wire;
+mod wire_values;
 
 pub use answer_pace::AnswerPace;
 pub use call_counts::CallKind;
