Streams: a stream that a caller takes up goes on at the version that began it, or is refused

Resumes was read nowhere, and no host told another one where its streams began; the host that takes a stream up chose among all decode servers. Change: before the first event of a stream is relayed, its host tells three others (OriginUpdate, over failure domains, by rendezvous of the stream), and once more 0.4 s later; all who know a stream tell hosts that become holders as members come and go. A host that takes a stream up asks these hosts, at most 24. A stream that nobody knows goes on only if the service is proved to have had one version for longer than streams last: by this host's own view, not older than 2 s, and for the time before its start by one object in the store, which is written when a service gets a second version or loses one. Otherwise it is refused, 503 and Retry-After. Why it holds: the version of a stream never changes, so what hosts state about it can be late or lost, but not wrong; what is lost costs a refusal.

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -17,6 +17,10 @@
     PromptNotRead,
     /// The server that was chosen to run it rejected it.
     Rejected,
+    /// It continues a stream, and the software version that began the stream is not known.
+    VersionUnknown,
+    /// It continues a stream, and no server of the software version that began the stream accepts requests.
+    NoServerOfVersion,
     /// Its deadline passed before it was sent.
     OutOfTime,
     /// The configuration is too old to tell whether its caller's key is still valid.
@@ -38,6 +42,8 @@
         match self {
             Self::NotReady => "not_ready",
             Self::NoMemory => "no_memory",
+            Self::VersionUnknown => "version_unknown",
+            Self::NoServerOfVersion => "no_server_of_version",
             Self::NoServer => "no_server",
             Self::PromptNotRead => "prompt_not_read",
             Self::Rejected => "turned_away",
--- a/src/gateway/crash_store.rs
+++ b/src/gateway/crash_store.rs
@@ -51,7 +51,7 @@
     loop {
         // A host without a list of servers makes no other store calls, so that the store's rate limit is left to the
         // listings.
-        if host.state().fleet.revision() == 0 || !host.watches_crashes() {
+        if host.state().fleet.revision() == 0 || !host.is_domain_watcher() {
             watched = None;
             tokio::time::sleep(ROLE_PERIOD).await;
             continue;
@@ -72,7 +72,7 @@
     loop {
         tokio::time::sleep(WRITE_PERIOD).await;
         // The election takes place only if there is something to write.
-        let is_due = host.state().crashes.is_unsaved() && host.watches_crashes();
+        let is_due = host.state().crashes.is_unsaved() && host.is_domain_watcher();
         unsaved_for = if is_due { unsaved_for + WRITE_PERIOD } else { Duration::ZERO };
         if !is_due || unsaved_for < WRITE_STAGGER * host.write_position() {
             continue;
@@ -85,13 +85,14 @@
 }
 
 impl GatewayHost {
-    fn watches_crashes(&self) -> bool {
+    /// Whether this host watches the store on behalf of its failure domain.
+    pub(super) fn is_domain_watcher(&self) -> bool {
         let now = self.now();
         self.state().watcher(now, self.domain()) == Some(self.incarnation)
     }
 
     /// Number of failure domains whose watchers write before this one.
-    fn write_position(&self) -> u32 {
+    pub(super) fn write_position(&self) -> u32 {
         let now = self.now();
         let state = self.state();
         let others: BTreeSet<_> = state
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -14,6 +14,7 @@
 use crate::placement::{MemorySearch, RankingCriterion, SearchStep, ServerEvent, ServerLoad};
 use crate::platform::TokenCounts;
 use crate::routes::EngineSpec;
+use crate::stream_origins::RunVersion;
 
 /// Memory reserved for a request at a decode server, and its entry in the load table.
 #[derive(Debug)]
@@ -78,7 +79,11 @@
         ranked.retain(|server| !runs.lost.contains(&server.key()) && runs.version.admits(server));
         if ranked.is_empty() {
             context.log_no_server(Some(ServerStage::Decode), search.request_count());
-            return Err(prefer_at_limit(context, NotRunReason::NoServer));
+            let reason = match runs.version {
+                RunVersion::Any => NotRunReason::NoServer,
+                RunVersion::Only(_) => NotRunReason::NoServerOfVersion,
+            };
+            return Err(prefer_at_limit(context, reason));
         }
         admission.order(&mut ranked);
         let keys = ranked.iter().map(ServerEntry::key);
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -16,9 +16,18 @@
         return refuse(NotRunReason::NoServer).into_answer(context.id());
     };
     log_resumption(&context);
-    let mut runs = RunRecord::default();
+    let version = match context.run_version().await {
+        Ok(version) => version,
+        Err(reason) => return context.close(refuse(reason)),
+    };
+    let mut runs = RunRecord { version, ..RunRecord::default() };
     match open_stream(&context, &engine, context.head.last_event, &mut runs).await {
-        Ok(run) => stream_answer(context, engine, run, runs, guard),
+        Ok(run) => {
+            if run.first.is_some() {
+                context.record_origin(&run.server);
+            }
+            stream_answer(context, engine, run, runs, guard)
+        }
         Err(end) => context.close(if runs.may_have_run { unknown_if_refused(end) } else { end }),
     }
 }
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -21,6 +21,7 @@
 use crate::server_slots::{PlaceReply, SlotControl};
 use crate::settings::GatewaySettings;
 use crate::shared_health::SharedHealth;
+use crate::stream_origins::{OriginReply, OriginTable, VersionHistory};
 use crate::telemetry::MetricRegistry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -85,6 +86,7 @@
     pub(super) limit_replies: PendingReplies<LimitReply>,
     pub(super) permit_replies: PendingReplies<PermitReply>,
     pub(super) retry_replies: PendingReplies<RetryReply>,
+    pub(super) origin_replies: PendingReplies<OriginReply>,
     pub(super) slot_replies: PendingReplies<PlaceReply>,
     /// Wakes the task that decides on requests waiting for places.
     pub(super) slot_waits: Notify,
@@ -142,6 +144,8 @@
             return_calendar: ReturnCalendar::default(),
             output_forecast: OutputForecast::default(),
             paces: PaceTable::default(),
+            stream_origins: OriginTable::default(),
+            version_history: VersionHistory::default(),
             slot_control: SlotControl::default(),
         };
         Self {
@@ -161,6 +165,7 @@
             limit_replies: PendingReplies::default(),
             permit_replies: PendingReplies::default(),
             retry_replies: PendingReplies::default(),
+            origin_replies: PendingReplies::default(),
             slot_replies: PendingReplies::default(),
             slot_waits: Notify::new(),
             gossip_round: AtomicU64::new(1),
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -7,6 +7,7 @@
 use super::host_account::run_account;
 use super::limit_charge::run_limit_charges;
 use super::limit_gossip::run_limit_gossip;
+use super::origin_upkeep::run_origin_upkeep;
 use super::peer_loop::run_peers;
 use super::pressure_updates::run_pressure_updates;
 use super::ready_server::{EndpointKind, serve_endpoint};
@@ -15,6 +16,7 @@
 use super::slot_messages::run_slots;
 use super::stage_loop::run_stages;
 use super::stop_plan::StopPlan;
+use super::version_store::run_version_store;
 use super::view_loop::run_view;
 use crate::Result;
 use crate::peers::serve_peers;
@@ -74,6 +76,8 @@
     tokio::spawn(run_limit_gossip(Arc::clone(&host)));
     tokio::spawn(run_pressure_updates(Arc::clone(&host)));
     tokio::spawn(run_crash_store(Arc::clone(&host)));
+    tokio::spawn(run_origin_upkeep(Arc::clone(&host)));
+    tokio::spawn(run_version_store(Arc::clone(&host)));
     if host.settings.features.server_slots {
         tokio::spawn(run_slots(Arc::clone(&host)));
     }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -17,6 +17,7 @@
 use crate::server_slots::SlotControl;
 use crate::settings::GatewayBounds;
 use crate::shared_health::SharedHealth;
+use crate::stream_origins::{OriginTable, VersionHistory};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -89,6 +90,10 @@
     pub output_forecast: OutputForecast,
     /// Pace of the decode servers.
     pub paces: PaceTable,
+    /// The software versions that began streams.
+    pub stream_origins: OriginTable,
+    /// The software versions that serve or served recently.
+    pub version_history: VersionHistory,
     /// Places at plain servers that this host uses and grants.
     pub slot_control: SlotControl,
 }
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -80,6 +80,13 @@
             Ok(GatewayDatagram::Returns(update)) => host.receive_returns(&update),
             Ok(GatewayDatagram::Paces(update)) => host.receive_paces(&update),
             Ok(GatewayDatagram::Slots(message)) => host.receive_slot_message(address, &message),
+            Ok(GatewayDatagram::Origins(updates)) => host.receive_origins(&updates),
+            Ok(GatewayDatagram::OriginRequest(request)) => {
+                host.receive_origin_request(address, request)
+            }
+            Ok(GatewayDatagram::OriginReply(reply)) => {
+                host.origin_replies.complete(reply.sequence, reply)
+            }
             Err(error) => {
                 log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
             }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -13,6 +13,7 @@
 use crate::server_limits::{LimitObservation, LimitUpdate, PermitReply, PermitRequest};
 use crate::server_slots::SlotMessage;
 use crate::shared_health::HealthReport;
+use crate::stream_origins::{OriginReply, OriginRequest, OriginUpdate};
 use serde::{Deserialize, Serialize};
 
 /// A datagram between daemons on the platform.
@@ -60,6 +61,12 @@
     Paces(PaceUpdate),
     /// Requests, grants or releases a place at a contended server.
     Slots(SlotMessage),
+    /// The software versions that began streams.
+    Origins(Vec<OriginUpdate>),
+    /// Requests the software version that began a stream.
+    OriginRequest(OriginRequest),
+    /// What the sender knows of the stream.
+    OriginReply(OriginReply),
 }
 
 impl GatewayDatagram {
@@ -85,6 +92,9 @@
             Self::Returns(_) => ("returns_sent", "returns_sent_bytes"),
             Self::Paces(_) => ("paces_sent", "paces_sent_bytes"),
             Self::Slots(_) => ("slots_sent", "slots_sent_bytes"),
+            Self::Origins(_) | Self::OriginRequest(_) | Self::OriginReply(_) => {
+                ("origins_sent", "origins_sent_bytes")
+            }
         }
     }
 }
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -130,6 +130,8 @@
         NotRunReason::NoMemory => jittered(NO_MEMORY_PAUSE),
         NotRunReason::HeldBack => HELD_BACK_PAUSE,
         NotRunReason::NoServer
+        | NotRunReason::NoServerOfVersion
+        | NotRunReason::VersionUnknown
         | NotRunReason::NotReady
         | NotRunReason::ConfigTooOld
         | NotRunReason::RouteUnknown
--- /dev/null
+++ b/src/gateway/version_store.rs
@@ -0,0 +1,93 @@
+//! Keeps the software versions of services with several of them in the store, for hosts that start after all hosts that
+//! knew of a version are gone. Services with a single version have no entry, so usually nothing is written or read.
+
+use super::gateway_host::GatewayHost;
+use crate::platform::{VERSIONS_OBJECT, WriteOutcome, decode_versions, encode_versions};
+use crate::stream_origins::SavedVersion;
+use crate::{Error, Result};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+/// How often a host checks whether there is something to write.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Delay between the watchers of successive failure domains before they write: one write is enough.
+const WRITE_STAGGER: Duration = Duration::from_millis(500);
+/// Timeout of a store call; a slow store answers within 0.3 s.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after the store did not answer or refused a call.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Writes the versions when they differ from those that the store keeps, as far as this host knows.
+pub(super) async fn run_version_store(host: Arc<GatewayHost>) {
+    let mut saved: Vec<SavedVersion> = Vec::new();
+    loop {
+        tokio::time::sleep(CHECK_PERIOD).await;
+        if host.versions_to_save() == saved || !host.is_domain_watcher() {
+            continue;
+        }
+        tokio::time::sleep(WRITE_STAGGER * host.write_position()).await;
+        match host.save_versions().await {
+            Ok(written) => saved = written,
+            Err(error) => {
+                log::info!("event=versions_not_saved cause=\"{error}\"");
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Learns the versions of the time before this host started, if the store answers.
+pub(super) async fn read_past_versions(host: &GatewayHost) {
+    let (kind, name) = VERSIONS_OBJECT;
+    let read = host.store.read(kind, name, CALL_TIMEOUT).await;
+    let decoded = read.and_then(|object| {
+        object.map_or(Ok(Vec::new()), |object| decode_versions(&object.spec, SystemTime::now()))
+    });
+    match decoded {
+        Ok(versions) => {
+            let now = host.now();
+            log::info!("event=past_versions_read count={}", versions.len());
+            host.state().version_history.apply_saved(now, &versions);
+        }
+        Err(error) => log::info!("event=past_versions_not_read cause=\"{error}\""),
+    }
+}
+
+impl GatewayHost {
+    fn versions_to_save(&self) -> Vec<SavedVersion> {
+        let now = self.now();
+        let versions = self.state().version_history.to_save(now);
+        versions.into_iter().map(|(version, _)| version).collect()
+    }
+
+    /// Writes the versions unless the store keeps the same ones already. Returns what it keeps then.
+    async fn save_versions(&self) -> Result<Vec<SavedVersion>> {
+        let (kind, name) = VERSIONS_OBJECT;
+        let stored = self.store.read(kind, name, CALL_TIMEOUT).await?;
+        let revision = stored.as_ref().map(|object| object.revision);
+        let known = stored.and_then(|object| decode_versions(&object.spec, SystemTime::now()).ok());
+        let known: Vec<SavedVersion> =
+            known.unwrap_or_default().into_iter().map(|(version, _)| version).collect();
+        let now = self.now();
+        let versions = self.state().version_history.to_save(now);
+        let wanted: Vec<SavedVersion> = versions.iter().map(|(version, _)| *version).collect();
+        if known == wanted {
+            return Ok(wanted);
+        }
+        let spec = encode_versions(&versions, SystemTime::now());
+        match self.store.write(kind, name, revision, &spec, CALL_TIMEOUT).await {
+            WriteOutcome::Written(object) => {
+                log::info!(
+                    "event=versions_saved count={} revision={}",
+                    wanted.len(),
+                    object.revision
+                );
+                Ok(wanted)
+            }
+            // The next check reads what another host wrote, or whether this write took effect.
+            WriteOutcome::Conflict | WriteOutcome::Refused | WriteOutcome::Unknown => {
+                Err(Error::Refused("the store did not confirm the write".to_owned()))
+            }
+        }
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,6 +17,7 @@
 mod store_client;
 mod store_object;
 mod store_wire;
+mod version_wire;
 mod wire_values;
 
 pub use answer_pace::AnswerPace;
@@ -38,6 +39,7 @@
 pub use store_call::{ListAge, WatchAnswer, WatchLimits, WriteOutcome};
 pub use store_client::StoreClient;
 pub use store_object::{MAX_OBJECT_BYTES, ObjectList, StoreEvent, StoreObject, UnreadableObject};
+pub use version_wire::{VERSIONS_OBJECT, decode_versions, encode_versions};
 
 /// Kind and name of the configuration object that is derived from intents of the project's own interface.
 pub const INTENT_OBJECT: (&str, &str) = ("tealcleat-config", "main");
--- a/src/stream_origins/run_version.rs
+++ b/src/stream_origins/run_version.rs
@@ -1,5 +1,6 @@
 use crate::fleet::ServerEntry;
 use crate::keys::VersionKey;
+use std::time::Duration;
 
 /// The software versions at which a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -20,3 +21,27 @@
         }
     }
 }
+
+/// What a host knows of a service whose stream it does not know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnknownOrigin<'a> {
+    /// The versions that serve or served recently.
+    pub recent: &'a [VersionKey],
+    /// Whether the host knows all recent versions of the time before it started.
+    pub is_settled: bool,
+    /// For how long its view of the servers may have missed changes.
+    pub view_age: Duration,
+}
+
+/// Hosts that are in touch learn of a new server within this time. A host with an older view may not know of a version
+/// at which other hosts already begin streams.
+const MAX_VIEW_AGE: Duration = Duration::from_millis(2000);
+
+/// The version that began a stream which no host knows; `None` if that is not proved. It is proved only if the service
+/// had a single version for longer than any stream lasts.
+pub fn version_of_unknown(origin: &UnknownOrigin<'_>) -> Option<VersionKey> {
+    let [version] = origin.recent else {
+        return None;
+    };
+    (origin.is_settled && origin.view_age <= MAX_VIEW_AGE).then_some(*version)
+}
