--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -72,11 +72,12 @@
             remote_penalty: search.remote_penalty(),
             rank: context.rank,
             is_repeatable: context.route.is_retryable(),
+            version: runs.version,
         };
         // The servers are ranked again for each step: one that did not answer took time, in which
         // others may have started draining.
         let mut ranked = context.host.rank_ready_servers(context.service, &criteria);
-        ranked.retain(|server| !runs.lost.contains(&server.key()) && runs.version.admits(server));
+        ranked.retain(|server| !runs.lost.contains(&server.key()));
         if ranked.is_empty() {
             context.log_no_server(Some(ServerStage::Decode), search.request_count());
             let reason = match runs.version {
--- a/src/gateway/origin_calls.rs
+++ b/src/gateway/origin_calls.rs
@@ -3,12 +3,13 @@
 use super::call_context::CallContext;
 use super::call_end::NotRunReason;
 use super::gateway_host::GatewayHost;
+use super::gateway_state::GatewayState;
 use super::origin_upkeep::other_members;
 use super::peer_messages::GatewayDatagram;
 use super::store_contact::FollowedKind;
 use super::version_store::read_past_versions;
 use crate::fleet::ServerEntry;
-use crate::keys::VersionKey;
+use crate::keys::{TimePoint, VersionKey};
 use crate::membership::MemberUpdate;
 use crate::stream_origins::{
     ORIGIN_HOLDERS, OriginReply, OriginRequest, OriginUpdate, RunVersion, StreamKey, UnknownOrigin,
@@ -28,6 +29,12 @@
 /// Hosts that are asked in all. Up to this number of hosts, every one is asked.
 const MOST_ASKED: usize = 24;
 
+/// A host that has heard nobody for this long does not know what others know. Each host hears others several times a
+/// second.
+const MAX_SILENCE: Duration = Duration::from_millis(1000);
+/// Time that an answer of the store to one host takes to become part of the others' views.
+const NEWS_DELAY: Duration = Duration::from_millis(1000);
+
 impl CallContext {
     /// The software versions at which the request may run. A request that continues a stream may run only at the version
     /// that began the stream.
@@ -100,18 +107,36 @@
             recent: &recent,
             is_settled: state.version_history.is_settled(now),
             view_age: state.view_age(now, FollowedKind::Servers),
+            is_common_outage: is_common_outage(now, &state),
         };
         log::info!(
-            "event=stream_origin_unknown request={} versions={} settled={} view_age_ms={}",
+            "event=stream_origin_unknown request={} versions={} settled={} view_age_ms={} \
+             common_outage={}",
             self.id(),
             recent.len(),
             origin.is_settled,
-            origin.view_age.as_millis()
+            origin.view_age.as_millis(),
+            origin.is_common_outage
         );
         version_of_unknown(&origin)
     }
 }
 
+/// Whether this host hears all failure domains and none of their hosts has had an answer of the store that is newer than
+/// this host's view. Then none of them knows a server that this host does not know.
+fn is_common_outage(now: TimePoint, state: &GatewayState) -> bool {
+    let members = &state.members;
+    let hears_domains = members.reachable(now).count() == members.living().count();
+    let hears_hosts = match members.silent_for(now, |_| true) {
+        Some(silent_for) => silent_for <= MAX_SILENCE,
+        // A host without others, not one that has lost or not yet met them.
+        None => members.records().next().is_none() && !members.is_alone(),
+    };
+    let view_age = state.view_age(now, FollowedKind::Servers);
+    let store_age = state.fleet.store_age(now);
+    hears_domains && hears_hosts && store_age + NEWS_DELAY >= view_age
+}
+
 impl GatewayHost {
     /// Records a stream and tells its holders.
     fn tell_origin(&self, update: OriginUpdate) {
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -11,6 +11,7 @@
 use crate::placement::{REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad};
 use crate::platform::{AnswerKind, CallPart, contains_answer, read_answer};
 use crate::server_slots::PlaceEnd;
+use crate::stream_origins::RunVersion;
 use crate::{Error, Result};
 use std::time::Duration;
 
@@ -106,6 +107,7 @@
         local_domain,
         remote_penalty: REMOTE_DOMAIN_PENALTY,
         rank: context.rank,
+        version: RunVersion::Any,
         is_repeatable: context.route.is_retryable(),
     };
     let ranked = context.host.rank_ready_servers(context.service, &criteria);
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -9,6 +9,7 @@
     PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
 };
 use crate::platform::{AnswerKind, CallPart, PrefillResult, decode_body, read_answer};
+use crate::stream_origins::RunVersion;
 use crate::{Error, Result};
 use http::StatusCode;
 use std::time::Duration;
@@ -48,9 +49,9 @@
         remote_penalty: REMOTE_DOMAIN_PENALTY,
         rank,
         is_repeatable: context.route.is_retryable(),
+        version: RunVersion::Only(decode.version_key()),
     };
-    let mut ranked = context.host.rank_ready_servers(context.service, &criteria);
-    ranked.retain(|server| server.version == decode.version);
+    let ranked = context.host.rank_ready_servers(context.service, &criteria);
     let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
     if choose_reader(wait, context.route.objective) == PromptReader::Decode {
         let wait = wait.map_or(-1, |wait| i64::try_from(wait.as_millis()).unwrap_or(i64::MAX));
--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -7,6 +7,7 @@
 use crate::placement::{RankingContext, RankingCriterion, rank_servers};
 use crate::routes::ServiceKey;
 use crate::server_limits::CallRank;
+use crate::stream_origins::RunVersion;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
     pub rank: CallRank,
     /// Whether the request may run more than once, so that it can try a server that failed.
     pub is_repeatable: bool,
+    /// The software versions that may serve the request.
+    pub version: RunVersion,
 }
 
 impl GatewayHost {
@@ -64,6 +67,7 @@
             .fleet
             .ready(service)
             .filter(in_stage)
+            .filter(|server| criteria.version.admits(server))
             .filter(|server| state.send_control.is_open(now, server.key(), criteria.rank))
             .filter(|server| standings.admits(server.key(), may_try));
         let ranked = rank_servers(now, &context, criteria.criterion, candidates);
--- a/src/stream_origins/run_version.rs
+++ b/src/stream_origins/run_version.rs
@@ -31,10 +31,12 @@
     pub is_settled: bool,
     /// For how long its view of the servers may have missed changes.
     pub view_age: Duration,
+    /// Whether it hears all failure domains, and the store has answered none of their hosts since its view was complete.
+    pub is_common_outage: bool,
 }
 
 /// Hosts that are in touch learn of a new server within this time. A host with an older view may not know of a version
-/// at which other hosts already begin streams.
+/// at which other hosts already begin streams, unless they get no news either.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(2000);
 
 /// The version that began a stream which no host knows; `None` if that is not proved. It is proved only if the service
@@ -43,5 +45,6 @@
     let [version] = origin.recent else {
         return None;
     };
-    (origin.is_settled && origin.view_age <= MAX_VIEW_AGE).then_some(*version)
+    let is_view_new = origin.view_age <= MAX_VIEW_AGE || origin.is_common_outage;
+    (origin.is_settled && is_view_new).then_some(*version)
 }
