--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -42,6 +42,9 @@
                 new.sent
             );
         }
+        if !versions.not_taken_up.is_empty() {
+            println!("  not taken up: {}", versions.not_taken_up.join(" "));
+        }
         for violation in &report.violations {
             println!("  {}: {}", violation.guarantee, violation.detail);
         }
--- a/tests/message_sizes.rs
+++ b/tests/message_sizes.rs
@@ -6,6 +6,7 @@
 use tealcleat::fleet::{FleetView, ServerEntry, ServerStage, ServerState};
 use tealcleat::keys::{IncarnationId, NameKey, TimePoint};
 use tealcleat::membership::MemberUpdate;
+use tealcleat::stream_origins::{OriginUpdate, StreamKey};
 
 /// An address as on a platform with many machines.
 fn address(index: usize) -> SocketAddr {
@@ -53,3 +54,17 @@
     let whole = bytes(&table);
     assert!(whole / 1_000 <= 40, "{} bytes a host", whole / 1_000);
 }
+
+/// A host sends each stream that it begins to three others, twice.
+#[test]
+fn origin_size_per_stream() {
+    let update = OriginUpdate {
+        stream: StreamKey(u64::MAX),
+        version: NameKey::of("v1.2"),
+        valid_ms: 30_000,
+    };
+    let one = bytes(&vec![update]);
+    let many = bytes(&vec![update; 100]);
+    assert!(one <= 24, "{one} bytes for one");
+    assert!(many / 100 <= 23, "{} bytes a stream", many / 100);
+}
