Version store: versions that no longer count are taken out by a later watcher, and writes are a second apart

A watcher that started after the last one had saved several versions never looked at the object again, so hosts that start later would refuse streams nobody knows for versions long gone. It reads the object once now, when it knows the last 60 s. The last server of a version that comes and goes would have cost two writes for each flap, four a second at most; now one a second. Found by reading; outdated_saved_versions_removed shows the first, the second is by reading.

--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -12,6 +12,8 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Delay between the watchers of successive failure domains before they write: one write is enough.
 const WRITE_STAGGER: Duration = Duration::from_millis(500);
+/// Shortest time between two writes, since the last server of a version may come and go.
+const SAVE_PAUSE: Duration = Duration::from_secs(1);
 /// Timeout of a store call; a slow store answers within 0.3 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after the store did not answer or refused a call.
@@ -19,15 +21,23 @@
 
 /// Writes the versions when they differ from those that the store keeps, as far as this host knows.
 pub(super) async fn run_version_store(host: Arc<GatewayHost>) {
-    let mut saved: Vec<SavedVersion> = Vec::new();
+    let mut saved: Option<Vec<SavedVersion>> = None;
     loop {
         tokio::time::sleep(CHECK_PERIOD).await;
-        if host.versions_to_save() == saved || !host.is_domain_watcher() {
+        let is_due = match &saved {
+            Some(saved) => host.versions_to_save() != *saved,
+            // The store may keep versions that a former watcher saved and that no longer count.
+            None => !host.versions_to_save().is_empty() || host.is_version_history_settled(),
+        };
+        if !is_due || !host.is_domain_watcher() {
             continue;
         }
         tokio::time::sleep(WRITE_STAGGER * host.write_position()).await;
         match host.save_versions().await {
-            Ok(written) => saved = written,
+            Ok(written) => {
+                saved = Some(written);
+                tokio::time::sleep(SAVE_PAUSE).await;
+            }
             Err(error) => {
                 log::info!("event=versions_not_saved cause=\"{error}\"");
                 tokio::time::sleep(RETRY_PAUSE).await;
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -1,6 +1,7 @@
 //! Streams over servers of several software versions: they go on at the version that began them, or are refused.
 
 use rstest::rstest;
+use serde_json::json;
 use std::time::Duration;
 use tealcleat::bench::site::{EngineFault, SiteCall, SitePlan, TestSite, call_site};
 
@@ -213,3 +214,28 @@
         assert_eq!(reply.status, 503);
     });
 }
+
+/// The object in the store names versions that a former watcher saved; nobody else would ever take them out, and each host
+/// that starts would refuse streams for them.
+#[test]
+fn outdated_saved_versions_removed() {
+    runtime().block_on(async {
+        let mut site =
+            TestSite::start(SitePlan { hosts: 0, ..SitePlan::default() }).await.expect("a site");
+        let stale = json!({"versions": [
+            {"service": "0000000000000001", "version": "0000000000000002", "gone_ms": 1000},
+            {"service": "0000000000000001", "version": "0000000000000003", "gone_ms": null},
+        ]});
+        site.store.change(|objects| objects.set("tealcleat-versions", "main", stale));
+        site.add_host().await.expect("a host");
+        site.wait_ready().await;
+        // A stream that nobody knows lets the host read the versions of the time before its start.
+        call_site(site.hosts[0].callers, &taken_up("r1-again", "r1", "2"))
+            .await
+            .expect("an answer");
+        let saved = || site.store.spec("tealcleat-versions", "main").expect("it is there");
+        while saved()["versions"].as_array().is_some_and(|versions| !versions.is_empty()) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
