Stand-in: what an engine runs belongs to the software that accepted it

By reading: the engine checked the instance that a request expects, and read the version for its events later. One that was replaced in between named the new version in events of a run of the old one, until its connection broke. It reads its software once now. The load tool names mixed streams from now on, so that one below the bound can be traced.

--- a/src/bench/site/engine_events.rs
+++ b/src/bench/site/engine_events.rs
@@ -8,18 +8,28 @@
 use hyper::body::Frame;
 use std::sync::Arc;
 
+/// What the events of a run contain besides their numbers.
+#[derive(Debug)]
+pub(super) struct EventText {
+    /// The request whose prompt the run uses.
+    pub prompt: String,
+    /// The line that names the software version.
+    pub version_line: String,
+}
+
 impl SiteEngine {
     /// Sends the events of the run at `run_index`, starting with number `first`, until its caller disconnects.
     pub(super) async fn send_events(
         self: Arc<Self>,
-        prompt: String,
+        text: EventText,
         first: u64,
         run_index: usize,
         events: EventSender,
     ) {
-        let (version, interval) = (self.software().event_line(), self.event_interval());
+        let EventText { prompt, version_line } = text;
+        let interval = self.event_interval();
         for number in first..self.events {
-            let text = format!("id: {number}\ndata: {prompt} {number}\n{version}\n");
+            let text = format!("id: {number}\ndata: {prompt} {number}\n{version_line}\n");
             let sent_count = number - first;
             let is_sent = match self.fault() {
                 EngineFault::CutAfter(limit) if sent_count >= limit => {
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -1,3 +1,4 @@
+use super::engine_events::EventText;
 use super::engine_fault::EngineFault;
 use super::engine_software::EngineSoftware;
 use super::event_feed::EventFeed;
@@ -201,8 +202,13 @@
         Ok(full_response(200, json!({"hold": hold}).to_string()))
     }
 
-    fn prefill(&self, request: &BufferedRequest, id: &str) -> SiteAnswer {
-        self.record_run(request, id, "prefill");
+    fn prefill(
+        &self,
+        request: &BufferedRequest,
+        id: &str,
+        software: &EngineSoftware,
+    ) -> SiteAnswer {
+        self.record_run(request, id, "prefill", software);
         if self.fault() == EngineFault::LoseReads {
             return Err(ConnectionDropped);
         }
@@ -212,9 +218,15 @@
         Ok(signed(full_response(200, body), id, None))
     }
 
-    fn record_run(&self, request: &BufferedRequest, id: &str, stage: &str) -> usize {
+    fn record_run(
+        &self,
+        request: &BufferedRequest,
+        id: &str,
+        stage: &str,
+        software: &EngineSoftware,
+    ) -> usize {
         let mut runs = lock(&self.runs);
-        runs.push(SiteRun::of(request, id, stage, &lock(&self.software).version));
+        runs.push(SiteRun::of(request, id, stage, &software.version));
         runs.len() - 1
     }
 
@@ -229,7 +241,12 @@
         lock(&engine.state).take_handle(handle)
     }
 
-    async fn decode(self: &Arc<Self>, request: &BufferedRequest, id: &str) -> SiteAnswer {
+    async fn decode(
+        self: &Arc<Self>,
+        request: &BufferedRequest,
+        id: &str,
+        software: &EngineSoftware,
+    ) -> SiteAnswer {
         let hold = header(request, "hold");
         let is_held = hold.is_some_and(|hold| lock(&self.state).release_hold(hold));
         let prompt = match header(request, "kv-from") {
@@ -239,7 +256,7 @@
                 None => return Ok(not_run_response(id)),
             },
         };
-        let run_index = self.record_run(request, id, "decode");
+        let run_index = self.record_run(request, id, "decode", software);
         lock(&self.runs)[run_index].held = is_held;
         if is_crash_request(request) {
             return crash_server(&self.incarnations, id).await;
@@ -251,7 +268,8 @@
             .and_then(|text| text.parse().ok())
             .map_or(0, |number: u64| number + 1);
         let (events, received) = mpsc::channel(1);
-        tokio::spawn(Arc::clone(self).send_events(prompt, first, run_index, events));
+        let text = EventText { prompt, version_line: software.event_line() };
+        tokio::spawn(Arc::clone(self).send_events(text, first, run_index, events));
         let stream = StreamBody::new(EventFeed(received)).boxed_unsync();
         let response_id = if self.fault() == EngineFault::ForeignAnswer { "another" } else { id };
         Ok(signed(hyper::Response::new(stream), response_id, Some(&self.id)))
@@ -278,8 +296,9 @@
             }
             std::future::pending::<()>().await;
         }
-        let instance = self.software().instance;
-        if header(&request, "x-expect-instance").is_some_and(|id| id != instance) {
+        // What runs from here on belongs to this software, even if it is replaced meanwhile.
+        let software = self.software();
+        if header(&request, "x-expect-instance").is_some_and(|id| id != software.instance) {
             return Ok(full_response(421, ""));
         }
         let path = request.uri().path().to_owned();
@@ -312,8 +331,8 @@
             return Ok(not_run_response(&id));
         }
         match requested_stage {
-            "prefill" => self.prefill(&request, &id),
-            _ => self.decode(&request, &id).await,
+            "prefill" => self.prefill(&request, &id, &software),
+            _ => self.decode(&request, &id, &software).await,
         }
     }
 }
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -42,6 +42,9 @@
                 new.sent
             );
         }
+        for mixed in &versions.mixed {
+            println!("  several versions: {mixed}");
+        }
         if !versions.not_taken_up.is_empty() {
             println!("  not taken up: {}", versions.not_taken_up.join(" "));
         }
