Version store: one read at a time of the time before a host's start, and none before its servers are listed

Each stream that is taken up at a host without a list of servers, or while a read failed, cost a read of the store. After all hosts were killed at once, that competes with the listings of all of them for the store's rate limit.

--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -87,6 +87,8 @@
     pub(super) permit_replies: PendingReplies<PermitReply>,
     pub(super) retry_replies: PendingReplies<RetryReply>,
     pub(super) origin_replies: PendingReplies<OriginReply>,
+    /// When the last read of the versions before this host's start failed; locked during a read.
+    pub(super) past_versions_failed_at: tokio::sync::Mutex<Option<TimePoint>>,
     pub(super) slot_replies: PendingReplies<PlaceReply>,
     /// Wakes the task that decides on requests waiting for places.
     pub(super) slot_waits: Notify,
@@ -166,6 +168,7 @@
             permit_replies: PendingReplies::default(),
             retry_replies: PendingReplies::default(),
             origin_replies: PendingReplies::default(),
+            past_versions_failed_at: tokio::sync::Mutex::default(),
             slot_replies: PendingReplies::default(),
             slot_waits: Notify::new(),
             gossip_round: AtomicU64::new(1),
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -46,8 +46,18 @@
     }
 }
 
-/// Learns the versions of the time before this host started, if the store answers.
+/// Learns the versions of the time before this host started, if the store answers. Calls that need them at the same time
+/// wait for one read, and after a failure there is none for a while: when all hosts start at once, the store's rate limit
+/// is left to their listings.
 pub(super) async fn read_past_versions(host: &GatewayHost) {
+    if host.state().fleet.revision() == 0 {
+        return;
+    }
+    let mut failed_at = host.past_versions_failed_at.lock().await;
+    let is_pausing = failed_at.is_some_and(|at| host.now().since(at) < RETRY_PAUSE);
+    if is_pausing || host.is_version_history_settled() {
+        return;
+    }
     let (kind, name) = VERSIONS_OBJECT;
     let read = host.store.read(kind, name, CALL_TIMEOUT).await;
     let decoded = read.and_then(|object| {
@@ -59,7 +69,10 @@
             log::info!("event=past_versions_read count={}", versions.len());
             host.state().version_history.apply_saved(now, &versions);
         }
-        Err(error) => log::info!("event=past_versions_not_read cause=\"{error}\""),
+        Err(error) => {
+            log::info!("event=past_versions_not_read cause=\"{error}\"");
+            *failed_at = Some(host.now());
+        }
     }
 }
 
