Retries: each send to a server is counted against the retries taken for its request

A request has one read of its prompt and one run for nothing and one more of either for each retry taken; send_request spends them. A send that nothing covers is logged (send_uncounted, with request, server and call) and counted (sends_uncounted).

--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -2,10 +2,11 @@
 use super::limit_charge::LimitCharge;
 use crate::keys::{OrgKey, RequestKey, TimePoint};
 use crate::platform::{CallHead, ServerCall};
+use crate::retries::SendCredit;
 use crate::routes::{Route, ServiceKey, ServiceSpec};
 use crate::server_limits::CallRank;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A caller's request while this host serves it.
@@ -27,6 +28,8 @@
     pub call: ServerCall,
     /// What it costs its organisation, if that has a limit.
     pub charge: Option<LimitCharge>,
+    /// How often it may still be sent to servers.
+    pub credit: Mutex<SendCredit>,
     /// When it was last sent to a server, in microseconds on the host's clock.
     pub sent_at: AtomicU64,
     /// When its head was read.
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -20,8 +20,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Retry delay for callers of a host that has no configuration yet or is shutting down: about the
@@ -124,6 +124,7 @@
         is_trial: matches!(admission, RequestAdmission::Trial(_)),
         call,
         charge,
+        credit: Mutex::default(),
         sent_at: AtomicU64::default(),
         received_at,
         deadline: received_at + time_limit,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 mod role_log;
 mod run_open;
 mod run_start;
+mod send_budget;
 mod send_owner;
 mod send_permit;
 mod server_call;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -10,6 +10,7 @@
 use crate::keys::ServerKey;
 use crate::placement::{REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad};
 use crate::platform::{AnswerKind, CallPart, contains_answer, read_answer};
+use crate::retries::SendKind;
 use crate::server_slots::PlaceEnd;
 use crate::stream_origins::RunVersion;
 use crate::{Error, Result};
@@ -115,7 +116,7 @@
     let untried: Vec<ServerEntry> = untried.collect();
     let (server, permit, place) = first_permitted(context, record, untried).await?;
     let is_retry = record.sent > 0;
-    if is_retry && !context.host.take_retries(context.service, 1).await {
+    if is_retry && !context.take_sends(&[SendKind::Run]).await {
         log::info!("event=repeat_denied request={} cause=retry_bounds", context.id());
         return None;
     }
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -9,6 +9,7 @@
     PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
 };
 use crate::platform::{AnswerKind, CallPart, PrefillResult, decode_body, read_answer};
+use crate::retries::SendKind;
 use crate::stream_origins::RunVersion;
 use crate::{Error, Result};
 use http::StatusCode;
@@ -71,7 +72,7 @@
             continue;
         };
         // The first read is not a retry; each further one counts as a retry.
-        if reads > 0 && !context.host.take_retries(context.service, 1).await {
+        if reads > 0 && !context.take_sends(&[SendKind::Read]).await {
             break;
         }
         reads += 1;
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -14,6 +14,7 @@
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::platform::DecodePart;
 use crate::quarantine::CRASH_RETENTION;
+use crate::retries::SendKind;
 use crate::routes::EngineSpec;
 use crate::streams::ServerSentEvent;
 use http::{HeaderMap, StatusCode};
@@ -103,7 +104,7 @@
     context.route.is_retryable()
         && runs.sent < context.route.max_servers
         && !context.time_left().is_zero()
-        && context.host.take_retries(context.service, 2).await
+        && context.take_sends(&[SendKind::Read, SendKind::Run]).await
 }
 
 /// Refuses a request that did not run, with a constant retry delay for its caller.
@@ -242,7 +243,7 @@
     let rejected = || OpenFailure::Rejected(server.clone());
     let late = context.age() > context.route.objective.mul_f64(SECOND_TRY_FRACTION);
     let restarted = context.host.has_restarted(server);
-    if late || restarted || !context.host.take_retries(context.service, 1).await {
+    if late || restarted || !context.take_sends(&[SendKind::Run]).await {
         return Err(rejected());
     }
     let tokens = hold_tokens(context, engine, after);
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -6,6 +6,7 @@
 use crate::engines::{AnswerProof, PooledBody, SendLimits};
 use crate::fleet::ServerEntry;
 use crate::platform::{CallPart, REQUEST_ID, read_limit};
+use crate::retries::SendKind;
 use crate::{Error, Result};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -31,7 +32,7 @@
 }
 
 impl CallPurpose {
-    const fn name(self) -> &'static str {
+    pub const fn name(self) -> &'static str {
         match self {
             Self::Read => "read",
             Self::Run => "run",
@@ -41,6 +42,15 @@
         }
     }
 
+    /// What a server is asked to do for a caller's request; `None` for the router's own calls.
+    pub const fn send_kind(self) -> Option<SendKind> {
+        match self {
+            Self::Read => Some(SendKind::Read),
+            Self::Run | Self::Plain => Some(SendKind::Run),
+            Self::Control | Self::Order => None,
+        }
+    }
+
     /// How an answer is matched to its call. Callers' requests are distinguished by their ids; answers to the router's
     /// own calls carry none. The answer to an order is only a status, and that of another call would be accepted.
     const fn proof(self) -> AnswerProof {
@@ -71,10 +81,12 @@
     context.record_sent(sent_at);
     // A request that is abandoned while it is sent may have arrived all the same.
     permit.mark_used();
+    context.spend_send(purpose, &server.id);
     let response =
         send_call(host, server, purpose, request, limits).await.inspect_err(|error| {
             if matches!(error, Error::NotSent(_)) {
                 permit.mark_unused();
+                context.return_send(purpose);
             }
         })?;
     host.apply_stated_limit(server, sent_at, &read_limit(response.headers()));
--- a/src/retries/mod.rs
+++ b/src/retries/mod.rs
@@ -10,7 +10,9 @@
 mod retry_messages;
 mod retry_pools;
 mod retry_window;
+mod send_credit;
 
 pub use retry_messages::{RetryReply, RetryRequest};
 pub use retry_pools::{RetryPools, RetryShare};
 pub use retry_window::{RetryBounds, RetryWindow};
+pub use send_credit::{SendCredit, SendKind};
