--- a/tests/shared_repeats.rs
+++ b/tests/shared_repeats.rs
@@ -1,12 +1,13 @@
 //! Retries through real daemons: a host whose own share of the retry budget is less than one retry takes retries from
 //! the pool of its failure domain.
 
+use rstest::rstest;
 use std::time::Duration;
-use tealcleat::bench::site::{ServiceFault, SitePlan, TestSite};
+use tealcleat::bench::site::{EngineFault, ServiceFault, SitePlan, TestSite};
 
 mod site_common;
 
-use site_common::{call, call_first_host, runtime};
+use site_common::{call, call_first_host, engine_runs, runtime};
 
 /// A host's even share of it is an eighth of a retry, or less.
 const SLACK: f64 = 5.0;
@@ -60,3 +61,76 @@
         }
     });
 }
+
+/// How the servers that are left treat a stream that lost its run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ResumeFault {
+    /// Prefill servers read its prompt, and their answers are lost.
+    ReadsLost,
+    /// Decode servers turn its runs away.
+    RunsRejected,
+}
+
+/// How often a request reached an engine, beyond its first run and the first time that its prompt was read.
+fn repeats_of(site: &TestSite, id: &str) -> u64 {
+    let rejected: u64 = site.decodes.iter().map(|engine| engine.rejected_count()).sum();
+    let runs = engine_runs(site, id);
+    let reads = runs.iter().filter(|run| run.stage == "prefill").count() as u64;
+    let decodes = runs.len() as u64 - reads + rejected;
+    reads.saturating_sub(1) + decodes.saturating_sub(1)
+}
+
+/// Guards against repeats that no budget covers: a stream that lost its run was opened again each 60 ms while its
+/// openings were refused, and only the first of them was taken from the budget. Each one read its prompt again or
+/// was sent to servers that turned it away.
+#[rstest]
+#[case::reads_lost(ResumeFault::ReadsLost)]
+#[case::runs_rejected(ResumeFault::RunsRejected)]
+fn resumed_stream_within_the_budget(#[case] fault: ResumeFault) {
+    /// Of which a host's even share is one resumption: a read and a run.
+    const STREAM_SLACK: f64 = 80.0;
+    runtime().block_on(async {
+        let plan = SitePlan { prefills: 6, decodes: 7, ..SitePlan::default() };
+        let site = TestSite::start(plan).await.expect("a site");
+        {
+            let mut state = site.hosts[0].host.state();
+            state.bounds.retries.ratio = 0.0;
+            state.bounds.retries.slack = STREAM_SLACK;
+            state.bounds.retries.window = Duration::from_secs(60);
+        }
+        for engine in &site.decodes {
+            // The stream is older than the time in which its decode server reads a prompt itself.
+            engine.set_event_interval(Duration::from_millis(450));
+        }
+        let stream = call("POST", "resume", "resumed");
+        let answer = call_first_host(&site, &stream);
+        let lose = async {
+            let run_at = loop {
+                let engine = site.decodes.iter().position(|engine| !engine.runs().is_empty());
+                if let Some(engine) = engine {
+                    break engine;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            };
+            for (index, engine) in site.decodes.iter().enumerate() {
+                let others = match fault {
+                    ResumeFault::ReadsLost => EngineFault::None,
+                    ResumeFault::RunsRejected => EngineFault::Changing,
+                };
+                engine.set_fault(if index == run_at { EngineFault::CutAfter(3) } else { others });
+            }
+            if fault == ResumeFault::ReadsLost {
+                for engine in &site.prefills {
+                    engine.set_fault(EngineFault::LoseReads);
+                }
+            }
+        };
+        tokio::join!(answer, lose);
+        let repeats = repeats_of(&site, "resumed");
+        let metrics = site.hosts[0].host.metrics();
+        let taken = metrics.counter("repeats_own") + metrics.counter("repeats_pooled");
+        assert!(taken > 0, "the stream was not resumed");
+        assert!(repeats <= taken, "{repeats} repeats, {taken} taken from the budget");
+        assert_eq!(metrics.counter("sends_uncounted"), 0);
+    });
+}
