Retries: every send to a server is covered before it is made, whatever loop it stands in

Cause: retries were paid for where the code decides to repeat, not where it sends. resume_run opens a lost stream again each 60 ms for up to 1.5 s while it is refused, but only the first opening was paid for; an opening that is refused after its prompt was read, or by the server that was to run it, has reached servers. Change: a request has a credit of one read and one run; opening a run, reading a prompt at a further server, a second try and a plain attempt each make sure that the credit covers them, and take what is missing from the budget or end as not run (retry_budget). Ruled out by reading: other senders (send_request has three callers, all covered).

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -23,6 +23,8 @@
     NoServerOfVersion,
     /// Its deadline passed before it was sent.
     OutOfTime,
+    /// It has reached servers that did not run it, and the retry budget allows no further send.
+    RetryBudget,
     /// The configuration is too old to tell whether its caller's key is still valid.
     ConfigTooOld,
     /// The configuration is too old to tell whether its route exists.
@@ -48,6 +50,7 @@
             Self::PromptNotRead => "prompt_not_read",
             Self::Rejected => "turned_away",
             Self::OutOfTime => "out_of_time",
+            Self::RetryBudget => "retry_budget",
             Self::ConfigTooOld => "config_too_old",
             Self::RouteUnknown => "route_unknown",
             Self::LimitUnknown => "limit_unknown",
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -115,8 +115,7 @@
     let untried = ranked.into_iter().filter(|server| !record.tried.contains(&server.key()));
     let untried: Vec<ServerEntry> = untried.collect();
     let (server, permit, place) = first_permitted(context, record, untried).await?;
-    let is_retry = record.sent > 0;
-    if is_retry && !context.take_sends(&[SendKind::Run]).await {
+    if !context.cover_sends(&[SendKind::Run]).await {
         log::info!("event=repeat_denied request={} cause=retry_bounds", context.id());
         return None;
     }
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -71,8 +71,8 @@
         let Some(permit) = context.permit(server).await else {
             continue;
         };
-        // The first read is not a retry; each further one counts as a retry.
-        if reads > 0 && !context.take_sends(&[SendKind::Read]).await {
+        // The request's first read is not a retry; each further one counts as a retry.
+        if !context.cover_sends(&[SendKind::Read]).await {
             break;
         }
         reads += 1;
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -35,6 +35,9 @@
 /// objective has passed.
 const SECOND_TRY_FRACTION: f64 = 0.8;
 
+/// What opening a run sends to servers.
+const OPENING: [SendKind; 2] = [SendKind::Read, SendKind::Run];
+
 /// A run whose first event has arrived.
 #[derive(Debug)]
 pub(super) struct OpenRun {
@@ -104,7 +107,7 @@
     context.route.is_retryable()
         && runs.sent < context.route.max_servers
         && !context.time_left().is_zero()
-        && context.take_sends(&[SendKind::Read, SendKind::Run]).await
+        && context.cover_sends(&OPENING).await
 }
 
 /// Refuses a request that did not run, with a constant retry delay for its caller.
@@ -140,6 +143,7 @@
         NotRunReason::PromptNotRead
         | NotRunReason::Rejected
         | NotRunReason::OutOfTime
+        | NotRunReason::RetryBudget
         | NotRunReason::ServersAtLimit
         | NotRunReason::NoPlace => jittered(REJECTED_PAUSE),
     }
@@ -167,6 +171,10 @@
     if runs.sent == 0 {
         context.count_served_return();
     }
+    // An earlier opening may have been refused after it had reached servers.
+    if !context.cover_sends(&OPENING).await {
+        return Err(OpenFailure::NotRun(NotRunReason::RetryBudget));
+    }
     let held_at = context.host.now();
     let mut prompt = match read_prompt(context, &reservation.hold.server).await {
         PromptEnd::Read(resource) => Some(resource),
@@ -243,7 +251,7 @@
     let rejected = || OpenFailure::Rejected(server.clone());
     let late = context.age() > context.route.objective.mul_f64(SECOND_TRY_FRACTION);
     let restarted = context.host.has_restarted(server);
-    if late || restarted || !context.take_sends(&[SendKind::Run]).await {
+    if late || restarted || !context.cover_sends(&[SendKind::Run]).await {
         return Err(rejected());
     }
     let tokens = hold_tokens(context, engine, after);
--- a/src/gateway/send_budget.rs
+++ b/src/gateway/send_budget.rs
@@ -6,14 +6,23 @@
 use crate::retries::SendKind;
 
 impl CallContext {
-    /// Takes a retry for each of `kinds`, all or none of them, if the retry budget allows it.
-    pub async fn take_sends(&self, kinds: &[SendKind]) -> bool {
-        let count = u32::try_from(kinds.len()).unwrap_or(u32::MAX);
+    /// Makes sure that the request may be sent once for each of `kinds`. What earlier sends have used up is taken from the
+    /// retry budget, all of it or nothing.
+    ///
+    /// Everything that leads to a send asks this first, so that no loop around it can send without being counted.
+    pub async fn cover_sends(&self, kinds: &[SendKind]) -> bool {
+        let credit = *lock(&self.credit);
+        let missing: Vec<SendKind> =
+            kinds.iter().copied().filter(|kind| !credit.covers(*kind)).collect();
+        if missing.is_empty() {
+            return true;
+        }
+        let count = u32::try_from(missing.len()).unwrap_or(u32::MAX);
         if !self.host.take_retries(self.service, count).await {
             return false;
         }
-        for kind in kinds {
-            lock(&self.credit).add(*kind);
+        for kind in missing {
+            lock(&self.credit).add(kind);
         }
         true
     }
