Sight: crashes name the shared parts of the prompts on which a run had not written yet

X-Prompt-Prefix is decoded (shared_parts: all but the last part), and server_crashed logs unwritten_parts: those of a run that had written fewer than two events. No decision changes. Tests that build a ConnectionLoss state that it names no parts.

--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -4,9 +4,10 @@
 use super::gateway_host::GatewayHost;
 use crate::Error;
 use crate::fleet::ServerEntry;
-use crate::keys::{RequestKey, ServerKey, TimePoint};
+use crate::keys::{PartKey, RequestKey, ServerKey};
 use crate::quarantine::{ConnectionLoss, CrashEvidence, RequestVerdict, SETTLE_TIME};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Delay before a server that dropped a connection is probed: a process that exits closes its sockets one after the
@@ -18,6 +19,9 @@
 /// The shortest wait for the updates that settle the verdict on a request.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 
+/// Events from which on a run has begun to write beyond doubt: a server may crash as the first one leaves it.
+const EVENTS_TO_CLEAR: u64 = 2;
+
 /// Decision on a received request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RequestAdmission {
@@ -34,10 +38,27 @@
     /// may have crashed because of this request.
     pub fn record_failure(&self, server: &ServerEntry, error: &Error) {
         if error.is_break_off() {
-            self.host.record_break_off(server, self.contents, self.sent_at());
+            let loss = ConnectionLoss {
+                request: self.contents,
+                sent_at: self.sent_at(),
+                lost_at: self.host.now(),
+                unwritten_parts: self.unwritten_parts(),
+            };
+            self.host.record_break_off(server, loss);
         }
     }
 
+    /// Records that its present run wrote an event.
+    pub fn record_written_event(&self) {
+        self.written_events.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The shared parts of its prompt, if its present run has not written on them.
+    fn unwritten_parts(&self) -> Arc<[PartKey]> {
+        let has_written = self.written_events.load(Ordering::Relaxed) >= EVENTS_TO_CLEAR;
+        if has_written { Arc::default() } else { Arc::clone(&self.head.shared_parts) }
+    }
+
     /// Records that a server answered this request completely.
     pub fn record_success(&self) {
         let now = self.host.now();
@@ -105,14 +126,8 @@
         RequestAdmission::HeldBack(evidence)
     }
 
-    fn record_break_off(
-        self: &Arc<Self>,
-        server: &ServerEntry,
-        request: RequestKey,
-        sent_at: TimePoint,
-    ) {
+    fn record_break_off(self: &Arc<Self>, server: &ServerEntry, loss: ConnectionLoss) {
         let key = server.key();
-        let loss = ConnectionLoss { request, sent_at, lost_at: self.now() };
         let is_first = {
             let mut state = self.state();
             if state.crashes.has_crashed(key) {
@@ -179,13 +194,20 @@
             let ran_ms = loss.lost_at.since(loss.sent_at).as_millis();
             log::info!(
                 "event=server_crashed server={id} life={life:016x} contents={request} sign={sign} \
-                 ran_ms={ran_ms} {evidence} held_back={}",
+                 ran_ms={ran_ms} unwritten_parts={} {evidence} held_back={}",
+                list_parts(&loss.unwritten_parts),
                 evidence.is_enough()
             );
         }
     }
 }
 
+/// Lists parts for a log line.
+fn list_parts(parts: &[PartKey]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{:016x}", part.0)).collect();
+    if names.is_empty() { "none".to_owned() } else { names.join(",") }
+}
+
 fn log_wait(id: &str, request: RequestKey, wait: Duration) {
     let wait_ms = wait.as_millis();
     log::info!("event=crash_news_awaited request={id} contents={request} wait_ms={wait_ms}");
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -182,6 +182,7 @@
                 return RunEnd::ServerLost;
             }
         };
+        context.record_written_event();
         load.grow(engine.tokens_per_event);
         if let Some(end) = relay_event(context, event, events, record).await {
             return end;
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -12,7 +12,7 @@
 pub use host_clock::HostClock;
 pub use incarnation_id::IncarnationId;
 pub use keyed_hash::{KeyedHash, keyed_hash};
-pub use name_key::{IdKey, NameKey, OrgKey, ServerKey, VersionKey};
+pub use name_key::{IdKey, NameKey, OrgKey, PartKey, ServerKey, VersionKey};
 pub use request_key::{RequestContents, RequestHasher, RequestKey};
 pub use time_point::TimePoint;
 
--- a/src/keys/name_key.rs
+++ b/src/keys/name_key.rs
@@ -19,6 +19,9 @@
 /// Key of a version of the software of a service's servers.
 pub type VersionKey = NameKey;
 
+/// Key of a part of a prompt. Requests whose prompts share the part have the same key, whatever else they contain.
+pub type PartKey = NameKey;
+
 impl NameKey {
     /// Computes the key of `name`.
     pub fn of(name: &str) -> Self {
--- a/src/platform/names.rs
+++ b/src/platform/names.rs
@@ -9,6 +9,8 @@
 pub const TOKEN_COUNT: &str = "x-token-count";
 /// The caller's estimate of the number of answer tokens.
 pub const LENGTH_HINT: &str = "length-hint";
+/// The parts of a prompt in order, each an id in hexadecimal, a colon and its number of tokens, separated by commas.
+pub const PROMPT_PARTS: &str = "x-prompt-prefix";
 /// Number of the last event that the caller or a previous run received.
 pub const LAST_EVENT: &str = "last-event-id";
 /// Id of the caller's attempt that received the first event of the stream that the request continues.
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -2,6 +2,7 @@
 
 use super::names;
 use crate::fleet::ServerEntry;
+use crate::keys::PartKey;
 use crate::organisations::{KeyDigest, KeyHasher, Organisation};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
@@ -9,6 +10,7 @@
 use http_body_util::Full;
 use hyper::{Request, Response};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Size of a generation, as stated by its caller.
@@ -41,6 +43,8 @@
     pub deadline: Option<Duration>,
     /// Size of the generation; zero for other requests.
     pub tokens: TokenCounts,
+    /// The parts of its prompt that other requests may share: all but the last one, in order.
+    pub shared_parts: Arc<[PartKey]>,
     /// Number of the last event that the caller has received.
     pub last_event: Option<u64>,
     /// Id of the caller's attempt that received the first event of the stream that this request continues.
@@ -97,6 +101,7 @@
                 .filter(|value| value.is_finite() && *value >= 0.0)
                 .map(|value| Duration::from_secs_f64(value.min(MAX_DEADLINE_MS) / 1000.0)),
             tokens: read_tokens(text(names::TOKEN_COUNT), number(names::LENGTH_HINT)),
+            shared_parts: read_shared_parts(headers),
             last_event: text(names::LAST_EVENT).and_then(|value| value.trim().parse().ok()),
             first_attempt: read_first_attempt(headers),
             is_resumption: headers.contains_key(names::LAST_EVENT)
@@ -106,6 +111,20 @@
     }
 }
 
+/// Reads the parts of the prompt, but for the last one, which belongs to the request itself or to its session. Ids that
+/// differ only in the case of their digits name the same part; an element without an id is skipped.
+fn read_shared_parts(headers: &HeaderMap) -> Arc<[PartKey]> {
+    let lists = headers.get_all(names::PROMPT_PARTS).iter().filter_map(|list| list.to_str().ok());
+    let ids = lists.flat_map(|list| list.split(',')).map(|part| {
+        let id = part.split_once(':').map_or(part, |(id, _)| id);
+        id.trim().to_ascii_lowercase()
+    });
+    let mut parts: Vec<PartKey> =
+        ids.filter(|id| !id.is_empty()).map(|id| PartKey::of(&id)).collect();
+    parts.pop();
+    parts.into()
+}
+
 /// Reads the attempt that began the stream to continue. Several values name several streams, and so none.
 fn read_first_attempt(headers: &HeaderMap) -> Option<String> {
     let mut values = headers.get_all(names::RESUMES).iter();
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -5,6 +5,7 @@
 use super::{ConnectionLoss, CrashEvidence, RequestVerdict};
 use crate::keys::{RequestKey, ServerKey, TimePoint};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How long a crash is kept after it happened, or after a caller last sent one of its requests again while that request
@@ -54,7 +55,9 @@
     /// Records that a server crashed at `now` while it processed a request whose run time is unknown. Returns true if
     /// this is new evidence against the request.
     pub fn record_crash(&mut self, now: TimePoint, server: ServerKey, request: RequestKey) -> bool {
-        self.record_loss(now, server, &ConnectionLoss { request, sent_at: now, lost_at: now })
+        let unwritten_parts = Arc::default();
+        let loss = ConnectionLoss { request, sent_at: now, lost_at: now, unwritten_parts };
+        self.record_loss(now, server, &loss)
     }
 
     /// Records that a server had crashed when it broke off the connection of a request. Returns true if this is new
@@ -65,7 +68,7 @@
         server: ServerKey,
         loss: &ConnectionLoss,
     ) -> bool {
-        let ConnectionLoss { request, sent_at, lost_at } = *loss;
+        let ConnectionLoss { request, sent_at, lost_at, .. } = *loss;
         let run = InterruptedRun { request, started_at: sent_at };
         let change = self.add(now, lost_at, now, server, run);
         if change != RunChange::Unchanged {
--- a/src/quarantine/unconfirmed_crashes.rs
+++ b/src/quarantine/unconfirmed_crashes.rs
@@ -1,5 +1,6 @@
-use crate::keys::{RequestKey, ServerKey, TimePoint};
+use crate::keys::{PartKey, RequestKey, ServerKey, TimePoint};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How long a crash may remain unconfirmed after a connection loss. Even if the server seemed reachable, its entry
@@ -11,7 +12,7 @@
 const MAX_REQUESTS: usize = 64;
 
 /// A request whose connection a server broke off.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConnectionLoss {
     /// The request.
     pub request: RequestKey,
@@ -19,6 +20,8 @@
     pub sent_at: TimePoint,
     /// When its connection was lost.
     pub lost_at: TimePoint,
+    /// The shared parts of its prompt that the server may have crashed on: none if it had written on them before.
+    pub unwritten_parts: Arc<[PartKey]>,
 }
 
 #[derive(Debug, Clone)]
@@ -93,7 +96,10 @@
     fn add(&mut self, loss: ConnectionLoss) {
         let has_room = self.losses.len() < MAX_REQUESTS;
         match self.losses.iter_mut().find(|known| known.request == loss.request) {
-            Some(known) => known.sent_at = known.sent_at.min(loss.sent_at),
+            Some(known) => {
+                known.sent_at = known.sent_at.min(loss.sent_at);
+                known.unwritten_parts = loss.unwritten_parts;
+            }
             None if has_room => self.losses.push(loss),
             None => {}
         }
--- a/tests/crash_crowds.rs
+++ b/tests/crash_crowds.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use std::collections::HashMap;
+use std::sync::Arc;
 use tealcleat::keys::{NameKey, RequestKey, ServerKey, TimePoint};
 use tealcleat::quarantine::{ConnectionLoss, CrashTracker, RequestVerdict, SETTLE_TIME};
 
@@ -244,7 +245,12 @@
         self.probes = rest;
         for PendingProbe { server_key, run, lost_ms, .. } in due {
             let Run { request, host, began_ms, .. } = run;
-            let loss = ConnectionLoss { request, sent_at: at(began_ms), lost_at: at(lost_ms) };
+            let loss = ConnectionLoss {
+                request,
+                sent_at: at(began_ms),
+                lost_at: at(lost_ms),
+                unwritten_parts: Arc::default(),
+            };
             self.trackers[host].record_loss(at(now_ms), server_key, &loss);
         }
     }
--- a/tests/crash_updates.rs
+++ b/tests/crash_updates.rs
@@ -2,6 +2,7 @@
 //! each host first knows only those requests in flight at them that it sent itself.
 
 use rstest::rstest;
+use std::sync::Arc;
 use std::time::Duration;
 use tealcleat::keys::{NameKey, RequestKey, ServerKey, TimePoint};
 use tealcleat::quarantine::{
@@ -23,7 +24,12 @@
 }
 
 fn run(request: RequestKey, began_ms: u64, broke_ms: u64) -> ConnectionLoss {
-    ConnectionLoss { request, sent_at: at(began_ms), lost_at: at(broke_ms) }
+    ConnectionLoss {
+        request,
+        sent_at: at(began_ms),
+        lost_at: at(broke_ms),
+        unwritten_parts: Arc::default(),
+    }
 }
 
 /// Lets the tracker take part in the exchange of updates up to `until`.
--- a/tests/unconfirmed_crashes.rs
+++ b/tests/unconfirmed_crashes.rs
@@ -1,5 +1,6 @@
 //! When servers that broke off connections count as crashed.
 
+use std::sync::Arc;
 use tealcleat::keys::{NameKey, RequestKey, ServerKey, TimePoint};
 use tealcleat::quarantine::{ConnectionLoss, UnconfirmedCrashes};
 
@@ -18,7 +19,12 @@
 }
 
 fn loss(millis: u64, request: RequestKey) -> ConnectionLoss {
-    ConnectionLoss { request, sent_at: at(millis), lost_at: at(millis) }
+    ConnectionLoss {
+        request,
+        sent_at: at(millis),
+        lost_at: at(millis),
+        unwritten_parts: Arc::default(),
+    }
 }
 
 /// Crashed servers, with the keys of the requests in flight.
