--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -6,7 +6,7 @@
 use super::site_arrivals::{LimitAnnouncement, SiteArrivals};
 use super::site_http::{
     BufferedRequest, ConnectionDropped, SiteAnswer, SiteHandler, crash_server, full_response,
-    header, is_crash_request, not_run_response, restart_site, serve_site, signed,
+    has_crash_part, header, is_crash_request, not_run_response, restart_site, serve_site, signed,
 };
 use super::site_run::SiteRun;
 use super::volatile_state::VolatileState;
@@ -261,6 +261,9 @@
         if is_crash_request(request) {
             return crash_server(&self.incarnations, id).await;
         }
+        if has_crash_part(request) {
+            return self.crash_writing(id, run_index).await;
+        }
         if self.fault() == EngineFault::FailRuns {
             return Ok(signed(full_response(500, "failed"), id, Some(&self.id)));
         }
@@ -276,6 +279,23 @@
     }
 }
 
+impl SiteEngine {
+    /// Crashes as the run at `run_index` begins to write: of two runs one after the head of its answer, before any event.
+    async fn crash_writing(self: &Arc<Self>, id: &str, run_index: usize) -> SiteAnswer {
+        if run_index.is_multiple_of(2) {
+            return crash_server(&self.incarnations, id).await;
+        }
+        let (events, received) = mpsc::channel(1);
+        let (engine, run) = (Arc::clone(self), id.to_owned());
+        tokio::spawn(async move {
+            let crashed = crash_server(&engine.incarnations, &run).await;
+            drop((crashed, events));
+        });
+        let stream = StreamBody::new(EventFeed(received)).boxed_unsync();
+        Ok(signed(hyper::Response::new(stream), id, Some(&self.id)))
+    }
+}
+
 impl SiteHandler for SiteEngine {
     fn incarnations(&self) -> Option<&IncarnationSwitch> {
         Some(&self.incarnations)
--- a/src/bench/site/site_http.rs
+++ b/src/bench/site/site_http.rs
@@ -33,6 +33,9 @@
 
 /// A request whose body begins with this crashes every stand-in server that runs it.
 const CRASH_PREFIX: &[u8] = b"crash";
+/// A part of a prompt whose id begins with this crashes every stand-in engine that begins to write on it, unless it is the
+/// last part.
+const CRASH_PART: &str = "bad";
 /// How long a server runs such a request before it crashes.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
@@ -41,6 +44,13 @@
     request.body().starts_with(CRASH_PREFIX)
 }
 
+/// Whether the prompt of a request has a part that crashes the engine that begins to write on it.
+pub(super) fn has_crash_part(request: &BufferedRequest) -> bool {
+    let list = header(request, "x-prompt-prefix").unwrap_or_default();
+    let shared = list.rsplit_once(',').map_or("", |(shared, _)| shared);
+    shared.split(',').any(|part| part.trim().starts_with(CRASH_PART))
+}
+
 /// Runs a crash request: all connections of the server break, including that of the request.
 pub(super) async fn crash_server(incarnations: &IncarnationSwitch, id: &str) -> SiteAnswer {
     tokio::time::sleep(CRASH_DELAY).await;
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -9,14 +9,16 @@
 use rstest::rstest;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
-use tealcleat::bench::site::{RestartAddress, SiteCall, SitePlan, TestSite, call_site};
+use tealcleat::bench::site::{SiteCall, SitePlan, TestSite, call_site};
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
 use tealcleat::quarantine::CRASH_RETENTION;
 use tealcleat::settings::LoadFeatures;
 
+mod crash_common;
 mod machine_common;
 mod site_common;
 
+use crash_common::{callers, is_down, with_restarts};
 use machine_common::{daemon, test_folder};
 use site_common::{call, runtime};
 
@@ -44,26 +46,6 @@
     runs.filter(|id| id.starts_with("crash")).count()
 }
 
-/// Runs `calls` while servers that crash are restarted under their ids at other addresses.
-async fn with_restarts(site: &TestSite, calls: impl Future<Output = ()>) {
-    let servers = site.servers.iter().map(|server| keep_server_up(site, &server.id));
-    tokio::select! {
-        () = calls => {}
-        _ = futures_util::future::join_all(servers) => unreachable!("servers are kept up"),
-    }
-}
-
-async fn keep_server_up(site: &TestSite, id: &str) -> std::convert::Infallible {
-    loop {
-        site.crashed(id).await.expect("a server");
-        tokio::time::sleep(DOWN_TIME).await;
-        site.restart(id, RestartAddress::Other).await.expect("a restart");
-    }
-}
-
-/// How long a server is down after a crash.
-const DOWN_TIME: Duration = Duration::from_millis(400);
-
 /// Sends the request to the hosts round-robin until `count` servers have crashed.
 async fn crash_servers(site: &TestSite, route: &str, hosts: &[SocketAddr], count: usize) {
     let down = || site.servers.iter().filter(|server| is_down(site, &server.id)).count();
@@ -82,10 +64,6 @@
     }
 }
 
-fn is_down(site: &TestSite, id: &str) -> bool {
-    futures_util::FutureExt::now_or_never(site.crashed(id)).is_some()
-}
-
 /// Sends the request to the hosts round-robin, as a caller that does not give up.
 async fn send_retries(route: &str, hosts: &[SocketAddr]) {
     for serial in 0..RETRIES {
@@ -94,11 +72,6 @@
     }
 }
 
-/// The hosts' addresses for callers.
-fn callers(site: &TestSite) -> Vec<SocketAddr> {
-    site.hosts.iter().map(|host| host.callers).collect()
-}
-
 async fn crashing_site(hosts: usize) -> TestSite {
     let plan = SitePlan { prefills: 2, decodes: 4, services: 4, hosts };
     TestSite::start(plan).await.expect("a site")
