Quarantine: parts of prompts on which servers crash before they write are held back at all hosts

Cause: the quarantine knows a request by all its contents, so that each of these was at its first crash; nothing knew the parts of a prompt. Change: PartTracker keeps, for each crash, the shared parts on which runs had not begun to write (fewer than two events), without those on which a server wrote within 30 s. A part that explains three crashes one after the other, and more than any other part, is held back; as long as no run tells several apart, only prompts with all of them are. Crashes at the same time are one event for what they share. The leader tries held parts with one request 60 s after their last crash, then after twice the time over which they crashed servers. All ways to a server pass the check they passed before. RecentKeys (was ServedRequests) and ReceiptClock serve both trackers. Ruled out: hosts that know too late (there was nothing to know), crashes taken for lost connections (all are in the logs).

--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -288,8 +288,9 @@
         let (events, received) = mpsc::channel(1);
         let (engine, run) = (Arc::clone(self), id.to_owned());
         tokio::spawn(async move {
-            let crashed = crash_server(&engine.incarnations, &run).await;
-            drop((crashed, events));
+            drop(crash_server(&engine.incarnations, &run).await);
+            // The connection breaks; an end of the events would end the answer properly.
+            events.closed().await;
         });
         let stream = StreamBody::new(EventFeed(received)).boxed_unsync();
         Ok(signed(hyper::Response::new(stream), id, Some(&self.id)))
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -3,7 +3,7 @@
 use super::call_log::log_end;
 use super::caller_auth::authorize_caller;
 use super::caller_body::CallerAnswer;
-use super::crash_watch::RequestAdmission;
+use super::crash_watch::{QuarantineSubject, RequestAdmission};
 use super::engine_call::serve_engine;
 use super::gateway_host::{GatewayHost, StopPhase};
 use super::in_flight_guard::InFlightGuard;
@@ -99,7 +99,12 @@
         caller: organisation.map(Organisation::key),
         body: &body,
     });
-    let admission = host.admit(&head.request_id, contents, time_limit).await;
+    let subject = QuarantineSubject {
+        id: &head.request_id,
+        request: contents,
+        shared_parts: &head.shared_parts,
+    };
+    let admission = host.admit(subject, time_limit).await;
     log_admission(&head.request_id, contents, &admission);
     if matches!(admission, RequestAdmission::HeldBack(_)) {
         return Err(refuse(NotRunReason::HeldBack));
--- a/src/gateway/crash_store.rs
+++ b/src/gateway/crash_store.rs
@@ -6,10 +6,9 @@
 use super::gateway_host::GatewayHost;
 use crate::membership::MemberUpdate;
 use crate::platform::{
-    CRASHES_OBJECT, MAX_OBJECT_BYTES, StoreEvent, StoreObject, WatchAnswer, WatchLimits,
+    CRASHES_OBJECT, CrashCopy, MAX_OBJECT_BYTES, StoreEvent, StoreObject, WatchAnswer, WatchLimits,
     WriteOutcome, decode_crashes, encode_crashes,
 };
-use crate::quarantine::CrashReport;
 use crate::{Error, Result};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -72,7 +71,11 @@
     loop {
         tokio::time::sleep(WRITE_PERIOD).await;
         // The election takes place only if there is something to write.
-        let is_due = host.state().crashes.is_unsaved() && host.is_domain_watcher();
+        let is_unsaved = {
+            let state = host.state();
+            state.crashes.is_unsaved() || state.part_crashes.is_unsaved()
+        };
+        let is_due = is_unsaved && host.is_domain_watcher();
         unsaved_for = if is_due { unsaved_for + WRITE_PERIOD } else { Duration::ZERO };
         if !is_due || unsaved_for < WRITE_STAGGER * host.write_position() {
             continue;
@@ -142,10 +145,11 @@
         }
         let (now, revision) = (self.now(), object.revision);
         match decode_crashes(&object.spec, SystemTime::now()) {
-            Ok(saved) => {
+            Ok(CrashCopy { crashes: saved, part_crashes }) => {
                 let mut state = self.state();
                 let before = state.crashes.len();
-                let lacks = state.crashes.merge_saved(now, &saved);
+                let lacks = state.crashes.merge_saved(now, &saved)
+                    | state.part_crashes.merge_saved(now, &part_crashes);
                 let known = state.crashes.len();
                 state.crashes_revision = state.crashes_revision.max(Some(revision));
                 drop(state);
@@ -168,21 +172,27 @@
 
     async fn save_crashes(&self) -> Result<()> {
         let (kind, name) = CRASHES_OBJECT;
-        let (expected, report) = {
+        let (expected, copy) = {
             let now = self.now();
             let state = self.state();
-            (state.crashes_revision, state.crashes.full_report(now))
+            let crashes = state.crashes.full_report(now).crashes;
+            let part_crashes = state.part_crashes.full_report(now).crashes;
+            (state.crashes_revision, CrashCopy { crashes, part_crashes })
         };
-        let CrashReport { crashes, .. } = report;
-        let spec = encode_crashes(&crashes, SystemTime::now());
+        let spec = encode_crashes(&copy, SystemTime::now());
         match self.store.write(kind, name, expected, &spec, CALL_TIMEOUT).await {
             WriteOutcome::Written(object) => {
                 let mut state = self.state();
                 state.crashes_revision = state.crashes_revision.max(Some(object.revision));
-                state.crashes.record_saved(&crashes);
+                state.crashes.record_saved(&copy.crashes);
+                state.part_crashes.record_saved(&copy.part_crashes);
                 drop(state);
-                let (count, revision) = (crashes.len(), object.revision);
-                log::info!("event=crashes_saved count={count} revision={revision}");
+                log::info!(
+                    "event=crashes_saved count={} with_parts={} revision={}",
+                    copy.crashes.len(),
+                    copy.part_crashes.len(),
+                    object.revision
+                );
                 Ok(())
             }
             // Another host wrote first: its crashes are merged, and the next check writes those that it lacked.
--- a/src/gateway/crash_updates.rs
+++ b/src/gateway/crash_updates.rs
@@ -2,7 +2,7 @@
 
 use super::gateway_host::GatewayHost;
 use super::peer_messages::GatewayDatagram;
-use crate::quarantine::CrashReport;
+use crate::quarantine::{CrashReport, PartReport};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,14 +29,35 @@
 impl GatewayHost {
     fn send_crash_updates(&self) {
         let now = self.now();
-        let report = self.state().crashes.unsent(now);
-        if report.is_empty() {
-            return;
+        let (report, part_report) = {
+            let mut state = self.state();
+            (state.crashes.unsent(now), state.part_crashes.unsent(now))
+        };
+        if !report.is_empty() {
+            self.send_to_some(&GatewayDatagram::Crashes(report));
         }
+        if !part_report.is_empty() {
+            self.send_to_some(&GatewayDatagram::PartCrashes(part_report));
+        }
+    }
+
+    fn send_to_some(&self, update: &GatewayDatagram) {
         let round = self.gossip_round.fetch_add(1, Ordering::Relaxed);
-        let update = GatewayDatagram::Crashes(report);
         for target in self.gossip_targets(round, LOCAL_TARGETS, REMOTE_TARGETS) {
-            self.send(target, &update);
+            self.send(target, update);
+        }
+    }
+
+    /// Merges crashes that another host reported, with the parts of the prompts that ran.
+    pub(super) fn apply_part_report(&self, report: &PartReport) {
+        let now = self.now();
+        let mut state = self.state();
+        let before = state.part_crashes.len();
+        state.part_crashes.merge(now, report);
+        let known = state.part_crashes.len();
+        drop(state);
+        if known != before {
+            log::info!("event=part_crashes_heard told={} known={known}", report.crashes.len());
         }
     }
 
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -6,6 +6,7 @@
 use crate::fleet::ServerEntry;
 use crate::keys::{PartKey, RequestKey, ServerKey};
 use crate::quarantine::{ConnectionLoss, CrashEvidence, RequestVerdict, SETTLE_TIME};
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,15 +23,41 @@
 /// Events from which on a run has begun to write beyond doubt: a server may crash as the first one leaves it.
 const EVENTS_TO_CLEAR: u64 = 2;
 
+/// What the quarantine knows a request by.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct QuarantineSubject<'a> {
+    /// The request's id, for logs.
+    pub id: &'a str,
+    /// Its contents.
+    pub request: RequestKey,
+    /// The shared parts of its prompt.
+    pub shared_parts: &'a [PartKey],
+}
+
+/// Why a request is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct HoldEvidence {
+    /// The evidence against its contents.
+    contents: CrashEvidence,
+    /// Number of crashes that parts of its prompt explain.
+    part_crashes: usize,
+}
+
+impl fmt::Display for HoldEvidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} part_crashes={}", self.contents, self.part_crashes)
+    }
+}
+
 /// Decision on a received request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RequestAdmission {
     /// The request is sent to a server.
     Admitted,
     /// The request was held back, and is sent to one server to check whether it still crashes servers.
-    Trial(CrashEvidence),
+    Trial(HoldEvidence),
     /// The request is refused.
-    HeldBack(CrashEvidence),
+    HeldBack(HoldEvidence),
 }
 
 impl CallContext {
@@ -50,7 +77,23 @@
 
     /// Records that its present run wrote an event.
     pub fn record_written_event(&self) {
-        self.written_events.fetch_add(1, Ordering::Relaxed);
+        let written = self.written_events.fetch_add(1, Ordering::Relaxed) + 1;
+        if written == EVENTS_TO_CLEAR {
+            self.record_written();
+        }
+    }
+
+    /// Records that its present run ended as a whole. An answer without events shows nothing.
+    pub fn record_whole_run(&self) {
+        if self.written_events.load(Ordering::Relaxed) > 0 {
+            self.record_written();
+        }
+    }
+
+    /// Records that its present run has written on the parts of its prompt.
+    fn record_written(&self) {
+        let now = self.host.now();
+        self.host.state().part_crashes.record_written(now, &self.head.shared_parts);
     }
 
     /// The shared parts of its prompt, if its present run has not written on them.
@@ -70,27 +113,34 @@
     /// until the verdict is settled.
     pub async fn is_held_back(&self, sent: u32) -> bool {
         let is_allowed = self.is_trial && sent == 0;
-        !is_allowed && self.host.resolve_hold(self.id(), self.contents, self.time_left()).await
+        !is_allowed && self.host.resolve_hold(self.subject(), self.time_left()).await
     }
 
     /// The same check without waiting for the verdict to settle, where a wait would cost the request what servers
     /// reserve for it, or delay its final answer.
     pub fn is_known_held_back(&self, sent: u32) -> bool {
         let is_allowed = self.is_trial && sent == 0;
-        let verdict = self.host.state().crashes.verdict(self.contents);
+        let parts = &self.head.shared_parts;
+        let verdict = self.host.state().quarantine_verdict(self.contents, parts);
         !is_allowed && verdict == RequestVerdict::Held
     }
+
+    fn subject(&self) -> QuarantineSubject<'_> {
+        let (id, request) = (self.id(), self.contents);
+        QuarantineSubject { id, request, shared_parts: &self.head.shared_parts }
+    }
 }
 
 impl GatewayHost {
     /// Whether a request is held back. A request that seems to crash servers waits until it is known which other
     /// requests were in flight there. If that takes longer than its `time_left`, or servers keep
     /// crashing meanwhile, the request is sent.
-    async fn resolve_hold(&self, id: &str, request: RequestKey, time_left: Duration) -> bool {
+    async fn resolve_hold(&self, subject: QuarantineSubject<'_>, time_left: Duration) -> bool {
+        let QuarantineSubject { id, request, shared_parts } = subject;
         let max_wait = time_left.min(SETTLE_TIME);
         let (began, mut waited) = (self.now(), Duration::ZERO);
         loop {
-            let verdict = self.state().crashes.verdict(request);
+            let verdict = self.state().quarantine_verdict(request, shared_parts);
             match verdict {
                 RequestVerdict::Held => return true,
                 RequestVerdict::Unsettled { wait } if waited < max_wait => {
@@ -108,18 +158,28 @@
     /// Decides whether a received request is sent to a server.
     pub(super) async fn admit(
         &self,
-        id: &str,
-        request: RequestKey,
+        subject: QuarantineSubject<'_>,
         time_left: Duration,
     ) -> RequestAdmission {
-        if !self.resolve_hold(id, request, time_left).await {
+        let QuarantineSubject { request, shared_parts, .. } = subject;
+        if !self.resolve_hold(subject, time_left).await {
             return RequestAdmission::Admitted;
         }
         let now = self.now();
         let is_leader = self.is_elected_leader();
         let mut state = self.state();
-        let evidence = state.crashes.evidence(request);
-        if is_leader && state.crashes.take_trial(now, request) {
+        let evidence = HoldEvidence {
+            contents: state.crashes.evidence(request),
+            part_crashes: state.part_crashes.explained_crashes(shared_parts),
+        };
+        let is_held_by_parts = state.part_crashes.verdict(shared_parts) != RequestVerdict::Free;
+        let is_tried = is_leader
+            && if is_held_by_parts {
+                state.part_crashes.take_trial(now, shared_parts)
+            } else {
+                state.crashes.take_trial(now, request)
+            };
+        if is_tried {
             return RequestAdmission::Trial(evidence);
         }
         state.crashes.record_return(now, request);
@@ -183,7 +243,8 @@
         for loss in losses {
             let (is_new, evidence) = {
                 let mut state = self.state();
-                let is_new = state.crashes.record_loss(now, server, loss);
+                let is_new = state.crashes.record_loss(now, server, loss)
+                    | state.part_crashes.record_loss(now, server, loss);
                 (is_new, state.crashes.evidence(loss.request))
             };
             if !is_new {
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -175,6 +175,7 @@
             Ok(Some(event)) => event,
             Ok(None) => {
                 context.record_success();
+                context.record_whole_run();
                 return RunEnd::Stream(StreamEnd::Whole);
             }
             Err(error) => {
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -13,7 +13,7 @@
 use crate::peers::{PeerClient, ViewFetches};
 use crate::placement::{DomainBreakers, GrantHistory, LoadTable, ServerEvent};
 use crate::platform::StoreClient;
-use crate::quarantine::{CrashTracker, UnconfirmedCrashes};
+use crate::quarantine::{CrashTracker, PartTracker, UnconfirmedCrashes};
 use crate::retries::{RetryPools, RetryReply};
 use crate::return_times::ReturnCalendar;
 use crate::routes::RouteTable;
@@ -135,6 +135,7 @@
             stage_changes: StageChanges::default(),
             unconfirmed_crashes: UnconfirmedCrashes::default(),
             crashes: CrashTracker::default(),
+            part_crashes: PartTracker::default(),
             crashes_revision: None,
             send_control: SendControl::default(),
             store_answered_at: TimePoint::default(),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,7 +1,7 @@
 use super::unreadable_objects::UnreadableObjects;
 use crate::admission::AdmissionControl;
 use crate::fleet::{FleetView, RefusedHosts, StageChanges, ViewFreshness};
-use crate::keys::{IncarnationId, NameKey, ServerKey, TimePoint, mix_hash};
+use crate::keys::{IncarnationId, NameKey, PartKey, RequestKey, ServerKey, TimePoint, mix_hash};
 use crate::limits::{LimitLedger, LimitMeter, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate, ViewMark};
 use crate::memory_forecast::{OutputForecast, PaceTable};
@@ -9,7 +9,7 @@
 use crate::placement::{
     DomainBreakers, GrantHistory, LoadTable, ServerHealth, WorkMeter, WorkSums,
 };
-use crate::quarantine::{CrashTracker, UnconfirmedCrashes};
+use crate::quarantine::{CrashTracker, PartTracker, RequestVerdict, UnconfirmedCrashes};
 use crate::retries::{RetryPools, RetryWindow};
 use crate::return_times::ReturnCalendar;
 use crate::routes::{RouteTable, ServiceKey};
@@ -68,6 +68,8 @@
     pub unconfirmed_crashes: UnconfirmedCrashes,
     /// Servers that crashed, and the requests in flight at the time.
     pub crashes: CrashTracker,
+    /// The parts of prompts on which servers crashed before they had written.
+    pub part_crashes: PartTracker,
     /// Revision of the store's copy of the crashes; `None` if the store has no copy.
     pub crashes_revision: Option<u64>,
     /// Requests that this host sends and grants under the limits that backend servers announced.
@@ -170,12 +172,28 @@
         }
     }
 
+    /// Decides whether a request is held back, by its contents and by the shared parts of its prompt.
+    pub(super) fn quarantine_verdict(
+        &self,
+        request: RequestKey,
+        shared_parts: &[PartKey],
+    ) -> RequestVerdict {
+        match (self.crashes.verdict(request), self.part_crashes.verdict(shared_parts)) {
+            (RequestVerdict::Held, _) | (_, RequestVerdict::Held) => RequestVerdict::Held,
+            (RequestVerdict::Free, other) | (other, RequestVerdict::Free) => other,
+            (RequestVerdict::Unsettled { wait }, RequestVerdict::Unsettled { wait: other }) => {
+                RequestVerdict::Unsettled { wait: wait.min(other) }
+            }
+        }
+    }
+
     /// Drops entries that nobody has renewed.
     pub fn expire(&mut self, now: TimePoint) {
         self.server_loads.expire(now);
         self.grants.retain(|server| self.fleet.entry(server).is_some());
         self.stage_changes.expire(now);
         self.crashes.expire(now);
+        self.part_crashes.expire(now);
         self.send_control.expire(now, |server| self.fleet.entry(server).is_some());
         self.paces.retain(|server| self.fleet.entry(server).is_some());
         self.refused_hosts.expire(now);
--- a/src/gateway/health_reports.rs
+++ b/src/gateway/health_reports.rs
@@ -42,7 +42,9 @@
             let mut state = self.state();
             // The quarantine holds back requests that crash servers, and the crash says nothing about the server.
             let is_failure = matches!(event, ServerEvent::BrokeOff | ServerEvent::Unresponsive);
-            let is_quarantined = is_failure && state.crashes.was_crashed_by_request(server.key());
+            let is_quarantined = is_failure
+                && (state.crashes.was_crashed_by_request(server.key())
+                    || state.part_crashes.was_crashed_by_part(server.key()));
             if is_quarantined || state.fleet.has_restarted(server) {
                 return;
             }
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -87,6 +87,7 @@
             Ok(GatewayDatagram::OriginReply(reply)) => {
                 host.origin_replies.complete(reply.sequence, reply)
             }
+            Ok(GatewayDatagram::PartCrashes(report)) => host.apply_part_report(&report),
             Err(error) => {
                 log::warn!("event=datagram_refused peer={address} cause=\"{error}\"");
             }
@@ -137,9 +138,21 @@
     host.execute_actions(actions);
     host.apply_crash_report(&crashes);
     host.receive_server_limits(&limits);
+    sync_part_crashes(host, address).await;
     true
 }
 
+/// Exchanges crashes with the parts of prompts; a host of an older version does not know them.
+async fn sync_part_crashes(host: &Arc<GatewayHost>, address: SocketAddr) {
+    let report = host.state().part_crashes.full_report(host.now());
+    let request = GatewayRequest::PartCrashes(report);
+    if let Ok(GatewayReply::PartCrashes(report)) =
+        host.peers.call(address, &request, SYNC_TIMEOUT).await
+    {
+        host.apply_part_report(&report);
+    }
+}
+
 impl GatewayHost {
     /// Carries out the actions that the membership table requests.
     pub(super) fn execute_actions(self: &Arc<Self>, actions: Vec<TableAction>) {
@@ -203,6 +216,10 @@
                 self.execute_actions(actions);
                 GatewayReply::Members { members, crashes, limits }
             }
+            GatewayRequest::PartCrashes(report) => {
+                self.apply_part_report(&report);
+                GatewayReply::PartCrashes(self.state().part_crashes.full_report(self.now()))
+            }
             GatewayRequest::View { routes_version, known, fleet_revision, age } => {
                 let age = self.config_age_reply(age);
                 let now = self.now();
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -6,7 +6,7 @@
 use crate::memory_forecast::PaceUpdate;
 use crate::organisations::{AgeReply, AgeRequest};
 use crate::placement::{ServerLoad, WorkSums};
-use crate::quarantine::CrashReport;
+use crate::quarantine::{CrashReport, PartReport};
 use crate::retries::{RetryReply, RetryRequest};
 use crate::return_times::ReturnUpdate;
 use crate::routes::{RouteUpdate, ServiceKey, TableDigest};
@@ -67,6 +67,8 @@
     OriginRequest(OriginRequest),
     /// What the sender knows of the stream.
     OriginReply(OriginReply),
+    /// Servers that crashed before they had written, and the parts of the prompts that they ran.
+    PartCrashes(PartReport),
 }
 
 impl GatewayDatagram {
@@ -81,7 +83,7 @@
             | Self::LimitReply(_)
             | Self::LoanRequest(_)
             | Self::LoanReply(_) => ("limits_sent", "limits_sent_bytes"),
-            Self::Crashes(_) => ("crashes_sent", "crashes_sent_bytes"),
+            Self::Crashes(_) | Self::PartCrashes(_) => ("crashes_sent", "crashes_sent_bytes"),
             Self::ServerLimits(_)
             | Self::PermitRequest(..)
             | Self::PermitReply(_)
@@ -161,6 +163,8 @@
         /// Requests the age of the configuration in the reply.
         age: AgeRequest,
     },
+    /// Exchanges the known crashes with the parts of the prompts that ran.
+    PartCrashes(PartReport),
 }
 
 /// A reply between daemons on the platform.
@@ -184,4 +188,6 @@
         /// The age of the answering host's configuration, if known.
         age: Option<AgeReply>,
     },
+    /// Reply to such a request: the same data of the answering host.
+    PartCrashes(PartReport),
 }
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -127,7 +127,7 @@
                 }
                 self.announce_view(ViewSource::Peer);
             }
-            Ok(GatewayReply::Members { .. }) => {
+            Ok(GatewayReply::Members { .. } | GatewayReply::PartCrashes(_)) => {
                 log::warn!("event=peer_answer_unexpected peer={address}");
             }
             Err(error) => log::info!("event=view_not_fetched peer={address} cause=\"{error}\""),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,7 +23,7 @@
 pub use answer_pace::AnswerPace;
 pub use call_counts::CallKind;
 pub use config_wire::decode_config;
-pub use crash_wire::{CRASHES_OBJECT, decode_crashes, encode_crashes};
+pub use crash_wire::{CRASHES_OBJECT, CrashCopy, decode_crashes, encode_crashes};
 pub use engine_messages::{
     EngineReport, HoldGrant, PrefillResult, StageOrder, decode_body, decode_report,
     handle_drop_call, hold_call, hold_drop_call, report_call, stage_call,
--- a/src/quarantine/crash_exchange.rs
+++ b/src/quarantine/crash_exchange.rs
@@ -8,14 +8,14 @@
 use std::time::Duration;
 
 /// Maximum number of keys in one message between hosts: at up to 14 bytes each, they fit into one datagram.
-const MAX_MESSAGE_KEYS: usize = 96;
+pub(super) const MAX_MESSAGE_KEYS: usize = 96;
 /// Maximum number of crashes in a full report, which goes to the store or to a host that synchronizes its state. The
 /// most recent crashes are included.
 const MAX_REPORTED: usize = 256;
 /// A crash younger than this is sent again at intervals, for hosts that were cut off when it was first sent.
-const RESEND_WINDOW: Duration = Duration::from_secs(20);
+pub(super) const RESEND_WINDOW: Duration = Duration::from_secs(20);
 /// Interval at which such crashes are sent again.
-const RESEND_PERIOD: Duration = Duration::from_secs(1);
+pub(super) const RESEND_PERIOD: Duration = Duration::from_secs(1);
 
 impl CrashTracker {
     /// Merges the report of another host. Anything new in it is scheduled for sending to further hosts.
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -1,7 +1,9 @@
 use super::clearance_table::ClearanceTable;
 use super::crash_record::{CrashRecord, InterruptedRun, RunChange, UPDATE_SENDS};
 use super::crash_verdict::{CRASHES_TO_HOLD, CrashIndex};
-use super::served_requests::{SERVED_LIFETIME, ServedRequests};
+use super::receipt_clock::ReceiptClock;
+use super::receipt_clock::SETTLE_TIME;
+use super::recent_keys::RecentKeys;
 use super::{ConnectionLoss, CrashEvidence, RequestVerdict};
 use crate::keys::{RequestKey, ServerKey, TimePoint};
 use std::collections::HashMap;
@@ -17,27 +19,40 @@
 pub(super) const RETURN_PERIOD: Duration = Duration::from_secs(60);
 /// Maximum number of requests whose trial is remembered.
 const MAX_TRIALS: usize = 256;
-/// How long after it learns of a crash a host knows all requests that were in flight. Other hosts find out within 0.3 s
-/// that a server which broke off connections has crashed, and their updates reach all of 300 hosts within half a second
-/// more.
-pub const SETTLE_TIME: Duration = Duration::from_millis(800);
+/// A full answer up to this long before a crash clears a request just like one after the crash, because the same
+/// contents always have the same effect on a server.
+const SERVED_LIFETIME: Duration = Duration::from_secs(10);
 /// How long after its last crash a request that is held back on weak evidence is tried. By then the servers are back,
 /// and other requests that may have caused the crashes are known.
 pub const TRIAL_DELAY: Duration = Duration::from_secs(30);
 
 /// Crashes of servers, the requests in flight at each of them, and the requests that were answered in full.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct CrashTracker {
     pub(super) crashes: HashMap<ServerKey, CrashRecord>,
     /// Servers that crashed while each request was in flight.
     requests: HashMap<RequestKey, Vec<ServerKey>>,
-    served: ServedRequests,
+    /// Requests that were recently answered in full.
+    served: RecentKeys<RequestKey>,
     pub(super) clearances: ClearanceTable,
     /// Requests that were tried, and when.
     trials: HashMap<RequestKey, TimePoint>,
     pub(super) resent_at: TimePoint,
-    /// Until when this host has received updates. This does not advance while the host is suspended.
-    pub(super) received_until: TimePoint,
+    clock: ReceiptClock,
+}
+
+impl Default for CrashTracker {
+    fn default() -> Self {
+        Self {
+            crashes: HashMap::new(),
+            requests: HashMap::new(),
+            served: RecentKeys::new(SERVED_LIFETIME),
+            clearances: ClearanceTable::default(),
+            trials: HashMap::new(),
+            resent_at: TimePoint::default(),
+            clock: ReceiptClock::default(),
+        }
+    }
 }
 
 impl CrashTracker {
@@ -114,17 +129,12 @@
 
     /// How much longer updates about a crash may arrive.
     fn settle_wait(&self, record: &CrashRecord) -> Duration {
-        SETTLE_TIME.saturating_sub(self.received_until.since(record.learned_at))
+        self.clock.settle_wait(record.learned_at)
     }
 
-    /// Records that this host has received all updates until `now`. A gap of at least [`SETTLE_TIME`] means that the host
-    /// was suspended and still has to read the updates of that time. Crashes that were not settled before the gap then
-    /// wait for the whole settle time again.
+    /// Records that this host has received all updates until `now`.
     pub(super) fn record_received(&mut self, now: TimePoint) {
-        let last = std::mem::replace(&mut self.received_until, now);
-        if now.since(last) < SETTLE_TIME {
-            return;
-        }
+        let Some(last) = self.clock.advance(now) else { return };
         for record in self.crashes.values_mut() {
             if last.since(record.learned_at) < SETTLE_TIME {
                 record.learned_at = now;
--- a/tests/crash_copies.rs
+++ b/tests/crash_copies.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tealcleat::keys::{NameKey, RequestKey};
-use tealcleat::platform::{decode_crashes, encode_crashes};
+use tealcleat::platform::{CrashCopy, decode_crashes, encode_crashes};
 use tealcleat::quarantine::CrashUpdate;
 
 const CRASHER: RequestKey = RequestKey(u64::MAX);
@@ -17,9 +17,10 @@
     let read = UNIX_EPOCH + Duration::from_secs((1_800_000_000 + later_s) as u64);
     let update =
         CrashUpdate { server: NameKey(1), age_ms: 0, idle_ms: 0, requests: vec![CRASHER.into()] };
-    let copy = encode_crashes(std::slice::from_ref(&update), written);
+    let crashes = vec![update.clone()];
+    let copy = encode_crashes(&CrashCopy { crashes, ..CrashCopy::default() }, written);
     let expected = CrashUpdate { age_ms, idle_ms: age_ms, ..update };
-    assert_eq!(decode_crashes(&copy, read).expect("crashes"), [expected]);
+    assert_eq!(decode_crashes(&copy, read).expect("crashes").crashes, [expected]);
 }
 
 #[rstest]
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -15,12 +15,15 @@
 use site_common::{call, call_first_host, runtime};
 
 const POLL_PERIOD: Duration = Duration::from_millis(5);
-/// Crashes after which the time for learning of the part begins.
+/// Crashes after which the time for learning of the part begins at the latest; it begins with the last one if a host
+/// holds the part back earlier.
 const CRASHES: usize = 5;
 /// Time within which all hosts must have learnt of it.
 const SPREAD_TIME: Duration = Duration::from_millis(3000);
 /// Sends to servers that are allowed after that, over all hosts.
 const MAX_SENDS: usize = 3;
+/// The shortest pause that callers are told whose requests are held back, in seconds.
+const HOLD_PAUSE_S: f64 = 300.0;
 /// Requests with the part that callers send after that.
 const LATE_REQUESTS: usize = 12;
 /// Middle parts that sound requests have.
@@ -68,12 +71,16 @@
         let host = hosts[serial % hosts.len()];
         sound_reply(host, route, serial).await;
         // A crash also breaks off the answer to the caller.
-        drop(call_site(host, &bad_call(route, serial)).await);
+        let reply = call_site(host, &bad_call(route, serial)).await;
+        let is_held_back = reply.is_ok_and(|reply| {
+            let pause: f64 = reply.header("retry-after").parse().unwrap_or_default();
+            reply.status == 503 && pause >= HOLD_PAUSE_S
+        });
         crashed += down();
         while down() > 0 {
             tokio::time::sleep(POLL_PERIOD).await;
         }
-        if crashed >= CRASHES {
+        if crashed >= CRASHES || is_held_back {
             return;
         }
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use std::time::{Duration, SystemTime};
 use tealcleat::keys::{NameKey, RequestKey, ServerKey, TimePoint};
-use tealcleat::platform::encode_crashes;
+use tealcleat::platform::{CrashCopy, encode_crashes};
 use tealcleat::quarantine::{CRASH_RETENTION, CrashReport, CrashTracker, TRIAL_DELAY};
 
 /// Maximum number of bytes in a datagram between hosts.
@@ -271,7 +271,9 @@
     assert!(tracker.len() <= 1024, "{}", tracker.len());
     assert!(longest < MAX_DATAGRAM / 2, "{longest}");
     assert!(tracker.is_held(CRASHER), "a request that returns is not evicted");
-    let copy = encode_crashes(&tracker.full_report(at(50_000)).crashes, SystemTime::now());
+    let crashes = tracker.full_report(at(50_000)).crashes;
+    let copy = CrashCopy { crashes, ..CrashCopy::default() };
+    let copy = encode_crashes(&copy, SystemTime::now());
     assert!(copy.to_string().len() < MAX_VALUE / 2);
 }
 
