--- a/src/quarantine/part_tracker.rs
+++ b/src/quarantine/part_tracker.rs
@@ -5,7 +5,7 @@
 use super::recent_keys::RecentKeys;
 use super::{ConnectionLoss, PartCrash, RequestVerdict, SuspectRequest};
 use crate::keys::{PartKey, ServerKey, TimePoint};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 /// A part on which a server wrote up to this long before a crash did not cause it: a part that crashes servers crashes
@@ -65,6 +65,8 @@
     pub(super) crashes: HashMap<ServerKey, PartCrashRecord>,
     written: RecentKeys<PartKey>,
     pub(super) cleared: BTreeMap<PartKey, ClearedPart>,
+    /// The parts that are at any crash.
+    suspects: HashSet<PartKey>,
     /// The parts that are held back, from all crashes and from those that are settled.
     held: Vec<HeldParts>,
     held_settled: Vec<HeldParts>,
@@ -80,6 +82,7 @@
             crashes: HashMap::new(),
             written: RecentKeys::new(WRITTEN_LIFETIME),
             cleared: BTreeMap::new(),
+            suspects: HashSet::new(),
             held: Vec::new(),
             held_settled: Vec::new(),
             trials: BTreeMap::new(),
@@ -95,7 +98,7 @@
         let mut is_changed = false;
         for part in shared_parts {
             self.written.record(now, *part);
-            if self.is_suspect(*part) {
+            if self.suspects.contains(part) {
                 is_changed |= self.clear(now, *part);
             }
         }
@@ -273,25 +276,26 @@
     /// Finds the parts that are held back, after a change of the crashes.
     pub(super) fn weigh(&mut self) {
         let clock = self.clock;
+        let runs = self.crashes.values().flat_map(|record| &record.runs);
+        self.suspects = runs.flat_map(|run| &run.parts).copied().collect();
         self.held = self.held_from(|_| true);
         let is_settled = |record: &PartCrashRecord| clock.settle_wait(record.learned_at).is_zero();
         self.held_settled = self.held_from(is_settled);
     }
 
     fn held_from(&self, is_counted: impl Fn(&PartCrashRecord) -> bool) -> Vec<HeldParts> {
-        let counted = self.crashes.values().filter(|record| is_counted(record));
+        let counted = self.crashes.iter().filter(|(_, record)| is_counted(record));
         let mut crashes: Vec<SuspectCrash<'_>> = counted
-            .map(|record| SuspectCrash { crashed_at: record.crashed_at, runs: &record.runs })
+            .map(|(server, record)| SuspectCrash {
+                server: *server,
+                crashed_at: record.crashed_at,
+                runs: &record.runs,
+            })
             .collect();
-        crashes.sort_by_key(|crash| crash.crashed_at);
+        crashes.sort_by_key(|crash| (crash.crashed_at, crash.server));
         find_held_parts(&crashes)
     }
 
-    fn is_suspect(&self, part: PartKey) -> bool {
-        let mut runs = self.crashes.values().flat_map(|record| &record.runs);
-        runs.any(|run| run.parts.contains(&part))
-    }
-
     /// Whether a part was written on, so that it did not cause a crash at `at`. If this host alone knows that, the others
     /// are told.
     fn is_cleared_at(&mut self, at: TimePoint, part: PartKey) -> bool {
--- a/src/quarantine/part_verdict.rs
+++ b/src/quarantine/part_verdict.rs
@@ -2,9 +2,9 @@
 
 use super::crash_record::CLOCK_TOLERANCE;
 use super::crash_verdict::CRASHES_TO_HOLD;
-use crate::keys::{PartKey, RequestKey, TimePoint};
+use crate::keys::{PartKey, RequestKey, ServerKey, TimePoint};
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A run that had not begun to write when its server crashed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,6 +19,7 @@
 /// The crash of a server and the runs that had not begun to write there.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SuspectCrash<'a> {
+    pub server: ServerKey,
     pub crashed_at: TimePoint,
     pub runs: &'a [SuspectRun],
 }
@@ -54,22 +55,36 @@
 /// The parts that crash servers, from `crashes` in the order of their times. The part that explains the most is found
 /// first, and the crashes that it explains speak against no other.
 pub(super) fn find_held_parts(crashes: &[SuspectCrash<'_>]) -> Vec<HeldParts> {
-    let mut left = crashes.to_vec();
+    let mut candidates = crashes_by_part(crashes);
     let mut found = Vec::new();
     loop {
-        let parts: BTreeSet<PartKey> =
-            left.iter().flat_map(|crash| crash.runs).flat_map(|run| &run.parts).copied().collect();
-        let weighed = parts.into_iter().map(|part| (evidence(part, &left), part));
+        // Most parts are at one crash only.
+        candidates.retain(|_, crashes| crashes.len() >= CRASHES_TO_HOLD);
+        let weighed = candidates.iter().map(|(part, crashes)| (evidence(*part, crashes), *part));
         let Some((evidence, part)) = weighed.max() else { return found };
         if evidence.successive < CRASHES_TO_HOLD {
             return found;
         }
-        let parts = common_parts(part, &left);
-        let (explained, rest): (Vec<_>, Vec<_>) =
-            left.into_iter().partition(|crash| runs_with(part, crash).next().is_some());
-        left = rest;
-        found.extend(held_parts(parts, &explained));
+        let Some(explained) = candidates.remove(&part) else { return found };
+        let servers: BTreeSet<ServerKey> = explained.iter().map(|crash| crash.server).collect();
+        for crashes in candidates.values_mut() {
+            crashes.retain(|crash| !servers.contains(&crash.server));
+        }
+        found.extend(held_parts(common_parts(part, &explained), &explained));
+    }
+}
+
+/// The crashes at which each part was, in the order of their times.
+fn crashes_by_part<'a>(crashes: &[SuspectCrash<'a>]) -> BTreeMap<PartKey, Vec<SuspectCrash<'a>>> {
+    let mut by_part: BTreeMap<PartKey, Vec<SuspectCrash<'a>>> = BTreeMap::new();
+    for crash in crashes {
+        let parts: BTreeSet<PartKey> =
+            crash.runs.iter().flat_map(|run| &run.parts).copied().collect();
+        for part in parts {
+            by_part.entry(part).or_default().push(*crash);
+        }
     }
+    by_part
 }
 
 fn held_parts(parts: Vec<PartKey>, explained: &[SuspectCrash<'_>]) -> Option<HeldParts> {
