Soak: parts of prompts that crash servers, beside disturbed hosts; streams without a length that end inside an event

Held requests other than these are still violations. UnframedReset is UnframedBreak: a stream that is broken off inside an event is closed there, all other answers are reset as before. HostShock and HostContacts moved to files of their own.

--- a/src/bench/site/site_run.rs
+++ b/src/bench/site/site_run.rs
@@ -1,4 +1,5 @@
 use super::site_http::{BufferedRequest, header};
+use tokio::time::Instant;
 
 /// A request that an engine worked on.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +24,8 @@
     pub cancelled: bool,
     /// The caller that the request headers named.
     pub caller: CallerRecord,
+    /// When it arrived.
+    pub arrived_at: Instant,
 }
 
 impl SiteRun {
@@ -39,6 +42,7 @@
             after: header(request, "last-event-id").and_then(|text| text.parse().ok()),
             cancelled: false,
             caller: CallerRecord::of(request, id),
+            arrived_at: Instant::now(),
         }
     }
 }
--- a/src/bench/soak/answer_fault.rs
+++ b/src/bench/soak/answer_fault.rs
@@ -15,9 +15,10 @@
     Unframed,
     /// Sends the answer twice in a row, without a length.
     UnframedTwice,
-    /// Sends the answer without a length and resets the connection in the middle of it. If the connection were closed
-    /// there, the answer could not be distinguished from a complete one, and the platform counts it as complete.
-    UnframedReset,
+    /// Sends the answer without a length and breaks it off in the middle. The connection of a stream that ends inside an
+    /// event is closed, which tells that it was broken off; any other is reset, because the platform counts an answer
+    /// whose connection is closed as complete.
+    UnframedBreak,
     /// Resets the connection in the middle of the answer.
     ResetMidway,
 }
@@ -29,7 +30,7 @@
         Self::CopyBehind,
         Self::Unframed,
         Self::UnframedTwice,
-        Self::UnframedReset,
+        Self::UnframedBreak,
         Self::ResetMidway,
     ];
 }
@@ -61,6 +62,13 @@
     bytes.freeze()
 }
 
+/// Whether the bytes of an answer without a length are a stream that ends inside an event.
+pub(super) fn ends_inside_event(answer: &[u8]) -> bool {
+    let head_end = answer.windows(4).position(|window| window == b"\r\n\r\n");
+    let body = head_end.map_or(&[][..], |end| &answer[end + 4..]);
+    body.starts_with(b"id: ") && !body.ends_with(b"\n\n")
+}
+
 /// Appends the contents of the chunks of a complete body.
 fn extend_from_chunks(bytes: &mut BytesMut, body: &[u8]) {
     let mut rest = body;
--- a/src/bench/soak/answer_link.rs
+++ b/src/bench/soak/answer_link.rs
@@ -1,6 +1,6 @@
 //! A loopback link to a backend server. It knows where each answer begins and ends.
 
-use super::answer_fault::{AnswerFault, without_length};
+use super::answer_fault::{AnswerFault, ends_inside_event, without_length};
 use super::link_listener::accept_all;
 use crate::Result;
 use crate::bench::links::{connect_as, reset};
@@ -203,10 +203,8 @@
             Some(AnswerFault::UnframedTwice) => {
                 self.send_unframed(|answer| [&answer[..], &answer[..]].concat().into()).await
             }
-            Some(AnswerFault::UnframedReset) => {
-                self.send_and_reset(|answer| without_length(&answer)).await
-            }
-            Some(AnswerFault::ResetMidway) => self.send_and_reset(|answer| answer).await,
+            Some(AnswerFault::UnframedBreak) => self.send_unframed_part().await,
+            Some(AnswerFault::ResetMidway) => self.send_and_reset().await,
         }
     }
 
@@ -233,10 +231,20 @@
         Ok(false)
     }
 
-    /// Sends the first part of what `alter` makes of an answer, then resets the connection.
-    async fn send_and_reset(&mut self, alter: impl FnOnce(Bytes) -> Bytes) -> Result<bool> {
+    /// Sends the first part of an answer without its length, then ends the connection.
+    async fn send_unframed_part(&mut self) -> Result<bool> {
+        if let Some(answer) = self.read_answer().await? {
+            let answer = without_length(&answer);
+            let part = &answer[..cut_position(&answer)];
+            self.to.write_all(part).await?;
+            self.needs_reset = !ends_inside_event(part);
+        }
+        Ok(false)
+    }
+
+    /// Sends the first part of an answer, then resets the connection.
+    async fn send_and_reset(&mut self) -> Result<bool> {
         if let Some(answer) = self.read_answer().await? {
-            let answer = alter(answer);
             self.to.write_all(&answer[..cut_position(&answer)]).await?;
             self.needs_reset = true;
         }
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -6,8 +6,12 @@
 mod answer_fault;
 mod answer_link;
 mod fault_log;
+mod host_contacts;
 mod host_disruption;
+mod host_shock;
 mod link_listener;
+mod part_caller;
+mod part_check;
 mod partition_group;
 mod propagation_probe;
 mod server_cut;
@@ -26,6 +30,7 @@
 mod stream_taker;
 mod version_check;
 
+pub use part_check::PartTally;
 pub use soak_check::{CutTries, SoakReport, SoakViolation};
 pub use soak_options::SoakOptions;
 pub use soak_run::run_soak;
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -1,3 +1,4 @@
+use super::part_check::PartTally;
 use super::stream_taker::VersionTally;
 use crate::bench::site::{CallerReply, SiteEngine, SiteService};
 use std::collections::BTreeMap;
@@ -89,6 +90,8 @@
     pub cut_tries: (CutTries, CutTries),
     /// What callers found that took their streams up, if servers of several versions served.
     pub versions: VersionTally,
+    /// What was found of parts of prompts that crash servers, if there were any.
+    pub parts: PartTally,
     /// Violations of guarantees.
     pub violations: Vec<SoakViolation>,
 }
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -134,7 +134,7 @@
 
     /// Restarts crashed servers whose downtime is over. The downtime is drawn when a crash is first seen. Returns the
     /// number of crashes that were first seen in this call.
-    async fn restart_due(
+    pub async fn restart_due(
         &mut self,
         restart_times: &mut BTreeMap<usize, Instant>,
         random: &mut StdRng,
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -34,6 +34,9 @@
     /// Whether engines of several software versions serve side by side. After the faults, callers take their streams up
     /// at other hosts. The daemons' environment must provide the same library.
     pub mixes_versions: bool,
+    /// Whether prompts have parts that crash the servers that begin to write on them. After the faults, hosts are
+    /// disturbed beside such prompts. The daemons' environment must provide the same library.
+    pub crashes_parts: bool,
     /// Number of routes in the configuration that no request uses.
     pub unused_routes: usize,
     /// Environment variables of the daemons.
@@ -45,6 +48,6 @@
 impl SoakOptions {
     /// Whether each daemon needs a machine with an address of its own.
     pub(super) const fn needs_machines(&self) -> bool {
-        self.partitions_network || self.cuts_servers || self.mixes_versions
+        self.partitions_network || self.cuts_servers || self.mixes_versions || self.crashes_parts
     }
 }
--- a/src/bench/soak/soak_recovery.rs
+++ b/src/bench/soak/soak_recovery.rs
@@ -137,7 +137,8 @@
         for host in &self.hosts {
             let log = host.log()?;
             let refused = log.lines().filter(|line| line.contains("event=request_held_back"));
-            let bystanders = refused.filter(|line| !line.contains("-crash-"));
+            let is_crashing = |line: &str| line.contains("-crash-") || line.contains("-bad-part");
+            let bystanders = refused.filter(|line| !is_crashing(line));
             violations.extend(bystanders.map(|line| SoakViolation {
                 guarantee: "only requests that crash servers are refused for it",
                 detail: line.to_owned(),
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -1,5 +1,6 @@
 use super::answer_link::AnswerLink;
 use super::fault_log::FaultLog;
+use super::part_check::PartTally;
 use super::partition_group::machine_address;
 use super::soak_caller::{CallerPlan, CallerResults, run_caller};
 use super::soak_check::{SoakReport, check_holds, check_orders, check_runs};
@@ -88,6 +89,11 @@
     } else {
         VersionTally::default()
     };
+    let parts = if options.crashes_parts {
+        cluster.check_parts(options, &results).await?
+    } else {
+        PartTally::default()
+    };
     let mut cut_records = Vec::new();
     let mut cut_tries = Default::default();
     let cut_violations = if options.cuts_servers {
@@ -107,6 +113,8 @@
     report.cut_tries = cut_tries;
     report.violations.extend(versions.violations());
     report.versions = versions;
+    report.violations.extend(parts.violations());
+    report.parts = parts;
     let recovery = cluster.check_recovery(options.seed).await;
     let mut records = lock(&results.records).clone();
     records.extend(recovery.1);
@@ -130,8 +138,8 @@
 
 impl SoakCluster {
     async fn start(options: &SoakOptions, folder: &std::path::Path) -> Result<Self> {
-        // With several versions, more than one server of each generates answers.
-        let (prefills, decodes) = if options.mixes_versions { (3, 9) } else { (2, 3) };
+        // With several versions, more than one server of each generates answers; parts of prompts crash many servers.
+        let (prefills, decodes) = if is_large(options) { (3, 9) } else { (2, 3) };
         let plan = SitePlan { prefills, decodes, services: 3, hosts: 0 };
         let site = TestSite::start(plan).await?;
         let sockets = LinkSockets::default();
@@ -200,7 +208,7 @@
         let store_answers = AnswerLink::start(link.address, seed).await?;
         let peers: Vec<SocketAddr> = self.hosts.iter().map(|host| host.peers).collect();
         let has_link =
-            options.stalls_connections || options.partitions_network || options.mixes_versions;
+            options.stalls_connections || options.partitions_network || is_large(options);
         let unanswered_port = self.unanswered_port.address.port().to_string();
         let mut environment = options.environment.clone();
         environment.push((UNANSWERED_VARIABLE.to_owned(), unanswered_port));
@@ -291,6 +299,11 @@
     }
 }
 
+/// Whether the site has servers enough to lose some of them all the time.
+fn is_large(options: &SoakOptions) -> bool {
+    options.mixes_versions || options.crashes_parts
+}
+
 fn advertised_address() -> Result<SocketAddr> {
     Ok(SocketAddr::from(([127, 0, 0, 1], free_ports(1)?[0])))
 }
--- a/src/bench/soak/stream_taker.rs
+++ b/src/bench/soak/stream_taker.rs
@@ -1,12 +1,12 @@
 //! Callers that take their streams up at other hosts, and what they find of the software versions of the servers.
 
+use super::host_contacts::HostContacts;
 use super::soak_caller::{CallerResults, soak_call};
 use super::soak_check::{STREAM_EVENTS, SoakRecord, SoakRoute, SoakViolation};
 use crate::bench::site::{CallerReply, SiteCall, SiteConnection, SiteEngine};
 use crate::host::lock;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -17,44 +17,11 @@
 const MAX_RESUMPTIONS: usize = 3;
 /// A caller gives up an answer in which nothing arrives for this long.
 const ANSWER_GAP: Duration = Duration::from_millis(2000);
-/// A host is in touch this long after a disruption of it.
-const CONTACT_TIME: Duration = Duration::from_millis(3000);
 /// Pause of a caller between two streams, and before it takes one up, in milliseconds.
 const PAUSE_MS: Range<u64> = 20..300;
 /// Servers of a version from which on its streams must be able to go on.
 const MIN_SERVERS: usize = 2;
 
-/// The hosts that callers use, and since when each is undisturbed.
-#[derive(Debug)]
-pub(super) struct HostContacts {
-    hosts: Vec<(SocketAddr, Mutex<HostContact>)>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct HostContact {
-    is_disturbed: bool,
-    since: Instant,
-}
-
-impl HostContacts {
-    /// Contacts of hosts that were never disturbed.
-    pub fn new(hosts: &[SocketAddr], now: Instant) -> Self {
-        let contact = HostContact { is_disturbed: false, since: now - CONTACT_TIME };
-        Self { hosts: hosts.iter().map(|host| (*host, Mutex::new(contact))).collect() }
-    }
-
-    /// Records that a disruption of a host begins or ends.
-    pub fn set_disturbed(&self, index: usize, is_disturbed: bool) {
-        *lock(&self.hosts[index].1) = HostContact { is_disturbed, since: Instant::now() };
-    }
-
-    /// Whether a host has been undisturbed for long enough before `at`, and still is.
-    fn is_in_touch(&self, index: usize, at: Instant) -> bool {
-        let contact = *lock(&self.hosts[index].1);
-        !contact.is_disturbed && at >= contact.since + CONTACT_TIME
-    }
-}
-
 /// Tries at hosts in touch, and how many of them brought an event.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct StreamTries {
@@ -65,7 +32,7 @@
 }
 
 impl StreamTries {
-    fn add(&mut self, begun: bool) {
+    pub(super) fn add(&mut self, begun: bool) {
         self.sent += 1;
         self.begun += u64::from(begun);
     }
@@ -199,7 +166,7 @@
 
     /// Sends one attempt at a stream; returns whether it brought an event, or the end that alone was missing.
     async fn attempt(&self, host: usize, index: usize, id: &str, stream: &mut TakenStream) -> bool {
-        let Ok(mut connection) = SiteConnection::open(self.contacts.hosts[host].0).await else {
+        let Ok(mut connection) = SiteConnection::open(self.contacts.address(host)).await else {
             return false;
         };
         let record = SoakRecord { id: id.to_owned(), route: SoakRoute::Resume, status: None };
@@ -251,7 +218,7 @@
         let mut stream = TakenStream::default();
         for index in 0..=MAX_RESUMPTIONS {
             sleep(Duration::from_millis(random.random_range(PAUSE_MS))).await;
-            let host = random.random_range(0..site.contacts.hosts.len());
+            let host = random.random_range(0..site.contacts.len());
             let (id, sent_at) = (format!("{name}-{serial}-{index}"), Instant::now());
             let is_new = stream.versions.is_empty();
             let counted = site.counts(host, sent_at, &stream);
--- a/src/bench/soak/version_check.rs
+++ b/src/bench/soak/version_check.rs
@@ -1,13 +1,13 @@
 //! Checks that streams go on at the software version that began them, while servers of several versions serve side by
 //! side and are replaced, and hosts are killed, paused and cut off.
 
-use super::partition_group::PartitionGroup;
+use super::host_contacts::HostContacts;
+use super::host_shock::HostShock;
 use super::soak_caller::CallerResults;
 use super::soak_options::SoakOptions;
 use super::soak_run::SoakCluster;
-use super::stream_taker::{HostContacts, TakerSite, VersionTally, run_taker};
+use super::stream_taker::{TakerSite, VersionTally, run_taker};
 use crate::Result;
-use crate::bench::links::PartitionScope;
 use crate::host::lock;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -23,10 +23,6 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(190);
 /// Number of callers that take streams up.
 const TAKERS: usize = 28;
-/// How long hosts are killed, paused or cut off.
-const KILL_TIME: Duration = Duration::from_millis(1200);
-const PAUSE_TIME: Duration = Duration::from_millis(3000);
-const CUT_TIME: Duration = Duration::from_millis(5500);
 /// Time after each disruption, so that most hosts are in touch again before the next one.
 const CALM_TIME: Duration = Duration::from_millis(3500);
 /// Time between two crashes or replacements of engines.
@@ -35,17 +31,6 @@
 const CHANGE_PROBABILITY: f64 = 0.5;
 const VERSION_SALT: u64 = 0x7e_5105;
 
-/// A disruption of hosts while streams are taken up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum HostShock {
-    Kill(PartitionGroup),
-    KillAll,
-    Pause(PartitionGroup),
-    Cut(PartitionGroup),
-    /// Nothing; engines are replaced all the same.
-    None,
-}
-
 impl SoakCluster {
     /// Gives the engines versions in turn, so that they serve side by side.
     pub async fn mix_versions(&self) -> Result<()> {
@@ -113,64 +98,18 @@
         Ok(tally)
     }
 
-    /// Every kind of disruption, beginning with any of them.
-    fn draw_shocks(&self, random: &mut StdRng) -> Vec<HostShock> {
-        let mut shocks = vec![
-            HostShock::Kill(PartitionGroup::Third(0)),
-            HostShock::Kill(PartitionGroup::Domain(random.random_range(0..self.domains))),
-            HostShock::KillAll,
-            HostShock::Cut(PartitionGroup::Domain(random.random_range(0..self.domains))),
-            HostShock::Pause(PartitionGroup::Third(1)),
-            HostShock::None,
-        ];
-        let first = random.random_range(0..shocks.len());
-        shocks.rotate_left(first);
-        shocks
-    }
-
     async fn run_shock(
         &mut self,
         shock: HostShock,
         contacts: &HostContacts,
         random: &mut StdRng,
     ) -> Result<()> {
-        let hit: Vec<usize> =
-            (0..self.hosts.len()).filter(|index| shock.hits(*index, self.domains)).collect();
-        for index in &hit {
-            contacts.set_disturbed(*index, true);
-        }
-        let time = match shock {
-            HostShock::Kill(_) | HostShock::KillAll => {
-                self.signal_hosts(&hit, "-KILL")?;
-                KILL_TIME
-            }
-            HostShock::Pause(_) => {
-                self.signal_hosts(&hit, "-STOP")?;
-                PAUSE_TIME
-            }
-            HostShock::Cut(group) => {
-                self.begin_partition(group, PartitionScope::All);
-                CUT_TIME
-            }
-            HostShock::None => Duration::ZERO,
-        };
+        let time = self.begin_shock(shock, contacts)?;
         self.replace_engines_for(time, random).await?;
-        match shock {
-            HostShock::Kill(_) | HostShock::KillAll => self.wait_ready().await?,
-            HostShock::Pause(_) => self.signal_hosts(&hit, "-CONT")?,
-            HostShock::Cut(group) => self.end_partition(group, PartitionScope::All),
-            HostShock::None => {}
-        }
-        for index in &hit {
-            contacts.set_disturbed(*index, false);
-        }
+        self.end_shock(shock, contacts).await?;
         self.replace_engines_for(CALM_TIME, random).await
     }
 
-    fn signal_hosts(&self, hosts: &[usize], signal: &str) -> Result<()> {
-        hosts.iter().try_for_each(|index| self.hosts[*index].signal(signal))
-    }
-
     /// Lets engines crash one after the other; some come back at another version.
     async fn replace_engines_for(&self, time: Duration, random: &mut StdRng) -> Result<()> {
         let deadline = Instant::now() + time;
@@ -195,15 +134,3 @@
         engines.map(|engine| engine.software().version).nth(index).unwrap_or_default()
     }
 }
-
-impl HostShock {
-    fn hits(self, index: usize, domains: usize) -> bool {
-        match self {
-            Self::Kill(group) | Self::Pause(group) | Self::Cut(group) => {
-                group.contains(index, domains)
-            }
-            Self::KillAll => true,
-            Self::None => false,
-        }
-    }
-}
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -96,6 +96,9 @@
         /// Run engines of several software versions, and check that streams that are taken up go on at the version that
         /// began them; needs the same library
         mixing: bool,
+        /// Send prompts with parts that crash the servers that begin to write on them, beside disturbed hosts; needs the
+        /// same library
+        parts: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -38,6 +38,7 @@
             cutting,
             separating,
             mixing,
+            parts,
             further_routes,
             variable,
         } => {
@@ -57,6 +58,7 @@
                 partitions_network: *cutting,
                 cuts_servers: *separating,
                 mixes_versions: *mixing,
+                crashes_parts: *parts,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -27,6 +27,14 @@
                 cut.served, cut.sent, others.served, others.sent
             );
         }
+        let parts = &report.parts;
+        if parts.crashes > 0 {
+            let (before, after) = (parts.sound_before, parts.sound_after);
+            println!(
+                "  parts: {} servers crashed, late sends {:?}; sound ones begun {} of {} before, {} of {} beside them",
+                parts.crashes, parts.late_sends, before.begun, before.sent, after.begun, after.sent
+            );
+        }
         let versions = &report.versions;
         if versions.streams > 0 {
             let (new, taken_up) = (versions.new, versions.taken_up);
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -126,6 +126,26 @@
     });
 }
 
+/// Parts of prompts crash the servers that begin to write on them, a new one before each disruption of hosts: killed, all
+/// killed, paused and cut off.
+///
+/// The test guards against chains of crashes that no single request explains, and against sound requests that fail for
+/// the first part that they share.
+#[test]
+fn run_soak_with_parts_that_crash_servers() {
+    let defaults = options(1);
+    let environment = source_address("soak-parts");
+    let duration = Duration::from_secs(2);
+    run(SoakOptions {
+        hosts: 6,
+        domains: 3,
+        crashes_parts: true,
+        duration,
+        environment,
+        ..defaults
+    });
+}
+
 /// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
 /// guarantee while hosts are killed or suspended, or servers crash.
 #[rstest]
@@ -163,6 +183,7 @@
         partitions_network: false,
         cuts_servers: false,
         mixes_versions: false,
+        crashes_parts: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
