Quarantine: a second try after a rejection and a second reading of a prompt ask for the verdict as well

By reading: both send a request again without the check that every opening passes; a part may have become known meanwhile.

--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -61,7 +61,8 @@
     }
     let mut reads = 0;
     for server in &ranked {
-        if reads >= MAX_READS {
+        // Crashes may have become known during the first read.
+        if reads >= MAX_READS || (reads > 0 && context.is_known_held_back(0)) {
             break;
         }
         // The first read may have taken so long that this server is draining now.
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -251,7 +251,10 @@
     let rejected = || OpenFailure::Rejected(server.clone());
     let late = context.age() > context.route.objective.mul_f64(SECOND_TRY_FRACTION);
     let restarted = context.host.has_restarted(server);
-    if late || restarted || !context.cover_sends(&[SendKind::Run]).await {
+    if late || restarted || context.is_known_held_back(runs.sent) {
+        return Err(rejected());
+    }
+    if !context.cover_sends(&[SendKind::Run]).await {
         return Err(rejected());
     }
     let tokens = hold_tokens(context, engine, after);
