--- a/src/bench/soak/host_disruption.rs
+++ b/src/bench/soak/host_disruption.rs
@@ -1,7 +1,7 @@
 //! Disruptions of hosts that last several seconds while changes are confirmed.
 
 use super::partition_group::PartitionGroup;
-use super::soak_run::SoakCluster;
+use super::soak_cluster::SoakCluster;
 use crate::Result;
 use crate::bench::links::PartitionScope;
 use rand::Rng;
--- a/src/bench/soak/host_shock.rs
+++ b/src/bench/soak/host_shock.rs
@@ -2,7 +2,7 @@
 
 use super::host_contacts::HostContacts;
 use super::partition_group::PartitionGroup;
-use super::soak_run::SoakCluster;
+use super::soak_cluster::SoakCluster;
 use crate::Result;
 use crate::bench::links::PartitionScope;
 use rand::Rng;
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -19,6 +19,7 @@
 mod soak_burst;
 mod soak_caller;
 mod soak_check;
+mod soak_cluster;
 mod soak_config;
 mod soak_disruption;
 mod soak_fault;
--- a/src/bench/soak/partition_group.rs
+++ b/src/bench/soak/partition_group.rs
@@ -1,7 +1,7 @@
 //! Network partitions in a soak test: they separate machines from the other hosts, and in some cases from the store
 //! and the servers as well.
 
-use super::soak_run::SoakCluster;
+use super::soak_cluster::SoakCluster;
 use crate::bench::links::PartitionScope;
 use rand::Rng;
 use rand::rngs::StdRng;
--- a/src/bench/soak/propagation_probe.rs
+++ b/src/bench/soak/propagation_probe.rs
@@ -1,8 +1,8 @@
 //! Probes hosts to find out which configuration and server states are in effect there.
 
 use super::soak_check::{SoakRecord, SoakRoute, SoakViolation};
+use super::soak_cluster::SoakCluster;
 use super::soak_config::{dropped_marker, marker_path};
-use super::soak_run::SoakCluster;
 use crate::bench::site::{SiteCall, call_site};
 use http::StatusCode;
 use std::net::SocketAddr;
--- a/src/bench/soak/server_cut.rs
+++ b/src/bench/soak/server_cut.rs
@@ -1,7 +1,7 @@
 //! Hosts that reach no server while callers, the store and the other hosts reach them.
 
 use super::partition_group::PartitionGroup;
-use super::soak_run::SoakCluster;
+use super::soak_cluster::SoakCluster;
 use crate::Result;
 use crate::bench::ConnectionCut;
 use crate::bench::links::PartitionScope;
--- a/src/bench/soak/soak_config.rs
+++ b/src/bench/soak/soak_config.rs
@@ -1,6 +1,6 @@
 //! Builds the configurations of a soak test. Marker routes identify each version.
 
-use super::soak_run::SoakCluster;
+use super::soak_cluster::SoakCluster;
 use crate::bench::site::{larger_config, plain_route};
 use serde_json::Value;
 
--- a/src/bench/soak/soak_disruption.rs
+++ b/src/bench/soak/soak_disruption.rs
@@ -3,8 +3,8 @@
 use super::host_disruption::HostDisruption;
 use super::propagation_probe::PropagationProbe;
 use super::soak_check::{SoakRecord, SoakViolation};
+use super::soak_cluster::SoakCluster;
 use super::soak_options::SoakOptions;
-use super::soak_run::SoakCluster;
 use crate::Result;
 use crate::bench::links::ProxyMode;
 use crate::bench::site::StoreFault;
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -3,9 +3,9 @@
 use super::partition_group::PartitionGroup;
 use super::server_cut::ServerCut;
 use super::soak_burst::{BurstStep, draw_burst};
+use super::soak_cluster::SoakCluster;
 use super::soak_fault::{FaultTargets, SoakFault, draw_fault};
 use super::soak_options::SoakOptions;
-use super::soak_run::SoakCluster;
 use crate::Result;
 use crate::bench::links::{PartitionScope, ProxyMode};
 use crate::bench::site::{EngineFault, RestartAddress, ServiceFault, SiteEngine, StoreFault};
--- a/src/bench/soak/soak_limits.rs
+++ b/src/bench/soak/soak_limits.rs
@@ -1,7 +1,7 @@
 //! Server limits in a soak test: servers announce them, and hosts must not exceed them.
 
 use super::soak_check::SoakViolation;
-use super::soak_run::SoakCluster;
+use super::soak_cluster::SoakCluster;
 use crate::Result;
 use crate::bench::site::{LimitAnnouncement, LimitExcess, SiteArrivals};
 use rand::rngs::StdRng;
--- a/src/bench/soak/soak_recovery.rs
+++ b/src/bench/soak/soak_recovery.rs
@@ -2,7 +2,7 @@
 
 use super::soak_caller::{CRASH_REQUESTS, crash_call, soak_call};
 use super::soak_check::{SoakRecord, SoakRoute, SoakViolation, check_reply};
-use super::soak_run::SoakCluster;
+use super::soak_cluster::SoakCluster;
 use crate::bench::site::{SiteConnection, call_site};
 use crate::quarantine::CRASHES_TO_HOLD;
 use std::time::Duration;
--- a/src/bench/soak/version_check.rs
+++ b/src/bench/soak/version_check.rs
@@ -4,8 +4,8 @@
 use super::host_contacts::HostContacts;
 use super::host_shock::HostShock;
 use super::soak_caller::CallerResults;
+use super::soak_cluster::SoakCluster;
 use super::soak_options::SoakOptions;
-use super::soak_run::SoakCluster;
 use super::stream_taker::{TakerSite, VersionTally, run_taker};
 use crate::Result;
 use crate::host::lock;
