--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -6,6 +6,7 @@
 mod answer_fault;
 mod answer_link;
 mod fault_log;
+mod herd_check;
 mod host_contacts;
 mod host_disruption;
 mod host_shock;
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -88,6 +88,8 @@
     pub store_calls: u64,
     /// First tries at hosts without a path to the servers, and at the other hosts meanwhile.
     pub cut_tries: (CutTries, CutTries),
+    /// First tries before and while most new connections went to one host.
+    pub herd_tries: (CutTries, CutTries),
     /// What callers found that took their streams up, if servers of several versions served.
     pub versions: VersionTally,
     /// What was found of parts of prompts that crash servers, if there were any.
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -216,7 +216,7 @@
 
 /// Whether the site has servers enough to lose some of them all the time.
 fn is_large(options: &SoakOptions) -> bool {
-    options.mixes_versions || options.crashes_parts
+    options.mixes_versions || options.crashes_parts || options.herds_connections
 }
 
 fn advertised_address() -> Result<SocketAddr> {
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -37,6 +37,9 @@
     /// Whether prompts have parts that crash the servers that begin to write on them. After the faults, hosts are
     /// disturbed beside such prompts. The daemons' environment must provide the same library.
     pub crashes_parts: bool,
+    /// Whether most new connections go to one host, which must serve what it reads. The daemons' environment must provide
+    /// the same library.
+    pub herds_connections: bool,
     /// Number of routes in the configuration that no request uses.
     pub unused_routes: usize,
     /// Environment variables of the daemons.
@@ -48,6 +51,10 @@
 impl SoakOptions {
     /// Whether each daemon needs a machine with an address of its own.
     pub(super) const fn needs_machines(&self) -> bool {
-        self.partitions_network || self.cuts_servers || self.mixes_versions || self.crashes_parts
+        self.partitions_network
+            || self.cuts_servers
+            || self.mixes_versions
+            || self.crashes_parts
+            || self.herds_connections
     }
 }
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -58,6 +58,13 @@
     } else {
         Vec::new()
     };
+    let mut herd_records = Vec::new();
+    let mut herd_tries = Default::default();
+    let herd_violations = if options.herds_connections {
+        cluster.check_herds(options, &mut herd_records, &mut herd_tries).await?
+    } else {
+        Vec::new()
+    };
     results.is_stopped.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
@@ -68,6 +75,7 @@
     report.faults = faults;
     report.store_calls = cluster.site.store.call_counts().0;
     report.cut_tries = cut_tries;
+    report.herd_tries = herd_tries;
     report.violations.extend(versions.violations());
     report.versions = versions;
     report.violations.extend(parts.violations());
@@ -77,9 +85,11 @@
     records.extend(recovery.1);
     records.extend(propagation.1);
     records.extend(cut_records);
+    records.extend(herd_records);
     report.violations.extend(recovery.0);
     report.violations.extend(propagation.0);
     report.violations.extend(cut_violations);
+    report.violations.extend(herd_violations);
     let site = &cluster.site;
     report.violations.extend(check_runs(&records, &site.decodes, &site.services));
     let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -99,6 +99,8 @@
         /// Send prompts with parts that crash the servers that begin to write on them, beside disturbed hosts; needs the
         /// same library
         parts: bool,
+        /// Send most new connections to one host, beside disturbed hosts; needs the same library
+        herding: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -39,6 +39,7 @@
             separating,
             mixing,
             parts,
+            herding,
             further_routes,
             variable,
         } => {
@@ -59,6 +60,7 @@
                 cuts_servers: *separating,
                 mixes_versions: *mixing,
                 crashes_parts: *parts,
+                herds_connections: *herding,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -27,6 +27,13 @@
                 cut.served, cut.sent, others.served, others.sent
             );
         }
+        let (before, during) = report.herd_tries;
+        if during.sent > 0 {
+            println!(
+                "  first tries served {} of {} before most new connections went to one host, {} of {} meanwhile",
+                before.served, before.sent, during.served, during.sent
+            );
+        }
         let parts = &report.parts;
         if parts.crashes > 0 {
             let (before, after) = (parts.sound_before, parts.sound_after);
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -146,6 +146,23 @@
     });
 }
 
+/// Most new connections go to one host, more than before, while others are killed, paused and cut off. Guards against a
+/// host that reads requests and does not serve them.
+#[test]
+fn run_soak_with_most_connections_at_one_host() {
+    let defaults = options(1);
+    let environment = source_address("soak-herds");
+    let duration = Duration::from_secs(2);
+    run(SoakOptions {
+        hosts: 6,
+        domains: 3,
+        herds_connections: true,
+        duration,
+        environment,
+        ..defaults
+    });
+}
+
 /// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
 /// guarantee while hosts are killed or suspended, or servers crash.
 #[rstest]
@@ -184,6 +201,7 @@
         cuts_servers: false,
         mixes_versions: false,
         crashes_parts: false,
+        herds_connections: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
