Tests: the fleet of the own interface is ready only when its hosts take requests

Cause, shown with the answer printed: its one request was refused (503, not run, starting), since wait_ready looked at the servers' ledgers, which are complete a moment before the host says that it takes requests. A caller that ends before its stream starts fails the test at once, with its answer; no check is eased.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -117,7 +117,11 @@
                 .iter()
                 .map(|status| status.servers.iter().filter(|server| server.ready).count())
                 .sum();
-            ready == servers && statuses.iter().all(|status| status.config_version >= version)
+            // A host has the ledgers of its servers a moment before it takes requests.
+            let are_hosts_ready = statuses.iter().all(|status| {
+                status.config_version >= version && (status.ready || status.draining)
+            });
+            ready == servers && are_hosts_ready
         });
     }
 
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -20,9 +20,15 @@
     let running = fleet
         .runtime
         .spawn(async move { caller.complete(address, "hanbit", prompt, CALL_TIMEOUT, None).await });
-    wait_until("the stream to start", || {
-        fleet.set.stats().held.iter().any(|(name, held)| name.contains("decode") && *held > 0)
+    let has_started =
+        || fleet.set.stats().held.iter().any(|(name, held)| name.contains("decode") && *held > 0);
+    // A caller that was refused waits for nothing more; the answer tells why.
+    wait_until("the stream to start or its caller to end", || {
+        has_started() || running.is_finished()
     });
+    if running.is_finished() {
+        panic!("the caller ended first: {:?}", fleet.runtime.block_on(running));
+    }
     // Long enough for some tokens to be sent.
     std::thread::sleep(Duration::from_millis(150));
     fault();
