Sight: sends beyond the first of a request by the platform's count, and each retry that a host takes by itself

Neither could be summed from the logs, so what all hosts sent could not be set against what was taken. request_repeated and repeats_sent count all sends but the first read that a server takes up and one more; repeats_taken names each retry out of a host's own share. No decision changes.

--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -185,6 +185,7 @@
         let rejected = kind == AnswerKind::NotRun;
         return Ok(if rejected { ReadEnd::Rejected } else { ReadEnd::Failed });
     }
+    context.record_read_taken_up();
     let result = body.read_with(|bytes| decode_body(bytes)).await?;
     Ok(ReadEnd::Read(result))
 }
--- a/src/gateway/retry_grants.rs
+++ b/src/gateway/retry_grants.rs
@@ -16,6 +16,7 @@
     pub(super) async fn take_retries(&self, service: ServiceKey, count: u32) -> bool {
         if self.take_own_retries(service, count) {
             self.metrics().add("repeats_own", count.into());
+            log::info!("event=repeats_taken service={:016x} count={count}", service.0);
             return true;
         }
         let serial = self.next_serial.fetch_add(1, Ordering::Relaxed);
--- a/src/gateway/send_budget.rs
+++ b/src/gateway/send_budget.rs
@@ -41,7 +41,23 @@
     /// Takes back the last [`Self::spend_send`]: nothing of the request reached the server.
     pub(super) fn return_send(&self, purpose: CallPurpose) {
         if let Some(kind) = purpose.send_kind() {
-            lock(&self.credit).add(kind);
+            lock(&self.credit).return_send(kind);
+        }
+    }
+
+    /// Records that a server took up the read that was sent last.
+    pub(super) fn record_read_taken_up(&self) {
+        lock(&self.credit).record_read();
+    }
+}
+
+impl Drop for CallContext {
+    fn drop(&mut self) {
+        let repeats = lock(&self.credit).repeats();
+        if repeats == 0 {
+            return;
         }
+        log::info!("event=request_repeated request={} repeats={repeats}", self.id());
+        self.host.metrics().add("repeats_sent", repeats.into());
     }
 }
