--- a/src/bench/site/engine_fault.rs
+++ b/src/bench/site/engine_fault.rs
@@ -24,6 +24,11 @@
     ForeignAnswer,
     /// Changes its stage: grants holds, but rejects prefill and decode requests.
     Changing,
+    /// Grants holds, but rejects some prefill and decode requests, as an overloaded engine does.
+    Shed {
+        /// How many of ten requests it rejects, in a row.
+        tenths: u64,
+    },
     /// Accepts orders but neither executes them nor responds.
     LoseOrders,
 }
--- a/src/bench/site/site_arrivals.rs
+++ b/src/bench/site/site_arrivals.rs
@@ -1,3 +1,4 @@
+use super::repeat_sum::RequestArrival;
 use super::site_http::{BufferedRequest, SiteAnswer, header};
 use crate::host::lock;
 use http::HeaderValue;
@@ -46,6 +47,8 @@
     /// if no limit was announced.
     announced: Vec<(Instant, Option<f64>)>,
     arrivals: Vec<Instant>,
+    /// All requests that arrived, also those before the last [`SiteArrivals::clear`].
+    requests: Vec<RequestArrival>,
     answers: usize,
 }
 
@@ -68,11 +71,29 @@
 
     /// Records the arrival of a request. The router's own calls have no id and are not counted.
     pub(super) fn record(&self, request: &BufferedRequest) {
-        if header(request, "x-request-id").is_some() {
-            lock(&self.0).arrivals.push(Instant::now());
+        if let Some(id) = header(request, "x-request-id") {
+            let at = Instant::now();
+            let mut history = lock(&self.0);
+            history.arrivals.push(at);
+            let request = id.to_owned();
+            history.requests.push(RequestArrival { request, at, is_read: false });
         }
     }
 
+    /// Records that the server took up the last arrival of a request to read its prompt only.
+    pub(super) fn record_read(&self, id: &str) {
+        let mut history = lock(&self.0);
+        let last = history.requests.iter_mut().rev().find(|arrival| arrival.request == id);
+        if let Some(arrival) = last {
+            arrival.is_read = true;
+        }
+    }
+
+    /// All requests that have arrived over all incarnations, oldest first.
+    pub fn requests(&self) -> Vec<RequestArrival> {
+        lock(&self.0).requests.clone()
+    }
+
     /// Adds the limit headers to a response.
     pub(super) fn add_limit_headers(&self, answer: SiteAnswer) -> SiteAnswer {
         let mut answer = answer?;
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -163,7 +163,7 @@
         lock(&self.state).open_handles()
     }
 
-    /// Number of prefill and decode requests that were rejected during a stage change.
+    /// Number of prefill and decode requests that were rejected.
     pub fn rejected_count(&self) -> u64 {
         self.rejected_count.load(Ordering::Relaxed)
     }
@@ -187,6 +187,17 @@
         *lock(&self.fault)
     }
 
+    /// Whether the engine rejects the next prefill or decode request.
+    fn rejects_next(&self) -> bool {
+        match self.fault() {
+            EngineFault::Changing => true,
+            EngineFault::Shed { tenths } => {
+                self.next_serial.fetch_add(1, Ordering::Relaxed) % 10 < tenths
+            }
+            _ => false,
+        }
+    }
+
     fn next_id(&self) -> String {
         format!("{}-{}", self.id, self.next_serial.fetch_add(1, Ordering::Relaxed))
     }
@@ -209,6 +220,7 @@
         software: &EngineSoftware,
     ) -> SiteAnswer {
         self.record_run(request, id, "prefill", software);
+        self.arrivals.record_read(id);
         if self.fault() == EngineFault::LoseReads {
             return Err(ConnectionDropped);
         }
@@ -347,7 +359,7 @@
         if requested_stage != self.stage() {
             return Ok(signed(full_response(421, ""), &id, None));
         }
-        if self.fault() == EngineFault::Changing {
+        if self.rejects_next() {
             self.rejected_count.fetch_add(1, Ordering::Relaxed);
             return Ok(not_run_response(&id));
         }
--- a/tests/shared_repeats.rs
+++ b/tests/shared_repeats.rs
@@ -3,7 +3,7 @@
 
 use rstest::rstest;
 use std::time::Duration;
-use tealcleat::bench::site::{EngineFault, ServiceFault, SitePlan, TestSite};
+use tealcleat::bench::site::{EngineFault, RepeatSum, ServiceFault, SitePlan, TestSite};
 
 mod site_common;
 
@@ -134,3 +134,64 @@
         assert_eq!(metrics.counter("sends_uncounted"), 0);
     });
 }
+
+/// Repeats at all engines, as the platform counts them.
+fn engine_repeats(site: &TestSite) -> usize {
+    let engines = site.prefills.iter().chain(&site.decodes);
+    RepeatSum::of(engines.flat_map(|engine| engine.arrivals.requests())).count()
+}
+
+/// Guards against prompts turned away that no budget pays for: the first read of a request is free only if a server takes
+/// it up. One that is rejected is an arrival, so that the run after it is a repeat.
+#[test]
+fn rejected_prompts_within_the_budget() {
+    /// More than all hosts may grant within the test, so that none is denied.
+    const READ_SLACK: f64 = 400.0;
+    runtime().block_on(async {
+        let site = rejecting_site(READ_SLACK).await;
+        for serial in 0..REJECTED_REQUESTS {
+            call_first_host(&site, &call("POST", "stream", &format!("r-{serial}"))).await;
+        }
+        let metrics = site.hosts[0].host.metrics();
+        let taken = metrics.counter("repeats_own") + metrics.counter("repeats_pooled");
+        let repeats = engine_repeats(&site) as u64;
+        assert!(repeats > 0, "no prompt was rejected");
+        assert!(repeats <= taken, "{repeats} repeats, {taken} taken from the budget");
+        assert_eq!(metrics.counter("sends_uncounted"), 0);
+    });
+}
+
+/// With the budget spent, prompts that prefill servers would reject are read by decode servers, so that their callers are
+/// served all the same.
+#[test]
+fn rejected_prompts_read_by_decode_servers() {
+    runtime().block_on(async {
+        let site = rejecting_site(0.0).await;
+        let mut served = 0;
+        for serial in 0..REJECTED_REQUESTS {
+            let reply =
+                call_first_host(&site, &call("POST", "stream", &format!("r-{serial}"))).await;
+            served += usize::from(reply.status.is_success());
+        }
+        assert_eq!(engine_repeats(&site), 0);
+        assert!(served * 10 >= REJECTED_REQUESTS * 9, "{served} of {REJECTED_REQUESTS} served");
+    });
+}
+
+const REJECTED_REQUESTS: usize = 40;
+
+/// A site whose prefill servers reject every request, with nothing but a slack.
+async fn rejecting_site(slack: f64) -> TestSite {
+    let plan = SitePlan { prefills: 30, decodes: 3, ..SitePlan::default() };
+    let site = TestSite::start(plan).await.expect("a site");
+    {
+        let mut state = site.hosts[0].host.state();
+        state.bounds.retries.ratio = 0.0;
+        state.bounds.retries.slack = slack;
+        state.bounds.retries.window = Duration::from_secs(60);
+    }
+    for engine in &site.prefills {
+        engine.set_fault(EngineFault::Shed { tenths: 10 });
+    }
+    site
+}
