Retries: a first read that is turned away is a send like any other

Cause: a request had one read and one run free, whatever became of the read. The platform gives away the first read that a server takes up; one that is turned away is an arrival, and the run after it a repeat. Evidence: 709 and 814 prompts turned away in these ten seconds and few retries taken; counted from the hosts' logs by the platform's rule 737 and 812 to 922 repeats. Change: each send takes one from a request's credit, and the first read that a server takes up is given back (SendCredit). So nothing depends on guessing what will become of a read. Where no retry is expected and more than a tenth of the reads are turned away, the decode server reads the prompt itself.

--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -128,6 +128,8 @@
             grants: GrantHistory::default(),
             server_health: HashMap::new(),
             domain_breakers: DomainBreakers::default(),
+            read_rejections: HashMap::new(),
+            retries_denied_at: HashMap::new(),
             retry_windows: HashMap::new(),
             retry_pools: RetryPools::default(),
             work_meters: HashMap::new(),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -7,7 +7,7 @@
 use crate::memory_forecast::{OutputForecast, PaceTable};
 use crate::organisations::ConfigAge;
 use crate::placement::{
-    DomainBreakers, GrantHistory, LoadTable, ServerHealth, WorkMeter, WorkSums,
+    DomainBreakers, ErrorRate, GrantHistory, LoadTable, ServerHealth, WorkMeter, WorkSums,
 };
 use crate::quarantine::{CrashTracker, PartTracker, RequestVerdict, UnconfirmedCrashes};
 use crate::retries::{RetryPools, RetryWindow};
@@ -54,6 +54,10 @@
     pub server_health: HashMap<ServerKey, ServerHealth>,
     /// Circuit breakers for other failure domains, as this host reaches them.
     pub domain_breakers: DomainBreakers,
+    /// How often prefill servers of each service lately rejected reads of this host, or did not answer.
+    pub read_rejections: HashMap<ServiceKey, ErrorRate>,
+    /// When a pool last denied a retry of a service's requests.
+    pub retries_denied_at: HashMap<ServiceKey, TimePoint>,
     /// Retries of each service's requests that this host may make on its own.
     pub retry_windows: HashMap<ServiceKey, RetryWindow>,
     /// Retries that this host grants to the hosts of its failure domain, if it owns the pool.
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -10,7 +10,6 @@
 use crate::keys::ServerKey;
 use crate::placement::{REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad};
 use crate::platform::{AnswerKind, CallPart, contains_answer, read_answer};
-use crate::retries::SendKind;
 use crate::server_slots::PlaceEnd;
 use crate::stream_origins::RunVersion;
 use crate::{Error, Result};
@@ -115,7 +114,7 @@
     let untried = ranked.into_iter().filter(|server| !record.tried.contains(&server.key()));
     let untried: Vec<ServerEntry> = untried.collect();
     let (server, permit, place) = first_permitted(context, record, untried).await?;
-    if !context.cover_sends(&[SendKind::Run]).await {
+    if !context.cover_sends(1).await {
         log::info!("event=repeat_denied request={} cause=retry_bounds", context.id());
         return None;
     }
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -6,10 +6,10 @@
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::placement::{
-    PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
+    PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ReadOutlook, ServerEvent, ServerLoad,
+    choose_reader,
 };
 use crate::platform::{AnswerKind, CallPart, PrefillResult, decode_body, read_answer};
-use crate::retries::SendKind;
 use crate::stream_origins::RunVersion;
 use crate::{Error, Result};
 use http::StatusCode;
@@ -54,7 +54,8 @@
     };
     let ranked = context.host.rank_ready_servers(context.service, &criteria);
     let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
-    if choose_reader(wait, context.route.objective) == PromptReader::Decode {
+    if choose_reader(&read_outlook(context, wait), context.route.objective) == PromptReader::Decode
+    {
         let wait = wait.map_or(-1, |wait| i64::try_from(wait.as_millis()).unwrap_or(i64::MAX));
         log::info!("event=prompt_left_to_decode request={} wait_ms={wait}", context.id());
         return PromptEnd::LeftToDecode;
@@ -72,12 +73,17 @@
         let Some(permit) = context.permit(server).await else {
             continue;
         };
-        // The request's first read is not a retry; each further one counts as a retry.
-        if !context.cover_sends(&[SendKind::Read]).await {
+        // After a rejection the decode server can still run the request, if that is all that the budget allows.
+        if reads > 0 && !context.may_survive_rejection() {
+            break;
+        }
+        if !context.cover_sends(1).await {
             break;
         }
         reads += 1;
-        match read_at(context, server, permit).await {
+        let end = read_at(context, server, permit).await;
+        context.record_read_outcome(!matches!(end, Ok(ReadEnd::Read(_))));
+        match end {
             Ok(ReadEnd::Read(result)) => {
                 let resource = EngineResource::from_prefill(&context.host, server.clone(), result);
                 return PromptEnd::Read(resource);
@@ -108,6 +114,22 @@
     fall_back(context)
 }
 
+fn read_outlook(context: &CallContext, wait: Option<Duration>) -> ReadOutlook {
+    let (host, service) = (&context.host, context.service);
+    let now = host.now();
+    let rejections = host.state().read_rejections.get(&service).map_or(0.0, |rate| rate.at(now));
+    let survives_rejection = context.may_survive_rejection();
+    ReadOutlook { wait, rejections, survives_rejection }
+}
+
+impl CallContext {
+    fn record_read_outcome(&self, is_rejected: bool) {
+        let now = self.host.now();
+        let mut state = self.host.state();
+        state.read_rejections.entry(self.service).or_default().record(now, is_rejected);
+    }
+}
+
 /// Decides how to go on with a prompt that no prefill server read. Its decode server already holds memory for it and
 /// reads it in time, unless too much of the objective has passed. No second prefill server is tried, since its
 /// answer may get lost as often as the first one's, and its work would be wasted.
--- a/src/gateway/retry_grants.rs
+++ b/src/gateway/retry_grants.rs
@@ -10,6 +10,11 @@
 use crate::routes::ServiceKey;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// A pool that denied a retry is not expected to grant one before this time has passed: several hosts share what it
+/// gains in the meantime.
+const DENIAL_MEMORY: Duration = Duration::from_secs(5);
 
 impl GatewayHost {
     /// Takes `count` retries of a service's requests, if the retry budget allows them.
@@ -34,6 +39,17 @@
         state.retry_windows.entry(service).or_default().try_take(now, &bounds, hosts, count)
     }
 
+    /// Whether the retry budget will probably allow one more retry of a service's requests.
+    pub(super) fn expects_retry(&self, service: ServiceKey) -> bool {
+        let (now, hosts) = (self.now(), self.sharing_host_count());
+        let mut state = self.state();
+        let bounds = state.bounds.retries;
+        let has_room =
+            state.retry_windows.entry(service).or_default().has_room(now, &bounds, hosts, 1);
+        let denied_at = state.retries_denied_at.get(&service);
+        has_room || denied_at.is_none_or(|at| now.since(*at) >= DENIAL_MEMORY)
+    }
+
     async fn query_pool(&self, request: &RetryRequest) -> bool {
         let owner = self.state().pool_owner(self.now(), request.service);
         let reply = match owner {
@@ -45,6 +61,10 @@
             OwnerChoice::Unknown => None,
         };
         let granted = reply.is_some_and(|reply| reply.granted);
+        if !granted {
+            let now = self.now();
+            self.state().retries_denied_at.insert(request.service, now);
+        }
         log::info!(
             "event=repeats_asked service={:016x} count={} answered={} granted={granted}",
             request.service.0,
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -14,7 +14,6 @@
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::platform::DecodePart;
 use crate::quarantine::CRASH_RETENTION;
-use crate::retries::SendKind;
 use crate::routes::EngineSpec;
 use crate::streams::ServerSentEvent;
 use http::{HeaderMap, StatusCode};
@@ -35,9 +34,6 @@
 /// objective has passed.
 const SECOND_TRY_FRACTION: f64 = 0.8;
 
-/// What opening a run sends to servers.
-const OPENING: [SendKind; 2] = [SendKind::Read, SendKind::Run];
-
 /// A run whose first event has arrived.
 #[derive(Debug)]
 pub(super) struct OpenRun {
@@ -107,7 +103,7 @@
     context.route.is_retryable()
         && runs.sent < context.route.max_servers
         && !context.time_left().is_zero()
-        && context.cover_sends(&OPENING).await
+        && context.cover_opening().await
 }
 
 /// Refuses a request that did not run, with a constant retry delay for its caller.
@@ -172,7 +168,7 @@
         context.count_served_return();
     }
     // An earlier opening may have been refused after it had reached servers.
-    if !context.cover_sends(&OPENING).await {
+    if !context.cover_opening().await {
         return Err(OpenFailure::NotRun(NotRunReason::RetryBudget));
     }
     let held_at = context.host.now();
@@ -212,6 +208,10 @@
         priority: run_priority(context),
     };
     let mut permit = reservation.permit.renewed(context, &server).await.ok_or_else(at_limit)?;
+    // A read that was rejected has used up what covered the run.
+    if !context.cover_sends(1).await {
+        return Err(OpenFailure::NotRun(NotRunReason::RetryBudget));
+    }
     let opened = run_at(context, &server, part, runs, &mut permit).await;
     reservation.hold.mark_used();
     // A result that was fetched no longer exists at its server; one that was not fetched expires soon.
@@ -254,7 +254,7 @@
     if late || restarted || context.is_known_held_back(runs.sent) {
         return Err(rejected());
     }
-    if !context.cover_sends(&[SendKind::Run]).await {
+    if !context.cover_sends(1).await {
         return Err(rejected());
     }
     let tokens = hold_tokens(context, engine, after);
--- a/src/gateway/send_budget.rs
+++ b/src/gateway/send_budget.rs
@@ -3,34 +3,42 @@
 use super::call_context::CallContext;
 use super::server_call::CallPurpose;
 use crate::host::lock;
-use crate::retries::SendKind;
+
+/// Sends of an opening whose read is rejected: the read and the run.
+const REJECTED_OPENING: u32 = 2;
 
 impl CallContext {
-    /// Makes sure that the request may be sent once for each of `kinds`. What earlier sends have used up is taken from the
-    /// retry budget, all of it or nothing.
+    /// Makes sure that the request may be sent `sends` times more. What earlier sends have used up is taken from the retry
+    /// budget, all of it or nothing.
     ///
     /// Everything that leads to a send asks this first, so that no loop around it can send without being counted.
-    pub async fn cover_sends(&self, kinds: &[SendKind]) -> bool {
-        let credit = *lock(&self.credit);
-        let missing: Vec<SendKind> =
-            kinds.iter().copied().filter(|kind| !credit.covers(*kind)).collect();
-        if missing.is_empty() {
+    pub async fn cover_sends(&self, sends: u32) -> bool {
+        let missing = lock(&self.credit).missing(sends);
+        if missing == 0 {
             return true;
         }
-        let count = u32::try_from(missing.len()).unwrap_or(u32::MAX);
-        if !self.host.take_retries(self.service, count).await {
+        if !self.host.take_retries(self.service, missing).await {
             return false;
         }
-        for kind in missing {
-            lock(&self.credit).add(kind);
-        }
+        lock(&self.credit).add(missing);
         true
     }
 
+    /// Makes sure that the prompt may be read once more and the request run after that.
+    pub async fn cover_opening(&self) -> bool {
+        let sends = lock(&self.credit).opening_sends();
+        self.cover_sends(sends).await
+    }
+
+    /// Whether the request could probably still run if the next read of its prompt was rejected.
+    pub fn may_survive_rejection(&self) -> bool {
+        let missing = lock(&self.credit).missing(REJECTED_OPENING);
+        missing == 0 || self.host.expects_retry(self.service)
+    }
+
     /// Records that the request is sent to a server.
     pub(super) fn spend_send(&self, purpose: CallPurpose, server: &str) {
-        let Some(kind) = purpose.send_kind() else { return };
-        if lock(&self.credit).spend(kind) {
+        if !purpose.is_counted() || lock(&self.credit).spend() {
             return;
         }
         let (id, purpose) = (self.id(), purpose.name());
@@ -40,8 +48,8 @@
 
     /// Takes back the last [`Self::spend_send`]: nothing of the request reached the server.
     pub(super) fn return_send(&self, purpose: CallPurpose) {
-        if let Some(kind) = purpose.send_kind() {
-            lock(&self.credit).return_send(kind);
+        if purpose.is_counted() {
+            lock(&self.credit).return_send();
         }
     }
 
--- a/src/gateway/server_call.rs
+++ b/src/gateway/server_call.rs
@@ -6,7 +6,6 @@
 use crate::engines::{AnswerProof, PooledBody, SendLimits};
 use crate::fleet::ServerEntry;
 use crate::platform::{CallPart, REQUEST_ID, read_limit};
-use crate::retries::SendKind;
 use crate::{Error, Result};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -42,12 +41,11 @@
         }
     }
 
-    /// What a server is asked to do for a caller's request; `None` for the router's own calls.
-    pub const fn send_kind(self) -> Option<SendKind> {
+    /// Whether it sends a caller's request, which the retry budget counts, and not a call of the router's own.
+    pub const fn is_counted(self) -> bool {
         match self {
-            Self::Read => Some(SendKind::Read),
-            Self::Run | Self::Plain => Some(SendKind::Run),
-            Self::Control | Self::Order => None,
+            Self::Read | Self::Run | Self::Plain => true,
+            Self::Control | Self::Order => false,
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,6 +6,7 @@
 
 mod circuit_breaker;
 mod domain_breakers;
+mod error_rate;
 mod grant_history;
 mod length_model;
 mod link_schedule;
@@ -34,6 +35,7 @@
 
 pub use circuit_breaker::CircuitBreaker;
 pub use domain_breakers::DomainBreakers;
+pub use error_rate::ErrorRate;
 pub use grant_history::GrantHistory;
 pub use length_model::LengthModel;
 pub use link_schedule::LinkSchedule;
@@ -45,7 +47,7 @@
 pub use prefill_entry::{PrefillEntry, PrefillRequest};
 pub use prefill_queue::PrefillQueue;
 pub use prefix_index::{BLOCK_TOKENS, PrefixIndex, prefix_blocks};
-pub use prompt_reader::{PromptReader, choose_reader};
+pub use prompt_reader::{PromptReader, ReadOutlook, choose_reader};
 pub use refusal_reason::RefusalReason;
 pub use rendezvous::{rendezvous_owner, rendezvous_rank};
 pub use report_table::{LoadReport, ReportTable};
--- a/src/placement/server_health.rs
+++ b/src/placement/server_health.rs
@@ -1,11 +1,5 @@
-use super::CircuitBreaker;
+use super::{CircuitBreaker, ErrorRate};
 use crate::keys::TimePoint;
-use std::time::Duration;
-
-/// Weight of one answer in the error rate, so that about the last eight answers count.
-const ERROR_WEIGHT: f64 = 0.12;
-/// Half-life of the error rate without answers, so that a recovered server is tried again.
-const ERROR_HALF_LIFE: Duration = Duration::from_secs(3);
 
 /// An event in the communication with a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,8 +27,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerHealth {
     breaker: CircuitBreaker,
-    error_rate: f64,
-    updated_at: TimePoint,
+    error_rate: ErrorRate,
 }
 
 impl ServerHealth {
@@ -62,19 +55,19 @@
     /// Records a successful answer.
     pub fn record_success(&mut self, now: TimePoint) {
         self.breaker.record_success();
-        self.update_error_rate(now, 0.0);
+        self.error_rate.record(now, false);
     }
 
     /// Records an answer with an error. Errors alone do not open the breaker.
     pub fn record_error(&mut self, now: TimePoint) {
         self.breaker.record_abandoned();
-        self.update_error_rate(now, 1.0);
+        self.error_rate.record(now, true);
     }
 
     /// Records that the connection failed, or that the answer was late or incomplete.
     pub fn record_unresponsive(&mut self, now: TimePoint) {
         self.breaker.record_failure(now);
-        self.update_error_rate(now, 1.0);
+        self.error_rate.record(now, true);
     }
 
     /// Records that work was abandoned for reasons unrelated to the server.
@@ -84,13 +77,6 @@
 
     /// Decaying fraction of recent answers that were errors, from 0 to 1.
     pub fn error_rate(&self, now: TimePoint) -> f64 {
-        let half_lives = now.since(self.updated_at).as_secs_f64() / ERROR_HALF_LIFE.as_secs_f64();
-        self.error_rate * 0.5_f64.powf(half_lives)
-    }
-
-    fn update_error_rate(&mut self, now: TimePoint, error: f64) {
-        let rate = self.error_rate(now);
-        self.error_rate = rate + (error - rate) * ERROR_WEIGHT;
-        self.updated_at = now;
+        self.error_rate.at(now)
     }
 }
--- a/src/retries/mod.rs
+++ b/src/retries/mod.rs
@@ -15,4 +15,4 @@
 pub use retry_messages::{RetryReply, RetryRequest};
 pub use retry_pools::{RetryPools, RetryShare};
 pub use retry_window::{RetryBounds, RetryWindow};
-pub use send_credit::{SendCredit, SendKind};
+pub use send_credit::SendCredit;
--- a/src/retries/retry_window.rs
+++ b/src/retries/retry_window.rs
@@ -52,13 +52,24 @@
         hosts: usize,
         count: u32,
     ) -> bool {
-        let is_allowed = self.room(now, bounds, hosts) >= f64::from(count);
+        let is_allowed = self.has_room(now, bounds, hosts, count);
         if is_allowed {
             self.part(now, bounds).retries += count;
         }
         is_allowed
     }
 
+    /// Whether the window has room for `count` retries.
+    pub fn has_room(
+        &mut self,
+        now: TimePoint,
+        bounds: &RetryBounds,
+        hosts: usize,
+        count: u32,
+    ) -> bool {
+        self.room(now, bounds, hosts) >= f64::from(count)
+    }
+
     fn room(&mut self, now: TimePoint, bounds: &RetryBounds, hosts: usize) -> f64 {
         self.drop_old(now, bounds);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
--- a/src/retries/send_credit.rs
+++ b/src/retries/send_credit.rs
@@ -1,75 +1,62 @@
-/// What a backend server is asked to do for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendKind {
-    /// Only to read its prompt.
-    Read,
-    /// To run it.
-    Run,
-}
-
-/// How often a request may still be sent to servers: once to have its prompt read and once to run, which are no
-/// retries, and once more for each retry taken from the budget.
+/// How often a request may still be sent to servers without a retry being taken, and how often it was sent, as the
+/// platform counts both: the first send is no retry, and the first read of its prompt that a server takes up is not
+/// counted. A read that a server rejects is counted like any other send.
+///
+/// Whether a read is taken up is known only after it was sent. Each send therefore takes one from the credit, and that of
+/// the first read taken up is given back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SendCredit {
-    reads: u32,
-    runs: u32,
-    /// Sends that count: all but the first read that a server took up.
-    sent: u32,
+    sends: u32,
     has_read: bool,
+    sent: u32,
 }
 
 impl Default for SendCredit {
     fn default() -> Self {
-        Self { reads: 1, runs: 1, sent: 0, has_read: false }
+        Self { sends: 1, has_read: false, sent: 0 }
     }
 }
 
 impl SendCredit {
-    /// Whether the request may be sent once more.
-    pub fn covers(&self, kind: SendKind) -> bool {
-        match kind {
-            SendKind::Read => self.reads > 0,
-            SendKind::Run => self.runs > 0,
-        }
+    /// Number of retries that have to be taken before the request may be sent `sends` times more.
+    pub fn missing(&self, sends: u32) -> u32 {
+        sends.saturating_sub(self.sends)
     }
 
-    /// Adds one send: a retry was taken.
-    pub fn add(&mut self, kind: SendKind) {
-        *self.count_mut(kind) += 1;
+    /// Number of sends that reading the prompt and then running the request takes, if the read is taken up.
+    pub fn opening_sends(&self) -> u32 {
+        if self.has_read { 2 } else { 1 }
     }
 
-    /// Records that the request is sent. Returns false if this send was not covered.
-    pub fn spend(&mut self, kind: SendKind) -> bool {
-        let is_covered = self.covers(kind);
+    /// Adds sends for which retries were taken.
+    pub fn add(&mut self, sends: u32) {
+        self.sends += sends;
+    }
+
+    /// Records that the request is sent. Returns false if the credit did not cover it.
+    pub fn spend(&mut self) -> bool {
+        let is_covered = self.sends > 0;
+        self.sends = self.sends.saturating_sub(1);
         self.sent += 1;
-        let count = self.count_mut(kind);
-        *count = count.saturating_sub(1);
         is_covered
     }
 
-    /// Records that nothing of the last send reached its server.
-    pub fn return_send(&mut self, kind: SendKind) {
+    /// Takes back the last send: nothing of the request reached its server.
+    pub fn return_send(&mut self) {
+        self.sends += 1;
         self.sent = self.sent.saturating_sub(1);
-        self.add(kind);
     }
 
-    /// Records that a server took up the read that was sent last. Only the first one is not counted by the platform.
+    /// Records that a server took up the read that was sent last.
     pub fn record_read(&mut self) {
         if !self.has_read {
             self.has_read = true;
-            self.sent = self.sent.saturating_sub(1);
+            self.return_send();
         }
     }
 
-    /// Number of sends beyond the first, as the platform counts them.
+    /// Number of sends beyond the first that were counted.
     pub fn repeats(&self) -> u32 {
         self.sent.saturating_sub(1)
     }
-
-    fn count_mut(&mut self, kind: SendKind) -> &mut u32 {
-        match kind {
-            SendKind::Read => &mut self.reads,
-            SendKind::Run => &mut self.runs,
-        }
-    }
 }
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -9,7 +9,7 @@
     ChangeOrders, LeaderRole, LeaderTenure, LeaseRecord, OrderLease, PoolSizes, StagePlanner,
     change_batch_size, has_spare_capacity, may_issue_orders, target_prefills,
 };
-use tealcleat::placement::{PromptReader, RequestWork, choose_reader};
+use tealcleat::placement::{PromptReader, ReadOutlook, RequestWork, choose_reader};
 
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -132,7 +132,26 @@
     #[case] expected: PromptReader,
 ) {
     let wait = wait_ms.map(Duration::from_millis);
-    assert_eq!(choose_reader(wait, Duration::from_millis(900)), expected);
+    for survives_rejection in [false, true] {
+        let outlook = ReadOutlook { wait, rejections: 0.0, survives_rejection };
+        assert_eq!(choose_reader(&outlook, Duration::from_millis(900)), expected);
+    }
+}
+
+/// Guards against requests that are refused although a decode server holds memory for them: their read is rejected, and
+/// the retry budget does not pay for the run after it.
+#[rstest]
+#[case::nothing_rejected(0.0, false, PromptReader::Prefill)]
+#[case::rarely_rejected(0.05, false, PromptReader::Prefill)]
+#[case::often_rejected(0.2, false, PromptReader::Decode)]
+#[case::often_rejected_with_budget(0.2, true, PromptReader::Prefill)]
+fn reader_is_decode_server_for_unpaid_rejection(
+    #[case] rejections: f64,
+    #[case] survives_rejection: bool,
+    #[case] expected: PromptReader,
+) {
+    let outlook = ReadOutlook { wait: Some(Duration::ZERO), rejections, survives_rejection };
+    assert_eq!(choose_reader(&outlook, Duration::from_millis(900)), expected);
 }
 
 #[test]
