--- a/src/bench/site/repeat_sum.rs
+++ b/src/bench/site/repeat_sum.rs
@@ -39,8 +39,11 @@
         for arrival in arrivals {
             by_request.entry(arrival.request.clone()).or_default().push(arrival);
         }
-        let mut repeats: Vec<Instant> =
-            by_request.into_values().flat_map(repeats_of_request).collect();
+        Self::at(by_request.into_values().flat_map(repeats_of_request).collect())
+    }
+
+    /// The sum of repeats that arrived at these times.
+    pub fn at(mut repeats: Vec<Instant>) -> Self {
         repeats.sort_unstable();
         Self { repeats }
     }
