--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -252,11 +252,6 @@
         has_view && is_config_valid && self.stop_phase() == StopPhase::Serving
     }
 
-    /// Number of hosts among which limits that apply to all of them together are divided.
-    pub(super) fn sharing_host_count(&self) -> usize {
-        self.state().known_host_count().max(MIN_HOSTS)
-    }
-
     /// Adopts a configuration if it is newer than the one in force; returns whether it is.
     pub(super) fn adopt_routes(
         &self,
@@ -311,6 +306,3 @@
         }
     }
 }
-
-/// Minimum number of hosts assumed, because a host that has just started does not know the others yet.
-const MIN_HOSTS: usize = 10;
--- a/src/gateway/retry_grants.rs
+++ b/src/gateway/retry_grants.rs
@@ -6,7 +6,7 @@
 use super::peer_messages::GatewayDatagram;
 use crate::keys::TimePoint;
 use crate::limits::{OwnerChoice, choose_owner};
-use crate::retries::{RetryReply, RetryRequest, RetryShare};
+use crate::retries::{OwnShare, RetryReply, RetryRequest, RetryShare, assumed_hosts};
 use crate::routes::ServiceKey;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -33,19 +33,21 @@
     }
 
     fn take_own_retries(&self, service: ServiceKey, count: u32) -> bool {
-        let (now, hosts) = (self.now(), self.sharing_host_count());
+        let now = self.now();
         let mut state = self.state();
         let bounds = state.bounds.retries;
-        state.retry_windows.entry(service).or_default().try_take(now, &bounds, hosts, count)
+        let share = state.own_retry_share(now);
+        state.retry_windows.entry(service).or_default().try_take(now, &bounds, share, count)
     }
 
     /// Whether the retry budget will probably allow one more retry of a service's requests.
     pub(super) fn expects_retry(&self, service: ServiceKey) -> bool {
-        let (now, hosts) = (self.now(), self.sharing_host_count());
+        let now = self.now();
         let mut state = self.state();
         let bounds = state.bounds.retries;
+        let share = state.own_retry_share(now);
         let has_room =
-            state.retry_windows.entry(service).or_default().has_room(now, &bounds, hosts, 1);
+            state.retry_windows.entry(service).or_default().has_room(now, &bounds, share, 1);
         let denied_at = state.retries_denied_at.get(&service);
         has_room || denied_at.is_none_or(|at| now.since(*at) >= DENIAL_MEMORY)
     }
@@ -96,6 +98,15 @@
 }
 
 impl GatewayState {
+    /// This host's share of the slack of each service.
+    fn own_retry_share(&self, now: TimePoint) -> OwnShare {
+        let bounds = &self.bounds.retries;
+        let (_, known_here) = self.count_domain_hosts(self.members.own().domain);
+        let hosts = assumed_hosts(bounds, self.known_host_count(), known_here);
+        let age = now.since(TimePoint::default());
+        OwnShare::new(bounds, age, (!self.members.is_alone()).then_some(hosts))
+    }
+
     /// The host that grants retries of a service's requests in this host's failure domain.
     fn pool_owner(&self, now: TimePoint, service: ServiceKey) -> OwnerChoice {
         let own = self.members.own();
--- a/src/retries/mod.rs
+++ b/src/retries/mod.rs
@@ -7,11 +7,13 @@
 //! ([`RetryPools`]) when another host needs a retry that its own share does not cover. Decisions are pure: requests and
 //! the present time in, grants out.
 
+mod own_share;
 mod retry_messages;
 mod retry_pools;
 mod retry_window;
 mod send_credit;
 
+pub use own_share::{OwnShare, assumed_hosts};
 pub use retry_messages::{RetryReply, RetryRequest};
 pub use retry_pools::{RetryPools, RetryShare};
 pub use retry_window::{RetryBounds, RetryWindow};
--- a/src/retries/retry_window.rs
+++ b/src/retries/retry_window.rs
@@ -1,3 +1,4 @@
+use super::OwnShare;
 use crate::keys::TimePoint;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -7,10 +8,6 @@
 /// Fraction of the ratio that this host uses. The margin keeps all hosts together below the ratio although windows slide
 /// and requests of one window are retried in the next.
 const RATIO_MARGIN: f64 = 0.7;
-/// Fraction of the slack that is divided evenly among the hosts, for retries that need no grant of an owner. The rest
-/// belongs to the pools of the failure domains.
-pub(super) const OWN_FRACTION: f64 = 0.25;
-
 /// Bounds on retries, which apply to all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBounds {
@@ -32,7 +29,7 @@
 }
 
 /// Retries of one service's requests that this host may make without a grant of an owner: a ratio of its own requests,
-/// plus its even share of a part of the slack.
+/// plus its share of the slack.
 #[derive(Debug, Clone, Default)]
 pub struct RetryWindow {
     parts: VecDeque<WindowPart>,
@@ -44,15 +41,15 @@
         self.part(now, bounds).requests += 1;
     }
 
-    /// Takes `count` retries if the window has room for all of them. `hosts` is the number of hosts that share the slack.
+    /// Takes `count` retries if the window has room for all of them.
     pub fn try_take(
         &mut self,
         now: TimePoint,
         bounds: &RetryBounds,
-        hosts: usize,
+        share: OwnShare,
         count: u32,
     ) -> bool {
-        let is_allowed = self.has_room(now, bounds, hosts, count);
+        let is_allowed = self.has_room(now, bounds, share, count);
         if is_allowed {
             self.part(now, bounds).retries += count;
         }
@@ -64,18 +61,17 @@
         &mut self,
         now: TimePoint,
         bounds: &RetryBounds,
-        hosts: usize,
+        share: OwnShare,
         count: u32,
     ) -> bool {
-        self.room(now, bounds, hosts) >= f64::from(count)
+        self.room(now, bounds, share) >= f64::from(count)
     }
 
-    fn room(&mut self, now: TimePoint, bounds: &RetryBounds, hosts: usize) -> f64 {
+    fn room(&mut self, now: TimePoint, bounds: &RetryBounds, share: OwnShare) -> f64 {
         self.drop_old(now, bounds);
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let retries: u32 = self.parts.iter().map(|part| part.retries).sum();
-        let share = bounds.slack * OWN_FRACTION / hosts.max(1) as f64;
-        bounds.ratio * RATIO_MARGIN * f64::from(requests) + share - f64::from(retries)
+        bounds.ratio * RATIO_MARGIN * f64::from(requests) + share.retries() - f64::from(retries)
     }
 
     fn part(&mut self, now: TimePoint, bounds: &RetryBounds) -> &mut WindowPart {
