Soak: repeats of all hosts, lives and owners are summed, as the platform counts them, while servers reject most of what arrives

No soak counted them, so no run of ours could break the rule. First tries over connections of their own now stand in a file for both checks that make them.

--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -1,4 +1,5 @@
 use super::free_ports;
+use crate::retries::RetryBounds;
 use crate::settings::LoadFeatures;
 use crate::{Error, Result};
 use std::net::{IpAddr, SocketAddr};
@@ -37,12 +38,18 @@
     pub advertised: Option<SocketAddr>,
     /// Longest time for which a revoked key may still be served, if that is bounded.
     pub revocation: Option<Duration>,
+    /// Bounds on retries; `None` leaves room for all.
+    pub retries: Option<RetryBounds>,
     /// Decisions under load that are switched on.
     pub features: LoadFeatures,
     /// Additional environment variables.
     pub environment: &'a [(String, String)],
 }
 
+/// Bounds on retries that no test reaches.
+const AMPLE_RETRIES: RetryBounds =
+    RetryBounds { ratio: 0.2, slack: 500.0, window: Duration::from_secs(10), domains: 3 };
+
 /// How new connections to servers end at a machine without a path to them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionCut {
@@ -95,12 +102,15 @@
             .iter()
             .map(|(name, is_on)| format!("\"{name}\": {is_on}, "))
             .collect();
+        let retries = plan.retries.unwrap_or(AMPLE_RETRIES);
+        let (ratio, slack, window) = (retries.ratio, retries.slack, retries.window.as_secs_f64());
         let text = format!(
             "{{\"kind\": \"gateway\", \"host\": \"{}\", \"domain\": \"{}\",\n\
              \"callers_listen\": \"{}\", \"ready_listen\": \"{}\", \"peers_listen\": \"{}\",\n\
              \"metrics_listen\": \"{}\", \"store\": \"{}\", \"seeds\": [{}],\n\
              \"shared_key\": \"a-shared-key-of-the-soak\", \"grace_s\": 8, \"lease_ms\": 3000,\n\
-             {revocation}{advertise}{features}\"retry_ratio\": 0.2, \"retry_slack\": 500, \"log_level\": \"info\"}}\n",
+             {revocation}{advertise}{features}\"retry_ratio\": {ratio}, \"retry_slack\": {slack}, \"retry_window_s\": {window},\n\
+             \"log_level\": \"info\"}}\n",
             plan.name,
             plan.domain,
             address(0),
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -6,6 +6,7 @@
 mod answer_fault;
 mod answer_link;
 mod fault_log;
+mod first_try;
 mod herd_check;
 mod host_contacts;
 mod host_disruption;
@@ -15,6 +16,7 @@
 mod part_check;
 mod partition_group;
 mod propagation_probe;
+mod repeat_check;
 mod server_cut;
 mod server_cut_check;
 mod soak_burst;
@@ -33,6 +35,7 @@
 mod version_check;
 
 pub use part_check::PartTally;
+pub use repeat_check::RepeatTally;
 pub use soak_check::{CutTries, SoakReport, SoakViolation};
 pub use soak_options::SoakOptions;
 pub use soak_run::run_soak;
--- a/src/bench/soak/part_caller.rs
+++ b/src/bench/soak/part_caller.rs
@@ -51,7 +51,7 @@
     async fn attempt(&self, host: usize, route: SoakRoute, middle: &str, id: &str) -> (bool, bool) {
         let sent_at = Instant::now();
         let counted = self.contacts.is_in_touch(host, sent_at);
-        let record = SoakRecord { id: id.to_owned(), route, status: None };
+        let record = SoakRecord::new(id.to_owned(), route);
         lock(&self.results.records).push(record);
         let mut has_begun = false;
         if let Ok(mut connection) = SiteConnection::open(self.contacts.address(host)).await
--- a/src/bench/soak/propagation_probe.rs
+++ b/src/bench/soak/propagation_probe.rs
@@ -131,7 +131,7 @@
         };
         let reply = call_site(host, &call).await;
         let status = reply.ok().map(|reply| reply.status.as_u16());
-        self.records.push(SoakRecord { id, route: SoakRoute::Safe, status });
+        self.records.push(SoakRecord::answered(id, SoakRoute::Safe, status));
         status
     }
 }
--- a/src/bench/soak/server_cut_check.rs
+++ b/src/bench/soak/server_cut_check.rs
@@ -123,7 +123,7 @@
             let violation = reply.as_ref().and_then(|reply| check_reply(route, &id, reply));
             let whole = reply.filter(|reply| reply.complete || !reply.status.is_success());
             let status = whole.map(|reply| reply.status.as_u16());
-            (SoakRecord { id, route, status }, violation)
+            (SoakRecord::answered(id, route, status), violation)
         });
         sleep(TRY_PAUSE).await;
     }
--- a/src/bench/soak/soak_caller.rs
+++ b/src/bench/soak/soak_caller.rs
@@ -72,7 +72,7 @@
         };
         // The request is recorded before it is sent: if a server runs it and the caller receives no answer, the run
         // must still be attributed to a known request.
-        lock(&results.records).push(SoakRecord { id: id.clone(), route, status: None });
+        lock(&results.records).push(SoakRecord::new(id.clone(), route));
         let outcome = tokio::time::timeout(ANSWER_TIMEOUT, current.call(&call)).await;
         let reply = outcome.ok().and_then(crate::Result::ok);
         let is_complete = reply.as_ref().is_some_and(|reply| reply.complete);
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -1,8 +1,10 @@
 use super::part_check::PartTally;
+use super::repeat_check::RepeatTally;
 use super::stream_taker::VersionTally;
 use crate::bench::site::{CallerReply, SiteEngine, SiteService};
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// Number of events in a complete stream.
 pub(super) const STREAM_EVENTS: u64 = 8;
@@ -41,7 +43,8 @@
         }
     }
 
-    const fn is_stream(self) -> bool {
+    /// Whether it runs on engines; the others run on servers of the plain service.
+    pub const fn is_stream(self) -> bool {
         matches!(self, Self::Stream | Self::Resume)
     }
 }
@@ -90,6 +93,8 @@
     pub cut_tries: (CutTries, CutTries),
     /// First tries before and while most new connections went to one host.
     pub herd_tries: (CutTries, CutTries),
+    /// Repeats that arrived at servers, if they were summed.
+    pub repeats: RepeatTally,
     /// What callers found that took their streams up, if servers of several versions served.
     pub versions: VersionTally,
     /// What was found of parts of prompts that crash servers, if there were any.
@@ -105,6 +110,20 @@
     pub route: SoakRoute,
     /// The status, if the head of an answer arrived.
     pub status: Option<u16>,
+    /// When it was sent, or recorded if a check records it only after its answer.
+    pub asked_at: Instant,
+}
+
+impl SoakRecord {
+    /// A request that is sent now.
+    pub fn new(id: String, route: SoakRoute) -> Self {
+        Self { id, route, status: None, asked_at: Instant::now() }
+    }
+
+    /// A request that was answered with `status`.
+    pub fn answered(id: String, route: SoakRoute, status: Option<u16>) -> Self {
+        Self { status, ..Self::new(id, route) }
+    }
 }
 
 /// Checks a single answer as its caller sees it.
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -3,6 +3,7 @@
 use super::answer_link::AnswerLink;
 use super::fault_log::FaultLog;
 use super::partition_group::machine_address;
+use super::repeat_check::RETRY_BOUNDS;
 use super::soak_options::SoakOptions;
 use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode, UnansweredPort};
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
@@ -140,6 +141,7 @@
             advertised,
             revocation: None,
             features: options.features,
+            retries: options.sums_repeats.then_some(RETRY_BOUNDS),
             environment: &environment,
         })?;
         if let Some(advertised) = advertised {
@@ -216,7 +218,10 @@
 
 /// Whether the site has servers enough to lose some of them all the time.
 fn is_large(options: &SoakOptions) -> bool {
-    options.mixes_versions || options.crashes_parts || options.herds_connections
+    options.mixes_versions
+        || options.crashes_parts
+        || options.herds_connections
+        || options.sums_repeats
 }
 
 fn advertised_address() -> Result<SocketAddr> {
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -40,6 +40,9 @@
     /// Whether most new connections go to one host, which must serve what it reads. The daemons' environment must provide
     /// the same library.
     pub herds_connections: bool,
+    /// Whether servers reject most of what arrives beside disturbed hosts. The repeats of all hosts together must stay within
+    /// the retry bounds. The daemons' environment must provide the same library.
+    pub sums_repeats: bool,
     /// Number of routes in the configuration that no request uses.
     pub unused_routes: usize,
     /// Environment variables of the daemons.
@@ -56,5 +59,6 @@
             || self.mixes_versions
             || self.crashes_parts
             || self.herds_connections
+            || self.sums_repeats
     }
 }
--- a/src/bench/soak/soak_recovery.rs
+++ b/src/bench/soak/soak_recovery.rs
@@ -55,7 +55,7 @@
             let host = self.hosts[serial % self.hosts.len()].callers;
             let reply = call_site(host, &soak_call(route, &id)).await;
             let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
-            records.push(SoakRecord { id: id.clone(), route, status });
+            records.push(SoakRecord::answered(id.clone(), route, status));
             let is_complete = reply.is_ok_and(|reply| {
                 reply.complete
                     && reply.status.is_success()
@@ -97,7 +97,7 @@
                 let id = format!("s{seed}-return-{serial}-{}", CRASH_REQUESTS[*request].1);
                 let reply = call_site(host, &crash_call(*request, &id)).await;
                 let status = reply.ok().map(|reply| reply.status.as_u16());
-                records.push(SoakRecord { id, route: CRASH_REQUESTS[*request].0, status });
+                records.push(SoakRecord::answered(id, CRASH_REQUESTS[*request].0, status));
             }
         }
         let further_runs = held.into_iter().map(|(request, before)| {
@@ -157,7 +157,7 @@
             let route = SoakRoute::Once;
             let reply = call_site(host.callers, &soak_call(route, &id)).await;
             let status = reply.ok().map(|reply| reply.status.as_u16());
-            records.push(SoakRecord { id, route, status });
+            records.push(SoakRecord::answered(id, route, status));
         }
         let after = self.site.services[0].runs().len();
         self.write_service_entry(0, "ready");
@@ -183,7 +183,7 @@
             let route = SoakRoute::Stream;
             let reply = connection.call(&soak_call(route, &id)).await;
             let status = reply.as_ref().ok().map(|reply| reply.status.as_u16());
-            records.push(SoakRecord { id: id.clone(), route, status });
+            records.push(SoakRecord::answered(id.clone(), route, status));
             match reply {
                 Ok(reply) if !reply.complete => {
                     let guarantee = "a planned stop cuts nothing";
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -65,6 +65,13 @@
     } else {
         Vec::new()
     };
+    let mut repeats = Default::default();
+    let mut repeat_records = Vec::new();
+    let repeat_violations = if options.sums_repeats {
+        cluster.check_repeats(options, &results, &mut repeat_records, &mut repeats).await?
+    } else {
+        Vec::new()
+    };
     results.is_stopped.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
@@ -76,6 +83,7 @@
     report.store_calls = cluster.site.store.call_counts().0;
     report.cut_tries = cut_tries;
     report.herd_tries = herd_tries;
+    report.repeats = repeats;
     report.violations.extend(versions.violations());
     report.versions = versions;
     report.violations.extend(parts.violations());
@@ -86,10 +94,12 @@
     records.extend(propagation.1);
     records.extend(cut_records);
     records.extend(herd_records);
+    records.extend(repeat_records);
     report.violations.extend(recovery.0);
     report.violations.extend(propagation.0);
     report.violations.extend(cut_violations);
     report.violations.extend(herd_violations);
+    report.violations.extend(repeat_violations);
     let site = &cluster.site;
     report.violations.extend(check_runs(&records, &site.decodes, &site.services));
     let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
--- a/src/bench/soak/stream_taker.rs
+++ b/src/bench/soak/stream_taker.rs
@@ -169,7 +169,7 @@
         let Ok(mut connection) = SiteConnection::open(self.contacts.address(host)).await else {
             return false;
         };
-        let record = SoakRecord { id: id.to_owned(), route: SoakRoute::Resume, status: None };
+        let record = SoakRecord::new(id.to_owned(), SoakRoute::Resume);
         lock(&self.results.records).push(record);
         let before = stream.versions.len();
         let Ok(reply) = connection.call_within(&stream_call(id, stream), ANSWER_GAP).await else {
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -101,6 +101,8 @@
         parts: bool,
         /// Send most new connections to one host, beside disturbed hosts; needs the same library
         herding: bool,
+        /// Let servers reject most of what arrives, and sum the repeats of all hosts; needs the same library
+        repeating: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -40,6 +40,7 @@
             mixing,
             parts,
             herding,
+            repeating,
             further_routes,
             variable,
         } => {
@@ -61,6 +62,7 @@
                 mixes_versions: *mixing,
                 crashes_parts: *parts,
                 herds_connections: *herding,
+                sums_repeats: *repeating,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -34,6 +34,13 @@
                 before.served, before.sent, during.served, during.sent
             );
         }
+        if options.sums_repeats {
+            let repeats = report.repeats;
+            println!(
+                "  repeats of all hosts: {} at engines, {} at plain servers",
+                repeats.engine_repeats, repeats.plain_repeats
+            );
+        }
         let parts = &report.parts;
         if parts.crashes > 0 {
             let (before, after) = (parts.sound_before, parts.sound_after);
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -134,6 +134,7 @@
             seeds: &[],
             advertised: None,
             revocation: None,
+            retries: None,
             features: LoadFeatures::default(),
             environment: &[],
         })
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -110,6 +110,7 @@
         seeds,
         advertised: None,
         revocation: None,
+        retries: None,
         features: LoadFeatures::default(),
         environment,
     };
--- a/tests/retry_lives.rs
+++ b/tests/retry_lives.rs
@@ -86,7 +86,7 @@
             SiteFault::MostKilled => (2_000, 6),
             SiteFault::KilledBehindCuts => (14_000, 10),
         };
-        if millis % period != 0 || millis == 0 {
+        if !millis.is_multiple_of(period) || millis == 0 {
             return;
         }
         let is_cut = self.is_cut(millis);
@@ -98,7 +98,8 @@
     }
 
     fn is_down(&self, millis: u64, host: usize) -> bool {
-        let is_paused = self.fault == SiteFault::Paused && host % 2 == 0 && millis % 8_000 < 4_000;
+        let is_paused =
+            self.fault == SiteFault::Paused && host.is_multiple_of(2) && millis % 8_000 < 4_000;
         self.lives[host].started_ms > millis || is_paused
     }
 
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -163,6 +163,23 @@
     });
 }
 
+/// Servers reject most of what arrives, while hosts are killed, all of them several times in a row, paused and cut off, and
+/// the store is away. Guards against repeats that no budget pays for, or that several lives of a host are granted anew.
+#[test]
+fn run_soak_with_repeats_summed_over_all_hosts() {
+    let defaults = options(1);
+    let environment = source_address("soak-repeats");
+    let duration = Duration::from_secs(2);
+    run(SoakOptions {
+        hosts: 10,
+        domains: 3,
+        sums_repeats: true,
+        duration,
+        environment,
+        ..defaults
+    });
+}
+
 /// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
 /// guarantee while hosts are killed or suspended, or servers crash.
 #[rstest]
@@ -202,6 +219,7 @@
         mixes_versions: false,
         crashes_parts: false,
         herds_connections: false,
+        sums_repeats: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -64,6 +64,7 @@
             seeds: &[],
             advertised: None,
             revocation: Some(REVOCATION),
+            retries: None,
             features: LoadFeatures::default(),
             environment: &environment,
         })
