Retries: a host has half of its share in its first window, and none only while it meets the others

Callers of a host that just started got no retry out of the slack for a whole window, also where it is the only host: two cases of foreign_answers failed each time (a lost read or run that could have been repeated, 503 and a cut stream). Cause: the first mend withheld the whole share for a window, to bound what several lives take together. What broke the bound was the division by ten; lives alone need no more than half. Change: no share for 2 s unless there are no other hosts, then half of it, the whole one after a window.

--- a/src/retries/own_share.rs
+++ b/src/retries/own_share.rs
@@ -7,6 +7,12 @@
 /// Minimum number of hosts that a host assumes, even if it knows of fewer.
 const MIN_HOSTS: usize = 10;
 
+/// Fraction of its share that a host has in its first window. A host that is killed as soon as it has joined has five
+/// lives in a window of 10 s, whose parts add up to less than three shares.
+const FIRST_FRACTION: f64 = 0.5;
+/// A host that started less than this ago may not have met all others yet, of which many started with it.
+pub(super) const JOIN_TIME: Duration = Duration::from_secs(2);
+
 /// A host's share of the slack, in retries a window, for which it needs no grant of an owner.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OwnShare(f64);
@@ -15,15 +21,15 @@
     /// The share of a host that started `age` ago and assumes that there are `hosts` hosts, itself included; `None` if it has
     /// met none of the others yet.
     ///
-    /// In its first window a host has no share. Another life of it may have used the share within the same window, and it
-    /// does not know yet how many hosts there are: all hosts of a large site that start together would each take a tenth.
+    /// While a host still meets the others it has no share: all hosts of a large site that start together would each take
+    /// a tenth. In its first window it has a part only, since other lives of it may have used theirs within the same window.
     pub fn new(bounds: &RetryBounds, age: Duration, hosts: Option<usize>) -> Self {
-        match hosts {
-            Some(hosts) if age >= bounds.window => {
-                Self(bounds.slack * OWN_FRACTION / hosts.max(MIN_HOSTS) as f64)
-            }
-            _ => Self(0.0),
+        let Some(hosts) = hosts else { return Self::default() };
+        if hosts > 1 && age < JOIN_TIME {
+            return Self::default();
         }
+        let share = bounds.slack * OWN_FRACTION / hosts.max(MIN_HOSTS) as f64;
+        Self(if age < bounds.window { share * FIRST_FRACTION } else { share })
     }
 
     pub(super) fn retries(self) -> f64 {
--- a/src/retries/retry_pools.rs
+++ b/src/retries/retry_pools.rs
@@ -1,10 +1,9 @@
-use super::own_share::OWN_FRACTION;
+use super::own_share::{JOIN_TIME, OWN_FRACTION};
 use super::{RetryBounds, RetryRequest};
 use crate::keys::TimePoint;
 use crate::limits::{LimitBucket, LimitShare, OwnerTerm};
 use crate::routes::ServiceKey;
 use std::collections::HashMap;
-use std::time::Duration;
 
 /// Fraction of a pool that may accumulate at its owner, and fraction that refills in each window. The last third is
 /// left for a second owner, which some hosts may recognize while a change of the set of hosts spreads: that owner
@@ -12,10 +11,6 @@
 const BURST_FRACTION: f64 = 1.0 / 3.0;
 const RATE_FRACTION: f64 = 1.0 / 3.0;
 
-/// A host that started less than this ago owns no pool. Hosts that start together know few others at first, and many of
-/// them would choose themselves.
-const JOIN_TIME: Duration = Duration::from_secs(2);
-
 /// The share of each service's slack that the owner of one failure domain's pool may grant.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryShare(LimitShare);
@@ -55,6 +50,7 @@
         if self.term.is_broken(now) {
             self.check_ownership(now, |_| false);
         }
+        // Of hosts that start together and know few others, many would choose themselves.
         if !is_settled && now.since(TimePoint::default()) < JOIN_TIME {
             return false;
         }
