Retries: the only host has its whole share at once

Streams at a host that just started, the only one of its site, were cut where two of them lost their servers: severed_streams_go_on_at_their_version failed in both cases with half of the share. Change: where there are no other hosts, the share of a tenth is there at once; ten lives of it within a window take what all hosts may. Both cases pass, with retry_lives (40), retry_window, foreign_answers and shared_repeats.

--- a/src/retries/own_share.rs
+++ b/src/retries/own_share.rs
@@ -25,11 +25,12 @@
     /// a tenth. In its first window it has a part only, since other lives of it may have used theirs within the same window.
     pub fn new(bounds: &RetryBounds, age: Duration, hosts: Option<usize>) -> Self {
         let Some(hosts) = hosts else { return Self::default() };
-        if hosts > 1 && age < JOIN_TIME {
-            return Self::default();
-        }
         let share = bounds.slack * OWN_FRACTION / hosts.max(MIN_HOSTS) as f64;
-        Self(if age < bounds.window { share * FIRST_FRACTION } else { share })
+        // Ten lives of a host that is the only one take no more than all hosts may.
+        if hosts == 1 || age >= bounds.window {
+            return Self(share);
+        }
+        if age < JOIN_TIME { Self::default() } else { Self(share * FIRST_FRACTION) }
     }
 
     pub(super) fn retries(self) -> f64 {
