Prompt reader: the retry budget is asked only where reads are often rejected

Every stream counted all known hosts, for the share of the retries that they divide, before its prompt was read, also where no read had been rejected. The choice now takes the question itself and asks it only when the answer counts. Tests pass the same cases and assert the same choices.

--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -6,8 +6,7 @@
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::placement::{
-    PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ReadOutlook, ServerEvent, ServerLoad,
-    choose_reader,
+    PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
 };
 use crate::platform::{AnswerKind, CallPart, PrefillResult, decode_body, read_answer};
 use crate::stream_origins::RunVersion;
@@ -54,8 +53,9 @@
     };
     let ranked = context.host.rank_ready_servers(context.service, &criteria);
     let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
-    if choose_reader(&read_outlook(context, wait), context.route.objective) == PromptReader::Decode
-    {
+    let (objective, rejections) = (context.route.objective, context.read_rejections());
+    let survives_rejection = || context.may_survive_rejection();
+    if choose_reader(wait, objective, rejections, survives_rejection) == PromptReader::Decode {
         let wait = wait.map_or(-1, |wait| i64::try_from(wait.as_millis()).unwrap_or(i64::MAX));
         log::info!("event=prompt_left_to_decode request={} wait_ms={wait}", context.id());
         return PromptEnd::LeftToDecode;
@@ -114,15 +114,14 @@
     fall_back(context)
 }
 
-fn read_outlook(context: &CallContext, wait: Option<Duration>) -> ReadOutlook {
-    let (host, service) = (&context.host, context.service);
-    let now = host.now();
-    let rejections = host.state().read_rejections.get(&service).map_or(0.0, |rate| rate.at(now));
-    let survives_rejection = context.may_survive_rejection();
-    ReadOutlook { wait, rejections, survives_rejection }
-}
-
 impl CallContext {
+    /// Fraction of the reads of this host that prefill servers rejected lately, or did not answer.
+    fn read_rejections(&self) -> f64 {
+        let now = self.host.now();
+        let state = self.host.state();
+        state.read_rejections.get(&self.service).map_or(0.0, |rate| rate.at(now))
+    }
+
     fn record_read_outcome(&self, is_rejected: bool) {
         let now = self.host.now();
         let mut state = self.host.state();
--- a/src/placement/prompt_reader.rs
+++ b/src/placement/prompt_reader.rs
@@ -9,18 +9,6 @@
 /// run after a rejection. A request that is lost costs its caller more than ten that start late.
 const MAX_UNPAID_REJECTIONS: f64 = 0.1;
 
-/// What is known of the prefill servers before a prompt is read.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ReadOutlook {
-    /// The waiting time at the best prefill server: `None` if there is no such server, and zero while the speed of the
-    /// servers is unknown.
-    pub wait: Option<Duration>,
-    /// Fraction of reads that were rejected lately.
-    pub rejections: f64,
-    /// Whether the retry budget lets the request run after its read was rejected.
-    pub survives_rejection: bool,
-}
-
 /// The kind of server that processes a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PromptReader {
@@ -33,14 +21,19 @@
 
 /// Chooses which server processes a prompt within `objective`, the request's latency objective.
 ///
+/// `wait` is the waiting time at the best prefill server: `None` if there is no such server, and zero while the speed of the
+/// servers is unknown. `rejections` is the fraction of reads that were rejected lately. `survives_rejection` tells whether
+/// the retry budget lets the request run after its read was rejected; it is asked only where reads are often rejected.
+///
 /// This choice allows the prefill pool to be sized for the average load: when one of its servers
 /// fails or a burst arrives, decode servers process the prompts that would otherwise be late.
-pub fn choose_reader(outlook: &ReadOutlook, objective: Duration) -> PromptReader {
-    let is_safe = outlook.survives_rejection || outlook.rejections <= MAX_UNPAID_REJECTIONS;
-    match outlook.wait {
-        Some(wait) if is_safe && wait <= objective.mul_f64(MAX_WAIT_FRACTION) => {
-            PromptReader::Prefill
-        }
-        _ => PromptReader::Decode,
-    }
+pub fn choose_reader(
+    wait: Option<Duration>,
+    objective: Duration,
+    rejections: f64,
+    survives_rejection: impl FnOnce() -> bool,
+) -> PromptReader {
+    let is_in_time = wait.is_some_and(|wait| wait <= objective.mul_f64(MAX_WAIT_FRACTION));
+    let is_safe = || rejections <= MAX_UNPAID_REJECTIONS || survives_rejection();
+    if is_in_time && is_safe() { PromptReader::Prefill } else { PromptReader::Decode }
 }
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -9,7 +9,7 @@
     ChangeOrders, LeaderRole, LeaderTenure, LeaseRecord, OrderLease, PoolSizes, StagePlanner,
     change_batch_size, has_spare_capacity, may_issue_orders, target_prefills,
 };
-use tealcleat::placement::{PromptReader, ReadOutlook, RequestWork, choose_reader};
+use tealcleat::placement::{PromptReader, RequestWork, choose_reader};
 
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -133,8 +133,8 @@
 ) {
     let wait = wait_ms.map(Duration::from_millis);
     for survives_rejection in [false, true] {
-        let outlook = ReadOutlook { wait, rejections: 0.0, survives_rejection };
-        assert_eq!(choose_reader(&outlook, Duration::from_millis(900)), expected);
+        let reader = choose_reader(wait, Duration::from_millis(900), 0.0, || survives_rejection);
+        assert_eq!(reader, expected);
     }
 }
 
@@ -150,8 +150,9 @@
     #[case] survives_rejection: bool,
     #[case] expected: PromptReader,
 ) {
-    let outlook = ReadOutlook { wait: Some(Duration::ZERO), rejections, survives_rejection };
-    assert_eq!(choose_reader(&outlook, Duration::from_millis(900)), expected);
+    let objective = Duration::from_millis(900);
+    let reader = choose_reader(Some(Duration::ZERO), objective, rejections, || survives_rejection);
+    assert_eq!(reader, expected);
 }
 
 #[test]
