Soak: other hosts are asked beside each disruption, and the store is away beside kills of all too

Where repeats are summed, each disruption drew the same hosts for its requests, and the store was never away while all hosts were killed. It is now, until they start again.

--- a/src/bench/soak/repeat_check.rs
+++ b/src/bench/soak/repeat_check.rs
@@ -12,8 +12,8 @@
 use crate::bench::site::{EngineFault, RepeatSum, RequestArrival, ServiceFault, StoreFault};
 use crate::host::lock;
 use crate::retries::RetryBounds;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,7 @@
 const KILLS_IN_A_ROW: usize = 3;
 const REPEAT_SALT: u64 = 0x9e_9ea7;
 
-/// The repeats that were found, and what they were checked for.
+/// The repeats that were found.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RepeatTally {
     /// Repeats at engines.
@@ -61,18 +61,23 @@
         for (shock, index) in shocks.into_iter().zip(0..) {
             self.fault_log.record_disruption(&format!("repeats: {shock:?}"))?;
             self.overload_servers(index);
-            // The store is away during every third disruption.
-            let store_fault = if index % 3 == 2 { StoreFault::Busy } else { StoreFault::None };
+            // The store is away beside every third disruption.
+            if index % 3 == 2 {
+                self.site.store.set_fault(StoreFault::Busy);
+            }
             let name = format!("s{}-repeats{index}", options.seed);
             let duration = self.begin_shock(shock, &contacts)?;
-            if shock != HostShock::KillAll {
-                self.site.store.set_fault(store_fault);
-            }
-            let tries = tokio::spawn({
-                let (addresses, mut random) = (addresses.clone(), random.clone());
-                async move { open_connections(&name, &addresses, plan, &mut random).await }
-            });
+            let mut targets = StdRng::seed_from_u64(random.random());
+            let hosts = addresses.clone();
+            let tries =
+                tokio::spawn(
+                    async move { open_connections(&name, &hosts, plan, &mut targets).await },
+                );
             tokio::time::sleep(duration).await;
+            if shock == HostShock::KillAll {
+                // Without the store no host would know any server.
+                self.site.store.set_fault(StoreFault::None);
+            }
             self.end_shock(shock, &contacts).await?;
             let tries = tries.await.map_err(|error| crate::Error::Protocol(error.to_string()))?;
             self.site.store.set_fault(StoreFault::None);
