--- a/tests/shared_repeats.rs
+++ b/tests/shared_repeats.rs
@@ -13,15 +13,17 @@
 const SLACK: f64 = 5.0;
 const WINDOW: Duration = Duration::from_secs(1);
 
+fn set_bounds(site: &TestSite, ratio: f64, slack: f64, window: Duration) {
+    for gateway in &site.hosts {
+        let retries = &mut gateway.host.state().bounds.retries;
+        (retries.ratio, retries.slack, retries.window) = (ratio, slack, window);
+    }
+}
+
 /// Daemons of one failure domain, with servers that fail every request that they run.
 async fn failing_site(hosts: usize) -> TestSite {
     let site = TestSite::start(SitePlan { hosts, ..SitePlan::default() }).await.expect("a site");
-    for gateway in &site.hosts {
-        let mut state = gateway.host.state();
-        state.bounds.retries.ratio = 0.0;
-        state.bounds.retries.slack = SLACK;
-        state.bounds.retries.window = WINDOW;
-    }
+    set_bounds(&site, 0.0, SLACK, WINDOW);
     for service in &site.services {
         service.set_fault(ServiceFault::FailRuns);
     }
@@ -92,12 +94,7 @@
     runtime().block_on(async {
         let plan = SitePlan { prefills: 6, decodes: 7, ..SitePlan::default() };
         let site = TestSite::start(plan).await.expect("a site");
-        {
-            let mut state = site.hosts[0].host.state();
-            state.bounds.retries.ratio = STREAM_RATIO;
-            state.bounds.retries.slack = 0.0;
-            state.bounds.retries.window = Duration::from_secs(60);
-        }
+        set_bounds(&site, STREAM_RATIO, 0.0, Duration::from_secs(60));
         for engine in &site.decodes {
             // The stream is older than the time in which its decode server reads a prompt itself.
             engine.set_event_interval(Duration::from_millis(450));
@@ -184,12 +181,7 @@
 async fn rejecting_site(ratio: f64) -> TestSite {
     let plan = SitePlan { prefills: 30, decodes: 3, ..SitePlan::default() };
     let site = TestSite::start(plan).await.expect("a site");
-    {
-        let mut state = site.hosts[0].host.state();
-        state.bounds.retries.ratio = ratio;
-        state.bounds.retries.slack = 0.0;
-        state.bounds.retries.window = Duration::from_secs(60);
-    }
+    set_bounds(&site, ratio, 0.0, Duration::from_secs(60));
     for engine in &site.prefills {
         engine.set_fault(EngineFault::Shed { tenths: 10 });
     }
