--- a/src/quarantine/crash_exchange.rs
+++ b/src/quarantine/crash_exchange.rs
@@ -2,6 +2,7 @@
 
 use super::crash_record::{InterruptedRun, RunChange};
 use super::crash_tracker::{CRASH_RETENTION, CrashTracker, RETURN_PERIOD};
+use super::resend_schedule::ResendSchedule;
 use super::{CrashReport, CrashUpdate, InterruptedRequest};
 use crate::keys::{ServerKey, TimePoint};
 use std::cmp::Reverse;
@@ -12,10 +13,6 @@
 /// Maximum number of crashes in a full report, which goes to the store or to a host that synchronizes its state. The
 /// most recent crashes are included.
 const MAX_REPORTED: usize = 256;
-/// A crash younger than this is sent again at intervals, for hosts that were cut off when it was first sent.
-pub(super) const RESEND_WINDOW: Duration = Duration::from_secs(20);
-/// Interval at which such crashes are sent again.
-pub(super) const RESEND_PERIOD: Duration = Duration::from_secs(1);
 
 impl CrashTracker {
     /// Merges the report of another host. Anything new in it is scheduled for sending to further hosts.
@@ -122,12 +119,11 @@
     }
 
     fn schedule_resends(&mut self, now: TimePoint) {
-        if now.since(self.resent_at) < RESEND_PERIOD {
+        if !self.resends.take_due(now) {
             return;
         }
-        self.resent_at = now;
         for record in self.crashes.values_mut() {
-            let is_recent = now.since(record.crashed_at) < RESEND_WINDOW;
+            let is_recent = ResendSchedule::is_recent(now, record.crashed_at);
             if is_recent && !record.requests.is_empty() {
                 record.sends_left = record.sends_left.max(1);
             }
--- a/src/quarantine/crash_tracker.rs
+++ b/src/quarantine/crash_tracker.rs
@@ -4,6 +4,7 @@
 use super::receipt_clock::ReceiptClock;
 use super::receipt_clock::SETTLE_TIME;
 use super::recent_keys::RecentKeys;
+use super::resend_schedule::ResendSchedule;
 use super::{ConnectionLoss, CrashEvidence, RequestVerdict};
 use crate::keys::{RequestKey, ServerKey, TimePoint};
 use std::collections::HashMap;
@@ -37,7 +38,7 @@
     pub(super) clearances: ClearanceTable,
     /// Requests that were tried, and when.
     trials: HashMap<RequestKey, TimePoint>,
-    pub(super) resent_at: TimePoint,
+    pub(super) resends: ResendSchedule,
     clock: ReceiptClock,
 }
 
@@ -49,7 +50,7 @@
             served: RecentKeys::new(SERVED_LIFETIME),
             clearances: ClearanceTable::default(),
             trials: HashMap::new(),
-            resent_at: TimePoint::default(),
+            resends: ResendSchedule::default(),
             clock: ReceiptClock::default(),
         }
     }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -13,11 +13,13 @@
 mod crash_tracker;
 mod crash_verdict;
 mod part_exchange;
+mod part_record;
 mod part_report;
 mod part_tracker;
 mod part_verdict;
 mod receipt_clock;
 mod recent_keys;
+mod resend_schedule;
 mod unconfirmed_crashes;
 
 pub use crash_report::{ClearanceUpdate, CrashReport, CrashUpdate, InterruptedRequest};
--- a/src/quarantine/part_exchange.rs
+++ b/src/quarantine/part_exchange.rs
@@ -1,10 +1,12 @@
 //! How part trackers exchange crashes and clearances with each other and with the store.
 
-use super::crash_exchange::{MAX_MESSAGE_KEYS, RESEND_PERIOD, RESEND_WINDOW};
+use super::crash_exchange::MAX_MESSAGE_KEYS;
 use super::crash_record::whole_millis;
 use super::crash_tracker::CRASH_RETENTION;
-use super::part_tracker::{ClearedPart, PartTracker};
+use super::part_record::ClearedPart;
+use super::part_tracker::PartTracker;
 use super::part_verdict::SuspectRun;
+use super::resend_schedule::ResendSchedule;
 use super::{PartClearance, PartCrash, PartReport, SuspectRequest};
 use crate::keys::{PartKey, ServerKey, TimePoint};
 use std::cmp::Reverse;
@@ -118,12 +120,11 @@
     }
 
     fn schedule_resends(&mut self, now: TimePoint) {
-        if now.since(self.resent_at) < RESEND_PERIOD {
+        if !self.resends.take_due(now) {
             return;
         }
-        self.resent_at = now;
         for record in self.crashes.values_mut() {
-            if now.since(record.crashed_at) < RESEND_WINDOW {
+            if ResendSchedule::is_recent(now, record.crashed_at) {
                 record.sends_left = record.sends_left.max(1);
             }
         }
--- a/src/quarantine/part_tracker.rs
+++ b/src/quarantine/part_tracker.rs
@@ -1,9 +1,11 @@
-use super::crash_record::{UPDATE_SENDS, whole_millis};
+use super::crash_record::UPDATE_SENDS;
 use super::crash_tracker::CRASH_RETENTION;
+use super::part_record::{ClearedPart, PartCrashRecord};
 use super::part_verdict::{HeldParts, SuspectCrash, SuspectRun, find_held_parts};
 use super::receipt_clock::ReceiptClock;
 use super::recent_keys::RecentKeys;
-use super::{ConnectionLoss, PartCrash, RequestVerdict, SuspectRequest};
+use super::resend_schedule::ResendSchedule;
+use super::{ConnectionLoss, RequestVerdict};
 use crate::keys::{PartKey, ServerKey, TimePoint};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
@@ -24,40 +26,6 @@
 /// over which they have crashed servers, and so the time until the next one.
 pub const PART_TRIAL_DELAY: Duration = Duration::from_secs(60);
 
-/// One crash of a server at which runs had not begun to write.
-#[derive(Debug, Clone)]
-pub(super) struct PartCrashRecord {
-    pub crashed_at: TimePoint,
-    /// When this host learned of it.
-    pub learned_at: TimePoint,
-    pub runs: Vec<SuspectRun>,
-    /// How many more times it is sent to other hosts.
-    pub sends_left: u8,
-    /// Whether the copy in the store contains it.
-    pub is_saved: bool,
-}
-
-impl PartCrashRecord {
-    pub fn update(&self, now: TimePoint, server: ServerKey) -> PartCrash {
-        let request = |run: &SuspectRun| SuspectRequest {
-            request: run.request,
-            ran_ms: whole_millis(self.crashed_at.since(run.started_at)),
-            parts: run.parts.clone(),
-        };
-        PartCrash {
-            server,
-            age_ms: whole_millis(now.since(self.crashed_at)),
-            requests: self.runs.iter().map(request).collect(),
-        }
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ClearedPart {
-    pub written_at: TimePoint,
-    pub sends_left: u8,
-}
-
 /// Crashes of servers, the parts of the prompts on which their runs had not begun to write, and the parts on which
 /// servers have written.
 #[derive(Debug, Clone)]
@@ -72,7 +40,7 @@
     held_settled: Vec<HeldParts>,
     /// When a request with held parts was last sent as a trial.
     trials: BTreeMap<Vec<PartKey>, TimePoint>,
-    pub(super) resent_at: TimePoint,
+    pub(super) resends: ResendSchedule,
     clock: ReceiptClock,
 }
 
@@ -86,7 +54,7 @@
             held: Vec::new(),
             held_settled: Vec::new(),
             trials: BTreeMap::new(),
-            resent_at: TimePoint::default(),
+            resends: ResendSchedule::default(),
             clock: ReceiptClock::default(),
         }
     }
