Gateway, platform, stand-in engine: files with several types split

Stop phase, view source, end of a stream, answers of servers and answers of the stand-in engine have files of their own; code moved as it was.

--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -3,6 +3,7 @@
 //! Each stand-in can inject the faults that were observed on the users' bench; none models costs.
 
 mod duplicate_link;
+mod engine_answers;
 mod engine_events;
 mod engine_fault;
 mod engine_orders;
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -7,6 +7,7 @@
 use super::relay_record::RelayRecord;
 use super::run_open::{OpenRun, may_retry_run, open_stream};
 use super::run_start::RunRecord;
+use super::stream_end::StreamEnd;
 use crate::Result;
 use crate::keys::{NameKey, ServerKey};
 use crate::placement::{PaceTimer, ServerEvent};
@@ -28,30 +29,6 @@
 /// Time for relayed events to be written to the caller's connection before a stream is cut.
 const CUT_DELAY: Duration = Duration::from_millis(10);
 
-/// How a stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StreamEnd {
-    /// Its last event was relayed.
-    Whole,
-    /// The caller left.
-    CallerLeft,
-    /// Its deadline passed.
-    TimedOut,
-    /// Its server broke it off, and it was not resumed.
-    Broken,
-}
-
-impl StreamEnd {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Whole => "whole",
-            Self::CallerLeft => "caller_left",
-            Self::TimedOut => "timed_out",
-            Self::Broken => "broken",
-        }
-    }
-}
-
 /// How one run of a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RunEnd {
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,6 +1,8 @@
 use super::gateway_state::GatewayState;
 use super::pending_replies::PendingReplies;
+use super::stop_phase::StopPhase;
 use super::unreadable_objects::UnreadableObjects;
+use super::view_source::ViewSource;
 use crate::admission::AdmissionControl;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges, ViewFreshness};
@@ -31,38 +33,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
-/// Phase of a graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum StopPhase {
-    /// The host serves callers.
-    Serving,
-    /// The readiness endpoint reports not ready, so that the platform routes no more callers here; requests that still
-    /// arrive are served.
-    Draining,
-    /// Connections are closed; requests in flight, and those read in the meantime, run to their end.
-    Closing,
-    /// The process is about to exit; any request still read is refused.
-    Ending,
-}
-
-/// Source of a newer view.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ViewSource {
-    /// This host's own call to the store.
-    Store,
-    /// Another host.
-    Peer,
-}
-
-impl ViewSource {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Store => "store",
-            Self::Peer => "peer",
-        }
-    }
-}
-
 /// Shared state, clients and sockets of one gateway daemon.
 #[derive(Debug)]
 pub struct GatewayHost {
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -1,8 +1,9 @@
 //! Moves servers between the prefill and decode pools of a service. One host, the leader, decides under a lease in
 //! the store.
 
-use super::gateway_host::{GatewayHost, StopPhase};
+use super::gateway_host::GatewayHost;
 use super::gateway_state::GatewayState;
+use super::stop_phase::StopPhase;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::{NameKey, TimePoint};
 use crate::orders::{
--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -1,7 +1,8 @@
 //! Forwards connections of other hosts to backend servers that those hosts do not reach.
 
-use super::gateway_host::{GatewayHost, StopPhase};
+use super::gateway_host::GatewayHost;
 use super::in_flight_guard::InFlightGuard;
+use super::stop_phase::StopPhase;
 use crate::keys::{HostClock, TimePoint};
 use crate::peers::{TunnelOpening, TunnelStream};
 use crate::server_paths::TunnelRefusal;
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -1,8 +1,9 @@
 //! Exchanges views between hosts: which hosts are notified of a newer view, and from which host it is fetched.
 
-use super::gateway_host::{GatewayHost, ViewSource};
+use super::gateway_host::GatewayHost;
 use super::peer_messages::{GatewayReply, GatewayRequest};
 use super::store_contact::FollowedKind;
+use super::view_source::ViewSource;
 use crate::host::lock;
 use crate::keys::mix_hash;
 use crate::peers::PeerTimeouts;
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -1,9 +1,10 @@
 //! Reads the view from the store: lists and watches of the configuration and the servers.
 
-use super::gateway_host::{GatewayHost, ViewSource};
+use super::gateway_host::GatewayHost;
 use super::store_contact::{FollowedKind, record_store_answer};
 use super::view_loop::FollowStep;
 use super::view_servers::{apply_changes, logged, logged_name, replace_servers};
+use super::view_source::ViewSource;
 use crate::Result;
 use crate::platform::{
     ListAge, MAX_OBJECT_BYTES, ROUTES_OBJECT, SERVERS_KIND, StoreEvent, StoreObject,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! crate. It makes no decisions.
 
 mod answer_pace;
+mod answer_wire;
 mod call_counts;
 mod config_wire;
 mod crash_wire;
@@ -21,6 +22,7 @@
 mod wire_values;
 
 pub use answer_pace::AnswerPace;
+pub use answer_wire::{AnswerKind, answer_headers, contains_answer, read_answer, router_headers};
 pub use call_counts::CallKind;
 pub use config_wire::decode_config;
 pub use crash_wire::{CRASHES_OBJECT, CrashCopy, decode_crashes, encode_crashes};
@@ -31,10 +33,7 @@
 pub use lease_wire::{LEASE_OBJECT, decode_lease, encode_lease};
 pub use limit_wire::{LimitHeader, read_limit};
 pub use names::{READY_PATH, REQUEST_ID};
-pub use request_wire::{
-    AnswerKind, CallHead, CallPart, DecodePart, ServerCall, TokenCounts, answer_headers,
-    contains_answer, read_answer, router_headers,
-};
+pub use request_wire::{CallHead, CallPart, DecodePart, ServerCall, TokenCounts};
 pub use server_wire::{SERVERS_KIND, decode_change, decode_server, decode_servers};
 pub use store_call::{ListAge, WatchAnswer, WatchLimits, WriteOutcome};
 pub use store_client::StoreClient;
