--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -145,6 +145,31 @@
     });
 }
 
+/// Guards against hosts that serve before they know what others learnt: all hosts were killed, and those that started again
+/// sent requests with the bad part to servers for half a second.
+#[rstest]
+#[case::from_the_store(true)]
+#[case::from_a_neighbour(false)]
+fn crashing_part_held_back_from_the_start(#[case] is_isolated: bool) {
+    runtime().block_on(async {
+        let mut site = parts_site(1).await;
+        let first = callers(&site);
+        with_restarts(&site, crash_servers(&site, &first, "stream")).await;
+        tokio::time::sleep(SPREAD_TIME).await;
+        let added =
+            if is_isolated { site.add_isolated_host().await } else { site.add_host().await };
+        added.expect("a host");
+        site.wait_ready().await;
+        let before = bad_arrivals(&site);
+        let last = callers(&site)[1..].to_vec();
+        let mut served = 0;
+        with_restarts(&site, async { served = send_late(&last, "stream").await }).await;
+        let sends = bad_arrivals(&site) - before;
+        assert!(sends <= MAX_SENDS, "{sends} sends");
+        assert_eq!(served, LATE_REQUESTS, "sound requests with the same first part");
+    });
+}
+
 /// The last part belongs to the request itself, so that nothing is learnt from it.
 #[test]
 fn last_part_never_blamed() {
