Crashes: a host knows the copy in the store before it has servers to send to

After all hosts were killed, those that started again sent requests with a part that had crashed five servers, for half a second, until the watcher of each domain read the copy. Cause: the copy was read 0.5 s after the start, so that only one host in each domain reads it, and hosts serve as soon as they have a view. Change: a host that lists the servers itself reads the copy meanwhile, for 0.3 s at most; one that gets its first view from another host asks that host for the crashes meanwhile. Nobody waits for either longer than for the view and these bounds. One call of the store more for each start that lists. All 1,250 tests pass.

--- a/src/gateway/crash_store.rs
+++ b/src/gateway/crash_store.rs
@@ -33,6 +33,9 @@
 };
 /// Timeout of a store call; a slow store answers within 0.3 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout of the read beside the first listing: as long as a slow store takes to answer. A host that is ready serves, also
+/// where the answer is lost.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause after the store did not answer or refused a call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Delay between the watchers of successive failure domains before they write a crash that all of them received: one
@@ -114,7 +117,7 @@
         let Some(after) = watched else {
             // The store has a single revision counter: the watch returns everything that changes after this revision.
             let revision = self.state().fleet.revision();
-            self.read_crashes().await?;
+            self.read_crashes(CALL_TIMEOUT).await?;
             return Ok(Some(revision));
         };
         match self.store.watch(kind, after, WATCH_LIMITS).await? {
@@ -130,9 +133,17 @@
         }
     }
 
-    async fn read_crashes(&self) -> Result<()> {
+    /// Reads the copy beside the first listing of the servers, so that a host which starts after all that knew of the crashes
+    /// are gone knows them before it has a server to send requests to.
+    pub(super) async fn read_crashes_first(&self) {
+        if let Err(error) = self.read_crashes(FIRST_READ_TIMEOUT).await {
+            log::info!("event=crashes_not_read cause=\"{error}\"");
+        }
+    }
+
+    async fn read_crashes(&self, timeout: Duration) -> Result<()> {
         let (kind, name) = CRASHES_OBJECT;
-        match self.store.read(kind, name, CALL_TIMEOUT).await? {
+        match self.store.read(kind, name, timeout).await? {
             Some(object) => self.merge_copy(&object),
             None => self.state().crashes_revision = None,
         }
@@ -196,10 +207,10 @@
                 Ok(())
             }
             // Another host wrote first: its crashes are merged, and the next check writes those that it lacked.
-            WriteOutcome::Conflict => self.read_crashes().await,
+            WriteOutcome::Conflict => self.read_crashes(CALL_TIMEOUT).await,
             WriteOutcome::Refused => Err(Error::Refused("the store refused the write".to_owned())),
             // The write may have succeeded; reading the copy shows whether it did.
-            WriteOutcome::Unknown => self.read_crashes().await,
+            WriteOutcome::Unknown => self.read_crashes(CALL_TIMEOUT).await,
         }
     }
 }
--- a/src/gateway/crash_updates.rs
+++ b/src/gateway/crash_updates.rs
@@ -1,8 +1,9 @@
 //! Sends other hosts the crashes of servers and the requests that were in flight at the time.
 
 use super::gateway_host::GatewayHost;
-use super::peer_messages::GatewayDatagram;
+use super::peer_messages::{GatewayDatagram, GatewayReply, GatewayRequest};
 use crate::quarantine::{CrashReport, PartReport};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -48,6 +49,17 @@
         }
     }
 
+    /// Exchanges crashes with the parts of prompts with one host; a host of an older version does not know them.
+    pub(super) async fn sync_part_crashes(&self, address: SocketAddr, timeout: Duration) {
+        let report = self.state().part_crashes.full_report(self.now());
+        let request = GatewayRequest::PartCrashes(report);
+        if let Ok(GatewayReply::PartCrashes(report)) =
+            self.peers.call(address, &request, timeout).await
+        {
+            self.apply_part_report(&report);
+        }
+    }
+
     /// Merges crashes that another host reported, with the parts of the prompts that ran.
     pub(super) fn apply_part_report(&self, report: &PartReport) {
         let now = self.now();
--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -138,21 +138,10 @@
     host.execute_actions(actions);
     host.apply_crash_report(&crashes);
     host.receive_server_limits(&limits);
-    sync_part_crashes(host, address).await;
+    host.sync_part_crashes(address, SYNC_TIMEOUT).await;
     true
 }
 
-/// Exchanges crashes with the parts of prompts; a host of an older version does not know them.
-async fn sync_part_crashes(host: &Arc<GatewayHost>, address: SocketAddr) {
-    let report = host.state().part_crashes.full_report(host.now());
-    let request = GatewayRequest::PartCrashes(report);
-    if let Ok(GatewayReply::PartCrashes(report)) =
-        host.peers.call(address, &request, SYNC_TIMEOUT).await
-    {
-        host.apply_part_report(&report);
-    }
-}
-
 impl GatewayHost {
     /// Carries out the actions that the membership table requests.
     pub(super) fn execute_actions(self: &Arc<Self>, actions: Vec<TableAction>) {
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -107,7 +107,14 @@
         let has_view = self.state().fleet.revision() > 0;
         let timeouts = if has_view { FETCH_TIMEOUTS } else { FIRST_TIMEOUTS };
         let on_progress = || lock(&self.view_fetches).record_progress(self.now(), address);
-        match self.peers.fetch(address, &request, timeouts, on_progress).await {
+        let fetch = self.peers.fetch(address, &request, timeouts, on_progress);
+        let fetched = if has_view {
+            fetch.await
+        } else {
+            // With servers to send to, this host has to know which prompts crash them.
+            tokio::join!(fetch, self.sync_part_crashes(address, FETCH_TIMEOUTS.reply)).0
+        };
+        match fetched {
             Ok(GatewayReply::View { routes: update, fleet, age }) => {
                 if let Some(update) = update {
                     self.apply_route_update(address, &routes, update);
--- a/src/gateway/view_store.rs
+++ b/src/gateway/view_store.rs
@@ -82,7 +82,9 @@
 /// store no longer has them. The list is not used before the changes have arrived.
 async fn list_stale(host: &Arc<GatewayHost>) -> Result<Option<u64>> {
     let kind = SERVERS_KIND;
-    let listed = host.store.list(kind, ListAge::Stale, LIST_TIMEOUT).await?;
+    let listing = host.store.list(kind, ListAge::Stale, LIST_TIMEOUT);
+    let (listed, ()) = tokio::join!(listing, host.read_crashes_first());
+    let listed = listed?;
     let limits = WatchLimits { wait: NO_WAIT, slack: LIST_TIMEOUT, max_bytes: usize::MAX };
     let since = host.store.watch(kind, listed.revision, limits).await?;
     let WatchAnswer::Changes(changes, revision) = since else {
