Stand-ins: servers can stand still and go on

A gate in front of everything that a stand-in engine or plain server does: events, answers and new requests are held up while connections stay open, as with servers that stand still for a second or two. No test uses it yet.

--- a/src/bench/site/engine_answers.rs
+++ b/src/bench/site/engine_answers.rs
@@ -131,7 +131,9 @@
 
     async fn answer(self: Arc<Self>, request: BufferedRequest) -> SiteAnswer {
         self.arrivals.record(&request);
+        self.stall_gate.pass().await;
         let answer = Arc::clone(&self).answer_request(request).await;
+        self.stall_gate.pass().await;
         self.arrivals.add_limit_headers(answer)
     }
 }
--- a/src/bench/site/engine_events.rs
+++ b/src/bench/site/engine_events.rs
@@ -31,6 +31,7 @@
         for number in first..self.events {
             let text = format!("id: {number}\ndata: {prompt} {number}\n{version_line}\n");
             let sent_count = number - first;
+            self.stall_gate.pass().await;
             let is_sent = match self.fault() {
                 EngineFault::CutAfter(limit) if sent_count >= limit => {
                     send_truncated(&events, &text).await;
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -4,6 +4,7 @@
 use super::site_arrivals::{LimitAnnouncement, SiteArrivals};
 use super::site_http::{restart_site, serve_site};
 use super::site_run::SiteRun;
+use super::stall_gate::StallGate;
 use super::volatile_state::VolatileState;
 use crate::Result;
 use crate::host::lock;
@@ -22,6 +23,8 @@
     software: Mutex<EngineSoftware>,
     /// Arrived requests and the announced limit; a new incarnation announces none.
     pub arrivals: SiteArrivals,
+    /// Holds up all that the engine does.
+    pub stall_gate: StallGate,
     pub(super) stage: Mutex<String>,
     pub(super) events: u64,
     event_interval: Mutex<Duration>,
@@ -46,6 +49,7 @@
             incarnations: IncarnationSwitch::default(),
             software: Mutex::new(EngineSoftware::first(id)),
             arrivals: SiteArrivals::default(),
+            stall_gate: StallGate::default(),
             stage: Mutex::new(stage.to_owned()),
             events,
             event_interval: Mutex::new(event_interval),
--- a/src/bench/site/site_service.rs
+++ b/src/bench/site/site_service.rs
@@ -5,6 +5,7 @@
     header, is_crash_request, restart_site, serve_site, signed,
 };
 use super::site_run::CallerRecord;
+use super::stall_gate::StallGate;
 use crate::Result;
 use crate::host::lock;
 use std::net::SocketAddr;
@@ -41,6 +42,8 @@
     incarnations: IncarnationSwitch,
     /// Arrived requests and the announced limit; a new incarnation announces none.
     pub arrivals: SiteArrivals,
+    /// Holds up all that the server does.
+    pub stall_gate: StallGate,
     fault: Mutex<ServiceFault>,
     runs: Mutex<Vec<CallerRecord>>,
 }
@@ -52,6 +55,7 @@
             id: id.to_owned(),
             incarnations: IncarnationSwitch::default(),
             arrivals: SiteArrivals::default(),
+            stall_gate: StallGate::default(),
             fault: Mutex::default(),
             runs: Mutex::default(),
         }
@@ -112,7 +116,9 @@
 
     async fn answer(self: Arc<Self>, request: BufferedRequest) -> SiteAnswer {
         self.arrivals.record(&request);
+        self.stall_gate.pass().await;
         let answer = Arc::clone(&self).answer_request(request).await;
+        self.stall_gate.pass().await;
         self.arrivals.add_limit_headers(answer)
     }
 }
