Quarantine: one order of sending for crashes and crashes with parts

crash_exchange::unsent and part_exchange::unsent sorted the crashes to send by the same rule, written twice, and the two reports were logged by the same lines. send_order and log_heard serve both.

--- a/src/gateway/crash_updates.rs
+++ b/src/gateway/crash_updates.rs
@@ -68,9 +68,7 @@
         state.part_crashes.merge(now, report);
         let known = state.part_crashes.len();
         drop(state);
-        if known != before {
-            log::info!("event=part_crashes_heard told={} known={known}", report.crashes.len());
-        }
+        log_heard("part_crashes_heard", report.crashes.len(), before, known);
     }
 
     /// Merges crashes that another host reported.
@@ -81,8 +79,13 @@
         state.crashes.merge(now, report);
         let known = state.crashes.len();
         drop(state);
-        if known != before {
-            log::info!("event=crashes_heard told={} known={known}", report.crashes.len());
-        }
+        log_heard("crashes_heard", report.crashes.len(), before, known);
+    }
+}
+
+/// Logs that a report named `told` crashes, if it changed how many are known.
+fn log_heard(event: &str, told: usize, before: usize, known: usize) {
+    if known != before {
+        log::info!("event={event} told={told} known={known}");
     }
 }
--- a/src/quarantine/crash_exchange.rs
+++ b/src/quarantine/crash_exchange.rs
@@ -3,8 +3,9 @@
 use super::crash_record::{InterruptedRun, RunChange};
 use super::crash_tracker::{CRASH_RETENTION, CrashTracker, RETURN_PERIOD};
 use super::resend_schedule::ResendSchedule;
+use super::send_order::send_order;
 use super::{CrashReport, CrashUpdate, InterruptedRequest};
-use crate::keys::{ServerKey, TimePoint};
+use crate::keys::TimePoint;
 use std::cmp::Reverse;
 use std::time::Duration;
 
@@ -77,13 +78,7 @@
         self.record_received(now);
         self.schedule_resends(now);
         let mut keys_left = MAX_MESSAGE_KEYS;
-        let mut due: Vec<ServerKey> = self
-            .crashes
-            .iter()
-            .filter(|(_, record)| record.sends_left > 0)
-            .map(|(key, _)| *key)
-            .collect();
-        due.sort_by_key(|key| (Reverse(self.crashes[key].sends_left), *key));
+        let due = send_order(self.crashes.iter().map(|(key, record)| (*key, record.sends_left)));
         let mut crashes = Vec::new();
         for server in due {
             let Some(record) = self.crashes.get_mut(&server) else { continue };
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -20,6 +20,7 @@
 mod receipt_clock;
 mod recent_keys;
 mod resend_schedule;
+mod send_order;
 mod unconfirmed_crashes;
 
 pub use crash_report::{ClearanceUpdate, CrashReport, CrashUpdate, InterruptedRequest};
--- a/src/quarantine/part_exchange.rs
+++ b/src/quarantine/part_exchange.rs
@@ -7,9 +7,9 @@
 use super::part_tracker::PartTracker;
 use super::part_verdict::SuspectRun;
 use super::resend_schedule::ResendSchedule;
+use super::send_order::send_order;
 use super::{PartClearance, PartCrash, PartReport, SuspectRequest};
-use crate::keys::{PartKey, ServerKey, TimePoint};
-use std::cmp::Reverse;
+use crate::keys::{PartKey, TimePoint};
 use std::time::Duration;
 
 impl PartTracker {
@@ -80,12 +80,9 @@
         self.record_received(now);
         self.schedule_resends(now);
         let mut keys_left = MAX_MESSAGE_KEYS;
-        let due = self.crashes.iter().filter(|(_, record)| record.sends_left > 0);
-        let mut due: Vec<(Reverse<u8>, ServerKey)> =
-            due.map(|(key, record)| (Reverse(record.sends_left), *key)).collect();
-        due.sort_unstable();
+        let due = send_order(self.crashes.iter().map(|(key, record)| (*key, record.sends_left)));
         let mut crashes = Vec::new();
-        for (_, server) in due {
+        for server in due {
             let Some(record) = self.crashes.get_mut(&server) else { continue };
             let size = 1 + record.runs.iter().map(|run| run.parts.len() + 2).sum::<usize>();
             if size > keys_left {
