Stop: answers that are still written to slow readers are in flight

Callers of a stopping host that read a large answer slowly got a part of it and a closed connection.

A connection whose answers are still written counts as in flight from the moment at which it is told to close, so the exit waits for it up to the grace period. Idle connections end at once when they are told to close and delay nothing.

--- a/src/gateway/caller_loop.rs
+++ b/src/gateway/caller_loop.rs
@@ -1,5 +1,6 @@
 use super::call_route::answer_call;
 use super::gateway_host::GatewayHost;
+use super::in_flight_guard::InFlightGuard;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::sync::Arc;
@@ -48,6 +49,8 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = host.wait_for_closing() => {
+            // An answer that is complete may still have to be written to a caller that reads slowly.
+            let _guard = InFlightGuard::begin(&host);
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/src/gateway/in_flight_guard.rs
+++ b/src/gateway/in_flight_guard.rs
@@ -2,7 +2,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-/// Counts one request as in flight until dropped; a graceful shutdown waits for all of them.
+/// Counts one request, or one connection whose answers are still written, as in flight until dropped; a graceful shutdown
+/// waits for all of them.
 #[derive(Debug)]
 pub(super) struct InFlightGuard(Arc<GatewayHost>);
 
