--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -276,6 +276,33 @@
     assert_eq!(lease.fence(at(920)), None);
 }
 
+/// Guards against a takeover whose write took effect without an answer: the host read its own name back, took the lease
+/// for one that it had held all along, and gave a server an order 2.8 s after the former holder had.
+#[test]
+fn lease_own_name_after_a_lost_answer_waits() {
+    let mut lease = OrderLease::default();
+    let held = LeaseRecord { holder: "a".to_owned(), fence: 7 };
+    let unanswered = OrderLease::next_record(Some(&held), "b");
+    let next = OrderLease::next_record(Some(&unanswered), "b");
+    lease.record_write(at(1200), at(1210), Some(&unanswered), &next, LEASE);
+    assert_eq!(lease.fence(at(1220)), None);
+    assert!(lease.is_waiting(at(5600)));
+    let last = OrderLease::next_record(Some(&next), "b");
+    lease.record_write(at(5800), at(5810), Some(&next), &last, LEASE);
+    assert_eq!(lease.fence(at(5820)), Some(10));
+}
+
+/// Guards against a host that was started anew under its old name: a write of its former process may have replaced the
+/// record of another holder just now.
+#[test]
+fn lease_own_name_of_a_former_process_waits() {
+    let mut lease = OrderLease::default();
+    let held = LeaseRecord { holder: "a".to_owned(), fence: 7 };
+    let record = OrderLease::next_record(Some(&held), "a");
+    lease.record_write(at(0), at(10), Some(&held), &record, LEASE);
+    assert_eq!(lease.fence(at(20)), None);
+}
+
 /// The host that issues orders stops while a quarter of the servers are changing. Guards against a
 /// successor that plans the same changes again, queries each engine, and orders nothing else for
 /// twelve seconds.
