Lease: only a record that continues the host's own writes is renewed without a wait

Cause: the outcome of the unanswered write was forgotten, and the host's own name, read back later, was taken for a lease that it had held all along. Ruled out: the wait getting lost when the role changes (the lease is kept), and a wait that is too short (with the answer no order comes for 6.5 s).

Change: OrderLease keeps the range of fences that continue its confirmed writes; any other record is a takeover, whoever it names. After a takeover without an answer, the next round reads the lease again, so that the wait does not start with the first plan; nothing is planned meanwhile. A renewal without an answer costs no wait: writes are conditional, so the next record is that renewal or another host's.

Why it holds: a read that shows this host's name proves that all writes of the former holder came before, so its orders end within the validity of a write from then.

--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -77,8 +77,11 @@
         }
         if !controller.is_leader {
             host.acquire_leadership(&mut controller).await;
+        } else if controller.lease.is_unsettled() {
+            host.settle_lease(&mut controller).await;
         }
-        let is_waiting = controller.lease.is_waiting(host.now());
+        let lease = &controller.lease;
+        let is_waiting = lease.is_waiting(host.now()) || lease.is_unsettled();
         if is_waiting && !host.settings.features.steady_pools {
             continue;
         }
@@ -123,7 +126,7 @@
         controller.is_leader = true;
         let outcome = match self.renew_lease(&mut controller.lease).await {
             Ok(()) => "written".to_owned(),
-            // The first order tries to renew the lease again.
+            // The first order tries to renew the lease again, or the next round if the outcome is unknown.
             Err(error) => error.to_string(),
         };
         log::info!(
@@ -132,6 +135,14 @@
         );
     }
 
+    /// Reads the lease after a takeover without an answer, so that the wait for the former holder starts now instead of
+    /// with the first plan.
+    async fn settle_lease(&self, controller: &mut StageController) {
+        if let Err(error) = self.renew_lease(&mut controller.lease).await {
+            log::info!("event=lease_unsettled cause=\"{error}\"");
+        }
+    }
+
     /// Plans the changes that are due. While the host waits for its lease there are none, but the planners observe the
     /// pools, so that a lasting imbalance is known when the wait ends.
     fn plan_changes(
--- a/src/gateway/stage_orders.rs
+++ b/src/gateway/stage_orders.rs
@@ -186,7 +186,9 @@
         let (kind, name) = LEASE_OBJECT;
         let object = self.store.read(kind, name, STORE_TIMEOUT).await?;
         let held = object.as_ref().map(|object| decode_lease(&object.spec)).transpose()?;
-        let record = OrderLease::next_record(held.as_ref(), &self.settings.host);
+        let (host, length) = (&self.settings.host, self.state().bounds.lease);
+        lease.record_read(self.now(), held.as_ref(), host, length);
+        let record = OrderLease::next_record(held.as_ref(), host);
         let expected = object.map(|object| object.revision);
         let sent_at = self.now();
         let spec = encode_lease(&record);
@@ -194,7 +196,6 @@
         match written {
             WriteOutcome::Written(_) => {
                 let now = self.now();
-                let length = self.state().bounds.lease;
                 lease.record_write(sent_at, now, held.as_ref(), &record, length);
                 Ok(())
             }
@@ -202,7 +203,15 @@
                 Err(Error::Refused("another host holds the lease".to_owned()))
             }
             WriteOutcome::Refused => Err(Error::Refused("the store refused the lease".to_owned())),
-            WriteOutcome::Unknown => Err(Error::Timeout),
+            WriteOutcome::Unknown => {
+                lease.record_unknown(held.as_ref(), &record);
+                log::info!(
+                    "event=lease_unknown fence={} takeover={}",
+                    record.fence,
+                    lease.is_unsettled()
+                );
+                Err(Error::Timeout)
+            }
         }
     }
 }
