Calls that are given up before their answer began reset their connections

Cause: giving up drops the connection, which closes in the ordinary way, and the kernel goes on sending. Ruled out: a second sending by a host that does not know (6.2 s against milliseconds between sending and arrival).

Change: the stream of a connection to a server carries a mark from the sending of a call until its answer is accepted; a stream that ends meanwhile is reset (zero linger). All ways of giving up drop the stream. A host that forwards a connection resets it unless both sides ended properly. Answered and idle connections end as before.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -1,5 +1,6 @@
 use super::PathRecord;
 use super::answer_proof::AnswerProof;
+use super::call_stream::{CallMark, CallStream};
 use super::idle_connections::{
     CallSender, DEFAULT_KEEP_ALIVE, IdleConnections, PooledConnection, keep_alive_time,
 };
@@ -43,12 +44,14 @@
 /// A connection that was opened and has carried no call.
 #[derive(Debug)]
 pub struct DialedConnection {
-    sender: CallSender,
-    path: ConnectionPath,
+    pub(super) sender: CallSender,
+    pub(super) path: ConnectionPath,
+    pub(super) mark: CallMark,
 }
 
 impl DialedConnection {
-    /// Starts HTTP on a stream that leads to a server by `path`.
+    /// Starts HTTP on a stream that leads to a server by `path`. Dropping the stream before its proper end must reset the
+    /// connection to the server.
     ///
     /// # Errors
     /// If the stream is broken.
@@ -56,12 +59,22 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         path: ConnectionPath,
     ) -> Result<Self> {
+        Self::start_with(stream, path, |_| ()).await
+    }
+
+    async fn start_with<S: AsyncRead + AsyncWrite + Unpin + Send + 'static>(
+        stream: S,
+        path: ConnectionPath,
+        prepare_reset: fn(&S),
+    ) -> Result<Self> {
+        let mark = CallMark::default();
+        let stream = CallStream::new(stream, mark.clone(), prepare_reset);
         let (sender, connection) = handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
             // The calls on the connection receive the error, so the task ignores it.
             let _ = connection.await;
         });
-        Ok(Self { sender, path })
+        Ok(Self { sender, path, mark })
     }
 
     /// Connects to a server on this host's own path. There is no timeout; the caller sets one.
@@ -71,7 +84,11 @@
     pub async fn open(address: SocketAddr) -> Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Self::start(stream, ConnectionPath::Direct).await
+        Self::start_with(stream, ConnectionPath::Direct, |stream| {
+            // A socket that is already broken sends nothing more.
+            let _ = stream.set_zero_linger();
+        })
+        .await
     }
 }
 
@@ -132,7 +149,7 @@
             }
         }
         let dialed = dial().await.map_err(|error| Error::NotSent(error.to_string()))?;
-        let mut fresh = self.idle.begin(dialed.sender, dialed.path);
+        let mut fresh = self.idle.begin(dialed);
         let pending = self.idle.start_call(address, &fresh);
         let result = fresh.sender.try_send_request(request).await;
         pending.complete();
@@ -160,7 +177,7 @@
 
     /// Adds a connection to the pool for the next call.
     pub fn keep(&self, address: SocketAddr, connection: DialedConnection) {
-        let connection = self.idle.begin(connection.sender, connection.path);
+        let connection = self.idle.begin(connection);
         self.idle.put(address, connection, DEFAULT_KEEP_ALIVE);
     }
 
@@ -214,6 +231,7 @@
         proof
             .check(id.as_ref(), connection.calls + 1, &response)
             .inspect_err(|_| self.idle.record_foreign(address))?;
+        connection.mark.complete();
         connection.record_call(id.as_ref());
         let keep_alive =
             proof.allows_reuse(&response).then(|| keep_alive_time(response.headers())).flatten();
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,4 +1,5 @@
-use super::PathRecord;
+use super::call_stream::CallMark;
+use super::{DialedConnection, PathRecord};
 use crate::keys::{TimePoint, stable_hash};
 use crate::server_paths::ConnectionPath;
 use bytes::Bytes;
@@ -36,6 +37,8 @@
     pub sender: CallSender,
     path: ConnectionPath,
     opened_at: TimePoint,
+    /// While a call waits for its answer, the end of the connection is a reset.
+    pub mark: CallMark,
     /// Number of calls sent on this connection.
     pub calls: u32,
     /// Hashes of the ids of these calls. The ids themselves are not stored: an id would keep alive the buffer into
@@ -44,8 +47,9 @@
 }
 
 impl PooledConnection {
-    fn new(sender: CallSender, path: ConnectionPath, now: TimePoint) -> Self {
-        Self { sender, path, opened_at: now, calls: 0, ids: HashSet::new() }
+    fn new(dialed: DialedConnection, now: TimePoint) -> Self {
+        let DialedConnection { sender, path, mark } = dialed;
+        Self { sender, path, opened_at: now, mark, calls: 0, ids: HashSet::new() }
     }
 
     /// Records a call on this connection.
@@ -106,8 +110,8 @@
     }
 
     /// Begins the record of a connection that has just been opened.
-    pub fn begin(&self, sender: CallSender, path: ConnectionPath) -> PooledConnection {
-        PooledConnection::new(sender, path, self.paths.now())
+    pub fn begin(&self, dialed: DialedConnection) -> PooledConnection {
+        PooledConnection::new(dialed, self.paths.now())
     }
 
     /// Takes the connection with the shortest idle time that has not carried `id`; `None` if that idle time exceeds
@@ -160,8 +164,9 @@
         servers.entry(address).or_default().answered_at = Some(now);
     }
 
-    /// Records that a call is sent on `connection`.
+    /// Records that a call is sent on `connection`. Until its answer is accepted, the end of the connection is a reset.
     pub fn start_call(&self, address: SocketAddr, connection: &PooledConnection) -> PendingCall {
+        connection.mark.start();
         let (path, opened_at) = (connection.path, connection.opened_at);
         let sent_at = self.paths.now();
         PendingCall { idle: self.clone(), address, path, opened_at, sent_at, is_complete: false }
--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -106,29 +106,34 @@
         Err(if is_refused { TunnelRefusal::ConnectionRefused } else { TunnelRefusal::Unanswered })
     }
 
-    /// Forwards bytes in both directions until both have ended. If one breaks, so does the other: both streams are dropped,
-    /// the tunnel before its proper end.
+    /// Forwards bytes in both directions until both have ended. If one breaks, so does the other: the tunnel is dropped
+    /// before its proper end, and the connection to the server is reset, so that nothing which the other host has given up
+    /// is delivered later.
     async fn forward(
         &self,
         tunnel: TunnelStream,
         server: SocketAddr,
-        stream: TcpStream,
+        mut stream: TcpStream,
     ) -> Result<()> {
         stream.set_nodelay(true)?;
         let (activity, paths) = (ActivityClock::start(), self.pool.paths());
         let opened_at = paths.now();
         let (tunnel_read, tunnel_write) = tokio::io::split(tunnel);
-        let (server_read, server_write) = stream.into_split();
+        let (server_read, server_write) = stream.split();
         let up = copy(tunnel_read, server_write, || activity.record());
         // What comes from the server shows that this host's own path leads there.
         let down = copy(server_read, tunnel_write, || {
             activity.record();
             paths.record_answer(server, opened_at);
         });
-        tokio::select! {
-            ended = async { tokio::try_join!(up, down) } => Ok(ended.map(|_| ())?),
-            () = self.wait_idle(&activity) => Ok(()),
+        let ended = tokio::select! {
+            ended = async { tokio::try_join!(up, down) } => Some(ended),
+            () = self.wait_idle(&activity) => None,
+        };
+        if !matches!(ended, Some(Ok(_))) {
+            stream.set_zero_linger()?;
         }
+        Ok(ended.transpose().map(|_| ())?)
     }
 
     /// Waits until a forwarded connection has carried nothing for too long.
--- a/tests/abandoned_calls.rs
+++ b/tests/abandoned_calls.rs
@@ -6,14 +6,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tealcleat::bench::site::{SitePlan, TestSite};
 use tealcleat::engines::{AnswerProof, HttpPool, SendLimits};
 use tealcleat::peers::PeerClient;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 mod site_common;
@@ -88,7 +87,10 @@
         let listener = socket.listen(8).expect("it listens");
         let server = listener.local_addr().expect("an address");
         abandon_call(&HttpPool::default(), server, BODY_BYTES).await;
-        let (received, reset) = read_to_end(&mut accept(&listener).await).await;
+        let mut stream = accept(&listener).await;
+        // The connection ends a moment after its call; a server that reads on until then receives the rest.
+        within(stream.ready(Interest::ERROR)).await.expect("the end of the connection");
+        let (received, reset) = read_to_end(&mut stream).await;
         assert!(received < BODY_BYTES, "{received} bytes arrived");
         assert_eq!(reset, Some(ErrorKind::ConnectionReset));
     });
