--- /dev/null
+++ b/tests/returning_hosts.rs
@@ -0,0 +1,115 @@
+//! A host that returns from a cut, and what it tells hosts that were in touch all the time.
+//!
+//! Guards against a server that has left and is used again: the returning host took its own gap for an outage of the store,
+//! kept the server for 2.2 s, and all other hosts put it back into use, because its view had the newer revision.
+
+use rstest::rstest;
+use std::time::Duration;
+use tealcleat::fleet::{FleetChange, FleetView, ServerEntry, ServerState};
+use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+fn server(id: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.to_owned(),
+        started_at: None,
+        version: "v1".to_owned(),
+        service: NameKey::of("app"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: NameKey::of("a"),
+        state: ServerState::Ready,
+        stage: None,
+        slots: 4,
+        cold_ms: 0,
+    }
+}
+
+fn view_of(ids: &[&str]) -> FleetView {
+    let mut view = FleetView::default();
+    view.replace_all(at(0), 10, ids.iter().map(|id| server(id)).collect());
+    view
+}
+
+fn ready_ids(view: &FleetView) -> Vec<String> {
+    view.ready(NameKey::of("app")).map(|entry| entry.id.clone()).collect()
+}
+
+/// A view whose host hears of the store from other hosts until `from`, and again from `until` on.
+fn silent_view(from: u64, until: u64) -> FleetView {
+    let mut view = view_of(&["a", "b"]);
+    for millis in (0..=from).step_by(500) {
+        view.record_store_answer(at(millis), Duration::from_millis(100));
+    }
+    // Another host that was cut off as well is heard first; it has no newer answer.
+    view.record_store_answer(at(until), Duration::from_millis(until - from));
+    view
+}
+
+/// The outage is one in the eyes of the returning host only.
+#[rstest]
+#[case::changes(11)]
+#[case::whole_view(0)]
+fn returning_host_keeps_no_server_in_use_elsewhere(#[case] since: u64) {
+    let mut returning = view_of(&["a", "b"]);
+    returning.record_store_answer(at(100), Duration::ZERO);
+    returning.record_store_answer(at(5600), Duration::ZERO);
+    returning.replace_all(at(5610), 14, vec![server("b")]);
+    let mut steady = view_of(&["a", "b"]);
+    steady.apply(at(2000), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    steady.apply_update(at(5650), returning.update_since(at(5650), since));
+    assert_eq!(ready_ids(&steady), ["b"]);
+    assert_eq!(steady.revision(), 14);
+}
+
+/// A host that received the removal as part of a whole view remembers it as well.
+#[test]
+fn returning_host_keeps_no_server_in_use_after_whole_views() {
+    let mut returning = view_of(&["a", "b"]);
+    returning.record_store_answer(at(100), Duration::ZERO);
+    returning.record_store_answer(at(5600), Duration::ZERO);
+    returning.replace_all(at(5610), 14, vec![server("b")]);
+    let mut watcher = view_of(&["a", "b"]);
+    watcher.apply(at(2000), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    let mut steady = view_of(&["a", "b"]);
+    steady.apply_update(at(2100), watcher.update_since(at(2100), 0));
+    steady.apply_update(at(5650), returning.update_since(at(5650), 0));
+    assert_eq!(ready_ids(&steady), ["b"]);
+}
+
+/// A gap in which the host heard nothing from other hosts is its own, whoever it hears first afterwards.
+#[test]
+fn returning_host_removes_a_server_at_once() {
+    let mut view = silent_view(1000, 6500);
+    view.record_store_answer(at(6510), Duration::ZERO);
+    view.replace_all(at(6520), 14, vec![server("b")]);
+    assert_eq!(ready_ids(&view), ["b"]);
+}
+
+/// Guards against removals that outlast the return of their server.
+#[test]
+fn returning_server_is_used_again_everywhere() {
+    let mut watcher = view_of(&["a", "b"]);
+    let mut steady = view_of(&["a", "b"]);
+    watcher.apply(at(2000), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
+    steady.apply_update(at(2100), watcher.update_since(at(2100), 10));
+    assert_eq!(ready_ids(&steady), ["b"]);
+    watcher.apply(at(3000), 12, vec![FleetChange::Updated(server("a"))]);
+    steady.apply_update(at(3100), watcher.update_since(at(3100), 11));
+    assert_eq!(ready_ids(&steady), ["a", "b"]);
+}
+
+/// Guards against an outage that is missed: the other hosts are heard all the time, and get no answers either.
+#[test]
+fn gap_of_all_hosts_is_an_outage() {
+    let mut view = view_of(&["a", "b"]);
+    view.record_store_answer(at(100), Duration::from_millis(50));
+    for millis in (500..=6000).step_by(500) {
+        view.record_store_answer(at(millis), Duration::from_millis(millis - 50));
+    }
+    view.record_store_answer(at(6100), Duration::ZERO);
+    view.replace_all(at(6110), 14, vec![server("b")]);
+    assert_eq!(ready_ids(&view), ["a", "b"], "it may come back");
+}
