Streams: log why a run was lost and why no further run was opened

`run_lost` tells whether its server was silent or the connection broke, and for how long nothing was relayed; further_run_denied and run_not_repeated name what denied another run (attempts, deadline, budget), further_run_failed what an opening failed with. run_opened and run_not_opened tell how long the server took from the send to its first event. No decision is changed.

--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -5,7 +5,7 @@
 use super::hold_forecast::{answer_size, generated_tokens};
 use super::in_flight_guard::InFlightGuard;
 use super::relay_record::RelayRecord;
-use super::run_open::{OpenRun, may_retry_run, open_stream};
+use super::run_open::{OpenRun, RetryDenial, may_retry_run, open_stream};
 use super::run_start::RunRecord;
 use super::stream_end::StreamEnd;
 use crate::Result;
@@ -34,7 +34,39 @@
 enum RunEnd {
     Stream(StreamEnd),
     /// The server broke the run off or fell silent.
-    ServerLost,
+    ServerLost(LossCause),
+}
+
+/// Why a run was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LossCause {
+    /// No event arrived within the silence timeout; its connection still stood.
+    Silent,
+    /// Its connection broke, or ended within an event.
+    Broken,
+    /// Bytes arrived that belong to no event of the stream.
+    Stray,
+    /// An event is missing.
+    Gap,
+}
+
+impl LossCause {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+            Self::Stray => "stray",
+            Self::Gap => "gap",
+        }
+    }
+
+    /// The cause of a loss after which reading an event ended with `error`.
+    const fn of(error: &crate::Error) -> Self {
+        match error {
+            crate::Error::Timeout => Self::Silent,
+            _ => Self::Broken,
+        }
+    }
 }
 
 /// Relays a stream to its caller, over as many runs as the route allows.
@@ -80,13 +112,14 @@
         let server = run.server.clone();
         match relay_run(context, engine, run, events, record).await {
             RunEnd::Stream(end) => return end,
-            RunEnd::ServerLost => {
-                log_lost(context, &server.id, record);
+            RunEnd::ServerLost(cause) => {
+                log_lost(context, &server.id, record, cause);
                 context.host.record_server_event(&server, ServerEvent::Unresponsive);
                 runs.record_lost(server.key());
             }
         }
-        if !may_retry_run(context, &runs).await {
+        if let Err(denial) = may_retry_run(context, &runs).await {
+            log_denied(context, denial, &runs);
             return StreamEnd::Broken;
         }
         let (id, after) = (context.id(), record.last.unwrap_or_default());
@@ -102,15 +135,35 @@
         };
         match opened {
             Ok(next) => run = next,
-            Err(_) => return StreamEnd::Broken,
+            Err(end) => {
+                let (id, outcome, cause) = (context.id(), end.name(), end.cause());
+                log::info!("event=further_run_failed request={id} outcome={outcome} cause={cause}");
+                return StreamEnd::Broken;
+            }
         }
     }
 }
 
 /// Logs that a server broke off a run that had begun, or fell silent, and the request that it was running.
-fn log_lost(context: &CallContext, server: &str, record: &RelayRecord) {
+fn log_lost(context: &CallContext, server: &str, record: &RelayRecord, cause: LossCause) {
     let (id, contents, events) = (context.id(), context.contents, record.events);
-    log::info!("event=run_lost request={id} contents={contents} server={server} events={events}");
+    let (cause, now) = (cause.name(), context.host.now());
+    let quiet = record.relayed_at.map(|at| now.since(at)).unwrap_or_default().as_millis();
+    log::info!(
+        "event=run_lost request={id} contents={contents} server={server} events={events} \
+         cause={cause} quiet_ms={quiet}"
+    );
+}
+
+/// Logs why no further run of a stream is opened.
+fn log_denied(context: &CallContext, denial: RetryDenial, runs: &RunRecord) {
+    log::info!(
+        "event=further_run_denied request={} cause={} sent={} allowed={}",
+        context.id(),
+        denial.name(),
+        runs.sent,
+        context.route.max_servers
+    );
 }
 
 /// Opens a further run. A refusal is retried until [`RESUME_TIMEOUT`] or the deadline has passed, unless the request is
@@ -157,7 +210,7 @@
             }
             Err(error) => {
                 context.record_failure(&server, &error);
-                return RunEnd::ServerLost;
+                return RunEnd::ServerLost(LossCause::of(&error));
             }
         };
         context.record_written_event();
@@ -198,7 +251,7 @@
 ) -> Option<RunEnd> {
     let Some(number) = event.number else {
         log::warn!("event=stream_stray request={} bytes={}", context.id(), event.bytes.len());
-        return Some(RunEnd::ServerLost);
+        return Some(RunEnd::ServerLost(LossCause::Stray));
     };
     if let Some(last) = record.last {
         if number <= last {
@@ -210,7 +263,7 @@
                 context.id(),
                 last + 1
             );
-            return Some(RunEnd::ServerLost);
+            return Some(RunEnd::ServerLost(LossCause::Gap));
         }
     }
     record.last = Some(number);
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -85,7 +85,8 @@
             OpenFailure::Unknown(_) if context.time_left().is_zero() => CallEnd::TimedOut,
             OpenFailure::Unknown(cause) => CallEnd::Unknown(cause),
         };
-        if !may_retry_run(context, runs).await {
+        if let Err(denial) = may_retry_run(context, runs).await {
+            log_not_repeated(context, &end, denial);
             return Err(end);
         }
         log::info!(
@@ -97,13 +98,63 @@
     }
 }
 
+/// Why a run may not be retried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RetryDenial {
+    /// Requests of the route run at most once.
+    NotRepeatable,
+    /// The request was sent to as many servers as its route allows.
+    Attempts,
+    /// Its deadline has passed.
+    Deadline,
+    /// The retry budget is spent.
+    Budget,
+}
+
+impl RetryDenial {
+    /// The name in log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not_repeatable",
+            Self::Attempts => "attempts",
+            Self::Deadline => "deadline",
+            Self::Budget => "budget",
+        }
+    }
+}
+
 /// Whether a run that failed may be retried: the route and the retry budget must allow it. Reading the
 /// prompt again and running again count as one retry each.
-pub(super) async fn may_retry_run(context: &CallContext, runs: &RunRecord) -> bool {
-    context.route.is_retryable()
-        && runs.sent < context.route.max_servers
-        && !context.time_left().is_zero()
-        && context.cover_opening().await
+///
+/// # Errors
+/// Why it may not be.
+pub(super) async fn may_retry_run(
+    context: &CallContext,
+    runs: &RunRecord,
+) -> Result<(), RetryDenial> {
+    if !context.route.is_retryable() {
+        return Err(RetryDenial::NotRepeatable);
+    }
+    if runs.sent >= context.route.max_servers {
+        return Err(RetryDenial::Attempts);
+    }
+    if context.time_left().is_zero() {
+        return Err(RetryDenial::Deadline);
+    }
+    if context.cover_opening().await { Ok(()) } else { Err(RetryDenial::Budget) }
+}
+
+/// Logs why a request whose run did not open is not run again. Refusals of unrepeatable requests are not worth a line.
+fn log_not_repeated(context: &CallContext, end: &CallEnd, denial: RetryDenial) {
+    if denial == RetryDenial::NotRepeatable {
+        return;
+    }
+    log::info!(
+        "event=run_not_repeated request={} cause={} denied={}",
+        context.id(),
+        end.cause(),
+        denial.name()
+    );
 }
 
 /// Refuses a request that did not run, with a constant retry delay for its caller.
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -66,6 +66,7 @@
     permit: &mut SendPermit,
 ) -> Result<RunStart, OpenFailure> {
     runs.sent += 1;
+    let sent_at = context.host.now();
     context.host.record_server_event(server, ServerEvent::Sent);
     let may_retry = context.route.is_retryable() && runs.sent < context.route.max_servers;
     let timeout =
@@ -86,25 +87,28 @@
     context.host.record_server_event(server, event);
     runs.may_have_run |=
         !matches!(&started, Err(OpenFailure::NotRun(_) | OpenFailure::Rejected(_)));
-    log_start(context, server, part.source.is_some(), &started);
+    let waited = context.host.now().since(sent_at);
+    log_start(context, server, part.source.is_some(), waited, &started);
     started
 }
 
-/// Logs where a run began and which stage read its prompt, or why it did not begin.
+/// Logs where a run began and which stage read its prompt, or why it did not begin, and how long that took.
 fn log_start(
     context: &CallContext,
     server: &ServerEntry,
     prefilled: bool,
+    waited: Duration,
     started: &Result<RunStart, OpenFailure>,
 ) {
     let (id, version, server) = (context.id(), &server.version, &server.id);
+    let waited = waited.as_millis();
     let cause = match started {
         Ok(_) => {
             let reader = if prefilled { "prefill" } else { "decode" };
             let (route, age) = (&context.route.name, context.age().as_millis());
             log::info!(
                 "event=run_opened request={id} route={route} server={server} version={version:?} \
-                 reader={reader} age_ms={age}"
+                 reader={reader} age_ms={age} waited_ms={waited}"
             );
             return;
         }
@@ -115,7 +119,8 @@
     };
     let contents = context.contents;
     log::info!(
-        "event=run_not_opened request={id} contents={contents} server={server} cause={cause}"
+        "event=run_not_opened request={id} contents={contents} server={server} cause={cause} \
+         waited_ms={waited}"
     );
 }
 
