Streams: a silent run is kept while another one is opened beside it

What callers saw: answers that ended in the middle, by an abrupt close, at hosts whose servers stood still for a second or two and would have gone on.

Cause: after 1.5 s of silence the host closed the run's connection, and only then asked whether the route's attempts, the retry budget and the servers allowed another run. Where one of them said no, nothing was left to wait for. The same held before the first event (FIRST_EVENT_TIMEOUT). The class: something is given up before its replacement exists.

Change: the silent run stays open while a further run is opened (silent_run.rs); the first of the two that sends the next event goes on, and the connection of the other is closed. No further run is opened at servers that are silent too, or while most of the pool is (silent_runs, a pure decision); without attempts, budget or servers the silent run alone is waited for, until the caller leaves or the deadline passes. The time and the written events that the crash quarantine uses are kept per run, since a request may now have two. A run that goes on counts as served, which refutes the report of its silence.

--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -32,8 +32,6 @@
     pub credit: Mutex<SendCredit>,
     /// When it was last sent to a server, in microseconds on the host's clock.
     pub sent_at: AtomicU64,
-    /// How many events its present run has written.
-    pub written_events: AtomicU64,
     /// When its head was read.
     pub received_at: TimePoint,
     /// When its final answer is due: the caller's deadline or the route's time limit.
@@ -59,7 +57,6 @@
     /// Records that the request is sent to a server at `now`.
     pub fn record_sent(&self, now: TimePoint) {
         self.sent_at.store(now.0, Ordering::Relaxed);
-        self.written_events.store(0, Ordering::Relaxed);
     }
 
     /// The request's id, for logs and answers.
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -132,7 +132,6 @@
         charge,
         credit: Mutex::default(),
         sent_at: AtomicU64::default(),
-        written_events: AtomicU64::default(),
         received_at,
         deadline: received_at + time_limit,
     })
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -2,13 +2,13 @@
 
 use super::call_context::CallContext;
 use super::gateway_host::GatewayHost;
+use super::run_marks::RunMarks;
 use crate::Error;
 use crate::fleet::ServerEntry;
 use crate::keys::{PartKey, RequestKey, ServerKey};
 use crate::quarantine::{ConnectionLoss, CrashEvidence, RequestVerdict, SETTLE_TIME};
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Delay before a server that dropped a connection is probed: a process that exits closes its sockets one after the
@@ -61,44 +61,49 @@
 }
 
 impl CallContext {
-    /// Records that the call to a server failed with `error`. If the server dropped the connection during the call, it
-    /// may have crashed because of this request.
+    /// Records that the call to a server failed with `error`, other than a run. If the server dropped the connection during
+    /// the call, it may have crashed because of this request.
     pub fn record_failure(&self, server: &ServerEntry, error: &Error) {
+        self.record_run_failure(server, RunMarks::sent(self.sent_at()), error);
+    }
+
+    /// Records that a run at a server failed with `error`.
+    pub fn record_run_failure(&self, server: &ServerEntry, marks: RunMarks, error: &Error) {
         if error.is_break_off() {
             let loss = ConnectionLoss {
                 request: self.contents,
-                sent_at: self.sent_at(),
+                sent_at: marks.sent_at,
                 lost_at: self.host.now(),
-                unwritten_parts: self.unwritten_parts(),
+                unwritten_parts: self.unwritten_parts(marks),
             };
             self.host.record_break_off(server, loss);
         }
     }
 
-    /// Records that its present run wrote an event.
-    pub fn record_written_event(&self) {
-        let written = self.written_events.fetch_add(1, Ordering::Relaxed) + 1;
-        if written == EVENTS_TO_CLEAR {
+    /// Records that a run wrote an event.
+    pub fn record_written_event(&self, marks: &mut RunMarks) {
+        marks.written_events += 1;
+        if marks.written_events == EVENTS_TO_CLEAR {
             self.record_written();
         }
     }
 
-    /// Records that its present run ended as a whole. An answer without events shows nothing.
-    pub fn record_whole_run(&self) {
-        if self.written_events.load(Ordering::Relaxed) > 0 {
+    /// Records that a run ended as a whole. An answer without events shows nothing.
+    pub fn record_whole_run(&self, marks: RunMarks) {
+        if marks.written_events > 0 {
             self.record_written();
         }
     }
 
-    /// Records that its present run has written on the parts of its prompt.
+    /// Records that a run has written on the parts of its prompt.
     fn record_written(&self) {
         let now = self.host.now();
         self.host.state().part_crashes.record_written(now, &self.head.shared_parts);
     }
 
-    /// The shared parts of its prompt, if its present run has not written on them.
-    fn unwritten_parts(&self) -> Arc<[PartKey]> {
-        let has_written = self.written_events.load(Ordering::Relaxed) >= EVENTS_TO_CLEAR;
+    /// The shared parts of its prompt, if the run has not written on them.
+    fn unwritten_parts(&self, marks: RunMarks) -> Arc<[PartKey]> {
+        let has_written = marks.written_events >= EVENTS_TO_CLEAR;
         if has_written { Arc::default() } else { Arc::clone(&self.head.shared_parts) }
     }
 
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -48,8 +48,8 @@
     total.min(engine.memory_tokens)
 }
 
-/// Reserves memory at the best decode server that has some, except at the servers that lost a run of the request and at
-/// those of a version at which it must not run.
+/// Reserves memory at the best decode server that has some, except at the servers that lost a run of the request, at
+/// those that are silent, and at those of a version at which it must not run.
 pub(super) async fn reserve_memory(
     context: &CallContext,
     engine: &EngineSpec,
@@ -77,7 +77,7 @@
         // The servers are ranked again for each step: one that did not answer took time, in which
         // others may have started draining.
         let mut ranked = context.host.rank_ready_servers(context.service, &criteria);
-        ranked.retain(|server| !runs.lost.contains(&server.key()));
+        ranked.retain(|server| runs.admits(server.key()));
         if ranked.is_empty() {
             context.log_no_server(Some(ServerStage::Decode), search.request_count());
             let reason = match runs.version {
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -1,15 +1,19 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason};
 use super::caller_body::StreamPart;
-use super::decode_reservation::expected_output;
-use super::hold_forecast::{answer_size, generated_tokens};
+use super::event_reader::EventReader;
 use super::in_flight_guard::InFlightGuard;
+use super::pending_run::OpenRun;
 use super::relay_record::RelayRecord;
-use super::run_open::{OpenRun, RetryDenial, may_retry_run, open_stream};
+use super::run_open::{may_retry_run, open_stream};
 use super::run_start::RunRecord;
+use super::silent_run::{RaceEnd, SilentRun, run_beside};
 use super::stream_end::StreamEnd;
+use super::stream_log::{
+    LossCause, log_denied, log_lost, log_stream, record_length, record_pace, record_stream,
+};
 use crate::Result;
-use crate::keys::{NameKey, ServerKey};
+use crate::fleet::ServerEntry;
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
 use crate::stream_origins::RunVersion;
@@ -18,8 +22,8 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 
-/// A resumable stream that is silent for this long is resumed on another server; callers give up
-/// after about twice that time.
+/// After a silence of this long, another run of a resumable stream is opened beside the silent one: early enough for it to
+/// write before callers leave, after two seconds and more.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How long opening a new run for a lost stream is retried; callers give up after a gap of two seconds and more.
@@ -30,43 +34,13 @@
 const CUT_DELAY: Duration = Duration::from_millis(10);
 
 /// How one run of a stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum RunEnd {
     Stream(StreamEnd),
-    /// The server broke the run off or fell silent.
+    /// The server broke the run off.
     ServerLost(LossCause),
-}
-
-/// Why a run was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LossCause {
-    /// No event arrived within the silence timeout; its connection still stood.
-    Silent,
-    /// Its connection broke, or ended within an event.
-    Broken,
-    /// Bytes arrived that belong to no event of the stream.
-    Stray,
-    /// An event is missing.
-    Gap,
-}
-
-impl LossCause {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Silent => "silent",
-            Self::Broken => "broken",
-            Self::Stray => "stray",
-            Self::Gap => "gap",
-        }
-    }
-
-    /// The cause of a loss after which reading an event ended with `error`.
-    const fn of(error: &crate::Error) -> Self {
-        match error {
-            crate::Error::Timeout => Self::Silent,
-            _ => Self::Broken,
-        }
-    }
+    /// Its server was silent, and a further run went on instead.
+    Overtaken(Box<OpenRun>),
 }
 
 /// Relays a stream to its caller, over as many runs as the route allows.
@@ -110,8 +84,12 @@
     runs.version = RunVersion::Only(run.server.version_key());
     loop {
         let server = run.server.clone();
-        match relay_run(context, engine, run, events, record).await {
+        match relay_run(context, engine, run, &mut runs, events, record).await {
             RunEnd::Stream(end) => return end,
+            RunEnd::Overtaken(further) => {
+                run = *further;
+                continue;
+            }
             RunEnd::ServerLost(cause) => {
                 log_lost(context, &server.id, record, cause);
                 context.host.record_server_event(&server, ServerEvent::Unresponsive);
@@ -144,28 +122,6 @@
     }
 }
 
-/// Logs that a server broke off a run that had begun, or fell silent, and the request that it was running.
-fn log_lost(context: &CallContext, server: &str, record: &RelayRecord, cause: LossCause) {
-    let (id, contents, events) = (context.id(), context.contents, record.events);
-    let (cause, now) = (cause.name(), context.host.now());
-    let quiet = record.relayed_at.map(|at| now.since(at)).unwrap_or_default().as_millis();
-    log::info!(
-        "event=run_lost request={id} contents={contents} server={server} events={events} \
-         cause={cause} quiet_ms={quiet}"
-    );
-}
-
-/// Logs why no further run of a stream is opened.
-fn log_denied(context: &CallContext, denial: RetryDenial, runs: &RunRecord) {
-    log::info!(
-        "event=further_run_denied request={} cause={} sent={} allowed={}",
-        context.id(),
-        denial.name(),
-        runs.sent,
-        context.route.max_servers
-    );
-}
-
 /// Opens a further run. A refusal is retried until [`RESUME_TIMEOUT`] or the deadline has passed, unless the request is
 /// held back.
 async fn resume_run(
@@ -193,10 +149,14 @@
     context: &CallContext,
     engine: &EngineSpec,
     run: OpenRun,
+    runs: &mut RunRecord,
     events: &Sender<StreamPart>,
     record: &mut RelayRecord,
 ) -> RunEnd {
-    let OpenRun { server, mut reader, first, mut load, .. } = run;
+    // The memory guard counts the run's memory until the run ends.
+    let OpenRun {
+        server, mut reader, first, mut load, memory: _memory, hearing, mut marks, ..
+    } = run;
     let deadline = context.host.instant(context.deadline);
     let mut next = Ok(first);
     let mut timer = PaceTimer::new(context.host.now());
@@ -205,21 +165,25 @@
             Ok(Some(event)) => event,
             Ok(None) => {
                 context.record_success();
-                context.record_whole_run();
+                context.record_whole_run(marks);
                 return RunEnd::Stream(StreamEnd::Whole);
             }
             Err(error) => {
-                context.record_failure(&server, &error);
-                return RunEnd::ServerLost(LossCause::of(&error));
+                context.record_run_failure(&server, marks, &error);
+                return RunEnd::ServerLost(LossCause::Broken);
             }
         };
-        context.record_written_event();
+        context.record_written_event(&mut marks);
+        hearing.record_event();
         load.grow(engine.tokens_per_event);
         if let Some(end) = relay_event(context, event, events, record).await {
             return end;
         }
         next = tokio::select! {
-            next = next_event(context, &mut reader) => next,
+            next = next_event(context, engine, &server, &mut reader, runs, record) => match next {
+                RaceEnd::Kept(next) => next,
+                RaceEnd::Further(run) => return RunEnd::Overtaken(run),
+            },
             () = events.closed() => return RunEnd::Stream(StreamEnd::CallerLeft),
             () = tokio::time::sleep_until(deadline) => return RunEnd::Stream(StreamEnd::TimedOut),
         };
@@ -229,16 +193,25 @@
     }
 }
 
-/// Waits for the next event; a resumable stream waits no longer than the silence timeout.
+/// Waits for the next event. Where the server of a resumable stream is silent, another run may be opened beside this one.
 async fn next_event(
     context: &CallContext,
-    reader: &mut super::event_reader::EventReader,
-) -> Result<Option<ServerSentEvent>> {
+    engine: &EngineSpec,
+    server: &ServerEntry,
+    reader: &mut EventReader,
+    runs: &mut RunRecord,
+    record: &RelayRecord,
+) -> RaceEnd<Result<Option<ServerSentEvent>>> {
     if !context.route.is_retryable() {
-        return reader.next().await;
+        return RaceEnd::Kept(reader.next().await);
+    }
+    let since = context.host.now();
+    if let Ok(next) = tokio::time::timeout(SILENCE_TIMEOUT, reader.next()).await {
+        return RaceEnd::Kept(next);
     }
-    let next = tokio::time::timeout(SILENCE_TIMEOUT, reader.next()).await;
-    next.map_err(|_elapsed| crate::Error::Timeout)?
+    context.host.record_server_event(server, ServerEvent::Unresponsive);
+    let silent = SilentRun { server, since, events: record.events };
+    run_beside(context, engine, record.last, silent, runs, reader.next()).await
 }
 
 /// Relays an event if it is the next one; an event that the caller already has is dropped. An event without a number
@@ -273,60 +246,3 @@
         Err(_) => Some(RunEnd::Stream(StreamEnd::CallerLeft)),
     }
 }
-
-/// Reports to the work meter how much work the stream is expected to take.
-fn record_stream(context: &CallContext) {
-    let tokens = &context.head.tokens;
-    let (now, output) = (context.host.now(), expected_output(tokens));
-    let mut state = context.host.state();
-    state.work_meters.entry(context.service).or_default().record_stream(now, tokens.prompt, output);
-}
-
-/// Reports the length of a whole answer to the forecast. An answer that was cut is not reported: its length is unknown.
-fn record_length(context: &CallContext, engine: &EngineSpec, last: Option<u64>) {
-    if !context.host.settings.features.memory_forecast {
-        return;
-    }
-    let (now, route) = (context.host.now(), NameKey::of(&context.route.name));
-    let size = answer_size(&context.head.tokens);
-    let length = generated_tokens(engine, last);
-    context.host.state().output_forecast.record(now, route, size, length);
-}
-
-/// Reports the pace of a run to the work meter and the pace table, once a group of its events has arrived.
-fn record_pace(
-    context: &CallContext,
-    engine: &EngineSpec,
-    server: ServerKey,
-    timer: &mut PaceTimer,
-) {
-    let now = context.host.now();
-    let Some((events, took)) = timer.record_event(now) else { return };
-    let tokens = events.saturating_mul(engine.tokens_per_event);
-    let mut state = context.host.state();
-    state.work_meters.entry(context.service).or_default().record_pace(tokens, took);
-    if context.host.settings.features.memory_forecast && state.fleet.entry(server).is_some() {
-        let group = (events, engine.tokens_per_event);
-        state.paces.record(now, (context.service, server), group, took);
-    }
-}
-
-fn log_stream(context: &CallContext, server: &str, end: StreamEnd, record: &RelayRecord) {
-    let first = record.first_after.unwrap_or_default();
-    let route = &context.route.name;
-    log::info!(
-        "event=stream_ended request={} route={route} server={server} outcome={} events={} \
-         first_ms={} took_ms={} objective_ms={} pause_ms={} pause_limit_ms={}",
-        context.id(),
-        end.name(),
-        record.events,
-        first.as_millis(),
-        context.age().as_millis(),
-        context.route.objective.as_millis(),
-        record.longest_pause.as_millis(),
-        context.route.pause_objective.as_millis()
-    );
-    let mut metrics = context.host.metrics();
-    metrics.add(end.name(), 1);
-    metrics.record_duration("first_event_seconds", route, "all", first);
-}
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -23,6 +23,7 @@
 use crate::server_slots::{PlaceReply, SlotControl};
 use crate::settings::GatewaySettings;
 use crate::shared_health::SharedHealth;
+use crate::silent_runs::HearingTable;
 use crate::stream_origins::{OriginReply, OriginTable, VersionHistory};
 use crate::telemetry::MetricRegistry;
 use std::collections::HashMap;
@@ -122,6 +123,8 @@
             stream_origins: OriginTable::default(),
             version_history: VersionHistory::default(),
             slot_control: SlotControl::default(),
+            hearing: HearingTable::default(),
+            pool_silences: HashMap::new(),
         };
         Self {
             incarnation,
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -17,6 +17,7 @@
 use crate::server_slots::SlotControl;
 use crate::settings::GatewayBounds;
 use crate::shared_health::SharedHealth;
+use crate::silent_runs::{HearingTable, PoolSilence};
 use crate::stream_origins::{OriginTable, VersionHistory};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -102,6 +103,10 @@
     pub version_history: VersionHistory,
     /// Places at plain servers that this host uses and grants.
     pub slot_control: SlotControl,
+    /// When this host last heard of the servers that run its requests.
+    pub hearing: HearingTable,
+    /// The silence of the decode servers of each service.
+    pub pool_silences: HashMap<ServiceKey, PoolSilence>,
 }
 
 impl GatewayState {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! The path of a request: `caller_loop` reads it, `call_route` finds its service, `caller_auth` authorizes
 //! its caller, `limit_charge` charges its organisation, and `plain_call` or `engine_call` runs it.
 //! `run_open` opens a run at engines: `decode_reservation` reserves memory, `prompt_read` processes the prompt,
-//! and `run_start` starts the run; `event_relay` then relays the stream.
+//! and `run_start` starts the run; `event_relay` then relays the stream. While the server of a run is silent, `silent_run`
+//! opens another one beside it.
 
 mod age_loop;
 mod call_context;
@@ -21,6 +22,7 @@
 mod engine_resource;
 mod event_reader;
 mod event_relay;
+mod first_event;
 mod gateway_host;
 mod gateway_start;
 mod gateway_state;
@@ -43,6 +45,7 @@
 mod peer_loop;
 mod peer_messages;
 mod pending_replies;
+mod pending_run;
 mod place_guard;
 mod plain_call;
 mod pressure_updates;
@@ -52,7 +55,10 @@
 mod retry_grants;
 mod return_updates;
 mod role_log;
+mod run_hearing;
+mod run_marks;
 mod run_open;
+mod run_send;
 mod run_start;
 mod send_budget;
 mod send_owner;
@@ -61,6 +67,8 @@
 mod server_dial;
 mod server_ranking;
 mod server_restarts;
+mod silent_log;
+mod silent_run;
 mod slot_messages;
 mod stage_loop;
 mod stage_orders;
@@ -68,6 +76,7 @@
 mod stop_plan;
 mod store_contact;
 mod stream_end;
+mod stream_log;
 mod tunnel_relay;
 mod unreadable_objects;
 mod version_store;
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -1,22 +1,14 @@
-//! Opens a run of a request: reserves memory, has the prompt read and sends the request to run.
+//! Opens a run of a request, trying further servers where one fails, and decides how the request ends if none runs it.
 
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason};
-use super::decode_reservation::{decode_load, reserve_memory};
-use super::engine_resource::{EngineResource, acquire_hold};
-use super::event_reader::EventReader;
-use super::hold_forecast::hold_tokens;
-use super::load_guard::LoadGuard;
-use super::memory_admission::{memory_guard, run_priority};
-use super::memory_guard::MemoryGuard;
-use super::prompt_read::{PromptEnd, read_prompt};
-use super::run_start::{OpenFailure, RunRecord, run_at};
+use super::first_event::await_first_event;
+use super::pending_run::OpenRun;
+use super::run_send::{send_at_best, send_rejected};
+use super::run_start::{OpenFailure, RunRecord};
 use crate::fleet::{ServerEntry, ServerStage};
-use crate::platform::DecodePart;
 use crate::quarantine::CRASH_RETENTION;
 use crate::routes::EngineSpec;
-use crate::streams::ServerSentEvent;
-use http::{HeaderMap, StatusCode};
 use std::time::Duration;
 
 /// Retry delay for a caller when no server has memory: about as long as a burst lasts, since a caller that returns
@@ -30,28 +22,6 @@
 const REJECTED_PAUSE: Duration = Duration::from_millis(200);
 /// Retry delay for a caller when no server accepts requests, or this host cannot decide on the request.
 const NO_SERVER_PAUSE: Duration = Duration::from_secs(1);
-/// A request that its decode server rejected is tried there once more while no more than this fraction of its
-/// objective has passed.
-const SECOND_TRY_FRACTION: f64 = 0.8;
-
-/// A run whose first event has arrived.
-#[derive(Debug)]
-pub(super) struct OpenRun {
-    /// The server that runs it.
-    pub server: ServerEntry,
-    /// Status and headers of the answer.
-    pub head: (StatusCode, HeaderMap),
-    /// Reads its further events.
-    pub reader: EventReader,
-    /// Its first event; `None` if it has none.
-    pub first: Option<ServerSentEvent>,
-    /// Its entry in the load table.
-    pub load: LoadGuard,
-    /// Counts its memory in the figures for other hosts until the run ends.
-    #[allow(dead_code, reason = "dropped with the run")]
-    pub memory: Option<MemoryGuard>,
-}
-
 /// Opens a run that continues after the event `after`, trying as many servers as the route allows.
 pub(super) async fn open_stream(
     context: &CallContext,
@@ -81,7 +51,7 @@
             OpenFailure::Rejected(_) => {
                 return Err(refuse_run(context, NotRunReason::Rejected, after, runs));
             }
-            OpenFailure::Failed(answer) => CallEnd::Answered(answer),
+            OpenFailure::Failed(answer) => CallEnd::Answered(*answer),
             OpenFailure::Unknown(_) if context.time_left().is_zero() => CallEnd::TimedOut,
             OpenFailure::Unknown(cause) => CallEnd::Unknown(cause),
         };
@@ -201,97 +171,18 @@
     pause.mul_f64(factor)
 }
 
-/// A draining server still receives a request whose memory it has held for no longer than this:
-/// it keeps serving for 2 s after it announced that it drains.
-const DRAINING_SLACK: Duration = Duration::from_millis(1000);
-
-/// Reserves memory, has the prompt read and sends the request to run.
+/// Opens a run at the best server that has memory for it.
 async fn open_at_best(
     context: &CallContext,
     engine: &EngineSpec,
     after: Option<u64>,
     runs: &mut RunRecord,
 ) -> Result<OpenRun, OpenFailure> {
-    let mut reservation =
-        reserve_memory(context, engine, after, runs).await.map_err(OpenFailure::NotRun)?;
-    context.record_memory_grant();
-    if runs.sent == 0 {
-        context.count_served_return();
-    }
-    // An earlier opening may have been refused after it had reached servers.
-    if !context.cover_opening().await {
-        return Err(OpenFailure::NotRun(NotRunReason::RetryBudget));
-    }
-    let held_at = context.host.now();
-    let mut prompt = match read_prompt(context, &reservation.hold.server).await {
-        PromptEnd::Read(resource) => Some(resource),
-        PromptEnd::LeftToDecode => None,
-        PromptEnd::Failed => return Err(OpenFailure::NotRun(NotRunReason::PromptNotRead)),
-    };
-    if context.time_left().is_zero() {
-        return Err(OpenFailure::NotRun(NotRunReason::OutOfTime));
-    }
-    // Crashes during other attempts at this request may have become known while its prompt was read.
-    if context.is_known_held_back(runs.sent) {
-        return Err(OpenFailure::NotRun(NotRunReason::HeldBack));
-    }
-    if discard_if_lost(context, &mut reservation.hold) {
-        reservation =
-            reserve_memory(context, engine, after, runs).await.map_err(OpenFailure::NotRun)?;
-    }
-    let server = reservation.hold.server.clone();
-    let held_for = context.host.now().since(held_at);
-    if held_for > DRAINING_SLACK && !context.host.state().fleet.is_ready(server.key()) {
-        return Err(OpenFailure::NotRun(NotRunReason::Rejected));
-    }
-    if prompt.as_mut().is_some_and(|resource| discard_if_lost(context, resource)) {
-        prompt = None;
-    }
-    // The memory may have been reserved anew, at a server of another version than the first one's.
-    prompt = prompt.filter(|resource| resource.server.version == server.version);
-    let source = prompt.as_ref().and_then(|resource| {
-        resource.name().map(|name| (resource.server.address, name.to_owned()))
-    });
-    let part = DecodePart {
-        source: source.as_ref().map(|(address, name)| (*address, name.as_str())),
-        hold: reservation.hold.name(),
-        after_event: after,
-        priority: run_priority(context),
-    };
-    let mut permit = reservation.permit.renewed(context, &server).await.ok_or_else(at_limit)?;
-    // A read that was rejected has used up what covered the run.
-    if !context.cover_sends(1).await {
-        return Err(OpenFailure::NotRun(NotRunReason::RetryBudget));
-    }
-    let opened = run_at(context, &server, part, runs, &mut permit).await;
-    reservation.hold.mark_used();
-    // A result that was fetched no longer exists at its server; one that was not fetched expires soon.
-    if let Some(resource) = prompt.as_mut().filter(|_| opened.is_ok()) {
-        resource.mark_used();
-    }
-    let (head, reader, first) = opened?;
-    let (load, memory) = (reservation.load, reservation.memory);
-    Ok(OpenRun { server, head, reader, first, load, memory })
-}
-
-fn at_limit() -> OpenFailure {
-    OpenFailure::NotRun(NotRunReason::ServersAtLimit)
+    let pending = send_at_best(context, engine, after, runs).await?;
+    await_first_event(context, engine, after, pending, runs).await
 }
 
-/// Discards a resource if its server has restarted and so lost it; returns whether it has. The resource is neither used
-/// nor released: its name may belong to another request by now.
-fn discard_if_lost(context: &CallContext, resource: &mut EngineResource) -> bool {
-    let lost = context.host.has_restarted(&resource.server);
-    if lost {
-        let (id, server) = (context.id(), &resource.server.id);
-        log::info!("event=keep_lost request={id} server={server} cause=server_restarted");
-        resource.mark_used();
-    }
-    lost
-}
-
-/// Sends a request that was rejected with its prompt's result to the same server again, which then
-/// reads the prompt itself.
+/// Sends a request that was rejected with its prompt's result to the same server again.
 async fn retry_rejected(
     context: &CallContext,
     engine: &EngineSpec,
@@ -299,33 +190,13 @@
     server: &ServerEntry,
     runs: &mut RunRecord,
 ) -> Result<OpenRun, OpenFailure> {
-    let rejected = || OpenFailure::Rejected(server.clone());
-    let late = context.age() > context.route.objective.mul_f64(SECOND_TRY_FRACTION);
-    let restarted = context.host.has_restarted(server);
-    if late || restarted || context.is_known_held_back(runs.sent) {
-        return Err(rejected());
-    }
-    if !context.cover_sends(1).await {
-        return Err(rejected());
-    }
-    let tokens = hold_tokens(context, engine, after);
-    let mut permit = context.permit(server).await.ok_or_else(at_limit)?;
-    let hold = acquire_hold(&context.host, server, tokens, engine.max_hold).await;
-    let Ok(Some(mut hold)) = hold else {
-        return Err(rejected());
-    };
-    let load = decode_load(context, server);
-    let memory = memory_guard(context, tokens, after);
-    let priority = run_priority(context);
-    let part = DecodePart { source: None, hold: hold.name(), after_event: after, priority };
-    let opened = run_at(context, server, part, runs, &mut permit).await;
-    hold.mark_used();
+    let pending = send_rejected(context, engine, after, server, runs).await?;
+    let opened = await_first_event(context, engine, after, pending, runs).await;
     if let Err(OpenFailure::Rejected(_)) = &opened {
         // It granted a hold and rejected the run twice: it is changing its stage, and the host that
         // ordered the change has not announced it.
         let now = context.host.now();
         context.host.state().stage_changes.record_suspicion(now, server.key());
     }
-    let (head, reader, first) = opened?;
-    Ok(OpenRun { server: server.clone(), head, reader, first, load, memory })
+    opened
 }
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -3,6 +3,7 @@
 use super::call_context::CallContext;
 use super::call_end::{NotRunReason, ServerAnswer};
 use super::event_reader::EventReader;
+use super::run_marks::RunMarks;
 use super::send_permit::SendPermit;
 use super::server_call::{CallPurpose, send_request};
 use crate::Error;
@@ -13,13 +14,16 @@
 use crate::stream_origins::RunVersion;
 use crate::streams::ServerSentEvent;
 use http::{HeaderMap, StatusCode};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A decode server that has the prompt makes its first event within a few steps; after a longer
-/// silence a retryable request may be sent to another server.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// silence a retryable request is sent to another server as well.
+pub(super) const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Cause of a run whose first event did not arrive in time.
-const NO_FIRST_EVENT: &str = "no_first_event";
+pub(super) const NO_FIRST_EVENT: &str = "no_first_event";
+/// Cause of a run that was opened beside a silent one and was silent as well.
+pub(super) const FURTHER_RUN_SILENT: &str = "further_run_silent";
 
 /// Why a run did not open.
 #[derive(Debug)]
@@ -27,9 +31,9 @@
     /// Nothing ran; the request may be refused or sent again.
     NotRun(NotRunReason),
     /// The server rejected it with the prompt's result; it may read the prompt itself.
-    Rejected(ServerEntry),
+    Rejected(Box<ServerEntry>),
     /// The server ran it and failed.
-    Failed(ServerAnswer),
+    Failed(Box<ServerAnswer>),
     /// It may have run.
     Unknown(&'static str),
 }
@@ -41,6 +45,8 @@
     pub sent: u32,
     /// Servers that lost a run; no further run is opened there.
     pub lost: Vec<ServerKey>,
+    /// Servers that are silent while a further run is opened beside a silent one.
+    pub silent: Vec<ServerKey>,
     /// The software versions at which it may run.
     pub version: RunVersion,
     /// Whether one of its runs may have begun: the request can then no longer be reported as not run.
@@ -48,52 +54,63 @@
 }
 
 impl RunRecord {
-    /// Records that a server broke off a run or fell silent.
+    /// Records that a server broke off a run.
     pub fn record_lost(&mut self, server: ServerKey) {
         self.lost.push(server);
     }
+
+    /// Whether a further run may be opened at a server.
+    pub fn admits(&self, server: ServerKey) -> bool {
+        !self.lost.contains(&server) && !self.silent.contains(&server)
+    }
 }
 
 /// Head, reader and first event of a run that began.
 pub(super) type RunStart = ((StatusCode, HeaderMap), EventReader, Option<ServerSentEvent>);
 
-/// Sends a request to run and waits for its first event.
-pub(super) async fn run_at(
-    context: &CallContext,
-    server: &ServerEntry,
-    part: DecodePart<'_>,
-    runs: &mut RunRecord,
-    permit: &mut SendPermit,
-) -> Result<RunStart, OpenFailure> {
-    runs.sent += 1;
-    let sent_at = context.host.now();
-    context.host.record_server_event(server, ServerEvent::Sent);
-    let may_retry = context.route.is_retryable() && runs.sent < context.route.max_servers;
-    let timeout =
-        if may_retry { FIRST_EVENT_TIMEOUT.min(context.time_left()) } else { context.time_left() };
-    let started =
-        match tokio::time::timeout(timeout, start_run(context, server, part, permit)).await {
-            Ok(started) => started,
-            Err(_elapsed) => Err(OpenFailure::Unknown(NO_FIRST_EVENT)),
-        };
-    let event = match &started {
+/// A request to run, as it is sent to a decode server.
+#[derive(Debug)]
+pub(super) struct RunOrder {
+    /// Where the result of reading its prompt is fetched.
+    pub source: Option<(SocketAddr, String)>,
+    /// The hold that reserves its memory.
+    pub hold: Option<String>,
+    /// The event after which it continues.
+    pub after: Option<u64>,
+    /// Its priority at the server.
+    pub priority: Option<u8>,
+}
+
+impl RunOrder {
+    fn part(&self) -> DecodePart<'_> {
+        DecodePart {
+            source: self.source.as_ref().map(|(address, name)| (*address, name.as_str())),
+            hold: self.hold.as_deref(),
+            after_event: self.after,
+            priority: self.priority,
+        }
+    }
+}
+
+/// What the start of a run, or its failure after `waited`, shows of its server.
+pub(super) fn start_event(
+    started: &Result<RunStart, OpenFailure>,
+    waited: Duration,
+) -> ServerEvent {
+    match started {
         Ok(_) => ServerEvent::Served,
-        Err(OpenFailure::Unknown(NO_FIRST_EVENT)) if timeout < FIRST_EVENT_TIMEOUT => {
+        Err(OpenFailure::Unknown(NO_FIRST_EVENT)) if waited < FIRST_EVENT_TIMEOUT => {
             ServerEvent::OutOfTime
         }
+        // Its server granted memory a moment before.
+        Err(OpenFailure::Unknown(FURTHER_RUN_SILENT)) => ServerEvent::Answered,
         Err(OpenFailure::Unknown(_)) => ServerEvent::Unresponsive,
         Err(_) => ServerEvent::Errored,
-    };
-    context.host.record_server_event(server, event);
-    runs.may_have_run |=
-        !matches!(&started, Err(OpenFailure::NotRun(_) | OpenFailure::Rejected(_)));
-    let waited = context.host.now().since(sent_at);
-    log_start(context, server, part.source.is_some(), waited, &started);
-    started
+    }
 }
 
 /// Logs where a run began and which stage read its prompt, or why it did not begin, and how long that took.
-fn log_start(
+pub(super) fn log_start(
     context: &CallContext,
     server: &ServerEntry,
     prefilled: bool,
@@ -124,25 +141,32 @@
     );
 }
 
-fn break_off_failure(context: &CallContext, server: &ServerEntry, error: &Error) -> OpenFailure {
-    context.record_failure(server, error);
+fn break_off_failure(
+    context: &CallContext,
+    server: &ServerEntry,
+    marks: RunMarks,
+    error: &Error,
+) -> OpenFailure {
+    context.record_run_failure(server, marks, error);
     OpenFailure::Unknown("server_broke_off")
 }
 
-async fn start_run(
+/// Sends a request to run and waits for its first event.
+pub(super) async fn start_run(
     context: &CallContext,
     server: &ServerEntry,
-    part: DecodePart<'_>,
+    order: &RunOrder,
+    marks: RunMarks,
     permit: &mut SendPermit,
 ) -> Result<RunStart, OpenFailure> {
     let (purpose, time_left, part) =
-        (CallPurpose::Run, context.time_left(), CallPart::Decode(part));
+        (CallPurpose::Run, context.time_left(), CallPart::Decode(order.part()));
     let sent = send_request(context, server, purpose, time_left, part, Duration::MAX, permit).await;
     let response = match sent {
         Ok(response) => response,
-        Err(Error::NotSent(_)) => return Err(OpenFailure::Rejected(server.clone())),
+        Err(Error::NotSent(_)) => return Err(OpenFailure::Rejected(Box::new(server.clone()))),
         Err(Error::Foreign { .. }) => return Err(OpenFailure::Unknown("foreign_answer")),
-        Err(error) => return Err(break_off_failure(context, server, &error)),
+        Err(error) => return Err(break_off_failure(context, server, marks, &error)),
     };
     let kind = read_answer(&response);
     let (parts, body) = response.into_parts();
@@ -150,21 +174,21 @@
         AnswerKind::Success => {
             let mut reader = EventReader::new(body);
             let first = reader.next().await;
-            let first = first.map_err(|error| break_off_failure(context, server, &error))?;
+            let first = first.map_err(|error| break_off_failure(context, server, marks, &error))?;
             Ok(((parts.status, parts.headers), reader, first))
         }
         AnswerKind::Improper => Err(OpenFailure::Unknown("improper_answer")),
         AnswerKind::NotRun => {
             // The connection is kept only if the answer is read to its end.
             drop(body.read_all().await);
-            Err(OpenFailure::Rejected(server.clone()))
+            Err(OpenFailure::Rejected(Box::new(server.clone())))
         }
         AnswerKind::Failed => {
             let body = body.read_all().await;
-            let body = body.map_err(|error| break_off_failure(context, server, &error))?;
+            let body = body.map_err(|error| break_off_failure(context, server, marks, &error))?;
             context.record_success();
             let answer = ServerAnswer { status: parts.status, headers: parts.headers, body };
-            Err(OpenFailure::Failed(answer))
+            Err(OpenFailure::Failed(Box::new(answer)))
         }
     }
 }
--- /dev/null
+++ b/src/silent_runs/mod.rs
@@ -0,0 +1,9 @@
+//! Decides what happens while the server of a run is silent: the run is kept, and another one may be opened beside it.
+//!
+//! The inputs are events of servers and the present time; the results say whether another run is worth its cost.
+
+mod hearing_table;
+mod pool_silence;
+
+pub use hearing_table::HearingTable;
+pub use pool_silence::{FurtherStep, PoolSilence, PoolStanding, WaitReason};
