--- a/tests/silent_common/mod.rs
+++ b/tests/silent_common/mod.rs
@@ -3,14 +3,16 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
-use tealcleat::bench::site::{SitePlan, TestSite};
+use tealcleat::bench::site::{SiteEngine, SitePlan, TestSite};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 const LAST_CHUNK: &str = "0\r\n\r\n";
 /// Slow enough for a test to act between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longer than the host waits before it looks for another server, shorter than the gap after which callers leave.
 pub const SILENCE: Duration = Duration::from_millis(2000);
 
@@ -81,3 +83,37 @@
         numbers.filter_map(|number| number.parse().ok()).collect()
     }
 }
+
+/// All events of an answer.
+pub fn all_events() -> Vec<u64> {
+    (0..8).collect()
+}
+
+/// The decode server with the run of request `id` that arrived last, and the other one, at a site with two.
+pub async fn wait_running(site: &TestSite, id: &str) -> (Arc<SiteEngine>, Arc<SiteEngine>) {
+    loop {
+        let runs = |engine: &Arc<SiteEngine>| {
+            let runs = engine.runs().into_iter().filter(|run| run.request == id);
+            runs.map(|run| run.arrived_at).max()
+        };
+        let [first, second] = [&site.decodes[0], &site.decodes[1]];
+        if runs(first).or(runs(second)).is_some() {
+            let is_first = runs(first) > runs(second);
+            let (running, other) = if is_first { (first, second) } else { (second, first) };
+            return (Arc::clone(running), Arc::clone(other));
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits until a counter of the site's first host has reached `count`.
+pub async fn wait_counted(site: &TestSite, counter: &str, count: u64) {
+    while site.hosts[0].host.metrics().counter(counter) < count {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Whether an engine's last run was closed before its end.
+pub fn is_closed(engine: &SiteEngine) -> bool {
+    engine.runs().last().is_some_and(|run| run.cancelled)
+}
