--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -1,15 +1,19 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason};
 use super::caller_body::StreamPart;
-use super::decode_reservation::expected_output;
-use super::hold_forecast::{answer_size, generated_tokens};
+use super::event_reader::EventReader;
 use super::in_flight_guard::InFlightGuard;
+use super::pending_run::OpenRun;
 use super::relay_record::RelayRecord;
-use super::run_open::{OpenRun, may_retry_run, open_stream};
+use super::run_open::{may_retry_run, open_stream};
 use super::run_start::RunRecord;
+use super::silent_run::{RaceEnd, SilentRun, run_beside};
 use super::stream_end::StreamEnd;
+use super::stream_log::{
+    LossCause, log_denied, log_lost, log_stream, record_length, record_pace, record_stream,
+};
 use crate::Result;
-use crate::keys::{NameKey, ServerKey};
+use crate::fleet::ServerEntry;
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
 use crate::stream_origins::RunVersion;
@@ -18,8 +22,8 @@
 use std::time::Duration;
 use tokio::sync::mpsc::Sender;
 
-/// A resumable stream that is silent for this long is resumed on another server; callers give up
-/// after about twice that time.
+/// After a silence of this long, another run of a resumable stream is opened beside the silent one: early enough for it to
+/// write before callers leave, after two seconds and more.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How long opening a new run for a lost stream is retried; callers give up after a gap of two seconds and more.
@@ -30,11 +34,13 @@
 const CUT_DELAY: Duration = Duration::from_millis(10);
 
 /// How one run of a stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum RunEnd {
     Stream(StreamEnd),
-    /// The server broke the run off or fell silent.
-    ServerLost,
+    /// The server broke the run off.
+    ServerLost(LossCause),
+    /// Its server was silent, and a further run went on instead.
+    Overtaken(Box<OpenRun>),
 }
 
 /// Relays a stream to its caller, over as many runs as the route allows.
@@ -78,15 +84,20 @@
     runs.version = RunVersion::Only(run.server.version_key());
     loop {
         let server = run.server.clone();
-        match relay_run(context, engine, run, events, record).await {
+        match relay_run(context, engine, run, &mut runs, events, record).await {
             RunEnd::Stream(end) => return end,
-            RunEnd::ServerLost => {
-                log_lost(context, &server.id, record);
+            RunEnd::Overtaken(further) => {
+                run = *further;
+                continue;
+            }
+            RunEnd::ServerLost(cause) => {
+                log_lost(context, &server.id, record, cause);
                 context.host.record_server_event(&server, ServerEvent::Unresponsive);
                 runs.record_lost(server.key());
             }
         }
-        if !may_retry_run(context, &runs).await {
+        if let Err(denial) = may_retry_run(context, &runs).await {
+            log_denied(context, denial, &runs);
             return StreamEnd::Broken;
         }
         let (id, after) = (context.id(), record.last.unwrap_or_default());
@@ -102,17 +113,15 @@
         };
         match opened {
             Ok(next) => run = next,
-            Err(_) => return StreamEnd::Broken,
+            Err(end) => {
+                let (id, outcome, cause) = (context.id(), end.name(), end.cause());
+                log::info!("event=further_run_failed request={id} outcome={outcome} cause={cause}");
+                return StreamEnd::Broken;
+            }
         }
     }
 }
 
-/// Logs that a server broke off a run that had begun, or fell silent, and the request that it was running.
-fn log_lost(context: &CallContext, server: &str, record: &RelayRecord) {
-    let (id, contents, events) = (context.id(), context.contents, record.events);
-    log::info!("event=run_lost request={id} contents={contents} server={server} events={events}");
-}
-
 /// Opens a further run. A refusal is retried until [`RESUME_TIMEOUT`] or the deadline has passed, unless the request is
 /// held back.
 async fn resume_run(
@@ -140,10 +149,14 @@
     context: &CallContext,
     engine: &EngineSpec,
     run: OpenRun,
+    runs: &mut RunRecord,
     events: &Sender<StreamPart>,
     record: &mut RelayRecord,
 ) -> RunEnd {
-    let OpenRun { server, mut reader, first, mut load, .. } = run;
+    // The memory guard counts the run's memory until the run ends.
+    let OpenRun {
+        server, mut reader, first, mut load, memory: _memory, hearing, mut marks, ..
+    } = run;
     let deadline = context.host.instant(context.deadline);
     let mut next = Ok(first);
     let mut timer = PaceTimer::new(context.host.now());
@@ -152,21 +165,25 @@
             Ok(Some(event)) => event,
             Ok(None) => {
                 context.record_success();
-                context.record_whole_run();
+                context.record_whole_run(marks);
                 return RunEnd::Stream(StreamEnd::Whole);
             }
             Err(error) => {
-                context.record_failure(&server, &error);
-                return RunEnd::ServerLost;
+                context.record_run_failure(&server, marks, &error);
+                return RunEnd::ServerLost(LossCause::Broken);
             }
         };
-        context.record_written_event();
+        context.record_written_event(&mut marks);
+        hearing.record_event();
         load.grow(engine.tokens_per_event);
         if let Some(end) = relay_event(context, event, events, record).await {
             return end;
         }
         next = tokio::select! {
-            next = next_event(context, &mut reader) => next,
+            next = next_event(context, engine, &server, &mut reader, runs, record) => match next {
+                RaceEnd::Kept(next) => next,
+                RaceEnd::Further(run) => return RunEnd::Overtaken(run),
+            },
             () = events.closed() => return RunEnd::Stream(StreamEnd::CallerLeft),
             () = tokio::time::sleep_until(deadline) => return RunEnd::Stream(StreamEnd::TimedOut),
         };
@@ -176,16 +193,25 @@
     }
 }
 
-/// Waits for the next event; a resumable stream waits no longer than the silence timeout.
+/// Waits for the next event. Where the server of a resumable stream is silent, another run may be opened beside this one.
 async fn next_event(
     context: &CallContext,
-    reader: &mut super::event_reader::EventReader,
-) -> Result<Option<ServerSentEvent>> {
+    engine: &EngineSpec,
+    server: &ServerEntry,
+    reader: &mut EventReader,
+    runs: &mut RunRecord,
+    record: &RelayRecord,
+) -> RaceEnd<Result<Option<ServerSentEvent>>> {
     if !context.route.is_retryable() {
-        return reader.next().await;
+        return RaceEnd::Kept(reader.next().await);
+    }
+    let since = context.host.now();
+    if let Ok(next) = tokio::time::timeout(SILENCE_TIMEOUT, reader.next()).await {
+        return RaceEnd::Kept(next);
     }
-    let next = tokio::time::timeout(SILENCE_TIMEOUT, reader.next()).await;
-    next.map_err(|_elapsed| crate::Error::Timeout)?
+    context.host.record_server_event(server, ServerEvent::Unresponsive);
+    let silent = SilentRun { server, since, events: record.events };
+    run_beside(context, engine, record.last, silent, runs, reader.next()).await
 }
 
 /// Relays an event if it is the next one; an event that the caller already has is dropped. An event without a number
@@ -198,7 +224,7 @@
 ) -> Option<RunEnd> {
     let Some(number) = event.number else {
         log::warn!("event=stream_stray request={} bytes={}", context.id(), event.bytes.len());
-        return Some(RunEnd::ServerLost);
+        return Some(RunEnd::ServerLost(LossCause::Stray));
     };
     if let Some(last) = record.last {
         if number <= last {
@@ -210,7 +236,7 @@
                 context.id(),
                 last + 1
             );
-            return Some(RunEnd::ServerLost);
+            return Some(RunEnd::ServerLost(LossCause::Gap));
         }
     }
     record.last = Some(number);
@@ -220,60 +246,3 @@
         Err(_) => Some(RunEnd::Stream(StreamEnd::CallerLeft)),
     }
 }
-
-/// Reports to the work meter how much work the stream is expected to take.
-fn record_stream(context: &CallContext) {
-    let tokens = &context.head.tokens;
-    let (now, output) = (context.host.now(), expected_output(tokens));
-    let mut state = context.host.state();
-    state.work_meters.entry(context.service).or_default().record_stream(now, tokens.prompt, output);
-}
-
-/// Reports the length of a whole answer to the forecast. An answer that was cut is not reported: its length is unknown.
-fn record_length(context: &CallContext, engine: &EngineSpec, last: Option<u64>) {
-    if !context.host.settings.features.memory_forecast {
-        return;
-    }
-    let (now, route) = (context.host.now(), NameKey::of(&context.route.name));
-    let size = answer_size(&context.head.tokens);
-    let length = generated_tokens(engine, last);
-    context.host.state().output_forecast.record(now, route, size, length);
-}
-
-/// Reports the pace of a run to the work meter and the pace table, once a group of its events has arrived.
-fn record_pace(
-    context: &CallContext,
-    engine: &EngineSpec,
-    server: ServerKey,
-    timer: &mut PaceTimer,
-) {
-    let now = context.host.now();
-    let Some((events, took)) = timer.record_event(now) else { return };
-    let tokens = events.saturating_mul(engine.tokens_per_event);
-    let mut state = context.host.state();
-    state.work_meters.entry(context.service).or_default().record_pace(tokens, took);
-    if context.host.settings.features.memory_forecast && state.fleet.entry(server).is_some() {
-        let group = (events, engine.tokens_per_event);
-        state.paces.record(now, (context.service, server), group, took);
-    }
-}
-
-fn log_stream(context: &CallContext, server: &str, end: StreamEnd, record: &RelayRecord) {
-    let first = record.first_after.unwrap_or_default();
-    let route = &context.route.name;
-    log::info!(
-        "event=stream_ended request={} route={route} server={server} outcome={} events={} \
-         first_ms={} took_ms={} objective_ms={} pause_ms={} pause_limit_ms={}",
-        context.id(),
-        end.name(),
-        record.events,
-        first.as_millis(),
-        context.age().as_millis(),
-        context.route.objective.as_millis(),
-        record.longest_pause.as_millis(),
-        context.route.pause_objective.as_millis()
-    );
-    let mut metrics = context.host.metrics();
-    metrics.add(end.name(), 1);
-    metrics.record_duration("first_event_seconds", route, "all", first);
-}
