--- /dev/null
+++ b/tests/silent_calls.rs
@@ -0,0 +1,131 @@
+//! Sound servers stand still for a while and go on, with calls, reads and tunnels in flight there.
+//!
+//! Guards against answers that a host's own decision on silence ends although the server is alive, and against sound
+//! servers that silence alone marks as lost.
+
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tealcleat::bench::site::{
+    CallerReply, SiteCall, SitePlan, SiteService, TestSite, call_site, config,
+};
+use tealcleat::settings::GatewaySettings;
+use tokio::task::JoinHandle;
+
+mod site_common;
+
+use site_common::{call, runtime};
+
+/// The objective of the routes; a call is silent after two of them.
+const OBJECTIVE: Duration = Duration::from_millis(150);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Ends a test that waits for what does not come.
+const TEST_LIMIT: Duration = Duration::from_secs(10);
+
+/// A site of one host whose routes have a short objective, so that silence is noticed soon.
+async fn site_with(plan: SitePlan, adjust: impl FnOnce(&mut GatewaySettings)) -> Arc<TestSite> {
+    let mut site = TestSite::start(SitePlan { hosts: 0, ..plan }).await.expect("it starts");
+    let mut config = config(2);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["slo_ms"] = json!(OBJECTIVE.as_millis());
+    }
+    site.set_config(2, &config);
+    site.add_host_with(adjust).await.expect("a host");
+    site.wait_ready().await;
+    Arc::new(site)
+}
+
+/// Hosts that may not send anything again.
+fn deny_repeats(settings: &mut GatewaySettings) {
+    settings.bounds.retries.ratio = 0.0;
+    settings.bounds.retries.slack = 0.0;
+}
+
+fn start_call(site: &Arc<TestSite>, call: SiteCall) -> JoinHandle<CallerReply> {
+    let host = site.hosts[0].callers;
+    tokio::spawn(async move { call_site(host, &call).await.expect("an answer") })
+}
+
+async fn reply_of(caller: JoinHandle<CallerReply>) -> CallerReply {
+    let reply = tokio::time::timeout(TEST_LIMIT, caller).await;
+    reply.expect("the answer comes").expect("the caller ends")
+}
+
+async fn wait_until(is_met: impl Fn() -> bool) {
+    let waiting = async {
+        while !is_met() {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(TEST_LIMIT, waiting).await.expect("it comes");
+}
+
+fn arrivals_at(service: &SiteService, id: &str) -> usize {
+    service.arrivals.requests().iter().filter(|arrival| arrival.request == id).count()
+}
+
+fn arrivals(site: &TestSite, id: &str) -> usize {
+    site.services.iter().map(|service| arrivals_at(service, id)).sum()
+}
+
+fn stall_services(site: &TestSite) {
+    for service in &site.services {
+        service.stall_gate.stall();
+    }
+}
+
+fn release_services(site: &TestSite) {
+    for service in &site.services {
+        service.stall_gate.release();
+    }
+}
+
+/// Guards against a safe call that ends as `no_answer`, with time left, because its silent server is the only one.
+#[test]
+fn only_server_answers_after_silence() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan { services: 1, ..SitePlan::default() }, |_| {}).await;
+        stall_services(&site);
+        let caller = start_call(&site, call("GET", "safe", "r1"));
+        wait_until(|| arrivals(&site, "r1") == 1).await;
+        tokio::time::sleep(OBJECTIVE * 4).await;
+        release_services(&site);
+        let reply = reply_of(caller).await;
+        assert_eq!((reply.status.as_u16(), &reply.body[..]), (200, &b"/safe/x?y=1 r1"[..]));
+        assert_eq!(arrivals(&site, "r1"), 1);
+    });
+}
+
+/// Guards against a safe call that is given up for silence although the retry budget allows no other send.
+#[test]
+fn silent_call_kept_without_retry_budget() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), deny_repeats).await;
+        stall_services(&site);
+        let caller = start_call(&site, call("GET", "safe", "r1"));
+        wait_until(|| arrivals(&site, "r1") == 1).await;
+        tokio::time::sleep(OBJECTIVE * 4).await;
+        release_services(&site);
+        let reply = reply_of(caller).await;
+        assert_eq!((reply.status.as_u16(), &reply.body[..]), (200, &b"/safe/x?y=1 r1"[..]));
+        assert_eq!(arrivals(&site, "r1"), 1);
+    });
+}
+
+/// Guards against a safe call whose first server goes on, while the host only listens to a second one that is silent.
+#[test]
+fn first_server_to_go_on_answers() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), |_| {}).await;
+        stall_services(&site);
+        let caller = start_call(&site, call("GET", "safe", "r1"));
+        wait_until(|| arrivals(&site, "r1") == 1).await;
+        let first = site.services.iter().find(|service| arrivals_at(service, "r1") == 1);
+        let first = Arc::clone(first.expect("one has it"));
+        wait_until(|| arrivals(&site, "r1") == 2).await;
+        first.stall_gate.release();
+        let reply = reply_of(caller).await;
+        assert_eq!((reply.status.as_u16(), &reply.body[..]), (200, &b"/safe/x?y=1 r1"[..]));
+        assert_eq!(first.runs(), ["r1"]);
+    });
+}
