Plain calls: a silent server keeps its call, and a second one is asked beside it

What callers saw: a safe call whose server stood still for two objectives was left there. Without another server, or with the retry budget spent, it ended as 502 no_answer with time left; with a second server that was silent too, the answer of the first one was not read.

Cause: the attempt was ended by its own silence before another one was known. Change: an attempt ends with its answer, with its connection or with the time of the request. When all attempts are silent and the route has attempts left, another server is searched for beside them (SilentAttempts decides when; a search that finds none is repeated after the same time). The first success wins and the others are dropped; a failure is passed on if no attempt succeeds. Requests that run once are sent once, as before.

Silence is still recorded against the server when it begins, so that new calls go elsewhere, and its later answer shows that it serves again. Idle connections that fall silent with a kept call are closed then (HttpPool::record_silence), which used to follow from dropping the call; a test in silent_servers guards it.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -164,6 +164,12 @@
         self.idle.put(address, connection, DEFAULT_KEEP_ALIVE);
     }
 
+    /// Records that a call to `address` is silent and goes on. Connections often fall silent together without being
+    /// closed, so the idle ones are closed unless another call was answered meanwhile; the call keeps its own.
+    pub fn record_silence(&self, address: SocketAddr) {
+        self.idle.record_silence(address);
+    }
+
     /// What the pool's connections show of this host's own paths.
     pub fn paths(&self) -> &PathRecord {
         self.idle.paths()
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,4 +1,5 @@
 use super::PathRecord;
+use super::pending_call::{CallRecord, PendingCall};
 use crate::keys::{TimePoint, stable_hash};
 use crate::server_paths::ConnectionPath;
 use bytes::Bytes;
@@ -91,6 +92,8 @@
     foreign_at: Option<TimePoint>,
     /// When an answer last began to arrive from this address.
     answered_at: Option<TimePoint>,
+    /// Calls without an answer so far.
+    pending: Vec<CallRecord>,
 }
 
 impl AddressConnections {
@@ -163,8 +166,22 @@
     /// Records that a call is sent on `connection`.
     pub fn start_call(&self, address: SocketAddr, connection: &PooledConnection) -> PendingCall {
         let (path, opened_at) = (connection.path, connection.opened_at);
-        let sent_at = self.paths.now();
-        PendingCall { idle: self.clone(), address, path, opened_at, sent_at, is_complete: false }
+        let record = CallRecord { path, opened_at, sent_at: self.paths.now() };
+        if let Ok(mut servers) = self.servers.lock() {
+            servers.entry(address).or_default().pending.push(record);
+        }
+        PendingCall::new(self.clone(), address, record)
+    }
+
+    /// Records that a call which goes on is silent, with the consequences for idle connections of one that was abandoned.
+    pub fn record_silence(&self, address: SocketAddr) {
+        let now = self.paths.now();
+        let Ok(mut servers) = self.servers.lock() else { return };
+        let Some(connections) = servers.get_mut(&address) else { return };
+        let oldest = connections.pending.iter().min_by_key(|call| call.sent_at).copied();
+        if let Some(call) = oldest {
+            self.give_up_idle(now, address, connections, call);
+        }
     }
 
     /// Closes the idle connections through hosts for which `is_usable` does not hold.
@@ -185,13 +202,28 @@
         idle.any(|idle| idle.connection.path != ConnectionPath::Direct)
     }
 
-    /// Closes the idle connections to a server after a call was abandoned without an answer, unless another answer has
-    /// arrived from the server since.
-    fn record_unanswered(&self, call: &PendingCall) {
+    /// Ends the record of a call; `is_abandoned` tells whether it was given up without an answer.
+    pub fn end_call(&self, address: SocketAddr, call: CallRecord, is_abandoned: bool) {
         let now = self.paths.now();
-        let PendingCall { address, sent_at, .. } = *call;
         let Ok(mut servers) = self.servers.lock() else { return };
         let connections = servers.entry(address).or_default();
+        if let Some(place) = connections.pending.iter().position(|known| *known == call) {
+            connections.pending.swap_remove(place);
+        }
+        if is_abandoned {
+            self.give_up_idle(now, address, connections, call);
+        }
+    }
+
+    /// Closes the idle connections to a server that did not answer `call`, unless another answer has arrived from it since.
+    fn give_up_idle(
+        &self,
+        now: TimePoint,
+        address: SocketAddr,
+        connections: &mut AddressConnections,
+        call: CallRecord,
+    ) {
+        let sent_at = call.sent_at;
         let is_responsive = connections.answered_at.is_some_and(|at| at >= sent_at);
         if is_responsive || now.since(sent_at) < MIN_SILENCE {
             return;
@@ -224,42 +256,14 @@
         let Ok(mut servers) = self.servers.lock() else { return HashSet::new() };
         servers.retain(|_, connections| {
             connections.idle.retain(|idle| idle.is_usable(now));
-            !connections.idle.is_empty() || !connections.is_trusted(now)
+            let is_in_use = !connections.idle.is_empty() || !connections.pending.is_empty();
+            is_in_use || !connections.is_trusted(now)
         });
         let warm = servers.iter().filter(|(_, connections)| !connections.idle.is_empty());
         warm.map(|(address, _)| *address).collect()
     }
 }
 
-/// A call in flight on a connection. If it is dropped without an answer, and no other answer has arrived from
-/// its server since, the idle connections to this server are closed: all open connections may stop responding at once
-/// without being closed, and each one would fail another request.
-#[derive(Debug)]
-pub(super) struct PendingCall {
-    idle: IdleConnections,
-    address: SocketAddr,
-    path: ConnectionPath,
-    /// When its connection was opened.
-    opened_at: TimePoint,
-    sent_at: TimePoint,
-    is_complete: bool,
-}
-
-impl PendingCall {
-    /// Marks the call as complete: its answer began to arrive, or its connection broke.
-    pub fn complete(mut self) {
-        self.is_complete = true;
-    }
-}
-
-impl Drop for PendingCall {
-    fn drop(&mut self) {
-        if !self.is_complete {
-            self.idle.record_unanswered(self);
-        }
-    }
-}
-
 /// Reads from an answer's headers how long the server keeps the connection open; `None` if it closes the connection.
 pub(super) fn keep_alive_time(headers: &HeaderMap) -> Option<Duration> {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -11,6 +11,7 @@
 mod idle_connections;
 mod line_stream;
 mod path_record;
+mod pending_call;
 mod pooled_body;
 
 pub use answer_proof::{AnswerOwner, AnswerProof};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod peer_messages;
 mod pending_replies;
 mod place_guard;
+mod plain_attempt;
 mod plain_call;
 mod pressure_updates;
 mod prompt_read;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -1,23 +1,19 @@
 use super::call_context::CallContext;
 use super::call_end::{CallEnd, NotRunReason, ServerAnswer};
-use super::load_guard::LoadGuard;
 use super::place_guard::{PlaceAnswer, PlaceGuard, WaitMode};
+use super::plain_attempt::{AttemptEnd, attempt};
 use super::run_open::refuse;
 use super::send_permit::SendPermit;
-use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerCriteria;
 use crate::fleet::ServerEntry;
 use crate::keys::ServerKey;
-use crate::placement::{REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad};
-use crate::platform::{AnswerKind, CallPart, contains_answer, read_answer};
-use crate::server_slots::PlaceEnd;
+use crate::placement::{REMOTE_DOMAIN_PENALTY, RankingCriterion, SilentAttempts};
 use crate::stream_origins::RunVersion;
-use crate::{Error, Result};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::time::Duration;
 
-/// Requests that must not be retried are sent on a connection only if it answered this recently.
-const FRESH_CONNECTION_AGE: Duration = Duration::from_millis(1500);
-/// A retryable request is sent to another server after this many objectives without an answer.
+/// A retryable request is sent to another server as well after this many objectives without an answer.
 const SILENCE_OBJECTIVES: u32 = 2;
 /// Most servers that one request tries and cannot connect to; nothing of the request reaches them.
 const MAX_UNREACHED: u32 = 3;
@@ -27,24 +23,11 @@
 /// Retry delay for a caller after all servers rejected the request: a few service times.
 const REJECTED_PAUSE: Duration = Duration::from_millis(300);
 
-/// Cause of an attempt that the server broke off after the request was sent.
-const SERVER_BROKE_OFF: &str = "server_broke_off";
-
-/// How one attempt at one server ended.
-#[derive(Debug)]
-enum AttemptEnd {
-    Answered(ServerAnswer),
-    Failed(ServerAnswer),
-    NotRun,
-    NotSent,
-    Unknown(&'static str),
-    Silent,
-}
-
 /// Results of the attempts so far.
 #[derive(Debug, Default)]
 struct AttemptRecord {
     tried: Vec<ServerKey>,
+    /// Attempts that ran at a server, the present ones included.
     sent: u32,
     unreached: u32,
     /// Whether one of them may have run.
@@ -55,40 +38,93 @@
     no_place: Option<Duration>,
 }
 
+/// What happens next to a request.
+#[derive(Debug)]
+enum CallStep {
+    /// An attempt ended.
+    Ended(ServerKey, AttemptEnd),
+    /// A search for another server ended, without one if there is none.
+    Searched(Option<(ServerEntry, SendPermit, Option<PlaceGuard>)>),
+}
+
 /// Runs a request on a service whose servers answer without a stream.
+///
+/// Silence ends no attempt: a server that stands still may go on. A request that may run more than once is sent to another
+/// server beside silent ones, and the first server to answer it wins.
 pub(super) async fn serve_plain(context: &CallContext) -> CallEnd {
     let mut record = AttemptRecord::default();
-    while let Some((server, permit, place)) = next_server(context, &mut record).await {
-        record.tried.push(server.key());
-        match attempt(context, &server, &record, permit, place).await {
-            AttemptEnd::Answered(answer) => {
-                context.record_plain_answer();
-                return CallEnd::Answered(answer);
-            }
-            AttemptEnd::NotSent => record.unreached += 1,
-            AttemptEnd::NotRun => record.sent += 1,
-            AttemptEnd::Failed(answer) => {
+    let silence_timeout = context.route.objective * SILENCE_OBJECTIVES;
+    let mut silence = SilentAttempts::new(silence_timeout);
+    let mut running = FuturesUnordered::new();
+    loop {
+        let step = tokio::select! {
+            biased;
+            Some((server, end)) = running.next() => CallStep::Ended(server, end),
+            found = search(context, &mut record, &silence) => CallStep::Searched(found),
+        };
+        match step {
+            CallStep::Searched(Some((server, permit, place))) => {
+                record.tried.push(server.key());
                 record.sent += 1;
-                record.may_have_run = true;
-                record.failure = Some(answer);
+                silence.begin(context.host.now(), server.key());
+                let may_repeat = may_send_again(context, &record);
+                running.push(attempt(context, server, silence_timeout, may_repeat, permit, place));
             }
-            AttemptEnd::Unknown(cause) => {
-                record.sent += 1;
-                record.may_have_run = true;
-                if !context.route.is_retryable() {
-                    return CallEnd::Unknown(cause);
-                }
+            CallStep::Searched(None) if silence.is_any_running() => {
+                silence.record_search(context.host.now());
             }
-            AttemptEnd::Silent => {
-                record.sent += 1;
-                record.may_have_run = true;
+            CallStep::Searched(None) => return give_up(context, record).await,
+            CallStep::Ended(server, end) => {
+                silence.end(server);
+                match end {
+                    AttemptEnd::Answered(answer) => {
+                        context.record_plain_answer();
+                        return CallEnd::Answered(answer);
+                    }
+                    AttemptEnd::NotSent => {
+                        record.sent -= 1;
+                        record.unreached += 1;
+                    }
+                    AttemptEnd::NotRun => {}
+                    AttemptEnd::Failed(answer) => {
+                        record.may_have_run = true;
+                        record.failure = Some(answer);
+                    }
+                    AttemptEnd::Unknown(cause) => {
+                        record.may_have_run = true;
+                        if !context.route.is_retryable() {
+                            return CallEnd::Unknown(cause);
+                        }
+                    }
+                    AttemptEnd::Silent => record.may_have_run = true,
+                }
+                if record.may_have_run && !context.route.is_retryable() {
+                    return give_up(context, record).await;
+                }
             }
         }
-        if record.may_have_run && !context.route.is_retryable() {
-            break;
+    }
+}
+
+/// Whether the route allows the request to be sent to another server beside those that it was sent to.
+fn may_send_again(context: &CallContext, record: &AttemptRecord) -> bool {
+    context.route.is_retryable() && record.sent < context.route.max_servers
+}
+
+/// Selects the next server as soon as all attempts that are running are silent. Does not end while another server may not
+/// be tried.
+async fn search(
+    context: &CallContext,
+    record: &mut AttemptRecord,
+    silence: &SilentAttempts,
+) -> Option<(ServerEntry, SendPermit, Option<PlaceGuard>)> {
+    if let Some(due_at) = silence.search_due_at() {
+        if !may_send_again(context, record) {
+            std::future::pending::<()>().await;
         }
+        tokio::time::sleep(due_at.since(context.host.now())).await;
     }
-    give_up(context, record).await
+    next_server(context, record).await
 }
 
 /// Selects the next server to try, if the route, the deadline and the retry budget allow one.
@@ -182,97 +218,3 @@
     }
     CallEnd::NotRun(reason, context.return_pause(reason, REJECTED_PAUSE))
 }
-
-async fn attempt(
-    context: &CallContext,
-    server: &ServerEntry,
-    record: &AttemptRecord,
-    mut permit: SendPermit,
-    mut place: Option<PlaceGuard>,
-) -> AttemptEnd {
-    let load = ServerLoad { requests: 1, ..ServerLoad::default() };
-    let _load = LoadGuard::new(&context.host, server.key(), load);
-    context.host.record_server_event(server, ServerEvent::Sent);
-    let is_retryable = context.route.is_retryable();
-    let may_retry = is_retryable && record.sent + 1 < context.route.max_servers;
-    let silence_timeout = context.route.objective * SILENCE_OBJECTIVES;
-    let timeout =
-        if may_retry { silence_timeout.min(context.time_left()) } else { context.time_left() };
-    let end = match tokio::time::timeout(timeout, exchange(context, server, &mut permit)).await {
-        Ok(Ok(end)) => end,
-        Ok(Err(Error::NotSent(_))) => AttemptEnd::NotSent,
-        Ok(Err(Error::Foreign { .. })) => AttemptEnd::Unknown("foreign_answer"),
-        Ok(Err(error)) => {
-            context.record_failure(server, &error);
-            log::debug!("event=server_broke_off server={} cause=\"{error}\"", server.id);
-            AttemptEnd::Unknown(SERVER_BROKE_OFF)
-        }
-        Err(_elapsed) => AttemptEnd::Silent,
-    };
-    if let Some(place) = &mut place {
-        place.set_end(match &end {
-            AttemptEnd::Answered(_) | AttemptEnd::Failed(_) => PlaceEnd::Served,
-            AttemptEnd::NotRun => PlaceEnd::Rejected,
-            AttemptEnd::NotSent | AttemptEnd::Unknown(_) | AttemptEnd::Silent => PlaceEnd::Unused,
-        });
-    }
-    record_end(context, server, &end, timeout < silence_timeout);
-    end
-}
-
-async fn exchange(
-    context: &CallContext,
-    server: &ServerEntry,
-    permit: &mut SendPermit,
-) -> Result<AttemptEnd> {
-    let max_idle = if context.route.is_retryable() { Duration::MAX } else { FRESH_CONNECTION_AGE };
-    let (purpose, time_left) = (CallPurpose::Plain, context.time_left());
-    let part = CallPart::Whole;
-    let response =
-        send_request(context, server, purpose, time_left, part, max_idle, permit).await?;
-    let kind = read_answer(&response);
-    let (parts, body) = response.into_parts();
-    if kind == AnswerKind::Improper {
-        return Ok(AttemptEnd::Unknown("improper_answer"));
-    }
-    if kind == AnswerKind::NotRun {
-        body.read_all().await?;
-        return Ok(AttemptEnd::NotRun);
-    }
-    let has_explicit_end = body.has_explicit_end();
-    let body = body.read_all().await?;
-    if !has_explicit_end && contains_answer(&body) {
-        return Ok(AttemptEnd::Unknown("answer_with_another"));
-    }
-    context.record_success();
-    let answer = ServerAnswer { status: parts.status, headers: parts.headers, body };
-    Ok(if kind == AnswerKind::Success {
-        AttemptEnd::Answered(answer)
-    } else {
-        AttemptEnd::Failed(answer)
-    })
-}
-
-/// `is_short`: the request had less time left than the timeout after which a server counts as silent.
-fn record_end(context: &CallContext, server: &ServerEntry, end: &AttemptEnd, is_short: bool) {
-    let event = match end {
-        AttemptEnd::Silent if is_short => ServerEvent::OutOfTime,
-        AttemptEnd::Answered(_) => ServerEvent::Served,
-        AttemptEnd::Unknown(SERVER_BROKE_OFF) => ServerEvent::BrokeOff,
-        AttemptEnd::Failed(_) | AttemptEnd::NotRun | AttemptEnd::Unknown(_) => ServerEvent::Errored,
-        AttemptEnd::NotSent | AttemptEnd::Silent => ServerEvent::Unresponsive,
-    };
-    context.host.record_server_event(server, event);
-    let name = match end {
-        AttemptEnd::Answered(_) => return,
-        AttemptEnd::Failed(_) => "failed",
-        AttemptEnd::NotRun => "not_run",
-        AttemptEnd::NotSent => "not_sent",
-        AttemptEnd::Unknown(cause) => cause,
-        AttemptEnd::Silent => "silent",
-    };
-    let (id, contents, server) = (context.id(), context.contents, &server.id);
-    log::info!(
-        "event=attempt_ended request={id} contents={contents} server={server} outcome={name}"
-    );
-}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -27,6 +27,7 @@
 mod server_health;
 mod server_ledger;
 mod share_ledger;
+mod silent_attempts;
 mod size_balance;
 mod slot_entry;
 mod slot_table;
@@ -56,6 +57,7 @@
 pub use server_health::{ServerEvent, ServerHealth};
 pub use server_ledger::{ServerLedger, ServerReport};
 pub use share_ledger::ShareLedger;
+pub use silent_attempts::SilentAttempts;
 pub use size_balance::SizeBalance;
 pub use slot_entry::{SlotClaim, SlotEntry, SlotUse};
 pub use slot_table::SlotTable;
--- a/tests/silent_calls.rs
+++ b/tests/silent_calls.rs
@@ -9,6 +9,8 @@
 use tealcleat::bench::site::{
     CallerReply, SiteCall, SitePlan, SiteService, TestSite, call_site, config,
 };
+use tealcleat::keys::{ServerKey, TimePoint};
+use tealcleat::placement::SilentAttempts;
 use tealcleat::settings::GatewaySettings;
 use tokio::task::JoinHandle;
 
@@ -129,3 +131,55 @@
         assert_eq!(first.runs(), ["r1"]);
     });
 }
+
+/// Guards against a second run of a call that runs once, while its server stands still.
+#[test]
+fn unsafe_call_waits_for_its_silent_server() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), |_| {}).await;
+        stall_services(&site);
+        let caller = start_call(&site, call("POST", "once", "r1"));
+        wait_until(|| arrivals(&site, "r1") == 1).await;
+        tokio::time::sleep(OBJECTIVE * 4).await;
+        release_services(&site);
+        assert_eq!(reply_of(caller).await.status.as_u16(), 200);
+        assert_eq!(arrivals(&site, "r1"), 1);
+    });
+}
+
+/// Guards against a call without an answer at its deadline, because attempts go on for as long as servers are silent.
+#[test]
+fn silent_call_ends_at_its_deadline() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), |_| {}).await;
+        stall_services(&site);
+        let mut short = call("GET", "safe", "r1");
+        short.headers[0].1 = (OBJECTIVE * 4).as_millis().to_string();
+        let reply = reply_of(start_call(&site, short)).await;
+        assert_eq!(reply.status.as_u16(), 504);
+        assert_eq!(arrivals(&site, "r1"), 2);
+    });
+}
+
+fn milliseconds(milliseconds: u64) -> TimePoint {
+    TimePoint::default() + Duration::from_millis(milliseconds)
+}
+
+/// Guards against a second send before its time, and against one that is searched for again and again.
+#[test]
+fn another_server_searched_once_all_are_silent() {
+    let [first, second] = ["a", "b"].map(ServerKey::of);
+    let mut attempts = SilentAttempts::new(Duration::from_millis(400));
+    assert_eq!(attempts.search_due_at(), None);
+    attempts.begin(milliseconds(10), first);
+    assert_eq!(attempts.search_due_at(), Some(milliseconds(410)));
+    attempts.record_search(milliseconds(411));
+    assert_eq!(attempts.search_due_at(), Some(milliseconds(811)));
+    attempts.begin(milliseconds(811), second);
+    assert_eq!(attempts.search_due_at(), Some(milliseconds(1211)));
+    // The second one was turned away; the first one has long been silent.
+    attempts.end(second);
+    assert_eq!(attempts.search_due_at(), Some(milliseconds(410)));
+    attempts.end(first);
+    assert!(!attempts.is_any_running());
+}
--- a/tests/silent_servers.rs
+++ b/tests/silent_servers.rs
@@ -73,3 +73,18 @@
         assert!(pool.warm_addresses().contains(&link.address));
     });
 }
+
+/// Guards against further calls on connections that fell silent with the one of a call that is kept.
+#[test]
+fn kept_silent_call_takes_no_idle_connection_along() {
+    runtime().block_on(async {
+        let (pool, link, _service) = idle_connections().await;
+        link.stall_open_connections();
+        let (address, silent_pool) = (link.address, pool.clone());
+        let kept = tokio::spawn(async move { call_server(&silent_pool, address, "kept").await });
+        tokio::time::sleep(CALL_TIMEOUT / 2).await;
+        pool.record_silence(address);
+        assert!(call_server(&pool, address, "comes-next").await);
+        assert!(!kept.await.expect("it ends"));
+    });
+}
