--- a/tests/silent_calls.rs
+++ b/tests/silent_calls.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tealcleat::bench::site::{
-    CallerReply, SiteCall, SitePlan, SiteService, TestSite, call_site, config,
+    CallerReply, SiteCall, SitePlan, SiteRun, SiteService, TestSite, call_site, config,
 };
 use tealcleat::keys::{ServerKey, TimePoint};
 use tealcleat::placement::SilentAttempts;
@@ -16,10 +16,12 @@
 
 mod site_common;
 
-use site_common::{call, runtime};
+use site_common::{call, engine_runs, runtime};
 
 /// The objective of the routes; a call is silent after two of them.
 const OBJECTIVE: Duration = Duration::from_millis(150);
+/// After this time a host counts a read of a prompt as silent.
+const READ_SILENCE: Duration = Duration::from_millis(1500);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Ends a test that waits for what does not come.
 const TEST_LIMIT: Duration = Duration::from_secs(10);
@@ -183,3 +185,56 @@
     attempts.end(first);
     assert!(!attempts.is_any_running());
 }
+
+fn stall_prefills(site: &TestSite) {
+    for engine in &site.prefills {
+        engine.stall_gate.stall();
+    }
+}
+
+fn release_prefills(site: &TestSite) {
+    for engine in &site.prefills {
+        engine.stall_gate.release();
+    }
+}
+
+/// Arrivals of a request at prefill engines.
+fn reads(site: &TestSite, id: &str) -> usize {
+    let arrivals = site.prefills.iter().flat_map(|engine| engine.arrivals.requests());
+    arrivals.filter(|arrival| arrival.request == id).count()
+}
+
+fn decode_runs(site: &TestSite, id: &str) -> Vec<SiteRun> {
+    engine_runs(site, id).into_iter().filter(|run| run.stage == "decode").collect()
+}
+
+/// Guards against a stream that is refused as `prompt_not_read`, with time left, because the server that reads its prompt is
+/// silent, while the decode server that holds its memory could read it.
+#[test]
+fn silent_read_left_to_the_decode_server() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), |_| {}).await;
+        stall_prefills(&site);
+        let reply = reply_of(start_call(&site, call("POST", "stream", "r1"))).await;
+        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
+        assert_eq!((reads(&site, "r1"), decode_runs(&site, "r1").len()), (1, 1));
+    });
+}
+
+/// Guards against the same where the retry budget does not allow the decode server to read the prompt: the read that is in
+/// flight is waited for.
+#[test]
+fn silent_read_kept_without_retry_budget() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), deny_repeats).await;
+        stall_prefills(&site);
+        let caller = start_call(&site, call("POST", "stream", "r1"));
+        wait_until(|| reads(&site, "r1") == 1).await;
+        tokio::time::sleep(READ_SILENCE).await;
+        release_prefills(&site);
+        let reply = reply_of(caller).await;
+        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
+        let fetched = decode_runs(&site, "r1").iter().map(|run| run.fetched).collect::<Vec<bool>>();
+        assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
+    });
+}
