--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod pending_replies;
 mod pending_run;
 mod place_guard;
+mod plain_attempt;
 mod plain_call;
 mod pressure_updates;
 mod prompt_read;
