--- a/src/bench/site/engine_events.rs
+++ b/src/bench/site/engine_events.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::body::Frame;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// What the events of a run contain besides their numbers.
 #[derive(Debug)]
@@ -26,6 +27,14 @@
         run_index: usize,
         events: EventSender,
     ) {
+        let cancelled = self.send_run(text, first, events).await;
+        let run = &mut lock(&self.runs)[run_index];
+        run.cancelled = cancelled;
+        run.ended_at = Some(Instant::now());
+    }
+
+    /// Sends the events of a run; returns whether its caller disconnected.
+    async fn send_run(&self, text: EventText, first: u64, events: EventSender) -> bool {
         let EventText { prompt, version_line } = text;
         let interval = self.event_interval();
         for number in first..self.events {
@@ -35,7 +44,7 @@
             let is_sent = match self.fault() {
                 EngineFault::CutAfter(limit) if sent_count >= limit => {
                     send_truncated(&events, &text).await;
-                    return;
+                    return false;
                 }
                 EngineFault::StallAfter(limit) if sent_count >= limit => {
                     events.closed().await;
@@ -48,10 +57,10 @@
                 _ => events.send(Ok(Frame::data(Bytes::from(text)))).await.is_ok(),
             };
             if !is_sent {
-                lock(&self.runs)[run_index].cancelled = true;
-                return;
+                return true;
             }
             tokio::time::sleep(interval).await;
         }
+        false
     }
 }
--- a/src/bench/site/site_caller.rs
+++ b/src/bench/site/site_caller.rs
@@ -8,7 +8,7 @@
 use hyper::client::conn::http1::SendRequest;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// A request of a stand-in caller.
 #[derive(Debug, Clone)]
@@ -36,6 +36,8 @@
     pub body: Bytes,
     /// Whether the response was complete.
     pub complete: bool,
+    /// When its head or the last part of its body arrived.
+    pub last_at: Instant,
 }
 
 impl CallerReply {
@@ -103,18 +105,20 @@
         self.sender.ready().await?;
         let response = timeout(gap, self.sender.send_request(request)).await;
         let (parts, body) = response.map_err(|_elapsed| Error::Timeout)??.into_parts();
-        let (body, complete) = read_to_end(body, gap).await;
-        Ok(CallerReply { status: parts.status, headers: parts.headers, body, complete })
+        let mut last_at = Instant::now();
+        let (body, complete) = read_to_end(body, gap, &mut last_at).await;
+        Ok(CallerReply { status: parts.status, headers: parts.headers, body, complete, last_at })
     }
 }
 
-async fn read_to_end(mut body: Incoming, gap: Duration) -> (Bytes, bool) {
+async fn read_to_end(mut body: Incoming, gap: Duration, last_at: &mut Instant) -> (Bytes, bool) {
     let mut bytes = BytesMut::new();
     loop {
         match timeout(gap, body.frame()).await {
             Ok(None) => return (bytes.freeze(), true),
             Ok(Some(Err(_))) | Err(_) => return (bytes.freeze(), false),
             Ok(Some(Ok(frame))) => {
+                *last_at = Instant::now();
                 if let Ok(data) = frame.into_data() {
                     bytes.extend_from_slice(&data);
                 }
--- a/src/bench/site/site_run.rs
+++ b/src/bench/site/site_run.rs
@@ -26,6 +26,8 @@
     pub caller: CallerRecord,
     /// When it arrived.
     pub arrived_at: Instant,
+    /// When a decode engine ended it, whole or because its caller disconnected.
+    pub ended_at: Option<Instant>,
 }
 
 impl SiteRun {
@@ -43,6 +45,7 @@
             cancelled: false,
             caller: CallerRecord::of(request, id),
             arrived_at: Instant::now(),
+            ended_at: None,
         }
     }
 }
--- a/src/bench/soak/repeat_check.rs
+++ b/src/bench/soak/repeat_check.rs
@@ -107,7 +107,8 @@
         }
     }
 
-    fn sum_repeats(
+    /// Sums the repeats of all requests; returns whether they exceed the bounds.
+    pub fn sum_repeats(
         &self,
         records: &[SoakRecord],
         tally: &mut RepeatTally,
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -1,3 +1,4 @@
+use super::hush_check::HushTally;
 use super::part_check::PartTally;
 use super::repeat_check::RepeatTally;
 use super::stream_taker::VersionTally;
@@ -95,6 +96,8 @@
     pub herd_tries: (CutTries, CutTries),
     /// Repeats that arrived at servers, if they were summed.
     pub repeats: RepeatTally,
+    /// What was found while servers stood still and went on.
+    pub hushed: HushTally,
     /// What callers found that took their streams up, if servers of several versions served.
     pub versions: VersionTally,
     /// What was found of parts of prompts that crash servers, if there were any.
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -3,7 +3,6 @@
 use super::answer_link::AnswerLink;
 use super::fault_log::FaultLog;
 use super::partition_group::machine_address;
-use super::repeat_check::RETRY_BOUNDS;
 use super::soak_options::SoakOptions;
 use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode, UnansweredPort};
 use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
@@ -47,6 +46,8 @@
     pub unused_routes: usize,
     /// Whether engines run several software versions.
     pub mixes_versions: bool,
+    /// Whether callers leave streams when their patience ends.
+    pub hushes_servers: bool,
     pub fault_log: FaultLog,
     unanswered_port: UnansweredPort,
 }
@@ -93,6 +94,7 @@
             version: 1,
             unused_routes: options.unused_routes,
             mixes_versions: options.mixes_versions,
+            hushes_servers: options.hushes_servers,
             fault_log: FaultLog::create(folder)?,
             unanswered_port: UnansweredPort::open().await?,
         };
@@ -141,7 +143,7 @@
             advertised,
             revocation: None,
             features: options.features,
-            retries: options.sums_repeats.then_some(RETRY_BOUNDS),
+            retries: options.retry_bounds(),
             environment: &environment,
         })?;
         if let Some(advertised) = advertised {
@@ -222,6 +224,7 @@
         || options.crashes_parts
         || options.herds_connections
         || options.sums_repeats
+        || options.hushes_servers
 }
 
 fn advertised_address() -> Result<SocketAddr> {
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -1,3 +1,5 @@
+use super::repeat_check::RETRY_BOUNDS;
+use crate::retries::RetryBounds;
 use crate::settings::LoadFeatures;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -43,6 +45,9 @@
     /// Whether servers reject most of what arrives beside disturbed hosts. The repeats of all hosts together must stay within
     /// the retry bounds. The daemons' environment must provide the same library.
     pub sums_repeats: bool,
+    /// Whether servers stand still and go on beside stopped, reloaded and killed hosts and changes of the configuration. No
+    /// answer may end early meanwhile; repeats are summed as above.
+    pub hushes_servers: bool,
     /// Number of routes in the configuration that no request uses.
     pub unused_routes: usize,
     /// Environment variables of the daemons.
@@ -52,6 +57,11 @@
 }
 
 impl SoakOptions {
+    /// The retry bounds of the daemons if they are not ample.
+    pub(super) fn retry_bounds(&self) -> Option<RetryBounds> {
+        (self.sums_repeats || self.hushes_servers).then_some(RETRY_BOUNDS)
+    }
+
     /// Whether each daemon needs a machine with an address of its own.
     pub(super) const fn needs_machines(&self) -> bool {
         self.partitions_network
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -72,6 +72,12 @@
     } else {
         Vec::new()
     };
+    let mut hushed = Default::default();
+    let hush_violations = if options.hushes_servers {
+        cluster.check_hushing(options, &results, &mut hushed).await?
+    } else {
+        Vec::new()
+    };
     results.is_stopped.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await.map_err(|error| Error::Protocol(error.to_string()))?;
@@ -84,6 +90,7 @@
     report.cut_tries = cut_tries;
     report.herd_tries = herd_tries;
     report.repeats = repeats;
+    report.hushed = hushed;
     report.violations.extend(versions.violations());
     report.versions = versions;
     report.violations.extend(parts.violations());
@@ -100,6 +107,7 @@
     report.violations.extend(cut_violations);
     report.violations.extend(herd_violations);
     report.violations.extend(repeat_violations);
+    report.violations.extend(hush_violations);
     let site = &cluster.site;
     report.violations.extend(check_runs(&records, &site.decodes, &site.services));
     let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -103,6 +103,8 @@
         herding: bool,
         /// Let servers reject most of what arrives, and sum the repeats of all hosts; needs the same library
         repeating: bool,
+        /// Let servers stand still and go on beside stopped, reloaded and killed hosts and changes of the configuration
+        hushing: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -41,6 +41,7 @@
             parts,
             herding,
             repeating,
+            hushing,
             further_routes,
             variable,
         } => {
@@ -63,6 +64,7 @@
                 crashes_parts: *parts,
                 herds_connections: *herding,
                 sums_repeats: *repeating,
+                hushes_servers: *hushing,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -41,6 +41,21 @@
                 repeats.engine_repeats, repeats.plain_repeats
             );
         }
+        if options.hushes_servers {
+            let hushed = report.hushed;
+            println!(
+                "  silent servers: {} of {} whole, {} given up, {} left by their callers, {} lost, {} worked on twice; \
+                 repeats: {} at engines, {} at plain servers",
+                hushed.whole,
+                hushed.asked,
+                hushed.given_up,
+                hushed.left,
+                hushed.lost,
+                hushed.twice,
+                hushed.repeats.engine_repeats,
+                hushed.repeats.plain_repeats
+            );
+        }
         let parts = &report.parts;
         if parts.crashes > 0 {
             let (before, after) = (parts.sound_before, parts.sound_after);
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -181,6 +181,17 @@
     });
 }
 
+/// Servers stand still for up to 3.5 s and go on, one, most and all of them, once and several times, while hosts are
+/// stopped, reloaded and killed and the configuration changes.
+///
+/// The test guards against hosts that end the answer of a sound server because it was silent.
+#[test]
+fn run_soak_with_servers_that_fall_silent() {
+    let defaults = options(1);
+    let duration = Duration::from_secs(2);
+    run(SoakOptions { hosts: 6, domains: 3, hushes_servers: true, duration, ..defaults });
+}
+
 /// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
 /// guarantee while hosts are killed or suspended, or servers crash.
 #[rstest]
@@ -221,6 +232,7 @@
         crashes_parts: false,
         herds_connections: false,
         sums_repeats: false,
+        hushes_servers: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
