--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tealcleat::bench::site::{SitePlan, TestSite};
 use tealcleat::gateway::StopPhase;
@@ -81,14 +82,14 @@
         site.add_host().await.expect("a host");
         site.wait_ready().await;
     });
-    let host = site.hosts[0].host.clone();
+    let host = Arc::clone(&site.hosts[0].host);
     let mut caller = outside.block_on(request_slowly(site.hosts[0].callers));
     // The answer begins before the host stops.
     let mut first = [0; 12];
     outside.block_on(caller.read_exact(&mut first)).expect("an answer");
     assert_eq!(&first, format!("HTTP/1.1 {}", StatusCode::OK.as_str()).as_bytes());
     let reading = outside.spawn({
-        let host = host.clone();
+        let host = Arc::clone(&host);
         async move {
             while host.stop_phase() < StopPhase::Closing {
                 tokio::time::sleep(Duration::from_millis(1)).await;
