Reads of prompts: a silent read is kept where the retry budget allows nothing else

What callers saw: a read that was silent for 1.2 s was left, whether or not the request could go on without it.

Cause: the time limit of the read, not the request's. Change: after 1.2 s the silence is recorded against the server and its idle connections; the read is left only if the retry budget covers a run that reads the prompt itself, and is kept otherwise, up to the time of the request. The server is given the request's deadline, as in all other sends. A kept read without an answer ends as a true refusal: nothing is sent after it (kept_read_without_answer_never_runs).

--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -14,8 +14,9 @@
 use http::StatusCode;
 use std::time::Duration;
 
-/// A prompt takes about 0.1 s to read, and waiting behind several others takes longer than any objective.
-const READ_TIMEOUT: Duration = Duration::from_millis(1200);
+/// After this time without an answer a read is silent: a prompt takes about 0.1 s to read, and one that waits behind
+/// several others starts sooner at its decode server.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Queued prompt tokens from which a prefill server counts as full: reading them takes about half an objective.
 const FULL_QUEUE_TOKENS: u32 = 12_000;
 /// Most prefill servers tried for one request.
@@ -99,6 +100,7 @@
                 context.host.record_server_event(server, ServerEvent::Errored);
                 break;
             }
+            Ok(ReadEnd::Left) => break,
             Err(error) => {
                 context.record_failure(server, &error);
                 context.host.record_server_event(server, ServerEvent::Unresponsive);
@@ -133,15 +135,19 @@
 /// reads it in time, unless too much of the objective has passed. No second prefill server is tried, since its
 /// answer may get lost as often as the first one's, and its work would be wasted.
 fn fall_back(context: &CallContext) -> PromptEnd {
-    let (age, objective) = (context.age(), context.route.objective);
-    if age > objective.mul_f64(OWN_READ_FRACTION) {
+    if is_late(context) {
         return PromptEnd::Failed;
     }
-    let (id, age) = (context.id(), age.as_millis());
+    let (id, age) = (context.id(), context.age().as_millis());
     log::info!("event=prompt_left_to_decode request={id} age_ms={age}");
     PromptEnd::LeftToDecode
 }
 
+/// Whether too much of the objective has passed for the decode server to read the prompt in time.
+fn is_late(context: &CallContext) -> bool {
+    context.age() > context.route.objective.mul_f64(OWN_READ_FRACTION)
+}
+
 /// How one server answered a request to read a prompt.
 #[derive(Debug)]
 enum ReadEnd {
@@ -150,6 +156,8 @@
     Rejected,
     /// Its answer contains no result.
     Failed,
+    /// It was silent, and the retry budget lets the decode server read the prompt, or the request has no time left.
+    Left,
 }
 
 /// Has the prompt read by one server.
@@ -162,11 +170,25 @@
     let load = ServerLoad { requests: 1, prompt_tokens: tokens, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
     context.host.record_server_event(server, ServerEvent::Sent);
-    let timeout = READ_TIMEOUT.min(context.time_left());
     let started_at = context.host.now();
-    let exchange = request_read(context, server, timeout, &mut permit);
-    let read =
-        tokio::time::timeout(timeout, exchange).await.map_err(|_elapsed| Error::Timeout)??;
+    let mut exchange = std::pin::pin!(request_read(context, server, &mut permit));
+    let timeout = SILENCE_TIMEOUT.min(context.time_left());
+    let read = match tokio::time::timeout(timeout, &mut exchange).await {
+        Ok(read) => read?,
+        Err(_elapsed) if context.time_left().is_zero() => return Err(Error::Timeout),
+        Err(_elapsed) => {
+            record_silence(context, server);
+            if may_leave_read(context).await {
+                return Ok(ReadEnd::Left);
+            }
+            // Only this read can still lead to a run, and its server may go on.
+            log::info!("event=silent_read_kept request={} server={}", context.id(), server.id);
+            match tokio::time::timeout(context.time_left(), exchange).await {
+                Ok(read) => read?,
+                Err(_elapsed) => return Ok(ReadEnd::Left),
+            }
+        }
+    };
     if matches!(read, ReadEnd::Read(_)) {
         context.host.record_server_event(server, ServerEvent::Served);
         let now = context.host.now();
@@ -182,17 +204,31 @@
     Ok(read)
 }
 
+/// Whether a silent read is left, since the retry budget lets the request go on without it. Nothing is taken from the
+/// budget for a request that is refused because its decode server would read the prompt too late.
+async fn may_leave_read(context: &CallContext) -> bool {
+    if is_late(context) { context.may_survive_rejection() } else { context.cover_sends(1).await }
+}
+
+/// Records that a server has not answered a read for [`SILENCE_TIMEOUT`]; the read may go on.
+fn record_silence(context: &CallContext, server: &ServerEntry) {
+    context.host.record_server_event(server, ServerEvent::Unresponsive);
+    context.host.pool.record_silence(server.address);
+    let (id, contents, server) = (context.id(), context.contents, &server.id);
+    log::info!("event=prompt_unread request={id} contents={contents} server={server} cause=silent");
+}
+
 async fn request_read(
     context: &CallContext,
     server: &ServerEntry,
-    timeout: Duration,
     permit: &mut SendPermit,
 ) -> Result<ReadEnd> {
     // Servers do not check to which request a result belongs: a result taken from another request's
     // answer would be that request's prompt. The answer must therefore carry this request's id.
     let (purpose, part) = (CallPurpose::Read, CallPart::Prefill);
-    let max_idle = Duration::MAX;
-    let response = send_request(context, server, purpose, timeout, part, max_idle, permit).await?;
+    let (time_left, max_idle) = (context.time_left(), Duration::MAX);
+    let response =
+        send_request(context, server, purpose, time_left, part, max_idle, permit).await?;
     let kind = read_answer(&response);
     let status = response.status();
     let body = response.into_body();
--- a/tests/silent_calls.rs
+++ b/tests/silent_calls.rs
@@ -28,10 +28,18 @@
 
 /// A site of one host whose routes have a short objective, so that silence is noticed soon.
 async fn site_with(plan: SitePlan, adjust: impl FnOnce(&mut GatewaySettings)) -> Arc<TestSite> {
+    site_of(OBJECTIVE, plan, adjust).await
+}
+
+async fn site_of(
+    objective: Duration,
+    plan: SitePlan,
+    adjust: impl FnOnce(&mut GatewaySettings),
+) -> Arc<TestSite> {
     let mut site = TestSite::start(SitePlan { hosts: 0, ..plan }).await.expect("it starts");
     let mut config = config(2);
     for route in config["routes"].as_array_mut().expect("routes") {
-        route["slo_ms"] = json!(OBJECTIVE.as_millis());
+        route["slo_ms"] = json!(objective.as_millis());
     }
     site.set_config(2, &config);
     site.add_host_with(adjust).await.expect("a host");
@@ -238,3 +246,37 @@
         assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
     });
 }
+
+/// Guards against a refusal that is none: a request is refused while its silent read is kept, and then runs.
+#[test]
+fn kept_read_without_answer_never_runs() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), deny_repeats).await;
+        stall_prefills(&site);
+        let mut short = call("POST", "stream", "r1");
+        short.headers[0].1 = (READ_SILENCE + OBJECTIVE).as_millis().to_string();
+        let reply = reply_of(start_call(&site, short)).await;
+        assert_eq!(reply.status.as_u16(), 503);
+        release_prefills(&site);
+        tokio::time::sleep(OBJECTIVE).await;
+        assert!(decode_runs(&site, "r1").is_empty());
+    });
+}
+
+/// Guards against a stream that is refused for the retry budget while its objective has time left, because its silent read
+/// was given up.
+#[test]
+fn silent_read_in_time_kept_without_retry_budget() {
+    runtime().block_on(async {
+        let site = site_of(READ_SILENCE * 2, SitePlan::default(), deny_repeats).await;
+        stall_prefills(&site);
+        let caller = start_call(&site, call("POST", "stream", "r1"));
+        wait_until(|| reads(&site, "r1") == 1).await;
+        tokio::time::sleep(READ_SILENCE).await;
+        release_prefills(&site);
+        let reply = reply_of(caller).await;
+        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
+        let fetched = decode_runs(&site, "r1").iter().map(|run| run.fetched).collect::<Vec<bool>>();
+        assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
+    });
+}
