--- a/tests/silent_calls.rs
+++ b/tests/silent_calls.rs
@@ -10,8 +10,10 @@
     CallerReply, SiteCall, SitePlan, SiteRun, SiteService, TestSite, call_site, config,
 };
 use tealcleat::keys::{ServerKey, TimePoint};
+use tealcleat::peers::PeerClient;
 use tealcleat::placement::SilentAttempts;
 use tealcleat::settings::GatewaySettings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::JoinHandle;
 
 mod site_common;
@@ -280,3 +282,33 @@
         assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
     });
 }
+
+/// Longer than a forwarded connection may be idle in a stop, from when connections begin to be closed.
+const STOP_SILENCE: Duration = Duration::from_millis(4800);
+
+/// Guards against an answer that is cut at another host, because the host in between stops while the server is silent.
+#[test]
+fn stopping_host_forwards_the_answer_of_a_silent_server() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("it starts");
+        let (service, server) = (&site.services[0], &site.servers[4]);
+        assert_eq!(service.id, server.id);
+        let client = PeerClient::new("a-shared-key-of-tests");
+        let opened = client.open_tunnel(site.hosts[0].peers, server.address, false, TEST_LIMIT);
+        let mut tunnel = opened.await.expect("a reply").expect("a connection");
+        service.stall_gate.stall();
+        let request =
+            "GET /safe/x HTTP/1.1\r\nhost: a\r\nx-request-id: t1\r\nconnection: close\r\n\r\n";
+        tunnel.write_all(request.as_bytes()).await.expect("it is sent");
+        wait_until(|| arrivals_at(service, "t1") == 1).await;
+        let host = Arc::clone(&site.hosts[0].host);
+        let stopping = tokio::spawn(async move { host.stop_gracefully().await });
+        tokio::time::sleep(STOP_SILENCE).await;
+        service.stall_gate.release();
+        let mut answer = String::new();
+        let read = tokio::time::timeout(TEST_LIMIT, tunnel.read_to_string(&mut answer)).await;
+        read.expect("an end").expect("a proper end");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        stopping.await.expect("it stops");
+    });
+}
