Tunnels: a stopping host leaves open connections whose servers are silent

What callers saw: at a host that reaches a server through another one, an answer or stream was cut 1.5 s after the server fell silent, if the host in between was stopping. stopping_host_forwards_the_answer_of_a_silent_server failed (the tunnel was reset).

Cause: CLOSING_IDLE_LIMIT took a connection without bytes for an idle one. The host in between does not read what it forwards and cannot tell the two apart; the hosts at the other ends can, and close idle connections through a stopping host within 0.25 s of hearing of it (run_path_upkeep). So what stays open is in use. The limit is taken out; a stop still ends at its exit time, at the latest, if the host at the other end is gone.

--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -18,10 +18,10 @@
 const MAX_TUNNELS: u64 = 256;
 /// A server within a site answers within a few milliseconds; the other host waits for 120 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
-/// A connection that carries nothing for this long is closed; no answer is awaited for longer.
+/// A connection that carries nothing for this long is closed; no answer is awaited for longer. A shutdown changes nothing:
+/// hosts close their idle connections through this one as soon as they hear of it, and the server of one that remains may
+/// only be silent.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
-/// The same while this host shuts down: the connection waits for another request, or for its first event, which takes less.
-const CLOSING_IDLE_LIMIT: Duration = Duration::from_millis(1500);
 const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(250);
 const BUFFER_BYTES: usize = 8 << 10;
 
@@ -127,17 +127,15 @@
         });
         tokio::select! {
             ended = async { tokio::try_join!(up, down) } => Ok(ended.map(|_| ())?),
-            () = self.wait_idle(&activity) => Ok(()),
+            () = Self::wait_idle(&activity) => Ok(()),
         }
     }
 
     /// Waits until a forwarded connection has carried nothing for too long.
-    async fn wait_idle(&self, activity: &ActivityClock) {
+    async fn wait_idle(activity: &ActivityClock) {
         loop {
             tokio::time::sleep(IDLE_CHECK_PERIOD).await;
-            let is_closing = self.stop_phase() >= StopPhase::Closing;
-            let limit = if is_closing { CLOSING_IDLE_LIMIT } else { IDLE_LIMIT };
-            if activity.idle_time() > limit {
+            if activity.idle_time() > IDLE_LIMIT {
                 return;
             }
         }
