--- a/tests/silent_calls.rs
+++ b/tests/silent_calls.rs
@@ -312,3 +312,23 @@
         stopping.await.expect("it stops");
     });
 }
+
+/// Guards against reports that call a server lost because a request with little time left had no answer in that time.
+#[test]
+fn read_out_of_time_is_no_evidence_against_its_server() {
+    runtime().block_on(async {
+        let share = |settings: &mut GatewaySettings| settings.features.shared_health = true;
+        let site = site_with(SitePlan::default(), share).await;
+        stall_prefills(&site);
+        let mut short = call("POST", "stream", "r1");
+        short.headers[0].1 = OBJECTIVE.as_millis().to_string();
+        reply_of(start_call(&site, short)).await;
+        assert_eq!(reads(&site, "r1"), 1);
+        let host = &site.hosts[0].host;
+        let now = host.now();
+        let state = host.state();
+        for engine in &site.prefills {
+            assert!(!state.shared_health.is_doubtful(now, ServerKey::of(&engine.id)));
+        }
+    });
+}
