--- a/tests/silent_calls.rs
+++ b/tests/silent_calls.rs
@@ -10,8 +10,10 @@
     CallerReply, SiteCall, SitePlan, SiteRun, SiteService, TestSite, call_site, config,
 };
 use tealcleat::keys::{ServerKey, TimePoint};
+use tealcleat::peers::PeerClient;
 use tealcleat::placement::SilentAttempts;
 use tealcleat::settings::GatewaySettings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::JoinHandle;
 
 mod site_common;
@@ -28,10 +30,18 @@
 
 /// A site of one host whose routes have a short objective, so that silence is noticed soon.
 async fn site_with(plan: SitePlan, adjust: impl FnOnce(&mut GatewaySettings)) -> Arc<TestSite> {
+    site_of(OBJECTIVE, plan, adjust).await
+}
+
+async fn site_of(
+    objective: Duration,
+    plan: SitePlan,
+    adjust: impl FnOnce(&mut GatewaySettings),
+) -> Arc<TestSite> {
     let mut site = TestSite::start(SitePlan { hosts: 0, ..plan }).await.expect("it starts");
     let mut config = config(2);
     for route in config["routes"].as_array_mut().expect("routes") {
-        route["slo_ms"] = json!(OBJECTIVE.as_millis());
+        route["slo_ms"] = json!(objective.as_millis());
     }
     site.set_config(2, &config);
     site.add_host_with(adjust).await.expect("a host");
@@ -238,3 +248,87 @@
         assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
     });
 }
+
+/// Guards against a refusal that is none: a request is refused while its silent read is kept, and then runs.
+#[test]
+fn kept_read_without_answer_never_runs() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), deny_repeats).await;
+        stall_prefills(&site);
+        let mut short = call("POST", "stream", "r1");
+        short.headers[0].1 = (READ_SILENCE + OBJECTIVE).as_millis().to_string();
+        let reply = reply_of(start_call(&site, short)).await;
+        assert_eq!(reply.status.as_u16(), 503);
+        release_prefills(&site);
+        tokio::time::sleep(OBJECTIVE).await;
+        assert!(decode_runs(&site, "r1").is_empty());
+    });
+}
+
+/// Guards against a stream that is refused for the retry budget while its objective has time left, because its silent read
+/// was given up.
+#[test]
+fn silent_read_in_time_kept_without_retry_budget() {
+    runtime().block_on(async {
+        let site = site_of(READ_SILENCE * 2, SitePlan::default(), deny_repeats).await;
+        stall_prefills(&site);
+        let caller = start_call(&site, call("POST", "stream", "r1"));
+        wait_until(|| reads(&site, "r1") == 1).await;
+        tokio::time::sleep(READ_SILENCE).await;
+        release_prefills(&site);
+        let reply = reply_of(caller).await;
+        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
+        let fetched = decode_runs(&site, "r1").iter().map(|run| run.fetched).collect::<Vec<bool>>();
+        assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
+    });
+}
+
+/// Longer than a forwarded connection may be idle in a stop, from when connections begin to be closed.
+const STOP_SILENCE: Duration = Duration::from_millis(4800);
+
+/// Guards against an answer that is cut at another host, because the host in between stops while the server is silent.
+#[test]
+fn stopping_host_forwards_the_answer_of_a_silent_server() {
+    runtime().block_on(async {
+        let site = TestSite::start(SitePlan::default()).await.expect("it starts");
+        let (service, server) = (&site.services[0], &site.servers[4]);
+        assert_eq!(service.id, server.id);
+        let client = PeerClient::new("a-shared-key-of-tests");
+        let opened = client.open_tunnel(site.hosts[0].peers, server.address, false, TEST_LIMIT);
+        let mut tunnel = opened.await.expect("a reply").expect("a connection");
+        service.stall_gate.stall();
+        let request =
+            "GET /safe/x HTTP/1.1\r\nhost: a\r\nx-request-id: t1\r\nconnection: close\r\n\r\n";
+        tunnel.write_all(request.as_bytes()).await.expect("it is sent");
+        wait_until(|| arrivals_at(service, "t1") == 1).await;
+        let host = Arc::clone(&site.hosts[0].host);
+        let stopping = tokio::spawn(async move { host.stop_gracefully().await });
+        tokio::time::sleep(STOP_SILENCE).await;
+        service.stall_gate.release();
+        let mut answer = String::new();
+        let read = tokio::time::timeout(TEST_LIMIT, tunnel.read_to_string(&mut answer)).await;
+        read.expect("an end").expect("a proper end");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        stopping.await.expect("it stops");
+    });
+}
+
+/// Guards against reports that call a server lost because a request with little time left had no answer in that time.
+#[test]
+fn read_out_of_time_is_no_evidence_against_its_server() {
+    runtime().block_on(async {
+        let share = |settings: &mut GatewaySettings| settings.features.shared_health = true;
+        let site = site_with(SitePlan::default(), share).await;
+        stall_prefills(&site);
+        let mut short = call("POST", "stream", "r1");
+        short.headers[0].1 = OBJECTIVE.as_millis().to_string();
+        reply_of(start_call(&site, short)).await;
+        assert_eq!(reads(&site, "r1"), 1);
+        let host = &site.hosts[0].host;
+        let now = host.now();
+        let state = host.state();
+        for engine in &site.prefills {
+            assert!(!state.shared_health.is_doubtful(now, ServerKey::of(&engine.id)));
+        }
+    });
+}
