--- a/tests/silent_common/mod.rs
+++ b/tests/silent_common/mod.rs
@@ -60,6 +60,11 @@
         true
     }
 
+    /// Reads once; returns false once the connection has ended.
+    pub async fn read_more_or_end(&mut self) -> bool {
+        self.read_more().await
+    }
+
     fn is_complete(&self) -> bool {
         self.text.ends_with(LAST_CHUNK)
     }
