Streams: a request whose further run was dropped is never refused as not run

The silent run may end with a refusal of its server while a further run that was sent is dropped without an answer: that one may have begun. The record says so from its send on. Found by reading; no test of its own.

--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -205,7 +205,11 @@
     runs.silent.push(silent.server.key());
     let mut pending = send_at_best(context, engine, after, runs).await?;
     silent.log_further(context, runs.sent);
-    match tokio::time::timeout(FURTHER_RUN_TIMEOUT, pending.first_event()).await {
+    // If the silent run goes on now, this one is dropped without an answer, and may have begun.
+    let had_run = std::mem::replace(&mut runs.may_have_run, true);
+    let started = tokio::time::timeout(FURTHER_RUN_TIMEOUT, pending.first_event()).await;
+    runs.may_have_run = had_run;
+    match started {
         Ok(started) => pending.finish(runs, started),
         Err(_elapsed) => pending.give_up(runs, FURTHER_RUN_SILENT),
     }
