Streams: a further run whose server reads the prompt itself has 900 ms

A further run was closed 350 ms after it was sent without a first event. So retries were spent for nothing. A server that reads writes only after it has read, and the silent run is closed at the first event, so that the 400 ms of rule TWICE hold from there.

--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -15,8 +15,12 @@
 use std::time::Duration;
 
 /// A further run is closed if its first event has not arrived this long after it was sent. Its server granted memory a
-/// moment before, so that it starts at once unless it falls silent too. No two servers may work on one request for 400 ms.
+/// moment before and only fetches the prompt, so that it starts at once unless it falls silent too. No two servers may work
+/// on one request for 400 ms.
 const FURTHER_RUN_TIMEOUT: Duration = Duration::from_millis(350);
+/// The same for a further run whose server reads the prompt itself, which took up to 0.35 s on loaded servers; it writes only
+/// after that. With the silence before it, this lasts until callers leave.
+const FURTHER_READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause before the question is asked again while most of the pool is silent; it costs neither a call nor a retry.
 const POOL_PAUSE: Duration = Duration::from_millis(60);
 /// Pause after the first opening that was refused; it doubles with each further one, since each asks servers or the owner
@@ -207,7 +211,8 @@
     silent.log_further(context, runs.sent);
     // If the silent run goes on now, this one is dropped without an answer, and may have begun.
     let had_run = std::mem::replace(&mut runs.may_have_run, true);
-    let started = tokio::time::timeout(FURTHER_RUN_TIMEOUT, pending.first_event()).await;
+    let timeout = if pending.fetches_prompt() { FURTHER_RUN_TIMEOUT } else { FURTHER_READ_TIMEOUT };
+    let started = tokio::time::timeout(timeout, pending.first_event()).await;
     runs.may_have_run = had_run;
     match started {
         Ok(started) => pending.finish(runs, started),
