--- /dev/null
+++ b/tests/endless_answers.rs
@@ -0,0 +1,144 @@
+//! Servers whose answers have no end, in a head, a body or an event: a host holds a bounded part of them, closes the
+//! connection and gives its caller a clear answer.
+
+use rstest::rstest;
+use tealcleat::bench::site::{SitePlan, TestSite};
+
+mod endless_common;
+mod site_common;
+
+use endless_common::{EndlessPart, EndlessServer, MAX_TAKEN, site_with_engine, site_with_services};
+use site_common::{call, call_first_host, runtime};
+
+/// Guards against an answer without end that is collected until the caller's deadline, in a growing memory.
+#[rstest]
+#[case::status_line(EndlessPart::StatusLine)]
+#[case::header_value(EndlessPart::HeaderValue)]
+#[case::headers(EndlessPart::Headers)]
+#[case::informational(EndlessPart::Informational)]
+#[case::body_without_length(EndlessPart::BodyWithoutLength)]
+#[case::body_with_length(EndlessPart::BodyWithLength)]
+#[case::chunks(EndlessPart::Chunks)]
+#[case::chunk_size(EndlessPart::ChunkSize)]
+#[case::chunk_extension(EndlessPart::ChunkExtension)]
+#[case::trailers(EndlessPart::Trailers)]
+fn endless_answer_gets_502(#[case] part: EndlessPart) {
+    runtime().block_on(async {
+        let server = EndlessServer::start(part, false).await;
+        let site = site_with_services(&[&server], 0).await;
+        let reply = call_first_host(&site, &call("POST", "once", "r1")).await;
+        assert_eq!(
+            reply.status.as_u16(),
+            502,
+            "it may have run, and the caller's time is not over"
+        );
+        assert!(reply.header("x-server-stamp").is_empty() && reply.body.is_empty());
+        server.wait_closed(1).await;
+        assert_eq!(server.asked(), 1, "what must not be repeated is sent once");
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
+
+/// Guards against a retryable request that is lost to one server's answer without end.
+#[test]
+fn endless_answer_repeated_elsewhere() {
+    runtime().block_on(async {
+        let server = EndlessServer::start(EndlessPart::BodyWithoutLength, false).await;
+        let site = site_with_services(&[&server], 2).await;
+        let mut place = 0;
+        while server.asked() == 0 {
+            let reply = call_first_host(&site, &call("GET", "safe", &format!("r{place}"))).await;
+            assert_eq!(reply.status.as_u16(), 200, "r{place}");
+            place += 1;
+        }
+        server.wait_closed(server.asked()).await;
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
+
+/// Guards against a promise (503) that rests on bytes that are no answer.
+#[test]
+fn endless_refusal_promises_nothing() {
+    runtime().block_on(async {
+        let server = EndlessServer::start(EndlessPart::Refusal, false).await;
+        let site = site_with_services(&[&server], 0).await;
+        let reply = call_first_host(&site, &call("POST", "once", "r1")).await;
+        assert_eq!(reply.status.as_u16(), 502);
+        server.wait_closed(1).await;
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
+
+/// The same at a decode server, which then must not be sent the request again either.
+#[test]
+fn endless_refusal_of_a_run_promises_nothing() {
+    runtime().block_on(async {
+        let server = EndlessServer::start(EndlessPart::Refusal, true).await;
+        let site = site_with_engine(&server, "decode").await;
+        let reply = call_first_host(&site, &call("POST", "stream", "r1")).await;
+        assert_eq!((reply.status.as_u16(), server.asked()), (502, 1));
+        server.wait_closed(1).await;
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
+
+/// Guards against a first read whose answer has no end: the decode server reads the prompt instead.
+#[rstest]
+#[case::result(EndlessPart::BodyWithoutLength)]
+#[case::refusal(EndlessPart::Refusal)]
+#[case::informational(EndlessPart::Informational)]
+fn endless_first_read_left_to_decode(#[case] part: EndlessPart) {
+    runtime().block_on(async {
+        let server = EndlessServer::start(part, false).await;
+        let site = site_with_engine(&server, "prefill").await;
+        let reply = call_first_host(&site, &call("POST", "stream", "r1")).await;
+        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
+        server.wait_closed(1).await;
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
+
+/// Guards against a hold whose answer has no end.
+#[rstest]
+#[case::body(EndlessPart::BodyWithoutLength)]
+#[case::head(EndlessPart::HeaderValue)]
+fn endless_hold_refused(#[case] part: EndlessPart) {
+    runtime().block_on(async {
+        let server = EndlessServer::start(part, false).await;
+        let site = site_with_engine(&server, "decode").await;
+        let reply = call_first_host(&site, &call("POST", "stream", "r1")).await;
+        assert_eq!(reply.status.as_u16(), 503, "nothing was sent to run");
+        server.wait_closed(server.asked()).await;
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
+
+/// Guards against an event without end, before the answer has begun and after it has.
+#[rstest]
+#[case::first(EndlessPart::FirstEvent, 502)]
+#[case::second(EndlessPart::SecondEvent, 200)]
+fn endless_event_cuts_its_stream(#[case] part: EndlessPart, #[case] status: u16) {
+    runtime().block_on(async {
+        let server = EndlessServer::start(part, true).await;
+        let site = site_with_engine(&server, "decode").await;
+        let reply = call_first_host(&site, &call("POST", "stream", "r1")).await;
+        assert_eq!(reply.status.as_u16(), status);
+        assert_eq!(reply.complete, status != 200, "what has begun never looks complete");
+        server.wait_closed(1).await;
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
+
+/// Guards against a store whose answers have no end.
+#[rstest]
+#[case::body(EndlessPart::BodyWithoutLength)]
+#[case::informational(EndlessPart::Informational)]
+fn endless_store_answer_given_up(#[case] part: EndlessPart) {
+    runtime().block_on(async {
+        let server = EndlessServer::start(part, false).await;
+        let mut site = TestSite::start(SitePlan::default()).await.expect("it starts");
+        site.add_host_with(|settings| settings.store = server.address).await.expect("it starts");
+        server.wait_closed(2).await;
+        assert!(server.most_written() < MAX_TAKEN, "{} bytes were taken", server.most_written());
+    });
+}
