Requests: the bodies of all requests in flight are held within a bound

Callers would have lost a host to 27 requests of 4 MiB: each body is within max_body_bytes, their sum had no bound, and a host of the smallest deployment has 110 MB.

Cause: read_body collected each body by itself.

Change: all bodies together have 24 MiB, shared as answers are (a body may hold what stays free beside it), until the request has ended and no server is sent it any more. Beyond that: 503 no_body_room with Retry-After of about 0.5 s, before the body is read if its length is stated. The rest of a refused body is read and dropped for 5 s at most, since closing a connection with unread bytes resets it and the caller would lose the answer. Small requests still have room.

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -37,6 +37,8 @@
     ServersAtLimit,
     /// All places at the servers that could run it are in use.
     NoPlace,
+    /// The bodies of the requests in flight leave no room for its own.
+    NoBodyRoom,
 }
 
 impl NotRunReason {
@@ -57,6 +59,7 @@
             Self::HeldBack => "crashes_servers",
             Self::ServersAtLimit => "servers_at_limit",
             Self::NoPlace => "no_place",
+            Self::NoBodyRoom => "no_body_room",
         }
     }
 }
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -9,16 +9,15 @@
 use super::in_flight_guard::InFlightGuard;
 use super::limit_charge::{LimitCharge, charge_request};
 use super::plain_call::serve_plain;
+use super::request_body::read_body;
 use super::run_open::refuse;
 use super::stop_phase::StopPhase;
 use crate::keys::{RequestContents, RequestKey};
 use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
 use crate::server_limits::CallRank;
-use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use std::convert::Infallible;
 use std::sync::atomic::AtomicU64;
@@ -80,7 +79,7 @@
         return Err(no_route(host));
     };
     let organisation = authorize_caller(host, &route, head.caller_key).await?;
-    let body = read_body(body, routes.limits().body_bytes).await?;
+    let body = read_body(&host.request_bodies, body, routes.limits().body_bytes).await?;
     let service = route.service_for(&head.request_id);
     let Some(spec) = routes.service(service).cloned() else {
         return Err(CallEnd::NotRun(NotRunReason::NoServer, NOT_READY_PAUSE));
@@ -162,19 +161,3 @@
     let units = organisation.limit?.cost(head.tokens.stated_size());
     Some(LimitCharge { org: organisation.key(), units })
 }
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallEnd> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(CallEnd::Improper(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            Err(CallEnd::Improper(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
-        }
-        Err(error) => {
-            log::debug!("event=body_broken cause=\"{error}\"");
-            Err(CallEnd::Improper(StatusCode::BAD_REQUEST, "body_broken"))
-        }
-    }
-}
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,5 +1,6 @@
 use super::gateway_state::GatewayState;
 use super::pending_replies::PendingReplies;
+use super::request_body::ALL_REQUESTS_BYTES;
 use super::stop_phase::StopPhase;
 use super::unreadable_objects::UnreadableObjects;
 use super::view_source::ViewSource;
@@ -46,6 +47,8 @@
     state: Mutex<GatewayState>,
     metrics: Mutex<MetricRegistry>,
     pub(super) pool: HttpPool,
+    /// The budget of the bodies of callers' requests.
+    pub request_bodies: ByteBudget,
     pub(super) store: StoreClient,
     pub(super) peers: PeerClient,
     pub(super) peers_address: SocketAddr,
@@ -131,6 +134,7 @@
             state: Mutex::new(state),
             metrics: Mutex::default(),
             pool: HttpPool::default(),
+            request_bodies: ByteBudget::new(ALL_REQUESTS_BYTES),
             store: StoreClient::new(settings.store),
             peers: PeerClient::new(&settings.shared_key),
             peers_address,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 mod prompt_read;
 mod ready_server;
 mod relay_record;
+mod request_body;
 mod retry_grants;
 mod return_updates;
 mod role_log;
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -30,6 +30,9 @@
 const REJECTED_PAUSE: Duration = Duration::from_millis(200);
 /// Retry delay for a caller when no server accepts requests, or this host cannot decide on the request.
 const NO_SERVER_PAUSE: Duration = Duration::from_secs(1);
+/// Retry delay for a caller whose body has no room: some service times, after which other requests have ended here. Callers
+/// return on a new connection, mostly to another host.
+const NO_BODY_ROOM_PAUSE: Duration = Duration::from_millis(500);
 /// A request that its decode server rejected is tried there once more while no more than this fraction of its
 /// objective has passed.
 const SECOND_TRY_FRACTION: f64 = 0.8;
@@ -136,6 +139,7 @@
         | NotRunReason::ConfigTooOld
         | NotRunReason::RouteUnknown
         | NotRunReason::LimitUnknown => jittered(NO_SERVER_PAUSE),
+        NotRunReason::NoBodyRoom => jittered(NO_BODY_ROOM_PAUSE),
         NotRunReason::PromptNotRead
         | NotRunReason::Rejected
         | NotRunReason::OutOfTime
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -128,8 +128,7 @@
             return Ok(None);
         }
         check_status(status)?;
-        let object = decode_object(&body).map_err(|object| Error::Protocol(object.cause))?;
-        Ok(Some(object))
+        decode_object(&body).map(Some).map_err(|object| Error::Protocol(object.cause))
     }
 
     /// Waits for changes to objects of a kind after `revision`.
