--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -1,11 +1,17 @@
 //! Servers whose answers have no end, in a head, a body or an event: a host holds a bounded part of them, closes the
 //! connection and gives its caller a clear answer.
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
+use tealcleat::Error;
 use tealcleat::bench::site::{SitePlan, TestSite};
-use tealcleat::engines::MAX_ANSWER_BYTES;
+use tealcleat::engines::{AnswerProof, DialedConnection, HttpPool, MAX_ANSWER_BYTES, SendLimits};
+use tealcleat::peers::PeerClient;
+use tealcleat::server_paths::ConnectionPath;
 
 mod endless_common;
 mod site_common;
@@ -13,6 +19,8 @@
 use endless_common::{EndlessPart, EndlessServer, MAX_TAKEN, site_with_engine, site_with_services};
 use site_common::{call, call_first_host, runtime};
 
+/// Ends a test that hangs. No guarantee depends on this value.
+const LIMIT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Answers at once, of which four would fill the host's budget.
 const MANY: usize = 24;
@@ -201,3 +209,33 @@
         }
     });
 }
+
+/// Guards against bounds that hold on a host's own path only: the same answers through another host's tunnel.
+#[rstest]
+#[case::body(EndlessPart::BodyWithoutLength)]
+#[case::header(EndlessPart::HeaderValue)]
+#[case::informational(EndlessPart::Informational)]
+#[case::chunk_size(EndlessPart::ChunkSize)]
+fn endless_answer_through_a_tunnel_ended(#[case] part: EndlessPart) {
+    runtime().block_on(async {
+        let server = EndlessServer::start(part, false).await;
+        let site = site_with_services(&[&server], 0).await;
+        let (client, pool) = (PeerClient::new("a-shared-key-of-tests"), HttpPool::default());
+        let helper = site.hosts[0].peers;
+        let dial = async || {
+            let opened = client.open_tunnel(helper, server.address, false, LIMIT).await?;
+            let stream = opened.expect("the host forwards");
+            DialedConnection::start(stream, ConnectionPath::Tunnel(helper)).await
+        };
+        let request = Request::post("/").header("x-request-id", "r1").body(Full::new(Bytes::new()));
+        let request = request.expect("a request");
+        let (proof, limits) = (AnswerProof::Id("x-request-id"), SendLimits::default());
+        let ended = match pool.send_through(dial, server.address, request, proof, limits).await {
+            Ok(answer) => answer.into_body().read_all().await.map(drop),
+            Err(error) => Err(error),
+        };
+        assert!(matches!(ended, Err(Error::TooLong { .. })), "{ended:?}");
+        assert!(pool.answers().held() == 0 && pool.warm_addresses().is_empty());
+        server.wait_closed(1).await;
+    });
+}
