--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,4 +1,5 @@
 use super::call_stream::CallMark;
+use super::metered_stream::ReadMeter;
 use super::pending_call::{CallRecord, PendingCall};
 use super::{DialedConnection, PathRecord};
 use crate::keys::{TimePoint, stable_hash};
@@ -36,6 +37,8 @@
 #[derive(Debug)]
 pub(super) struct PooledConnection {
     pub sender: CallSender,
+    /// Counts what is read on the connection.
+    pub meter: ReadMeter,
     path: ConnectionPath,
     opened_at: TimePoint,
     /// While a call waits for its answer, the end of the connection is a reset.
@@ -49,8 +52,8 @@
 
 impl PooledConnection {
     fn new(dialed: DialedConnection, now: TimePoint) -> Self {
-        let DialedConnection { sender, path, mark } = dialed;
-        Self { sender, path, opened_at: now, mark, calls: 0, ids: HashSet::new() }
+        let DialedConnection { sender, path, mark, meter } = dialed;
+        Self { sender, meter, path, opened_at: now, mark, calls: 0, ids: HashSet::new() }
     }
 
     /// Records a call on this connection.
--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -37,6 +37,8 @@
     ServersAtLimit,
     /// All places at the servers that could run it are in use.
     NoPlace,
+    /// The bodies of the requests in flight leave no room for its own.
+    NoBodyRoom,
 }
 
 impl NotRunReason {
@@ -57,10 +59,15 @@
             Self::HeldBack => "crashes_servers",
             Self::ServersAtLimit => "servers_at_limit",
             Self::NoPlace => "no_place",
+            Self::NoBodyRoom => "no_body_room",
         }
     }
 }
 
+/// Cause of an attempt whose answer exceeds what the host holds of one. It proves no more than any other bytes that are
+/// no answer: the request may have run, and the server has not crashed.
+pub(super) const OVERLONG_ANSWER: &str = "overlong_answer";
+
 /// A complete answer of a backend server.
 #[derive(Debug, Clone)]
 pub(super) struct ServerAnswer {
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,11 +1,13 @@
 use super::gateway_state::GatewayState;
 use super::pending_replies::PendingReplies;
+use super::request_body::ALL_REQUESTS_BYTES;
 use super::stop_phase::StopPhase;
 use super::unreadable_objects::UnreadableObjects;
 use super::view_source::ViewSource;
 use crate::admission::AdmissionControl;
 use crate::engines::HttpPool;
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges, ViewFreshness};
+use crate::held_bytes::ByteBudget;
 use crate::host::lock;
 use crate::keys::{HostClock, IncarnationId, NameKey, RequestHasher, TimePoint};
 use crate::limits::{LimitLedger, LimitMeter, LimitReply, SilentOwners};
@@ -46,6 +48,8 @@
     state: Mutex<GatewayState>,
     metrics: Mutex<MetricRegistry>,
     pub(super) pool: HttpPool,
+    /// The budget of the bodies of callers' requests.
+    pub request_bodies: ByteBudget,
     pub(super) store: StoreClient,
     pub(super) peers: PeerClient,
     pub(super) peers_address: SocketAddr,
@@ -133,6 +137,7 @@
             state: Mutex::new(state),
             metrics: Mutex::default(),
             pool: HttpPool::default(),
+            request_bodies: ByteBudget::new(ALL_REQUESTS_BYTES),
             store: StoreClient::new(settings.store),
             peers: PeerClient::new(&settings.shared_key),
             peers_address,
@@ -183,6 +188,11 @@
         Arc::clone(&self.state().routes)
     }
 
+    /// The budget of the servers' answers that this host holds.
+    pub fn answer_bytes(&self) -> &ByteBudget {
+        self.pool.answers()
+    }
+
     /// The key of this host's failure domain.
     pub fn domain(&self) -> NameKey {
         NameKey::of(&self.settings.domain)
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at one server of a plain service.
 
 use super::call_context::CallContext;
-use super::call_end::ServerAnswer;
+use super::call_end::{OVERLONG_ANSWER, ServerAnswer};
 use super::load_guard::LoadGuard;
 use super::place_guard::PlaceGuard;
 use super::send_permit::SendPermit;
@@ -61,6 +61,7 @@
         Ok(Ok(end)) => end,
         Ok(Err(Error::NotSent(_))) => AttemptEnd::NotSent,
         Ok(Err(Error::Foreign { .. })) => AttemptEnd::Unknown("foreign_answer"),
+        Ok(Err(Error::TooLong { .. })) => AttemptEnd::Unknown(OVERLONG_ANSWER),
         Ok(Err(error)) => {
             context.record_failure(&server, &error);
             log::debug!("event=server_broke_off server={} cause=\"{error}\"", server.id);
--- a/src/gateway/run_start.rs
+++ b/src/gateway/run_start.rs
@@ -1,7 +1,7 @@
 //! Sends a request to run at one decode server.
 
 use super::call_context::CallContext;
-use super::call_end::{NotRunReason, ServerAnswer};
+use super::call_end::{NotRunReason, OVERLONG_ANSWER, ServerAnswer};
 use super::event_reader::EventReader;
 use super::run_marks::RunMarks;
 use super::send_permit::SendPermit;
@@ -147,6 +147,9 @@
     marks: RunMarks,
     error: &Error,
 ) -> OpenFailure {
+    if matches!(error, Error::TooLong { .. }) {
+        return OpenFailure::Unknown(OVERLONG_ANSWER);
+    }
     context.record_run_failure(server, marks, error);
     OpenFailure::Unknown("server_broke_off")
 }
@@ -180,8 +183,12 @@
         AnswerKind::Improper => Err(OpenFailure::Unknown("improper_answer")),
         AnswerKind::NotRun => {
             // The connection is kept only if the answer is read to its end.
-            drop(body.read_all().await);
-            Err(OpenFailure::Rejected(Box::new(server.clone())))
+            match body.read_all().await {
+                Err(error @ Error::TooLong { .. }) => {
+                    Err(break_off_failure(context, server, marks, &error))
+                }
+                Ok(_) | Err(_) => Err(OpenFailure::Rejected(Box::new(server.clone()))),
+            }
         }
         AnswerKind::Failed => {
             let body = body.read_all().await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,10 +3,10 @@
 //!
 //! Decision modules are pure state machines without I/O (`placement`, `streams`, `claims`, `membership`, `intents`,
 //! `orders`, `routes`, `fleet`, `organisations`, `limits`, `server_limits`, `quarantine`, `shared_health`, `admission`,
-//! `return_times`, `memory_forecast`, `server_slots`, `server_paths`, `silent_runs`, `stream_origins`). Edge modules use sockets
-//! (`platform`, `engines`, `callers`, `peers`, `operators`). `host` combines them into the daemon, `gateway` into the
-//! daemon for the users' platform. Dependencies point one way: edge modules depend on decision modules, never the
-//! reverse.
+//! `return_times`, `memory_forecast`, `server_slots`, `server_paths`, `silent_runs`, `stream_origins`, `held_bytes`).
+//! Edge modules use sockets (`platform`, `engines`, `callers`, `peers`, `operators`). `host` combines them into the
+//! daemon, `gateway` into the daemon for the users' platform. Dependencies point one way: edge modules depend on decision
+//! modules, never the reverse.
 
 pub mod accounts;
 pub mod admission;
@@ -17,6 +17,7 @@
 mod error;
 pub mod fleet;
 pub mod gateway;
+pub mod held_bytes;
 pub mod host;
 pub mod intents;
 pub mod invariant;
