Reads of prompts: a request without time left is no evidence against its prefill server

Cause: a read whose request ran out of time was recorded as ServerEvent::Unresponsive however short that time was; plain calls have told the two apart since OutOfTime exists. Change: it is OutOfTime, which only this host's own breaker counts.

--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -103,7 +103,11 @@
             Ok(ReadEnd::Left) => break,
             Err(error) => {
                 context.record_failure(server, &error);
-                context.host.record_server_event(server, ServerEvent::Unresponsive);
+                // Only the time of the request is over: no server is silent after less than the usual time.
+                let is_out_of_time = matches!(error, Error::Timeout);
+                let event =
+                    if is_out_of_time { ServerEvent::OutOfTime } else { ServerEvent::Unresponsive };
+                context.host.record_server_event(server, event);
                 let (id, contents, server) = (context.id(), context.contents, &server.id);
                 log::info!(
                     "event=prompt_unread request={id} contents={contents} server={server} \
