Streams: a further run outlives the silent run that it was opened beside

The further run was closed with the silent one, the route allowed no third, and the answer was cut: further_run_goes_on_when_the_silent_run_breaks failed in three of three runs.

A further run whose opening is under way is awaited when the silent run is lost; the loss counts only if that fails. Ruled out: the attempts alone (without the race they allow the further run).

--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -122,7 +122,7 @@
     }
 }
 
-async fn race<T>(
+async fn race<T: KeptRun>(
     context: &CallContext,
     engine: &EngineSpec,
     after: Option<u64>,
@@ -137,13 +137,15 @@
         let cause = match next_step(context, silent, runs) {
             Ok(()) => {
                 let opening = open_further(context, engine, after, silent, runs);
-                tokio::select! {
+                let mut opening = pin!(opening);
+                let opened = tokio::select! {
                     biased;
-                    next = &mut kept => return RaceEnd::Kept(next),
-                    opened = opening => match opened {
-                        Ok(run) => return RaceEnd::Further(Box::new(run)),
-                        Err(failure) => KeptCause::of(&failure),
-                    }
+                    next = &mut kept => return after_kept(next, opening).await,
+                    opened = &mut opening => opened,
+                };
+                match opened {
+                    Ok(run) => return RaceEnd::Further(Box::new(run)),
+                    Err(failure) => KeptCause::of(&failure),
                 }
             }
             Err(cause) => cause,
@@ -169,6 +171,20 @@
     }
 }
 
+/// Ends a race in which the silent run came first. If it is lost, the further run that is being opened replaces it.
+async fn after_kept<T: KeptRun>(
+    next: T,
+    opening: impl Future<Output = Result<OpenRun, OpenFailure>>,
+) -> RaceEnd<T> {
+    if next.is_event() {
+        return RaceEnd::Kept(next);
+    }
+    match opening.await {
+        Ok(run) => RaceEnd::Further(Box::new(run)),
+        Err(_) => RaceEnd::Kept(next),
+    }
+}
+
 /// Decides whether a further run is opened now. The attempts of the route count both runs.
 fn next_step(
     context: &CallContext,
