Streams: a further run is not closed for a silence shorter than that of a first one

Seen by the review of the mend: the first server is gone without a reset, and the further run writes 0.6 s after it was sent.

The limit was there so that no two servers work on one request for 400 ms. A request begins to run with its first token, and the other run is closed at that moment, so the limit guarded nothing. It is now that of a first event, and the last run that the route allows has none.

--- a/src/gateway/pending_run.rs
+++ b/src/gateway/pending_run.rs
@@ -91,11 +91,6 @@
         (&mut self.starting).await
     }
 
-    /// Whether its server fetches the prompt's result instead of reading the prompt itself.
-    pub const fn fetches_prompt(&self) -> bool {
-        self.prompt.is_some()
-    }
-
     /// Records how its start ended.
     pub fn finish(
         mut self,
--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -5,7 +5,7 @@
 use super::call_end::NotRunReason;
 use super::pending_run::OpenRun;
 use super::run_send::send_at_best;
-use super::run_start::{FURTHER_RUN_SILENT, OpenFailure, RunRecord};
+use super::run_start::{FIRST_EVENT_TIMEOUT, FURTHER_RUN_SILENT, OpenFailure, RunRecord};
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::{ServerKey, TimePoint};
 use crate::placement::ServerEvent;
@@ -14,13 +14,9 @@
 use std::pin::pin;
 use std::time::Duration;
 
-/// A further run is closed if its first event has not arrived this long after it was sent. Its server granted memory a
-/// moment before and only fetches the prompt, so that it starts at once unless it falls silent too. No two servers may work
-/// on one request for 400 ms.
-const FURTHER_RUN_TIMEOUT: Duration = Duration::from_millis(350);
-/// The same for a further run whose server reads the prompt itself, which took up to 0.35 s on loaded servers; it writes only
-/// after that. With the silence before it, this lasts until callers leave.
-const FURTHER_READ_TIMEOUT: Duration = Duration::from_millis(900);
+/// A further run whose first event has not arrived this long after it was sent is closed if the route allows another one;
+/// the silent run is kept. The last run that a route allows is not closed for its silence.
+const FURTHER_RUN_TIMEOUT: Duration = FIRST_EVENT_TIMEOUT;
 /// Pause before the question is asked again while most of the pool is silent; it costs neither a call nor a retry.
 const POOL_PAUSE: Duration = Duration::from_millis(60);
 /// Pause after the first opening that was refused; it doubles with each further one, since each asks servers or the owner
@@ -227,13 +223,19 @@
     silent.log_further(context, runs.sent);
     // If the silent run goes on now, this one is dropped without an answer, and may have begun.
     let had_run = std::mem::replace(&mut runs.may_have_run, true);
-    let timeout = if pending.fetches_prompt() { FURTHER_RUN_TIMEOUT } else { FURTHER_READ_TIMEOUT };
+    let is_last = runs.sent >= context.route.max_servers;
+    let timeout = if is_last { Duration::MAX } else { FURTHER_RUN_TIMEOUT };
     let started = tokio::time::timeout(timeout, pending.first_event()).await;
     runs.may_have_run = had_run;
-    match started {
+    let opened = match started {
         Ok(started) => pending.finish(runs, started),
         Err(_elapsed) => pending.give_up(runs, FURTHER_RUN_SILENT),
+    };
+    if matches!(opened, Err(OpenFailure::Rejected(_))) {
+        // It did not run, so it uses up none of the route's attempts.
+        runs.sent -= 1;
     }
+    opened
 }
 
 fn silent_servers(context: &CallContext) -> Vec<ServerKey> {
--- a/tests/silent_streams.rs
+++ b/tests/silent_streams.rs
@@ -73,7 +73,7 @@
     });
 }
 
-/// Guards against the loss of both runs: the further run is silent as well, and is closed, not the first one.
+/// Guards against the loss of both runs: the further run is silent as well. Both are kept, and the first one goes on.
 #[test]
 fn stream_keeps_its_run_beside_a_further_silent_one() {
     runtime().block_on(async {
@@ -83,13 +83,14 @@
         let (silent, other) = wait_running(&site, "r1").await;
         other.set_fault(EngineFault::StallAfter(0));
         silent.stall_gate.stall();
-        while !is_closed(&other) {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
+        wait_counted(&site, "further_runs_begun", 1).await;
         silent.stall_gate.release();
         assert!(caller.read_rest().await, "it was cut after {:?}", caller.events());
         assert_eq!(caller.events(), all_events());
         assert!(!is_closed(&silent));
+        while !is_closed(&other) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
     });
 }
 
