Reads of prompts: a prompt whose read is silent is left to its decode server, however late

Callers got 503 prompt_not_read when a prefill server had been silent for 1.2 s and more than 0.6 of the objective was gone, although a decode server held memory for them and they wait much longer; a stream that was resumed or had a further run was past that point by definition, so it was cut while prefill servers stood still. Three tests failed: the two silent_read_ ones, and stream_of_a_lost_server_goes_on_where_prefill_servers_are_silent.

A silent read that the retry budget lets go is left to the decode server. Where a read failed otherwise, the age counts from the opening of this run instead of the request's arrival. Silence proves nothing for which a request could be refused.

--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -5,6 +5,7 @@
 use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
+use crate::keys::TimePoint;
 use crate::placement::{
     PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
 };
@@ -37,7 +38,13 @@
 
 /// Has the prompt read by a prefill server, preferably in the failure domain of its decode server. Only one of the same
 /// software version can write what the decode server fetches.
-pub(super) async fn read_prompt(context: &CallContext, decode: &ServerEntry) -> PromptEnd {
+///
+/// `began_at` is when the request began to wait for this reading: on its arrival, or when a further run was opened.
+pub(super) async fn read_prompt(
+    context: &CallContext,
+    decode: &ServerEntry,
+    began_at: TimePoint,
+) -> PromptEnd {
     if context.is_trial {
         // A request on trial is sent to its decode server only, since one server suffices for the trial.
         return PromptEnd::LeftToDecode;
@@ -100,7 +107,7 @@
                 context.host.record_server_event(server, ServerEvent::Errored);
                 break;
             }
-            Ok(ReadEnd::Left) => break,
+            Ok(ReadEnd::Left) => return leave_to_decode(context),
             Err(error) => {
                 context.record_failure(server, &error);
                 // Only the time of the request is over: no server is silent after less than the usual time.
@@ -117,7 +124,7 @@
             }
         }
     }
-    fall_back(context)
+    fall_back(context, began_at)
 }
 
 impl CallContext {
@@ -138,20 +145,22 @@
 /// Decides how to go on with a prompt that no prefill server read. Its decode server already holds memory for it and
 /// reads it in time, unless too much of the objective has passed. No second prefill server is tried, since its
 /// answer may get lost as often as the first one's, and its work would be wasted.
-fn fall_back(context: &CallContext) -> PromptEnd {
-    if is_late(context) {
+fn fall_back(context: &CallContext, began_at: TimePoint) -> PromptEnd {
+    let waited = context.host.now().since(began_at);
+    if waited > context.route.objective.mul_f64(OWN_READ_FRACTION) {
         return PromptEnd::Failed;
     }
+    leave_to_decode(context)
+}
+
+/// Leaves a prompt to its decode server. After a silent read this holds however late it is: the caller still waits, and
+/// silence proves nothing for which its request could be refused.
+fn leave_to_decode(context: &CallContext) -> PromptEnd {
     let (id, age) = (context.id(), context.age().as_millis());
     log::info!("event=prompt_left_to_decode request={id} age_ms={age}");
     PromptEnd::LeftToDecode
 }
 
-/// Whether too much of the objective has passed for the decode server to read the prompt in time.
-fn is_late(context: &CallContext) -> bool {
-    context.age() > context.route.objective.mul_f64(OWN_READ_FRACTION)
-}
-
 /// How one server answered a request to read a prompt.
 #[derive(Debug)]
 enum ReadEnd {
@@ -182,7 +191,7 @@
         Err(_elapsed) if context.time_left().is_zero() => return Err(Error::Timeout),
         Err(_elapsed) => {
             record_silence(context, server);
-            if may_leave_read(context).await {
+            if context.cover_sends(1).await {
                 return Ok(ReadEnd::Left);
             }
             // Only this read can still lead to a run, and its server may go on.
@@ -208,12 +217,6 @@
     Ok(read)
 }
 
-/// Whether a silent read is left, since the retry budget lets the request go on without it. Nothing is taken from the
-/// budget for a request that is refused because its decode server would read the prompt too late.
-async fn may_leave_read(context: &CallContext) -> bool {
-    if is_late(context) { context.may_survive_rejection() } else { context.cover_sends(1).await }
-}
-
 /// Records that a server has not answered a read for [`SILENCE_TIMEOUT`]; the read may go on.
 fn record_silence(context: &CallContext, server: &ServerEntry) {
     context.host.record_server_event(server, ServerEvent::Unresponsive);
--- a/src/gateway/run_send.rs
+++ b/src/gateway/run_send.rs
@@ -38,7 +38,8 @@
         return Err(OpenFailure::NotRun(NotRunReason::RetryBudget));
     }
     let held_at = context.host.now();
-    let mut prompt = match read_prompt(context, &reservation.hold.server).await {
+    let began_at = if runs.sent == 0 { context.received_at } else { held_at };
+    let mut prompt = match read_prompt(context, &reservation.hold.server, began_at).await {
         PromptEnd::Read(resource) => Some(resource),
         PromptEnd::LeftToDecode => None,
         PromptEnd::Failed => return Err(OpenFailure::NotRun(NotRunReason::PromptNotRead)),
