Connections: the silence of one call is recorded once, and also for a run that is kept before its head

By reading, in the review: a call that is kept and later given up told the path to its server of its silence twice, and the second time on a connection opened since could count as a silent new one; the oldest call was taken for each of several. Each call is now recorded once.

--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -174,7 +174,8 @@
     pub fn start_call(&self, address: SocketAddr, connection: &PooledConnection) -> PendingCall {
         connection.mark.start();
         let (path, opened_at) = (connection.path, connection.opened_at);
-        let record = CallRecord { path, opened_at, sent_at: self.paths.now() };
+        let sent_at = self.paths.now();
+        let record = CallRecord { path, opened_at, sent_at, is_silence_noted: false };
         if let Ok(mut servers) = self.servers.lock() {
             servers.entry(address).or_default().pending.push(record);
         }
@@ -186,10 +187,11 @@
         let now = self.paths.now();
         let Ok(mut servers) = self.servers.lock() else { return };
         let Some(connections) = servers.get_mut(&address) else { return };
-        let oldest = connections.pending.iter().min_by_key(|call| call.sent_at).copied();
-        if let Some(call) = oldest {
-            self.give_up_idle(now, address, connections, call);
-        }
+        let unnoted = connections.pending.iter_mut().filter(|call| !call.is_silence_noted);
+        let Some(call) = unnoted.min_by_key(|call| call.sent_at) else { return };
+        call.is_silence_noted = true;
+        let call = *call;
+        self.give_up_idle(now, address, connections, call);
     }
 
     /// Closes the idle connections through hosts for which `is_usable` does not hold.
@@ -215,10 +217,10 @@
         let now = self.paths.now();
         let Ok(mut servers) = self.servers.lock() else { return };
         let connections = servers.entry(address).or_default();
-        if let Some(place) = connections.pending.iter().position(|known| *known == call) {
-            connections.pending.swap_remove(place);
-        }
-        if is_abandoned {
+        let place = connections.pending.iter().position(|known| known.is_same_call(&call));
+        let known = place.map(|place| connections.pending.swap_remove(place));
+        let is_noted = known.is_some_and(|known| known.is_silence_noted);
+        if is_abandoned && !is_noted {
             self.give_up_idle(now, address, connections, call);
         }
     }
--- a/src/engines/pending_call.rs
+++ b/src/engines/pending_call.rs
@@ -10,6 +10,16 @@
     /// When its connection was opened.
     pub opened_at: TimePoint,
     pub sent_at: TimePoint,
+    /// Whether its silence was recorded while it goes on; it is recorded once.
+    pub is_silence_noted: bool,
+}
+
+impl CallRecord {
+    /// Whether `other` is a record of the same call.
+    pub fn is_same_call(&self, other: &Self) -> bool {
+        let place = (self.path, self.opened_at, self.sent_at);
+        place == (other.path, other.opened_at, other.sent_at)
+    }
 }
 
 /// A call in flight on a connection. If it is dropped without an answer, and no other answer has arrived from
--- a/src/gateway/first_event.rs
+++ b/src/gateway/first_event.rs
@@ -26,6 +26,7 @@
     }
     let server = pending.server.clone();
     context.host.record_server_event(&server, ServerEvent::Unresponsive);
+    context.host.pool.record_silence(server.address);
     let silent = SilentRun { server: &server, since: pending.marks.sent_at, events: 0 };
     let race = run_beside(context, engine, after, silent, runs, pending.first_event());
     match tokio::time::timeout(context.time_left(), race).await {
