Streams: a silent connection is not taken for a silent server

Two streams at the only two servers of their version, whose connections had fallen silent for good, waited for them to the deadline: each server counted as silent for the other stream, and no other was left.

A server whose other calls are answered is not silent, and where only silent servers are left for a run they are asked as well, on new connections: one that stands still grants no memory, so nothing is read there.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -229,6 +229,11 @@
         self.idle.record_silence(address);
     }
 
+    /// Whether an answer began to arrive from `address` no longer than `within` ago, on any connection.
+    pub fn has_answered(&self, address: SocketAddr, within: Duration) -> bool {
+        self.idle.has_answered(address, within)
+    }
+
     /// What the pool's connections show of this host's own paths.
     pub fn paths(&self) -> &PathRecord {
         self.idle.paths()
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -170,6 +170,14 @@
         servers.entry(address).or_default().answered_at = Some(now);
     }
 
+    /// Whether an answer began to arrive from `address` no longer than `within` ago, on any connection.
+    pub fn has_answered(&self, address: SocketAddr, within: Duration) -> bool {
+        let now = self.paths.now();
+        let Ok(servers) = self.servers.lock() else { return false };
+        let answered_at = servers.get(&address).and_then(|known| known.answered_at);
+        answered_at.is_some_and(|at| now.since(at) < within)
+    }
+
     /// Records that a call is sent on `connection`. Until its answer is accepted, the end of the connection is a reset.
     pub fn start_call(&self, address: SocketAddr, connection: &PooledConnection) -> PendingCall {
         connection.mark.start();
--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -10,7 +10,7 @@
 use crate::keys::{ServerKey, TimePoint};
 use crate::placement::ServerEvent;
 use crate::routes::EngineSpec;
-use crate::silent_runs::{FurtherStep, PoolStanding, WaitReason};
+use crate::silent_runs::{FurtherStep, HearingTable, PoolStanding, SILENT_AFTER, WaitReason};
 use std::pin::pin;
 use std::time::Duration;
 
@@ -191,13 +191,14 @@
         return Err(KeptCause::Attempts);
     }
     let now = context.host.now();
-    let mut state = context.host.state();
+    let mut guard = context.host.state();
+    let state = &mut *guard;
     let mut standing = PoolStanding::default();
     for server in state.fleet.ready_in_stage(context.service, ServerStage::Decode) {
         let key = server.key();
         let fails = state.server_health.get(&key).is_some_and(|health| !health.admits(now));
         standing.servers += 1;
-        standing.silent += usize::from(fails || state.hearing.is_silent(now, key));
+        standing.silent += usize::from(fails || is_silent(context, &state.hearing, now, server));
     }
     let pool = state.pool_silences.entry(context.service).or_default();
     match pool.step(now, standing, now.since(silent.since)) {
@@ -217,8 +218,7 @@
     if context.is_held_back(runs.sent).await {
         return Err(OpenFailure::NotRun(NotRunReason::HeldBack));
     }
-    runs.silent = silent_servers(context);
-    runs.silent.push(silent.server.key());
+    runs.silent = avoided_servers(context, silent.server, runs);
     let mut pending = send_at_best(context, engine, after, runs).await?;
     silent.log_further(context, runs.sent);
     // If the silent run goes on now, this one is dropped without an answer, and may have begun.
@@ -238,10 +238,38 @@
     opened
 }
 
+/// The servers at which no further run is opened: the one whose run is silent, and the other silent ones. If these are all
+/// that the run may use, they are asked as well, on new connections: only the old connections may be silent.
+fn avoided_servers(
+    context: &CallContext,
+    server: &ServerEntry,
+    runs: &RunRecord,
+) -> Vec<ServerKey> {
+    let mut avoided = silent_servers(context);
+    avoided.push(server.key());
+    let state = context.host.state();
+    let mut decodes = state.fleet.ready_in_stage(context.service, ServerStage::Decode);
+    let has_other =
+        decodes.any(|known| runs.version.admits(known) && !avoided.contains(&known.key()));
+    if has_other { avoided } else { vec![server.key()] }
+}
+
 fn silent_servers(context: &CallContext) -> Vec<ServerKey> {
     let now = context.host.now();
     let state = context.host.state();
     let decodes = state.fleet.ready_in_stage(context.service, ServerStage::Decode);
-    let silent = decodes.map(ServerEntry::key).filter(|key| state.hearing.is_silent(now, *key));
-    silent.collect()
+    let silent = decodes.filter(|server| is_silent(context, &state.hearing, now, server));
+    silent.map(ServerEntry::key).collect()
+}
+
+/// Whether a server is silent: its runs have sent nothing, and no other call to it was answered meanwhile. Connections may
+/// fall silent for good while their server goes on with new ones.
+fn is_silent(
+    context: &CallContext,
+    hearing: &HearingTable,
+    now: TimePoint,
+    server: &ServerEntry,
+) -> bool {
+    let has_answered = || context.host.pool.has_answered(server.address, SILENT_AFTER);
+    hearing.is_silent(now, server.key()) && !has_answered()
 }
--- a/src/silent_runs/mod.rs
+++ b/src/silent_runs/mod.rs
@@ -5,5 +5,5 @@
 mod hearing_table;
 mod pool_silence;
 
-pub use hearing_table::HearingTable;
+pub use hearing_table::{HearingTable, SILENT_AFTER};
 pub use pool_silence::{FurtherStep, PoolSilence, PoolStanding, WaitReason};
