Links between hosts: what a cut holds up of a call that was given up is not delivered later

A call through another host is a stream of one connection between the two hosts. Its reset follows its data in that connection; a cut held both up, and after it the other host passed the data on before it read the reset. Ruled out: the direct path (the connection of the arrival is the tunnel host's), an older view (the sending host gave the call up 3.4 s before the server said that it leaves).

Change: a stream that is dropped before its proper end, or a call between hosts without a reply, raises a doubt about the connection. It is answered by a ping; without an answer in 500 ms the connection is reset (zero linger), which takes back what the kernel holds. A connection that answers is left alone. The stream with a mark (call_stream) moved to connections/, since peers/ needs it too.

--- a/src/engines/call_stream.rs
+++ b/src/connections/reset_stream.rs
@@ -5,56 +5,55 @@
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Tells the stream of a connection whether a call waits for the begin of its answer.
+/// Tells a stream whether its end is a reset.
 #[derive(Debug, Clone, Default)]
-pub(super) struct CallMark(Arc<AtomicBool>);
+pub struct ResetMark(Arc<AtomicBool>);
 
-impl CallMark {
-    /// Records that a call is sent.
-    pub fn start(&self) {
+impl ResetMark {
+    /// From now on the end of the stream is a reset.
+    pub fn set(&self) {
         self.0.store(true, Ordering::Release);
     }
 
-    /// Records that the answer to the call began to arrive.
-    pub fn complete(&self) {
+    /// From now on the stream ends properly.
+    pub fn clear(&self) {
         self.0.store(false, Ordering::Release);
     }
 
-    fn is_open(&self) -> bool {
+    fn is_set(&self) -> bool {
         self.0.load(Ordering::Acquire)
     }
 }
 
-/// The stream of a connection to a server. If it ends before the answer to a call began, whatever the reason, it is reset:
-/// the kernel would otherwise go on sending a request that a cut holds up, and deliver it seconds after its caller was told
-/// that it failed.
+/// A stream that is reset if it ends while its mark is set, whatever the reason: the kernel would otherwise go on sending
+/// what a cut holds up, and deliver it seconds after it was given up.
 ///
-/// A server that is still reading the request gets an error and does not run it. One that has received all of it may run
-/// it, and learns of the reset when it answers or reads on.
+/// A server that is still reading a request gets an error and does not run it. One that has received all of it may run it,
+/// and learns of the reset when it answers or reads on.
 #[derive(Debug)]
-pub(super) struct CallStream<S> {
+pub struct ResetStream<S> {
     stream: S,
-    mark: CallMark,
+    mark: ResetMark,
     /// Makes dropping the stream a reset.
     prepare_reset: fn(&S),
 }
 
-impl<S> CallStream<S> {
-    /// Wraps the stream of a connection that carries no call yet.
-    pub fn new(stream: S, mark: CallMark, prepare_reset: fn(&S)) -> Self {
+impl<S> ResetStream<S> {
+    /// Wraps a stream.
+    pub fn new(stream: S, mark: ResetMark, prepare_reset: fn(&S)) -> Self {
         Self { stream, mark, prepare_reset }
     }
 }
 
-impl<S> Drop for CallStream<S> {
+impl<S> Drop for ResetStream<S> {
     fn drop(&mut self) {
-        if self.mark.is_open() {
+        if self.mark.is_set() {
             (self.prepare_reset)(&self.stream);
         }
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for CallStream<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for ResetStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -64,7 +63,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for CallStream<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for ResetStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -92,7 +91,7 @@
     /// Ends the stream properly, unless it is about to be reset: a host that forwards the connection would take a proper
     /// end for a request that is still wanted.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        if self.mark.is_open() {
+        if self.mark.is_set() {
             return Poll::Ready(Ok(()));
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -1,11 +1,11 @@
 use super::PathRecord;
 use super::answer_proof::AnswerProof;
-use super::call_stream::{CallMark, CallStream};
 use super::idle_connections::{
     CallSender, DEFAULT_KEEP_ALIVE, IdleConnections, PooledConnection, keep_alive_time,
 };
 use super::metered_stream::{MeteredStream, ReadMeter};
 use super::pooled_body::{BodySource, MAX_ANSWER_BYTES, PooledBody, ReturnPath};
+use crate::connections::{ResetMark, ResetStream, prepare_reset};
 use crate::held_bytes::ByteBudget;
 use crate::server_paths::ConnectionPath;
 use crate::{Error, Result};
@@ -55,7 +55,8 @@
 pub struct DialedConnection {
     pub(super) sender: CallSender,
     pub(super) path: ConnectionPath,
-    pub(super) mark: CallMark,
+    /// Set while a call waits for its answer.
+    pub(super) mark: ResetMark,
     pub(super) meter: ReadMeter,
 }
 
@@ -77,8 +78,8 @@
         path: ConnectionPath,
         prepare_reset: fn(&S),
     ) -> Result<Self> {
-        let (mark, meter) = (CallMark::default(), ReadMeter::default());
-        let stream = CallStream::new(stream, mark.clone(), prepare_reset);
+        let (mark, meter) = (ResetMark::default(), ReadMeter::default());
+        let stream = ResetStream::new(stream, mark.clone(), prepare_reset);
         let stream = MeteredStream::new(stream, meter.clone());
         Ok(Self { sender: start_http(stream).await?, path, mark, meter })
     }
@@ -89,11 +90,7 @@
     /// If the connection could not be opened.
     pub async fn open(address: SocketAddr) -> Result<Self> {
         let stream = open_stream(address).await?;
-        Self::start_with(stream, ConnectionPath::Direct, |stream| {
-            // A socket that is already broken sends nothing more.
-            let _ = stream.set_zero_linger();
-        })
-        .await
+        Self::start_with(stream, ConnectionPath::Direct, prepare_reset).await
     }
 }
 
@@ -284,7 +281,7 @@
         proof
             .check(id.as_ref(), connection.calls + 1, &response)
             .inspect_err(|_| self.idle.record_foreign(address))?;
-        connection.mark.complete();
+        connection.mark.clear();
         connection.record_call(id.as_ref());
         let keep_alive =
             proof.allows_reuse(&response).then(|| keep_alive_time(response.headers())).flatten();
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,7 +1,7 @@
-use super::call_stream::CallMark;
 use super::metered_stream::ReadMeter;
 use super::pending_call::{CallRecord, PendingCall};
 use super::{DialedConnection, PathRecord};
+use crate::connections::ResetMark;
 use crate::keys::{TimePoint, stable_hash};
 use crate::server_paths::ConnectionPath;
 use bytes::Bytes;
@@ -42,7 +42,7 @@
     path: ConnectionPath,
     opened_at: TimePoint,
     /// While a call waits for its answer, the end of the connection is a reset.
-    pub mark: CallMark,
+    pub mark: ResetMark,
     /// Number of calls sent on this connection.
     pub calls: u32,
     /// Hashes of the ids of these calls. The ids themselves are not stored: an id would keep alive the buffer into
@@ -180,7 +180,7 @@
 
     /// Records that a call is sent on `connection`. Until its answer is accepted, the end of the connection is a reset.
     pub fn start_call(&self, address: SocketAddr, connection: &PooledConnection) -> PendingCall {
-        connection.mark.start();
+        connection.mark.set();
         let (path, opened_at) = (connection.path, connection.opened_at);
         let sent_at = self.paths.now();
         let record = CallRecord { path, opened_at, sent_at, is_silence_noted: false };
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -5,7 +5,6 @@
 //! server that does not repeat it gets a new connection for each call.
 
 mod answer_proof;
-mod call_stream;
 mod engine_client;
 mod engine_wire;
 mod http_pool;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod bench;
 pub mod callers;
 pub mod claims;
+mod connections;
 pub mod engines;
 mod error;
 pub mod fleet;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -3,6 +3,7 @@
 //! Both sides prove that they know the shared key before any frame is decoded.
 
 mod datagram;
+mod link_driver;
 mod peer_client;
 mod peer_link;
 mod peer_message;
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -1,6 +1,8 @@
+use super::link_driver::{LinkDoubt, drive_link};
 use super::peer_link::{PeerConnection, PeerLink};
 use super::proof::prove_as_client;
 use super::{decode, encode};
+use crate::connections::{ResetMark, ResetStream, prepare_reset};
 use crate::keys::{HostClock, TimePoint};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -148,6 +150,9 @@
     ) {
         let Some(error) = error else { return };
         let is_timeout = matches!(error, Error::Timeout);
+        if is_timeout {
+            connection.doubt.raise();
+        }
         let was_kept = connection.opened_at < started_at;
         if is_timeout && was_kept && connection.received_at() >= started_at {
             return;
@@ -216,16 +221,15 @@
             let mut stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
             prove_as_client(&mut stream, &self.key).await?;
+            let (mark, doubt) = (ResetMark::default(), LinkDoubt::default());
+            let stream = ResetStream::new(stream, mark.clone(), prepare_reset);
             let (sender, connection) = h2::client::Builder::new()
                 .initial_window_size(WINDOW_BYTES)
                 .initial_connection_window_size(WINDOW_BYTES)
                 .handshake(stream)
                 .await?;
-            tokio::spawn(async move {
-                // The calls on this connection report the error.
-                let _ = connection.await;
-            });
-            Ok(PeerConnection::opened(sender, self.clock.now()))
+            tokio::spawn(drive_link(connection, mark, doubt.clone()));
+            Ok(PeerConnection::opened(sender, doubt, self.clock.now()))
         };
         within(CONNECT_TIMEOUT, connect).await?
     }
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -1,3 +1,4 @@
+use super::link_driver::LinkDoubt;
 use crate::keys::{HostClock, TimePoint};
 use bytes::Bytes;
 use h2::client::SendRequest;
@@ -13,13 +14,14 @@
 pub(super) struct PeerConnection {
     pub sender: SendRequest<Bytes>,
     pub opened_at: TimePoint,
+    pub doubt: LinkDoubt,
     received_at: Arc<AtomicU64>,
 }
 
 impl PeerConnection {
     /// Wraps a connection that was opened now; the other side has authenticated itself on it.
-    pub fn opened(sender: SendRequest<Bytes>, now: TimePoint) -> Self {
-        Self { sender, opened_at: now, received_at: Arc::new(AtomicU64::new(now.0)) }
+    pub fn opened(sender: SendRequest<Bytes>, doubt: LinkDoubt, now: TimePoint) -> Self {
+        Self { sender, opened_at: now, doubt, received_at: Arc::new(AtomicU64::new(now.0)) }
     }
 
     /// Records that data was received.
--- a/src/peers/tunnel_client.rs
+++ b/src/peers/tunnel_client.rs
@@ -55,6 +55,7 @@
         if !status.is_success() {
             return Ok(Err(TunnelRefusal::from_status(status)));
         }
-        Ok(Ok(TunnelStream::new(stream, response.into_body())))
+        let doubt = Some(connection.doubt.clone());
+        Ok(Ok(TunnelStream::new(stream, response.into_body(), doubt)))
     }
 }
--- a/src/peers/tunnel_opening.rs
+++ b/src/peers/tunnel_opening.rs
@@ -33,7 +33,7 @@
     /// If the connection between the daemons broke.
     pub fn accept(mut self) -> Result<TunnelStream> {
         let sender = self.respond.send_response(http::Response::new(()), false)?;
-        Ok(TunnelStream::new(sender, self.receiver))
+        Ok(TunnelStream::new(sender, self.receiver, None))
     }
 
     /// Refuses the request.
--- a/src/peers/tunnel_stream.rs
+++ b/src/peers/tunnel_stream.rs
@@ -1,3 +1,4 @@
+use super::link_driver::LinkDoubt;
 use bytes::{Buf, Bytes};
 use h2::{RecvStream, SendStream};
 use std::io::{Error, ErrorKind, Result};
@@ -12,18 +13,33 @@
 ///
 /// The stream ends properly only if the server ended the connection properly. If the other host ends or the connection
 /// between the hosts breaks, reading fails, so that an answer without a length never looks complete. Dropping the stream
-/// before [`AsyncWrite::poll_shutdown`] resets the connection at the other end.
+/// before [`AsyncWrite::poll_shutdown`] resets the connection at the other end, and has the connection between the hosts
+/// checked by the host that opened it.
 #[derive(Debug)]
 pub struct TunnelStream {
     sender: SendStream<Bytes>,
     receiver: RecvStream,
     /// Bytes that were received and not read yet.
     received: Bytes,
+    /// Raised if the stream is dropped before its proper end.
+    doubt: Option<LinkDoubt>,
 }
 
 impl TunnelStream {
-    pub(super) fn new(sender: SendStream<Bytes>, receiver: RecvStream) -> Self {
-        Self { sender, receiver, received: Bytes::new() }
+    pub(super) fn new(
+        sender: SendStream<Bytes>,
+        receiver: RecvStream,
+        doubt: Option<LinkDoubt>,
+    ) -> Self {
+        Self { sender, receiver, received: Bytes::new(), doubt }
+    }
+}
+
+impl Drop for TunnelStream {
+    fn drop(&mut self) {
+        if let Some(doubt) = &self.doubt {
+            doubt.raise();
+        }
     }
 }
 
@@ -80,6 +96,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.doubt = None;
         Poll::Ready(self.sender.send_data(Bytes::new(), true).map_err(broken))
     }
 }
