Connections: what a cut holds up is not delivered once a process is killed

What callers saw (by tests, no record): a host is killed while a cut holds up a part of a request; its kernel ended the connection in the ordinary way, went on sending, and a server received the whole request seconds later.

The reset was prepared when a call was given up; a process that is killed decides nothing.

Change: connections to servers and between hosts are opened so that each end is a reset (zero linger), and are made to end properly when they are dropped and nothing on them was given up. One system call more for each end of a connection. The idle connections of a killed process are reset as well, which a server sees no later than the end before.

--- a/src/connections/mod.rs
+++ b/src/connections/mod.rs
@@ -4,10 +4,20 @@
 
 pub use reset_stream::{ResetMark, ResetStream};
 
+use socket2::SockRef;
+use std::io::Result;
 use tokio::net::TcpStream;
 
-/// Makes dropping `stream` a reset of its connection.
-pub fn prepare_reset(stream: &TcpStream) {
+/// Makes each end of `stream` a reset of its connection, also one by the kernel of a process that is killed.
+///
+/// # Errors
+/// If the socket is broken.
+pub fn reset_at_end(stream: &TcpStream) -> Result<()> {
+    stream.set_zero_linger()
+}
+
+/// Makes the end of `stream` a proper one again.
+pub fn end_properly(stream: &TcpStream) {
     // A socket that is already broken sends nothing more.
-    let _ = stream.set_zero_linger();
+    let _ = SockRef::from(stream).set_linger(None);
 }
--- a/src/connections/reset_stream.rs
+++ b/src/connections/reset_stream.rs
@@ -25,8 +25,8 @@
     }
 }
 
-/// A stream that is reset if it ends while its mark is set, whatever the reason: the kernel would otherwise go on sending
-/// what a cut holds up, and deliver it seconds after it was given up.
+/// A stream that is reset if it ends while its mark is set, or because the process is killed: the kernel would otherwise go
+/// on sending what a cut holds up, and deliver it seconds after it was given up.
 ///
 /// A server that is still reading a request gets an error and does not run it. One that has received all of it may run it,
 /// and learns of the reset when it answers or reads on.
@@ -34,21 +34,21 @@
 pub struct ResetStream<S> {
     stream: S,
     mark: ResetMark,
-    /// Makes dropping the stream a reset.
-    prepare_reset: fn(&S),
+    /// Makes dropping the stream a proper end; without it, it is a reset.
+    end_properly: fn(&S),
 }
 
 impl<S> ResetStream<S> {
-    /// Wraps a stream.
-    pub fn new(stream: S, mark: ResetMark, prepare_reset: fn(&S)) -> Self {
-        Self { stream, mark, prepare_reset }
+    /// Wraps a stream whose end is a reset until `end_properly` is called.
+    pub fn new(stream: S, mark: ResetMark, end_properly: fn(&S)) -> Self {
+        Self { stream, mark, end_properly }
     }
 }
 
 impl<S> Drop for ResetStream<S> {
     fn drop(&mut self) {
-        if self.mark.is_set() {
-            (self.prepare_reset)(&self.stream);
+        if !self.mark.is_set() {
+            (self.end_properly)(&self.stream);
         }
     }
 }
--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -5,7 +5,7 @@
 };
 use super::metered_stream::{MeteredStream, ReadMeter};
 use super::pooled_body::{BodySource, MAX_ANSWER_BYTES, PooledBody, ReturnPath};
-use crate::connections::{ResetMark, ResetStream, prepare_reset};
+use crate::connections::{ResetMark, ResetStream, end_properly, reset_at_end};
 use crate::held_bytes::ByteBudget;
 use crate::server_paths::ConnectionPath;
 use crate::{Error, Result};
@@ -76,10 +76,10 @@
     async fn start_with<S: AsyncRead + AsyncWrite + Unpin + Send + 'static>(
         stream: S,
         path: ConnectionPath,
-        prepare_reset: fn(&S),
+        end_properly: fn(&S),
     ) -> Result<Self> {
         let (mark, meter) = (ResetMark::default(), ReadMeter::default());
-        let stream = ResetStream::new(stream, mark.clone(), prepare_reset);
+        let stream = ResetStream::new(stream, mark.clone(), end_properly);
         let stream = MeteredStream::new(stream, meter.clone());
         Ok(Self { sender: start_http(stream).await?, path, mark, meter })
     }
@@ -90,7 +90,8 @@
     /// If the connection could not be opened.
     pub async fn open(address: SocketAddr) -> Result<Self> {
         let stream = open_stream(address).await?;
-        Self::start_with(stream, ConnectionPath::Direct, prepare_reset).await
+        reset_at_end(&stream)?;
+        Self::start_with(stream, ConnectionPath::Direct, end_properly).await
     }
 }
 
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -2,7 +2,7 @@
 use super::peer_link::{PeerConnection, PeerLink};
 use super::proof::prove_as_client;
 use super::{decode, encode};
-use crate::connections::{ResetMark, ResetStream, prepare_reset};
+use crate::connections::{ResetMark, ResetStream, end_properly, reset_at_end};
 use crate::keys::{HostClock, TimePoint};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -220,9 +220,10 @@
         let connect = async {
             let mut stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
+            reset_at_end(&stream)?;
             prove_as_client(&mut stream, &self.key).await?;
             let (mark, doubt) = (ResetMark::default(), LinkDoubt::default());
-            let stream = ResetStream::new(stream, mark.clone(), prepare_reset);
+            let stream = ResetStream::new(stream, mark.clone(), end_properly);
             let (sender, connection) = h2::client::Builder::new()
                 .initial_window_size(WINDOW_BYTES)
                 .initial_connection_window_size(WINDOW_BYTES)
