Calls: what is left of a request is not delivered once its answer is given up

What callers saw (by a test, no record): a server answers before it has received the whole request, the caller leaves in the middle of the answer, and the server then receives the rest of the request.

The mark of a connection was cleared when the answer began, on the assumption that nothing undelivered is left by then; a server may answer early.

Change: an answer that is dropped before its end sets the mark again, so that its connection is reset. An answer that was read to its end, and one whose server ended the connection, end properly as before.

Test: call_given_up_within_its_answer_delivers_nothing_later.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -55,7 +55,7 @@
 pub struct DialedConnection {
     pub(super) sender: CallSender,
     pub(super) path: ConnectionPath,
-    /// Set while a call waits for its answer.
+    /// Set while a call waits for its answer, and once it is given up.
     pub(super) mark: ResetMark,
     pub(super) meter: ReadMeter,
 }
@@ -287,7 +287,11 @@
         let keep_alive =
             proof.allows_reuse(&response).then(|| keep_alive_time(response.headers())).flatten();
         connection.meter.reset();
-        let source = BodySource { meter: connection.meter.clone(), answers: self.answers.clone() };
+        let source = BodySource {
+            meter: connection.meter.clone(),
+            answers: self.answers.clone(),
+            mark: connection.mark.clone(),
+        };
         let idle = self.idle.clone();
         let return_path =
             keep_alive.map(|keep_alive| ReturnPath { idle, address, connection, keep_alive });
--- a/src/engines/pooled_body.rs
+++ b/src/engines/pooled_body.rs
@@ -1,5 +1,6 @@
 use super::idle_connections::{IdleConnections, PooledConnection};
 use super::metered_stream::ReadMeter;
+use crate::connections::ResetMark;
 use crate::held_bytes::{BodyBuffer, ByteBudget};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -21,6 +22,8 @@
 pub(super) struct BodySource {
     pub meter: ReadMeter,
     pub answers: ByteBudget,
+    /// Set if the body is dropped before its end: a server may answer before it has received the whole request.
+    pub mark: ResetMark,
 }
 
 /// How a connection is returned to the pool.
@@ -125,6 +128,14 @@
     }
 }
 
+impl Drop for PooledBody {
+    fn drop(&mut self) {
+        if !self.is_complete {
+            self.source.mark.set();
+        }
+    }
+}
+
 /// Whether an answer has an explicit end: a length or chunked encoding. Only then is a truncated answer detected.
 pub fn has_explicit_end(response: &Response<Incoming>) -> bool {
     let is_chunked = response.headers().contains_key(TRANSFER_ENCODING);
--- a/tests/abandoned_ends.rs
+++ b/tests/abandoned_ends.rs
@@ -1,12 +1,17 @@
-//! Calls that end without a decision of their host while a part of the request waits in the kernel.
+//! Calls that end without a decision of their host, or after their answer began, while a part of the request waits in the
+//! kernel.
 //!
 //! Guards against the rest of a request that is delivered once its server reads on, after its caller was told that it failed.
 
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
 use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tealcleat::bench::site::{SiteCall, SitePlan, TestSite, call_site};
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::engines::{AnswerProof, HttpPool, SendLimits};
 use tealcleat::settings::LoadFeatures;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -114,3 +119,29 @@
                   content-length: 0\r\nconnection: close\r\n\r\n";
     stream.write_all(answer.as_bytes()).await.expect("it is sent");
 }
+
+/// The server answers before it has read the request, and its caller leaves in the middle of the answer.
+#[test]
+fn call_given_up_within_its_answer_delivers_nothing_later() {
+    runtime().block_on(async {
+        let (listener, server) = listen();
+        let mut request = Request::new(Full::new(Bytes::from(vec![b'x'; BODY_BYTES])));
+        *request.method_mut() = hyper::Method::POST;
+        let pool = HttpPool::default();
+        let proof = AnswerProof::Contents("x-request-id");
+        let calling = pool.send(server, request, proof, SendLimits::default());
+        let answering = async {
+            let mut stream = accept(&listener).await;
+            within(stream.peek(&mut [0; 64])).await.expect("a part of the request");
+            let begin = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nbegin";
+            stream.write_all(begin.as_bytes()).await.expect("it is sent");
+            stream
+        };
+        let (answer, mut stream) = tokio::join!(calling, answering);
+        let mut answer = answer.expect("an answer");
+        let begin = within(answer.body_mut().frame()).await.expect("a part").expect("of it");
+        assert_eq!(begin.into_data().expect("bytes"), "begin");
+        drop(answer);
+        assert_rest_is_not_delivered(&mut stream).await;
+    });
+}
