Own interface: what is left of a request is not delivered once its call is given up

What callers saw (by a test, no record): a call of the project's own interface (plain, or at most once) that is given up is told to its caller as unknown or failed, and reached its server later, when that read on.

Change: they use SingleCall, a connection for one call that is reset if it is dropped before its answer was read to its end.

Test: single_call_given_up_delivers_nothing_later.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -22,7 +22,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long to wait for a pooled connection to become ready. An idle connection is ready at once; trying another one
 /// after this time costs less than a round trip to a server.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -206,7 +206,7 @@
         self.idle.addresses()
     }
 
-    /// Opens a new connection outside of the pool, without its bounds.
+    /// Opens a connection of a caller outside of the pool, without its bounds. It always ends properly.
     ///
     /// # Errors
     /// If the connection could not be opened; nothing was sent in this case.
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -14,6 +14,7 @@
 mod path_record;
 mod pending_call;
 mod pooled_body;
+mod single_call;
 
 pub use answer_proof::{AnswerOwner, AnswerProof};
 pub use engine_client::EngineClient;
@@ -26,3 +27,4 @@
 pub(crate) use metered_stream::UndeliveredBytes;
 pub use path_record::PathRecord;
 pub use pooled_body::{MAX_ANSWER_BYTES, PooledBody, has_explicit_end};
+pub use single_call::SingleCall;
--- a/src/host/once_call.rs
+++ b/src/host/once_call.rs
@@ -6,7 +6,7 @@
 use super::service_call::call_service;
 use super::ticket_call::run_by_ticket;
 use crate::claims::{ClaimKey, ClaimRecord, ClaimRequest, ClaimVerdict, KeyStatus, StoredAnswer};
-use crate::engines::HttpPool;
+use crate::engines::SingleCall;
 use crate::keys::AttemptId;
 use crate::peers::{PeerReply, PeerRequest};
 use crate::{Error, Result};
@@ -123,10 +123,10 @@
         let address = request.service.addresses[(start + offset) % count];
         // A new connection: if it cannot be opened, nothing was sent and the next server may be
         // tried.
-        let Ok(sender) = HttpPool::connect(address).await else {
+        let Ok(call) = SingleCall::connect(address).await else {
             continue;
         };
-        let sent = tokio::time::timeout(RUN_TIMEOUT, send(sender, address, request, attempt)).await;
+        let sent = tokio::time::timeout(RUN_TIMEOUT, send(call, address, request, attempt)).await;
         host.record_span(
             request.trace,
             "service",
@@ -150,7 +150,7 @@
 }
 
 async fn send(
-    sender: hyper::client::conn::http1::SendRequest<Full<Bytes>>,
+    call: SingleCall,
     address: SocketAddr,
     request: &OnceRequest,
     attempt: AttemptId,
@@ -163,7 +163,7 @@
         .header("traceparent", request.trace.to_string())
         .body(Full::new(Bytes::from(request.body.clone())))
         .map_err(|error| Error::Protocol(error.to_string()))?;
-    call_service(sender, http_request).await
+    call_service(call, http_request).await
 }
 
 impl HostState {
--- a/src/host/plain_call.rs
+++ b/src/host/plain_call.rs
@@ -4,7 +4,7 @@
 use super::in_flight_guard::InFlightGuard;
 use super::service_call::call_service;
 use crate::claims::StoredAnswer;
-use crate::engines::HttpPool;
+use crate::engines::SingleCall;
 use crate::intents::ServiceSpec;
 use crate::telemetry::TraceParent;
 use crate::{Error, Result};
@@ -41,7 +41,7 @@
             .header("traceparent", trace.to_string())
             .body(Full::new(body.clone()))
             .map_err(|error| Error::Protocol(error.to_string()))?;
-        let call = async { call_service(HttpPool::connect(address).await?, request).await };
+        let call = async { call_service(SingleCall::connect(address).await?, request).await };
         match tokio::time::timeout(CALL_TIMEOUT, call).await {
             Ok(Ok(answer)) => {
                 host.record_span(trace, "service", started_at, format!("server={address}"));
--- a/tests/abandoned_ends.rs
+++ b/tests/abandoned_ends.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tealcleat::bench::site::{SiteCall, SitePlan, TestSite, call_site};
 use tealcleat::bench::{GatewayProcess, ProcessPlan};
-use tealcleat::engines::{AnswerProof, HttpPool, SendLimits};
+use tealcleat::engines::{AnswerProof, HttpPool, SendLimits, SingleCall};
 use tealcleat::settings::LoadFeatures;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -145,3 +145,19 @@
         assert_rest_is_not_delivered(&mut stream).await;
     });
 }
+
+/// A call of the project's own interface, on a connection of its own.
+#[test]
+fn single_call_given_up_delivers_nothing_later() {
+    runtime().block_on(async {
+        let (listener, server) = listen();
+        let mut call = SingleCall::connect(server).await.expect("a connection");
+        let mut request = Request::new(Full::new(Bytes::from(vec![b'x'; BODY_BYTES])));
+        *request.method_mut() = hyper::Method::POST;
+        let calling = tokio::spawn(async move { call.send(request).await });
+        let mut stream = accept(&listener).await;
+        within(stream.peek(&mut [0; 64])).await.expect("a part of the request");
+        calling.abort();
+        assert_rest_is_not_delivered(&mut stream).await;
+    });
+}
