Listings: a change between two pages, and what came and left before them, reach the hosts that follow

What callers would see (by tests, no record): requests go on to a server that has stated that it leaves, or that is gone, at hosts that follow the host which listed, until their own next listing.

A listing of several pages is told under the revision of its oldest page. What a newer page holds already was recorded under that revision; the later event changes nothing any more, so a follower at that revision, or between the two, got neither. And after a listing the view told "what changed since" a revision of which it does not know what came and left since.

Change: a listing has a span (ListSpan, oldest and newest page). The view stands at the first, and its single changes are known from the last on: a host that is behind the last gets all servers. Cost: one whole view (24 KB for 266 servers, 270 KB for 3,000) for each host of a domain whose watcher lists while it runs, which it does when the store has lost its history or a poll timed out.

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -1,7 +1,7 @@
 use super::server_records::{FleetRecord, ServerRecords};
 use super::store_gap::StoreGap;
 use super::{
-    FleetChange, FleetUpdate, IncarnationChange, ServerEntry, ServerStage, ServerState,
+    FleetChange, FleetUpdate, IncarnationChange, ListSpan, ServerEntry, ServerStage, ServerState,
     ServerUpdate,
 };
 use crate::keys::{IdKey, ServerKey, TimePoint};
@@ -43,26 +43,42 @@
         self.gap.age(now)
     }
 
-    /// Applies a whole listing of `revision`; servers that it does not contain are removed. Returns the servers
-    /// whose listed incarnation differs from the known one.
+    /// Applies a whole listing; servers that it does not contain are removed. Returns the servers whose listed
+    /// incarnation differs from the known one.
     pub fn replace_all(
         &mut self,
         now: TimePoint,
-        revision: u64,
+        span: impl Into<ListSpan>,
         entries: Vec<ServerEntry>,
     ) -> Vec<IncarnationChange> {
-        if revision < self.revision {
+        let span = span.into();
+        if span.first < self.revision {
             return Vec::new();
         }
         let listed: BTreeSet<IdKey> = entries.iter().map(ServerEntry::id_key).collect();
         let missing = self.records.ids(|record| !listed.contains(&record.entry.id_key()));
-        self.advance_to(revision);
+        self.start_history(span);
         for id in missing {
             self.remove(now, id);
         }
         entries.into_iter().filter_map(|entry| self.apply_entry(now, entry)).collect()
     }
 
+    /// Applies what an incomplete listing contains, or its entries that describe no usable server. Returns the servers
+    /// whose listed incarnation differs from the known one.
+    pub fn apply_listed(
+        &mut self,
+        now: TimePoint,
+        span: impl Into<ListSpan>,
+        changes: Vec<FleetChange>,
+    ) -> Vec<IncarnationChange> {
+        let span = span.into();
+        if span.first >= self.revision {
+            self.start_history(span);
+        }
+        self.apply(now, span.first, changes)
+    }
+
     /// Applies changes up to `revision`; ignores them if the view is newer. Returns the servers whose received
     /// incarnation differs from the known one.
     pub fn apply(
@@ -74,7 +90,10 @@
         if revision < self.revision {
             return Vec::new();
         }
-        self.advance_to(revision);
+        if self.revision == 0 {
+            self.history_start = revision;
+        }
+        self.revision = revision;
         let mut incarnations = Vec::new();
         for change in changes {
             match change {
@@ -86,11 +105,11 @@
         incarnations
     }
 
-    fn advance_to(&mut self, revision: u64) {
-        if self.revision == 0 {
-            self.history_start = revision;
-        }
-        self.revision = revision;
+    /// Advances to a listing. It says nothing of servers that came and left before it, and the events of changes between
+    /// its pages may change nothing any more, so that hosts which are behind its newest page get a whole view.
+    fn start_history(&mut self, span: ListSpan) {
+        self.revision = span.first;
+        self.history_start = span.last;
     }
 
     /// The update for a host whose view has revision `since`: the changes after it, or all servers if the
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod fleet_update;
 mod fleet_view;
 mod incarnation_change;
+mod list_span;
 mod refused_hosts;
 mod server_entry;
 mod server_records;
@@ -19,6 +20,7 @@
 pub use fleet_update::{FleetChange, FleetUpdate, ServerUpdate};
 pub use fleet_view::FleetView;
 pub use incarnation_change::{IncarnationChange, IncarnationOutcome};
+pub use list_span::ListSpan;
 pub use refused_hosts::RefusedHosts;
 pub use server_entry::{ServerEntry, ServerStage, ServerState};
 pub use stage_changes::StageChanges;
--- a/src/gateway/view_servers.rs
+++ b/src/gateway/view_servers.rs
@@ -1,7 +1,7 @@
 //! Applies the store's entries of backend servers to the view.
 
 use super::gateway_host::GatewayHost;
-use crate::fleet::{FleetChange, ServerStage};
+use crate::fleet::{FleetChange, ListSpan, ServerStage};
 use crate::keys::IdKey;
 use crate::platform::{ObjectList, StoreEvent, UnreadableObject, decode_change, decode_servers};
 
@@ -17,16 +17,17 @@
         "event=servers_listed count={count} unreadable={bad} whole={whole} revision={revision}"
     );
     let unusable = unusable_servers(host, &unreadable);
+    let span = ListSpan { first: revision, last: listed.newest_revision };
     let now = host.now();
     let mut state = host.state();
     let incarnations = if whole {
-        state.fleet.replace_all(now, revision, entries)
+        state.fleet.replace_all(now, span, entries)
     } else {
         // The listing is incomplete: servers after its end are unknown and stay as they are.
         let updated = entries.into_iter().map(FleetChange::Updated).collect();
-        state.fleet.apply(now, revision, updated)
+        state.fleet.apply_listed(now, span, updated)
     };
-    state.fleet.apply(now, revision, unusable);
+    state.fleet.apply_listed(now, span, unusable);
     drop(state);
     host.handle_incarnation_changes(revision, &incarnations);
 }
--- a/src/platform/list_pager.rs
+++ b/src/platform/list_pager.rs
@@ -23,6 +23,7 @@
             unreadable: Vec::new(),
             is_complete: false,
             revision: u64::MAX,
+            newest_revision: 0,
         };
         Self { list, after: String::new(), start_names: HashSet::new(), is_first: true }
     }
@@ -51,6 +52,7 @@
     pub fn add(&mut self, page: ListPage) -> bool {
         self.is_first = false;
         self.list.revision = self.list.revision.min(page.revision);
+        self.list.newest_revision = self.list.newest_revision.max(page.revision);
         self.list.items.extend(page.items);
         self.list.unreadable.extend(page.unreadable);
         self.list.is_complete = !page.more;
--- a/src/platform/store_object.rs
+++ b/src/platform/store_object.rs
@@ -63,4 +63,6 @@
     pub is_complete: bool,
     /// Revision of the store at which the oldest page was read; a watch from this revision reports all later changes.
     pub revision: u64,
+    /// Revision of the store at which the newest page was read.
+    pub newest_revision: u64,
 }
