Views: a kept server is taken over only where it is still in use, however many have left since

What callers would see (by a test, no record): requests for up to 2.2 s to servers that have left, at hosts that were in touch all the time, if more than 1,024 servers have left while another host was cut off.

A host refused what a returning host keeps for a while where it remembered the removal; removals are forgotten by number.

Change: such a server is taken over only where it is still in use, or by a host that knows no servers yet. Nothing has to be remembered for it. Servers that came and expired within the same gap are missed for the 2.2 s at hosts that never had them.

Test: returning_host_keeps_no_server_in_use_after_many_removals (1,101 leave).

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -9,8 +9,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// Maximum number of removals kept for partial updates, and against hosts that have not heard of them; a host that missed
-/// more gets a whole view. They take 24 KB at 24 bytes each, and cover any rollout or flapping of 3,000 servers within one
+/// Maximum number of removals kept for partial updates; a host that missed more gets a whole view. They take 24 KB at 24 bytes each, and cover any rollout or flapping of 3,000 servers within one
 /// outage.
 const MAX_REMOVALS: usize = 1024;
 
@@ -142,6 +141,7 @@
         if update.revision <= self.revision {
             return Vec::new();
         }
+        let is_first = self.revision == 0;
         self.revision = update.revision;
         if !update.is_partial {
             self.remove_unlisted(&update);
@@ -150,7 +150,8 @@
             self.records.remove(id);
             self.record_removal(id, at);
         }
-        update.servers.into_iter().filter_map(|server| self.apply_server(now, server)).collect()
+        let servers = update.servers.into_iter();
+        servers.filter_map(|server| self.apply_server(now, server, is_first)).collect()
     }
 
     /// Removes the servers that a whole view does not contain.
@@ -164,10 +165,17 @@
         self.history_start = update.revision;
     }
 
-    /// Applies another host's state of a server. One whose entry is gone, and which the other host keeps for a while, is not
-    /// put back into use where it was removed: the newer revision of the other host's view says nothing about it.
-    fn apply_server(&mut self, now: TimePoint, server: ServerUpdate) -> Option<IncarnationChange> {
-        if server.expires_in_ms.is_some() && self.removed.contains_key(&server.entry.id_key()) {
+    /// Applies another host's state of a server. One whose entry is gone, and which the other host keeps for a while, is
+    /// taken over only where it is still in use: the newer revision of the other host's view says nothing about it, and what
+    /// is remembered of removals is bounded.
+    fn apply_server(
+        &mut self,
+        now: TimePoint,
+        server: ServerUpdate,
+        is_first: bool,
+    ) -> Option<IncarnationChange> {
+        let is_known = is_first || self.records.get(server.entry.id_key()).is_some();
+        if server.expires_in_ms.is_some() && !is_known {
             return None;
         }
         let cold_until = cold_until(now, server.cold_left_ms);
--- a/tests/returning_hosts.rs
+++ b/tests/returning_hosts.rs
@@ -113,3 +113,36 @@
     view.replace_all(at(6110), 14, vec![server("b")]);
     assert_eq!(ready_ids(&view), ["a", "b"], "it may come back");
 }
+
+/// Guards against a removal that was forgotten because more servers have left since than a view remembers.
+#[rstest]
+#[case::changes(11)]
+#[case::whole_view(0)]
+fn returning_host_keeps_no_server_in_use_after_many_removals(#[case] since: u64) {
+    const LEAVING: u64 = 1100;
+    let ids: Vec<String> = (0..LEAVING).map(|index| format!("s-{index}")).collect();
+    let ids: Vec<&str> = ["a", "b"].into_iter().chain(ids.iter().map(String::as_str)).collect();
+    let mut returning = view_of(&ids);
+    returning.record_store_answer(at(100), Duration::ZERO);
+    returning.record_store_answer(at(5600), Duration::ZERO);
+    returning.replace_all(at(5610), 10 + LEAVING + 5, vec![server("b")]);
+    let mut steady = view_of(&ids);
+    let leaving = ids.iter().filter(|id| **id != "b").zip(11..);
+    for (id, revision) in leaving {
+        steady.apply(at(2000), revision, vec![FleetChange::Removed(ServerKey::of(id))]);
+    }
+    steady.apply_update(at(5650), returning.update_since(at(5650), since));
+    assert_eq!(ready_ids(&steady), ["b"]);
+}
+
+/// A host that knows no servers yet takes over those that are kept: after an outage their entries may be still to return.
+#[test]
+fn first_view_contains_servers_that_may_return() {
+    let mut watcher = view_of(&["a", "b"]);
+    watcher.record_store_answer(at(100), Duration::ZERO);
+    watcher.record_store_answer(at(5600), Duration::ZERO);
+    watcher.replace_all(at(5610), 14, vec![server("b")]);
+    let mut fresh = FleetView::default();
+    fresh.apply_update(at(5650), watcher.update_since(at(5650), 0));
+    assert_eq!(ready_ids(&fresh), ["a", "b"]);
+}
