Views: hosts of one domain that return together keep their own servers only

What callers would see (by a test, no record): after the cut of a whole domain its hosts use servers of other domains, which left meanwhile, for up to 2.2 s, and tell others of them.

Cause: the class of removed-servers-return: a gap in the own contact is taken for an outage of the store. Hosts of a domain that is cut off together hear each other all the time, so they had contact.

Change: contact with hosts of the own domain and of others is kept apart. A gap with contact to other domains is an outage, as before; one with contact within the own domain only lets the entries of servers there come back, which expired with the cut. A host of another domain is heard about twice in 0.8 s, each host by chance, so that contact with them may have gaps of 3 s. A host that has never heard another domain goes by its own one, so that sites of one domain are as before.

Test: returning_domain_keeps_its_own_servers_only.

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -1,10 +1,10 @@
 use super::server_records::{FleetRecord, ServerRecords};
-use super::store_gap::StoreGap;
+use super::store_gap::{AnswerSource, StoreGap};
 use super::{
     FleetChange, FleetUpdate, IncarnationChange, ListSpan, ServerEntry, ServerStage, ServerState,
     ServerUpdate,
 };
-use crate::keys::{IdKey, ServerKey, TimePoint};
+use crate::keys::{IdKey, NameKey, ServerKey, TimePoint};
 use crate::routes::ServiceKey;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -16,6 +16,8 @@
 /// The backend servers known to this host, with the latest incarnation of each id.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
+    /// The failure domain of this host, if it has one.
+    domain: Option<NameKey>,
     revision: u64,
     records: ServerRecords,
     /// Removed servers and the revision of each removal.
@@ -26,15 +28,26 @@
 }
 
 impl FleetView {
+    /// An empty view of a host of `domain`.
+    pub fn in_domain(domain: NameKey) -> Self {
+        Self { domain: Some(domain), ..Self::default() }
+    }
+
     /// The newest store revision that this view contains.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Records that the store answered this host now if `age` is zero, or that another host states that the store last
-    /// answered some host `age` ago.
+    /// Records that the store answered this host now if `age` is zero, or that a host of another failure domain states that
+    /// the store last answered some host `age` ago.
     pub fn record_store_answer(&mut self, now: TimePoint, age: Duration) {
-        self.gap.record_answer(now, age);
+        let source = if age.is_zero() { AnswerSource::Own } else { AnswerSource::OtherDomain };
+        self.gap.record_answer(now, age, source);
+    }
+
+    /// Records that another host of the same failure domain states that the store last answered some host `age` ago.
+    pub fn record_domain_statement(&mut self, now: TimePoint, age: Duration) {
+        self.gap.record_answer(now, age, AnswerSource::SameDomain);
     }
 
     /// Time since the store last answered any host, as far as this host knows.
@@ -273,7 +286,8 @@
         let Some(mut record) = self.records.remove(id) else {
             return;
         };
-        let grace_end = self.gap.grace_end(now);
+        let is_local = self.domain == Some(record.entry.domain);
+        let grace_end = self.gap.grace_end(now, is_local);
         match grace_end.filter(|_| record.entry.state == ServerState::Ready) {
             Some(end) => {
                 record.expires_at = Some(end);
--- a/src/fleet/store_gap.rs
+++ b/src/fleet/store_gap.rs
@@ -11,41 +11,107 @@
 /// the age of the store's last answer every 0.8 s, also if nothing has changed.
 const CONTACT_GAP: Duration = Duration::from_millis(1500);
 
-/// Contact with other hosts without a gap.
+/// The same for hosts of other failure domains, which send to fewer hosts of this one.
+const OUTSIDE_CONTACT_GAP: Duration = Duration::from_millis(3000);
+
+/// Who states when the store last answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerSource {
+    /// The store answered this host.
+    Own,
+    /// Another host of the same failure domain.
+    SameDomain,
+    /// A host of another failure domain.
+    OtherDomain,
+}
+
+/// Contact with some hosts.
 #[derive(Debug, Clone, Copy)]
 struct PeerContact {
-    since: TimePoint,
-    until: TimePoint,
+    /// The longest time without a message within one contact.
+    max_gap: Duration,
+    /// Begin and end of the contact without a longer gap; `None` if these hosts were never heard.
+    span: Option<(TimePoint, TimePoint)>,
+}
+
+impl PeerContact {
+    const fn new(max_gap: Duration) -> Self {
+        Self { max_gap, span: None }
+    }
+
+    fn record(&mut self, now: TimePoint) {
+        let unbroken = self.span.filter(|(_, until)| now.since(*until) < self.max_gap);
+        self.span = Some((unbroken.map_or(now, |(since, _)| since), now));
+    }
+
+    /// Whether the hosts were heard all the time from `from` to `now`; `None` if they were never heard.
+    fn is_unbroken(&self, from: TimePoint, now: TimePoint) -> Option<bool> {
+        let (since, until) = self.span?;
+        Some(now.since(until) < self.max_gap && since <= from + self.max_gap)
+    }
 }
 
 /// Tells outages of the store from gaps in this host's own contact.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct StoreGap {
     /// When the store last answered any host, as far as this host knows.
     answered_at: TimePoint,
     /// Time of the store's first answer after an outage.
     recovered_at: Option<TimePoint>,
-    /// `None` if no other host has ever been heard: the own gaps are all that is known then.
-    contact: Option<PeerContact>,
+    /// Time of the store's first answer after a gap of this host's failure domain, which other domains may not have had.
+    domain_recovered_at: Option<TimePoint>,
+    /// Contact with hosts of the same failure domain.
+    domain: PeerContact,
+    /// Contact with hosts of other failure domains.
+    outside: PeerContact,
+}
+
+impl Default for StoreGap {
+    fn default() -> Self {
+        Self {
+            answered_at: TimePoint::default(),
+            recovered_at: None,
+            domain_recovered_at: None,
+            domain: PeerContact::new(CONTACT_GAP),
+            outside: PeerContact::new(OUTSIDE_CONTACT_GAP),
+        }
+    }
+}
+
+/// Whose gap it was that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GapScope {
+    /// The store answered no host.
+    All,
+    /// It answered none of this host's failure domain, which was cut off together.
+    Domain,
+    /// It did not answer this host, which was cut off from the others.
+    Own,
 }
 
 impl StoreGap {
-    /// Records that the store answered this host now if `age` is zero, or that another host states that the store last
-    /// answered some host `age` ago.
+    /// Records that the store answered some host `age` ago, as `source` states.
     ///
     /// Only a gap without answers to any host is an outage: while the store refuses some hosts, servers still reach it and
     /// their entries do not expire. A host that was cut off from the other hosts cannot tell, and counts its gap as its own.
-    pub fn record_answer(&mut self, now: TimePoint, age: Duration) {
-        let has_contact = self.has_contact(now);
-        if !age.is_zero() {
-            self.record_contact(now);
+    /// If its whole domain was cut off, the entries of the servers there expired with it, and those of others did not.
+    pub fn record_answer(&mut self, now: TimePoint, age: Duration, source: AnswerSource) {
+        let scope = self.scope(now);
+        match source {
+            AnswerSource::Own => {}
+            AnswerSource::SameDomain => self.domain.record(now),
+            AnswerSource::OtherDomain => self.outside.record(now),
         }
         let answered_at = now - age;
         if answered_at <= self.answered_at {
             return;
         }
-        if has_contact && answered_at.since(self.answered_at) >= OUTAGE_GAP {
-            self.recovered_at = Some(answered_at);
+        if answered_at.since(self.answered_at) >= OUTAGE_GAP {
+            match scope {
+                GapScope::All => self.recovered_at = Some(answered_at),
+                GapScope::Domain => self.domain_recovered_at = Some(answered_at),
+                GapScope::Own => {}
+            }
         }
         self.answered_at = answered_at;
     }
@@ -55,22 +121,23 @@
         now.since(self.answered_at)
     }
 
-    /// End of the time during which an entry that is missing may come back; `None` if there was no outage just now.
-    pub fn grace_end(&self, now: TimePoint) -> Option<TimePoint> {
-        self.recovered_at.map(|at| at + RECOVERY_GRACE).filter(|end| now < *end)
-    }
-
-    /// Whether this host has heard other hosts all the time since the store's last answer.
-    fn has_contact(&self, now: TimePoint) -> bool {
-        self.contact.is_none_or(|contact| {
-            now.since(contact.until) < CONTACT_GAP
-                && contact.since <= self.answered_at + CONTACT_GAP
-        })
+    /// End of the time during which a missing entry may come back, of a server of this host's failure domain if `is_local`;
+    /// `None` if there was no outage just now.
+    pub fn grace_end(&self, now: TimePoint, is_local: bool) -> Option<TimePoint> {
+        let domain_recovered_at = self.domain_recovered_at.filter(|_| is_local);
+        let recovered_at = self.recovered_at.max(domain_recovered_at);
+        recovered_at.map(|at| at + RECOVERY_GRACE).filter(|end| now < *end)
     }
 
-    fn record_contact(&mut self, now: TimePoint) {
-        let unbroken = self.contact.filter(|contact| now.since(contact.until) < CONTACT_GAP);
-        let since = unbroken.map_or(now, |contact| contact.since);
-        self.contact = Some(PeerContact { since, until: now });
+    /// Whose gap it is that lasts since the store's last answer. A host that has never heard another domain, or no other host
+    /// at all, goes by what it has.
+    fn scope(&self, now: TimePoint) -> GapScope {
+        let outside = self.outside.is_unbroken(self.answered_at, now);
+        let domain = self.domain.is_unbroken(self.answered_at, now);
+        match (outside, domain) {
+            (Some(true), _) | (None, Some(true) | None) => GapScope::All,
+            (Some(false), Some(true)) => GapScope::Domain,
+            (Some(false), Some(false) | None) | (None, Some(false)) => GapScope::Own,
+        }
     }
 }
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -97,7 +97,7 @@
             limit_meter: LimitMeter::default(),
             limit_ledger: LimitLedger::default(),
             silent_owners: SilentOwners::default(),
-            fleet: FleetView::default(),
+            fleet: FleetView::in_domain(domain),
             servers_freshness: ViewFreshness::default(),
             server_loads: LoadTable::default(),
             grants: GrantHistory::default(),
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -58,7 +58,12 @@
                 update.version,
                 update.loads.into_iter().collect(),
             );
-            state.fleet.record_store_answer(now, store_age);
+            let domain = state.members.record(sender).map(|record| record.update.domain);
+            if domain.is_none_or(|domain| domain == self.domain()) {
+                state.fleet.record_domain_statement(now, store_age);
+            } else {
+                state.fleet.record_store_answer(now, store_age);
+            }
             for (service, sums) in update.work {
                 state.peer_work.insert((sender, service), (now, sums));
             }
--- a/tests/returning_hosts.rs
+++ b/tests/returning_hosts.rs
@@ -34,7 +34,10 @@
 }
 
 fn ready_ids(view: &FleetView) -> Vec<String> {
-    view.ready(NameKey::of("app")).map(|entry| entry.id.clone()).collect()
+    let mut ids: Vec<String> =
+        view.ready(NameKey::of("app")).map(|entry| entry.id.clone()).collect();
+    ids.sort();
+    ids
 }
 
 /// A view whose host hears of the store from other hosts until `from`, and again from `until` on.
@@ -146,3 +149,34 @@
     fresh.apply_update(at(5650), watcher.update_since(at(5650), 0));
     assert_eq!(ready_ids(&fresh), ["a", "b"]);
 }
+
+/// Guards against hosts of one domain that return together: they heard each other all the time, and kept servers of other
+/// domains that had left. The entries of their own servers expired with the cut.
+#[test]
+fn returning_domain_keeps_its_own_servers_only() {
+    let own = ServerEntry { domain: NameKey::of("own"), ..server("c") };
+    let mut view = FleetView::in_domain(NameKey::of("own"));
+    view.replace_all(at(0), 10, vec![server("a"), server("b"), own]);
+    for millis in (0..=1000).step_by(500) {
+        view.record_store_answer(at(millis), Duration::from_millis(100));
+    }
+    for millis in (1500..=6500).step_by(500) {
+        view.record_domain_statement(at(millis), Duration::from_millis(millis - 900));
+    }
+    view.record_store_answer(at(6510), Duration::ZERO);
+    view.replace_all(at(6520), 14, vec![server("b")]);
+    assert_eq!(ready_ids(&view), ["b", "c"]);
+}
+
+/// Guards against an outage that is missed by a site of one domain, whose hosts hear no others.
+#[test]
+fn gap_of_the_only_domain_is_an_outage() {
+    let mut view = FleetView::in_domain(NameKey::of("a"));
+    view.replace_all(at(0), 10, vec![server("a"), server("b")]);
+    for millis in (500..=6000).step_by(500) {
+        view.record_domain_statement(at(millis), Duration::from_millis(millis));
+    }
+    view.record_store_answer(at(6100), Duration::ZERO);
+    view.replace_all(at(6110), 14, vec![server("b")]);
+    assert_eq!(ready_ids(&view), ["a", "b"], "it may come back");
+}
