Lease: two processes of one name are two holders

What callers would see (by a model, no record): orders of two processes to one server within the lease. One process stands still, another is started in its place under its name; after an answer that is lost both take a record of that name for their own.

Cause: the class of lease-takeover-without-answer: what is read back is taken for something that was held all along. A renewal without an answer was continued by the next record of the own name, on the assumption that no other process writes that name.

Change: the holder of a record is a process (host and incarnation), on the wire as a further field, `process`. A record without it (a former version wrote it) is nobody's own, so that it is taken over with a wait. Orders name the host, as before.

Test: lease_model with two processes of one name failed on the code before after few sequences, shrunk: one process reads, writes without an answer, reads back what the other wrote under its name, writes and orders; [(1, 1, 0), (0, 2, 0)] = process, fence, time. After: 5,000 sequences hold; lease_record_of_another_process_of_the_same_name_waits.

--- a/src/gateway/stage_orders.rs
+++ b/src/gateway/stage_orders.rs
@@ -5,7 +5,7 @@
 use super::server_restarts::start_time_text;
 use super::stage_loop::{PlannedChange, StageController};
 use crate::fleet::ServerEntry;
-use crate::orders::{EngineState, OrderLease, OrderStep, order_step};
+use crate::orders::{EngineState, LeaseHolder, OrderLease, OrderStep, order_step};
 use crate::platform::{
     LEASE_OBJECT, StageOrder, WriteOutcome, decode_lease, decode_report, encode_lease, report_call,
     stage_call,
@@ -186,9 +186,10 @@
         let (kind, name) = LEASE_OBJECT;
         let object = self.store.read(kind, name, STORE_TIMEOUT).await?;
         let held = object.as_ref().map(|object| decode_lease(&object.spec)).transpose()?;
-        let (host, length) = (&self.settings.host, self.state().bounds.lease);
-        lease.record_read(self.now(), held.as_ref(), host, length);
-        let record = OrderLease::next_record(held.as_ref(), host);
+        let length = self.state().bounds.lease;
+        let own = LeaseHolder { host: self.settings.host.clone(), process: Some(self.incarnation) };
+        lease.record_read(self.now(), held.as_ref(), &own, length);
+        let record = OrderLease::next_record(held.as_ref(), &own);
         let expected = object.map(|object| object.revision);
         let sent_at = self.now();
         let spec = encode_lease(&record);
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -14,7 +14,7 @@
 
 pub use change_orders::ChangeOrders;
 pub use leader_tenure::{LeaderRole, LeaderTenure};
-pub use order_lease::{LeaseRecord, OrderLease};
+pub use order_lease::{LeaseHolder, LeaseRecord, OrderLease};
 pub use order_planner::{OrderPlanner, ServerOrder, ServerView};
 pub use order_step::{EngineState, OrderStep, order_step};
 pub use orphan_tracker::OrphanTracker;
--- a/src/orders/order_lease.rs
+++ b/src/orders/order_lease.rs
@@ -1,4 +1,4 @@
-use crate::keys::TimePoint;
+use crate::keys::{IncarnationId, TimePoint};
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
@@ -7,28 +7,37 @@
 /// Safety margin for timers that fire late.
 const TIMER_MARGIN: Duration = Duration::from_millis(500);
 
-/// The record in the store that names the host that issues orders.
+/// The process that may issue orders. Two processes of one host may run at a time: one stood still while the other was
+/// started in its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseHolder {
+    /// Name of the host.
+    pub host: String,
+    /// The process; `None` in a record of a version that did not state it.
+    pub process: Option<IncarnationId>,
+}
+
+/// The record in the store that names the process that issues orders.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeaseRecord {
-    /// The host that wrote the record last.
-    pub holder: String,
+    /// The process that wrote the record last.
+    pub holder: LeaseHolder,
     /// Fencing token, incremented with each write. Engines refuse orders with a lower fence than
     /// the highest that they have seen.
     pub fence: u64,
 }
 
-/// This host's lease on issuing orders.
+/// This process's lease on issuing orders.
 ///
 /// Each round of orders requires a conditional write of the next fence. A host that takes over from
 /// another one waits until the last write of the other has expired and the lease has passed. It
 /// then writes again and may issue orders immediately.
 ///
-/// A record with this host's name does not prove that the host has held the lease: a takeover without an answer, or a
-/// former process of the same name, may have written it a moment ago. Only a record that continues the host's own writes
-/// is renewed without a wait.
+/// A record with this process as its holder does not prove that it has held the lease: a takeover without an answer may have
+/// written it a moment ago. Only a record that continues the process's own writes is renewed without a wait.
 #[derive(Debug, Clone)]
 pub struct OrderLease {
-    /// Fences of the records that continue this host's own writes: from the last one known to be in place to the last
+    /// Fences of the records that continue this process's own writes: from the last one known to be in place to the last
     /// renewal without an answer. Zero stands for a store without a record. `None` if the lease has to be taken over.
     own_fences: Option<RangeInclusive<u64>>,
     /// The fence of the last write, and when the write was sent.
@@ -62,25 +71,25 @@
     }
 
     /// The record that replaces `held`.
-    pub fn next_record(held: Option<&LeaseRecord>, host: &str) -> LeaseRecord {
+    pub fn next_record(held: Option<&LeaseRecord>, own: &LeaseHolder) -> LeaseRecord {
         let fence = fence_of(held) + 1;
-        LeaseRecord { holder: host.to_owned(), fence }
+        LeaseRecord { holder: own.clone(), fence }
     }
 
-    /// Records that the store held `held` at some time before `now`. If it names `host` without continuing its own
+    /// Records that the store held `held` at some time before `now`. If it names `own` without continuing its own
     /// writes, the lease has been taken over: all writes of the former holder were done before.
     pub fn record_read(
         &mut self,
         now: TimePoint,
         held: Option<&LeaseRecord>,
-        host: &str,
+        own: &LeaseHolder,
         lease: Duration,
     ) {
         self.is_unsettled = false;
-        if self.continues(held, host) {
+        if self.continues(held, own) {
             return;
         }
-        match held.filter(|record| record.holder == host) {
+        match held.filter(|record| record.holder == *own) {
             Some(record) => self.start_takeover(now, record.fence, lease),
             None => self.forget(),
         }
@@ -126,10 +135,10 @@
         (now.since(at) < WRITE_VALIDITY).then_some(fence)
     }
 
-    /// Whether `held` continues the writes of this host, so that no other host has held the lease since the first of
+    /// Whether `held` continues the writes of this process, so that no other one has held the lease since the first of
     /// them.
-    fn continues(&self, held: Option<&LeaseRecord>, host: &str) -> bool {
-        let is_own = held.is_none_or(|record| record.holder == host);
+    fn continues(&self, held: Option<&LeaseRecord>, own: &LeaseHolder) -> bool {
+        let is_own = held.is_none_or(|record| record.holder == *own);
         is_own && self.own_fences.as_ref().is_some_and(|own| own.contains(&fence_of(held)))
     }
 
--- a/src/platform/lease_wire.rs
+++ b/src/platform/lease_wire.rs
@@ -1,7 +1,8 @@
 //! Encodes and decodes the lease that a host needs to order stage changes.
 
-use crate::Result;
-use crate::orders::LeaseRecord;
+use crate::keys::IncarnationId;
+use crate::orders::{LeaseHolder, LeaseRecord};
+use crate::{Error, Result};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -11,6 +12,8 @@
 #[derive(Debug, Deserialize)]
 struct WireLease {
     holder: String,
+    /// Hexadecimal; absent in records of former versions.
+    process: Option<String>,
     fence: u64,
 }
 
@@ -20,10 +23,18 @@
 /// If a field is missing or has the wrong type.
 pub fn decode_lease(spec: &Value) -> Result<LeaseRecord> {
     let wire = WireLease::deserialize(spec)?;
-    Ok(LeaseRecord { holder: wire.holder, fence: wire.fence })
+    let process = wire.process.as_deref().map(decode_process).transpose()?;
+    Ok(LeaseRecord { holder: LeaseHolder { host: wire.holder, process }, fence: wire.fence })
+}
+
+fn decode_process(text: &str) -> Result<IncarnationId> {
+    let process = u64::from_str_radix(text, 16);
+    process.map(IncarnationId).map_err(|error| Error::Protocol(format!("the process: {error}")))
 }
 
 /// Encodes the lease.
 pub fn encode_lease(record: &LeaseRecord) -> Value {
-    json!({"holder": record.holder, "fence": record.fence})
+    let holder = &record.holder;
+    let process = holder.process.map(|process| format!("{:016x}", process.0));
+    json!({"holder": holder.host, "process": process, "fence": record.fence})
 }
