Lease: a record that cannot be read ends the own lease, in a line of the log

What callers would see (by reading, no record): a lease record that cannot be read, say of a newer version, was an error of the round; once a readable record of this process stood there again, it went on with its lease as if nothing had been between.

Cause: the class of lease-takeover-without-answer: an unknown state was forgotten.

Change: an unreadable record is a line of the log (lease_unreadable) and ends the own lease, so that the next readable record is taken over with a wait. The record itself is left as it is: nothing is ordered until it is repaired.

Test: lease_after_an_unreadable_record_waits, on a new interface, so it was not run on the code before.

--- a/src/gateway/stage_orders.rs
+++ b/src/gateway/stage_orders.rs
@@ -185,7 +185,11 @@
     pub(super) async fn renew_lease(&self, lease: &mut OrderLease) -> Result<()> {
         let (kind, name) = LEASE_OBJECT;
         let object = self.store.read(kind, name, STORE_TIMEOUT).await?;
-        let held = object.as_ref().map(|object| decode_lease(&object.spec)).transpose()?;
+        let held = object.as_ref().map(|object| decode_lease(&object.spec)).transpose();
+        let held = held.inspect_err(|error| {
+            log::warn!("event=lease_unreadable cause=\"{error}\"");
+            lease.record_unreadable();
+        })?;
         let length = self.state().bounds.lease;
         let own = LeaseHolder { host: self.settings.host.clone(), process: Some(self.incarnation) };
         lease.record_read(self.now(), held.as_ref(), &own, length);
--- a/src/orders/order_lease.rs
+++ b/src/orders/order_lease.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Records that the store held a record that cannot be read. Another process wrote it, and may hold the lease.
+    pub fn record_unreadable(&mut self) {
+        self.is_unsettled = false;
+        self.forget();
+    }
+
     /// Records that the write of `record` over `held`, sent at `sent_at`, took effect.
     pub fn record_write(
         &mut self,
--- a/tests/order_lease.rs
+++ b/tests/order_lease.rs
@@ -1,4 +1,4 @@
-//! The lease on issuing orders: takeovers, lost answers and processes of one name.
+//! The lease on issuing orders: takeovers, lost answers, processes of one name, and records that cannot be read.
 
 use std::time::Duration;
 use tealcleat::keys::{IncarnationId, TimePoint};
@@ -111,6 +111,20 @@
     assert!(lease.is_waiting(at(6400)));
 }
 
+/// Guards against a lease that outlasts a record which cannot be read: a newer version may have held it meanwhile.
+#[test]
+fn lease_after_an_unreadable_record_waits() {
+    let own = holder("a");
+    let (mut lease, held) = established(&own, 7);
+    lease.record_unreadable();
+    assert_eq!(lease.fence(at(10)), None);
+    lease.record_read(at(2000), Some(&held), &own, LEASE);
+    let next = OrderLease::next_record(Some(&held), &own);
+    lease.record_write(at(2000), at(2010), Some(&held), &next, LEASE);
+    assert_eq!(lease.fence(at(2020)), None);
+    assert!(lease.is_waiting(at(6400)));
+}
+
 #[test]
 fn lease_record_names_host_and_process() {
     let record = LeaseRecord { holder: process_of("a", 0xfedc_ba98_7654_3210), fence: 7 };
