Versions: what only other hosts have seen stays saved

What callers would see (by a test, no record): after all hosts are lost, a stream goes on at a server of another version than the one that began it (ORDER). A host that returned from a cut, or has just started, wrote the versions that it had seen over the store's copy; a service of which it had seen one version was taken out, and no other host wrote it back.

Cause: the class of removed-servers-return, in what hosts write: a view that is older in content wins, since the conditional write says only that nobody wrote in between.

Test: versions_that_only_other_hosts_saw_stay_saved.

--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -83,16 +83,21 @@
         versions.into_iter().map(|(version, _)| version).collect()
     }
 
-    /// Writes the versions unless the store keeps the same ones already. Returns what it keeps then.
+    /// Writes the versions unless the store keeps the same ones already. Returns what it keeps then. What the store keeps of
+    /// versions that this host has not seen, because it was cut off or has just started, is learned first and kept.
     async fn save_versions(&self) -> Result<Vec<SavedVersion>> {
         let (kind, name) = VERSIONS_OBJECT;
         let stored = self.store.read(kind, name, CALL_TIMEOUT).await?;
         let revision = stored.as_ref().map(|object| object.revision);
         let known = stored.and_then(|object| decode_versions(&object.spec, SystemTime::now()).ok());
-        let known: Vec<SavedVersion> =
-            known.unwrap_or_default().into_iter().map(|(version, _)| version).collect();
+        let known = known.unwrap_or_default();
         let now = self.now();
-        let versions = self.state().version_history.to_save(now);
+        let versions = {
+            let mut state = self.state();
+            state.version_history.apply_saved(now, &known);
+            state.version_history.to_save(now)
+        };
+        let known: Vec<SavedVersion> = known.into_iter().map(|(version, _)| version).collect();
         let wanted: Vec<SavedVersion> = versions.iter().map(|(version, _)| *version).collect();
         if known == wanted {
             return Ok(wanted);
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use serde_json::json;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tealcleat::bench::site::{EngineFault, SiteCall, SitePlan, TestSite, call_site};
 
 mod site_common;
@@ -11,19 +11,25 @@
 
 /// Two hosts before one prefill and one decode engine of each of the versions `v1` and `v1.1`.
 async fn mixed_site() -> TestSite {
+    let mut site = mixed_servers().await;
+    for _ in 0..2 {
+        site.add_host().await.expect("a host");
+    }
+    site.wait_ready().await;
+    wait_met(&site).await;
+    site
+}
+
+/// The same without hosts.
+async fn mixed_servers() -> TestSite {
     let plan = SitePlan { prefills: 2, decodes: 2, services: 1, hosts: 0 };
-    let mut site = TestSite::start(plan).await.expect("a site");
+    let site = TestSite::start(plan).await.expect("a site");
     for id in ["i-prefill-1", "i-decode-1"] {
         site.replace_software(id, "v1.1").await.expect("it is replaced");
     }
     for id in ["i-prefill-0", "i-decode-0"] {
         site.replace_software(id, "v1").await.expect("it is replaced");
     }
-    for _ in 0..2 {
-        site.add_host().await.expect("a host");
-    }
-    site.wait_ready().await;
-    wait_met(&site).await;
     site
 }
 
@@ -239,3 +245,31 @@
         }
     });
 }
+
+/// Guards against a host that was cut off or has just started: it wrote the versions that it has seen over those that
+/// others have seen, and a service that had two was taken for one with a single version.
+#[test]
+fn versions_that_only_other_hosts_saw_stay_saved() {
+    runtime().block_on(async {
+        let mut site = mixed_servers().await;
+        let other = "0000000000000001";
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis();
+        let seen_by_others = json!({"versions": [
+            {"service": other, "version": "0000000000000002", "gone_ms": now as u64 - 5000},
+            {"service": other, "version": "0000000000000003", "gone_ms": null},
+        ]});
+        site.store.change(|objects| objects.set("tealcleat-versions", "main", seen_by_others));
+        site.add_host().await.expect("a host");
+        site.wait_ready().await;
+        let services = || {
+            let saved = site.store.spec("tealcleat-versions", "main").expect("it is there");
+            let versions = saved["versions"].as_array().cloned().unwrap_or_default();
+            versions.iter().map(|version| version["service"].to_string()).collect::<Vec<_>>()
+        };
+        while services().iter().all(|service| service.contains(other)) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let kept = services().iter().filter(|service| service.contains(other)).count();
+        assert_eq!(kept, 2);
+    });
+}
