Links between hosts: a link that ends while something on it is given up is reset as well

A link that has been given up for a further call ends with its last stream, in the ordinary way: the doubt was raised, but the connection completed before the ping was due, and the kernel kept the data. Ruled out: a doubt that is not raised (the same call on a link that is kept is not delivered).

Change: the mark of the connection is set when the doubt is raised and cleared by the answer to its ping, so that every end in between is a reset. A call between hosts that is dropped without a reply raises the doubt too (LinkUse), not only one out of time.

Test: abandoned_call_through_a_cut_link_is_not_delivered_later, case given_up.

--- a/src/peers/link_driver.rs
+++ b/src/peers/link_driver.rs
@@ -16,18 +16,47 @@
 ///
 /// The reset of a stream follows the data of the stream in the same connection. If the connection carries nothing, both
 /// wait in the kernel, and the other daemon may pass the data on before it reads the reset. Only a reset of the whole
-/// connection takes them back.
+/// connection takes them back, also if it ends for another reason before the doubt is settled.
 #[derive(Debug, Clone, Default)]
-pub(super) struct LinkDoubt(Arc<Notify>);
+pub(super) struct LinkDoubt {
+    mark: ResetMark,
+    raised: Arc<Notify>,
+}
 
 impl LinkDoubt {
+    /// The mark of the connection's stream.
+    pub fn mark(&self) -> ResetMark {
+        self.mark.clone()
+    }
+
     /// Has the connection checked.
-    pub fn raise(&self) {
-        self.0.notify_one();
+    fn raise(&self) {
+        self.mark.set();
+        self.raised.notify_one();
     }
+}
+
+/// Something sent on a connection. Unless it is settled, the connection is checked once it is dropped.
+#[derive(Debug)]
+pub(super) struct LinkUse(Option<LinkDoubt>);
 
-    async fn raised(&self) {
-        self.0.notified().await;
+impl LinkUse {
+    /// Begins a use of a connection.
+    pub fn begin(doubt: &LinkDoubt) -> Self {
+        Self(Some(doubt.clone()))
+    }
+
+    /// Records that what was sent has arrived, or ends properly.
+    pub fn settle(&mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for LinkUse {
+    fn drop(&mut self) {
+        if let Some(doubt) = &self.0 {
+            doubt.raise();
+        }
     }
 }
 
@@ -35,24 +64,25 @@
 /// connection is reset then. The calls on the connection report the error.
 pub(super) async fn drive_link(
     mut connection: Connection<ResetStream<TcpStream>, Bytes>,
-    mark: ResetMark,
     doubt: LinkDoubt,
 ) {
     let Some(ping_pong) = connection.ping_pong() else { return };
     tokio::select! {
         _ = connection => {}
-        () = check_answers(ping_pong, mark, doubt) => {}
+        () = check_answers(ping_pong, doubt) => {}
     }
 }
 
-/// Sends a ping for each doubt. Once one of them is not answered, sets the mark and returns.
-async fn check_answers(mut ping_pong: PingPong, mark: ResetMark, doubt: LinkDoubt) {
+/// Sends a ping for each doubt; returns once one of them is not answered.
+async fn check_answers(mut ping_pong: PingPong, doubt: LinkDoubt) {
     loop {
-        doubt.raised().await;
+        doubt.raised.notified().await;
+        // An answer to the ping before may just have settled a doubt that was raised after that ping.
+        doubt.mark.set();
         let answered = tokio::time::timeout(PING_TIMEOUT, ping_pong.ping(Ping::opaque())).await;
         if !matches!(answered, Ok(Ok(_))) {
-            mark.set();
             return;
         }
+        doubt.mark.clear();
     }
 }
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -1,8 +1,8 @@
-use super::link_driver::{LinkDoubt, drive_link};
+use super::link_driver::{LinkDoubt, LinkUse, drive_link};
 use super::peer_link::{PeerConnection, PeerLink};
 use super::proof::prove_as_client;
 use super::{decode, encode};
-use crate::connections::{ResetMark, ResetStream, end_properly, reset_at_end};
+use crate::connections::{ResetStream, end_properly, reset_at_end};
 use crate::keys::{HostClock, TimePoint};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -125,9 +125,11 @@
             .map_err(|error| Error::Protocol(error.to_string()))?;
         self.transferred_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         self.sent_calls.fetch_add(1, Ordering::Relaxed);
+        let mut link_use = LinkUse::begin(&connection.doubt);
         let (response, mut stream) = sender.send_request(request, false)?;
         stream.send_data(Bytes::from(bytes), true)?;
         let response = within(timeouts.reply, response).await??;
+        link_use.settle();
         let on_received = || {
             connection.record_received(&self.clock);
             on_piece();
@@ -150,9 +152,6 @@
     ) {
         let Some(error) = error else { return };
         let is_timeout = matches!(error, Error::Timeout);
-        if is_timeout {
-            connection.doubt.raise();
-        }
         let was_kept = connection.opened_at < started_at;
         if is_timeout && was_kept && connection.received_at() >= started_at {
             return;
@@ -222,14 +221,14 @@
             stream.set_nodelay(true)?;
             reset_at_end(&stream)?;
             prove_as_client(&mut stream, &self.key).await?;
-            let (mark, doubt) = (ResetMark::default(), LinkDoubt::default());
-            let stream = ResetStream::new(stream, mark.clone(), end_properly);
+            let doubt = LinkDoubt::default();
+            let stream = ResetStream::new(stream, doubt.mark(), end_properly);
             let (sender, connection) = h2::client::Builder::new()
                 .initial_window_size(WINDOW_BYTES)
                 .initial_connection_window_size(WINDOW_BYTES)
                 .handshake(stream)
                 .await?;
-            tokio::spawn(drive_link(connection, mark, doubt.clone()));
+            tokio::spawn(drive_link(connection, doubt.clone()));
             Ok(PeerConnection::opened(sender, doubt, self.clock.now()))
         };
         within(CONNECT_TIMEOUT, connect).await?
--- a/src/peers/tunnel_client.rs
+++ b/src/peers/tunnel_client.rs
@@ -1,5 +1,6 @@
 //! Opens connections to backend servers through other daemons, with the method that HTTP/2 has for it.
 
+use super::link_driver::LinkUse;
 use super::peer_client::PeerClient;
 use super::peer_link::PeerConnection;
 use super::tunnel_stream::TunnelStream;
@@ -48,14 +49,15 @@
             request = request.header(PROOF_HEADER, "1");
         }
         let request = request.body(()).map_err(|error| Error::Protocol(error.to_string()))?;
+        let mut link_use = LinkUse::begin(&connection.doubt);
         let (response, stream) = sender.send_request(request, false)?;
         let response = response.await?;
         self.record_received(connection);
         let status = response.status();
         if !status.is_success() {
+            link_use.settle();
             return Ok(Err(TunnelRefusal::from_status(status)));
         }
-        let doubt = Some(connection.doubt.clone());
-        Ok(Ok(TunnelStream::new(stream, response.into_body(), doubt)))
+        Ok(Ok(TunnelStream::new(stream, response.into_body(), Some(link_use))))
     }
 }
--- a/src/peers/tunnel_stream.rs
+++ b/src/peers/tunnel_stream.rs
@@ -1,4 +1,4 @@
-use super::link_driver::LinkDoubt;
+use super::link_driver::LinkUse;
 use bytes::{Buf, Bytes};
 use h2::{RecvStream, SendStream};
 use std::io::{Error, ErrorKind, Result};
@@ -21,25 +21,17 @@
     receiver: RecvStream,
     /// Bytes that were received and not read yet.
     received: Bytes,
-    /// Raised if the stream is dropped before its proper end.
-    doubt: Option<LinkDoubt>,
+    /// The use of the connection by the host that opened it, settled by a proper end.
+    link_use: Option<LinkUse>,
 }
 
 impl TunnelStream {
     pub(super) fn new(
         sender: SendStream<Bytes>,
         receiver: RecvStream,
-        doubt: Option<LinkDoubt>,
+        link_use: Option<LinkUse>,
     ) -> Self {
-        Self { sender, receiver, received: Bytes::new(), doubt }
-    }
-}
-
-impl Drop for TunnelStream {
-    fn drop(&mut self) {
-        if let Some(doubt) = &self.doubt {
-            doubt.raise();
-        }
+        Self { sender, receiver, received: Bytes::new(), link_use }
     }
 }
 
@@ -96,7 +88,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<Result<()>> {
-        self.doubt = None;
+        if let Some(link_use) = &mut self.link_use {
+            link_use.settle();
+        }
         Poll::Ready(self.sender.send_data(Bytes::new(), true).map_err(broken))
     }
 }
--- a/tests/abandoned_tunnels.rs
+++ b/tests/abandoned_tunnels.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use rstest::rstest;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tealcleat::bench::site::{SitePlan, TestSite};
@@ -106,7 +107,8 @@
     site: TestSite,
     listener: TcpListener,
     server: SocketAddr,
-    client: PeerClient,
+    /// `None` once it has been dropped.
+    client: Option<PeerClient>,
 }
 
 impl TunnelSite {
@@ -119,11 +121,12 @@
         while !host.state().fleet.entries().any(|entry| entry.address == server) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        Self { site, listener, server, client: PeerClient::new("a-shared-key-of-tests") }
+        Self { site, listener, server, client: Some(PeerClient::new("a-shared-key-of-tests")) }
     }
 
     async fn open_tunnel(&self, link: SocketAddr) -> TunnelStream {
-        let opened = self.client.open_tunnel(link, self.server, false, LIMIT).await;
+        let client = self.client.as_ref().expect("a client");
+        let opened = client.open_tunnel(link, self.server, false, LIMIT).await;
         opened.expect("a reply").expect("a connection")
     }
 
@@ -148,14 +151,18 @@
     tokio::time::timeout(CALL_TIME, call).await.expect_err("the server does not answer");
 }
 
-#[test]
-fn abandoned_call_through_a_cut_link_is_not_delivered_later() {
+/// The link is kept for further calls, or it was given up before, so that it ends with its last call.
+#[rstest]
+#[case::kept(true)]
+#[case::given_up(false)]
+fn abandoned_call_through_a_cut_link_is_not_delivered_later(#[case] is_kept: bool) {
     runtime().block_on(async {
-        let site = TunnelSite::start().await;
+        let mut site = TunnelSite::start().await;
         let mut link = CutLink::start(site.host()).await;
         let tunnel = site.open_tunnel(link.address).await;
         let mut stream = site.accept().await;
         link.is_cut.send_replace(true);
+        site.client = site.client.filter(|_| is_kept);
         abandon_call(tunnel, link.address, site.server).await;
         let has_ended = link.wait_ended().await;
         link.is_cut.send_replace(false);
