Soak: handovers of the lease, calls given up beside cuts, servers that leave while hosts are cut off

Checked: orders of two hosts to one engine are apart by the lease; what ended a second before a cut does not arrive after it; hosts in touch send nothing to servers that left.

New in the stand-ins: a cut that leaves bytes at their sender and loses them with its reset (ProxyMode::Cut), answer links that pass a reset on, orders with their times.

--- a/src/bench/links/link_proxy.rs
+++ b/src/bench/links/link_proxy.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
@@ -47,6 +47,9 @@
     Silent,
     /// Forwards nothing to the server until the mode is [`ProxyMode::Pass`] again, but still forwards responses.
     DeafServer,
+    /// Takes nothing until the mode is [`ProxyMode::Pass`] again, so that what is sent waits at its sender. A connection that
+    /// the sender resets meanwhile is reset, and what waited is lost.
+    Cut,
     /// Resets a connection as soon as bytes arrive on it.
     Reset,
 }
@@ -237,14 +240,32 @@
 ) -> ForwardEnd {
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
-        let read = match from.read(&mut buffer).await {
+        if *modes.borrow() == ProxyMode::Cut {
+            tokio::select! {
+                _ = from.ready(Interest::ERROR) => return ForwardEnd::Reset,
+                changed = modes.wait_for(|mode| *mode != ProxyMode::Cut) => {
+                    if changed.is_err() {
+                        return ForwardEnd::Closed;
+                    }
+                }
+            }
+        }
+        let read = tokio::select! {
+            biased;
+            changed = modes.wait_for(|mode| *mode == ProxyMode::Cut) => match changed {
+                Ok(_) => continue,
+                Err(_) => return ForwardEnd::Closed,
+            },
+            read = from.read(&mut buffer) => read,
+        };
+        let read = match read {
             Ok(0) => return ForwardEnd::Closed,
             Ok(read) => read,
             Err(_) => return ForwardEnd::Reset,
         };
         let mode = *modes.borrow();
         match mode {
-            ProxyMode::Pass => {}
+            ProxyMode::Pass | ProxyMode::Cut => {}
             ProxyMode::Delay(delay) => tokio::time::sleep(delay).await,
             ProxyMode::Narrow => {
                 let _guard = bandwidth_lock.lock().await;
--- a/src/bench/site/mod.rs
+++ b/src/bench/site/mod.rs
@@ -45,3 +45,4 @@
 pub use stall_gate::StallGate;
 pub use store_objects::StoreObjects;
 pub use test_site::{SitePlan, SiteServer, TestSite};
+pub use volatile_state::AcceptedOrder;
--- a/src/bench/site/site_engine.rs
+++ b/src/bench/site/site_engine.rs
@@ -5,7 +5,7 @@
 use super::site_http::{restart_site, serve_site};
 use super::site_run::SiteRun;
 use super::stall_gate::StallGate;
-use super::volatile_state::VolatileState;
+use super::volatile_state::{AcceptedOrder, VolatileState};
 use crate::Result;
 use crate::host::lock;
 use std::collections::HashMap;
@@ -174,8 +174,8 @@
         self.reports.load(Ordering::Relaxed)
     }
 
-    /// Orders that all incarnations accepted: the holder and the fence of each.
-    pub fn orders(&self) -> Vec<(String, u64)> {
+    /// Orders that all incarnations accepted, oldest first.
+    pub fn orders(&self) -> Vec<AcceptedOrder> {
         lock(&self.state).all_orders()
     }
 
--- a/src/bench/site/volatile_state.rs
+++ b/src/bench/site/volatile_state.rs
@@ -6,6 +6,17 @@
 const HOLD_TTL: Duration = Duration::from_millis(2000);
 const HANDLE_TTL: Duration = Duration::from_millis(500);
 
+/// An order that a stand-in engine accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AcceptedOrder {
+    /// Name of the host that gave it.
+    pub holder: String,
+    /// Its fencing token.
+    pub fence: u64,
+    /// When it arrived.
+    pub at: Instant,
+}
+
 /// The state of a stand-in engine that a restart clears.
 #[derive(Debug, Default)]
 pub(super) struct VolatileState {
@@ -13,10 +24,10 @@
     holds: HashMap<String, Instant>,
     /// Prefill results by handle: the request id and the expiry time.
     handles: HashMap<String, (String, Instant)>,
-    /// Accepted orders: the holder and the fence of each.
-    orders: Vec<(String, u64)>,
+    /// Accepted orders.
+    orders: Vec<AcceptedOrder>,
     /// Orders that earlier incarnations accepted; for tests only.
-    earlier_orders: Vec<(String, u64)>,
+    earlier_orders: Vec<AcceptedOrder>,
 }
 
 impl VolatileState {
@@ -63,15 +74,16 @@
 
     /// Accepts an order unless an order with a higher fence was accepted before.
     pub fn accept_order(&mut self, holder: &str, fence: u64) -> bool {
-        if self.orders.iter().any(|(_, seen)| *seen > fence) {
+        if self.orders.iter().any(|order| order.fence > fence) {
             return false;
         }
-        self.orders.push((holder.to_owned(), fence));
+        let (holder, at) = (holder.to_owned(), Instant::now());
+        self.orders.push(AcceptedOrder { holder, fence, at });
         true
     }
 
     /// Orders that all incarnations accepted, oldest first.
-    pub fn all_orders(&self) -> Vec<(String, u64)> {
+    pub fn all_orders(&self) -> Vec<AcceptedOrder> {
         [self.earlier_orders.as_slice(), self.orders.as_slice()].concat()
     }
 
--- a/src/bench/soak/answer_link.rs
+++ b/src/bench/soak/answer_link.rs
@@ -105,13 +105,21 @@
     request_signal: watch::Sender<()>,
 ) -> Result<()> {
     let mut buffer = BytesMut::new();
-    while from.read_buf(&mut buffer).await? > 0 {
+    loop {
+        match from.read_buf(&mut buffer).await {
+            Ok(0) => return Ok(()),
+            Ok(_) => {}
+            Err(error) => {
+                // What waits on the way to the server is lost.
+                reset(to);
+                return Err(error.into());
+            }
+        }
         // The signal comes before the request is forwarded, and thus before the server can answer it.
         request_signal.send_replace(());
         to.write_all(&buffer).await?;
         buffer.clear();
     }
-    Ok(())
 }
 
 /// An answer that will be sent a second time.
--- a/src/bench/soak/herd_check.rs
+++ b/src/bench/soak/herd_check.rs
@@ -15,8 +15,12 @@
 use tokio::time::Instant;
 
 /// How new connections are spread evenly before each herd.
-const CALM_PLAN: TryPlan =
-    TryPlan { time: Duration::from_millis(3000), pause: Duration::from_millis(24), target: None };
+const CALM_PLAN: TryPlan = TryPlan {
+    time: Duration::from_millis(3000),
+    pause: Duration::from_millis(24),
+    target: None,
+    tokens: None,
+};
 /// How long most new connections go to one host, and the pause between two of them.
 const HERD_TIME: Duration = Duration::from_millis(7000);
 const HERD_PAUSE: Duration = Duration::from_millis(8);
@@ -50,7 +54,8 @@
                 open_connections(&format!("{name}-calm"), &addresses, CALM_PLAN, &mut random).await;
             // The host of the herd is not hit: Third(1) begins with the second host of each domain.
             let target = random.random_range(0..self.domains);
-            let plan = TryPlan { time: HERD_TIME, pause: HERD_PAUSE, target: Some(target) };
+            let plan =
+                TryPlan { time: HERD_TIME, pause: HERD_PAUSE, target: Some(target), tokens: None };
             self.begin_shock(shock, &contacts)?;
             let herd = open_connections(&name, &addresses, plan, &mut random).await;
             self.end_shock(shock, &contacts).await?;
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -7,6 +7,7 @@
 mod answer_link;
 mod fault_log;
 mod first_try;
+mod handover_check;
 mod herd_check;
 mod host_contacts;
 mod host_disruption;
@@ -38,6 +39,7 @@
 mod stream_taker;
 mod version_check;
 
+pub use handover_check::HandoverTally;
 pub use hush_check::HushTally;
 pub use part_check::PartTally;
 pub use repeat_check::RepeatTally;
--- a/src/bench/soak/repeat_check.rs
+++ b/src/bench/soak/repeat_check.rs
@@ -57,7 +57,7 @@
         let mut violations = Vec::new();
         let mut shocks = self.draw_shocks(&mut random);
         shocks.extend([HostShock::KillAll; KILLS_IN_A_ROW]);
-        let plan = TryPlan { time: TRY_TIME, pause: TRY_PAUSE, target: None };
+        let plan = TryPlan { time: TRY_TIME, pause: TRY_PAUSE, target: None, tokens: None };
         for (shock, index) in shocks.into_iter().zip(0..) {
             self.fault_log.record_disruption(&format!("repeats: {shock:?}"))?;
             self.overload_servers(index);
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -1,8 +1,9 @@
+use super::handover_check::HandoverTally;
 use super::hush_check::HushTally;
 use super::part_check::PartTally;
 use super::repeat_check::RepeatTally;
 use super::stream_taker::VersionTally;
-use crate::bench::site::{CallerReply, SiteEngine, SiteService};
+use crate::bench::site::{AcceptedOrder, CallerReply, SiteEngine, SiteService};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -98,6 +99,8 @@
     pub repeats: RepeatTally,
     /// What was found while servers stood still and went on.
     pub hushed: HushTally,
+    /// What was found beside handovers of the lease, cuts and servers that leave.
+    pub handovers: HandoverTally,
     /// What callers found that took their streams up, if servers of several versions served.
     pub versions: VersionTally,
     /// What was found of parts of prompts that crash servers, if there were any.
@@ -222,11 +225,11 @@
     let mut violations = Vec::new();
     for engine in engines {
         let orders = engine.orders();
-        if orders.windows(2).any(|pair| pair[0].1 > pair[1].1) {
+        if orders.windows(2).any(|pair| pair[0].fence > pair[1].fence) {
             let detail = engine.id.clone();
             violations.push(SoakViolation { guarantee: "fences never fall", detail });
         }
-        for (holder, fence) in orders {
+        for AcceptedOrder { holder, fence, .. } in orders {
             let first = holders.entry(fence).or_insert_with(|| holder.clone());
             if *first != holder {
                 let detail = format!("{fence}: {first} and {holder}");
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -56,7 +56,12 @@
     /// Starts everything, and waits until all daemons are ready.
     pub async fn start(options: &SoakOptions, folder: &std::path::Path) -> Result<Self> {
         // With several versions, more than one server of each generates answers; parts of prompts crash many servers.
-        let (prefills, decodes) = if is_large(options) { (3, 9) } else { (2, 3) };
+        // Where the lease changes hands, many servers are to change their stage.
+        let (prefills, decodes) = match options {
+            SoakOptions { hands_over: true, .. } => (9, 3),
+            options if is_large(options) => (3, 9),
+            _ => (2, 3),
+        };
         let plan = SitePlan { prefills, decodes, services: 3, hosts: 0 };
         let site = TestSite::start(plan).await?;
         let sockets = LinkSockets::default();
@@ -225,6 +230,7 @@
         || options.herds_connections
         || options.sums_repeats
         || options.hushes_servers
+        || options.hands_over
 }
 
 fn advertised_address() -> Result<SocketAddr> {
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -48,6 +48,9 @@
     /// Whether servers stand still and go on beside stopped, reloaded and killed hosts and changes of the configuration. No
     /// answer may end early meanwhile; repeats are summed as above.
     pub hushes_servers: bool,
+    /// Whether hosts are stopped beside lost answers of the lease, calls are given up beside cuts, and servers leave while hosts
+    /// are cut off. The daemons' environment must provide the same library.
+    pub hands_over: bool,
     /// Number of routes in the configuration that no request uses.
     pub unused_routes: usize,
     /// Environment variables of the daemons.
@@ -70,5 +73,6 @@
             || self.crashes_parts
             || self.herds_connections
             || self.sums_repeats
+            || self.hands_over
     }
 }
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -72,6 +72,13 @@
     } else {
         Vec::new()
     };
+    let mut handovers = Default::default();
+    let mut handover_records = Vec::new();
+    let handover_violations = if options.hands_over {
+        cluster.check_handovers(options, &mut handover_records, &mut handovers).await?
+    } else {
+        Vec::new()
+    };
     let mut hushed = Default::default();
     let hush_violations = if options.hushes_servers {
         cluster.check_hushing(options, &results, &mut hushed).await?
@@ -91,6 +98,7 @@
     report.herd_tries = herd_tries;
     report.repeats = repeats;
     report.hushed = hushed;
+    report.handovers = handovers;
     report.violations.extend(versions.violations());
     report.versions = versions;
     report.violations.extend(parts.violations());
@@ -102,12 +110,14 @@
     records.extend(cut_records);
     records.extend(herd_records);
     records.extend(repeat_records);
+    records.extend(handover_records);
     report.violations.extend(recovery.0);
     report.violations.extend(propagation.0);
     report.violations.extend(cut_violations);
     report.violations.extend(herd_violations);
     report.violations.extend(repeat_violations);
     report.violations.extend(hush_violations);
+    report.violations.extend(handover_violations);
     let site = &cluster.site;
     report.violations.extend(check_runs(&records, &site.decodes, &site.services));
     let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -105,6 +105,9 @@
         repeating: bool,
         /// Let servers stand still and go on beside stopped, reloaded and killed hosts and changes of the configuration
         hushing: bool,
+        /// Stop hosts beside lost answers of the lease, give calls up beside cuts, and take servers away while hosts are cut
+        /// off; needs the same library
+        handing_over: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -42,6 +42,7 @@
             herding,
             repeating,
             hushing,
+            handing_over,
             further_routes,
             variable,
         } => {
@@ -65,6 +66,7 @@
                 herds_connections: *herding,
                 sums_repeats: *repeating,
                 hushes_servers: *hushing,
+                hands_over: *handing_over,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -56,6 +56,13 @@
                 hushed.repeats.plain_repeats
             );
         }
+        if options.hands_over {
+            let handovers = report.handovers;
+            println!(
+                "  handovers: {} orders, {} calls given up before the end of a cut, {} requests after servers left",
+                handovers.orders, handovers.given_up, handovers.asked
+            );
+        }
         let parts = &report.parts;
         if parts.crashes > 0 {
             let (before, after) = (parts.sound_before, parts.sound_after);
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -192,6 +192,19 @@
     run(SoakOptions { hosts: 6, domains: 3, hushes_servers: true, duration, ..defaults });
 }
 
+/// Hosts are stopped while the store loses the answers of the lease, links are cut while calls are given up and hosts are
+/// killed or stopped, and servers leave while hosts are cut off.
+///
+/// The test guards against orders of two hosts within the lease, calls that arrive after they were given up, and servers that
+/// hosts in touch use again after they have left.
+#[test]
+fn run_soak_with_handovers() {
+    let defaults = options(1);
+    let environment = source_address("soak-handovers");
+    let duration = Duration::from_secs(2);
+    run(SoakOptions { hosts: 6, domains: 3, hands_over: true, duration, environment, ..defaults });
+}
+
 /// All decisions under load are switched on, in addition to the other faults. Guards against decisions that break a
 /// guarantee while hosts are killed or suspended, or servers crash.
 #[rstest]
@@ -233,6 +246,7 @@
         herds_connections: false,
         sums_repeats: false,
         hushes_servers: false,
+        hands_over: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
