--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -22,7 +22,7 @@
 /// Pause after the first opening that was refused; it doubles with each further one, since each asks servers or the owner
 /// of the retry pool.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// The longest of these pauses. Callers leave after a gap of two seconds and more, some 0.5 s after the second opening.
+/// The longest of these pauses. Callers leave after a gap of two seconds or more.
 const MAX_PAUSE: Duration = Duration::from_millis(480);
 
 /// A run whose server is silent.
--- a/src/silent_runs/hearing_table.rs
+++ b/src/silent_runs/hearing_table.rs
@@ -2,8 +2,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// A server that runs requests of this host and has sent no event of any of them for this long counts as silent. A pause of
-/// 0.3 s is the longest after which a caller's answer is in time; busy servers exceed twice that only where they stand still.
+/// A server that runs requests of this host and has sent no event of any of them for this long counts as silent: a few times the
+/// longest pause after which a caller's answer is in time.
 pub const SILENT_AFTER: Duration = Duration::from_millis(750);
 
 #[derive(Debug, Clone, Copy)]
--- a/src/silent_runs/pool_silence.rs
+++ b/src/silent_runs/pool_silence.rs
@@ -5,7 +5,7 @@
 /// events of the silent runs within a few of their steps, much sooner than a prompt is read elsewhere.
 const RETURN_TIME: Duration = Duration::from_millis(250);
 /// A stream that was silent for longer gets a further run wherever a server answers, even if most of its pool is silent.
-/// Sound servers were silent for up to 2.2 s; after this time those that answer are all there is.
+/// After this time, those that answer are taken for all there are.
 const LONG_SILENCE: Duration = Duration::from_secs(3);
 /// Further runs are of no use while more than this part of a pool is silent: each server that answers would receive the
 /// streams of two others at once, and read their prompts beside its own work.
--- a/tests/slot_common/mod.rs
+++ b/tests/slot_common/mod.rs
@@ -1,6 +1,8 @@
 //! Many hosts before a few plain servers, without a network: messages take a millisecond and may be lost, and loads of
 //! other hosts are up to 1.5 s old.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
