Streams: a lost stream waits for the other servers while all of them stand still

Cause: the class of silent-servers: something is given up for silence alone, before its replacement exists. Resuming ended after 1.5 s whatever the refusals said.

Change: ResumeWait, a pure decision: while no server that could take the stream up answers, and this host is not cut off itself, it is tried again for up to 4 s, and for half a second after one of them answers; everything else ends after 1.5 s as before, so that callers of a host that is cut off, or of a pool that answers and is full, wait no longer.

--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -7,7 +7,7 @@
 use super::relay_record::RelayRecord;
 use super::run_open::{may_retry_run, open_stream};
 use super::run_start::RunRecord;
-use super::silent_run::{RaceEnd, SilentRun, run_beside};
+use super::silent_run::{RaceEnd, SilentRun, pool_standing, run_beside};
 use super::stream_end::StreamEnd;
 use super::stream_log::{
     LossCause, log_denied, log_lost, log_stream, record_length, record_pace, record_stream,
@@ -16,6 +16,7 @@
 use crate::fleet::ServerEntry;
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
+use crate::silent_runs::ResumeWait;
 use crate::stream_origins::RunVersion;
 use crate::streams::ServerSentEvent;
 use std::sync::Arc;
@@ -26,9 +27,7 @@
 /// write before callers leave, after two seconds and more.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// How long opening a new run for a lost stream is retried; callers give up after a gap of two seconds and more.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Pause between these retries.
+/// Pause between retries of opening a new run for a lost stream.
 const RESUME_RETRY_PAUSE: Duration = Duration::from_millis(60);
 /// Time for relayed events to be written to the caller's connection before a stream is cut.
 const CUT_DELAY: Duration = Duration::from_millis(10);
@@ -122,23 +121,29 @@
     }
 }
 
-/// Opens a further run. A refusal is retried until [`RESUME_TIMEOUT`] or the deadline has passed, unless the request is
-/// held back.
+/// Opens a further run. A refusal is retried as long as [`ResumeWait`] says and the deadline allows, unless the request is held
+/// back.
 async fn resume_run(
     context: &CallContext,
     engine: &EngineSpec,
     after: Option<u64>,
     runs: &mut RunRecord,
 ) -> std::result::Result<OpenRun, CallEnd> {
-    let started_at = context.host.now();
+    let mut wait = ResumeWait::start(context.host.now());
     loop {
         let opened = open_stream(context, engine, after, runs).await;
         let refused = matches!(
             opened,
             Err(CallEnd::NotRun(reason, _)) if reason != NotRunReason::HeldBack
         );
-        let waited = context.host.now().since(started_at);
-        if !refused || waited > RESUME_TIMEOUT || context.time_left().is_zero() {
+        if !refused || context.time_left().is_zero() {
+            return opened;
+        }
+        let candidates = pool_standing(context, |server| {
+            runs.version.admits(server) && runs.admits(server.key())
+        });
+        let is_cut_off = context.host.pool.paths().is_cut_off();
+        if !wait.goes_on(context.host.now(), candidates, is_cut_off) {
             return opened;
         }
         tokio::time::sleep(RESUME_RETRY_PAUSE).await;
--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -190,16 +190,9 @@
     if runs.sent >= context.route.max_servers {
         return Err(KeptCause::Attempts);
     }
+    let standing = pool_standing(context, |_| true);
     let now = context.host.now();
-    let mut guard = context.host.state();
-    let state = &mut *guard;
-    let mut standing = PoolStanding::default();
-    for server in state.fleet.ready_in_stage(context.service, ServerStage::Decode) {
-        let key = server.key();
-        let fails = state.server_health.get(&key).is_some_and(|health| !health.admits(now));
-        standing.servers += 1;
-        standing.silent += usize::from(fails || is_silent(context, &state.hearing, now, server));
-    }
+    let mut state = context.host.state();
     let pool = state.pool_silences.entry(context.service).or_default();
     match pool.step(now, standing, now.since(silent.since)) {
         FurtherStep::Open => Ok(()),
@@ -207,6 +200,24 @@
     }
 }
 
+/// How many of the decode servers that `is_wanted` are silent, or did not answer lately.
+pub(super) fn pool_standing(
+    context: &CallContext,
+    is_wanted: impl Fn(&ServerEntry) -> bool,
+) -> PoolStanding {
+    let now = context.host.now();
+    let state = context.host.state();
+    let decodes = state.fleet.ready_in_stage(context.service, ServerStage::Decode);
+    let mut standing = PoolStanding::default();
+    for server in decodes.filter(|server| is_wanted(server)) {
+        let health = state.server_health.get(&server.key());
+        let fails = health.is_some_and(|health| !health.admits(now));
+        standing.servers += 1;
+        standing.silent += usize::from(fails || is_silent(context, &state.hearing, now, server));
+    }
+    standing
+}
+
 /// Opens a run beside the silent one, at a server that is not silent too.
 async fn open_further(
     context: &CallContext,
--- a/src/silent_runs/mod.rs
+++ b/src/silent_runs/mod.rs
@@ -4,6 +4,8 @@
 
 mod hearing_table;
 mod pool_silence;
+mod resume_wait;
 
 pub use hearing_table::{HearingTable, SILENT_AFTER};
 pub use pool_silence::{FurtherStep, PoolSilence, PoolStanding, WaitReason};
+pub use resume_wait::ResumeWait;
