--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -261,7 +261,7 @@
     /// Records the outcome of a step of a call to a server.
     pub(super) fn record_server_event(&self, server: &ServerEntry, event: ServerEvent) {
         self.share_server_event(server, event);
-        let now = self.now();
+        let (now, is_cut_off) = (self.now(), self.pool.paths().is_cut_off());
         let mut state = self.state();
         // A late event of a former incarnation, such as a broken stream, would create an entry that is never removed.
         if !state.fleet.has_restarted(server) {
@@ -281,8 +281,9 @@
             }
             ServerEvent::Unresponsive | ServerEvent::OutOfTime => {
                 // A server that restarts and stays unresponsive counts as one server.
-                if state.domain_breakers.record_unresponsive(now, server.domain, server.id_key()) {
-                    let domain = server.domain.0;
+                let (domain, id) = (server.domain, server.id_key());
+                if state.domain_breakers.record_unresponsive(now, domain, id, is_cut_off) {
+                    let domain = domain.0;
                     log::warn!("event=domain_lost domain={domain:016x} server={}", server.id);
                 }
             }
--- a/src/placement/domain_breakers.rs
+++ b/src/placement/domain_breakers.rs
@@ -45,8 +45,18 @@
         self.breakers.remove(&domain);
     }
 
-    /// Records that a server of the domain did not respond; returns whether this opens the breaker.
-    pub fn record_unresponsive(&mut self, now: TimePoint, domain: NameKey, server: IdKey) -> bool {
+    /// Records that a server of the domain did not respond; returns whether this opens the breaker. A host that reaches no
+    /// server on its own paths learns nothing of a domain from that: the host that forwarded the call may be cut off too.
+    pub fn record_unresponsive(
+        &mut self,
+        now: TimePoint,
+        domain: NameKey,
+        server: IdKey,
+        is_cut_off: bool,
+    ) -> bool {
+        if is_cut_off {
+            return false;
+        }
         let entry = self.breakers.entry(domain).or_default();
         let is_second = entry
             .last_unresponsive
