--- a/src/fleet/store_gap.rs
+++ b/src/fleet/store_gap.rs
@@ -10,7 +10,6 @@
 /// A host that hears nothing from other hosts for this long does not know whether the store answers them. Each host repeats
 /// the age of the store's last answer every 0.8 s, also if nothing has changed.
 const CONTACT_GAP: Duration = Duration::from_millis(1500);
-
 /// The same for hosts of other failure domains, which send to fewer hosts of this one.
 const OUTSIDE_CONTACT_GAP: Duration = Duration::from_millis(3000);
 
