--- a/src/bench/soak/handover_check.rs
+++ b/src/bench/soak/handover_check.rs
@@ -117,8 +117,7 @@
             engine.set_event_interval(EVENT_INTERVAL);
         }
         let hosts = self.caller_addresses();
-        let plan =
-            TryPlan { time: LOAD_TIME, pause: TRY_PAUSE, target: None, tokens: Some(LOAD_TOKENS) };
+        let plan = TryPlan { tokens: Some(LOAD_TOKENS), ..even_tries(LOAD_TIME) };
         let mut random = StdRng::seed_from_u64(random.random());
         let loading = open_connections(name, &hosts, plan, &mut random);
         let (tries, stopped) = tokio::join!(loading, self.stop_after_orders(begun));
@@ -186,9 +185,9 @@
                 self.begin_server_cut(group, ServerCut::Hang)?;
                 sleep(DETOUR_TIME).await;
             }
-            self.begin_link_cut(links);
+            self.set_links(links, ProxyMode::Cut);
             let (hosts, name) = (self.caller_addresses(), format!("{name}-{index}"));
-            let plan = TryPlan { time: CUT_TIME / 2, pause: TRY_PAUSE, target: None, tokens: None };
+            let plan = even_tries(CUT_TIME / 2);
             let mut tries = open_connections(&format!("{name}a"), &hosts, plan, random).await;
             match shock {
                 CutShock::Nothing => {}
@@ -201,7 +200,7 @@
             }
             tries.extend(open_connections(&format!("{name}b"), &hosts, plan, random).await);
             let healed_at = Instant::now();
-            self.end_link_cut(links);
+            self.set_links(links, ProxyMode::Pass);
             sleep(WATCH_TIME).await;
             if let CutLinks::Hosts(group) = links {
                 self.end_server_cut(group, ServerCut::Hang)?;
@@ -220,14 +219,6 @@
         Ok(all)
     }
 
-    fn begin_link_cut(&self, links: CutLinks) {
-        self.set_links(links, ProxyMode::Cut);
-    }
-
-    fn end_link_cut(&self, links: CutLinks) {
-        self.set_links(links, ProxyMode::Pass);
-    }
-
     fn set_links(&self, links: CutLinks, mode: ProxyMode) {
         match links {
             CutLinks::Servers => self.links.iter().for_each(|link| link.set(mode)),
@@ -263,7 +254,7 @@
             let in_touch =
                 (0..self.hosts.len()).filter(|host| !group.contains(*host, self.domains));
             let hosts: Vec<SocketAddr> = in_touch.map(|host| self.hosts[host].callers).collect();
-            let plan = TryPlan { time: RETURN_TIME, pause: TRY_PAUSE, target: None, tokens: None };
+            let plan = even_tries(RETURN_TIME);
             let tries = open_connections(&format!("{name}-{index}"), &hosts, plan, random).await;
             tally.asked += tries.len();
             let prefix = format!("{name}-{index}-");
@@ -289,6 +280,11 @@
     }
 }
 
+/// Tries that are spread evenly over the hosts.
+const fn even_tries(time: Duration) -> TryPlan {
+    TryPlan { time, pause: TRY_PAUSE, target: None, tokens: None }
+}
+
 fn violation(guarantee: &'static str, concerned: &[String]) -> Option<SoakViolation> {
     let named: Vec<&str> = concerned.iter().take(NAMED).map(String::as_str).collect();
     let detail = format!("{}: {}", concerned.len(), named.join(", "));
--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -9,8 +9,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// Maximum number of removals kept for partial updates; a host that missed more gets a whole view. They take 24 KB at 24 bytes each, and cover any rollout or flapping of 3,000 servers within one
-/// outage.
+/// Maximum number of removals kept for partial updates; a host that missed more gets a whole view. They take 24 KB at 24
+/// bytes each, and cover any rollout or flapping of 3,000 servers within one outage.
 const MAX_REMOVALS: usize = 1024;
 
 /// The backend servers known to this host, with the latest incarnation of each id.
