Tests: the three models share how a world is played

claim_model, lease_model and view_model each had the same reference machine, test machine and settings; they are model_common now (ModelWorld: start, draw, apply).

--- a/tests/claim_model.rs
+++ b/tests/claim_model.rs
@@ -4,14 +4,17 @@
 //! Guards against two attempts that run for one key, because an outcome that was unknown is taken for something else.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::prop_state_machine;
 use std::collections::HashMap;
 use tealcleat::claims::{
     BucketCall, BucketValue, ClaimBucket, ClaimKey, ClaimRecord, ClaimRequest, ClaimVerdict,
 };
 use tealcleat::keys::{AttemptId, IncarnationId, TimePoint};
 
+mod model_common;
+
+use model_common::{ModelTest, ModelWorld, model_config};
+
 const HOSTS: usize = 3;
 const KEYS: u64 = 2;
 /// Consecutive calls without an answer after which a host refuses all waiting claims.
@@ -162,20 +165,22 @@
             ClaimVerdict::Taken(_) | ClaimVerdict::Unsettled => host.refused.push(record),
         }
     }
-}
 
-#[derive(Debug)]
-struct ClaimEvents;
+    fn check(&self) {
+        for (key, attempts) in &self.runs {
+            assert!(attempts.len() < 2, "two attempts ran for key {key}: {attempts:?}");
+        }
+    }
+}
 
-impl ReferenceStateMachine for ClaimEvents {
-    type State = ();
-    type Transition = Event;
+impl ModelWorld for ClaimWorld {
+    type Event = Event;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
+    fn start() -> Self {
+        Self::default()
     }
 
-    fn transitions(_: &()) -> BoxedStrategy<Event> {
+    fn draw() -> BoxedStrategy<Event> {
         let fate = prop_oneof![
             3 => Just(CallFate::Answered),
             2 => Just(CallFate::AnswerLost),
@@ -193,52 +198,26 @@
         .boxed()
     }
 
-    fn apply((): (), _: &Event) {}
-}
-
-#[derive(Debug)]
-struct ClaimTest;
-
-impl StateMachineTest for ClaimTest {
-    type SystemUnderTest = ClaimWorld;
-    type Reference = ClaimEvents;
-
-    fn init_test(_: &()) -> ClaimWorld {
-        ClaimWorld::default()
-    }
-
-    fn apply(state: ClaimWorld, _: &(), transition: Event) -> ClaimWorld {
-        let mut world = state;
-        match transition {
-            Event::Take(host, key) => world.take(host, key),
-            Event::Cancel(host) => world.cancel(host),
-            Event::Release(host) => world.release(host),
-            Event::Call(host, fate) => world.call(host, fate),
-            Event::Land(index) if index < world.late.len() => {
-                let (expected, value) = world.late.remove(index);
-                world.write(expected, value);
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Take(host, key) => self.take(host, key),
+            Event::Cancel(host) => self.cancel(host),
+            Event::Release(host) => self.release(host),
+            Event::Call(host, fate) => self.call(host, fate),
+            Event::Land(index) if index < self.late.len() => {
+                let (expected, value) = self.late.remove(index);
+                self.write(expected, value);
             }
             Event::Land(_) => {}
-            Event::Pass(millis) => world.now += millis,
-        }
-        world
-    }
-
-    fn check_invariants(state: &ClaimWorld, _: &()) {
-        for (key, attempts) in &state.runs {
-            assert!(attempts.len() < 2, "two attempts ran for key {key}: {attempts:?}");
+            Event::Pass(millis) => self.now += millis,
         }
+        self.check();
     }
 }
 
 prop_state_machine! {
-    #![proptest_config(ProptestConfig {
-        cases: 5_000,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(75),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(model_config(75))]
 
     #[test]
-    fn claim_model_runs_one_attempt_for_a_key(sequential 1..60 => ClaimTest);
+    fn claim_model_runs_one_attempt_for_a_key(sequential 1..60 => ModelTest<ClaimWorld>);
 }
--- a/tests/lease_model.rs
+++ b/tests/lease_model.rs
@@ -4,12 +4,15 @@
 //! Guards against orders of two hosts within the lease, fences that go down, and fences of two hosts.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::prop_state_machine;
 use std::time::Duration;
 use tealcleat::keys::{IncarnationId, TimePoint};
 use tealcleat::orders::{LeaseHolder, LeaseRecord, OrderLease};
 
+mod model_common;
+
+use model_common::{ModelTest, ModelWorld, model_config};
+
 const HOSTS: usize = 3;
 /// Two of the processes have one name: one stood still while the other was started in its place.
 const NAMES: [&str; HOSTS] = ["a", "a", "b"];
@@ -151,18 +154,14 @@
     }
 }
 
-#[derive(Debug)]
-struct LeaseEvents;
-
-impl ReferenceStateMachine for LeaseEvents {
-    type State = ();
-    type Transition = Event;
+impl ModelWorld for LeaseWorld {
+    type Event = Event;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
+    fn start() -> Self {
+        Self::default()
     }
 
-    fn transitions(_: &()) -> BoxedStrategy<Event> {
+    fn draw() -> BoxedStrategy<Event> {
         let fate = prop_oneof![
             4 => Just(WriteFate::Answered),
             2 => Just(WriteFate::AnswerLost),
@@ -179,49 +178,25 @@
         .boxed()
     }
 
-    fn apply((): (), _: &Event) {}
-}
-
-#[derive(Debug)]
-struct LeaseTest;
-
-impl StateMachineTest for LeaseTest {
-    type SystemUnderTest = LeaseWorld;
-    type Reference = LeaseEvents;
-
-    fn init_test(_: &()) -> LeaseWorld {
-        LeaseWorld::default()
-    }
-
-    fn apply(state: LeaseWorld, _: &(), transition: Event) -> LeaseWorld {
-        let mut world = state;
-        match transition {
-            Event::Step(host, fate) => world.step(host, fate),
-            Event::Order(host) => world.order(host),
-            Event::Land(index) if index < world.late.len() => {
-                let write = world.late.remove(index);
-                world.write(write);
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Step(host, fate) => self.step(host, fate),
+            Event::Order(host) => self.order(host),
+            Event::Land(index) if index < self.late.len() => {
+                let write = self.late.remove(index);
+                self.write(write);
             }
             Event::Land(_) => {}
-            Event::Restart(host) => world.hosts[host] = Default::default(),
-            Event::Pass(millis) => world.now += millis,
+            Event::Restart(host) => self.hosts[host] = Default::default(),
+            Event::Pass(millis) => self.now += millis,
         }
-        world
-    }
-
-    fn check_invariants(state: &LeaseWorld, _: &()) {
-        state.check();
+        self.check();
     }
 }
 
 prop_state_machine! {
-    #![proptest_config(ProptestConfig {
-        cases: 5_000,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(72),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(model_config(72))]
 
     #[test]
-    fn lease_model_orders_of_one_host_at_a_time(sequential 1..60 => LeaseTest);
+    fn lease_model_orders_of_one_host_at_a_time(sequential 1..60 => ModelTest<LeaseWorld>);
 }
--- a/tests/view_model.rs
+++ b/tests/view_model.rs
@@ -4,13 +4,16 @@
 //! Guards against a server that has left and is put back into use at a host that has removed it.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::prop_state_machine;
 use std::collections::HashMap;
 use std::time::Duration;
 use tealcleat::fleet::{FleetChange, FleetUpdate, FleetView, ServerEntry, ServerState};
 use tealcleat::keys::{NameKey, ServerKey, TimePoint};
 
+mod model_common;
+
+use model_common::{ModelTest, ModelWorld, model_config};
+
 const HOSTS: usize = 3;
 const SERVERS: [&str; 2] = ["i-1", "i-2"];
 
@@ -137,39 +140,6 @@
         self.views[to].record_store_answer(now, age);
     }
 
-    fn apply(&mut self, event: Event) {
-        let reaches = |from: usize, to: usize| from != to && !self.is_cut[from] && !self.is_cut[to];
-        match event {
-            Event::Leave(index) => self.set_present(index, false),
-            Event::Return(index) => self.set_present(index, true),
-            Event::WriteOther => self.revision += 1,
-            Event::Watch(host) if !self.is_cut[host] => self.watch(host),
-            Event::List(host) if !self.is_cut[host] => self.list(host),
-            Event::StateAge(from, to) if reaches(from, to) => self.state_age(from, to),
-            Event::Ask { from, to, is_whole } if reaches(from, to) => {
-                let since = if is_whole { 0 } else { self.views[to].revision() };
-                let update = self.views[from].update_since(self.now(), since);
-                self.sent.push(SentUpdate { to, update });
-            }
-            Event::Deliver(index) => {
-                if let Some(SentUpdate { to, update }) = self.sent.get(index).cloned() {
-                    let now = self.now();
-                    self.views[to].apply_update(now, update);
-                }
-            }
-            Event::Cut(host) => self.is_cut[host] = !self.is_cut[host],
-            Event::Pass(millis) => {
-                self.now += millis;
-                let now = self.now();
-                for view in &mut self.views {
-                    view.expire(now);
-                }
-            }
-            Event::Watch(_) | Event::List(_) | Event::StateAge(..) | Event::Ask { .. } => {}
-        }
-        self.check();
-    }
-
     /// A server that a host has removed returns there only if it was in the store after the removal.
     fn check(&mut self) {
         for host in 0..HOSTS {
@@ -188,18 +158,14 @@
     }
 }
 
-#[derive(Debug)]
-struct ViewEvents;
-
-impl ReferenceStateMachine for ViewEvents {
-    type State = ();
-    type Transition = Event;
+impl ModelWorld for ViewWorld {
+    type Event = Event;
 
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
+    fn start() -> Self {
+        Self::new()
     }
 
-    fn transitions(_: &()) -> BoxedStrategy<Event> {
+    fn draw() -> BoxedStrategy<Event> {
         let servers = 0..SERVERS.len();
         prop_oneof![
             2 => servers.clone().prop_map(Event::Leave),
@@ -217,35 +183,43 @@
         .boxed()
     }
 
-    fn apply((): (), _: &Event) {}
-}
-
-#[derive(Debug)]
-struct ViewTest;
-
-impl StateMachineTest for ViewTest {
-    type SystemUnderTest = ViewWorld;
-    type Reference = ViewEvents;
-
-    fn init_test(_: &()) -> ViewWorld {
-        ViewWorld::new()
-    }
-
-    fn apply(state: ViewWorld, _: &(), transition: Event) -> ViewWorld {
-        let mut world = state;
-        world.apply(transition);
-        world
+    fn apply(&mut self, event: Event) {
+        let reaches = |from: usize, to: usize| from != to && !self.is_cut[from] && !self.is_cut[to];
+        match event {
+            Event::Leave(index) => self.set_present(index, false),
+            Event::Return(index) => self.set_present(index, true),
+            Event::WriteOther => self.revision += 1,
+            Event::Watch(host) if !self.is_cut[host] => self.watch(host),
+            Event::List(host) if !self.is_cut[host] => self.list(host),
+            Event::StateAge(from, to) if reaches(from, to) => self.state_age(from, to),
+            Event::Ask { from, to, is_whole } if reaches(from, to) => {
+                let since = if is_whole { 0 } else { self.views[to].revision() };
+                let update = self.views[from].update_since(self.now(), since);
+                self.sent.push(SentUpdate { to, update });
+            }
+            Event::Deliver(index) => {
+                if let Some(SentUpdate { to, update }) = self.sent.get(index).cloned() {
+                    let now = self.now();
+                    self.views[to].apply_update(now, update);
+                }
+            }
+            Event::Cut(host) => self.is_cut[host] = !self.is_cut[host],
+            Event::Pass(millis) => {
+                self.now += millis;
+                let now = self.now();
+                for view in &mut self.views {
+                    view.expire(now);
+                }
+            }
+            Event::Watch(_) | Event::List(_) | Event::StateAge(..) | Event::Ask { .. } => {}
+        }
+        self.check();
     }
 }
 
 prop_state_machine! {
-    #![proptest_config(ProptestConfig {
-        cases: 5_000,
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(72),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(model_config(72))]
 
     #[test]
-    fn view_model_removed_server_stays_out_of_use(sequential 1..50 => ViewTest);
+    fn view_model_removed_server_stays_out_of_use(sequential 1..50 => ModelTest<ViewWorld>);
 }
