--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -1,3 +1,4 @@
+use super::change_history::ChangeHistory;
 use super::server_records::{FleetRecord, ServerRecords};
 use super::store_gap::{AnswerSource, StoreGap};
 use super::{
@@ -6,13 +7,9 @@
 };
 use crate::keys::{IdKey, NameKey, ServerKey, TimePoint};
 use crate::routes::ServiceKey;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Maximum number of removals kept for partial updates; a host that missed more gets a whole view. They take 24 KB at 24
-/// bytes each, and cover any rollout or flapping of 3,000 servers within one outage.
-const MAX_REMOVALS: usize = 1024;
-
 /// The backend servers known to this host, with the latest incarnation of each id.
 #[derive(Debug, Clone, Default)]
 pub struct FleetView {
@@ -20,10 +17,7 @@
     domain: Option<NameKey>,
     revision: u64,
     records: ServerRecords,
-    /// Removed servers and the revision of each removal.
-    removed: HashMap<IdKey, u64>,
-    /// Every single change after this revision is known, so that partial updates can start from it.
-    history_start: u64,
+    history: ChangeHistory,
     gap: StoreGap,
 }
 
@@ -103,7 +97,7 @@
             return Vec::new();
         }
         if self.revision == 0 {
-            self.history_start = revision;
+            self.history.start_at(revision);
         }
         self.revision = revision;
         let mut incarnations = Vec::new();
@@ -121,7 +115,7 @@
     /// its pages may change nothing any more, so that hosts which are behind its newest page get a whole view.
     fn start_history(&mut self, span: ListSpan) {
         self.revision = span.first;
-        self.history_start = span.last;
+        self.history.start_at(span.last);
     }
 
     /// The update for a host whose view has revision `since`: the changes after it, or all servers if the
@@ -129,7 +123,7 @@
     ///
     /// A whole view for each change would send 24 KB for 266 servers, or 270 KB for 3,000, to every host.
     pub fn update_since(&self, now: TimePoint, since: u64) -> FleetUpdate {
-        let is_partial = since > 0 && since >= self.history_start;
+        let is_partial = self.history.covers(since);
         let after = if is_partial { since } else { 0 };
         let left_ms = |at: TimePoint| u64::try_from(at.since(now).as_millis()).unwrap_or(u64::MAX);
         let to_update = |record: &FleetRecord| ServerUpdate {
@@ -139,12 +133,12 @@
             cold_left_ms: record.cold_until.map_or(0, |until| cold_left_ms(now, until)),
         };
         let changed = self.records.iter().filter(|record| record.changed_at > after);
-        let removed = self.removed.iter().filter(|(_, at)| is_partial && **at > after);
+        let removed = self.history.removals_after(after).filter(|_| is_partial);
         FleetUpdate {
             revision: self.revision,
             is_partial,
             servers: changed.map(to_update).collect(),
-            removed: removed.map(|(id, at)| (*id, *at)).collect(),
+            removed: removed.collect(),
         }
     }
 
@@ -161,7 +155,7 @@
         }
         for (id, at) in update.removed {
             self.records.remove(id);
-            self.record_removal(id, at);
+            self.history.record_removal(id, at);
         }
         let servers = update.servers.into_iter();
         servers.filter_map(|server| self.apply_server(now, server, is_first)).collect()
@@ -173,9 +167,9 @@
             update.servers.iter().map(|server| server.entry.id_key()).collect();
         for id in self.records.ids(|record| !listed.contains(&record.entry.id_key())) {
             self.records.remove(id);
-            self.record_removal(id, update.revision);
+            self.history.record_removal(id, update.revision);
         }
-        self.history_start = update.revision;
+        self.history.start_at(update.revision);
     }
 
     /// Applies another host's state of a server. One whose entry is gone, and which the other host keeps for a while, is
@@ -206,7 +200,7 @@
         let mut dropped = Vec::new();
         for id in due {
             if let Some(record) = self.records.remove(id) {
-                self.record_removal(id, record.changed_at);
+                self.history.record_removal(id, record.changed_at);
                 dropped.push(record.entry);
             }
         }
@@ -275,7 +269,7 @@
         if change.as_ref().is_some_and(IncarnationChange::is_outdated) {
             return change;
         }
-        self.removed.remove(&id);
+        self.history.record_entry(id);
         self.records.insert(record);
         change
     }
@@ -294,25 +288,13 @@
                 record.changed_at = revision;
                 self.records.insert(record);
             }
-            None => self.record_removal(id, revision),
+            None => self.history.record_removal(id, revision),
         }
     }
 
     fn remove_now(&mut self, id: IdKey) {
         if self.records.remove(id).is_some() {
-            self.record_removal(id, self.revision);
-        }
-    }
-
-    fn record_removal(&mut self, id: IdKey, revision: u64) {
-        self.removed.insert(id, revision);
-        if self.removed.len() <= MAX_REMOVALS {
-            return;
-        }
-        let oldest = self.removed.iter().min_by_key(|(_, at)| **at).map(|(id, at)| (*id, *at));
-        if let Some((id, at)) = oldest {
-            self.removed.remove(&id);
-            self.history_start = self.history_start.max(at);
+            self.history.record_removal(id, self.revision);
         }
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! output is the list of servers that may get new work. [`watcher_role()`] decides whether this host
 //! queries the store itself.
 
+mod change_history;
 mod fleet_update;
 mod fleet_view;
 mod incarnation_change;
