--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -125,19 +125,12 @@
     pub fn update_since(&self, now: TimePoint, since: u64) -> FleetUpdate {
         let is_partial = self.history.covers(since);
         let after = if is_partial { since } else { 0 };
-        let left_ms = |at: TimePoint| u64::try_from(at.since(now).as_millis()).unwrap_or(u64::MAX);
-        let to_update = |record: &FleetRecord| ServerUpdate {
-            entry: record.entry.clone(),
-            changed_at: record.changed_at,
-            expires_in_ms: record.expires_at.map(left_ms),
-            cold_left_ms: record.cold_until.map_or(0, |until| cold_left_ms(now, until)),
-        };
         let changed = self.records.iter().filter(|record| record.changed_at > after);
         let removed = self.history.removals_after(after).filter(|_| is_partial);
         FleetUpdate {
             revision: self.revision,
             is_partial,
-            servers: changed.map(to_update).collect(),
+            servers: changed.map(|record| record.update_at(now)).collect(),
             removed: removed.collect(),
         }
     }
@@ -303,7 +296,3 @@
 fn cold_until(now: TimePoint, left_ms: u32) -> Option<TimePoint> {
     (left_ms > 0).then(|| now + Duration::from_millis(left_ms.into()))
 }
-
-fn cold_left_ms(now: TimePoint, until: TimePoint) -> u32 {
-    u32::try_from(until.since(now).as_millis()).unwrap_or(u32::MAX)
-}
--- a/src/fleet/server_records.rs
+++ b/src/fleet/server_records.rs
@@ -1,4 +1,4 @@
-use super::ServerEntry;
+use super::{ServerEntry, ServerUpdate};
 use crate::keys::{IdKey, ServerKey, TimePoint};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -14,6 +14,21 @@
     pub cold_until: Option<TimePoint>,
 }
 
+impl FleetRecord {
+    /// The record as it is told to another host at `now`.
+    pub fn update_at(&self, now: TimePoint) -> ServerUpdate {
+        let left_ms = |at: TimePoint| at.since(now).as_millis();
+        let cold_left_ms =
+            self.cold_until.map_or(0, |at| u32::try_from(left_ms(at)).unwrap_or(u32::MAX));
+        ServerUpdate {
+            entry: self.entry.clone(),
+            changed_at: self.changed_at,
+            expires_in_ms: self.expires_at.map(|at| u64::try_from(left_ms(at)).unwrap_or(u64::MAX)),
+            cold_left_ms,
+        }
+    }
+}
+
 /// The known servers with one incarnation of each id, indexed by id and by incarnation key.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ServerRecords {
