Soak: handovers in small files; one way to the hosts' addresses and to the engines

handover_check had three checks with four parameters each; they are lease_check, abandon_check and removal_check with one record (HandoverRecord).

--- a/src/bench/soak/herd_check.rs
+++ b/src/bench/soak/herd_check.rs
@@ -10,7 +10,6 @@
 use crate::Result;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -38,7 +37,7 @@
         tries: &mut (CutTries, CutTries),
     ) -> Result<Vec<SoakViolation>> {
         let mut random = StdRng::seed_from_u64(options.seed ^ HERD_SALT);
-        let addresses: Vec<SocketAddr> = self.hosts.iter().map(|host| host.callers).collect();
+        let addresses = self.caller_addresses();
         let contacts = HostContacts::new(&addresses, Instant::now());
         let mut violations = Vec::new();
         let shocks = [
--- a/src/bench/soak/hush_check.rs
+++ b/src/bench/soak/hush_check.rs
@@ -90,7 +90,7 @@
         tally: &mut HushTally,
     ) -> Result<Vec<SoakViolation>> {
         let mut random = StdRng::seed_from_u64(options.seed ^ HUSH_SALT);
-        let addresses: Vec<_> = self.hosts.iter().map(|host| host.callers).collect();
+        let addresses = self.caller_addresses();
         let site = Arc::new(HushSite {
             contacts: HostContacts::new(&addresses, Instant::now()),
             results: Arc::clone(results),
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -3,11 +3,13 @@
 //! The stand-ins run in this process, and loopback proxies connect the daemons to them. The soak test checks what
 //! callers and backend servers see while faults are injected, and again after all faults have ended.
 
+mod abandon_check;
 mod answer_fault;
 mod answer_link;
 mod fault_log;
 mod first_try;
 mod handover_check;
+mod handover_record;
 mod herd_check;
 mod host_contacts;
 mod host_disruption;
@@ -15,11 +17,13 @@
 mod hush_caller;
 mod hush_check;
 mod hush_rules;
+mod lease_check;
 mod link_listener;
 mod part_caller;
 mod part_check;
 mod partition_group;
 mod propagation_probe;
+mod removal_check;
 mod repeat_check;
 mod server_cut;
 mod server_cut_check;
@@ -39,7 +43,7 @@
 mod stream_taker;
 mod version_check;
 
-pub use handover_check::HandoverTally;
+pub use handover_record::HandoverTally;
 pub use hush_check::HushTally;
 pub use part_check::PartTally;
 pub use repeat_check::RepeatTally;
--- a/src/bench/soak/part_check.rs
+++ b/src/bench/soak/part_check.rs
@@ -79,7 +79,7 @@
         results: &Arc<CallerResults>,
     ) -> Result<PartTally> {
         let mut random = StdRng::seed_from_u64(options.seed ^ PART_SALT);
-        let addresses: Vec<_> = self.hosts.iter().map(|host| host.callers).collect();
+        let addresses = self.caller_addresses();
         let began_at = Instant::now();
         let site = Arc::new(PartSite {
             contacts: HostContacts::new(&addresses, began_at),
@@ -143,7 +143,7 @@
 
     /// `phases` are the times at which bad parts began, and the end of the last one.
     fn tally_parts(&self, site: &PartSite, phases: &[Instant]) -> PartTally {
-        let engines = self.site.decodes.iter().chain(&self.site.prefills);
+        let engines = self.engines();
         let arrivals: Vec<(String, usize, Instant)> = engines
             .flat_map(|engine| engine.runs())
             .filter_map(|run| {
--- a/src/bench/soak/repeat_check.rs
+++ b/src/bench/soak/repeat_check.rs
@@ -14,7 +14,6 @@
 use crate::retries::RetryBounds;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// The retry bounds of the daemons: a short window, of which a soak test has many, and little slack. Callers ask so seldom that
@@ -52,7 +51,7 @@
         tally: &mut RepeatTally,
     ) -> Result<Vec<SoakViolation>> {
         let mut random = StdRng::seed_from_u64(options.seed ^ REPEAT_SALT);
-        let addresses: Vec<SocketAddr> = self.hosts.iter().map(|host| host.callers).collect();
+        let addresses = self.caller_addresses();
         let contacts = HostContacts::new(&addresses, tokio::time::Instant::now());
         let mut violations = Vec::new();
         let mut shocks = self.draw_shocks(&mut random);
@@ -95,7 +94,7 @@
 
     /// Overloads most engines, others each time, and one server of the plain service; another one loses its answers.
     fn overload_servers(&self, turn: usize) {
-        let engines = self.site.decodes.iter().chain(&self.site.prefills);
+        let engines = self.engines();
         for (index, engine) in engines.enumerate() {
             let is_shedding = (index + turn) % 5 < SHEDDING_FIFTHS;
             let shed = EngineFault::Shed { tenths: SHED_TENTHS };
@@ -119,7 +118,7 @@
             asked.sort_unstable();
             asked
         };
-        let engines = self.site.decodes.iter().chain(&self.site.prefills);
+        let engines = self.engines();
         let engines: Vec<RequestArrival> =
             engines.flat_map(|engine| engine.arrivals.requests()).collect();
         let services = self.site.services.iter();
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -1,4 +1,4 @@
-use super::handover_check::HandoverTally;
+use super::handover_record::HandoverTally;
 use super::hush_check::HushTally;
 use super::part_check::PartTally;
 use super::repeat_check::RepeatTally;
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -5,10 +5,13 @@
 use super::partition_group::machine_address;
 use super::soak_options::SoakOptions;
 use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode, UnansweredPort};
-use crate::bench::site::{EngineFault, ServiceFault, SitePlan, StoreFault, TestSite, call_site};
+use crate::bench::site::{
+    EngineFault, ServiceFault, SiteEngine, SitePlan, StoreFault, TestSite, call_site,
+};
 use crate::bench::{GatewayProcess, ProcessPlan, free_ports};
 use crate::{Error, Result};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Difference between the link seeds of successive soak seeds. It keeps the seeds of all links apart.
@@ -176,6 +179,16 @@
         self.store_links.iter().map(LinkProxy::last_source).collect()
     }
 
+    /// The addresses at which callers reach the hosts.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.callers).collect()
+    }
+
+    /// The engines, those that generate answers first.
+    pub fn engines(&self) -> impl Iterator<Item = &Arc<SiteEngine>> {
+        self.site.decodes.iter().chain(&self.site.prefills)
+    }
+
     /// Ends all faults and waits until all daemons are ready.
     pub async fn end_all_faults(&mut self) -> Result<()> {
         self.site.store.set_fault(StoreFault::None);
--- a/src/bench/soak/soak_limits.rs
+++ b/src/bench/soak/soak_limits.rs
@@ -90,7 +90,7 @@
     }
 
     fn limit_violations(&self) -> Vec<SoakViolation> {
-        let engines = self.site.decodes.iter().chain(&self.site.prefills);
+        let engines = self.engines();
         let engines = engines.map(|engine| (&engine.id, &engine.arrivals));
         let services = self.site.services.iter().map(|server| (&server.id, &server.arrivals));
         let all = engines.chain(services);
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -26,8 +26,7 @@
     std::fs::create_dir_all(&folder)?;
     let mut cluster = SoakCluster::start(options, &folder).await?;
     let results = Arc::new(CallerResults::default());
-    let addresses: Arc<Vec<SocketAddr>> =
-        Arc::new(cluster.hosts.iter().map(|host| host.callers).collect());
+    let addresses: Arc<Vec<SocketAddr>> = Arc::new(cluster.caller_addresses());
     let callers: Vec<_> = (0..options.callers)
         .map(|index| {
             let seed = options.seed.wrapping_mul(1000) + index as u64;
@@ -120,7 +119,7 @@
     report.violations.extend(handover_violations);
     let site = &cluster.site;
     report.violations.extend(check_runs(&records, &site.decodes, &site.services));
-    let engines: Vec<_> = site.decodes.iter().chain(&site.prefills).cloned().collect();
+    let engines: Vec<_> = cluster.engines().cloned().collect();
     report.violations.extend(check_orders(&engines));
     report.violations.extend(check_holds(&site.decodes));
     report.violations.extend(cluster.check_bystanders()?);
--- a/src/bench/soak/version_check.rs
+++ b/src/bench/soak/version_check.rs
@@ -63,7 +63,7 @@
         results: &Arc<CallerResults>,
     ) -> Result<VersionTally> {
         let mut random = StdRng::seed_from_u64(options.seed ^ VERSION_SALT);
-        let addresses: Vec<_> = self.hosts.iter().map(|host| host.callers).collect();
+        let addresses = self.caller_addresses();
         let site = Arc::new(TakerSite {
             contacts: HostContacts::new(&addresses, Instant::now()),
             engines: self.site.decodes.clone(),
