--- a/src/bench/links/link_proxy.rs
+++ b/src/bench/links/link_proxy.rs
@@ -1,11 +1,10 @@
-use super::{NetworkPartitions, PartitionScope};
+use super::link_forward::{ForwardEnd, forward};
+use super::{NetworkPartitions, PartitionScope, ProxyMode};
 use crate::Result;
 use crate::host::lock;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
@@ -29,31 +28,6 @@
         reset: &[PartitionScope::ServersReset],
     };
 }
-const CHUNK_BYTES: usize = 16 << 10;
-/// Bandwidth that all connections of a proxy share in [`ProxyMode::Narrow`]: 10 Mbit/s.
-const NARROW_BYTES_PER_S: f64 = 1_250_000.0;
-
-/// How a proxy handles the bytes of its connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum ProxyMode {
-    /// Forwards them.
-    #[default]
-    Pass,
-    /// Forwards them after a delay.
-    Delay(Duration),
-    /// Forwards them at the bandwidth of a small host's link.
-    Narrow,
-    /// Forwards nothing in either direction until the mode is [`ProxyMode::Pass`] again.
-    Silent,
-    /// Forwards nothing to the server until the mode is [`ProxyMode::Pass`] again, but still forwards responses.
-    DeafServer,
-    /// Takes nothing until the mode is [`ProxyMode::Pass`] again, so that what is sent waits at its sender. A connection that
-    /// the sender resets meanwhile is reset, and what waited is lost.
-    Cut,
-    /// Resets a connection as soon as bytes arrive on it.
-    Reset,
-}
-
 /// A loopback proxy in front of one stand-in or daemon.
 #[derive(Debug)]
 pub struct LinkProxy {
@@ -212,15 +186,6 @@
     ProxyGone,
 }
 
-/// How one direction of a connection ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ForwardEnd {
-    /// The connection was closed.
-    Closed,
-    /// The connection has to be reset.
-    Reset,
-}
-
 /// Opens a connection from the address of a machine, so that later links can identify the machine.
 pub(in crate::bench) async fn connect_as(
     machine: IpAddr,
@@ -231,66 +196,6 @@
     socket.connect(target).await
 }
 
-async fn forward(
-    from: &mut OwnedReadHalf,
-    to: &mut OwnedWriteHalf,
-    mut modes: watch::Receiver<ProxyMode>,
-    bandwidth_lock: &tokio::sync::Mutex<()>,
-    towards_server: bool,
-) -> ForwardEnd {
-    let mut buffer = vec![0; CHUNK_BYTES];
-    loop {
-        if *modes.borrow() == ProxyMode::Cut {
-            tokio::select! {
-                _ = from.ready(Interest::ERROR) => return ForwardEnd::Reset,
-                changed = modes.wait_for(|mode| *mode != ProxyMode::Cut) => {
-                    if changed.is_err() {
-                        return ForwardEnd::Closed;
-                    }
-                }
-            }
-        }
-        let read = tokio::select! {
-            biased;
-            changed = modes.wait_for(|mode| *mode == ProxyMode::Cut) => match changed {
-                Ok(_) => continue,
-                Err(_) => return ForwardEnd::Closed,
-            },
-            read = from.read(&mut buffer) => read,
-        };
-        let read = match read {
-            Ok(0) => return ForwardEnd::Closed,
-            Ok(read) => read,
-            Err(_) => return ForwardEnd::Reset,
-        };
-        let mode = *modes.borrow();
-        match mode {
-            ProxyMode::Pass | ProxyMode::Cut => {}
-            ProxyMode::Delay(delay) => tokio::time::sleep(delay).await,
-            ProxyMode::Narrow => {
-                let _guard = bandwidth_lock.lock().await;
-                tokio::time::sleep(transmit_time(read)).await;
-            }
-            ProxyMode::Reset => return ForwardEnd::Reset,
-            ProxyMode::DeafServer if !towards_server => {}
-            ProxyMode::Silent | ProxyMode::DeafServer => {
-                // Delays the bytes until the mode is `Pass` again.
-                let recovered = modes.wait_for(|mode| *mode == ProxyMode::Pass).await;
-                if recovered.is_err() {
-                    return ForwardEnd::Closed;
-                }
-            }
-        }
-        if to.write_all(&buffer[..read]).await.is_err() {
-            return ForwardEnd::Closed;
-        }
-    }
-}
-
-fn transmit_time(bytes: usize) -> Duration {
-    Duration::from_secs_f64(bytes as f64 / NARROW_BYTES_PER_S)
-}
-
 /// Resets a connection whose read half is dropped next. Without this, dropping the write half would close the
 /// connection normally, and a truncated response without a length would look complete.
 pub(in crate::bench) fn reset(to: OwnedWriteHalf) {
--- a/src/bench/soak/answer_link.rs
+++ b/src/bench/soak/answer_link.rs
@@ -2,6 +2,7 @@
 
 use super::answer_fault::{AnswerFault, ends_inside_event, without_length};
 use super::link_listener::accept_all;
+use super::request_forward::forward_requests;
 use crate::Result;
 use crate::bench::links::{connect_as, reset};
 use crate::bench::site::{IncarnationSwitch, message_end};
@@ -98,30 +99,6 @@
     }
 }
 
-/// Forwards requests and signals their arrival.
-async fn forward_requests(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    request_signal: watch::Sender<()>,
-) -> Result<()> {
-    let mut buffer = BytesMut::new();
-    loop {
-        match from.read_buf(&mut buffer).await {
-            Ok(0) => return Ok(()),
-            Ok(_) => {}
-            Err(error) => {
-                // What waits on the way to the server is lost.
-                reset(to);
-                return Err(error.into());
-            }
-        }
-        // The signal comes before the request is forwarded, and thus before the server can answer it.
-        request_signal.send_replace(());
-        to.write_all(&buffer).await?;
-        buffer.clear();
-    }
-}
-
 /// An answer that will be sent a second time.
 #[derive(Debug)]
 struct PendingCopy {
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -25,6 +25,7 @@
 mod propagation_probe;
 mod removal_check;
 mod repeat_check;
+mod request_forward;
 mod server_cut;
 mod server_cut_check;
 mod server_silence;
