Connections: one stream with a mark and a meter

ResetStream and MeteredStream each forwarded the same calls to the stream that they wrapped, one inside the other. One stream has both now (ConnectionStream); links between hosts have no meter, as before. No behaviour changes: endless_answers 30, abandoned_calls 5, abandoned_ends 3, abandoned_tunnels 3, tunnels 7, peers 8, answer_ends 6, foreign_answers 12, request_bodies 2, severed_connections 3 pass.

--- a/src/connections/reset_stream.rs
+++ b/src/connections/connection_stream.rs
@@ -1,51 +1,39 @@
-use std::io::{IoSlice, Result};
+use super::read_meter::{ReadMeter, UndeliveredBytes};
+use super::reset_mark::ResetMark;
+use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Tells a stream whether its end is a reset.
-#[derive(Debug, Clone, Default)]
-pub struct ResetMark(Arc<AtomicBool>);
-
-impl ResetMark {
-    /// From now on the end of the stream is a reset.
-    pub fn set(&self) {
-        self.0.store(true, Ordering::Release);
-    }
-
-    /// From now on the stream ends properly.
-    pub fn clear(&self) {
-        self.0.store(false, Ordering::Release);
-    }
-
-    fn is_set(&self) -> bool {
-        self.0.load(Ordering::Acquire)
-    }
-}
-
 /// A stream that is reset if it ends while its mark is set, or because the process is killed: the kernel would otherwise go
 /// on sending what a cut holds up, and deliver it seconds after it was given up.
 ///
 /// A server that is still reading a request gets an error and does not run it. One that has received all of it may run it,
 /// and learns of the reset when it answers or reads on.
 #[derive(Debug)]
-pub struct ResetStream<S> {
+pub struct ConnectionStream<S> {
     stream: S,
     mark: ResetMark,
+    /// Counts what is read, where that is bounded.
+    meter: Option<ReadMeter>,
     /// Makes dropping the stream a proper end; without it, it is a reset.
     end_properly: fn(&S),
 }
 
-impl<S> ResetStream<S> {
+impl<S> ConnectionStream<S> {
     /// Wraps a stream whose end is a reset until `end_properly` is called.
     pub fn new(stream: S, mark: ResetMark, end_properly: fn(&S)) -> Self {
-        Self { stream, mark, end_properly }
+        Self { stream, mark, meter: None, end_properly }
+    }
+
+    /// Counts what is read, and ends the connection if too much of it becomes no part of an answer.
+    pub fn with_meter(mut self, meter: ReadMeter) -> Self {
+        self.meter = Some(meter);
+        self
     }
 }
 
-impl<S> Drop for ResetStream<S> {
+impl<S> Drop for ConnectionStream<S> {
     fn drop(&mut self) {
         if !self.mark.is_set() {
             (self.end_properly)(&self.stream);
@@ -53,17 +41,23 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for ResetStream<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for ConnectionStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
+        if self.meter.as_ref().is_none_or(|meter| meter.record(read)) {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(Err(Error::new(ErrorKind::InvalidData, UndeliveredBytes)))
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for ResetStream<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for ConnectionStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/connections/mod.rs
+++ b/src/connections/mod.rs
@@ -1,8 +1,12 @@
 //! Streams of connections to servers and to other daemons, and how they end.
 
-mod reset_stream;
+mod connection_stream;
+mod read_meter;
+mod reset_mark;
 
-pub use reset_stream::{ResetMark, ResetStream};
+pub use connection_stream::ConnectionStream;
+pub use read_meter::{ReadMeter, UndeliveredBytes};
+pub use reset_mark::ResetMark;
 
 use socket2::SockRef;
 use std::io::Result;
--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -3,9 +3,8 @@
 use super::idle_connections::{
     CallSender, DEFAULT_KEEP_ALIVE, IdleConnections, PooledConnection, keep_alive_time,
 };
-use super::metered_stream::{MeteredStream, ReadMeter};
 use super::pooled_body::{BodySource, MAX_ANSWER_BYTES, PooledBody, ReturnPath};
-use crate::connections::{ResetMark, ResetStream, end_properly, reset_at_end};
+use crate::connections::{ConnectionStream, ReadMeter, ResetMark, end_properly, reset_at_end};
 use crate::held_bytes::ByteBudget;
 use crate::server_paths::ConnectionPath;
 use crate::{Error, Result};
@@ -79,8 +78,8 @@
         end_properly: fn(&S),
     ) -> Result<Self> {
         let (mark, meter) = (ResetMark::default(), ReadMeter::default());
-        let stream = ResetStream::new(stream, mark.clone(), end_properly);
-        let stream = MeteredStream::new(stream, meter.clone());
+        let stream = ConnectionStream::new(stream, mark.clone(), end_properly);
+        let stream = stream.with_meter(meter.clone());
         Ok(Self { sender: start_http(stream).await?, path, mark, meter })
     }
 
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,7 +1,6 @@
-use super::metered_stream::ReadMeter;
 use super::pending_call::{CallRecord, PendingCall};
 use super::{DialedConnection, PathRecord};
-use crate::connections::ResetMark;
+use crate::connections::{ReadMeter, ResetMark};
 use crate::keys::{TimePoint, stable_hash};
 use crate::server_paths::ConnectionPath;
 use bytes::Bytes;
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -10,7 +10,6 @@
 mod http_pool;
 mod idle_connections;
 mod line_stream;
-mod metered_stream;
 mod path_record;
 mod pending_call;
 mod pooled_body;
@@ -24,7 +23,6 @@
 };
 pub use http_pool::{ALL_ANSWERS_BYTES, DialedConnection, HttpPool, SendLimits};
 pub use line_stream::LineStream;
-pub(crate) use metered_stream::UndeliveredBytes;
 pub use path_record::PathRecord;
 pub use pooled_body::{MAX_ANSWER_BYTES, PooledBody, has_explicit_end};
 pub use single_call::SingleCall;
--- a/src/engines/pooled_body.rs
+++ b/src/engines/pooled_body.rs
@@ -1,6 +1,5 @@
 use super::idle_connections::{IdleConnections, PooledConnection};
-use super::metered_stream::ReadMeter;
-use crate::connections::ResetMark;
+use crate::connections::{ReadMeter, ResetMark};
 use crate::held_bytes::{BodyBuffer, ByteBudget};
 use crate::{Error, Result};
 use bytes::Bytes;
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,6 +1,7 @@
 //! The error type of this crate.
 
-use crate::engines::{AnswerOwner, UndeliveredBytes};
+use crate::connections::UndeliveredBytes;
+use crate::engines::AnswerOwner;
 use crate::settings::SettingsFindings;
 use http::StatusCode;
 
--- a/src/peers/link_driver.rs
+++ b/src/peers/link_driver.rs
@@ -1,6 +1,6 @@
 //! Keeps a connection to another daemon going, and resets it if the other daemon does not answer on it.
 
-use crate::connections::{ResetMark, ResetStream};
+use crate::connections::{ConnectionStream, ResetMark};
 use bytes::Bytes;
 use h2::client::Connection;
 use h2::{Ping, PingPong};
@@ -63,7 +63,7 @@
 /// Drives a connection to its end, or until the other daemon leaves a ping unanswered that was sent for a doubt; the
 /// connection is reset then. The calls on the connection report the error.
 pub(super) async fn drive_link(
-    mut connection: Connection<ResetStream<TcpStream>, Bytes>,
+    mut connection: Connection<ConnectionStream<TcpStream>, Bytes>,
     doubt: LinkDoubt,
 ) {
     let Some(ping_pong) = connection.ping_pong() else { return };
--- a/src/peers/peer_client.rs
+++ b/src/peers/peer_client.rs
@@ -2,7 +2,7 @@
 use super::peer_link::{PeerConnection, PeerLink};
 use super::proof::prove_as_client;
 use super::{decode, encode};
-use crate::connections::{ResetStream, end_properly, reset_at_end};
+use crate::connections::{ConnectionStream, end_properly, reset_at_end};
 use crate::keys::{HostClock, TimePoint};
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -222,7 +222,7 @@
             reset_at_end(&stream)?;
             prove_as_client(&mut stream, &self.key).await?;
             let doubt = LinkDoubt::default();
-            let stream = ResetStream::new(stream, doubt.mark(), end_properly);
+            let stream = ConnectionStream::new(stream, doubt.mark(), end_properly);
             let (sender, connection) = h2::client::Builder::new()
                 .initial_window_size(WINDOW_BYTES)
                 .initial_connection_window_size(WINDOW_BYTES)
