--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -1,42 +1,13 @@
 //! The view of the backend servers: changes, entries that expire near an outage, and updates between hosts.
 
 use std::time::Duration;
-use tealcleat::fleet::{FleetChange, FleetView, ServerEntry, ServerState};
-use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::fleet::{FleetChange, FleetView, ServerState};
+use tealcleat::keys::ServerKey;
 use tealcleat::membership::ViewMark;
 
-fn at(millis: u64) -> TimePoint {
-    TimePoint::from_millis(millis)
-}
-
-fn server(id: &str, state: ServerState) -> ServerEntry {
-    ServerEntry {
-        id: id.to_owned(),
-        started_at: None,
-        version: "v1".to_owned(),
-        service: NameKey::of("app"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: NameKey::of("a"),
-        state,
-        stage: None,
-        slots: 4,
-        cold_ms: 0,
-    }
-}
+mod view_common;
 
-fn ready_ids(view: &FleetView) -> Vec<String> {
-    let mut ids: Vec<String> =
-        view.ready(NameKey::of("app")).map(|entry| entry.id.clone()).collect();
-    ids.sort();
-    ids
-}
-
-fn view_of(ids: &[&str]) -> FleetView {
-    let mut view = FleetView::default();
-    let entries = ids.iter().map(|id| server(id, ServerState::Ready)).collect();
-    view.replace_all(at(0), 10, entries);
-    view
-}
+use view_common::{at, ready_ids, server, view_of};
 
 /// An unusable entry has not expired, so its server is removed at once even near an outage.
 #[test]
--- a/tests/returning_hosts.rs
+++ b/tests/returning_hosts.rs
@@ -5,40 +5,12 @@
 
 use rstest::rstest;
 use std::time::Duration;
-use tealcleat::fleet::{FleetChange, FleetView, ServerEntry, ServerState};
-use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::fleet::{FleetChange, FleetView, ServerEntry};
+use tealcleat::keys::{NameKey, ServerKey};
 
-fn at(millis: u64) -> TimePoint {
-    TimePoint::from_millis(millis)
-}
-
-fn server(id: &str) -> ServerEntry {
-    ServerEntry {
-        id: id.to_owned(),
-        started_at: None,
-        version: "v1".to_owned(),
-        service: NameKey::of("app"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: NameKey::of("a"),
-        state: ServerState::Ready,
-        stage: None,
-        slots: 4,
-        cold_ms: 0,
-    }
-}
+mod view_common;
 
-fn view_of(ids: &[&str]) -> FleetView {
-    let mut view = FleetView::default();
-    view.replace_all(at(0), 10, ids.iter().map(|id| server(id)).collect());
-    view
-}
-
-fn ready_ids(view: &FleetView) -> Vec<String> {
-    let mut ids: Vec<String> =
-        view.ready(NameKey::of("app")).map(|entry| entry.id.clone()).collect();
-    ids.sort();
-    ids
-}
+use view_common::{at, ready_ids, ready_server, view_of};
 
 /// A view whose host hears of the store from other hosts until `from`, and again from `until` on.
 fn silent_view(from: u64, until: u64) -> FleetView {
@@ -59,7 +31,7 @@
     let mut returning = view_of(&["a", "b"]);
     returning.record_store_answer(at(100), Duration::ZERO);
     returning.record_store_answer(at(5600), Duration::ZERO);
-    returning.replace_all(at(5610), 14, vec![server("b")]);
+    returning.replace_all(at(5610), 14, vec![ready_server("b")]);
     let mut steady = view_of(&["a", "b"]);
     steady.apply(at(2000), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
     steady.apply_update(at(5650), returning.update_since(at(5650), since));
@@ -73,7 +45,7 @@
     let mut returning = view_of(&["a", "b"]);
     returning.record_store_answer(at(100), Duration::ZERO);
     returning.record_store_answer(at(5600), Duration::ZERO);
-    returning.replace_all(at(5610), 14, vec![server("b")]);
+    returning.replace_all(at(5610), 14, vec![ready_server("b")]);
     let mut watcher = view_of(&["a", "b"]);
     watcher.apply(at(2000), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
     let mut steady = view_of(&["a", "b"]);
@@ -87,7 +59,7 @@
 fn returning_host_removes_a_server_at_once() {
     let mut view = silent_view(1000, 6500);
     view.record_store_answer(at(6510), Duration::ZERO);
-    view.replace_all(at(6520), 14, vec![server("b")]);
+    view.replace_all(at(6520), 14, vec![ready_server("b")]);
     assert_eq!(ready_ids(&view), ["b"]);
 }
 
@@ -99,7 +71,7 @@
     watcher.apply(at(2000), 11, vec![FleetChange::Removed(ServerKey::of("a"))]);
     steady.apply_update(at(2100), watcher.update_since(at(2100), 10));
     assert_eq!(ready_ids(&steady), ["b"]);
-    watcher.apply(at(3000), 12, vec![FleetChange::Updated(server("a"))]);
+    watcher.apply(at(3000), 12, vec![FleetChange::Updated(ready_server("a"))]);
     steady.apply_update(at(3100), watcher.update_since(at(3100), 11));
     assert_eq!(ready_ids(&steady), ["a", "b"]);
 }
@@ -113,7 +85,7 @@
         view.record_store_answer(at(millis), Duration::from_millis(millis - 50));
     }
     view.record_store_answer(at(6100), Duration::ZERO);
-    view.replace_all(at(6110), 14, vec![server("b")]);
+    view.replace_all(at(6110), 14, vec![ready_server("b")]);
     assert_eq!(ready_ids(&view), ["a", "b"], "it may come back");
 }
 
@@ -128,7 +100,7 @@
     let mut returning = view_of(&ids);
     returning.record_store_answer(at(100), Duration::ZERO);
     returning.record_store_answer(at(5600), Duration::ZERO);
-    returning.replace_all(at(5610), 10 + LEAVING + 5, vec![server("b")]);
+    returning.replace_all(at(5610), 10 + LEAVING + 5, vec![ready_server("b")]);
     let mut steady = view_of(&ids);
     let leaving = ids.iter().filter(|id| **id != "b").zip(11..);
     for (id, revision) in leaving {
@@ -144,7 +116,7 @@
     let mut watcher = view_of(&["a", "b"]);
     watcher.record_store_answer(at(100), Duration::ZERO);
     watcher.record_store_answer(at(5600), Duration::ZERO);
-    watcher.replace_all(at(5610), 14, vec![server("b")]);
+    watcher.replace_all(at(5610), 14, vec![ready_server("b")]);
     let mut fresh = FleetView::default();
     fresh.apply_update(at(5650), watcher.update_since(at(5650), 0));
     assert_eq!(ready_ids(&fresh), ["a", "b"]);
@@ -154,9 +126,9 @@
 /// domains that had left. The entries of their own servers expired with the cut.
 #[test]
 fn returning_domain_keeps_its_own_servers_only() {
-    let own = ServerEntry { domain: NameKey::of("own"), ..server("c") };
+    let own = ServerEntry { domain: NameKey::of("own"), ..ready_server("c") };
     let mut view = FleetView::in_domain(NameKey::of("own"));
-    view.replace_all(at(0), 10, vec![server("a"), server("b"), own]);
+    view.replace_all(at(0), 10, vec![ready_server("a"), ready_server("b"), own]);
     for millis in (0..=1000).step_by(500) {
         view.record_store_answer(at(millis), Duration::from_millis(100));
     }
@@ -164,7 +136,7 @@
         view.record_domain_statement(at(millis), Duration::from_millis(millis - 900));
     }
     view.record_store_answer(at(6510), Duration::ZERO);
-    view.replace_all(at(6520), 14, vec![server("b")]);
+    view.replace_all(at(6520), 14, vec![ready_server("b")]);
     assert_eq!(ready_ids(&view), ["b", "c"]);
 }
 
@@ -172,11 +144,11 @@
 #[test]
 fn gap_of_the_only_domain_is_an_outage() {
     let mut view = FleetView::in_domain(NameKey::of("a"));
-    view.replace_all(at(0), 10, vec![server("a"), server("b")]);
+    view.replace_all(at(0), 10, vec![ready_server("a"), ready_server("b")]);
     for millis in (500..=6000).step_by(500) {
         view.record_domain_statement(at(millis), Duration::from_millis(millis));
     }
     view.record_store_answer(at(6100), Duration::ZERO);
-    view.replace_all(at(6110), 14, vec![server("b")]);
+    view.replace_all(at(6110), 14, vec![ready_server("b")]);
     assert_eq!(ready_ids(&view), ["a", "b"], "it may come back");
 }
--- a/tests/spanning_lists.rs
+++ b/tests/spanning_lists.rs
@@ -5,42 +5,20 @@
 
 use rstest::rstest;
 use tealcleat::fleet::{FleetChange, FleetView, ListSpan, ServerEntry, ServerState};
-use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::keys::ServerKey;
+
+mod view_common;
+
+use view_common::{at, ready_ids, ready_server, server, view_of};
 
 /// Revisions of the first and of the last page.
 const SPAN: ListSpan = ListSpan { first: 10, last: 14 };
 /// Revision of the change between the two.
 const CHANGED_AT: u64 = 12;
 
-fn at(millis: u64) -> TimePoint {
-    TimePoint::from_millis(millis)
-}
-
-fn server(id: &str, state: ServerState) -> ServerEntry {
-    ServerEntry {
-        id: id.to_owned(),
-        started_at: None,
-        version: "v1".to_owned(),
-        service: NameKey::of("app"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: NameKey::of("a"),
-        state,
-        stage: None,
-        slots: 4,
-        cold_ms: 0,
-    }
-}
-
-fn ready_ids(view: &FleetView) -> Vec<String> {
-    view.ready(NameKey::of("app")).map(|entry| entry.id.clone()).collect()
-}
-
 /// The view of a host that has seen all servers at the revision of the first page.
 fn follower() -> FleetView {
-    let mut view = FleetView::default();
-    let entries = ["a", "b"].map(|id| server(id, ServerState::Ready)).to_vec();
-    view.replace_all(at(0), SPAN.first, entries);
-    view
+    view_of(&["a", "b"])
 }
 
 /// The change of server `a` that the last page holds already, as an event and as listed entries.
@@ -65,7 +43,7 @@
             Self::Draining => Some(server("a", ServerState::Draining)),
             Self::Removed | Self::Unusable => None,
         };
-        changed.into_iter().chain([server("b", ServerState::Ready)]).collect()
+        changed.into_iter().chain([ready_server("b")]).collect()
     }
 }
 
@@ -112,7 +90,7 @@
 fn return_within_a_listing_reaches_followers() {
     let mut lister = follower();
     list(&mut lister, Change::Removed);
-    let returned = FleetChange::Updated(server("a", ServerState::Ready));
+    let returned = FleetChange::Updated(ready_server("a"));
     lister.apply(at(200), 13, vec![FleetChange::Removed(ServerKey::of("a")), returned]);
     let mut follower = follower();
     follower.apply_update(at(300), lister.update_since(at(300), follower.revision()));
@@ -125,8 +103,8 @@
 fn server_that_came_and_left_before_a_listing_is_removed_at_followers() {
     let mut lister = follower();
     let mut follower = follower();
-    follower.apply(at(100), 12, vec![FleetChange::Updated(server("c", ServerState::Ready))]);
-    lister.replace_all(at(200), 20, ["a", "b"].map(|id| server(id, ServerState::Ready)).to_vec());
+    follower.apply(at(100), 12, vec![FleetChange::Updated(ready_server("c"))]);
+    lister.replace_all(at(200), 20, ["a", "b"].map(ready_server).to_vec());
     follower.apply_update(at(300), lister.update_since(at(300), follower.revision()));
     assert_eq!(ready_ids(&follower), ["a", "b"]);
 }
@@ -136,7 +114,7 @@
 fn hosts_with_the_listed_revision_get_single_changes() {
     let mut lister = follower();
     list(&mut lister, Change::Draining);
-    lister.apply(at(200), 15, vec![FleetChange::Updated(server("c", ServerState::Ready))]);
+    lister.apply(at(200), 15, vec![FleetChange::Updated(ready_server("c"))]);
     let update = lister.update_since(at(300), SPAN.last);
     assert!(update.is_partial);
     assert_eq!(update.servers.len(), 1);
--- a/tests/view_model.rs
+++ b/tests/view_model.rs
@@ -7,12 +7,14 @@
 use proptest_state_machine::prop_state_machine;
 use std::collections::HashMap;
 use std::time::Duration;
-use tealcleat::fleet::{FleetChange, FleetUpdate, FleetView, ServerEntry, ServerState};
-use tealcleat::keys::{NameKey, ServerKey, TimePoint};
+use tealcleat::fleet::{FleetChange, FleetUpdate, FleetView, ServerEntry};
+use tealcleat::keys::{ServerKey, TimePoint};
 
 mod model_common;
+mod view_common;
 
 use model_common::{ModelTest, ModelWorld, model_config};
+use view_common::ready_server;
 
 const HOSTS: usize = 3;
 const SERVERS: [&str; 2] = ["i-1", "i-2"];
@@ -62,18 +64,7 @@
 }
 
 fn entry(index: usize) -> ServerEntry {
-    ServerEntry {
-        id: SERVERS[index].to_owned(),
-        started_at: None,
-        version: "v1".to_owned(),
-        service: NameKey::of("app"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: NameKey::of("a"),
-        state: ServerState::Ready,
-        stage: None,
-        slots: 4,
-        cold_ms: 0,
-    }
+    ready_server(SERVERS[index])
 }
 
 fn change(index: usize, is_present: bool) -> FleetChange {
