--- a/tests/health_common/mod.rs
+++ b/tests/health_common/mod.rs
@@ -200,3 +200,24 @@
     let body = bincode::serde::encode_to_vec(report, config).expect("it can be encoded").len();
     body as u64 + 1 + 16 + 28
 }
+
+/// Hosts of a small group: three in each failure domain.
+pub const HOSTS: usize = 9;
+
+pub fn plain_servers(count: usize) -> Vec<ServerEntry> {
+    (0..count).map(|index| server(index, None)).collect()
+}
+
+pub fn group(servers: usize) -> HostGroup {
+    HostGroup::new(HOSTS, plain_servers(servers))
+}
+
+/// A group in which two hosts of the domain of server 0 have reported it at 0 and 10 ms.
+pub fn group_excluding_first() -> HostGroup {
+    let mut group = group(3);
+    group.observe(at(0), 0, 0, ServerEvent::BrokeOff);
+    group.run(0, 10);
+    group.observe(at(10), 3, 0, ServerEvent::BrokeOff);
+    group.run(10, 30);
+    group
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,48 +2,18 @@
 
 use rstest::rstest;
 use std::time::{Duration, SystemTime};
-use tealcleat::keys::{NameKey, RequestKey, ServerKey, TimePoint};
+use tealcleat::keys::RequestKey;
 use tealcleat::platform::{CrashCopy, encode_crashes};
-use tealcleat::quarantine::{CRASH_RETENTION, CrashReport, CrashTracker, TRIAL_DELAY};
+use tealcleat::quarantine::{CRASH_RETENTION, CrashTracker, TRIAL_DELAY};
+
+mod tracker_common;
+
+use tracker_common::{CRASHER, at, request, server, tracker_against, tracker_of};
 
 /// Maximum number of bytes in a datagram between hosts.
 const MAX_DATAGRAM: usize = 4096;
 /// Maximum number of bytes of a value in the users' store.
 const MAX_VALUE: usize = 1 << 20;
-const CRASHER: RequestKey = RequestKey(u64::MAX);
-
-fn at(millis: u64) -> TimePoint {
-    TimePoint::from_millis(100_000 + millis)
-}
-
-fn server(number: u64) -> ServerKey {
-    NameKey(0xa000_0000_0000_0000 + number)
-}
-
-fn request(number: u64) -> RequestKey {
-    RequestKey(0xb000_0000_0000_0000 + number)
-}
-
-/// A tracker of crashes a second apart, each with the requests in flight.
-fn tracker_of(crashes: &[&[RequestKey]]) -> CrashTracker {
-    let mut tracker = CrashTracker::default();
-    for (requests, number) in crashes.iter().zip(0..) {
-        for request in *requests {
-            tracker.record_crash(at(1000 * number), server(number), *request);
-        }
-    }
-    tracker
-}
-
-/// A tracker of `count` crashes with only the crasher in flight.
-fn tracker_against(count: u64) -> CrashTracker {
-    let crashes: Vec<&[RequestKey]> = (0..count).map(|_| &[CRASHER][..]).collect();
-    tracker_of(&crashes)
-}
-
-fn unsent(tracker: &mut CrashTracker, now: TimePoint) -> CrashReport {
-    tracker.unsent(now)
-}
 
 #[rstest]
 #[case::two(2, false)]
@@ -143,63 +113,6 @@
     assert!(tracker.is_held(CRASHER));
 }
 
-#[test]
-fn crashes_seen_by_several_hosts_add_up() {
-    let mut trackers: Vec<CrashTracker> = (0..3).map(|_| CrashTracker::default()).collect();
-    for (tracker, number) in trackers.iter_mut().zip(0..) {
-        tracker.record_crash(at(number), server(number), CRASHER);
-    }
-    let reports: Vec<CrashReport> =
-        trackers.iter_mut().map(|tracker| unsent(tracker, at(10))).collect();
-    for tracker in &mut trackers {
-        for report in &reports {
-            tracker.merge(at(20), report);
-        }
-        assert!(tracker.is_held(CRASHER));
-    }
-}
-
-#[test]
-fn updates_forwarded_by_receivers() {
-    let mut first = tracker_against(3);
-    let mut second = CrashTracker::default();
-    second.merge(at(4000), &unsent(&mut first, at(4000)));
-    let mut third = CrashTracker::default();
-    third.merge(at(4100), &unsent(&mut second, at(4100)));
-    assert!(third.is_held(CRASHER));
-}
-
-#[test]
-fn updates_resent_for_a_limited_time() {
-    let mut tracker = tracker_against(3);
-    while !unsent(&mut tracker, at(3000)).is_empty() {}
-    assert!(!unsent(&mut tracker, at(12_000)).is_empty());
-    assert!(unsent(&mut tracker, at(60_000)).is_empty());
-}
-
-#[test]
-fn clearance_reaches_other_hosts_and_outlives_older_updates() {
-    let mut first_host = tracker_against(3);
-    let old = first_host.full_report(at(3000));
-    let mut serving_host = first_host.clone();
-    serving_host.record_served(at(4000), CRASHER);
-    first_host.merge(at(4100), &unsent(&mut serving_host, at(4100)));
-    assert!(!first_host.is_held(CRASHER));
-    first_host.merge(at(4200), &old);
-    assert!(!first_host.is_held(CRASHER));
-}
-
-#[test]
-fn clearance_by_a_host_that_served_the_request_before_the_update() {
-    let mut serving_host = CrashTracker::default();
-    serving_host.record_served(at(2900), CRASHER);
-    let mut first_host = tracker_against(3);
-    serving_host.merge(at(3000), &unsent(&mut first_host, at(3000)));
-    assert!(!serving_host.is_held(CRASHER));
-    first_host.merge(at(3100), &unsent(&mut serving_host, at(3100)));
-    assert!(!first_host.is_held(CRASHER));
-}
-
 /// Of two requests that are in flight together at all crashes, either may be the cause, or both.
 #[test]
 fn request_never_alone_at_a_crash_tried_once() {
@@ -233,18 +146,6 @@
     assert!(unreturned.is_empty());
 }
 
-#[test]
-fn return_sent_to_other_hosts() {
-    let retention_ms = CRASH_RETENTION.as_millis() as u64;
-    let mut tracker = tracker_against(3);
-    let mut other = tracker.clone();
-    while !unsent(&mut tracker, at(30_000)).is_empty() {}
-    tracker.record_return(at(retention_ms / 2), CRASHER);
-    other.merge(at(retention_ms / 2), &unsent(&mut tracker, at(retention_ms / 2)));
-    other.expire(at(retention_ms + 3000));
-    assert!(other.is_held(CRASHER));
-}
-
 /// Each new request crashes three servers while many others are in flight. Their number is a hundred times what is kept.
 #[test]
 fn memory_and_updates_bounded_under_a_flood() {
@@ -263,7 +164,7 @@
         }
         if number % 100 == 0 {
             tracker.record_return(now, CRASHER);
-            let report = unsent(&mut tracker, now);
+            let report = tracker.unsent(now);
             let bytes = bincode::serde::encode_to_vec(&report, bincode::config::standard());
             longest = longest.max(bytes.expect("bytes").len());
         }
@@ -285,7 +186,7 @@
     }
     let report = tracker.full_report(at(1));
     assert_eq!(report.crashes[0].requests.len(), 64);
-    assert!(!unsent(&mut tracker, at(1)).is_empty(), "even the largest record is sent");
+    assert!(!tracker.unsent(at(1)).is_empty(), "even the largest record is sent");
 }
 
 #[test]
--- a/tests/server_choice.rs
+++ b/tests/server_choice.rs
@@ -218,57 +218,6 @@
     );
 }
 
-/// Guards against timeouts in partitioned domains: without a breaker for the whole domain, 188 hold
-/// requests of 0.2 s each went unanswered.
-#[test]
-fn domain_breaker_opened_by_two_unresponsive_servers() {
-    let far = NameKey::of("far");
-    let mut domains = DomainBreakers::default();
-    assert!(!domains.record_unresponsive(at(0), far, ServerKey::of("a"), false));
-    assert!(domains.admits(at(10), far), "a single server may have crashed");
-    assert!(domains.record_unresponsive(at(200), far, ServerKey::of("b"), false));
-    assert!(!domains.admits(at(210), far));
-    assert!(domains.admits(at(210), NameKey::of("other")));
-    assert!(domains.admits(at(710), far), "a trial is admitted");
-    domains.record_sent(at(710), far);
-    assert!(!domains.admits(at(720), far), "only one trial at a time");
-    assert!(
-        !domains.record_unresponsive(at(910), far, ServerKey::of("a"), false),
-        "the breaker was already open"
-    );
-    assert!(!domains.admits(at(1500), far), "the pause has doubled");
-    domains.record_answer(far);
-    assert!(domains.admits(at(1500), far));
-}
-
-/// Guards against a host that reaches no server and refuses all its callers: calls through hosts that were cut off as well
-/// went unanswered, and opened the breaker of the servers' domain.
-#[test]
-fn domain_breaker_not_opened_by_a_host_that_is_cut_off() {
-    let far = NameKey::of("far");
-    let mut domains = DomainBreakers::default();
-    assert!(!domains.record_unresponsive(at(0), far, ServerKey::of("a"), true));
-    assert!(!domains.record_unresponsive(at(200), far, ServerKey::of("b"), true));
-    assert!(domains.admits(at(210), far));
-    assert!(!domains.record_unresponsive(at(300), far, ServerKey::of("b"), false));
-    assert!(domains.admits(at(310), far), "what it recorded meanwhile does not count either");
-}
-
-#[rstest]
-#[case::same_server("a", 200, false)]
-#[case::much_later("b", 1200, false)]
-#[case::answer_between("b", 200, true)]
-fn domain_breaker_stays_closed(#[case] second: &str, #[case] millis: u64, #[case] answered: bool) {
-    let far = NameKey::of("far");
-    let mut domains = DomainBreakers::default();
-    domains.record_unresponsive(at(0), far, ServerKey::of("a"), false);
-    if answered {
-        domains.record_answer(far);
-    }
-    assert!(!domains.record_unresponsive(at(millis), far, ServerKey::of(second), false));
-    assert!(domains.admits(at(millis + 1), far));
-}
-
 /// A refusal does not predict the next one, so the server with the most known free memory stays
 /// first.
 #[test]
@@ -321,34 +270,3 @@
     loads.expire(at(1600));
     assert_eq!(loads.total(ServerKey::of("busy")), ServerLoad::default());
 }
-
-/// Hundreds of hosts announce their loads repeatedly. The totals that are maintained incrementally
-/// must equal the sum of the latest updates.
-#[test]
-fn load_totals_correct_after_many_updates() {
-    let key = |server: u64| NameKey(server % 7);
-    let mut loads = LoadTable::default();
-    for round in 0..50_u64 {
-        for host in 0..40_u64 {
-            let update =
-                (0..host % 4).map(|turn| (key(host + round + turn), memory(100))).collect();
-            loads.apply_update(at(round * 20), IncarnationId(host), round, update);
-        }
-    }
-    let total: u32 = (0..7).map(|server| loads.total(NameKey(server)).memory_tokens).sum();
-    assert_eq!(total, 100 * (0..40).map(|host| host % 4).sum::<u32>());
-    loads.expire(at(10_000));
-    assert!((0..7).all(|server| loads.total(NameKey(server)) == ServerLoad::default()));
-}
-
-#[test]
-fn load_of_this_host_removed_again() {
-    let key = ServerKey::of("a");
-    let mut loads = LoadTable::default();
-    loads.add(key, memory(100));
-    loads.add(key, memory(50));
-    loads.remove(key, memory(100));
-    assert_eq!(loads.total(key), memory(50));
-    loads.remove(key, memory(50));
-    assert!(loads.heaviest_own(1).is_empty());
-}
--- a/tests/shared_health.rs
+++ b/tests/shared_health.rs
@@ -10,28 +10,9 @@
 
 mod health_common;
 
-use health_common::{HostGroup, at, incarnation, key, server};
-
-/// Hosts of a small group: three in each failure domain.
-const HOSTS: usize = 9;
-
-fn plain_servers(count: usize) -> Vec<ServerEntry> {
-    (0..count).map(|index| server(index, None)).collect()
-}
-
-fn group(servers: usize) -> HostGroup {
-    HostGroup::new(HOSTS, plain_servers(servers))
-}
-
-/// A group in which two hosts of the domain of server 0 have reported it at 0 and 10 ms.
-fn group_excluding_first() -> HostGroup {
-    let mut group = group(3);
-    group.observe(at(0), 0, 0, ServerEvent::BrokeOff);
-    group.run(0, 10);
-    group.observe(at(10), 3, 0, ServerEvent::BrokeOff);
-    group.run(10, 30);
-    group
-}
+use health_common::{
+    HOSTS, HostGroup, at, group, group_excluding_first, incarnation, key, plain_servers, server,
+};
 
 fn report(from: usize, version: u32, entries: &[(usize, ServerObservation, u16)]) -> HealthReport {
     let entry = |(index, observation, age_ms): &(usize, ServerObservation, u16)| HealthEntry {
