--- a/tests/silent_calls.rs
+++ b/tests/silent_calls.rs
@@ -3,76 +3,21 @@
 //! Guards against answers that a host's own decision on silence ends although the server is alive, and against sound
 //! servers that silence alone marks as lost.
 
-use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
-use tealcleat::bench::site::{
-    CallerReply, SiteCall, SitePlan, SiteRun, SiteService, TestSite, call_site, config,
-};
+use tealcleat::bench::site::{CallerReply, SiteCall, SitePlan, SiteService, TestSite};
 use tealcleat::keys::{ServerKey, TimePoint};
 use tealcleat::peers::PeerClient;
 use tealcleat::placement::SilentAttempts;
-use tealcleat::settings::GatewaySettings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::task::JoinHandle;
 
+mod objective_common;
 mod site_common;
 
-use site_common::{call, engine_runs, runtime};
-
-/// The objective of the routes; a call is silent after two of them.
-const OBJECTIVE: Duration = Duration::from_millis(150);
-/// After this time a host counts a read of a prompt as silent.
-const READ_SILENCE: Duration = Duration::from_millis(1500);
-const POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// Ends a test that waits for what does not come.
-const TEST_LIMIT: Duration = Duration::from_secs(10);
-
-/// A site of one host whose routes have a short objective, so that silence is noticed soon.
-async fn site_with(plan: SitePlan, adjust: impl FnOnce(&mut GatewaySettings)) -> Arc<TestSite> {
-    site_of(OBJECTIVE, plan, adjust).await
-}
-
-async fn site_of(
-    objective: Duration,
-    plan: SitePlan,
-    adjust: impl FnOnce(&mut GatewaySettings),
-) -> Arc<TestSite> {
-    let mut site = TestSite::start(SitePlan { hosts: 0, ..plan }).await.expect("it starts");
-    let mut config = config(2);
-    for route in config["routes"].as_array_mut().expect("routes") {
-        route["slo_ms"] = json!(objective.as_millis());
-    }
-    site.set_config(2, &config);
-    site.add_host_with(adjust).await.expect("a host");
-    site.wait_ready().await;
-    Arc::new(site)
-}
-
-/// Hosts that may not send anything again.
-fn deny_repeats(settings: &mut GatewaySettings) {
-    settings.bounds.retries.ratio = 0.0;
-    settings.bounds.retries.slack = 0.0;
-}
-
-fn start_call(site: &Arc<TestSite>, call: SiteCall) -> JoinHandle<CallerReply> {
-    let host = site.hosts[0].callers;
-    tokio::spawn(async move { call_site(host, &call).await.expect("an answer") })
-}
-
-async fn reply_of(caller: JoinHandle<CallerReply>) -> CallerReply {
-    let reply = tokio::time::timeout(TEST_LIMIT, caller).await;
-    reply.expect("the answer comes").expect("the caller ends")
-}
-
-async fn wait_until(is_met: impl Fn() -> bool) {
-    let waiting = async {
-        while !is_met() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    };
-    tokio::time::timeout(TEST_LIMIT, waiting).await.expect("it comes");
-}
+use objective_common::{
+    OBJECTIVE, TEST_LIMIT, deny_repeats, reply_of, site_with, start_call, wait_until,
+};
+use site_common::{call, runtime};
 
 fn arrivals_at(service: &SiteService, id: &str) -> usize {
     service.arrivals.requests().iter().filter(|arrival| arrival.request == id).count()
@@ -94,17 +39,23 @@
     }
 }
 
+/// Calls while all servers stand still; they go on once the call has been silent twice over.
+async fn call_through_silence(site: &Arc<TestSite>, call: SiteCall) -> CallerReply {
+    stall_services(site);
+    let id = call.id.clone();
+    let caller = start_call(site, call);
+    wait_until(|| arrivals(site, &id) == 1).await;
+    tokio::time::sleep(OBJECTIVE * 4).await;
+    release_services(site);
+    reply_of(caller).await
+}
+
 /// Guards against a safe call that ends as `no_answer`, with time left, because its silent server is the only one.
 #[test]
 fn only_server_answers_after_silence() {
     runtime().block_on(async {
         let site = site_with(SitePlan { services: 1, ..SitePlan::default() }, |_| {}).await;
-        stall_services(&site);
-        let caller = start_call(&site, call("GET", "safe", "r1"));
-        wait_until(|| arrivals(&site, "r1") == 1).await;
-        tokio::time::sleep(OBJECTIVE * 4).await;
-        release_services(&site);
-        let reply = reply_of(caller).await;
+        let reply = call_through_silence(&site, call("GET", "safe", "r1")).await;
         assert_eq!((reply.status.as_u16(), &reply.body[..]), (200, &b"/safe/x?y=1 r1"[..]));
         assert_eq!(arrivals(&site, "r1"), 1);
     });
@@ -115,12 +66,7 @@
 fn silent_call_kept_without_retry_budget() {
     runtime().block_on(async {
         let site = site_with(SitePlan::default(), deny_repeats).await;
-        stall_services(&site);
-        let caller = start_call(&site, call("GET", "safe", "r1"));
-        wait_until(|| arrivals(&site, "r1") == 1).await;
-        tokio::time::sleep(OBJECTIVE * 4).await;
-        release_services(&site);
-        let reply = reply_of(caller).await;
+        let reply = call_through_silence(&site, call("GET", "safe", "r1")).await;
         assert_eq!((reply.status.as_u16(), &reply.body[..]), (200, &b"/safe/x?y=1 r1"[..]));
         assert_eq!(arrivals(&site, "r1"), 1);
     });
@@ -149,12 +95,8 @@
 fn unsafe_call_waits_for_its_silent_server() {
     runtime().block_on(async {
         let site = site_with(SitePlan::default(), |_| {}).await;
-        stall_services(&site);
-        let caller = start_call(&site, call("POST", "once", "r1"));
-        wait_until(|| arrivals(&site, "r1") == 1).await;
-        tokio::time::sleep(OBJECTIVE * 4).await;
-        release_services(&site);
-        assert_eq!(reply_of(caller).await.status.as_u16(), 200);
+        let reply = call_through_silence(&site, call("POST", "once", "r1")).await;
+        assert_eq!(reply.status.as_u16(), 200);
         assert_eq!(arrivals(&site, "r1"), 1);
     });
 }
@@ -196,93 +138,6 @@
     assert!(!attempts.is_any_running());
 }
 
-fn stall_prefills(site: &TestSite) {
-    for engine in &site.prefills {
-        engine.stall_gate.stall();
-    }
-}
-
-fn release_prefills(site: &TestSite) {
-    for engine in &site.prefills {
-        engine.stall_gate.release();
-    }
-}
-
-/// Arrivals of a request at prefill engines.
-fn reads(site: &TestSite, id: &str) -> usize {
-    let arrivals = site.prefills.iter().flat_map(|engine| engine.arrivals.requests());
-    arrivals.filter(|arrival| arrival.request == id).count()
-}
-
-fn decode_runs(site: &TestSite, id: &str) -> Vec<SiteRun> {
-    engine_runs(site, id).into_iter().filter(|run| run.stage == "decode").collect()
-}
-
-/// Guards against a stream that is refused as `prompt_not_read`, with time left, because the server that reads its prompt is
-/// silent, while the decode server that holds its memory could read it.
-#[test]
-fn silent_read_left_to_the_decode_server() {
-    runtime().block_on(async {
-        let site = site_with(SitePlan::default(), |_| {}).await;
-        stall_prefills(&site);
-        let reply = reply_of(start_call(&site, call("POST", "stream", "r1"))).await;
-        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
-        assert_eq!((reads(&site, "r1"), decode_runs(&site, "r1").len()), (1, 1));
-    });
-}
-
-/// Guards against the same where the retry budget does not allow the decode server to read the prompt: the read that is in
-/// flight is waited for.
-#[test]
-fn silent_read_kept_without_retry_budget() {
-    runtime().block_on(async {
-        let site = site_with(SitePlan::default(), deny_repeats).await;
-        stall_prefills(&site);
-        let caller = start_call(&site, call("POST", "stream", "r1"));
-        wait_until(|| reads(&site, "r1") == 1).await;
-        tokio::time::sleep(READ_SILENCE).await;
-        release_prefills(&site);
-        let reply = reply_of(caller).await;
-        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
-        let fetched = decode_runs(&site, "r1").iter().map(|run| run.fetched).collect::<Vec<bool>>();
-        assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
-    });
-}
-
-/// Guards against a refusal that is none: a request is refused while its silent read is kept, and then runs.
-#[test]
-fn kept_read_without_answer_never_runs() {
-    runtime().block_on(async {
-        let site = site_with(SitePlan::default(), deny_repeats).await;
-        stall_prefills(&site);
-        let mut short = call("POST", "stream", "r1");
-        short.headers[0].1 = (READ_SILENCE + OBJECTIVE).as_millis().to_string();
-        let reply = reply_of(start_call(&site, short)).await;
-        assert_eq!(reply.status.as_u16(), 503);
-        release_prefills(&site);
-        tokio::time::sleep(OBJECTIVE).await;
-        assert!(decode_runs(&site, "r1").is_empty());
-    });
-}
-
-/// Guards against a stream that is refused for the retry budget while its objective has time left, because its silent read
-/// was given up.
-#[test]
-fn silent_read_in_time_kept_without_retry_budget() {
-    runtime().block_on(async {
-        let site = site_of(READ_SILENCE * 2, SitePlan::default(), deny_repeats).await;
-        stall_prefills(&site);
-        let caller = start_call(&site, call("POST", "stream", "r1"));
-        wait_until(|| reads(&site, "r1") == 1).await;
-        tokio::time::sleep(READ_SILENCE).await;
-        release_prefills(&site);
-        let reply = reply_of(caller).await;
-        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
-        let fetched = decode_runs(&site, "r1").iter().map(|run| run.fetched).collect::<Vec<bool>>();
-        assert_eq!((reads(&site, "r1"), fetched), (1, vec![true]));
-    });
-}
-
 /// Longer than a forwarded connection may be idle in a stop, from when connections begin to be closed.
 const STOP_SILENCE: Duration = Duration::from_millis(4800);
 
@@ -312,23 +167,3 @@
         stopping.await.expect("it stops");
     });
 }
-
-/// Guards against reports that call a server lost because a request with little time left had no answer in that time.
-#[test]
-fn read_out_of_time_is_no_evidence_against_its_server() {
-    runtime().block_on(async {
-        let share = |settings: &mut GatewaySettings| settings.features.shared_health = true;
-        let site = site_with(SitePlan::default(), share).await;
-        stall_prefills(&site);
-        let mut short = call("POST", "stream", "r1");
-        short.headers[0].1 = OBJECTIVE.as_millis().to_string();
-        reply_of(start_call(&site, short)).await;
-        assert_eq!(reads(&site, "r1"), 1);
-        let host = &site.hosts[0].host;
-        let now = host.now();
-        let state = host.state();
-        for engine in &site.prefills {
-            assert!(!state.shared_health.is_doubtful(now, ServerKey::of(&engine.id)));
-        }
-    });
-}
