--- a/tests/health_common/mod.rs
+++ b/tests/health_common/mod.rs
@@ -7,7 +7,9 @@
 use tealcleat::fleet::{FleetView, ServerEntry, ServerStage, ServerState};
 use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint, mix_hash};
 use tealcleat::placement::ServerEvent;
-use tealcleat::shared_health::{HealthReport, PoolStandings, ServerStanding, SharedHealth};
+use tealcleat::shared_health::{
+    HealthEntry, HealthReport, PoolStandings, ServerObservation, ServerStanding, SharedHealth,
+};
 
 /// Failure domains; host and server number `i` is in domain `i` modulo 3.
 pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
@@ -221,3 +223,16 @@
     group.run(10, 30);
     group
 }
+
+pub fn report(
+    from: usize,
+    version: u32,
+    entries: &[(usize, ServerObservation, u16)],
+) -> HealthReport {
+    let entry = |(index, observation, age_ms): &(usize, ServerObservation, u16)| HealthEntry {
+        server: key(*index),
+        observation: *observation,
+        age_ms: *age_ms,
+    };
+    HealthReport { from: incarnation(from), version, entries: entries.iter().map(entry).collect() }
+}
