Stops: the log names each request and connection that an exit cuts off

Each request, each connection that is still written and each forwarded connection has an entry with the time at which it began; a request's entry has its id, server, events relayed and what it waits for. At the exit the oldest hundred get a line each, the rest is counted. These lines are not dropped for the rate of lines, and the process waits up to 0.1 s until the writer thread has written them (before: 30 ms, whatever was queued).

--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -38,6 +38,8 @@
     pub advertised: Option<SocketAddr>,
     /// Longest time for which a revoked key may still be served, if that is bounded.
     pub revocation: Option<Duration>,
+    /// How long after SIGTERM the platform kills it.
+    pub grace: Duration,
     /// Bounds on retries; `None` leaves room for all.
     pub retries: Option<RetryBounds>,
     /// Decisions under load that are switched on.
@@ -46,6 +48,9 @@
     pub environment: &'a [(String, String)],
 }
 
+/// The grace period of the users' deployments.
+pub const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+
 /// Bounds on retries that no test reaches.
 const AMPLE_RETRIES: RetryBounds =
     RetryBounds { ratio: 0.2, slack: 500.0, window: Duration::from_secs(10), domains: 3 };
@@ -102,13 +107,14 @@
             .iter()
             .map(|(name, is_on)| format!("\"{name}\": {is_on}, "))
             .collect();
+        let grace = plan.grace.as_secs_f64();
         let retries = plan.retries.unwrap_or(AMPLE_RETRIES);
         let (ratio, slack, window) = (retries.ratio, retries.slack, retries.window.as_secs_f64());
         let text = format!(
             "{{\"kind\": \"gateway\", \"host\": \"{}\", \"domain\": \"{}\",\n\
              \"callers_listen\": \"{}\", \"ready_listen\": \"{}\", \"peers_listen\": \"{}\",\n\
              \"metrics_listen\": \"{}\", \"store\": \"{}\", \"seeds\": [{}],\n\
-             \"shared_key\": \"a-shared-key-of-the-soak\", \"grace_s\": 8, \"lease_ms\": 3000,\n\
+             \"shared_key\": \"a-shared-key-of-the-soak\", \"grace_s\": {grace}, \"lease_ms\": 3000,\n\
              {revocation}{advertise}{features}\"retry_ratio\": {ratio}, \"retry_slack\": {slack}, \"retry_window_s\": {window},\n\
              \"log_level\": \"info\"}}\n",
             plan.name,
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -45,7 +45,7 @@
 pub use fleet::Fleet;
 pub use fleet_options::FleetOptions;
 pub use free_ports::{PortBlock, free_ports};
-pub use gateway_process::{ConnectionCut, GatewayProcess, ProcessPlan};
+pub use gateway_process::{ConnectionCut, DEFAULT_GRACE, GatewayProcess, ProcessPlan};
 pub use host_process::HostProcess;
 pub use load_mix::{CallKind, LoadCall, LoadMix};
 pub use load_run::{BenchFault, LoadOptions, run_load};
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -8,7 +8,7 @@
 use crate::bench::site::{
     EngineFault, ServiceFault, SiteEngine, SitePlan, StoreFault, TestSite, call_site,
 };
-use crate::bench::{GatewayProcess, ProcessPlan, free_ports};
+use crate::bench::{DEFAULT_GRACE, GatewayProcess, ProcessPlan, free_ports};
 use crate::{Error, Result};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -150,6 +150,7 @@
             seeds: &peers,
             advertised,
             revocation: None,
+            grace: DEFAULT_GRACE,
             features: options.features,
             retries: options.retry_bounds(),
             environment: &environment,
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -1,5 +1,7 @@
 use super::gateway_host::GatewayHost;
 use super::limit_charge::LimitCharge;
+use crate::fleet::ServerEntry;
+use crate::in_flight::{InFlightGuard, RequestWait};
 use crate::keys::{OrgKey, RequestKey, TimePoint};
 use crate::platform::{CallHead, ServerCall};
 use crate::retries::SendCredit;
@@ -36,6 +38,8 @@
     pub received_at: TimePoint,
     /// When its final answer is due: the caller's deadline or the route's time limit.
     pub deadline: TimePoint,
+    /// Its entry among the work that the exit of the process would cut off.
+    pub in_flight: InFlightGuard,
 }
 
 impl CallContext {
@@ -59,6 +63,24 @@
         self.sent_at.store(now.0, Ordering::Relaxed);
     }
 
+    /// Records what the request waits for.
+    pub fn wait_for(&self, wait: RequestWait) {
+        self.in_flight.update(|progress| progress.wait = wait);
+    }
+
+    /// Records what the request waits for, and at which server.
+    pub fn wait_at(&self, wait: RequestWait, server: &ServerEntry) {
+        self.in_flight.update(|progress| progress.wait_at(wait, &server.id));
+    }
+
+    /// Records that an event of a run at `server` is relayed.
+    pub fn record_relayed(&self, server: &ServerEntry) {
+        self.in_flight.update(|progress| {
+            progress.events += 1;
+            progress.wait_at(RequestWait::NextEvent, &server.id);
+        });
+    }
+
     /// The request's id, for logs and answers.
     pub fn id(&self) -> &str {
         &self.head.request_id
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -6,12 +6,12 @@
 use super::crash_watch::{QuarantineSubject, RequestAdmission};
 use super::engine_call::serve_engine;
 use super::gateway_host::GatewayHost;
-use super::in_flight_guard::InFlightGuard;
 use super::limit_charge::{LimitCharge, charge_request};
 use super::plain_call::serve_plain;
 use super::request_body::read_body;
 use super::run_open::refuse;
 use super::stop_phase::StopPhase;
+use crate::in_flight::{InFlightGuard, InFlightWork, RequestProgress};
 use crate::keys::{RequestContents, RequestKey};
 use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
@@ -33,13 +33,14 @@
     host: Arc<GatewayHost>,
     request: Request<Incoming>,
 ) -> Result<CallerAnswer, Infallible> {
-    let guard = InFlightGuard::begin(&host);
     let (parts, body) = request.into_parts();
     let head = CallHead::read(&parts.headers, &parts.uri, &host.key_hasher);
     let id = head.request_id.clone();
     let received_at = host.now();
-    let mut answer = match open_call(&host, head, parts, body).await {
-        Ok(context) => run_call(context, guard).await,
+    let work = InFlightWork::Request(RequestProgress::new(&id));
+    let in_flight = host.in_flight.begin(received_at, work);
+    let mut answer = match open_call(&host, head, parts, body, in_flight).await {
+        Ok(context) => run_call(context).await,
         Err(end) => {
             log_end(&host, &id, None, &end, host.now().since(received_at));
             end.into_answer(&id)
@@ -51,9 +52,9 @@
     Ok(answer)
 }
 
-async fn run_call(context: CallContext, guard: InFlightGuard) -> CallerAnswer {
+async fn run_call(context: CallContext) -> CallerAnswer {
     if context.spec.engine.is_some() {
-        return serve_engine(Arc::new(context), guard).await;
+        return serve_engine(Arc::new(context)).await;
     }
     let end = serve_plain(&context).await;
     context.close(end)
@@ -65,6 +66,7 @@
     head: CallHead,
     parts: http::request::Parts,
     body: Incoming,
+    in_flight: InFlightGuard,
 ) -> Result<CallContext, CallEnd> {
     let received_at = host.now();
     if head.request_id.is_empty() {
@@ -133,6 +135,7 @@
         sent_at: AtomicU64::default(),
         received_at,
         deadline: received_at + time_limit,
+        in_flight,
     })
 }
 
--- a/src/gateway/caller_loop.rs
+++ b/src/gateway/caller_loop.rs
@@ -1,6 +1,6 @@
 use super::call_route::answer_call;
 use super::gateway_host::GatewayHost;
-use super::in_flight_guard::InFlightGuard;
+use crate::in_flight::InFlightWork;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::sync::Arc;
@@ -50,7 +50,7 @@
         ended = connection.as_mut() => ended,
         () = host.wait_for_closing() => {
             // An answer that is complete may still have to be written to a caller that reads slowly.
-            let _guard = InFlightGuard::begin(&host);
+            let _guard = host.in_flight.begin(host.now(), InFlightWork::Connection);
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -11,6 +11,7 @@
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
+use crate::in_flight::RequestWait;
 use crate::placement::{MemorySearch, RankingCriterion, SearchStep, ServerEvent, ServerLoad};
 use crate::platform::TokenCounts;
 use crate::routes::EngineSpec;
@@ -56,6 +57,7 @@
     after: Option<u64>,
     runs: &RunRecord,
 ) -> Result<DecodeReservation, NotRunReason> {
+    context.wait_for(RequestWait::Memory);
     let tokens = hold_tokens(context, engine, after);
     let admit = || {
         let admission = MemoryAdmission::decide(context, tokens, after);
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -2,7 +2,6 @@
 use super::call_end::{CallEnd, NotRunReason};
 use super::caller_body::{CallerAnswer, CallerBody};
 use super::event_relay::relay_events;
-use super::in_flight_guard::InFlightGuard;
 use super::pending_run::OpenRun;
 use super::run_open::{open_stream, refuse};
 use super::run_start::RunRecord;
@@ -12,7 +11,7 @@
 use std::sync::Arc;
 
 /// Runs a request on a service of model engines and answers with its stream.
-pub(super) async fn serve_engine(context: Arc<CallContext>, guard: InFlightGuard) -> CallerAnswer {
+pub(super) async fn serve_engine(context: Arc<CallContext>) -> CallerAnswer {
     let Some(engine) = context.spec.engine.clone() else {
         return refuse(NotRunReason::NoServer).into_answer(context.id());
     };
@@ -27,7 +26,7 @@
             if run.first.is_some() {
                 context.record_origin(&run.server);
             }
-            stream_answer(context, engine, run, runs, guard)
+            stream_answer(context, engine, run, runs)
         }
         Err(end) => context.close(if runs.may_have_run { unknown_if_refused(end) } else { end }),
     }
@@ -58,13 +57,12 @@
     engine: EngineSpec,
     run: OpenRun,
     runs: RunRecord,
-    guard: InFlightGuard,
 ) -> CallerAnswer {
     let (events, received) = tokio::sync::mpsc::channel(EVENT_BUFFER);
     let mut answer = Response::new(CallerBody::Events(received));
     *answer.status_mut() = run.head.0;
     *answer.headers_mut() = answer_headers(&run.head.1);
-    tokio::spawn(relay_events(context, engine, run, runs, events, guard));
+    tokio::spawn(relay_events(context, engine, run, runs, events));
     answer
 }
 
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -2,7 +2,6 @@
 use super::call_end::{CallEnd, NotRunReason};
 use super::caller_body::StreamPart;
 use super::event_reader::EventReader;
-use super::in_flight_guard::InFlightGuard;
 use super::pending_run::OpenRun;
 use super::relay_record::RelayRecord;
 use super::run_open::{may_retry_run, open_stream};
@@ -14,6 +13,7 @@
 };
 use crate::Result;
 use crate::fleet::ServerEntry;
+use crate::in_flight::RequestWait;
 use crate::placement::{PaceTimer, ServerEvent};
 use crate::routes::EngineSpec;
 use crate::silent_runs::ResumeWait;
@@ -49,7 +49,6 @@
     run: OpenRun,
     runs: RunRecord,
     events: Sender<StreamPart>,
-    guard: InFlightGuard,
 ) {
     let mut record = RelayRecord { last: context.head.last_event, ..RelayRecord::default() };
     let server = run.server.id.clone();
@@ -67,7 +66,6 @@
     }
     drop(events);
     log_stream(&context, &server, end, &record);
-    drop(guard);
 }
 
 async fn relay_runs(
@@ -181,7 +179,7 @@
         context.record_written_event(&mut marks);
         hearing.record_event();
         load.grow(engine.tokens_per_event);
-        if let Some(end) = relay_event(context, event, events, record).await {
+        if let Some(end) = relay_event(context, event, &server, events, record).await {
             return end;
         }
         next = tokio::select! {
@@ -224,6 +222,7 @@
 async fn relay_event(
     context: &CallContext,
     event: ServerSentEvent,
+    server: &ServerEntry,
     events: &Sender<StreamPart>,
     record: &mut RelayRecord,
 ) -> Option<RunEnd> {
@@ -246,8 +245,14 @@
     }
     record.last = Some(number);
     record.record_event(context.host.now(), context.age());
+    if events.capacity() == 0 {
+        context.wait_for(RequestWait::Caller);
+    }
     match events.send(StreamPart::Event(event.bytes)).await {
-        Ok(()) => None,
+        Ok(()) => {
+            context.record_relayed(server);
+            None
+        }
         Err(_) => Some(RunEnd::Stream(StreamEnd::CallerLeft)),
     }
 }
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -9,6 +9,7 @@
 use crate::fleet::{FleetView, RefusedHosts, ServerEntry, StageChanges, ViewFreshness};
 use crate::held_bytes::ByteBudget;
 use crate::host::lock;
+use crate::in_flight::InFlightTable;
 use crate::keys::{HostClock, IncarnationId, NameKey, RequestHasher, TimePoint};
 use crate::limits::{LimitLedger, LimitMeter, LimitReply, SilentOwners};
 use crate::membership::{MemberTable, MemberUpdate};
@@ -72,7 +73,8 @@
     pub(super) routes_unreachable: AtomicBool,
     pub(super) servers_unreachable: AtomicBool,
     pub(super) stop_sender: watch::Sender<StopPhase>,
-    pub(super) in_flight: AtomicU64,
+    /// What the exit of the process would cut off.
+    pub(super) in_flight: Arc<InFlightTable>,
     /// Connections of other hosts that this host forwards.
     pub(super) open_tunnels: AtomicU64,
 }
@@ -157,7 +159,7 @@
             routes_unreachable: AtomicBool::new(false),
             servers_unreachable: AtomicBool::new(false),
             stop_sender: watch::Sender::new(StopPhase::Serving),
-            in_flight: AtomicU64::new(0),
+            in_flight: Arc::default(),
             open_tunnels: AtomicU64::new(0),
             settings,
         }
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -20,11 +20,12 @@
 use super::version_store::run_version_store;
 use super::view_loop::run_view;
 use crate::Result;
+use crate::in_flight::cut_lines;
 use crate::peers::serve_peers;
 use crate::settings::GatewaySettings;
+use crate::telemetry::lift_line_rate;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 
@@ -100,8 +101,8 @@
 impl GatewayHost {
     /// Shuts down gracefully: first the platform stops routing callers here, then the host reads no more
     /// requests, and finally it exits once the requests in flight have ended or the platform's grace period
-    /// is over. Returns the number of requests that the exit cuts off.
-    pub async fn stop_gracefully(self: &Arc<Self>) -> u64 {
+    /// is over. Names what the exit cuts off, and returns how many requests and connections that are.
+    pub async fn stop_gracefully(self: &Arc<Self>) -> usize {
         let plan = StopPlan::new(self.state().bounds.grace_period);
         let exit_at = self.now() + plan.exit_after;
         self.stop_sender.send_replace(StopPhase::Draining);
@@ -111,20 +112,25 @@
             state.members.push_updates(usize::MAX, usize::MAX)
         };
         self.execute_actions(drain_actions);
-        log::info!("event=stop_began in_flight={}", self.in_flight.load(Ordering::Relaxed));
+        log::info!("event=stop_began in_flight={}", self.in_flight.len());
         tokio::time::sleep(plan.drain_time).await;
         self.stop_sender.send_replace(StopPhase::Closing);
         // A connection that is told to close may still read a request in the same scheduler tick, so that
         // only a later check can show that nothing is in flight.
         tokio::time::sleep(DRAIN_POLL).await;
-        while self.in_flight.load(Ordering::Relaxed) > 0 && self.now() < exit_at {
+        while !self.in_flight.is_empty() && self.now() < exit_at {
             tokio::time::sleep(DRAIN_POLL).await;
         }
         self.stop_sender.send_replace(StopPhase::Ending);
         // Leaves time for finished answers to be sent from the socket buffers.
         tokio::time::sleep(DRAIN_POLL).await;
-        let cut = self.in_flight.load(Ordering::Relaxed);
-        log::info!("event=stopped in_flight={cut}");
+        lift_line_rate();
+        for line in cut_lines(self.now(), &self.in_flight) {
+            log::warn!("{line}");
+        }
+        let cut = self.in_flight.len();
+        let requests = self.in_flight.requests();
+        log::info!("event=stopped in_flight={cut} requests={requests}");
         cut
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,7 +29,6 @@
 mod health_reports;
 mod hold_forecast;
 mod host_account;
-mod in_flight_guard;
 mod limit_answers;
 mod limit_charge;
 mod limit_gossip;
--- a/src/gateway/pending_run.rs
+++ b/src/gateway/pending_run.rs
@@ -13,6 +13,7 @@
     OpenFailure, RunOrder, RunRecord, RunStart, log_start, start_event, start_run,
 };
 use crate::fleet::ServerEntry;
+use crate::in_flight::RequestWait;
 use crate::placement::ServerEvent;
 use crate::streams::ServerSentEvent;
 use http::{HeaderMap, StatusCode};
@@ -77,6 +78,7 @@
         };
         let marks = RunMarks::sent(context.host.now());
         runs.sent += 1;
+        context.wait_at(RequestWait::FirstEvent, &server);
         context.host.record_server_event(&server, ServerEvent::Sent);
         let hearing = RunHearing::new(&context.host, server.key());
         let at = server.clone();
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -7,6 +7,7 @@
 use super::send_permit::SendPermit;
 use super::server_call::{CallPurpose, send_request};
 use crate::fleet::ServerEntry;
+use crate::in_flight::RequestWait;
 use crate::keys::ServerKey;
 use crate::placement::{ServerEvent, ServerLoad};
 use crate::platform::{AnswerKind, CallPart, contains_answer, read_answer};
@@ -44,6 +45,7 @@
 ) -> (ServerKey, AttemptEnd) {
     let load = ServerLoad { requests: 1, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
+    context.wait_at(RequestWait::Answer, &server);
     context.host.record_server_event(&server, ServerEvent::Sent);
     let (sent_at, time_left) = (context.host.now(), context.time_left());
     let is_noted = is_silence_noted && silence_timeout < time_left;
--- a/src/gateway/plain_call.rs
+++ b/src/gateway/plain_call.rs
@@ -6,6 +6,7 @@
 use super::send_permit::SendPermit;
 use super::server_ranking::ServerCriteria;
 use crate::fleet::ServerEntry;
+use crate::in_flight::RequestWait;
 use crate::keys::ServerKey;
 use crate::placement::{REMOTE_DOMAIN_PENALTY, RankingCriterion, SilentAttempts};
 use crate::stream_origins::RunVersion;
@@ -136,6 +137,9 @@
     if exhausted || context.time_left().is_zero() || context.is_held_back(record.sent).await {
         return None;
     }
+    if record.sent == 0 {
+        context.wait_for(RequestWait::Server);
+    }
     let (criterion, local_domain) = (RankingCriterion::Requests, context.host.domain());
     let criteria = ServerCriteria {
         stage: None,
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -5,6 +5,7 @@
 use super::server_call::{CallPurpose, send_request};
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
+use crate::in_flight::RequestWait;
 use crate::keys::TimePoint;
 use crate::placement::{
     PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
@@ -182,6 +183,7 @@
     let tokens = context.head.tokens.prompt;
     let load = ServerLoad { requests: 1, prompt_tokens: tokens, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
+    context.wait_at(RequestWait::PromptRead, server);
     context.host.record_server_event(server, ServerEvent::Sent);
     let started_at = context.host.now();
     let mut exchange = std::pin::pin!(request_read(context, server, &mut permit));
--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -7,6 +7,7 @@
 use super::run_send::send_at_best;
 use super::run_start::{FIRST_EVENT_TIMEOUT, FURTHER_RUN_SILENT, OpenFailure, RunRecord};
 use crate::fleet::{ServerEntry, ServerStage};
+use crate::in_flight::RequestWait;
 use crate::keys::{ServerKey, TimePoint};
 use crate::placement::ServerEvent;
 use crate::routes::EngineSpec;
@@ -89,6 +90,7 @@
     runs: &mut RunRecord,
     kept: impl Future<Output = T>,
 ) -> RaceEnd<T> {
+    context.wait_at(RequestWait::SilentServer, silent.server);
     silent.log_silent(context);
     let end = race(context, engine, after, silent, runs, kept).await;
     runs.silent.clear();
--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -1,8 +1,8 @@
 //! Forwards connections of other hosts to backend servers that those hosts do not reach.
 
 use super::gateway_host::GatewayHost;
-use super::in_flight_guard::InFlightGuard;
 use super::stop_phase::StopPhase;
+use crate::in_flight::{InFlightGuard, InFlightWork};
 use crate::keys::{HostClock, TimePoint};
 use crate::peers::{TunnelOpening, TunnelStream};
 use crate::server_paths::TunnelRefusal;
@@ -25,7 +25,7 @@
 const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(250);
 const BUFFER_BYTES: usize = 8 << 10;
 
-/// Counts one forwarded connection until dropped; a graceful shutdown waits for all of them.
+/// Counts one connection forwarded to a server until dropped; a graceful shutdown waits for all of them.
 #[derive(Debug)]
 struct TunnelGuard {
     host: Arc<GatewayHost>,
@@ -35,9 +35,10 @@
 
 impl TunnelGuard {
     /// Counts a connection; `None` if the host forwards as many as it may.
-    fn begin(host: &Arc<GatewayHost>) -> Option<Self> {
+    fn begin(host: &Arc<GatewayHost>, server: SocketAddr) -> Option<Self> {
         let others = host.open_tunnels.fetch_add(1, Ordering::Relaxed);
-        let guard = Self { host: Arc::clone(host), in_flight: InFlightGuard::begin(host) };
+        let in_flight = host.in_flight.begin(host.now(), InFlightWork::Tunnel(server));
+        let guard = Self { host: Arc::clone(host), in_flight };
         (others < MAX_TUNNELS).then_some(guard)
     }
 }
@@ -90,7 +91,7 @@
         if needs_proof && !is_proven {
             return Err(TunnelRefusal::Unproven);
         }
-        let guard = TunnelGuard::begin(self).ok_or(TunnelRefusal::Busy)?;
+        let guard = TunnelGuard::begin(self, server).ok_or(TunnelRefusal::Busy)?;
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(server));
         let error = match connecting.await {
             Ok(Ok(stream)) => return Ok((stream, guard)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Decision modules are pure state machines without I/O (`placement`, `streams`, `claims`, `membership`, `intents`,
 //! `orders`, `routes`, `fleet`, `organisations`, `limits`, `server_limits`, `quarantine`, `shared_health`, `admission`,
-//! `return_times`, `memory_forecast`, `server_slots`, `server_paths`, `silent_runs`, `stream_origins`, `held_bytes`).
+//! `return_times`, `memory_forecast`, `server_slots`, `server_paths`, `silent_runs`, `stream_origins`, `held_bytes`, `in_flight`).
 //! Edge modules use sockets (`platform`, `engines`, `callers`, `peers`, `operators`). `host` combines them into the
 //! daemon, `gateway` into the daemon for the users' platform. Dependencies point one way: edge modules depend on decision
 //! modules, never the reverse.
@@ -20,6 +20,7 @@
 pub mod gateway;
 pub mod held_bytes;
 pub mod host;
+pub mod in_flight;
 pub mod intents;
 pub mod invariant;
 pub mod keys;
--- a/src/telemetry/log_line.rs
+++ b/src/telemetry/log_line.rs
@@ -1,14 +1,6 @@
 use super::bounded_writer::BoundedWriter;
 use crate::Result;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-/// How long the writer thread gets to write the queued lines before the process ends.
-const FLUSH_DELAY: Duration = Duration::from_millis(30);
-
-/// Gives the writer thread a short time to write the queued lines.
-pub fn flush_logs() {
-    std::thread::sleep(FLUSH_DELAY);
-}
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Starts logging to standard output: each event is one line of key=value pairs.
 ///
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -7,7 +7,8 @@
 mod span_record;
 mod trace_parent;
 
-pub use log_line::{flush_logs, start_logs};
+pub use bounded_writer::{flush_logs, lift_line_rate};
+pub use log_line::start_logs;
 pub use metric_registry::{MetricRegistry, RequestOutcome};
 pub use span_buffer::SpanBuffer;
 pub use span_record::SpanRecord;
--- a/tests/abandoned_ends.rs
+++ b/tests/abandoned_ends.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tealcleat::bench::site::{SiteCall, SitePlan, TestSite, call_site};
-use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::bench::{DEFAULT_GRACE, GatewayProcess, ProcessPlan};
 use tealcleat::engines::{AnswerProof, HttpPool, SendLimits, SingleCall};
 use tealcleat::settings::LoadFeatures;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -69,6 +69,7 @@
         seeds: &[],
         advertised: None,
         revocation: None,
+        grace: DEFAULT_GRACE,
         retries: None,
         features: LoadFeatures::default(),
         environment: &[],
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tealcleat::bench::site::{SiteCall, SitePlan, TestSite, call_site};
-use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::bench::{DEFAULT_GRACE, GatewayProcess, ProcessPlan};
 use tealcleat::quarantine::CRASH_RETENTION;
 use tealcleat::settings::LoadFeatures;
 
@@ -134,6 +134,7 @@
             seeds: &[],
             advertised: None,
             revocation: None,
+            grace: DEFAULT_GRACE,
             retries: None,
             features: LoadFeatures::default(),
             environment: &[],
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tealcleat::bench::site::{LimitAnnouncement, LimitExcess, SitePlan, TestSite, call_site};
-use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::bench::{DEFAULT_GRACE, GatewayProcess, ProcessPlan};
 use tealcleat::settings::LoadFeatures;
 
 mod machine_common;
@@ -110,6 +110,7 @@
         seeds,
         advertised: None,
         revocation: None,
+        grace: DEFAULT_GRACE,
         retries: None,
         features: LoadFeatures::default(),
         environment,
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -11,7 +11,7 @@
 use tealcleat::bench::site::{
     SiteCall, SitePlan, StoreFault, TestSite, call_site, config, keyed_config,
 };
-use tealcleat::bench::{GatewayProcess, ProcessPlan};
+use tealcleat::bench::{DEFAULT_GRACE, GatewayProcess, ProcessPlan};
 use tealcleat::settings::LoadFeatures;
 
 mod machine_common;
@@ -64,6 +64,7 @@
             seeds: &[],
             advertised: None,
             revocation: Some(REVOCATION),
+            grace: DEFAULT_GRACE,
             retries: None,
             features: LoadFeatures::default(),
             environment: &environment,
