Crashes: a watch that the store cannot continue costs one listing, not a loop of calls

Cause: where the store cannot go on from a watch (history lost, answer too long), the copy is read and watched again from the revision of the servers' last change, which is older still; the store refuses at once, without end and without a pause. A debug line in the servers' and the configuration's own loop ruled those out.

Change: the copy is listed, and the watch goes on from the revision of that listing.

--- a/src/gateway/crash_store.rs
+++ b/src/gateway/crash_store.rs
@@ -6,8 +6,8 @@
 use super::gateway_host::GatewayHost;
 use crate::membership::MemberUpdate;
 use crate::platform::{
-    CRASHES_OBJECT, CrashCopy, MAX_OBJECT_BYTES, StoreEvent, StoreObject, WatchAnswer, WatchLimits,
-    WriteOutcome, decode_crashes, encode_crashes,
+    CRASHES_OBJECT, CrashCopy, ListAge, MAX_OBJECT_BYTES, StoreEvent, StoreObject, WatchAnswer,
+    WatchLimits, WriteOutcome, decode_crashes, encode_crashes,
 };
 use crate::{Error, Result};
 use std::collections::BTreeSet;
@@ -110,15 +110,17 @@
         u32::try_from(others.len()).unwrap_or(u32::MAX)
     }
 
-    /// Reads the copy, or waits for a change of it. Returns the revision at which the next watch starts, or `None` if
-    /// the copy has to be read again.
+    /// Lists the copy, or waits for a change of it. Returns the revision at which the next watch starts, or `None` if
+    /// the copy has to be listed again.
     async fn follow_step(&self, watched: Option<u64>) -> Result<Option<u64>> {
         let (kind, _) = CRASHES_OBJECT;
         let Some(after) = watched else {
-            // The store has a single revision counter: the watch returns everything that changes after this revision.
-            let revision = self.state().fleet.revision();
-            self.read_crashes(CALL_TIMEOUT).await?;
-            return Ok(Some(revision));
+            // The revision of the servers' last change would not do: the store may have lost its history since then.
+            let listed = self.store.list(kind, ListAge::Newest, CALL_TIMEOUT).await?;
+            for object in &listed.items {
+                self.merge_copy(object);
+            }
+            return Ok(Some(listed.revision));
         };
         match self.store.watch(kind, after, WATCH_LIMITS).await? {
             WatchAnswer::HistoryLost | WatchAnswer::TooLong => Ok(None),
