Stops: a stream that is not expected to end before the exit is refused at once, as not run

Change: while it stops, a host expects of a stream the length that answers of its route do not exceed in one of two cases, at the pace of the last answers, half an objective until the first event; what would not end by then is answered 503 host_stopping with Retry-After 50 ms. Only where another host is reachable.

A refused caller has one attempt less, so refusing more serves less.

Test: with the check switched off the stream is begun (200 instead of 503).

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -37,6 +37,8 @@
     ServersAtLimit,
     /// All places at the servers that could run it are in use.
     NoPlace,
+    /// This host is shutting down, and the answer would not end before its exit.
+    HostStopping,
     /// The bodies of the requests in flight leave no room for its own.
     NoBodyRoom,
 }
@@ -60,6 +62,7 @@
             Self::ServersAtLimit => "servers_at_limit",
             Self::NoPlace => "no_place",
             Self::NoBodyRoom => "no_body_room",
+            Self::HostStopping => "host_stopping",
         }
     }
 }
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -86,6 +86,9 @@
     let Some(spec) = routes.service(service).cloned() else {
         return Err(CallEnd::NotRun(NotRunReason::NoServer, NOT_READY_PAUSE));
     };
+    if !host.can_end_before_exit(received_at, &route, spec.engine.as_ref(), &head) {
+        return Err(refuse(NotRunReason::HostStopping));
+    }
     let time_limit =
         head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
     {
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -2,6 +2,7 @@
 use super::pending_replies::PendingReplies;
 use super::request_body::ALL_REQUESTS_BYTES;
 use super::stop_phase::StopPhase;
+use super::stop_plan::StopPlan;
 use super::unreadable_objects::UnreadableObjects;
 use super::view_source::ViewSource;
 use crate::admission::AdmissionControl;
@@ -32,7 +33,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::SystemTime;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
@@ -73,6 +74,8 @@
     pub(super) routes_unreachable: AtomicBool,
     pub(super) servers_unreachable: AtomicBool,
     pub(super) stop_sender: watch::Sender<StopPhase>,
+    /// When a graceful shutdown began, and its plan.
+    pub(super) stop_plan: OnceLock<(TimePoint, StopPlan)>,
     /// What the exit of the process would cut off.
     pub(super) in_flight: Arc<InFlightTable>,
     /// Connections of other hosts that this host forwards.
@@ -159,6 +162,7 @@
             routes_unreachable: AtomicBool::new(false),
             servers_unreachable: AtomicBool::new(false),
             stop_sender: watch::Sender::new(StopPhase::Serving),
+            stop_plan: OnceLock::new(),
             in_flight: Arc::default(),
             open_tunnels: AtomicU64::new(0),
             settings,
--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -104,7 +104,8 @@
     /// is over. Names what the exit cuts off, and returns how many requests and connections that are.
     pub async fn stop_gracefully(self: &Arc<Self>) -> usize {
         let plan = StopPlan::new(self.state().bounds.grace_period);
-        let exit_at = self.now() + plan.exit_after;
+        let (began_at, plan) = *self.stop_plan.get_or_init(|| (self.now(), plan));
+        let exit_at = began_at + plan.exit_after;
         self.stop_sender.send_replace(StopPhase::Draining);
         let drain_actions = {
             let mut state = self.state();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -73,6 +73,7 @@
 mod slot_messages;
 mod stage_loop;
 mod stage_orders;
+mod stop_admission;
 mod stop_phase;
 mod stop_plan;
 mod store_contact;
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -26,6 +26,10 @@
 /// return on a new connection, mostly to another host.
 const NO_BODY_ROOM_PAUSE: Duration = Duration::from_millis(500);
 
+/// Retry delay for a caller of a host that is shutting down: other hosts serve, and the caller's next connection leads to
+/// one of them.
+const STOPPING_PAUSE: Duration = Duration::from_millis(50);
+
 /// Opens a run that continues after the event `after`, trying as many servers as the route allows.
 pub(super) async fn open_stream(
     context: &CallContext,
@@ -162,6 +166,7 @@
         | NotRunReason::RouteUnknown
         | NotRunReason::LimitUnknown => jittered(NO_SERVER_PAUSE),
         NotRunReason::NoBodyRoom => jittered(NO_BODY_ROOM_PAUSE),
+        NotRunReason::HostStopping => jittered(STOPPING_PAUSE),
         NotRunReason::PromptNotRead
         | NotRunReason::Rejected
         | NotRunReason::OutOfTime
--- a/src/gateway/stop_plan.rs
+++ b/src/gateway/stop_plan.rs
@@ -19,10 +19,16 @@
 impl StopPlan {
     /// Creates the plan for a platform that kills processes after `grace`.
     ///
-    /// Requests are read no longer than the platform needs to change its routing: the later a request is
-    /// read, the less of the grace period remains for it. A stream accepted 3.2 s after SIGTERM was cut off.
+    /// Requests are read no longer than the platform needs to change its routing: the later a request is read, the less of
+    /// the grace period remains for it.
     pub fn new(grace: Duration) -> Self {
         let exit_after = grace.saturating_sub(EXIT_MARGIN);
         Self { drain_time: (TWO_PROBES + PROBE_MARGIN).min(exit_after / 2), exit_after }
     }
+
+    /// Whether a stream that is read `since_stop` after the start of the shutdown, and is expected to last for `expected`,
+    /// ends before the process exits.
+    pub fn has_time_for(&self, since_stop: Duration, expected: Duration) -> bool {
+        since_stop + expected <= self.exit_after
+    }
 }
--- a/src/memory_forecast/output_forecast.rs
+++ b/src/memory_forecast/output_forecast.rs
@@ -27,9 +27,14 @@
     /// Length in tokens that a hold assumes for an answer of `route` that has reached `reached` tokens; never less than
     /// `reached`.
     pub fn hold_length(&self, route: NameKey, size: AnswerSize, reached: u32) -> u32 {
+        self.length(route, size, reached, HOLD_QUANTILE)
+    }
+
+    /// Length in tokens that an answer of `route` that has reached `reached` tokens does not exceed with this probability.
+    pub fn length(&self, route: NameKey, size: AnswerSize, reached: u32, probability: f64) -> u32 {
         let length = match self.routes.get(&route) {
-            Some(lengths) => lengths.quantile(size, reached, HOLD_QUANTILE),
-            None => RouteLengths::default().quantile(size, reached, HOLD_QUANTILE),
+            Some(lengths) => lengths.quantile(size, reached, probability),
+            None => RouteLengths::default().quantile(size, reached, probability),
         };
         length.max(reached)
     }
--- a/src/placement/work_meter.rs
+++ b/src/placement/work_meter.rs
@@ -91,6 +91,11 @@
         self.token_pace = Some(mean + (pace - mean) * weight);
     }
 
+    /// Time in which an answer of `tokens` is generated; `None` until the time per token is known.
+    pub fn answer_time(&self, tokens: u32) -> Option<Duration> {
+        Some(Duration::from_secs_f64(self.token_pace? * f64::from(tokens)))
+    }
+
     /// Records a started stream whose answer is expected to have `output` tokens. Its memory use is
     /// the prompt and, on average, half of the answer.
     ///
