Stops: a request whose answer has not begun gets a final answer before the process exits

What callers saw: the exit of a host closed the connection of a request that waited for the reading of its prompt, for its first event or for a plain server's answer. Its caller could not tell whether it had run.

Class: what a process still owes as it ends.

Streams that have begun are cut as before, and named.

--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -39,7 +39,7 @@
     /// When its final answer is due: the caller's deadline or the route's time limit.
     pub deadline: TimePoint,
     /// Its entry among the work that the exit of the process would cut off.
-    pub in_flight: InFlightGuard,
+    pub in_flight: Arc<InFlightGuard>,
 }
 
 impl CallContext {
@@ -73,6 +73,14 @@
         self.in_flight.update(|progress| progress.wait_at(wait, &server.id));
     }
 
+    /// Records that it is sent to `server` to run, and waits for `wait`.
+    pub fn record_run(&self, wait: RequestWait, server: &ServerEntry) {
+        self.in_flight.update(|progress| {
+            progress.may_have_run = true;
+            progress.wait_at(wait, &server.id);
+        });
+    }
+
     /// Records that an event of a run at `server` is relayed.
     pub fn record_relayed(&self, server: &ServerEntry) {
         self.in_flight.update(|progress| {
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -38,20 +38,36 @@
     let id = head.request_id.clone();
     let received_at = host.now();
     let work = InFlightWork::Request(RequestProgress::new(&id));
-    let in_flight = host.in_flight.begin(received_at, work);
-    let mut answer = match open_call(&host, head, parts, body, in_flight).await {
-        Ok(context) => run_call(context).await,
-        Err(end) => {
-            log_end(&host, &id, None, &end, host.now().since(received_at));
-            end.into_answer(&id)
+    let in_flight = Arc::new(host.in_flight.begin(received_at, work));
+    let refuse = |end: CallEnd| {
+        log_end(&host, &id, None, &end, host.now().since(received_at));
+        end.into_answer(&id)
+    };
+    let answering = async {
+        match open_call(&host, head, parts, body, Arc::clone(&in_flight)).await {
+            Ok(context) => run_call(context).await,
+            Err(end) => refuse(end),
         }
     };
+    let mut answer = tokio::select! {
+        biased;
+        answer = answering => answer,
+        () = host.wait_for_phase(StopPhase::Ending) => refuse(end_by_exit(&in_flight)),
+    };
     if host.stop_phase() != StopPhase::Serving {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
 }
 
+/// The final answer to a request whose answer has not begun when the process exits.
+fn end_by_exit(in_flight: &InFlightGuard) -> CallEnd {
+    if in_flight.may_have_run() {
+        return CallEnd::Unknown(NotRunReason::HostStopping.name());
+    }
+    refuse(NotRunReason::HostStopping)
+}
+
 async fn run_call(context: CallContext) -> CallerAnswer {
     if context.spec.engine.is_some() {
         return serve_engine(Arc::new(context)).await;
@@ -66,14 +82,14 @@
     head: CallHead,
     parts: http::request::Parts,
     body: Incoming,
-    in_flight: InFlightGuard,
+    in_flight: Arc<InFlightGuard>,
 ) -> Result<CallContext, CallEnd> {
     let received_at = host.now();
     if head.request_id.is_empty() {
         return Err(CallEnd::Improper(StatusCode::BAD_REQUEST, "no_request_id"));
     }
     let routes = host.routes();
-    if routes.version() == 0 || host.stop_phase() == StopPhase::Ending {
+    if routes.version() == 0 {
         return Err(CallEnd::NotRun(NotRunReason::NotReady, NOT_READY_PAUSE));
     }
     let route = routes.find(&head.host, parts.uri.path()).cloned();
--- a/src/gateway/caller_loop.rs
+++ b/src/gateway/caller_loop.rs
@@ -1,5 +1,6 @@
 use super::call_route::answer_call;
 use super::gateway_host::GatewayHost;
+use super::stop_phase::StopPhase;
 use crate::in_flight::InFlightWork;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,7 +18,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = host.wait_for_closing() => return,
+            () = host.wait_for_phase(StopPhase::Closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -48,7 +49,7 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = host.wait_for_closing() => {
+        () = host.wait_for_phase(StopPhase::Closing) => {
             // An answer that is complete may still have to be written to a caller that reads slowly.
             let _guard = host.in_flight.begin(host.now(), InFlightWork::Connection);
             connection.as_mut().graceful_shutdown();
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -209,11 +209,11 @@
         *self.stop_sender.borrow()
     }
 
-    /// Waits until the host reads no more requests.
-    pub(super) async fn wait_for_closing(&self) {
+    /// Waits until a graceful shutdown has reached `phase`.
+    pub(super) async fn wait_for_phase(&self, phase: StopPhase) {
         let mut phases = self.stop_sender.subscribe();
         // The sender exists as long as this host, so that the wait ends only when the phase is reached.
-        drop(phases.wait_for(|phase| *phase >= StopPhase::Closing).await);
+        drop(phases.wait_for(|reached| *reached >= phase).await);
     }
 
     /// Applies changed settings, as far as that is possible without a restart.
--- a/src/gateway/pending_run.rs
+++ b/src/gateway/pending_run.rs
@@ -78,7 +78,7 @@
         };
         let marks = RunMarks::sent(context.host.now());
         runs.sent += 1;
-        context.wait_at(RequestWait::FirstEvent, &server);
+        context.record_run(RequestWait::FirstEvent, &server);
         context.host.record_server_event(&server, ServerEvent::Sent);
         let hearing = RunHearing::new(&context.host, server.key());
         let at = server.clone();
--- a/src/gateway/plain_attempt.rs
+++ b/src/gateway/plain_attempt.rs
@@ -45,7 +45,7 @@
 ) -> (ServerKey, AttemptEnd) {
     let load = ServerLoad { requests: 1, ..ServerLoad::default() };
     let _load = LoadGuard::new(&context.host, server.key(), load);
-    context.wait_at(RequestWait::Answer, &server);
+    context.record_run(RequestWait::Answer, &server);
     context.host.record_server_event(&server, ServerEvent::Sent);
     let (sent_at, time_left) = (context.host.now(), context.time_left());
     let is_noted = is_silence_noted && silence_timeout < time_left;
--- a/src/gateway/stop_phase.rs
+++ b/src/gateway/stop_phase.rs
@@ -8,6 +8,6 @@
     Draining,
     /// Connections are closed; requests in flight, and those read in the meantime, run to their end.
     Closing,
-    /// The process is about to exit; any request still read is refused.
+    /// The process is about to exit; requests whose answers have not begun get a final answer.
     Ending,
 }
--- a/src/in_flight/in_flight_table.rs
+++ b/src/in_flight/in_flight_table.rs
@@ -70,6 +70,13 @@
 }
 
 impl InFlightGuard {
+    /// Whether a server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        let entries = lock(&self.table.entries);
+        let work = entries.works.get(&self.serial).map(|(_, work)| work);
+        matches!(work, Some(InFlightWork::Request(progress)) if progress.may_have_run)
+    }
+
     /// Updates the progress of the work, if that is a request.
     pub fn update(&self, change: impl FnOnce(&mut RequestProgress)) {
         let mut entries = lock(&self.table.entries);
--- a/src/in_flight/request_progress.rs
+++ b/src/in_flight/request_progress.rs
@@ -49,12 +49,15 @@
     pub events: u64,
     /// What it waits for.
     pub wait: RequestWait,
+    /// Whether a server may have run it.
+    pub may_have_run: bool,
 }
 
 impl RequestProgress {
     /// A request whose head was read.
     pub fn new(id: &str) -> Self {
-        Self { id: id.to_owned(), server: None, events: 0, wait: RequestWait::Admission }
+        let wait = RequestWait::Admission;
+        Self { id: id.to_owned(), server: None, events: 0, wait, may_have_run: false }
     }
 
     /// Records that it waits for `wait` of `server`.
