Streams: what proves the version of an unknown stream is written for every service, and says since when it is complete

Two faults of one proof; their code and the store's object are one, so they land together.

What callers saw, in tests with the real daemon that failed before: - all servers of a service's only version leave for a new one while all hosts are dead: the stream went on at the new version (200, joined). Cause: the service was chosen by the id of the new attempt, and where the route had led was no part of the proof.

Change: the object names the versions of all services, since when it is complete, and a digest of where the routes of resumable streams lead with the time since then. A missing object proves nothing, unless the settings say that the system starts for the first time (bootstrap; the platform fills it in). An unreadable one is not written over by a host that does not know all versions itself; before, it was taken for empty when written.

Cost: one write for each change of a version or of a route of resumable streams, one read by each new watcher of a domain.

--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -274,6 +274,7 @@
         metrics_listen: any_port()?,
         store,
         seeds,
+        bootstrap: true,
         shared_key: "a-shared-key-of-tests".to_owned(),
         bounds: GatewayBounds {
             grace_period: Duration::from_secs(8),
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -98,7 +98,7 @@
     };
     let organisation = authorize_caller(host, &route, head.caller_key).await?;
     let body = read_body(&host.request_bodies, body, routes.limits().body_bytes).await?;
-    let service = route.service_for(&head.request_id);
+    let service = route.service_for(head.stream_id());
     let Some(spec) = routes.service(service).cloned() else {
         return Err(CallEnd::NotRun(NotRunReason::NoServer, NOT_READY_PAUSE));
     };
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -28,7 +28,7 @@
 use crate::settings::GatewaySettings;
 use crate::shared_health::SharedHealth;
 use crate::silent_runs::HearingTable;
-use crate::stream_origins::{OriginReply, OriginTable, VersionHistory};
+use crate::stream_origins::{OriginReply, OriginTable, TargetHistory, VersionHistory};
 use crate::telemetry::MetricRegistry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -131,6 +131,7 @@
             paces: PaceTable::default(),
             stream_origins: OriginTable::default(),
             version_history: VersionHistory::default(),
+            target_history: TargetHistory::default(),
             slot_control: SlotControl::default(),
             hearing: HearingTable::default(),
             pool_silences: HashMap::new(),
@@ -253,6 +254,8 @@
         if new <= old {
             return false;
         }
+        let now = self.now();
+        state.target_history.record(now, table.resumable_targets());
         state.routes = Arc::new(table);
         state.routes_revision = revision;
         state.lower_limits(self.now());
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -18,7 +18,7 @@
 use crate::settings::GatewayBounds;
 use crate::shared_health::SharedHealth;
 use crate::silent_runs::{HearingTable, PoolSilence};
-use crate::stream_origins::{OriginTable, VersionHistory};
+use crate::stream_origins::{OriginTable, TargetHistory, VersionHistory};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -101,6 +101,8 @@
     pub stream_origins: OriginTable,
     /// The software versions that serve or served recently.
     pub version_history: VersionHistory,
+    /// Since when routes have led to the same services.
+    pub target_history: TargetHistory,
     /// Places at plain servers that this host uses and grants.
     pub slot_control: SlotControl,
     /// When this host last heard of the servers that run its requests.
--- a/src/gateway/origin_calls.rs
+++ b/src/gateway/origin_calls.rs
@@ -105,6 +105,7 @@
         let state = host.state();
         let origin = UnknownOrigin {
             recent: &recent,
+            is_only_service: self.route.targets.len() == 1 && state.target_history.is_settled(now),
             is_settled: state.version_history.is_settled(now),
             view_age: state.view_age(now, FollowedKind::Servers),
             is_common_outage: is_common_outage(now, &state),
--- a/src/gateway/origin_upkeep.rs
+++ b/src/gateway/origin_upkeep.rs
@@ -52,9 +52,11 @@
         self.state().version_history.recent(now, service)
     }
 
+    /// Whether no version can have served, and no route led elsewhere, within the retention without this host knowing.
     pub(super) fn is_version_history_settled(&self) -> bool {
         let now = self.now();
-        self.state().version_history.is_settled(now)
+        let state = self.state();
+        state.version_history.is_settled(now) && state.target_history.is_settled(now)
     }
 
     fn tell_due_holders(&self) {
--- a/src/gateway/stop_admission.rs
+++ b/src/gateway/stop_admission.rs
@@ -33,7 +33,7 @@
         let (key, size) = (NameKey::of(&route.name), answer_size(&head.tokens));
         let reached = generated_tokens(engine, head.last_event);
         let length = state.output_forecast.length(key, size, reached, END_PROBABILITY);
-        let service = route.service_for(&head.request_id);
+        let service = route.service_for(head.stream_id());
         let meter = state.work_meters.get(&service);
         let answer_time = meter.and_then(|meter| meter.answer_time(length - reached));
         answer_time.is_none_or(|time| {
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -1,8 +1,11 @@
-//! Keeps the software versions of services with several of them in the store, for hosts that start after all hosts that
-//! knew of a version are gone. Services with a single version have no entry, so usually nothing is written or read.
+//! Keeps the software versions of services, and where routes lead, in the store, for hosts that start after all hosts that
+//! knew of a version are gone. It is written when a version or a route changes, and read when a stream is taken up that
+//! no host knows.
 
 use super::gateway_host::GatewayHost;
-use crate::platform::{VERSIONS_OBJECT, WriteOutcome, decode_versions, encode_versions};
+use crate::platform::{
+    VERSIONS_OBJECT, VersionRecord, WriteOutcome, decode_versions, encode_versions,
+};
 use crate::stream_origins::SavedVersion;
 use crate::{Error, Result};
 use std::sync::Arc;
@@ -21,14 +24,12 @@
 
 /// Writes the versions when they differ from those that the store keeps, as far as this host knows.
 pub(super) async fn run_version_store(host: Arc<GatewayHost>) {
-    let mut saved: Option<Vec<SavedVersion>> = None;
+    let mut saved: Option<RecordKeys> = None;
     loop {
         tokio::time::sleep(CHECK_PERIOD).await;
-        let is_due = match &saved {
-            Some(saved) => host.versions_to_save() != *saved,
-            // The store may keep versions that a former watcher saved and that no longer count.
-            None => !host.versions_to_save().is_empty() || host.is_version_history_settled(),
-        };
+        // Without servers or routes there is nothing to tell yet.
+        let has_view = host.state().fleet.revision() > 0 && host.routes().version() > 0;
+        let is_due = has_view && saved.as_ref() != Some(&RecordKeys::of(&host.version_record()));
         if !is_due || !host.is_domain_watcher() {
             continue;
         }
@@ -61,13 +62,16 @@
     let (kind, name) = VERSIONS_OBJECT;
     let read = host.store.read(kind, name, CALL_TIMEOUT).await;
     let decoded = read.and_then(|object| {
-        object.map_or(Ok(Vec::new()), |object| decode_versions(&object.spec, SystemTime::now()))
+        object.map(|object| decode_versions(&object.spec, SystemTime::now())).transpose()
     });
     match decoded {
-        Ok(versions) => {
-            let now = host.now();
-            log::info!("event=past_versions_read count={}", versions.len());
-            host.state().version_history.apply_saved(now, &versions);
+        Ok(record) => {
+            let count = record.as_ref().map_or(-1, |record| record.versions.len() as i64);
+            log::info!("event=past_versions_read count={count}");
+            host.apply_version_record(record.as_ref());
+            if !host.is_version_history_settled() {
+                *failed_at = Some(host.now());
+            }
         }
         Err(error) => {
             log::info!("event=past_versions_not_read cause=\"{error}\"");
@@ -76,38 +80,81 @@
     }
 }
 
+/// What of a record is compared: all but the times, which pass.
+#[derive(Debug, PartialEq, Eq)]
+struct RecordKeys {
+    versions: Vec<SavedVersion>,
+    targets: Option<u64>,
+}
+
+impl RecordKeys {
+    fn of(record: &VersionRecord) -> Self {
+        Self {
+            versions: record.versions.iter().map(|(version, _)| *version).collect(),
+            targets: record.targets.map(|(digest, _)| digest),
+        }
+    }
+}
+
 impl GatewayHost {
-    fn versions_to_save(&self) -> Vec<SavedVersion> {
+    /// What this host knows of versions and routes, as the store is to keep it.
+    fn version_record(&self) -> VersionRecord {
         let now = self.now();
-        let versions = self.state().version_history.to_save(now);
-        versions.into_iter().map(|(version, _)| version).collect()
+        let state = self.state();
+        let targets = &state.target_history;
+        VersionRecord {
+            versions: state.version_history.to_save(now),
+            known_for: state.version_history.known_for(now),
+            targets: Some((targets.digest(), targets.age(now))),
+        }
+    }
+
+    /// Applies what the store keeps; `None` if it keeps nothing, which proves nothing unless the system starts for the
+    /// first time.
+    fn apply_version_record(&self, record: Option<&VersionRecord>) {
+        let now = self.now();
+        let mut state = self.state();
+        let Some(record) = record else {
+            if self.settings.bootstrap {
+                state.version_history.begin();
+                state.target_history.begin();
+            }
+            return;
+        };
+        state.version_history.apply_saved(now, &record.versions, record.known_for);
+        if let Some((digest, age)) = record.targets {
+            state.target_history.apply_saved(now, digest, age);
+        }
     }
 
-    /// Writes the versions unless the store keeps the same ones already. Returns what it keeps then. What the store keeps of
-    /// versions that this host has not seen, because it was cut off or has just started, is learned first and kept.
-    async fn save_versions(&self) -> Result<Vec<SavedVersion>> {
+    /// Writes the record unless the store keeps the same one already. Returns what it keeps then. What the store keeps of
+    /// versions that this host has not seen, because it was cut off or has just started, is learned first and kept; what
+    /// cannot be read stays until this host knows all versions itself.
+    async fn save_versions(&self) -> Result<RecordKeys> {
         let (kind, name) = VERSIONS_OBJECT;
         let stored = self.store.read(kind, name, CALL_TIMEOUT).await?;
         let revision = stored.as_ref().map(|object| object.revision);
-        let known = stored.and_then(|object| decode_versions(&object.spec, SystemTime::now()).ok());
-        let known = known.unwrap_or_default();
-        let now = self.now();
-        let versions = {
-            let mut state = self.state();
-            state.version_history.apply_saved(now, &known);
-            state.version_history.to_save(now)
+        let decoded =
+            stored.map(|object| decode_versions(&object.spec, SystemTime::now())).transpose();
+        let known = match decoded {
+            Ok(known) => known,
+            Err(_) if self.is_version_history_settled() => None,
+            Err(error) => return Err(error),
         };
-        let known: Vec<SavedVersion> = known.into_iter().map(|(version, _)| version).collect();
-        let wanted: Vec<SavedVersion> = versions.iter().map(|(version, _)| *version).collect();
-        if known == wanted {
+        self.apply_version_record(known.as_ref());
+        let record = self.version_record();
+        let wanted = RecordKeys::of(&record);
+        if known.is_some_and(|known| {
+            known.known_for > Duration::ZERO && RecordKeys::of(&known) == wanted
+        }) {
             return Ok(wanted);
         }
-        let spec = encode_versions(&versions, SystemTime::now());
+        let spec = encode_versions(&record, SystemTime::now());
         match self.store.write(kind, name, revision, &spec, CALL_TIMEOUT).await {
             WriteOutcome::Written(object) => {
                 log::info!(
                     "event=versions_saved count={} revision={}",
-                    wanted.len(),
+                    wanted.versions.len(),
                     object.revision
                 );
                 Ok(wanted)
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -38,7 +38,7 @@
 pub use store_call::{ListAge, WatchAnswer, WatchLimits, WriteOutcome};
 pub use store_client::StoreClient;
 pub use store_object::{MAX_OBJECT_BYTES, ObjectList, StoreEvent, StoreObject, UnreadableObject};
-pub use version_wire::{VERSIONS_OBJECT, decode_versions, encode_versions};
+pub use version_wire::{VERSIONS_OBJECT, VersionRecord, decode_versions, encode_versions};
 
 /// Kind and name of the configuration object that is derived from intents of the project's own interface.
 pub const INTENT_OBJECT: (&str, &str) = ("tealcleat-config", "main");
--- a/src/platform/request_wire.rs
+++ b/src/platform/request_wire.rs
@@ -89,6 +89,12 @@
 }
 
 impl CallHead {
+    /// The id by which the service of a route that is split over several is chosen: the one that chose it for the first
+    /// event of a stream.
+    pub fn stream_id(&self) -> &str {
+        self.first_attempt.as_deref().unwrap_or(&self.request_id)
+    }
+
     /// Reads a head. Missing and malformed fields are treated as absent.
     pub fn read(headers: &HeaderMap, uri: &Uri, hasher: &KeyHasher) -> Self {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
--- a/src/platform/version_wire.rs
+++ b/src/platform/version_wire.rs
@@ -1,4 +1,4 @@
-//! Encodes and decodes the object that records the software versions of services with several of them.
+//! Encodes and decodes the object that records the software versions of services, and where routes lead.
 
 use super::wire_values::{read_key, unix_millis};
 use crate::Result;
@@ -11,6 +11,17 @@
 /// Kind and name of the object.
 pub const VERSIONS_OBJECT: (&str, &str) = ("tealcleat-versions", "main");
 
+/// What the object records.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct VersionRecord {
+    /// The versions, each with the time since its last server was gone.
+    pub versions: Vec<(SavedVersion, Duration)>,
+    /// For how long the versions are complete.
+    pub known_for: Duration,
+    /// The digest of where routes lead, and for how long they have done so.
+    pub targets: Option<(u64, Duration)>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct WireVersion {
     /// Hexadecimal keys, because JSON numbers hold only 53 bits.
@@ -20,44 +31,66 @@
     gone_ms: Option<u64>,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct WireTargets {
+    digest: String,
+    /// Unix time in milliseconds since which routes have led there.
+    since_ms: u64,
+}
+
+/// Earlier builds wrote the versions only.
 #[derive(Debug, Deserialize)]
-struct WireVersions {
+struct WireRecord {
     versions: Vec<WireVersion>,
+    /// Unix time in milliseconds since which the versions are complete.
+    known_since_ms: Option<u64>,
+    targets: Option<WireTargets>,
 }
 
-/// Decodes the versions, each with the time since its last server was gone. `now` is the time of day.
+/// Decodes the record. `now` is the time of day.
 ///
 /// # Errors
 /// If a field is missing or has the wrong type.
-pub fn decode_versions(spec: &Value, now: SystemTime) -> Result<Vec<(SavedVersion, Duration)>> {
-    let wire = WireVersions::deserialize(spec)?;
+pub fn decode_versions(spec: &Value, now: SystemTime) -> Result<VersionRecord> {
+    let wire = WireRecord::deserialize(spec)?;
     let now = unix_millis(now);
-    wire.versions.iter().map(|version| decode_version(version, now)).collect()
+    let age = |since_ms: u64| Duration::from_millis(now.saturating_sub(since_ms));
+    let versions = wire.versions.iter().map(|version| decode_version(version, age));
+    let targets = match &wire.targets {
+        Some(targets) => Some((read_key(&targets.digest)?, age(targets.since_ms))),
+        None => None,
+    };
+    Ok(VersionRecord {
+        versions: versions.collect::<Result<_>>()?,
+        known_for: wire.known_since_ms.map(age).unwrap_or_default(),
+        targets,
+    })
 }
 
-fn decode_version(wire: &WireVersion, now: u64) -> Result<(SavedVersion, Duration)> {
+fn decode_version(
+    wire: &WireVersion,
+    age: impl Fn(u64) -> Duration,
+) -> Result<(SavedVersion, Duration)> {
     let saved = SavedVersion {
         service: NameKey(read_key(&wire.service)?),
         version: NameKey(read_key(&wire.version)?),
         is_present: wire.gone_ms.is_none(),
     };
-    let gone_for = wire.gone_ms.map_or(0, |at| now.saturating_sub(at));
-    Ok((saved, Duration::from_millis(gone_for)))
+    Ok((saved, wire.gone_ms.map(age).unwrap_or_default()))
 }
 
-/// Encodes the versions, each with the time since its last server was gone, at the time of day `now`.
-pub fn encode_versions(versions: &[(SavedVersion, Duration)], now: SystemTime) -> Value {
+/// Encodes the record at the time of day `now`.
+pub fn encode_versions(record: &VersionRecord, now: SystemTime) -> Value {
     let now = unix_millis(now);
-    let wire: Vec<WireVersion> = versions
-        .iter()
-        .map(|(saved, gone_for)| {
-            let gone_for_ms = u64::try_from(gone_for.as_millis()).unwrap_or(u64::MAX);
-            WireVersion {
-                service: format!("{:016x}", saved.service.0),
-                version: format!("{:016x}", saved.version.0),
-                gone_ms: (!saved.is_present).then(|| now.saturating_sub(gone_for_ms)),
-            }
-        })
-        .collect();
-    json!({"versions": wire})
+    let at = |age: Duration| now.saturating_sub(u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+    let encode = |(saved, gone_for): &(SavedVersion, Duration)| WireVersion {
+        service: format!("{:016x}", saved.service.0),
+        version: format!("{:016x}", saved.version.0),
+        gone_ms: (!saved.is_present).then(|| at(*gone_for)),
+    };
+    let versions: Vec<WireVersion> = record.versions.iter().map(encode).collect();
+    let targets = record
+        .targets
+        .map(|(digest, age)| WireTargets { digest: format!("{digest:016x}"), since_ms: at(age) });
+    json!({"versions": versions, "known_since_ms": at(record.known_for), "targets": targets})
 }
--- a/src/routes/route.rs
+++ b/src/routes/route.rs
@@ -1,5 +1,5 @@
 use super::ServiceKey;
-use crate::keys::stable_hash;
+use crate::keys::{mix_hash, stable_hash};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -58,6 +58,17 @@
         self.kind == RouteKind::Safe || (self.kind == RouteKind::Streaming && self.resumable)
     }
 
+    /// A key of the requests that belong to the route.
+    pub fn key(&self) -> u64 {
+        mix_hash(stable_hash(self.host.as_bytes()), stable_hash(self.path_prefix.as_bytes()))
+    }
+
+    /// A hash of the services and their shares.
+    pub fn targets_hash(&self) -> u64 {
+        let hash = |target: &RouteTarget| mix_hash(target.service.0, target.weight.into());
+        self.targets.iter().map(hash).fold(0, |all, one| mix_hash(all, one))
+    }
+
     /// The service that handles the request `id`; every host chooses the same one.
     pub fn service_for(&self, id: &str) -> ServiceKey {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/src/routes/route_table.rs
+++ b/src/routes/route_table.rs
@@ -1,8 +1,8 @@
-use super::{RequestLimits, Route, RouteHash, ServiceKey, ServiceSpec, TableDigest};
+use super::{RequestLimits, Route, RouteHash, RouteKind, ServiceKey, ServiceSpec, TableDigest};
 use crate::organisations::{OrgDirectory, Organisation};
 use crate::{Error, Result};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, OnceLock};
 
 /// Tables with fewer routes are sent whole, since a digest would save little.
@@ -105,6 +105,13 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Hashes of the services of each route whose streams may be taken up by their callers, by the key of the route.
+    pub fn resumable_targets(&self) -> BTreeMap<u64, u64> {
+        let resumable = self.parts.routes.iter().filter(|route| route.kind == RouteKind::Streaming);
+        let resumable = resumable.filter(|route| route.resumable);
+        resumable.map(|route| (route.key(), route.targets_hash())).collect()
+    }
+
     /// A service by its key.
     pub fn service(&self, key: ServiceKey) -> Option<&Arc<ServiceSpec>> {
         self.by_key.get(&key)
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -46,6 +46,8 @@
     pub store: SocketAddr,
     /// Addresses of other daemons to contact at the start; some may be stale.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time: then nothing served before.
+    pub bootstrap: bool,
     /// Key with which daemons authenticate each other.
     pub shared_key: String,
     /// Bounds that may change while the daemon runs.
@@ -76,6 +78,7 @@
         metrics_listen: reader.parsed("metrics_listen", address_format, PLACEHOLDER_ADDRESS),
         store: reader.parsed("store", address_format, PLACEHOLDER_ADDRESS),
         seeds: reader.parsed_list("seeds", "IP addresses with port"),
+        bootstrap: reader.flag("bootstrap", false),
         shared_key: reader.string("shared_key"),
         bounds: read_bounds(reader),
         features: LoadFeatures::read(reader),
--- a/src/stream_origins/mod.rs
+++ b/src/stream_origins/mod.rs
@@ -12,6 +12,7 @@
 mod origin_table;
 mod run_version;
 mod stream_key;
+mod target_history;
 mod version_history;
 
 pub use origin_holders::{ORIGIN_HOLDERS, origin_holders};
@@ -19,4 +20,5 @@
 pub use origin_table::{MAX_ORIGINS, OriginTable};
 pub use run_version::{RunVersion, UnknownOrigin, version_of_unknown};
 pub use stream_key::StreamKey;
-pub use version_history::{SavedVersion, VERSION_RETENTION, VersionHistory};
+pub use target_history::{RouteTargets, TargetHistory};
+pub use version_history::{ESTABLISH_TIME, SavedVersion, VERSION_RETENTION, VersionHistory};
--- a/src/stream_origins/run_version.rs
+++ b/src/stream_origins/run_version.rs
@@ -27,6 +27,8 @@
 pub struct UnknownOrigin<'a> {
     /// The versions that serve or served recently.
     pub recent: &'a [VersionKey],
+    /// Whether the route is known to have led to this service only.
+    pub is_only_service: bool,
     /// Whether the host knows all recent versions of the time before it started.
     pub is_settled: bool,
     /// For how long its view of the servers may have missed changes.
@@ -39,12 +41,12 @@
 /// at which other hosts already begin streams, unless they get no news either.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(2000);
 
-/// The version that began a stream which no host knows; `None` if that is not proved. It is proved only if the service
-/// had a single version for longer than any stream lasts.
+/// The version that began a stream which no host knows; `None` if that is not proved. It is proved only if, for longer than
+/// any stream lasts, the route led to this service only, and the service had a single version.
 pub fn version_of_unknown(origin: &UnknownOrigin<'_>) -> Option<VersionKey> {
     let [version] = origin.recent else {
         return None;
     };
     let is_view_new = origin.view_age <= MAX_VIEW_AGE || origin.is_common_outage;
-    (origin.is_settled && is_view_new).then_some(*version)
+    (origin.is_settled && origin.is_only_service && is_view_new).then_some(*version)
 }
