Streams: resumable ones begin at a version only once the store may know it, while others serve

Change: a decode server of a version that this host first saw less than 1.5 s ago begins no resumable stream while servers of other versions can. A watcher writes a new version within some 0.6 s. Where only new versions serve, they are used. Remaining: a version that comes and leaves while the store answers listings and refuses writes for longer.

--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -7,7 +7,7 @@
 use crate::placement::{RankingContext, RankingCriterion, rank_servers};
 use crate::routes::ServiceKey;
 use crate::server_limits::CallRank;
-use crate::stream_origins::RunVersion;
+use crate::stream_origins::{RunVersion, keep_established};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -30,6 +30,15 @@
     pub version: RunVersion,
 }
 
+impl ServerCriteria {
+    /// Whether a run is sought that begins a stream which may be taken up later.
+    fn begins_resumable_stream(&self) -> bool {
+        self.stage == Some(ServerStage::Decode)
+            && self.is_repeatable
+            && self.version == RunVersion::Any
+    }
+}
+
 impl GatewayHost {
     /// Ready servers of a service that meet the criteria, from best to worst.
     pub(super) fn rank_ready_servers(
@@ -72,6 +81,12 @@
             .filter(|server| standings.admits(server.key(), may_try));
         let ranked = rank_servers(now, &context, criteria.criterion, candidates);
         let mut ranked: Vec<ServerEntry> = ranked.into_iter().cloned().collect();
+        if criteria.begins_resumable_stream() {
+            let history = &state.version_history;
+            keep_established(&mut ranked, |server| {
+                history.is_established(now, (service, server.version_key()))
+            });
+        }
         if !standings.is_empty() {
             standings.reorder(&mut ranked, criteria.is_repeatable, may_try);
             drop(state);
--- a/src/routes/route.rs
+++ b/src/routes/route.rs
@@ -66,7 +66,7 @@
     /// A hash of the services and their shares.
     pub fn targets_hash(&self) -> u64 {
         let hash = |target: &RouteTarget| mix_hash(target.service.0, target.weight.into());
-        self.targets.iter().map(hash).fold(0, |all, one| mix_hash(all, one))
+        self.targets.iter().map(hash).fold(0, mix_hash)
     }
 
     /// The service that handles the request `id`; every host chooses the same one.
--- a/src/stream_origins/mod.rs
+++ b/src/stream_origins/mod.rs
@@ -18,7 +18,7 @@
 pub use origin_holders::{ORIGIN_HOLDERS, origin_holders};
 pub use origin_messages::{OriginReply, OriginRequest, OriginUpdate};
 pub use origin_table::{MAX_ORIGINS, OriginTable};
-pub use run_version::{RunVersion, UnknownOrigin, version_of_unknown};
+pub use run_version::{RunVersion, UnknownOrigin, keep_established, version_of_unknown};
 pub use stream_key::StreamKey;
 pub use target_history::{RouteTargets, TargetHistory};
 pub use version_history::{ESTABLISH_TIME, SavedVersion, VERSION_RETENTION, VersionHistory};
--- a/src/stream_origins/run_version.rs
+++ b/src/stream_origins/run_version.rs
@@ -22,6 +22,14 @@
     }
 }
 
+/// Drops the servers of versions that came a moment ago, if others are left: the store does not know these versions yet, and
+/// the hosts that saw them may be killed.
+pub fn keep_established<S>(ranked: &mut Vec<S>, is_established: impl Fn(&S) -> bool) {
+    if ranked.iter().any(&is_established) {
+        ranked.retain(is_established);
+    }
+}
+
 /// What a host knows of a service whose stream it does not know.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UnknownOrigin<'a> {
--- a/tests/stream_origins.rs
+++ b/tests/stream_origins.rs
@@ -7,8 +7,8 @@
 use tealcleat::membership::MemberUpdate;
 use tealcleat::stream_origins::{
     ESTABLISH_TIME, MAX_ORIGINS, ORIGIN_HOLDERS, OriginTable, OriginUpdate, RouteTargets,
-    StreamKey, TargetHistory, UnknownOrigin, VERSION_RETENTION, VersionHistory, origin_holders,
-    version_of_unknown,
+    StreamKey, TargetHistory, UnknownOrigin, VERSION_RETENTION, VersionHistory, keep_established,
+    origin_holders, version_of_unknown,
 };
 
 const STREAM: StreamKey = StreamKey(7);
@@ -234,6 +234,21 @@
     assert!(history.is_settled(START + VERSION_RETENTION / 2));
 }
 
+/// A version that just came is passed over while others serve, and used where it is the only one.
+#[rstest]
+#[case::others_serve(&[("v1", true), ("v2", false)], &["v1"])]
+#[case::only_new_ones(&[("v2", false), ("v3", false)], &["v2", "v3"])]
+#[case::all_established(&[("v1", true), ("v2", true)], &["v1", "v2"])]
+fn keep_established_drops_new_versions(
+    #[case] servers: &[(&str, bool)],
+    #[case] expected: &[&str],
+) {
+    let mut ranked = servers.to_vec();
+    keep_established(&mut ranked, |(_, is_established)| *is_established);
+    let kept: Vec<&str> = ranked.iter().map(|(version, _)| *version).collect();
+    assert_eq!(kept, expected);
+}
+
 fn targets(routes: &[(u64, u64)]) -> RouteTargets {
     routes.iter().copied().collect()
 }
