--- a/src/bench/soak/hush_check.rs
+++ b/src/bench/soak/hush_check.rs
@@ -1,5 +1,5 @@
-//! Checks that no answer ends early while servers stand still and go on, beside stopped, reloaded and killed hosts and
-//! changes of the configuration, one kind after the other and several at once.
+//! Checks that no answer ends early while servers stand still and go on, or streams are long, beside stopped, reloaded and
+//! killed hosts and changes of the configuration, one kind after the other and several at once.
 
 use super::host_contacts::HostContacts;
 use super::hush_caller::{AnswerEnd, HushAnswer, HushSite, run_hush_caller};
@@ -24,6 +24,8 @@
 
 /// Time between the events of a stream, so that a stream lasts some 1.5 s.
 const EVENT_INTERVAL: Duration = Duration::from_millis(190);
+/// Times between the events of long streams, by engine: they last between 0.9 s and 7 s.
+const LONG_INTERVALS_MS: [u64; 4] = [120, 450, 700, 1000];
 const CALLERS: usize = 24;
 /// Longest time before the first step, and the time between two of them, in milliseconds.
 const MAX_LEAD_MS: u64 = 800;
@@ -100,8 +102,8 @@
         let silences = Arc::new(ServerSilences::new(&self.site));
         let former_intervals: Vec<Duration> =
             self.site.decodes.iter().map(|engine| engine.event_interval()).collect();
-        for engine in &self.site.decodes {
-            engine.set_event_interval(EVENT_INTERVAL);
+        for (engine, index) in self.site.decodes.iter().zip(0..) {
+            engine.set_event_interval(event_interval(options, index));
         }
         let callers: Vec<_> = (0..CALLERS)
             .map(|index| {
@@ -111,15 +113,26 @@
             })
             .collect();
         let mut stops = Vec::new();
-        for (shocks, share) in draw_rounds(&mut random) {
-            let plan = SilencePlan::draw(share, &mut random);
+        let rounds = if options.restarts_hosts {
+            draw_restarts(&mut random)
+        } else {
+            draw_rounds(&mut random)
+        };
+        for (shocks, share) in rounds {
+            let plan = share.map(|share| SilencePlan::draw(share, &mut random));
             self.fault_log.record_disruption(&format!("hush: {shocks:?} {plan:?}"))?;
             let steps = self.draw_steps(&shocks, &mut random);
             let played = Arc::clone(&silences);
-            let played = tokio::spawn(async move { played.play(plan).await });
+            let played = tokio::spawn(async move {
+                if let Some(plan) = plan {
+                    played.play(plan).await;
+                }
+            });
             self.run_steps(steps, &site.contacts, &mut stops).await?;
             played.await.map_err(|error| crate::Error::Protocol(error.to_string()))?;
-            self.record_silences(&silences.times(), plan)?;
+            if let Some(plan) = plan {
+                self.record_silences(&silences.times(), plan)?;
+            }
             self.wait_ready().await?;
             sleep(CALM_TIME).await;
         }
@@ -223,8 +236,32 @@
     }
 }
 
+/// The time between the events of a stream at the decode engine with this index.
+fn event_interval(options: &SoakOptions, index: usize) -> Duration {
+    if !options.restarts_hosts {
+        return EVENT_INTERVAL;
+    }
+    Duration::from_millis(LONG_INTERVALS_MS[index % LONG_INTERVALS_MS.len()])
+}
+
+/// Disruptions that overlap, and the share of the servers that are silent beside them, if any.
+type HushRound = (Vec<HushShock>, Option<SilentShare>);
+
+/// Restarts in turn, alone, beside others and twice at a time, beginning with any of them.
+fn draw_restarts(random: &mut StdRng) -> Vec<HushRound> {
+    let mut rounds = vec![
+        (vec![HushShock::Stops], None),
+        (vec![HushShock::Stops, HushShock::Reloads, HushShock::Changes], None),
+        (vec![HushShock::Stops, HushShock::Stops], None),
+        (vec![HushShock::Stops], Some(SilentShare::All)),
+    ];
+    let first = random.random_range(0..rounds.len());
+    rounds.rotate_left(first);
+    rounds
+}
+
 /// Every kind of disruption and two pairs of them, each beside silent servers, beginning with any of them.
-fn draw_rounds(random: &mut StdRng) -> Vec<(Vec<HushShock>, SilentShare)> {
+fn draw_rounds(random: &mut StdRng) -> Vec<HushRound> {
     let third = HushShock::Kill(PartitionGroup::Third(random.random_range(0..2)));
     let mut rounds = vec![
         (vec![], SilentShare::All),
@@ -237,7 +274,7 @@
     ];
     let first = random.random_range(0..rounds.len());
     rounds.rotate_left(first);
-    rounds
+    rounds.into_iter().map(|(shocks, share)| (shocks, Some(share))).collect()
 }
 
 impl HushTally {
--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -43,6 +43,7 @@
 mod soak_run;
 mod stream_taker;
 mod version_check;
+mod version_moves;
 
 pub use handover_record::HandoverTally;
 pub use hush_check::HushTally;
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -48,6 +48,9 @@
     /// Whether servers stand still and go on beside stopped, reloaded and killed hosts and changes of the configuration. No
     /// answer may end early meanwhile; repeats are summed as above.
     pub hushes_servers: bool,
+    /// Whether hosts are restarted in turn beside streams of up to seven seconds, reloads and changes of the configuration.
+    /// What is checked is the same.
+    pub restarts_hosts: bool,
     /// Whether hosts are stopped beside lost answers of the lease, calls are given up beside cuts, and servers leave while hosts
     /// are cut off. The daemons' environment must provide the same library.
     pub hands_over: bool,
@@ -62,7 +65,7 @@
 impl SoakOptions {
     /// The retry bounds of the daemons if they are not ample.
     pub(super) fn retry_bounds(&self) -> Option<RetryBounds> {
-        (self.sums_repeats || self.hushes_servers).then_some(RETRY_BOUNDS)
+        (self.sums_repeats || self.hushes_servers || self.restarts_hosts).then_some(RETRY_BOUNDS)
     }
 
     /// Whether each daemon needs a machine with an address of its own.
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -79,7 +79,7 @@
         Vec::new()
     };
     let mut hushed = Default::default();
-    let hush_violations = if options.hushes_servers {
+    let hush_violations = if options.hushes_servers || options.restarts_hosts {
         cluster.check_hushing(options, &results, &mut hushed).await?
     } else {
         Vec::new()
--- a/src/bench/soak/version_check.rs
+++ b/src/bench/soak/version_check.rs
@@ -50,7 +50,7 @@
     }
 
     /// Replaces an engine; its streams break off.
-    async fn replace_engine(&self, index: usize, version: &str) -> Result<()> {
+    pub async fn replace_engine(&self, index: usize, version: &str) -> Result<()> {
         let id = &self.site.servers[index].id;
         self.site.replace_software(id, version).await?;
         self.site.write_incarnation_entry(id, self.answer_links[index].address)
@@ -87,6 +87,7 @@
             self.fault_log.record_disruption(&format!("versions: {shock:?}"))?;
             self.run_shock(shock, &site.contacts, &mut random).await?;
         }
+        self.run_version_moves(&site.contacts, &mut random).await?;
         site.is_stopped.store(true, Ordering::Relaxed);
         for taker in takers {
             taker.await.map_err(|error| crate::Error::Protocol(error.to_string()))?;
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -105,6 +105,8 @@
         repeating: bool,
         /// Let servers stand still and go on beside stopped, reloaded and killed hosts and changes of the configuration
         hushing: bool,
+        /// Restart hosts in turn beside streams of up to seven seconds, reloads and changes of the configuration
+        restarting: bool,
         /// Stop hosts beside lost answers of the lease, give calls up beside cuts, and take servers away while hosts are cut
         /// off; needs the same library
         handing_over: bool,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -42,6 +42,7 @@
             herding,
             repeating,
             hushing,
+            restarting,
             handing_over,
             further_routes,
             variable,
@@ -66,6 +67,7 @@
                 herds_connections: *herding,
                 sums_repeats: *repeating,
                 hushes_servers: *hushing,
+                restarts_hosts: *restarting,
                 hands_over: *handing_over,
                 unused_routes: *further_routes,
                 environment: variable
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -41,10 +41,10 @@
                 repeats.engine_repeats, repeats.plain_repeats
             );
         }
-        if options.hushes_servers {
+        if options.hushes_servers || options.restarts_hosts {
             let hushed = report.hushed;
             println!(
-                "  silent servers: {} of {} whole, {} given up, {} left by their callers, {} lost, {} worked on twice; \
+                "  answers beside silent servers or restarts: {} of {} whole, {} given up, {} left by their callers, {} lost, {} worked on twice; \
                  repeats: {} at engines, {} at plain servers",
                 hushed.whole,
                 hushed.asked,
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -110,6 +110,8 @@
 /// Engines of several software versions serve side by side, crash and are replaced, while hosts are killed, paused and
 /// cut off, and callers take their streams up at other hosts.
 ///
+/// In the end versions come, leave and return while all hosts are killed.
+///
 /// The test guards against streams that go on at another version than the one that began them.
 #[test]
 fn run_soak_with_several_software_versions() {
@@ -192,6 +194,17 @@
     run(SoakOptions { hosts: 6, domains: 3, hushes_servers: true, duration, ..defaults });
 }
 
+/// Hosts are restarted in turn beside streams of up to seven seconds, alone, beside reloads and changes of the configuration,
+/// and beside silent servers.
+///
+/// The test guards against hosts that end an answer before their exit has to, or leave a request without an answer.
+#[test]
+fn run_soak_with_restarts_beside_long_streams() {
+    let defaults = options(1);
+    let duration = Duration::from_secs(2);
+    run(SoakOptions { hosts: 6, domains: 3, restarts_hosts: true, duration, ..defaults });
+}
+
 /// Hosts are stopped while the store loses the answers of the lease, links are cut while calls are given up and hosts are
 /// killed or stopped, and servers leave while hosts are cut off.
 ///
@@ -246,6 +259,7 @@
         herds_connections: false,
         sums_repeats: false,
         hushes_servers: false,
+        restarts_hosts: false,
         hands_over: false,
         unused_routes: 0,
         environment: Vec::new(),
