--- a/src/in_flight/cut_lines.rs
+++ b/src/in_flight/cut_lines.rs
@@ -8,17 +8,22 @@
 pub fn cut_lines(now: TimePoint, table: &InFlightTable) -> Vec<String> {
     let works = table.oldest(MAX_CUT_LINES);
     let unnamed = table.len().saturating_sub(works.len());
-    let mut lines: Vec<String> =
-        works.iter().map(|(begun_at, work)| cut_line(now, *begun_at, work)).collect();
+    let lines = works.iter().filter_map(|(begun_at, work)| cut_line(now, *begun_at, work));
+    let mut lines: Vec<String> = lines.collect();
+    let connections = works.iter().filter(|(_, work)| *work == InFlightWork::Connection).count();
+    if connections > 0 {
+        lines.push(format!("event=connections_cut count={connections}"));
+    }
     if unnamed > 0 {
         lines.push(format!("event=cuts_unnamed count={unnamed}"));
     }
     lines
 }
 
-fn cut_line(now: TimePoint, begun_at: TimePoint, work: &InFlightWork) -> String {
+/// The line about one work; connections are only counted, since their requests have lines.
+fn cut_line(now: TimePoint, begun_at: TimePoint, work: &InFlightWork) -> Option<String> {
     let age = now.since(begun_at).as_millis();
-    match work {
+    let line = match work {
         InFlightWork::Request(progress) => {
             let server = progress.server.as_deref().unwrap_or("-");
             let (id, events, wait) = (&progress.id, progress.events, progress.wait.name());
@@ -27,7 +32,8 @@
                  waits_for={wait}"
             )
         }
-        InFlightWork::Connection => format!("event=connection_cut age_ms={age}"),
+        InFlightWork::Connection => return None,
         InFlightWork::Tunnel(server) => format!("event=tunnel_cut address={server} age_ms={age}"),
-    }
+    };
+    Some(line)
 }
