--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -1,4 +1,5 @@
 use super::free_ports;
+use crate::resource_plan::MachineLimits;
 use crate::retries::RetryBounds;
 use crate::settings::LoadFeatures;
 use crate::{Error, Result};
@@ -44,6 +45,8 @@
     pub retries: Option<RetryBounds>,
     /// Decisions under load that are switched on.
     pub features: LoadFeatures,
+    /// What its machine allows it, if that is to be enforced and told.
+    pub limits: Option<MachineLimits>,
     /// Additional environment variables.
     pub environment: &'a [(String, String)],
 }
@@ -75,8 +78,11 @@
     pub peers: SocketAddr,
     /// Address that it listens on for peers.
     pub peers_listen: SocketAddr,
+    /// Address on which it serves metrics.
+    pub metrics: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
+    limits: Option<MachineLimits>,
     environment: Vec<(String, String)>,
     process: Option<Child>,
     suspended_at: Option<Instant>,
@@ -132,8 +138,10 @@
             ready: address(1),
             peers: plan.advertised.unwrap_or(address(2)),
             peers_listen: address(2),
+            metrics: address(3),
             program: plan.program.to_path_buf(),
             settings,
+            limits: plan.limits,
             environment: plan.environment.to_vec(),
             process: None,
             suspended_at: None,
@@ -155,8 +163,8 @@
             .create(true)
             .append(true)
             .open(self.settings.with_extension("log"))?;
-        let child = Command::new(&self.program)
-            .arg(&self.settings)
+        let child = self
+            .command()
             .env(SUSPENDED_TIME_VARIABLE, self.suspended_time_file())
             .env(SOURCE_ADDRESS_VARIABLE, self.callers.ip().to_string())
             .env(SERVER_CUT_VARIABLE, self.server_cut_file())
@@ -169,6 +177,24 @@
         Ok(())
     }
 
+    /// The command that starts the program, through a shell where that has to lower a limit first.
+    fn command(&self) -> Command {
+        let Some(MachineLimits { max_fds, .. }) = self.limits else {
+            let mut command = Command::new(&self.program);
+            command.arg(&self.settings);
+            return command;
+        };
+        let mut command = Command::new("sh");
+        command.args(["-c", "ulimit -n \"$1\" && exec \"$2\" \"$3\"", "sh"]);
+        command.arg(max_fds.to_string()).arg(&self.program).arg(&self.settings);
+        command
+    }
+
+    /// The id of the process, if it was started.
+    pub fn id(&self) -> Option<u32> {
+        self.process.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process, if it was started.
     ///
     /// # Errors
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -157,6 +157,7 @@
             grace: DEFAULT_GRACE,
             features: options.features,
             retries: options.retry_bounds(),
+            limits: None,
             environment: &environment,
         })?;
         if let Some(advertised) = advertised {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Decision modules are pure state machines without I/O (`placement`, `streams`, `claims`, `membership`, `intents`,
 //! `orders`, `routes`, `fleet`, `organisations`, `limits`, `server_limits`, `quarantine`, `shared_health`, `admission`,
-//! `return_times`, `memory_forecast`, `server_slots`, `server_paths`, `silent_runs`, `stream_origins`, `held_bytes`, `in_flight`).
+//! `return_times`, `memory_forecast`, `server_slots`, `server_paths`, `silent_runs`, `stream_origins`, `held_bytes`, `in_flight`, `resource_plan`).
 //! Edge modules use sockets (`platform`, `engines`, `callers`, `peers`, `operators`). `host` combines them into the
 //! daemon, `gateway` into the daemon for the users' platform. Dependencies point one way: edge modules depend on decision
 //! modules, never the reverse.
@@ -34,6 +34,7 @@
 pub mod placement;
 pub mod platform;
 pub mod quarantine;
+pub mod resource_plan;
 pub mod retries;
 pub mod return_times;
 pub mod routes;
--- a/tests/abandoned_ends.rs
+++ b/tests/abandoned_ends.rs
@@ -72,6 +72,7 @@
         grace: DEFAULT_GRACE,
         retries: None,
         features: LoadFeatures::default(),
+        limits: None,
         environment: &[],
     })
     .expect("a host");
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -137,6 +137,7 @@
             grace: DEFAULT_GRACE,
             retries: None,
             features: LoadFeatures::default(),
+            limits: None,
             environment: &[],
         })
         .expect("a host");
--- a/tests/limited_servers.rs
+++ b/tests/limited_servers.rs
@@ -113,6 +113,7 @@
         grace: DEFAULT_GRACE,
         retries: None,
         features: LoadFeatures::default(),
+        limits: None,
         environment,
     };
     GatewayProcess::start(&plan).expect("a daemon")
--- a/tests/stop_common/mod.rs
+++ b/tests/stop_common/mod.rs
@@ -29,6 +29,7 @@
         grace,
         retries: None,
         features: LoadFeatures::ALL,
+        limits: None,
         environment: &[],
     })
     .expect("a host");
--- a/tests/suspended_hosts.rs
+++ b/tests/suspended_hosts.rs
@@ -67,6 +67,7 @@
             grace: DEFAULT_GRACE,
             retries: None,
             features: LoadFeatures::default(),
+            limits: None,
             environment: &environment,
         })
         .expect("a host");
