Connections: a table of those that others opened, and which go first when there is no room

No behaviour changes yet: the addresses come to use it one by one.

ConnectionTable is pure: connections by key, what each occupies, and since when its caller did nothing. Without room those go first that rest or stall longest; a connection at work is never closed. A byte now and then is no progress (8 KiB is). ConnectionGauge observes a connection (stream, request, answer), ConnectionRoom carries the decisions out, http_door serves: the buffers of the HTTP library are made only once something arrived, and a request begins only once the answers before it were taken. Of the requests sent ahead eight are at work at a time, and others are served between two of them. BoundedNotice bounds log lines to one a second.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! Decision modules are pure state machines without I/O (`placement`, `streams`, `claims`, `membership`, `intents`,
 //! `orders`, `routes`, `fleet`, `organisations`, `limits`, `server_limits`, `quarantine`, `shared_health`, `admission`,
 //! `return_times`, `memory_forecast`, `server_slots`, `server_paths`, `silent_runs`, `stream_origins`, `held_bytes`, `in_flight`, `resource_plan`).
-//! Edge modules use sockets (`platform`, `engines`, `callers`, `peers`, `operators`). `host` combines them into the
+//! Edge modules use sockets (`platform`, `engines`, `callers`, `peers`, `operators`, `open_connections`). `host` combines them into the
 //! daemon, `gateway` into the daemon for the users' platform. Dependencies point one way: edge modules depend on decision
 //! modules, never the reverse.
 
@@ -27,6 +27,7 @@
 pub mod limits;
 pub mod membership;
 pub mod memory_forecast;
+pub mod open_connections;
 pub mod operators;
 pub mod orders;
 pub mod organisations;
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,5 +1,6 @@
 //! Log lines, metrics and the trace spans of each hop.
 
+mod bounded_notice;
 mod bounded_writer;
 mod log_line;
 mod metric_registry;
@@ -7,6 +8,7 @@
 mod span_record;
 mod trace_parent;
 
+pub use bounded_notice::BoundedNotice;
 pub use bounded_writer::{flush_logs, lift_line_rate};
 pub use log_line::start_logs;
 pub use metric_registry::{MetricRegistry, RequestOutcome};
