Ready and metrics addresses: heads, connections and unread answers are bounded

Cause: serve_endpoint set neither the size of its buffer (the HTTP library's default is 408 KB a connection) nor a time for a head, admitted any number of connections, and the library begins each further request whether or not its answers are taken, so that they pile up in its write buffer.

Change: both addresses are served through rooms of their own (128 and 16 connections, 4 MB of buffers, 8 KiB a head, 5 s), whose descriptors callers cannot take. memory_mb and max_fds are settings, filled in by the platform; requests_ahead and answer_stall_s have defaults. Counters: tealcleat_connections_closed_total and _refused_total by door; log line connections_closed, one a second.

The cases added here failed before.

--- a/src/bench/gateway_process.rs
+++ b/src/bench/gateway_process.rs
@@ -113,6 +113,12 @@
             .iter()
             .map(|(name, is_on)| format!("\"{name}\": {is_on}, "))
             .collect();
+        let machine = plan
+            .limits
+            .map(|limits| {
+                format!("\"memory_mb\": {}, \"max_fds\": {},\n", limits.memory_mb, limits.max_fds)
+            })
+            .unwrap_or_default();
         let grace = plan.grace.as_secs_f64();
         let retries = plan.retries.unwrap_or(AMPLE_RETRIES);
         let (ratio, slack, window) = (retries.ratio, retries.slack, retries.window.as_secs_f64());
@@ -121,7 +127,7 @@
              \"callers_listen\": \"{}\", \"ready_listen\": \"{}\", \"peers_listen\": \"{}\",\n\
              \"metrics_listen\": \"{}\", \"store\": \"{}\", \"seeds\": [{}],\n\
              \"bootstrap\": true, \"shared_key\": \"a-shared-key-of-the-soak\", \"grace_s\": {grace}, \"lease_ms\": 3000,\n\
-             {revocation}{advertise}{features}\"retry_ratio\": {ratio}, \"retry_slack\": {slack}, \"retry_window_s\": {window},\n\
+             {machine}{revocation}{advertise}{features}\"retry_ratio\": {ratio}, \"retry_slack\": {slack}, \"retry_window_s\": {window},\n\
              \"log_level\": \"info\"}}\n",
             plan.name,
             plan.domain,
--- a/src/bench/site/test_site.rs
+++ b/src/bench/site/test_site.rs
@@ -3,6 +3,7 @@
 use crate::bench::links::{HostLink, LinkSockets};
 use crate::gateway::{Gateway, start_gateway};
 use crate::limits::LimitBounds;
+use crate::resource_plan::MachineLimits;
 use crate::retries::RetryBounds;
 use crate::settings::{GatewayBounds, GatewaySettings, LoadFeatures};
 use crate::{Error, Result};
@@ -265,6 +266,7 @@
     };
     Ok(GatewaySettings {
         features: LoadFeatures::default(),
+        machine: MachineLimits::default(),
         host: format!("host-{index}"),
         domain: "a".to_owned(),
         callers_listen: any_port()?,
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,4 +1,5 @@
 use super::gateway_state::GatewayState;
+use super::host_rooms::HostRooms;
 use super::pending_replies::PendingReplies;
 use super::request_body::ALL_REQUESTS_BYTES;
 use super::stop_phase::StopPhase;
@@ -20,6 +21,7 @@
 use crate::placement::{DomainBreakers, GrantHistory, LoadTable, ServerEvent};
 use crate::platform::StoreClient;
 use crate::quarantine::{CrashTracker, PartTracker, UnconfirmedCrashes};
+use crate::resource_plan::ResourcePlan;
 use crate::retries::{RetryPools, RetryReply};
 use crate::return_times::ReturnCalendar;
 use crate::routes::RouteTable;
@@ -50,6 +52,8 @@
     state: Mutex<GatewayState>,
     metrics: Mutex<MetricRegistry>,
     pub(super) pool: HttpPool,
+    /// The connections that others opened.
+    pub rooms: HostRooms,
     /// The budget of the bodies of callers' requests.
     pub request_bodies: ByteBudget,
     pub(super) store: StoreClient,
@@ -92,6 +96,7 @@
         let incarnation = IncarnationId::at_start(SystemTime::now(), rand::random());
         let domain = NameKey::of(&settings.domain);
         let own = MemberUpdate::started(incarnation, peers_address, domain);
+        let plan = ResourcePlan::new(&settings.machine);
         let seeds = settings.seeds.iter().copied().filter(|seed| *seed != peers_address).collect();
         let state = GatewayState {
             bounds: settings.bounds,
@@ -143,6 +148,7 @@
             state: Mutex::new(state),
             metrics: Mutex::default(),
             pool: HttpPool::default(),
+            rooms: HostRooms::new(&plan),
             request_bodies: ByteBudget::new(ALL_REQUESTS_BYTES),
             store: StoreClient::new(settings.store),
             peers: PeerClient::new(&settings.shared_key),
@@ -190,6 +196,11 @@
         lock(&self.metrics)
     }
 
+    /// All metrics in the Prometheus text format.
+    pub fn metrics_text(&self) -> String {
+        self.metrics().prometheus_text() + &self.rooms.prometheus_text()
+    }
+
     /// The configuration in force.
     pub fn routes(&self) -> Arc<RouteTable> {
         Arc::clone(&self.state().routes)
--- a/src/gateway/ready_server.rs
+++ b/src/gateway/ready_server.rs
@@ -1,17 +1,19 @@
 use super::caller_body::{CallerAnswer, CallerBody};
 use super::gateway_host::GatewayHost;
+use crate::open_connections::{
+    ConnectionGauge, HttpLimits, accept_connections, bound_socket_buffers, serve_http,
+};
 use crate::platform::READY_PATH;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// A probe sends some hundred bytes, and comes each second.
+const PROBE_LIMITS: HttpLimits =
+    HttpLimits { head_bytes: 8 << 10, head_wait: Duration::from_secs(5) };
 
 /// What an HTTP endpoint for the platform serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,41 +30,37 @@
     host: Arc<GatewayHost>,
     kind: EndpointKind,
 ) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("event=accept_failed cause=\"{error}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let host = Arc::clone(&host);
-        tokio::spawn(async move {
-            let service = service_fn(move |request| answer(Arc::clone(&host), kind, request));
-            let connection = hyper::server::conn::http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("event=question_connection_ended cause=\"{error}\"");
-            }
-        });
-    }
+    bound_socket_buffers(&listener);
+    let room = match kind {
+        EndpointKind::Ready => &host.rooms.ready,
+        EndpointKind::Metrics => &host.rooms.metrics,
+    };
+    accept_connections(listener, Arc::clone(room), |stream, gauge| {
+        serve_connection(stream, gauge, Arc::clone(&host), kind)
+    })
+    .await;
 }
 
-async fn answer(
+async fn serve_connection(
+    stream: TcpStream,
+    gauge: Arc<ConnectionGauge>,
     host: Arc<GatewayHost>,
     kind: EndpointKind,
-    request: Request<Incoming>,
-) -> Result<CallerAnswer, Infallible> {
+) {
+    let answer = move |request: Request<Incoming>, _gauge| {
+        std::future::ready(answer_probe(&host, kind, request.uri().path()))
+    };
+    serve_http(stream, gauge, PROBE_LIMITS, answer, std::future::pending::<()>()).await;
+}
+
+fn answer_probe(host: &GatewayHost, kind: EndpointKind, path: &str) -> CallerAnswer {
     let (status, body) = match kind {
-        EndpointKind::Ready if request.uri().path() != READY_PATH => {
-            (StatusCode::NOT_FOUND, String::new())
-        }
+        EndpointKind::Ready if path != READY_PATH => (StatusCode::NOT_FOUND, String::new()),
         EndpointKind::Ready if host.is_ready() => (StatusCode::OK, String::new()),
         EndpointKind::Ready => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        EndpointKind::Metrics => (StatusCode::OK, host.metrics().prometheus_text()),
+        EndpointKind::Metrics => (StatusCode::OK, host.metrics_text()),
     };
     let mut answer = Response::new(CallerBody::Whole(Some(Bytes::from(body))));
     *answer.status_mut() = status;
-    Ok(answer)
+    answer
 }
--- a/src/settings/gateway_settings.rs
+++ b/src/settings/gateway_settings.rs
@@ -1,8 +1,9 @@
 use super::LoadFeatures;
 use super::SourceText;
 use super::field_reader::{FieldReader, read_object};
-use super::host_settings::{MIN_KEY_LENGTH, PLACEHOLDER_ADDRESS, read_log_level};
+use super::host_settings::{MIN_KEY_LENGTH, PLACEHOLDER_ADDRESS, read_log_level, read_machine};
 use crate::limits::LimitBounds;
+use crate::resource_plan::MachineLimits;
 use crate::retries::RetryBounds;
 use crate::{Error, Result};
 use std::net::SocketAddr;
@@ -52,6 +53,8 @@
     pub shared_key: String,
     /// Bounds that may change while the daemon runs.
     pub bounds: GatewayBounds,
+    /// What the machine allows this process.
+    pub machine: MachineLimits,
     /// Which decisions about load are switched on.
     pub features: LoadFeatures,
     /// `error`, `warn`, `info` or `debug`.
@@ -81,6 +84,7 @@
         bootstrap: reader.flag("bootstrap", false),
         shared_key: reader.string("shared_key"),
         bounds: read_bounds(reader),
+        machine: read_machine(reader),
         features: LoadFeatures::read(reader),
         log_level: read_log_level(reader),
     };
@@ -128,6 +132,7 @@
             ("metrics_listen", self.metrics_listen != newer.metrics_listen),
             ("store", self.store != newer.store),
             ("shared_key", self.shared_key != newer.shared_key),
+            ("memory_mb, max_fds, requests_ahead, answer_stall_s", self.machine != newer.machine),
             ("features of load", self.features != newer.features),
         ];
         changed.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
--- a/src/settings/host_settings.rs
+++ b/src/settings/host_settings.rs
@@ -1,6 +1,7 @@
 use super::SourceText;
 use super::field_reader::{FieldReader, read_object};
 use crate::placement::PlacementPolicy;
+use crate::resource_plan::MachineLimits;
 use crate::{Error, Result};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -37,6 +38,8 @@
     pub body_limit_bytes: usize,
     /// How long a planned stop waits for running streams.
     pub drain_limit: Duration,
+    /// What the machine allows this process.
+    pub machine: MachineLimits,
     /// `error`, `warn`, `info` or `debug`.
     pub log_level: log::LevelFilter,
 }
@@ -69,6 +72,7 @@
             0..=600_000,
             Some(30_000),
         )),
+        machine: read_machine(reader),
         log_level: read_log_level(reader),
     };
     check_keys(reader, &settings);
@@ -97,6 +101,25 @@
     })
 }
 
+/// Reads what the machine allows this process.
+pub(super) fn read_machine(reader: &mut FieldReader<'_, '_>) -> MachineLimits {
+    let defaults = MachineLimits::default();
+    MachineLimits {
+        memory_mb: reader.number("memory_mb", 64..=1 << 20, Some(defaults.memory_mb)),
+        max_fds: reader.number("max_fds", 512..=1 << 24, Some(defaults.max_fds)),
+        requests_ahead: reader.number(
+            "requests_ahead",
+            1..=1 << 16,
+            Some(defaults.requests_ahead as u64),
+        ) as usize,
+        answer_stall: Duration::from_secs(reader.number(
+            "answer_stall_s",
+            1..=3600,
+            Some(defaults.answer_stall.as_secs()),
+        )),
+    }
+}
+
 fn check_keys(reader: &mut FieldReader<'_, '_>, settings: &HostSettings) {
     for (name, key) in
         [("shared_key", &settings.shared_key), ("operator_key", &settings.operator_key)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use tealcleat::host::{ConfirmRequest, Daemon, HostState, OperatorReply, start_daemon};
 use tealcleat::intents::PlanDraft;
 use tealcleat::placement::PlacementPolicy;
+use tealcleat::resource_plan::MachineLimits;
 use tealcleat::settings::HostSettings;
 use tokio::runtime::Runtime;
 
@@ -174,6 +175,7 @@
         policy: PlacementPolicy::Reserve,
         body_limit_bytes: 64 << 10,
         drain_limit: Duration::from_secs(60),
+        machine: MachineLimits::default(),
         log_level: log::LevelFilter::Off,
     }
 }
--- a/tests/rogue_clients.rs
+++ b/tests/rogue_clients.rs
@@ -72,13 +72,16 @@
 }
 
 #[rstest]
+#[case::ready(DoorKind::Ready, 600)]
 #[case::route(DoorKind::Route, 600)]
+#[case::metrics(DoorKind::Metrics, 600)]
 #[case::peers(DoorKind::Peers, 600)]
 fn endless_heads_bounded(#[case] door: DoorKind, #[case] size: usize) {
     play_crowd(&format!("endless-heads-{door:?}"), RogueKind::EndlessHead, door, size);
 }
 
 #[rstest]
+#[case::ready(DoorKind::Ready)]
 #[case::route(DoorKind::Route)]
 #[case::no_route(DoorKind::NoRoute)]
 #[case::metrics(DoorKind::Metrics)]
