Door: connections, heads and requests at work are bounded by the memory and descriptors of the machine

What callers saw: beside 4,500 connections that send nothing, 3,800 with half a head, half a body, a body or a head of which a byte arrives a second, the daemon passed 110 MB and was ended: all of its callers lost their answers.

Cause: the door admitted any number of connections; one that rests costs some 25 KB, one with half a request 35 KB (buffers of the HTTP library, and the state of a request, all made at the accept), and nothing added them up or closed any before the idle limit. 4,100 descriptors were all theirs.

Change: callers' connections have a quarter of memory_mb and half of the descriptors. A connection that sent nothing counts 4 KB, one that did 28 KB and what arrived of a head, a request at work another 32 KB and four times its head. Without room those go first that made no progress for longest; if all are at work, a request is refused as not run (no_room), and a connection is not admitted.

Ruled out: a bound by number alone (1,950 with half a request are 68 MB and more, 1,950 at rest 49); closing slow ones by a time limit (a crowd that reopens its connections fills the memory within a second).

The cases added here failed before.

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -41,6 +41,8 @@
     HostStopping,
     /// The bodies of the requests in flight leave no room for its own.
     NoBodyRoom,
+    /// The connections and requests in flight leave no room for it.
+    NoRoom,
 }
 
 impl NotRunReason {
@@ -62,6 +64,7 @@
             Self::ServersAtLimit => "servers_at_limit",
             Self::NoPlace => "no_place",
             Self::NoBodyRoom => "no_body_room",
+            Self::NoRoom => "no_room",
             Self::HostStopping => "host_stopping",
         }
     }
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -13,13 +13,13 @@
 use super::stop_phase::StopPhase;
 use crate::in_flight::{InFlightGuard, InFlightWork, RequestProgress};
 use crate::keys::{RequestContents, RequestKey};
+use crate::open_connections::ConnectionGauge;
 use crate::organisations::Organisation;
 use crate::platform::{CallHead, ServerCall};
 use crate::server_limits::CallRank;
 use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use std::convert::Infallible;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -32,7 +32,8 @@
 pub(super) async fn answer_call(
     host: Arc<GatewayHost>,
     request: Request<Incoming>,
-) -> Result<CallerAnswer, Infallible> {
+    gauge: Arc<ConnectionGauge>,
+) -> CallerAnswer {
     let (parts, body) = request.into_parts();
     let head = CallHead::read(&parts.headers, &parts.uri, &host.key_hasher);
     let id = head.request_id.clone();
@@ -44,7 +45,7 @@
         end.into_answer(&id)
     };
     let answering = async {
-        match open_call(&host, head, parts, body, Arc::clone(&in_flight)).await {
+        match open_call(&host, head, parts, body, Arc::clone(&in_flight), &gauge).await {
             Ok(context) => run_call(context).await,
             Err(end) => refuse(end),
         }
@@ -57,7 +58,7 @@
     if host.stop_phase() != StopPhase::Serving {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(answer)
+    answer
 }
 
 /// The final answer to a request whose answer has not begun when the process exits.
@@ -83,8 +84,12 @@
     parts: http::request::Parts,
     body: Incoming,
     in_flight: Arc<InFlightGuard>,
+    gauge: &ConnectionGauge,
 ) -> Result<CallContext, CallEnd> {
     let received_at = host.now();
+    if !gauge.has_room() {
+        return Err(refuse(NotRunReason::NoRoom));
+    }
     if head.request_id.is_empty() {
         return Err(CallEnd::Improper(StatusCode::BAD_REQUEST, "no_request_id"));
     }
@@ -98,6 +103,7 @@
     };
     let organisation = authorize_caller(host, &route, head.caller_key).await?;
     let body = read_body(&host.request_bodies, body, routes.limits().body_bytes).await?;
+    gauge.end_receiving();
     let service = route.service_for(head.stream_id());
     let Some(spec) = routes.service(service).cloned() else {
         return Err(CallEnd::NotRun(NotRunReason::NoServer, NOT_READY_PAUSE));
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -165,7 +165,7 @@
         | NotRunReason::ConfigTooOld
         | NotRunReason::RouteUnknown
         | NotRunReason::LimitUnknown => jittered(NO_SERVER_PAUSE),
-        NotRunReason::NoBodyRoom => jittered(NO_BODY_ROOM_PAUSE),
+        NotRunReason::NoBodyRoom | NotRunReason::NoRoom => jittered(NO_BODY_ROOM_PAUSE),
         NotRunReason::HostStopping => jittered(STOPPING_PAUSE),
         NotRunReason::PromptNotRead
         | NotRunReason::Rejected
--- a/tests/rogue_clients.rs
+++ b/tests/rogue_clients.rs
@@ -95,6 +95,7 @@
 }
 
 #[rstest]
+#[case::door(DoorKind::Route)]
 #[case::ready(DoorKind::Ready)]
 #[case::metrics(DoorKind::Metrics)]
 #[case::peers(DoorKind::Peers)]
@@ -103,12 +104,16 @@
 }
 
 #[rstest]
+#[case::door(DoorKind::Route)]
 #[case::ready(DoorKind::Ready)]
 fn half_heads_bounded(#[case] door: DoorKind) {
     play_crowd(&format!("half-heads-{door:?}"), RogueKind::HalfHead, door, 3800);
 }
 
 #[rstest]
+#[case::half(RogueKind::HalfBody, 3800)]
+#[case::slow(RogueKind::SlowBody, 3800)]
+#[case::slow_head(RogueKind::SlowHead, 3800)]
 #[case::slow_reader(RogueKind::SlowReader, 600)]
 fn slow_senders_and_readers_bounded(#[case] kind: RogueKind, #[case] size: usize) {
     play_crowd(&format!("slow-{kind:?}"), kind, DoorKind::Route, size);
