Bodies: collected in pieces, within the caller's time, and out of a part of the machine's memory

A body that stops half-way kept its room until its caller left.

Cause: each body was a vector that grows. A body had no time limit. 24 MiB, and 16 MiB each for answers of servers and the store, were the same on every machine.

Change: BodyBuffer keeps pieces of up to 16 KiB, put together once the body is whole. A body that has not arrived when its caller's time (deadline, route) is over is refused as not run. A body without room closes the one that stalled longest, two seconds at least. Bodies have 20% of memory_mb, answers 12%, the store's 10%. The reading of a body is one function for both interfaces.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -121,11 +121,16 @@
 
 impl Default for HttpPool {
     fn default() -> Self {
-        Self { idle: IdleConnections::default(), answers: ByteBudget::new(ALL_ANSWERS_BYTES) }
+        Self::bounded(ALL_ANSWERS_BYTES)
     }
 }
 
 impl HttpPool {
+    /// A pool whose answers occupy at most `answer_bytes` together.
+    pub fn bounded(answer_bytes: usize) -> Self {
+        Self { idle: IdleConnections::default(), answers: ByteBudget::new(answer_bytes) }
+    }
+
     /// Returns a pool without connections whose answers count against the same budget.
     pub fn emptied(&self) -> Self {
         Self { idle: IdleConnections::default(), answers: self.answers.clone() }
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -8,7 +8,7 @@
 use super::gateway_host::GatewayHost;
 use super::limit_charge::{LimitCharge, charge_request};
 use super::plain_call::serve_plain;
-use super::request_body::read_body;
+use super::request_body::read_request_body;
 use super::run_open::refuse;
 use super::stop_phase::StopPhase;
 use crate::in_flight::{InFlightGuard, InFlightWork, RequestProgress};
@@ -102,8 +102,10 @@
         return Err(no_route(host));
     };
     let organisation = authorize_caller(host, &route, head.caller_key).await?;
-    let body = read_body(&host.request_bodies, body, routes.limits().body_bytes).await?;
-    gauge.end_receiving();
+    let time_limit =
+        head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
+    let max_bytes = routes.limits().body_bytes;
+    let body = read_request_body(&host.request_bodies, body, max_bytes, time_limit, gauge).await?;
     let service = route.service_for(head.stream_id());
     let Some(spec) = routes.service(service).cloned() else {
         return Err(CallEnd::NotRun(NotRunReason::NoServer, NOT_READY_PAUSE));
@@ -111,8 +113,6 @@
     if !host.can_end_before_exit(received_at, &route, spec.engine.as_ref(), &head) {
         return Err(refuse(NotRunReason::HostStopping));
     }
-    let time_limit =
-        head.deadline.map_or(route.time_limit, |deadline| deadline.min(route.time_limit));
     {
         let mut state = host.state();
         let bounds = state.bounds.retries;
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -1,7 +1,6 @@
 use super::gateway_state::GatewayState;
 use super::host_rooms::HostRooms;
 use super::pending_replies::PendingReplies;
-use super::request_body::ALL_REQUESTS_BYTES;
 use super::stop_phase::StopPhase;
 use super::stop_plan::StopPlan;
 use super::unreadable_objects::UnreadableObjects;
@@ -147,10 +146,10 @@
             next_serial: AtomicU64::new(rand::random::<u32>().into()),
             state: Mutex::new(state),
             metrics: Mutex::default(),
-            pool: HttpPool::default(),
+            pool: HttpPool::bounded(plan.answer_bytes),
             rooms: HostRooms::new(&plan),
-            request_bodies: ByteBudget::new(ALL_REQUESTS_BYTES),
-            store: StoreClient::new(settings.store),
+            request_bodies: ByteBudget::new(plan.request_bytes),
+            store: StoreClient::bounded(settings.store, plan.store_bytes),
             peers: PeerClient::new(&settings.shared_key),
             peers_address,
             socket,
--- a/src/open_connections/mod.rs
+++ b/src/open_connections/mod.rs
@@ -3,6 +3,7 @@
 //! Anybody may open connections, send slowly or in part, and leave answers unread. [`ConnectionTable`] decides, on what
 //! [`ConnectionGauge`] observes of each connection; [`ConnectionRoom`] carries it out.
 
+mod body_reader;
 mod caller_stream;
 mod connection_gauge;
 mod connection_phase;
@@ -11,6 +12,7 @@
 mod http_door;
 mod tracked_body;
 
+pub use body_reader::{BodyRefusal, read_body};
 pub use caller_stream::CallerStream;
 pub use connection_gauge::ConnectionGauge;
 pub use connection_phase::ConnectionPhase;
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -7,7 +7,7 @@
 use super::store_call::{CallLimit, ListAge, WatchAnswer, WatchLimits, WriteOutcome};
 use super::store_object::{ObjectList, StoreObject, UnreadableObject};
 use super::store_wire::{ListPage, decode_events, decode_object, decode_page};
-use crate::engines::{AnswerProof, HttpPool, SendLimits};
+use crate::engines::{ALL_ANSWERS_BYTES, AnswerProof, HttpPool, SendLimits};
 use crate::keys::HostClock;
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -40,7 +40,12 @@
 impl StoreClient {
     /// Creates a client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        let (clock, pool) = (HostClock::start(), HttpPool::default());
+        Self::bounded(address, ALL_ANSWERS_BYTES)
+    }
+
+    /// Creates a client whose answers occupy at most `answer_bytes` together.
+    pub fn bounded(address: SocketAddr, answer_bytes: usize) -> Self {
+        let (clock, pool) = (HostClock::start(), HttpPool::bounded(answer_bytes));
         Self { address, clock, calls: Arc::default(), pool }
     }
 
--- a/tests/caller_limits.rs
+++ b/tests/caller_limits.rs
@@ -162,3 +162,24 @@
         }
     });
 }
+
+/// A body that is half sent when its caller's time is over is refused as not run, and gives back its room.
+#[test]
+fn half_body_refused_in_time() {
+    runtime().block_on(async {
+        let site = start_site(15_000).await;
+        let mut stream = TcpStream::connect(site.hosts[0].callers).await.expect("it accepts");
+        let part = format!(
+            "POST /once/x HTTP/1.1\r\nhost: books.example\r\nx-request-id: r1\r\n\
+             x-deadline-ms: 300\r\ncontent-length: {LARGEST_BODY}\r\n\r\n{}",
+            "a".repeat(LARGEST_BODY / 2)
+        );
+        stream.write_all(part.as_bytes()).await.expect("it is read");
+        let (status, body) = read_answer(&mut stream).await;
+        assert_eq!(status, "http/1.1 503 service unavailable", "{body:?}");
+        while site.hosts[0].host.request_bodies.held() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(site.services.iter().all(|service| service.runs().is_empty()), "it did not run");
+    });
+}
--- a/tests/rogue_clients.rs
+++ b/tests/rogue_clients.rs
@@ -121,6 +121,7 @@
 
 #[rstest]
 #[case::in_one_piece(RogueKind::LargeBody, 400)]
+#[case::in_pieces(RogueKind::LargeBodyInPieces, 400)]
 #[case::all_but_a_byte(RogueKind::HalfLargeBody, 200)]
 #[case::tiny_chunks(RogueKind::TinyChunks, 40)]
 #[case::overlong(RogueKind::OverlongBody, 100)]
@@ -143,3 +144,30 @@
 fn short_fields_bounded(#[case] kind: RogueKind, #[case] size: usize) {
     play_crowd(&format!("fields-{kind:?}"), kind, DoorKind::Route, size);
 }
+
+/// Small crowds of many kinds at the same time, at all addresses.
+const MIXED: [Crowd; 14] = [
+    (RogueKind::Silent, DoorKind::Route, 800),
+    (RogueKind::HalfHead, DoorKind::NoRoute, 300),
+    (RogueKind::HalfBody, DoorKind::Route, 300),
+    (RogueKind::SlowBody, DoorKind::Route, 200),
+    (RogueKind::HalfLargeBody, DoorKind::Route, 40),
+    (RogueKind::LargeBodyInPieces, DoorKind::Route, 40),
+    (RogueKind::TinyChunks, DoorKind::Route, 10),
+    (RogueKind::EndlessTrailers, DoorKind::NoRoute, 30),
+    (RogueKind::ManyFields, DoorKind::Route, 50),
+    (RogueKind::RequestsAhead, DoorKind::NoRoute, 60),
+    (RogueKind::SlowReader, DoorKind::Route, 100),
+    (RogueKind::RequestsAhead, DoorKind::Ready, 100),
+    (RogueKind::EndlessHead, DoorKind::Metrics, 50),
+    (RogueKind::Silent, DoorKind::Peers, 300),
+];
+
+#[test]
+fn mixed_crowds_bounded() {
+    runtime().block_on(async {
+        let _turn = PLAYS.acquire().await.expect("it is never closed");
+        let mut world = RogueWorld::start("mixed").await;
+        play_crowds("mixed", &mut world, &MIXED).await;
+    });
+}
