Streams: one whose caller does not read ends at its deadline, and its events are given up

Cause: relay_event waits for room in the caller's channel; the deadline ended only the wait for the next event.

Change: the deadline ends both.

Ruled out: that the connection's own end does it; the HTTP library does not look at the body while it cannot write.

--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -179,7 +179,12 @@
         context.record_written_event(&mut marks);
         hearing.record_event();
         load.grow(engine.tokens_per_event);
-        if let Some(end) = relay_event(context, event, &server, events, record).await {
+        let relayed = tokio::select! {
+            relayed = relay_event(context, event, &server, events, record) => relayed,
+            // A caller that does not read would otherwise hold its server's memory without end.
+            () = tokio::time::sleep_until(deadline) => return RunEnd::Stream(StreamEnd::TimedOut),
+        };
+        if let Some(end) = relayed {
             return end;
         }
         next = tokio::select! {
--- a/tests/endless_common/mod.rs
+++ b/tests/endless_common/mod.rs
@@ -41,6 +41,8 @@
     HalfBody(usize),
     /// A whole answer with a body of this many bytes.
     WholeBody(usize),
+    /// A stream of this many events of 100 KB each, which then stands still.
+    LargeEvents(usize),
 }
 
 /// A server that answers every request in the same way.
@@ -202,6 +204,12 @@
             head(&format!("content-length: {}\r\n", 2 * length)) + &"a".repeat(length),
             String::new(),
         ),
+        EndlessPart::LargeEvents(count) => {
+            let data = "a".repeat(100_000);
+            let event = |number: usize| format!("id: {number}\ndata: {data}\n\n");
+            let events: String = (0..count).map(event).collect();
+            (head("content-type: text/event-stream\r\n") + &events, String::new())
+        }
         EndlessPart::WholeBody(length) => {
             (head(&format!("content-length: {length}\r\n")) + &"a".repeat(length), String::new())
         }
