Peers' address: connections that have not proved that they know the key are bounded

Cause: serve_peers admitted any number, each with the state of a proven connection, and told of each by itself.

Proven connections are in no room: they are other hosts.

--- a/src/gateway/gateway_start.rs
+++ b/src/gateway/gateway_start.rs
@@ -65,7 +65,8 @@
     let advertised = settings.peers_advertise.unwrap_or(peers);
     let host = Arc::new(GatewayHost::new(settings, advertised, Arc::clone(&socket)));
     let key = host.settings.shared_key.clone();
-    tokio::spawn(serve_peers(peers_listener, key, Arc::clone(&host)));
+    let unproven = Arc::clone(&host.rooms.unproven);
+    tokio::spawn(serve_peers(peers_listener, key, Arc::clone(&host), unproven));
     tokio::spawn(run_peers(Arc::clone(&host), socket));
     tokio::spawn(serve_callers(callers_listener, Arc::clone(&host)));
     tokio::spawn(serve_endpoint(ready_listener, Arc::clone(&host), EndpointKind::Ready));
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -47,7 +47,8 @@
     let host = Arc::new(HostState::new(settings, peers, outbox));
     let operators = serve_operators(Arc::clone(&host), tokio::runtime::Handle::current())?;
     let key = host.settings.shared_key.clone();
-    tokio::spawn(serve_peers(peers_listener, key, Arc::clone(&host)));
+    let unproven = Arc::clone(&host.unproven);
+    tokio::spawn(serve_peers(peers_listener, key, Arc::clone(&host), unproven));
     tokio::spawn(serve_callers(callers_listener, Arc::clone(&host)));
     tokio::spawn(run_receiver(Arc::clone(&host), Arc::clone(&socket)));
     tokio::spawn(run_sender(Arc::clone(&host), socket, outgoing));
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -5,10 +5,12 @@
 use crate::intents::{ActiveConfig, ClusterConfig};
 use crate::keys::{AttemptId, HostClock, IncarnationId, NameKey, ServerKey, TimePoint};
 use crate::membership::{MemberTable, MemberUpdate};
+use crate::open_connections::ConnectionRoom;
 use crate::orders::OrderPlanner;
 use crate::peers::{PeerClient, ViewFetches};
 use crate::placement::{ReportTable, RetryBudget};
 use crate::platform::StoreClient;
+use crate::resource_plan::ResourcePlan;
 use crate::settings::HostSettings;
 use crate::telemetry::{MetricRegistry, SpanBuffer, SpanRecord, TraceParent};
 use std::collections::HashMap;
@@ -25,6 +27,8 @@
     /// Incarnation of this host: a new one with every start.
     pub incarnation: IncarnationId,
     clock: HostClock,
+    /// Connections of other hosts that have not proved that they know the key.
+    pub unproven: Arc<ConnectionRoom>,
     next_serial: AtomicU64,
     pub(super) config: Mutex<ActiveConfig>,
     pub(super) members: Mutex<MemberTable>,
@@ -69,9 +73,11 @@
         let domain = NameKey::of(&settings.domain);
         let own = MemberUpdate::started(incarnation, peers_address, domain);
         let seeds = settings.seeds.iter().copied().filter(|seed| *seed != peers_address).collect();
+        let plan = ResourcePlan::new(&settings.machine);
         Self {
             incarnation,
             clock: HostClock::start(),
+            unproven: Arc::new(ConnectionRoom::new("peers", plan.unproven)),
             next_serial: AtomicU64::new(1),
             config: Mutex::default(),
             members: Mutex::new(MemberTable::new(own, seeds, rand::random())),
@@ -87,7 +93,7 @@
             traces: Mutex::default(),
             peers: PeerClient::new(&settings.shared_key),
             engines: EngineClient::default(),
-            store: StoreClient::new(settings.platform),
+            store: StoreClient::bounded(settings.platform, plan.store_bytes),
             has_joined: AtomicBool::new(false),
             has_ledgers: AtomicBool::new(false),
             draining: AtomicBool::new(false),
--- a/src/peers/peer_server.rs
+++ b/src/peers/peer_server.rs
@@ -1,6 +1,7 @@
 use super::proof::prove_as_server;
 use super::tunnel_client::PROOF_HEADER;
 use super::{MESSAGE_LIMIT, TunnelOpening, decode, encode};
+use crate::open_connections::{ConnectionGauge, ConnectionRoom, accept_connections};
 use crate::server_paths::TunnelRefusal;
 use crate::{Error, Result};
 use bytes::{Bytes, BytesMut};
@@ -41,33 +42,43 @@
     }
 }
 
-/// Accepts and serves connections of other daemons; never returns.
-pub async fn serve_peers<H: PeerHandler>(listener: TcpListener, key: String, handler: Arc<H>) {
+/// Accepts and serves connections of other daemons; never returns. A connection is in `unproven` until the other side has
+/// proved that it knows the key.
+pub async fn serve_peers<H: PeerHandler>(
+    listener: TcpListener,
+    key: String,
+    handler: Arc<H>,
+    unproven: Arc<ConnectionRoom>,
+) {
     let key = Arc::new(key);
-    loop {
-        let Ok((stream, address)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-            continue;
-        };
+    accept_connections(listener, unproven, |stream, gauge| {
         let (key, handler) = (Arc::clone(&key), Arc::clone(&handler));
-        tokio::spawn(async move {
-            if let Err(error) = serve_connection(stream, &key, handler).await {
-                log::debug!("event=peer_connection_ended peer={address} cause={error:?}");
+        async move {
+            if let Err(error) = serve_connection(stream, &key, handler, gauge).await {
+                log::debug!("event=peer_connection_ended cause={error:?}");
             }
-        });
-    }
+        }
+    })
+    .await;
 }
 
 async fn serve_connection<H: PeerHandler>(
     mut stream: TcpStream,
     key: &str,
     handler: Arc<H>,
+    gauge: Arc<ConnectionGauge>,
 ) -> Result<()> {
     stream.set_nodelay(true)?;
     if let Err(error) = prove_as_server(&mut stream, key).await {
-        log::warn!("event=peer_unproven peer={:?} cause=\"{error}\"", stream.peer_addr());
+        gauge.record_unproven(stream.peer_addr().ok(), &error);
         return Err(error);
     }
+    drop(gauge);
+    // What a proven connection needs is not for those who only connect.
+    Box::pin(serve_calls(stream, handler)).await
+}
+
+async fn serve_calls<H: PeerHandler>(stream: TcpStream, handler: Arc<H>) -> Result<()> {
     let mut connection = h2::server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
--- a/tests/silent_peers.rs
+++ b/tests/silent_peers.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 use tealcleat::bench::links::LinkProxy;
 use tealcleat::keys::TimePoint;
+use tealcleat::open_connections::ConnectionRoom;
 use tealcleat::peers::{PeerClient, PeerHandler, PeerTimeouts, ViewFetches, serve_peers};
+use tealcleat::resource_plan::{MachineLimits, ResourcePlan};
 use tokio::net::TcpListener;
 
 mod site_common;
@@ -37,7 +39,9 @@
 async fn linked_peer() -> LinkProxy {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    tokio::spawn(serve_peers(listener, KEY.to_owned(), Arc::new(EchoHandler)));
+    let room = ResourcePlan::new(&MachineLimits::default()).unproven;
+    let room = Arc::new(ConnectionRoom::new("peers", room));
+    tokio::spawn(serve_peers(listener, KEY.to_owned(), Arc::new(EchoHandler), room));
     LinkProxy::start(address).await.expect("a link")
 }
 
