Own interface: connections, heads, bodies and unread answers are bounded as at the door

What was seen: 300 clients that send requests ahead and read no answer, 200 bodies of 4 MiB and 100 that stop before the last byte each ended the daemon (over 110 MB, none of 12 ordinary calls served); 3,000 half heads cost 78 MB, half bodies 75 MB.

Cause: src/callers admitted any number of connections, heads of up to 408 KB, collected each body by itself with no bound for all of them and no time limit, and began each further request whether or not answers were taken.

Change: the same room, door and reading of bodies as the gateway's, a head of 16 KiB, 60 s for a body; requests without room are refused as not run (no_room, no_body_room), with when to come back.

A body of JSON with many short fields needs no bound of its own: fields that are not named are skipped without being kept.

--- a/src/bench/host_process.rs
+++ b/src/bench/host_process.rs
@@ -25,6 +25,11 @@
 const LOG_TAIL_LINES: usize = 5;
 
 impl HostProcess {
+    /// The id of the process, if it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns the end of the log, newest line first, or the error if the log cannot be read.
     pub fn log_tail(&self) -> String {
         match std::fs::read_to_string(self.settings.with_extension("log")) {
--- a/src/callers/caller_server.rs
+++ b/src/callers/caller_server.rs
@@ -2,56 +2,55 @@
 use super::service_route::{call_service, issue_ticket};
 use super::{CallerError, CallerResponse, ErrorOutcome, whole_response};
 use crate::host::HostState;
+use crate::open_connections::{
+    BodyRefusal, ConnectionGauge, HttpLimits, accept_connections, bound_socket_buffers, read_body,
+    serve_http,
+};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
-const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Limits on heads; the field of a caller's key and the names of an organisation and a class are short.
+const HEAD_LIMITS: HttpLimits =
+    HttpLimits { head_bytes: 16 << 10, head_wait: Duration::from_secs(15) };
+/// Longest time in which a body arrives.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Accepts and serves callers' connections for as long as the daemon runs.
 pub async fn serve_callers(listener: TcpListener, host: Arc<HostState>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let host = Arc::clone(&host);
-        tokio::spawn(async move {
-            let service = service_fn(move |request| respond(Arc::clone(&host), request));
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("event=caller_connection_ended cause=\"{error}\"");
-            }
-        });
-    }
+    bound_socket_buffers(&listener);
+    let room = Arc::clone(&host.callers);
+    accept_connections(listener, room, |stream, gauge| {
+        serve_connection(stream, gauge, Arc::clone(&host))
+    })
+    .await;
+}
+
+async fn serve_connection(stream: TcpStream, gauge: Arc<ConnectionGauge>, host: Arc<HostState>) {
+    let answer = move |request, gauge| respond(Arc::clone(&host), request, gauge);
+    serve_http(stream, gauge, HEAD_LIMITS, answer, std::future::pending::<()>()).await;
 }
 
 async fn respond(
     host: Arc<HostState>,
     request: Request<Incoming>,
-) -> Result<CallerResponse, Infallible> {
-    let routed = route(&host, request).await;
-    Ok(routed.unwrap_or_else(|error| {
+    gauge: Arc<ConnectionGauge>,
+) -> CallerResponse {
+    let routed = route(&host, request, &gauge).await;
+    routed.unwrap_or_else(|error| {
         log::debug!("event=caller_refused status={} reason={}", error.status, error.reason);
         error.response()
-    }))
+    })
 }
 
 async fn route(
     host: &Arc<HostState>,
     request: Request<Incoming>,
+    gauge: &ConnectionGauge,
 ) -> Result<CallerResponse, CallerError> {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
@@ -63,8 +62,11 @@
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return Ok(text_response(status, if ready { "ready\n" } else { "not ready\n" }));
     }
+    if !gauge.has_room() {
+        return Err(not_run("no_room"));
+    }
     check_ready(host)?;
-    let body = read_body(body, host.settings.body_limit_bytes).await?;
+    let body = read_request_body(host, body, gauge).await?;
     match path.as_str() {
         "/v1/completions" => {
             require_post(&parts.method)?;
@@ -93,13 +95,18 @@
     } else {
         "starting"
     };
-    Err(CallerError {
+    Err(not_run(reason))
+}
+
+/// The answer to a request that this host does not take now.
+fn not_run(reason: &str) -> CallerError {
+    CallerError {
         status: StatusCode::SERVICE_UNAVAILABLE,
         outcome: ErrorOutcome::NotRun,
         reason: reason.to_owned(),
         message: "this host takes no requests now; another one may".to_owned(),
         retry_after: Some(RETRY_AFTER),
-    })
+    }
 }
 
 fn require_post(method: &Method) -> Result<(), CallerError> {
@@ -110,16 +117,29 @@
         .with_status(StatusCode::METHOD_NOT_ALLOWED))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallerError> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
+async fn read_request_body(
+    host: &HostState,
+    body: Incoming,
+    gauge: &ConnectionGauge,
+) -> Result<Bytes, CallerError> {
+    let limit = host.settings.body_limit_bytes;
+    let reading = read_body(&host.request_bodies, body, limit, gauge);
+    let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+    let read = read.map_err(|_elapsed| {
+        let message = "the body did not arrive in time".to_owned();
+        CallerError::invalid("body_too_slow", message).with_status(StatusCode::REQUEST_TIMEOUT)
+    })?;
+    read.map_err(|refusal| match refusal {
+        BodyRefusal::TooLarge => {
             let message = format!("the body is longer than {limit} bytes");
-            Err(CallerError::invalid("body_too_large", message)
-                .with_status(StatusCode::PAYLOAD_TOO_LARGE))
+            CallerError::invalid("body_too_large", message)
+                .with_status(StatusCode::PAYLOAD_TOO_LARGE)
         }
-        Err(error) => Err(CallerError::invalid("broken_body", format!("the body broke: {error}"))),
-    }
+        BodyRefusal::NoRoom => not_run("no_body_room"),
+        BodyRefusal::Broken(error) => {
+            CallerError::invalid("broken_body", format!("the body broke: {error}"))
+        }
+    })
 }
 
 fn text_response(status: StatusCode, text: &'static str) -> CallerResponse {
--- a/src/gateway/host_rooms.rs
+++ b/src/gateway/host_rooms.rs
@@ -1,6 +1,5 @@
 use crate::open_connections::ConnectionRoom;
 use crate::resource_plan::ResourcePlan;
-use std::fmt::Write;
 use std::sync::Arc;
 
 /// The connections that others opened to this host, by address.
@@ -29,20 +28,7 @@
 
     /// Figures about them in the Prometheus text format.
     pub fn prometheus_text(&self) -> String {
-        let mut text = String::new();
-        for room in [&self.callers, &self.ready, &self.metrics, &self.unproven] {
-            let (name, counts) = (room.name(), room.counts());
-            let figures = [
-                ("connections_open", counts.open as u64),
-                ("connections_bytes", counts.bytes as u64),
-                ("connections_closed_total", counts.closed),
-                ("connections_refused_total", counts.refused),
-            ];
-            for (figure, value) in figures {
-                // Writing to a string does not fail.
-                let _ = writeln!(text, "tealcleat_{figure}{{door=\"{name}\"}} {value}");
-            }
-        }
-        text
+        let rooms = [&self.callers, &self.ready, &self.metrics, &self.unproven];
+        rooms.into_iter().map(|room| room.prometheus_text()).collect()
     }
 }
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -2,6 +2,7 @@
 use crate::claims::{OutcomeTable, TicketRegistry};
 use crate::engines::EngineClient;
 use crate::fleet::ViewFreshness;
+use crate::held_bytes::ByteBudget;
 use crate::intents::{ActiveConfig, ClusterConfig};
 use crate::keys::{AttemptId, HostClock, IncarnationId, NameKey, ServerKey, TimePoint};
 use crate::membership::{MemberTable, MemberUpdate};
@@ -27,8 +28,12 @@
     /// Incarnation of this host: a new one with every start.
     pub incarnation: IncarnationId,
     clock: HostClock,
+    /// Callers' connections.
+    pub callers: Arc<ConnectionRoom>,
     /// Connections of other hosts that have not proved that they know the key.
     pub unproven: Arc<ConnectionRoom>,
+    /// The budget of the bodies of callers' requests.
+    pub request_bodies: ByteBudget,
     next_serial: AtomicU64,
     pub(super) config: Mutex<ActiveConfig>,
     pub(super) members: Mutex<MemberTable>,
@@ -77,7 +82,9 @@
         Self {
             incarnation,
             clock: HostClock::start(),
+            callers: Arc::new(ConnectionRoom::new("callers", plan.callers)),
             unproven: Arc::new(ConnectionRoom::new("peers", plan.unproven)),
+            request_bodies: ByteBudget::new(plan.request_bytes),
             next_serial: AtomicU64::new(1),
             config: Mutex::default(),
             members: Mutex::new(MemberTable::new(own, seeds, rand::random())),
--- a/src/host/status_report.rs
+++ b/src/host/status_report.rs
@@ -106,6 +106,8 @@
     pub fn metrics_text(&self) -> String {
         let (bytes, calls) = self.peers.traffic();
         let mut text = self.metrics().prometheus_text();
+        text.push_str(&self.callers.prometheus_text());
+        text.push_str(&self.unproven.prometheus_text());
         text.push_str(&format!("tealcleat_peer_bytes_total {bytes}\n"));
         text.push_str(&format!("tealcleat_peer_calls_total {calls}\n"));
         let reports = self.engines.report_bytes();
--- a/src/open_connections/connection_room.rs
+++ b/src/open_connections/connection_room.rs
@@ -84,6 +84,21 @@
         }
     }
 
+    /// The figures in the Prometheus text format.
+    pub fn prometheus_text(&self) -> String {
+        let (name, counts) = (self.name, self.counts());
+        let figures = [
+            ("connections_open", counts.open as u64),
+            ("connections_bytes", counts.bytes as u64),
+            ("connections_closed_total", counts.closed),
+            ("connections_refused_total", counts.refused),
+        ];
+        let line = |(figure, value): (&str, u64)| {
+            format!("tealcleat_{figure}{{door=\"{name}\"}} {value}\n")
+        };
+        figures.into_iter().map(line).collect()
+    }
+
     /// Admits a new connection that occupies `bytes`; `None` if there is no room, and none can be made.
     pub(super) fn open(self: &Arc<Self>, bytes: usize) -> Option<Arc<ConnectionGauge>> {
         let now = self.clock.now();
