Tunnels: a connection in use through a host that stops carries no further call

Cause: each 250 ms the idle connections through hosts that leave were closed, and only while any were idle. One that carried a call at that moment went back to the pool when the call ended, and the next stream within those 250 ms was sent on it. Under a steady load the same connections are always in use when the upkeep looks.

Change: each connection through another host shares a mark with the others through it. The upkeep sets the marks of hosts that leave, also while all their connections are in use; a marked connection is not put back. A stream already on it stays there: its host waits for it until its exit.

Evidence: connection_in_use_not_kept_when_its_host_stops fails before (the pool says that there are no tunnels while one is in use, so the upkeep does nothing) and passes now.

--- a/src/engines/http_pool.rs
+++ b/src/engines/http_pool.rs
@@ -241,12 +241,12 @@
         self.idle.paths()
     }
 
-    /// Closes the idle connections through hosts for which `is_usable` does not hold.
+    /// Closes the idle connections through hosts for which `is_usable` does not hold, and those in use once their call ends.
     pub fn retain_tunnels(&self, is_usable: impl Fn(SocketAddr) -> bool) {
         self.idle.retain_tunnels(is_usable);
     }
 
-    /// Whether idle connections through other hosts exist.
+    /// Whether connections through other hosts are open, idle or in use.
     pub fn has_tunnels(&self) -> bool {
         self.idle.has_tunnels()
     }
--- a/src/engines/idle_connections.rs
+++ b/src/engines/idle_connections.rs
@@ -1,3 +1,4 @@
+use super::helper_mark::{HelperMark, HelperMarks};
 use super::pending_call::{CallRecord, PendingCall};
 use super::{DialedConnection, PathRecord};
 use crate::connections::{ReadMeter, ResetMark};
@@ -39,6 +40,8 @@
     /// Counts what is read on the connection.
     pub meter: ReadMeter,
     path: ConnectionPath,
+    /// The host that forwards it, if one does.
+    helper: Option<Arc<HelperMark>>,
     opened_at: TimePoint,
     /// While a call waits for its answer, the end of the connection is a reset.
     pub mark: ResetMark,
@@ -50,9 +53,18 @@
 }
 
 impl PooledConnection {
-    fn new(dialed: DialedConnection, now: TimePoint) -> Self {
+    fn new(dialed: DialedConnection, now: TimePoint, helpers: &HelperMarks) -> Self {
         let DialedConnection { sender, path, mark, meter } = dialed;
-        Self { sender, meter, path, opened_at: now, mark, calls: 0, ids: HashSet::new() }
+        let helper = match path {
+            ConnectionPath::Direct => None,
+            ConnectionPath::Tunnel(address) => Some(helpers.mark(address)),
+        };
+        Self { sender, meter, path, helper, opened_at: now, mark, calls: 0, ids: HashSet::new() }
+    }
+
+    /// Whether no host that is leaving forwards it: its exit would cut off a call that lasts longer.
+    fn has_usable_path(&self) -> bool {
+        self.helper.as_ref().is_none_or(|helper| helper.is_usable())
     }
 
     /// Records a call on this connection.
@@ -87,6 +99,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct IdleConnections {
     paths: PathRecord,
+    helpers: HelperMarks,
     servers: Arc<Mutex<HashMap<SocketAddr, AddressConnections>>>,
 }
 
@@ -116,7 +129,7 @@
 
     /// Begins the record of a connection that has just been opened.
     pub fn begin(&self, dialed: DialedConnection) -> PooledConnection {
-        PooledConnection::new(dialed, self.paths.now())
+        PooledConnection::new(dialed, self.paths.now(), &self.helpers)
     }
 
     /// Takes the connection with the shortest idle time that has not carried `id`; `None` if that idle time exceeds
@@ -149,8 +162,10 @@
         let connections = servers.entry(address).or_default();
         let is_old_tunnel = connection.path != ConnectionPath::Direct
             && now.since(connection.opened_at) > MAX_TUNNEL_AGE;
-        let is_used_up =
-            connection.sender.is_closed() || connection.calls >= MAX_CALLS || is_old_tunnel;
+        let is_used_up = connection.sender.is_closed()
+            || connection.calls >= MAX_CALLS
+            || is_old_tunnel
+            || !connection.has_usable_path();
         if !is_used_up
             && connections.is_trusted(now)
             && connections.idle.len() < MAX_IDLE_PER_ADDRESS
@@ -201,22 +216,18 @@
         self.give_up_idle(now, address, connections, call);
     }
 
-    /// Closes the idle connections through hosts for which `is_usable` does not hold.
+    /// Closes the idle connections through hosts for which `is_usable` does not hold, and those in use once their call ends.
     pub fn retain_tunnels(&self, is_usable: impl Fn(SocketAddr) -> bool) {
+        self.helpers.update(is_usable);
         let Ok(mut servers) = self.servers.lock() else { return };
         for connections in servers.values_mut() {
-            connections.idle.retain(|idle| match idle.connection.path {
-                ConnectionPath::Direct => true,
-                ConnectionPath::Tunnel(helper) => is_usable(helper),
-            });
+            connections.idle.retain(|idle| idle.connection.has_usable_path());
         }
     }
 
-    /// Whether idle connections through other hosts exist.
+    /// Whether connections through other hosts are open, idle or in use.
     pub fn has_tunnels(&self) -> bool {
-        let Ok(servers) = self.servers.lock() else { return false };
-        let mut idle = servers.values().flat_map(|connections| &connections.idle);
-        idle.any(|idle| idle.connection.path != ConnectionPath::Direct)
+        self.helpers.is_any_open()
     }
 
     /// Ends the record of a call; `is_abandoned` tells whether it was given up without an answer.
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -7,6 +7,7 @@
 mod answer_proof;
 mod engine_client;
 mod engine_wire;
+mod helper_mark;
 mod http_pool;
 mod idle_connections;
 mod line_stream;
