--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -40,6 +40,7 @@
 mod soak_limits;
 mod soak_options;
 mod soak_recovery;
+mod soak_rogues;
 mod soak_run;
 mod stream_taker;
 mod version_check;
--- a/src/bench/soak/soak_check.rs
+++ b/src/bench/soak/soak_check.rs
@@ -105,6 +105,8 @@
     pub versions: VersionTally,
     /// What was found of parts of prompts that crash servers, if there were any.
     pub parts: PartTally,
+    /// Most memory of a daemon beside clients that do not behave, in bytes; zero without them.
+    pub peak_bytes: u64,
     /// Violations of guarantees.
     pub violations: Vec<SoakViolation>,
 }
--- a/src/bench/soak/soak_cluster.rs
+++ b/src/bench/soak/soak_cluster.rs
@@ -4,12 +4,14 @@
 use super::fault_log::FaultLog;
 use super::partition_group::machine_address;
 use super::soak_options::SoakOptions;
+use super::soak_rogues::SoakRogues;
 use super::version_moves::FORMER_VERSION;
 use crate::bench::links::{HostLink, LinkProxy, LinkSockets, ProxyMode, UnansweredPort};
 use crate::bench::site::{
     EngineFault, ServiceFault, SiteEngine, SitePlan, StoreFault, TestSite, call_site,
 };
 use crate::bench::{DEFAULT_GRACE, GatewayProcess, ProcessPlan, free_ports};
+use crate::resource_plan::MachineLimits;
 use crate::{Error, Result};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -53,6 +55,7 @@
     /// Whether callers leave streams when their patience ends.
     pub hushes_servers: bool,
     pub fault_log: FaultLog,
+    pub rogues: SoakRogues,
     unanswered_port: UnansweredPort,
 }
 
@@ -105,6 +108,7 @@
             mixes_versions: options.mixes_versions,
             hushes_servers: options.hushes_servers,
             fault_log: FaultLog::create(folder)?,
+            rogues: SoakRogues::default(),
             unanswered_port: UnansweredPort::open().await?,
         };
         cluster.confirm_version();
@@ -157,7 +161,7 @@
             grace: DEFAULT_GRACE,
             features: options.features,
             retries: options.retry_bounds(),
-            limits: None,
+            limits: options.sends_rogues.then(MachineLimits::default),
             environment: &environment,
         })?;
         if let Some(advertised) = advertised {
--- a/src/bench/soak/soak_inject.rs
+++ b/src/bench/soak/soak_inject.rs
@@ -6,6 +6,7 @@
 use super::soak_cluster::SoakCluster;
 use super::soak_fault::{FaultTargets, SoakFault, draw_fault};
 use super::soak_options::SoakOptions;
+use super::soak_rogues::CROWD_SALT;
 use crate::Result;
 use crate::bench::links::{PartitionScope, ProxyMode};
 use crate::bench::site::{EngineFault, RestartAddress, ServiceFault, SiteEngine, StoreFault};
@@ -64,6 +65,8 @@
         let mut stalls = StdRng::seed_from_u64(options.seed ^ STALL_SALT);
         let mut partitions = StdRng::seed_from_u64(options.seed ^ PARTITION_SALT);
         let mut server_cuts = StdRng::seed_from_u64(options.seed ^ SERVER_CUT_SALT);
+        let mut crowds = StdRng::seed_from_u64(options.seed ^ CROWD_SALT);
+        let mut rogues = std::mem::take(&mut self.rogues);
         let mut restart_times = BTreeMap::new();
         let targets = self.fault_targets();
         let deadline = Instant::now() + options.duration;
@@ -113,11 +116,16 @@
                 let duration = Duration::from_millis(server_cuts.random_range(SERVER_CUT_MS));
                 active.push((fault, Instant::now() + duration));
             }
+            if options.sends_rogues {
+                rogues.step(self, &mut crowds).await;
+            }
             count += self.restart_due(&mut restart_times, &mut restarts).await?;
             let gap = random.random_range(0..MAX_GAP_MS);
             sleep(Duration::from_millis(gap)).await;
             self.end_due(&mut active)?;
         }
+        count += rogues.crowds;
+        self.rogues = rogues;
         Ok(count)
     }
 
--- a/src/bench/soak/soak_options.rs
+++ b/src/bench/soak/soak_options.rs
@@ -57,6 +57,8 @@
     /// Whether hosts are stopped beside lost answers of the lease, calls are given up beside cuts, and servers leave while hosts
     /// are cut off. The daemons' environment must provide the same library.
     pub hands_over: bool,
+    /// Whether crowds of clients that do not behave come to the hosts.
+    pub sends_rogues: bool,
     /// Number of routes in the configuration that no request uses.
     pub unused_routes: usize,
     /// Environment variables of the daemons.
--- a/src/bench/soak/soak_run.rs
+++ b/src/bench/soak/soak_run.rs
@@ -36,6 +36,7 @@
         })
         .collect();
     let faults = cluster.inject_faults(options).await?;
+    let memory_violation = cluster.rogues.leave().await;
     cluster.end_all_faults().await?;
     let over_limits =
         if options.limits_servers { cluster.check_limits(options.seed).await? } else { Vec::new() };
@@ -124,6 +125,8 @@
     report.violations.extend(check_holds(&site.decodes));
     report.violations.extend(cluster.check_bystanders()?);
     report.violations.extend(over_limits);
+    report.violations.extend(memory_violation);
+    report.peak_bytes = cluster.rogues.peak_bytes;
     if report.violations.is_empty() {
         std::fs::remove_dir_all(&folder)?;
     }
--- a/src/bin/tealcleat-load/app.rs
+++ b/src/bin/tealcleat-load/app.rs
@@ -112,6 +112,8 @@
         /// Stop hosts beside lost answers of the lease, give calls up beside cuts, and take servers away while hosts are cut
         /// off; needs the same library
         handing_over: bool,
+        /// Let crowds of clients that do not behave come to the hosts
+        misbehaving: bool,
         /// Number of additional configured routes that receive no requests
         #[bpaf(argument("N"), fallback(0))]
         further_routes: usize,
--- a/src/bin/tealcleat-load/controller.rs
+++ b/src/bin/tealcleat-load/controller.rs
@@ -45,6 +45,7 @@
             moving,
             restarting,
             handing_over,
+            misbehaving,
             further_routes,
             variable,
         } => {
@@ -71,6 +72,7 @@
                 moves_versions: *moving,
                 restarts_hosts: *restarting,
                 hands_over: *handing_over,
+                sends_rogues: *misbehaving,
                 unused_routes: *further_routes,
                 environment: variable
                     .iter()
--- a/src/bin/tealcleat-load/site_soak.rs
+++ b/src/bin/tealcleat-load/site_soak.rs
@@ -34,6 +34,9 @@
                 before.served, before.sent, during.served, during.sent
             );
         }
+        if options.sends_rogues {
+            println!("  most memory of a daemon: {:.1} MB", report.peak_bytes as f64 / 1e6);
+        }
         if options.sums_repeats {
             let repeats = report.repeats;
             println!(
--- a/tests/site_soak.rs
+++ b/tests/site_soak.rs
@@ -40,6 +40,14 @@
     });
 }
 
+/// In addition to all other faults, crowds of clients that do not behave come to the hosts, at all their addresses. No host
+/// passes the memory of its machine, and all guarantees are kept.
+#[test]
+fn run_soak_with_rogue_clients() {
+    let duration = Duration::from_secs(6);
+    run(SoakOptions { hosts: 4, domains: 2, sends_rogues: true, duration, ..options(1) });
+}
+
 /// In addition to all other faults, servers announce limits. After the faults, no server receives more requests than
 /// it announced, although one host is killed and another one is suspended.
 #[test]
@@ -280,6 +288,7 @@
         restarts_hosts: false,
         moves_versions: false,
         hands_over: false,
+        sends_rogues: false,
         unused_routes: 0,
         environment: Vec::new(),
         programs: daemon.parent().expect("the daemon is in a folder").to_path_buf(),
