Connections: one that takes nothing of its answers counts as stalled, whatever else it sends

Found by reading: a connection that leaves its answers unread and goes on sending was taken for one whose request arrives, so that answer_stall_s did not close it, and each read renewed its progress. How far a request has come is one value now (RequestStage) in place of three flags, and the table learns of a stage only while the answers are taken.

Added: requests_ahead_leave_places_to_others, servers that take 150 ms.

--- a/src/open_connections/connection_gauge.rs
+++ b/src/open_connections/connection_gauge.rs
@@ -31,16 +31,35 @@
     unblocked: Notify,
 }
 
+/// How far the request on a connection has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum RequestStage {
+    /// There is none.
+    #[default]
+    None,
+    /// Its head arrives.
+    Head,
+    /// Its head is complete, its body not.
+    Body,
+    /// It arrived whole, or is answered without its body; the answer is not handed over.
+    AtWork,
+}
+
+impl RequestStage {
+    const fn phase(self) -> ConnectionPhase {
+        match self {
+            Self::None => ConnectionPhase::Resting,
+            Self::Head | Self::Body => ConnectionPhase::Receiving,
+            Self::AtWork => ConnectionPhase::Answering,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct GaugeState {
-    /// Whether a request arrived of which the answer is not handed over.
-    is_answering: bool,
-    /// Whether a request arrives, so that bytes belong to its head or body.
-    is_receiving: bool,
+    stage: RequestStage,
     /// Whether there is room for the request that arrived.
     has_room: bool,
-    /// Whether the head that arrives is complete.
-    has_head: bool,
     /// Whether all that had arrived was read since the last answer.
     is_drained: bool,
     /// Longest head that is admitted; the HTTP library holds no more of what arrives.
@@ -87,15 +106,13 @@
             return;
         }
         let mut state = lock(&self.state);
-        if state.is_answering && !state.is_receiving {
+        match state.stage {
+            RequestStage::None => self.enter(&mut state, RequestStage::Head),
+            RequestStage::Head | RequestStage::Body => {}
             // Sent ahead; it is counted once its request begins.
-            return;
-        }
-        if !state.is_receiving {
-            state.is_receiving = true;
-            self.room.set_phase(self.key, ConnectionPhase::Receiving);
+            RequestStage::AtWork => return,
         }
-        if !state.has_head {
+        if state.stage == RequestStage::Head {
             state.arrived_bytes = (state.arrived_bytes + bytes).min(state.max_head_bytes);
             self.count(&mut state);
         }
@@ -124,8 +141,8 @@
     /// Records that all that was to be written was taken.
     pub(super) fn record_flushed(&self) {
         if self.is_blocked.swap(false, Ordering::Relaxed) {
-            let phase = lock(&self.state).phase();
-            self.room.set_phase(self.key, phase);
+            let stage = lock(&self.state).stage;
+            self.room.set_phase(self.key, stage.phase());
             self.unblocked.notify_waiters();
         }
     }
@@ -134,7 +151,7 @@
     /// answer to the request before it.
     fn begin_request(&self, head_bytes: usize) -> bool {
         let mut state = lock(&self.state);
-        (state.is_receiving, state.is_answering, state.has_head) = (true, true, true);
+        self.enter(&mut state, RequestStage::Body);
         (state.arrived_bytes, state.head_bytes) = (0, head_bytes);
         let bytes = state.occupied_bytes();
         state.has_room = self.room.try_bytes(self.key, bytes);
@@ -151,21 +168,15 @@
 
     /// Records that a request arrived whole, or is answered without its body.
     pub fn end_receiving(&self) {
-        lock(&self.state).is_receiving = false;
-        if !self.is_blocked.load(Ordering::Relaxed) {
-            self.room.set_phase(self.key, ConnectionPhase::Answering);
-        }
+        self.enter(&mut lock(&self.state), RequestStage::AtWork);
     }
 
     /// Records that an answer was handed over to the connection.
     pub(super) fn end_answer(&self) {
         let mut state = lock(&self.state);
-        (state.is_receiving, state.is_answering, state.has_head) = (false, false, false);
+        self.enter(&mut state, RequestStage::None);
         (state.arrived_bytes, state.head_bytes, state.is_drained) = (0, 0, false);
         self.count(&mut state);
-        if !self.is_blocked.load(Ordering::Relaxed) {
-            self.room.set_phase(self.key, ConnectionPhase::Resting);
-        }
     }
 
     /// Waits until a request whose head is complete may begin: not before the answers to those before it were taken. Of the
@@ -188,6 +199,14 @@
         Arc::clone(&self.room.ahead).acquire_owned().await.ok()
     }
 
+    /// Records how far the request has come. While the other side takes nothing, the table knows that the connection stalls.
+    fn enter(&self, state: &mut GaugeState, stage: RequestStage) {
+        state.stage = stage;
+        if !self.is_blocked.load(Ordering::Relaxed) {
+            self.room.set_phase(self.key, stage.phase());
+        }
+    }
+
     /// Tells the table what the connection occupies, if that changed.
     fn count(&self, state: &mut GaugeState) {
         let bytes = state.occupied_bytes();
@@ -209,18 +228,13 @@
 impl GaugeState {
     /// What the connection occupies.
     fn occupied_bytes(&self) -> usize {
-        let work_bytes = if self.has_head { WORK_BYTES } else { 0 };
+        let work_bytes = match self.stage {
+            RequestStage::None | RequestStage::Head => 0,
+            RequestStage::Body | RequestStage::AtWork => WORK_BYTES,
+        };
         let held = self.arrived_bytes + self.head_bytes * HEAD_COPIES;
         ACTIVE_BYTES + work_bytes + held.next_multiple_of(COUNT_STEP)
     }
-
-    fn phase(&self) -> ConnectionPhase {
-        match (self.is_receiving, self.is_answering) {
-            (true, _) => ConnectionPhase::Receiving,
-            (false, true) => ConnectionPhase::Answering,
-            (false, false) => ConnectionPhase::Resting,
-        }
-    }
 }
 
 impl Drop for ConnectionGauge {
--- a/tests/rogue_clients.rs
+++ b/tests/rogue_clients.rs
@@ -2,6 +2,7 @@
 //! within the memory of its machine, and ordinary callers are still served.
 
 use rstest::rstest;
+use std::time::Duration;
 use tealcleat::bench::rogue::{RogueCrowd, RogueKind};
 use tokio::sync::Semaphore;
 
@@ -17,6 +18,8 @@
 /// Requests of ordinary callers that end before those count that show whether they are served, and those.
 const FIRST_CALLS: u64 = 20;
 const CALLS: u64 = 100;
+/// Time in which the servers' places bear less than a crowd asks for.
+const LONG_SERVICE_TIME: Duration = Duration::from_millis(150);
 /// The share of ordinary first tries that are served beside the crowd.
 const SERVED_SHARE: f64 = 0.9;
 
@@ -89,6 +92,18 @@
     play_crowd(&format!("requests-ahead-{door:?}"), RogueKind::RequestsAhead, door, 400);
 }
 
+/// Guards against requests that are sent ahead and take the servers' places of all hosts, for callers who do not read.
+#[test]
+fn requests_ahead_leave_places_to_others() {
+    runtime().block_on(async {
+        let _turn = PLAYS.acquire().await.expect("it is never closed");
+        let name = "requests-ahead-places";
+        let mut world = RogueWorld::start_with(name, LONG_SERVICE_TIME).await;
+        let crowd = (RogueKind::RequestsAhead, DoorKind::Route, 400);
+        play_crowds(name, &mut world, &[crowd]).await;
+    });
+}
+
 #[test]
 fn bodies_ahead_not_begun_unread() {
     play_crowd("bodies-ahead", RogueKind::BodiesAhead, DoorKind::Route, 400);
--- a/tests/rogue_common/mod.rs
+++ b/tests/rogue_common/mod.rs
@@ -55,13 +55,18 @@
 impl RogueWorld {
     /// Starts stand-ins and daemons, and waits until all daemons are ready.
     pub async fn start(name: &str) -> Self {
+        Self::start_with(name, SERVICE_TIME).await
+    }
+
+    /// Does the same with plain servers that take `service_time` for a request.
+    pub async fn start_with(name: &str, service_time: Duration) -> Self {
         let plan = SitePlan { prefills: 4, decodes: 8, services: 9, hosts: 0 };
         let site = TestSite::start(plan).await.expect("a site");
         let mut larger = config(2);
         larger["limits"]["max_body_bytes"] = (4 << 20).into();
         site.set_config(2, &larger);
         for service in &site.services {
-            service.set_fault(ServiceFault::Slow(SERVICE_TIME));
+            service.set_fault(ServiceFault::Slow(service_time));
         }
         let mut world = Self { site, hosts: Vec::new() };
         let folder = test_folder(name);
