Door: a crowd leaves others the time to be read, and memory is taken from those that hold it

Change: after a connection that others were closed for, the accepting task lets those that are open be read; for want of memory those go first that hold more than a connection on which nothing has arrived; a request that has arrived is read before its connection closes for a stop (by reading, no run showed it).

--- a/src/bench/soak/repeat_check.rs
+++ b/src/bench/soak/repeat_check.rs
@@ -9,6 +9,7 @@
 use super::soak_cluster::SoakCluster;
 use super::soak_options::SoakOptions;
 use crate::Result;
+use crate::bench::rogue::WHOLE_REQUEST_PREFIX;
 use crate::bench::site::{EngineFault, RepeatSum, RequestArrival, ServiceFault, StoreFault};
 use crate::host::lock;
 use crate::retries::RetryBounds;
@@ -119,11 +120,14 @@
             asked
         };
         let engines = self.engines();
+        // Clients that do not behave use their ids again.
+        let is_counted =
+            |arrival: &RequestArrival| !arrival.request.starts_with(WHOLE_REQUEST_PREFIX);
         let engines: Vec<RequestArrival> =
-            engines.flat_map(|engine| engine.arrivals.requests()).collect();
+            engines.flat_map(|engine| engine.arrivals.requests()).filter(is_counted).collect();
         let services = self.site.services.iter();
         let services: Vec<RequestArrival> =
-            services.flat_map(|service| service.arrivals.requests()).collect();
+            services.flat_map(|service| service.arrivals.requests()).filter(is_counted).collect();
         let (engines, services) = (RepeatSum::of(engines), RepeatSum::of(services));
         *tally = RepeatTally { engine_repeats: engines.count(), plain_repeats: services.count() };
         let excess = engines.worst_excess(&RETRY_BOUNDS, &asked(true));
--- a/src/open_connections/connection_room.rs
+++ b/src/open_connections/connection_room.rs
@@ -36,6 +36,15 @@
     unproven: BoundedNotice,
 }
 
+/// How a connection was admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RoomAdmission {
+    /// There was room.
+    HadRoom,
+    /// Others were closed for it.
+    MadeRoom,
+}
+
 /// Figures about the connections at an address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RoomCounts {
@@ -100,13 +109,19 @@
     }
 
     /// Admits a new connection that occupies `bytes`; `None` if there is no room, and none can be made.
-    pub(super) fn open(self: &Arc<Self>, bytes: usize) -> Option<Arc<ConnectionGauge>> {
+    pub(super) fn open(
+        self: &Arc<Self>,
+        bytes: usize,
+    ) -> Option<(Arc<ConnectionGauge>, RoomAdmission)> {
         let now = self.clock.now();
         let mut state = lock(&self.state);
         match state.table.open(now, bytes) {
             TableOpening::Admitted(key, closed) => {
                 self.end_tasks(&mut state, &closed);
-                Some(Arc::new(ConnectionGauge::new(Arc::clone(self), key)))
+                let had_room = closed.is_empty();
+                let admission =
+                    if had_room { RoomAdmission::HadRoom } else { RoomAdmission::MadeRoom };
+                Some((Arc::new(ConnectionGauge::new(Arc::clone(self), key)), admission))
             }
             TableOpening::Refused => {
                 self.refused.fetch_add(1, Ordering::Relaxed);
--- a/src/open_connections/connection_table.rs
+++ b/src/open_connections/connection_table.rs
@@ -1,7 +1,7 @@
 use super::ConnectionPhase;
 use crate::keys::TimePoint;
 use crate::resource_plan::RoomBounds;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::time::Duration;
 
 /// Key of an open connection.
@@ -31,7 +31,9 @@
 /// The connections that are open at one address, and what they occupy.
 ///
 /// The load that it answers: more connections than memory or descriptors allow, most of which rest or stall. When there is
-/// no room, those go first whose callers did nothing for longest; a connection at work is never closed.
+/// no room, those go first whose callers did nothing for longest; a connection at work is never closed. For want of memory
+/// those go before all others that hold more than a connection on which nothing has arrived yet: closing such a one
+/// frees next to nothing, and its caller may be about to send.
 #[derive(Debug)]
 pub struct ConnectionTable {
     bounds: RoomBounds,
@@ -41,6 +43,8 @@
     bytes: usize,
     /// Those that wait for their callers, with the time of the last progress.
     waiting: BTreeSet<(TimePoint, ConnectionKey)>,
+    /// Those of them that hold more than when they were opened.
+    holding: BTreeSet<(TimePoint, ConnectionKey)>,
 }
 
 #[derive(Debug)]
@@ -54,6 +58,8 @@
     phase: ConnectionPhase,
     progress_at: TimePoint,
     bytes: usize,
+    /// What it occupied when it was opened.
+    opening_bytes: usize,
 }
 
 impl ConnectionTable {
@@ -66,6 +72,7 @@
             open: 0,
             bytes: 0,
             waiting: BTreeSet::new(),
+            holding: BTreeSet::new(),
         }
     }
 
@@ -95,8 +102,12 @@
         });
         let place = &mut self.slots[slot as usize];
         let key = ConnectionKey { slot, generation: place.generation };
-        place.entry =
-            Some(ConnectionEntry { phase: ConnectionPhase::Resting, progress_at: now, bytes });
+        place.entry = Some(ConnectionEntry {
+            phase: ConnectionPhase::Resting,
+            progress_at: now,
+            bytes,
+            opening_bytes: bytes,
+        });
         self.open += 1;
         self.bytes += bytes;
         self.waiting.insert((now, key));
@@ -171,6 +182,7 @@
     pub fn close(&mut self, key: ConnectionKey) -> bool {
         let Some(entry) = self.entry(key).copied() else { return false };
         self.waiting.remove(&(entry.progress_at, key));
+        self.holding.remove(&(entry.progress_at, key));
         self.open -= 1;
         self.bytes -= entry.bytes;
         let place = &mut self.slots[key.slot as usize];
@@ -187,12 +199,14 @@
 
     fn update(&mut self, key: ConnectionKey, change: impl FnOnce(&mut ConnectionEntry)) {
         let Some(mut entry) = self.entry(key).copied() else { return };
-        if entry.phase.waits_for_caller() {
-            self.waiting.remove(&(entry.progress_at, key));
-        }
+        self.waiting.remove(&(entry.progress_at, key));
+        self.holding.remove(&(entry.progress_at, key));
         change(&mut entry);
         if entry.phase.waits_for_caller() {
             self.waiting.insert((entry.progress_at, key));
+            if entry.bytes > entry.opening_bytes {
+                self.holding.insert((entry.progress_at, key));
+            }
         }
         self.slots[key.slot as usize].entry = Some(entry);
     }
@@ -206,14 +220,18 @@
         growing: Option<ConnectionKey>,
     ) -> Option<Vec<ConnectionKey>> {
         let (mut open, mut held) = (self.open + connections, self.bytes + bytes);
-        let mut closed = Vec::new();
-        let mut waiting = self.waiting.iter().filter(|(_, key)| Some(*key) != growing);
+        let mut closed: HashSet<ConnectionKey> = HashSet::new();
+        let (mut holding, mut waiting) = (self.holding.iter(), self.waiting.iter());
         while open > self.bounds.connections || held > self.bounds.bytes {
-            let (_, key) = waiting.next()?;
-            open -= 1;
-            held -= self.entry(*key).map_or(0, |entry| entry.bytes);
-            closed.push(*key);
+            let needs_memory_only = open <= self.bounds.connections;
+            let holder = if needs_memory_only { holding.next() } else { None };
+            let (_, key) = holder.or_else(|| waiting.next())?;
+            if Some(*key) != growing && closed.insert(*key) {
+                open -= 1;
+                held -= self.entry(*key).map_or(0, |entry| entry.bytes);
+            }
         }
+        let closed: Vec<ConnectionKey> = closed.into_iter().collect();
         for key in &closed {
             self.close(*key);
         }
--- a/src/open_connections/http_door.rs
+++ b/src/open_connections/http_door.rs
@@ -1,6 +1,7 @@
 //! Accepts connections and serves HTTP on them.
 
 use super::connection_gauge::SILENT_BYTES;
+use super::connection_room::RoomAdmission;
 use super::{CallerStream, ConnectionGauge, ConnectionRoom, TrackedBody};
 use crate::keys::HostClock;
 use crate::telemetry::BoundedNotice;
@@ -63,11 +64,19 @@
                 continue;
             }
         };
-        // Dropping the stream closes the connection.
-        let Some(gauge) = room.open(SILENT_BYTES) else { continue };
+        let Some((gauge, admission)) = room.open(SILENT_BYTES) else {
+            // Dropping the stream closes the connection.
+            drop(stream);
+            tokio::task::yield_now().await;
+            continue;
+        };
         let key = gauge.key();
         let task = tokio::spawn(serve(stream, gauge));
         room.attach(key, task.abort_handle());
+        if admission == RoomAdmission::MadeRoom {
+            // Whoever sent a request at once is read before the next connections of a crowd take its room.
+            tokio::task::yield_now().await;
+        }
     }
 }
 
@@ -100,7 +109,9 @@
     }
     let mut closing = std::pin::pin!(closing);
     // The buffers of the HTTP library are not for those who only connect.
+    // A request that has arrived is read before the connection closes.
     let has_spoken = tokio::select! {
+        biased;
         spoken = tokio::time::timeout(limits.head_wait, stream.readable()) => spoken.is_ok(),
         _ = closing.as_mut() => false,
     };
@@ -123,6 +134,7 @@
         .serve_connection(TokioIo::new(CallerStream::new(stream, gauge)), service);
     let mut connection = Box::pin(connection);
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
         _guard = closing => {
             connection.as_mut().graceful_shutdown();
--- a/tests/open_connections.rs
+++ b/tests/open_connections.rs
@@ -96,6 +96,19 @@
     assert_eq!((table.len(), table.bytes()), (1, 700));
 }
 
+/// Guards against callers that are about to send and go for want of memory, while others hold it.
+#[test]
+fn bytes_beyond_the_bound_spare_those_that_hold_nothing() {
+    let mut table = ConnectionTable::new(RoomBounds { connections: 9, ..BOUNDS });
+    let (silent, _) = open(&mut table, at(0), 10);
+    let (half, _) = open(&mut table, at(1), 10);
+    assert_eq!(table.set_bytes(half, 900), vec![]);
+    let (newest, _) = open(&mut table, at(2), 10);
+    assert_eq!(table.set_bytes(newest, 500), vec![half], "it holds most of the memory");
+    assert_eq!(table.set_bytes(newest, 995), vec![silent], "nobody else holds any");
+    assert_eq!(table.len(), 1);
+}
+
 #[test]
 fn bytes_beyond_the_bound_close_the_growing_one() {
     let mut table = ConnectionTable::new(BOUNDS);
