Prefill queue: a prompt is refused by its time alone, not because long ones were refused before

What callers saw: after long prompts had been refused, short ones were refused as too late by an empty queue. With 390 refused prompts of 700 ms before it, one of 100 ms of work and 350 ms until its deadline got TooLate. Cause: SizeBalance compared how often long and short prompts were admitted, and made short ones leave up to 0.6 of the first-token target free until long ones were admitted 0.9 as often. A long prompt in time is admitted as before: it always was judged by its deadline. Ruled out: a smaller reserve or one that ends with an empty queue; it would still be drawn from what others were told.

--- a/src/placement/prefill_entry.rs
+++ b/src/placement/prefill_entry.rs
@@ -13,7 +13,7 @@
     pub not_before: TimePoint,
     /// Deadline of the prefill for the first token to be in time.
     pub finish_by: TimePoint,
-    /// Target time from arrival to the first token. The threshold for a long prompt scales with it.
+    /// Target time from arrival to the first token.
     pub target_micros: u64,
 }
 
--- a/src/placement/prefill_queue.rs
+++ b/src/placement/prefill_queue.rs
@@ -1,4 +1,4 @@
-use super::{PrefillEntry, PrefillRequest, RefusalReason, ShareLedger, SizeBalance};
+use super::{PrefillEntry, PrefillRequest, RefusalReason, ShareLedger};
 use crate::keys::{AttemptId, TimePoint};
 use std::time::Duration;
 
@@ -9,8 +9,6 @@
 const SUBMIT_LEAD: Duration = Duration::from_millis(15);
 /// Weight of one measurement in the moving average of the time per token.
 const RATE_WEIGHT: f64 = 0.2;
-/// A prompt is long if its work takes at least one part in this many of the first-token target.
-const LONG_WORK_DIVISOR: u64 = 4;
 
 #[derive(Debug, Clone, Copy)]
 struct StartedPrefill {
@@ -34,7 +32,6 @@
     /// belongs to are unknown.
     busy_until: TimePoint,
     shares: ShareLedger,
-    balance: SizeBalance,
 }
 
 impl PrefillQueue {
@@ -46,7 +43,6 @@
             started: Vec::new(),
             busy_until: TimePoint::default(),
             shares: ShareLedger::default(),
-            balance: SizeBalance::default(),
         }
     }
 
@@ -81,18 +77,31 @@
         self.engine_free_at(now).since(now) + waiting
     }
 
-    /// Returns when `request` would finish. Changes only the admission statistics by prompt size.
+    /// Returns when `request` would finish. It depends on the work before it, on its own work and on
+    /// the time that its caller has, and not on the size of its prompt or on what others were told.
     ///
     /// # Errors
     /// Returns the reason if the prefill would be late or would make an admitted one late.
     pub fn quote(
-        &mut self,
+        &self,
         now: TimePoint,
         request: &PrefillRequest,
     ) -> Result<TimePoint, RefusalReason> {
-        let result = self.simulate(now, request);
-        self.balance.record_quote(self.is_long(request), result.is_ok());
-        result
+        let rank = self.rank(now, request);
+        let penalty = rank.since(request.finish_by);
+        let finish = self.finish_time(now, request);
+        if finish + penalty > request.finish_by {
+            return Err(RefusalReason::TooLate);
+        }
+        let mut simulated_at = finish;
+        for entry in self.waiting.iter().skip_while(|entry| entry.rank <= rank) {
+            simulated_at =
+                simulated_at.max(entry.request.not_before) + self.work(entry.request.tokens);
+            if simulated_at > entry.request.finish_by {
+                return Err(RefusalReason::CrowdsOthers);
+            }
+        }
+        Ok(finish)
     }
 
     /// Admits `request` into the queue and returns when it is expected to finish.
@@ -104,7 +113,7 @@
         now: TimePoint,
         request: PrefillRequest,
     ) -> Result<TimePoint, RefusalReason> {
-        let finish = self.simulate(now, &request)?;
+        let finish = self.quote(now, &request)?;
         let rank = self.rank(now, &request);
         let index = self.waiting.partition_point(|entry| entry.rank <= rank);
         self.waiting.insert(index, PrefillEntry { request, rank, queued_at: now });
@@ -182,16 +191,12 @@
         self.started.first().is_none_or(|first| now.since(first.started_at) < first.work * 2)
     }
 
-    fn is_long(&self, request: &PrefillRequest) -> bool {
-        self.work(request.tokens).as_micros() as u64 >= request.target_micros / LONG_WORK_DIVISOR
-    }
-
     fn rank(&self, now: TimePoint, request: &PrefillRequest) -> TimePoint {
         let max_penalty = Duration::from_micros(request.target_micros / 4);
         request.finish_by + self.shares.penalty(now, request.org, max_penalty)
     }
 
-    fn finish_without_reserve(&self, now: TimePoint, request: &PrefillRequest) -> TimePoint {
+    fn finish_time(&self, now: TimePoint, request: &PrefillRequest) -> TimePoint {
         let rank = self.rank(now, request);
         let ahead: Duration = self
             .waiting
@@ -201,31 +206,4 @@
             .sum();
         (self.engine_free_at(now) + ahead).max(request.not_before) + self.work(request.tokens)
     }
-
-    fn simulate(
-        &self,
-        now: TimePoint,
-        request: &PrefillRequest,
-    ) -> Result<TimePoint, RefusalReason> {
-        let rank = self.rank(now, request);
-        let penalty = rank.since(request.finish_by);
-        let reserve = if self.is_long(request) {
-            Duration::ZERO
-        } else {
-            self.balance.reserve(request.target_micros)
-        };
-        let finish = self.finish_without_reserve(now, request);
-        if finish + penalty + reserve > request.finish_by {
-            return Err(RefusalReason::TooLate);
-        }
-        let mut simulated_at = finish;
-        for entry in self.waiting.iter().skip_while(|entry| entry.rank <= rank) {
-            simulated_at =
-                simulated_at.max(entry.request.not_before) + self.work(entry.request.tokens);
-            if simulated_at > entry.request.finish_by {
-                return Err(RefusalReason::CrowdsOthers);
-            }
-        }
-        Ok(finish)
-    }
 }
--- a/src/placement/server_ledger.rs
+++ b/src/placement/server_ledger.rs
@@ -136,7 +136,7 @@
     /// # Errors
     /// Returns the reason for the refusal and the delay before a retry.
     pub fn quote_prefill(
-        &mut self,
+        &self,
         now: TimePoint,
         request: &PrefillRequest,
         model: &str,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -76,6 +76,42 @@
     assert_eq!(queue.waiting_count(), 0);
 }
 
+/// Whether an empty queue admits a prompt of 100 ms of work, with 350 ms until its deadline, after others were refused.
+fn admits_short_after(refused: u32, refused_tokens: u32) -> bool {
+    let queue = PrefillQueue::new(1000.0);
+    for serial in 0..u64::from(refused) {
+        let too_late = prefill(serial, "a", refused_tokens, at(0));
+        assert_eq!(queue.quote(at(0), &too_late), Err(RefusalReason::TooLate));
+    }
+    queue.quote(at(0), &prefill(999, "a", 100, at(350))).is_ok()
+}
+
+#[rstest]
+#[case::no_request(0, 0)]
+#[case::long_requests(390, 700)]
+#[case::short_requests(390, 100)]
+fn queue_admits_what_is_in_time_whoever_was_refused_before(
+    #[case] refused: u32,
+    #[case] refused_tokens: u32,
+) {
+    assert!(admits_short_after(refused, refused_tokens));
+}
+
+#[rstest]
+#[case::short(100)]
+#[case::long(700)]
+fn queue_decides_by_the_time_that_is_left_whatever_the_size(#[case] tokens: u32) {
+    let work = u64::from(tokens);
+    let queue = PrefillQueue::new(1000.0);
+    for serial in 0..200 {
+        let late = queue.quote(at(0), &prefill(serial, "a", 700, at(600)));
+        assert_eq!(late, Err(RefusalReason::TooLate));
+    }
+    assert_eq!(queue.quote(at(0), &prefill(900, "a", tokens, at(work))), Ok(at(work)));
+    let late = queue.quote(at(0), &prefill(901, "a", tokens, at(work - 1)));
+    assert_eq!(late, Err(RefusalReason::TooLate));
+}
+
 #[test]
 fn queue_admits_organisations_within_their_share() {
     let mut queue = PrefillQueue::new(1000.0);
