Prefill queue: an organisation's share is one of the waiting work, not of what it had done before

What callers saw: a caller of an organisation that had much work done in the last half minute was refused as too late by an empty queue (50 ms of work, 50 ms left, nothing waiting), and put back in the order behind later deadlines. Cause: ShareLedger summed the work of each organisation with a half-life of 10 s; one beyond 1.5 times the mean had its deadline postponed by up to a quarter of the first-token target, in the order and in the refusal alike. The history and the quarter of the target are neither the caller's time nor work that is left. Ruled out: dropping shares altogether: one organisation's burst would fill the queue up to the deadline and the others' callers be refused as crowding (queue_admits_organisations_within_their_share, kept as it is, and passing). Change: while several organisations wait, one with more than an equal share of the waiting work is postponed by the excess. No constant is left. Peers still send target_micros, since builds side by side read the message. ledger_penalty_decays went with the ledger; in its place, stricter: nothing of what is done counts at all. Cost: none on the users' platform (own interface only).

--- a/src/host/owner_handler.rs
+++ b/src/host/owner_handler.rs
@@ -170,7 +170,6 @@
         tokens: request.tokens,
         not_before: now + Duration::from_micros(request.not_before_in_micros),
         finish_by: now + Duration::from_micros(request.finish_in_micros),
-        target_micros: request.target_micros,
     }
 }
 
--- a/src/peers/peer_message.rs
+++ b/src/peers/peer_message.rs
@@ -26,7 +26,7 @@
     pub not_before_in_micros: u64,
     /// Time left until the prefill must be finished.
     pub finish_in_micros: u64,
-    /// Whole target time to the first token.
+    /// Whole target time to the first token. Not used by this build; older ones decide by it.
     pub target_micros: u64,
     /// Prefill servers to quote.
     pub prefills: Vec<ServerKey>,
--- a/src/placement/prefill_entry.rs
+++ b/src/placement/prefill_entry.rs
@@ -5,7 +5,7 @@
 pub struct PrefillRequest {
     /// The attempt that the prefill is for.
     pub attempt: AttemptId,
-    /// The organisation whose fair share the work is charged to.
+    /// The organisation whose share of the waiting work it counts against.
     pub org: OrgKey,
     /// Prompt tokens that are not cached on this server.
     pub tokens: u32,
@@ -13,8 +13,6 @@
     pub not_before: TimePoint,
     /// Deadline of the prefill for the first token to be in time.
     pub finish_by: TimePoint,
-    /// Target time from arrival to the first token.
-    pub target_micros: u64,
 }
 
 /// An admitted prefill that has not started yet.
@@ -22,7 +20,7 @@
 pub struct PrefillEntry {
     /// The request.
     pub request: PrefillRequest,
-    /// Sort key: the deadline, postponed for organisations that exceed their fair share.
+    /// Sort key: the deadline, postponed for organisations that have more than an equal share of the work waiting.
     pub rank: TimePoint,
     /// When it was admitted.
     pub queued_at: TimePoint,
--- a/src/placement/prefill_queue.rs
+++ b/src/placement/prefill_queue.rs
@@ -1,5 +1,6 @@
-use super::{PrefillEntry, PrefillRequest, RefusalReason, ShareLedger};
-use crate::keys::{AttemptId, TimePoint};
+use super::{PrefillEntry, PrefillRequest, RefusalReason};
+use crate::keys::{AttemptId, OrgKey, TimePoint};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Prefills submitted to the engine at a time: one that runs and one that waits, so that the engine
@@ -19,10 +20,10 @@
 
 /// Queue of one prefill server, kept by the owner of the server.
 ///
-/// The queue is ordered by rank: the earliest deadline first, with deadlines of organisations that
-/// exceed their fair share postponed. Admission simulates the queue in rank order and
-/// refuses a prefill that would finish late or make an admitted one late, judged by the amount of
-/// work rather than by the number of requests.
+/// The queue is ordered by rank: the earliest deadline first. While several organisations wait, each has an equal
+/// share of the waiting work, and one with more is postponed by the excess. Admission simulates the queue in rank
+/// order and refuses a prefill that would finish late or make an admitted one late, judged by the amount of work
+/// rather than by the number of requests. What was done before does not count.
 #[derive(Debug)]
 pub struct PrefillQueue {
     micros_per_token: f64,
@@ -31,7 +32,6 @@
     /// End of the work that the engine already held when this queue was rebuilt; the attempts that it
     /// belongs to are unknown.
     busy_until: TimePoint,
-    shares: ShareLedger,
 }
 
 impl PrefillQueue {
@@ -42,7 +42,6 @@
             waiting: Vec::new(),
             started: Vec::new(),
             busy_until: TimePoint::default(),
-            shares: ShareLedger::default(),
         }
     }
 
@@ -72,9 +71,7 @@
 
     /// Time until all admitted work is expected to end, after which a retry makes sense.
     pub fn backlog(&self, now: TimePoint) -> Duration {
-        let waiting: Duration =
-            self.waiting.iter().map(|entry| self.work(entry.request.tokens)).sum();
-        self.engine_free_at(now).since(now) + waiting
+        self.engine_free_at(now).since(now) + self.waiting_work(|_| true)
     }
 
     /// Returns when `request` would finish. It depends on the work before it, on its own work and on
@@ -87,10 +84,10 @@
         now: TimePoint,
         request: &PrefillRequest,
     ) -> Result<TimePoint, RefusalReason> {
-        let rank = self.rank(now, request);
-        let penalty = rank.since(request.finish_by);
+        let rank = self.rank(request);
+        let excess = rank.since(request.finish_by);
         let finish = self.finish_time(now, request);
-        if finish + penalty > request.finish_by {
+        if finish + excess > request.finish_by {
             return Err(RefusalReason::TooLate);
         }
         let mut simulated_at = finish;
@@ -114,11 +111,9 @@
         request: PrefillRequest,
     ) -> Result<TimePoint, RefusalReason> {
         let finish = self.quote(now, &request)?;
-        let rank = self.rank(now, &request);
+        let rank = self.rank(&request);
         let index = self.waiting.partition_point(|entry| entry.rank <= rank);
         self.waiting.insert(index, PrefillEntry { request, rank, queued_at: now });
-        let work = self.work(request.tokens);
-        self.shares.record_work(now, request.org, work);
         let is_sorted = self.waiting.windows(2).all(|pair| pair[0].rank <= pair[1].rank);
         crate::invariant!(is_sorted, "queue_order", "ranks out of order");
         Ok(finish)
@@ -191,13 +186,25 @@
         self.started.first().is_none_or(|first| now.since(first.started_at) < first.work * 2)
     }
 
-    fn rank(&self, now: TimePoint, request: &PrefillRequest) -> TimePoint {
-        let max_penalty = Duration::from_micros(request.target_micros / 4);
-        request.finish_by + self.shares.penalty(now, request.org, max_penalty)
+    fn rank(&self, request: &PrefillRequest) -> TimePoint {
+        request.finish_by + self.excess_work(request.org)
+    }
+
+    /// Work that `org` has waiting beyond an equal share among the organisations that wait.
+    fn excess_work(&self, org: OrgKey) -> Duration {
+        let orgs: BTreeSet<OrgKey> = self.waiting.iter().map(|entry| entry.request.org).collect();
+        let own = self.waiting_work(|entry| entry.request.org == org);
+        let share = self.waiting_work(|_| true) / orgs.len().max(1) as u32;
+        own.saturating_sub(share)
+    }
+
+    fn waiting_work(&self, is_counted: impl Fn(&PrefillEntry) -> bool) -> Duration {
+        let counted = self.waiting.iter().filter(|entry| is_counted(entry));
+        counted.map(|entry| self.work(entry.request.tokens)).sum()
     }
 
     fn finish_time(&self, now: TimePoint, request: &PrefillRequest) -> TimePoint {
-        let rank = self.rank(now, request);
+        let rank = self.rank(request);
         let ahead: Duration = self
             .waiting
             .iter()
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,12 +5,9 @@
 use tealcleat::keys::{AttemptId, IncarnationId, NameKey, TimePoint};
 use tealcleat::placement::{
     CircuitBreaker, LengthModel, LinkSchedule, PlacementPolicy, PrefillQueue, PrefillRequest,
-    PrefixIndex, RefusalReason, RetryBudget, ShareLedger, SlotTable, prefix_blocks,
-    rendezvous_owner,
+    PrefixIndex, RefusalReason, RetryBudget, SlotTable, prefix_blocks, rendezvous_owner,
 };
 
-const TARGET: Duration = Duration::from_millis(1500);
-
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -30,7 +27,6 @@
         tokens,
         not_before: at(0),
         finish_by,
-        target_micros: TARGET.as_micros() as u64,
     }
 }
 
@@ -127,17 +123,49 @@
     assert!(quiet >= 2, "the flood used up the queue: {quiet}");
 }
 
+/// Two organisations, one of which had 20 times as much work done as the other, and nothing is left of it.
+fn queue_after_unequal_work() -> PrefillQueue {
+    let mut queue = PrefillQueue::new(1000.0);
+    for (serial, org) in (0..21).map(|serial| (serial, if serial == 0 { "quiet" } else { "busy" }))
+    {
+        let now = at(serial * 50);
+        queue.admit(now, prefill(serial, org, 50, now + ms(50))).expect("admitted");
+        assert!(queue.start_next(now).is_some());
+        queue.finish(attempt(serial), 50, ms(50));
+    }
+    queue
+}
+
+#[rstest]
+#[case::organisation_with_little_work_before("quiet")]
+#[case::organisation_with_much_work_before("busy")]
+fn queue_admits_what_is_in_time_whatever_its_organisation_had_before(#[case] org: &str) {
+    let queue = queue_after_unequal_work();
+    let now = at(1050);
+    assert_eq!(queue.quote(now, &prefill(99, org, 300, now + ms(300))), Ok(now + ms(300)));
+}
+
+#[test]
+fn queue_orders_by_deadline_whatever_an_organisation_had_before() {
+    let mut queue = queue_after_unequal_work();
+    let now = at(1050);
+    queue.admit(now, prefill(98, "quiet", 100, now + ms(500))).expect("admitted");
+    queue.admit(now, prefill(99, "busy", 100, now + ms(450))).expect("admitted");
+    assert_eq!(queue.start_next(now).map(|entry| entry.request.attempt), Some(attempt(99)));
+}
+
+/// An organisation is postponed by the work that it has waiting beyond an equal share, and no longer than it waits.
 #[test]
-fn ledger_penalty_decays() {
-    let mut ledger = ShareLedger::default();
-    ledger.record_work(at(0), NameKey::of("a"), ms(4000));
-    ledger.record_work(at(0), NameKey::of("b"), ms(100));
-    let before = ledger.penalty(at(0), NameKey::of("a"), ms(500));
-    ledger.record_work(at(60_000), NameKey::of("b"), ms(100));
-    let after = ledger.penalty(at(60_000), NameKey::of("a"), ms(500));
-    assert!(before > ms(10), "{before:?}");
-    assert_eq!(after, Duration::ZERO);
-    assert_eq!(ledger.penalty(at(0), NameKey::of("b"), ms(500)), Duration::ZERO);
+fn queue_postpones_the_work_beyond_an_equal_share() {
+    let mut queue = PrefillQueue::new(1000.0);
+    queue.admit(at(0), prefill(1, "a", 400, at(1400))).expect("admitted");
+    queue.admit(at(0), prefill(2, "b", 100, at(1400))).expect("admitted");
+    // "a" has 400 ms of 500 ms waiting, 150 ms beyond its share.
+    assert_eq!(queue.quote(at(0), &prefill(3, "a", 100, at(249))), Err(RefusalReason::TooLate));
+    assert_eq!(queue.quote(at(0), &prefill(3, "a", 100, at(250))), Ok(at(100)));
+    assert_eq!(queue.quote(at(0), &prefill(3, "b", 100, at(100))), Ok(at(100)));
+    queue.remove(attempt(1));
+    assert_eq!(queue.quote(at(0), &prefill(3, "a", 100, at(100))), Ok(at(100)));
 }
 
 #[test]
