Admission: callers of one rank may search the same servers, whatever the size of their request

What callers saw: near a full pool, smaller requests of the least urgent rank were refused beside free memory. Cause: up to half of the servers outside the reserved part were kept for large requests (1.5 times the mean and more), sized so that "the largest eighth" and "the fifth below it" were served half as often as their rank. Ruled out: a smaller part, or one that opens when idle: still drawn from what sizes others got. Change: LARGE_MULTIPLE, LARGE_FRACTION, large_target, the figures of large requests, also on the wire, are gone.

--- a/src/admission/admission_control.rs
+++ b/src/admission/admission_control.rs
@@ -52,12 +52,12 @@
         request: &AdmissionRequest,
         outcome: SearchOutcome,
     ) {
-        self.own.record_search(now, self.demand_key(service, request), request.tokens, outcome);
+        self.own.record_search(now, demand_key(service, request), request.tokens, outcome);
     }
 
     /// Records that a run of this host begins to use memory. Returns what to pass to [`Self::record_end`].
     pub fn record_begin(&mut self, service: ServiceKey, request: &AdmissionRequest) -> MemoryUse {
-        let key = self.demand_key(service, request);
+        let key = demand_key(service, request);
         self.own.record_begin(key, request.tokens);
         MemoryUse { key, tokens: request.tokens }
     }
@@ -67,12 +67,6 @@
         self.own.record_end(memory.key, memory.tokens);
     }
 
-    fn demand_key(&self, service: ServiceKey, request: &AdmissionRequest) -> DemandKey {
-        let state = self.states.get(&service);
-        let is_large = state.is_some_and(|state| state.is_large(request.rank, request.tokens));
-        DemandKey { service, rank: request.rank, org: request.org, is_large }
-    }
-
     /// Applies the figures of another host or failure domain.
     pub fn apply(&mut self, now: TimePoint, update: PressureUpdate) {
         self.expire(now);
@@ -100,7 +94,7 @@
         if let Some(refusal) = state.refusal(&total, pool, request) {
             return AdmissionDecision::Refuse(refusal);
         }
-        let parts = state.search_parts(pool, request);
+        let parts = state.search_parts(pool, request.rank);
         if parts.first.is_empty() && parts.without.is_empty() {
             return AdmissionDecision::Everywhere;
         }
@@ -192,6 +186,10 @@
     }
 }
 
+fn demand_key(service: ServiceKey, request: &AdmissionRequest) -> DemandKey {
+    DemandKey { service, rank: request.rank, org: request.org }
+}
+
 /// Limits figures to what fits into a datagram.
 fn bounded(mut services: Vec<ServicePressure>) -> Vec<ServicePressure> {
     services.sort_by(|left, right| right.tokens().total_cmp(&left.tokens()));
--- a/src/admission/admission_decision.rs
+++ b/src/admission/admission_decision.rs
@@ -15,9 +15,9 @@
 /// The parts of the decode servers that are set aside, as one request sees them.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct SearchParts {
-    /// Servers that are kept for requests such as this one; it searches them before all others.
+    /// Servers that are reserved for its rank; it searches them before all others.
     pub first: HashSet<ServerKey>,
-    /// Servers that are kept for other requests; it does not search them.
+    /// Servers that are reserved for more urgent ranks; it does not search them.
     pub without: HashSet<ServerKey>,
     /// Whether servers are reserved for its rank, so that a further search may succeed soon.
     pub is_urgent: bool,
--- a/src/admission/own_demand.rs
+++ b/src/admission/own_demand.rs
@@ -14,8 +14,6 @@
     pub service: ServiceKey,
     pub rank: u8,
     pub org: Option<OrgKey>,
-    /// Whether the requests are large ones of their rank.
-    pub is_large: bool,
 }
 
 /// The searches and runs of this host.
@@ -80,9 +78,6 @@
         for (key, (count, tokens)) in &self.runs {
             if key.service == service {
                 let figures = figures.rank_mut(key.rank);
-                if key.is_large {
-                    figures.large_tokens = figures.large_tokens.saturating_add(*tokens);
-                }
                 figures.running += count;
                 figures.tokens = figures.tokens.saturating_add(*tokens);
                 org_row(key.org, *tokens, 0).into_iter().for_each(|row| figures.add_org(row));
@@ -102,9 +97,6 @@
                 SearchOutcome::Withheld => {}
             }
             figures.unmet_tokens = figures.unmet_tokens.saturating_add(*tokens);
-            if key.is_large {
-                figures.large_unmet_tokens = figures.large_unmet_tokens.saturating_add(*tokens);
-            }
             org_row(key.org, 0, *tokens).into_iter().for_each(|row| figures.add_org(row));
         }
         figures
--- a/src/admission/rank_pressure.rs
+++ b/src/admission/rank_pressure.rs
@@ -2,9 +2,6 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 
-/// A request that needs more than this multiple of the mean is large. With sizes spread by half it is about the largest
-/// eighth, which finds no gap on servers that are nearly full; the fifth below it finds one often enough.
-const LARGE_MULTIPLE: f64 = 1.5;
 /// Least estimated duration of a run: responses rarely take less. The estimate needs bounds, since it is far off when
 /// almost nothing was granted in the last second.
 const MIN_RUN_SECONDS: f64 = 1.0;
@@ -26,10 +23,6 @@
     pub tokens: u32,
     /// Memory tokens that the refused requests of the last second needed, including those refused without a search.
     pub unmet_tokens: u32,
-    /// As `tokens`, of large requests only.
-    pub large_tokens: u32,
-    /// As `unmet_tokens`, of large requests only.
-    pub large_unmet_tokens: u32,
     /// The most active organisations.
     pub orgs: Vec<OrgPressure>,
 }
@@ -42,8 +35,6 @@
         self.running = self.running.saturating_add(other.running);
         self.tokens = self.tokens.saturating_add(other.tokens);
         self.unmet_tokens = self.unmet_tokens.saturating_add(other.unmet_tokens);
-        self.large_tokens = self.large_tokens.saturating_add(other.large_tokens);
-        self.large_unmet_tokens = self.large_unmet_tokens.saturating_add(other.large_unmet_tokens);
         for org in &other.orgs {
             self.add_org(*org);
         }
@@ -68,8 +59,6 @@
         scaled(&mut self.running);
         scaled(&mut self.tokens);
         scaled(&mut self.unmet_tokens);
-        scaled(&mut self.large_tokens);
-        scaled(&mut self.large_unmet_tokens);
         for org in &mut self.orgs {
             scaled(&mut org.tokens);
             scaled(&mut org.unmet_tokens);
@@ -88,14 +77,6 @@
         f64::from(self.refused) / f64::from((self.granted + self.refused).max(1))
     }
 
-    /// Tokens above which a request is large; none are while nothing runs.
-    pub fn large_limit(&self) -> f64 {
-        if self.running == 0 {
-            return f64::INFINITY;
-        }
-        LARGE_MULTIPLE * f64::from(self.tokens) / f64::from(self.running)
-    }
-
     /// How long a request runs, in seconds, by Little's law.
     pub fn run_seconds(&self) -> f64 {
         let seconds = f64::from(self.running) / f64::from(self.granted.max(1));
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -35,10 +35,6 @@
 const SLACK: f64 = 0.6;
 /// Below this fraction of its share, a rank is not restricted: memory has become free.
 const FREE_FRACTION: f64 = 0.98;
-/// Part of the large requests' proportionate share that is kept for them. They are to be served at least half as often
-/// as the others of their rank, also in a burst of three times the load, for which half of the share is too little. Each
-/// large request takes the memory of two small ones, so no more is kept.
-const LARGE_FRACTION: f64 = 0.7;
 
 /// Below this fraction of the use at which searches find no memory, a burst of the load takes a second or more to fill
 /// the pool, so that figures are sent rarely.
@@ -63,10 +59,6 @@
     is_quiet: bool,
     /// Tokens reserved against each rank.
     reserved: HashMap<u8, f64>,
-    /// Tokens kept for large requests of the least urgent rank.
-    large: f64,
-    /// Tokens above which a request of a rank is large.
-    large_limits: HashMap<u8, f64>,
     level: PressureLevel,
     /// The level that was reported last.
     reported: PressureLevel,
@@ -81,8 +73,6 @@
             full: DEFAULT_FULL,
             is_quiet: true,
             reserved: HashMap::new(),
-            large: 0.0,
-            large_limits: HashMap::new(),
             level: PressureLevel::Calm,
             reported: PressureLevel::Calm,
         }
@@ -112,9 +102,6 @@
             let reserved = self.reserved.entry(*rank).or_default();
             *reserved = declined(*reserved, target, elapsed, RESERVE_DECLINE);
         }
-        self.large_limits =
-            total.ranks.iter().map(|rank| (rank.rank, rank.large_limit())).collect();
-        self.large = declined(self.large, self.large_target(total, pool), elapsed, RESERVE_DECLINE);
         self.level = if now < self.short_until {
             PressureLevel::Short
         } else if now < self.tight_until {
@@ -145,36 +132,16 @@
         }
     }
 
-    /// Whether a request of `rank` that needs `tokens` is a large one.
-    pub fn is_large(&self, rank: u8, tokens: u32) -> bool {
-        self.large_limits.get(&rank).is_some_and(|limit| f64::from(tokens) > *limit)
-    }
-
-    /// The parts of the servers that are set aside, as `request` sees them.
-    ///
-    /// Servers are reserved for urgent ranks from the start of the common order, and kept for large requests of the
-    /// least urgent rank from its end.
-    pub fn search_parts(&self, pool: &DecodePool, request: &AdmissionRequest) -> SearchParts {
+    /// The parts of the servers that are set aside, as requests of `rank` see them: servers are reserved for urgent ranks
+    /// from the start of the common order.
+    pub fn search_parts(&self, pool: &DecodePool, rank: u8) -> SearchParts {
         let order = reserve_order(&pool.servers);
-        let inner = self.reserved_count(pool, request.rank);
+        let inner = self.reserved_count(pool, rank);
         let without = order.iter().take(inner).copied().collect();
-        let next = pool.ranks.iter().copied().find(|rank| *rank > request.rank);
-        let mut parts = SearchParts { without, ..SearchParts::default() };
-        if let Some(next) = next {
-            let outer = self.reserved_count(pool, next);
-            parts.first = order.iter().take(outer).skip(inner).copied().collect();
-            parts.is_urgent = true;
-            return parts;
-        }
-        let most = (order.len() - inner) / 2;
-        let large = self.server_count(pool, self.large).round() as usize;
-        let large = order.iter().rev().take(large.min(most)).copied();
-        if self.is_large(request.rank, request.tokens) {
-            parts.first = large.collect();
-        } else {
-            parts.without.extend(large);
-        }
-        parts
+        let next = pool.ranks.iter().copied().find(|other| *other > rank);
+        let outer = next.map_or(inner, |next| self.reserved_count(pool, next));
+        let first = order.iter().take(outer).skip(inner).copied().collect();
+        SearchParts { first, without, is_urgent: next.is_some() }
     }
 
     /// Number of servers that are reserved for ranks more urgent than `rank`.
@@ -189,17 +156,6 @@
         tokens / (self.full * f64::from(pool.memory_tokens)).max(1.0)
     }
 
-    /// Tokens to keep for large requests of the least urgent rank.
-    fn large_target(&self, total: &ServicePressure, pool: &DecodePool) -> f64 {
-        let Some(rank) = pool.ranks.last().and_then(|rank| total.rank(*rank)) else {
-            return 0.0;
-        };
-        let demand = rank.demand_tokens(rank.tokens, rank.unmet_tokens);
-        let large = rank.demand_tokens(rank.large_tokens, rank.large_unmet_tokens);
-        let served = (self.rank_capacity(pool, rank.rank) / demand.max(1.0)).clamp(0.0, 1.0);
-        large * served * LARGE_FRACTION
-    }
-
     /// Refuses a request whose organisation demands more than its share of what the rank may use, with a probability
     /// that brings the demand down to the share and [`SLACK`].
     ///
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -50,8 +50,8 @@
         Some(Self { request: Some(request), parts })
     }
 
-    /// Removes servers that are kept for other requests, and puts those that are kept for this one first. Where no other
-    /// server is usable (failures, limits), it removes none: it would refuse requests although memory is free.
+    /// Removes servers that are reserved for more urgent requests, and puts those that are reserved for this one's rank
+    /// first. Where no other server is usable (failures, limits), it removes none: it would refuse requests although memory is free.
     pub fn order(&self, ranked: &mut Vec<ServerEntry>) {
         let Some(parts) = &self.parts else {
             return;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -53,8 +53,8 @@
     RetryReply(RetryReply),
     /// What the sender observed of the health of backend servers.
     Health(HealthReport),
-    /// The demand for decode memory that the sender sees.
-    Pressure(PressureUpdate),
+    /// Figures of a layout that older builds send; not read.
+    RetiredPressure,
     /// The returns that the sender promised to its callers.
     Returns(ReturnUpdate),
     /// The pace of decode servers as the sender measured it.
@@ -69,6 +69,8 @@
     OriginReply(OriginReply),
     /// Servers that crashed before they had written, and the parts of the prompts that they ran.
     PartCrashes(PartReport),
+    /// The demand for decode memory that the sender sees.
+    Pressure(PressureUpdate),
 }
 
 impl GatewayDatagram {
@@ -90,7 +92,7 @@
             | Self::LimitObservation(_) => ("server_limits_sent", "server_limits_sent_bytes"),
             Self::RetryRequest(_) | Self::RetryReply(_) => ("retries_sent", "retries_sent_bytes"),
             Self::Health(_) => ("health_sent", "health_sent_bytes"),
-            Self::Pressure(_) => ("pressure_sent", "pressure_sent_bytes"),
+            Self::RetiredPressure | Self::Pressure(_) => ("pressure_sent", "pressure_sent_bytes"),
             Self::Returns(_) => ("returns_sent", "returns_sent_bytes"),
             Self::Paces(_) => ("paces_sent", "paces_sent_bytes"),
             Self::Slots(_) => ("slots_sent", "slots_sent_bytes"),
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -183,6 +183,27 @@
     assert!(matches!(decision, AdmissionDecision::Search(_)), "{decision:?}");
 }
 
+/// Callers of one rank that differ only in the size of their request may search the same servers, whatever sizes others
+/// need and were refused.
+#[rstest]
+#[case::most_urgent_rank(URGENT)]
+#[case::less_urgent_rank(LESS_URGENT)]
+fn parts_do_not_depend_on_the_size(#[case] rank: u8) {
+    let (mut control, pool) = (AdmissionControl::default(), small_pool());
+    control.apply(at(0), shortage(1, 1));
+    control.decide(at(1), &pool, &request(rank, 0.0));
+    let of_size = |tokens| AdmissionRequest { tokens, ..request(rank, 0.0) };
+    for _ in 0..40 {
+        control.record_begin(SERVICE, &of_size(12_000));
+        control.record_search(at(1), SERVICE, &of_size(12_000), SearchOutcome::Refused);
+    }
+    let small = control.decide(at(2), &pool, &of_size(1000));
+    assert!(matches!(small, AdmissionDecision::Search(_)), "{small:?}");
+    for tokens in [4000, 8000, 20_000] {
+        assert_eq!(control.decide(at(2), &pool, &of_size(tokens)), small, "{tokens}");
+    }
+}
+
 /// However much urgent requests demand, a quarter of the servers stays with the others.
 #[test]
 fn quarter_kept_for_less_urgent() {
