Admission: an organisation's share counts for callers that return as for those that come first

What callers saw: while an organisation demanded more than its share, its callers that came for the first time were drawn against it and refused, while those that came back were never refused for it. Cause: AdmissionRequest::is_return exempted returns from the refusal by share, since a return that is refused again was held to cost more than a first try. Change: the field and its use are gone, so that the decision cannot depend on it. Streams that continue stay exempt: they have run already, and may have reached their callers.

--- a/src/admission/admission_request.rs
+++ b/src/admission/admission_request.rs
@@ -46,8 +46,6 @@
     pub org: Option<OrgKey>,
     /// Memory tokens that it needs.
     pub tokens: u32,
-    /// Whether its caller was refused before and returns at the time it was given.
-    pub is_return: bool,
     /// A random number from 0 to 1; a request with 0 is never refused without a search.
     pub draw: f64,
 }
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -190,8 +190,7 @@
         let share = fair_share(capacity, demands.into_iter()).max(median) * own.weight;
         let demand = own.demand;
         let admitted = share * (1.0 + SLACK) / demand.max(1.0);
-        let is_refused = !request.is_return && request.draw > admitted;
-        is_refused.then_some(AdmissionRefusal { demand, share })
+        (request.draw > admitted).then_some(AdmissionRefusal { demand, share })
     }
 
     /// Memory tokens that the requests of a rank may use: what is not reserved for more urgent ones, and a quarter less
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -162,19 +162,11 @@
     state.is_contested(context.service).then(|| state.decode_pool(context.service)).flatten()
 }
 
-/// Whether the caller was refused before and returns as it was told.
-fn is_return(context: &CallContext) -> bool {
-    let now = context.host.now();
-    context.host.settings.features.return_times
-        && context.host.state().return_calendar.is_return(now, context.contents)
-}
-
 fn memory_request(context: &CallContext, tokens: u32, after: Option<u64>) -> AdmissionRequest {
     AdmissionRequest {
         rank: context.route.priority,
         org: context.org,
         tokens,
-        is_return: is_return(context),
         draw: if after.is_some() { 0.0 } else { rand::random() },
     }
 }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -15,7 +15,7 @@
 use admission_common::{LESS_URGENT, SERVERS, SERVICE, URGENT};
 
 fn request(rank: u8, draw: f64) -> AdmissionRequest {
-    AdmissionRequest { rank, org: None, tokens: 4000, is_return: false, draw }
+    AdmissionRequest { rank, org: None, tokens: 4000, draw }
 }
 
 /// Figures of a host whose searches find no memory half of the time.
@@ -134,10 +134,9 @@
     assert_eq!(decision, AdmissionDecision::Everywhere);
 }
 
-/// A caller that returns at the time it was given, and a stream that continues, are not refused for their share.
-#[test]
-fn returning_caller_not_refused_for_its_share() {
-    let (mut control, pool) = (AdmissionControl::default(), decode_pool());
+/// A control that knows of a shortage in which the first of two organisations demands nine times as much as the other.
+fn control_with_unequal_orgs() -> AdmissionControl {
+    let mut control = AdmissionControl::default();
     let org = |org, tokens| OrgPressure { org, tokens, unmet_tokens: tokens };
     let update = PressureUpdate {
         services: vec![ServicePressure {
@@ -156,14 +155,24 @@
         ..shortage(1, 1)
     };
     control.apply(at(0), update);
-    let request =
-        |org, draw| AdmissionRequest { org: Some(NameKey(org)), ..request(LESS_URGENT, draw) };
-    let refused = |decision| matches!(decision, AdmissionDecision::Refuse(_));
-    assert!(refused(control.decide(at(1), &pool, &request(1, 0.99))));
-    assert!(!refused(control.decide(at(1), &pool, &request(2, 0.99))));
-    assert!(!refused(control.decide(at(1), &pool, &request(1, 0.0))));
-    let returned = AdmissionRequest { is_return: true, ..request(1, 0.99) };
-    assert!(!refused(control.decide(at(1), &pool, &returned)));
+    control
+}
+
+/// Only the organisation's demand decides, whether the caller asks for the first time or returns; a stream that continues
+/// (a draw of 0) is never refused.
+#[rstest]
+#[case::demands_too_much(1, 0.99, true)]
+#[case::demands_little(2, 0.99, false)]
+#[case::stream_that_continues(1, 0.0, false)]
+fn refused_for_the_share_of_its_organisation(
+    #[case] org: u64,
+    #[case] draw: f64,
+    #[case] expected: bool,
+) {
+    let (mut control, pool) = (control_with_unequal_orgs(), decode_pool());
+    let request = AdmissionRequest { org: Some(NameKey(org)), ..request(LESS_URGENT, draw) };
+    let decision = control.decide(at(1), &pool, &request);
+    assert_eq!(matches!(decision, AdmissionDecision::Refuse(_)), expected, "{decision:?}");
 }
 
 /// Guards against refusals of organisations that demand no more than the others: memory would stay idle.
--- a/tests/admission_common/admission_cluster.rs
+++ b/tests/admission_common/admission_cluster.rs
@@ -186,7 +186,7 @@
         let events = (69.0 * self.spread()).min(170.0) as u32;
         let draw = self.callers.random();
         let tokens = tokens + 13 * events;
-        let request = AdmissionRequest { rank, org: Some(org), tokens, is_return: false, draw };
+        let request = AdmissionRequest { rank, org: Some(org), tokens, draw };
         let host = self.callers.random_range(0..HOSTS);
         self.serve(now, host, (request, events), 0);
     }
