Return times: placed by what is known now, for each refusal alike, and not by how long bursts last

What callers saw: after equal last seconds, callers were told other times after a calm minute than after a crowded one; a caller with two minutes left was told at most 8 s; one that was refused again was not counted, so that others were placed on its return. Cause: SlotPlan let the demand above a 20 s mean fade within 5 s, since "bursts last 4 to 5 s", had 8 s of slots, since callers had 14 s, and ReturnCalendar took it that "a caller returns once only". Ruled out: no count of arrivals at all (returns at the full rate of grants): callers would burn their tries in an overload. The arrivals that no promise announced are still counted apart: a promised return counts as a promise already, and twice otherwise. The decision on a caller does not ask whether it returns. Change: rates of the last second are expected to stay; slots reach to the caller's latest time; each refusal with time left is a promise. A host tells a new promise from a repeated update by the time of the known one and the update's version. mean_fresh is off the wire: the datagram has a new number. Tests: time_does_not_depend_on_earlier_demand failed before (run on the code before); the three other new cases are run on it with the landing. Replaced: returns_in_a_burst_late_and_spread asked for late returns (over 3 s of 4.6 in the mean), a burst's length; now returns_spread_evenly_while_nothing_is_free (a fifth in each fifth).

--- a/src/gateway/peer_loop.rs
+++ b/src/gateway/peer_loop.rs
@@ -76,7 +76,7 @@
                 host.retry_replies.complete(reply.sequence, reply)
             }
             Ok(GatewayDatagram::Health(report)) => host.receive_health_report(&report),
-            Ok(GatewayDatagram::RetiredPressure) => {}
+            Ok(GatewayDatagram::RetiredPressure | GatewayDatagram::RetiredReturns) => {}
             Ok(GatewayDatagram::Pressure(update)) => host.receive_pressure(update),
             Ok(GatewayDatagram::Returns(update)) => host.receive_returns(&update),
             Ok(GatewayDatagram::Paces(update)) => host.receive_paces(&update),
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -55,8 +55,8 @@
     Health(HealthReport),
     /// Figures of a layout that older builds send; not read.
     RetiredPressure,
-    /// The returns that the sender promised to its callers.
-    Returns(ReturnUpdate),
+    /// Promised returns in a layout that older builds send; not read.
+    RetiredReturns,
     /// The pace of decode servers as the sender measured it.
     Paces(PaceUpdate),
     /// Requests, grants or releases a place at a contended server.
@@ -71,6 +71,8 @@
     PartCrashes(PartReport),
     /// The demand for decode memory that the sender sees.
     Pressure(PressureUpdate),
+    /// The returns that the sender promised to its callers.
+    Returns(ReturnUpdate),
 }
 
 impl GatewayDatagram {
@@ -93,7 +95,7 @@
             Self::RetryRequest(_) | Self::RetryReply(_) => ("retries_sent", "retries_sent_bytes"),
             Self::Health(_) => ("health_sent", "health_sent_bytes"),
             Self::RetiredPressure | Self::Pressure(_) => ("pressure_sent", "pressure_sent_bytes"),
-            Self::Returns(_) => ("returns_sent", "returns_sent_bytes"),
+            Self::RetiredReturns | Self::Returns(_) => ("returns_sent", "returns_sent_bytes"),
             Self::Paces(_) => ("paces_sent", "paces_sent_bytes"),
             Self::Slots(_) => ("slots_sent", "slots_sent_bytes"),
             Self::Origins(_) | Self::OriginRequest(_) | Self::OriginReply(_) => {
--- a/src/return_times/call_meter.rs
+++ b/src/return_times/call_meter.rs
@@ -1,6 +1,5 @@
 use super::CallFigures;
 use crate::keys::TimePoint;
-use std::time::Duration;
 
 /// Width of a bin in microseconds.
 const BIN_MICROS: u64 = 250_000;
@@ -10,13 +9,6 @@
 const REFUSED: usize = 2;
 /// Bins of one second.
 const BIN_COUNT: usize = 4;
-/// Time constant of the mean rate. Demand varies within 15 s and bursts last 4 to 5 s, so that a burst moves the mean by
-/// a fifth, while a lasting overload becomes the mean within a minute.
-const MEAN_TIME: Duration = Duration::from_secs(20);
-/// Least weight by which the mean of a new meter is divided. With a smaller one, the mean of the first few seconds would
-/// follow single requests.
-const MIN_WEIGHT: f64 = 0.2;
-
 /// Counts the requests of one service and rank at this host.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct CallMeter {
@@ -24,18 +16,11 @@
     bins: [[u32; 3]; BIN_COUNT],
     /// Number of the newest bin since the start of the clock.
     newest_bin: u64,
-    mean_fresh: f64,
-    /// When the mean was last brought up to date; `None` before the first request.
-    averaged_at: Option<TimePoint>,
-    /// Sum of the weights in the mean, at most 1.
-    mean_weight: f64,
 }
 
 impl CallMeter {
-    /// Records a request that arrived for the first time.
+    /// Records a request that arrived without having been promised a return.
     pub fn record_fresh(&mut self, now: TimePoint) {
-        self.average(now);
-        self.mean_fresh += 1.0 / MEAN_TIME.as_secs_f64();
         self.count(now, FRESH);
     }
 
@@ -53,16 +38,8 @@
     pub fn figures(&self, now: TimePoint) -> CallFigures {
         let mut current = *self;
         current.advance(now);
-        current.average(now);
         let sum = |kind: usize| current.bins.iter().map(|bin| bin[kind]).sum();
-        // The mean of a meter that has just started is that of the time since its start.
-        let mean = current.mean_fresh / current.mean_weight.max(MIN_WEIGHT);
-        CallFigures {
-            fresh: sum(FRESH),
-            granted: sum(GRANTED),
-            refused: sum(REFUSED),
-            mean_fresh: mean as f32,
-        }
+        CallFigures { fresh: sum(FRESH), granted: sum(GRANTED), refused: sum(REFUSED) }
     }
 
     fn count(&mut self, now: TimePoint, kind: usize) {
@@ -78,14 +55,6 @@
             self.bins[bin_index(self.newest_bin - back)] = [0; 3];
         }
     }
-
-    fn average(&mut self, now: TimePoint) {
-        let since = self.averaged_at.map_or(Duration::ZERO, |at| now.since(at));
-        let kept = (-since.as_secs_f64() / MEAN_TIME.as_secs_f64()).exp();
-        self.mean_fresh *= kept;
-        self.mean_weight = self.mean_weight.mul_add(kept, 1.0 - kept);
-        self.averaged_at = Some(now);
-    }
 }
 
 fn bin_index(bin: u64) -> usize {
--- a/src/return_times/mod.rs
+++ b/src/return_times/mod.rs
@@ -1,9 +1,9 @@
 //! Return times plans over all hosts of a failure domain when refused callers come back.
 //!
-//! A refused caller returns once. [`ReturnCalendar`] tells it when: it knows the returns that were promised to others
-//! ([`PromiseTable`]), the requests that arrive, are granted and are refused at each host ([`CallMeter`], exchanged in
-//! [`ReturnUpdate`] and kept in [`PeerFigures`]), and places the return where it has the best chance to be served
-//! ([`SlotPlan`]). Requests of plain services wait for milliseconds rather than seconds; their pauses follow from the
+//! A refused caller may retry a few times, and each time it waits as it is told, up to a third of the time that it has left.
+//! [`ReturnCalendar`] tells it when: it knows the returns that were promised to others ([`PromiseTable`]), the requests
+//! that arrive, are granted and are refused at each host ([`CallMeter`], exchanged in [`ReturnUpdate`] and kept in
+//! [`PeerFigures`]), and places the return where memory is free, or else where the fewest others return ([`SlotPlan`]). Requests of plain services wait for milliseconds rather than seconds; their pauses follow from the
 //! measured time of an answer ([`AnswerTimer`]).
 //!
 //! Hosts of other failure domains are not asked. Capacity is what this domain's hosts were granted, so the demand, the
--- a/src/return_times/peer_figures.rs
+++ b/src/return_times/peer_figures.rs
@@ -25,15 +25,16 @@
 }
 
 impl PeerFigures {
-    /// Replaces the figures of a host, unless newer ones are known.
-    pub fn apply(&mut self, now: TimePoint, update: &ReturnUpdate) {
+    /// Replaces the figures of a host, unless newer ones are known; returns whether it has.
+    pub fn apply(&mut self, now: TimePoint, update: &ReturnUpdate) -> bool {
         let known = self.hosts.get(&update.from);
         if known.is_some_and(|known| known.version >= update.version) {
-            return;
+            return false;
         }
         let figures = update.figures.iter().take(MAX_FIGURES).copied().collect();
         let host = HostFigures { version: update.version, received_at: now, figures };
         self.hosts.insert(update.from, host);
+        true
     }
 
     /// Number of hosts whose figures are recent.
--- a/src/return_times/promise_table.rs
+++ b/src/return_times/promise_table.rs
@@ -33,22 +33,37 @@
 }
 
 impl PromiseTable {
-    /// Adds a promise. A promise that is known already keeps the earlier time, since an update that is repeated or late
-    /// names a later one.
+    /// Adds a promise of this host; it replaces an earlier one to the same caller, who has returned and was refused again.
     pub fn insert(&mut self, now: TimePoint, key: RequestKey, promise: Promise) {
         if self.promises.len() >= MAX_PROMISES {
             self.expire(now);
         }
-        if let Some(known) = self.promises.get_mut(&key) {
-            let is_repeated = promise.announced.is_none() && known.at + LATE_TOLERANCE > now;
-            if !(is_repeated && known.at <= promise.at) {
-                *known = promise;
-            }
-        } else if self.promises.len() < MAX_PROMISES {
+        if self.promises.len() < MAX_PROMISES || self.promises.contains_key(&key) {
             self.promises.insert(key, promise);
         }
     }
 
+    /// Adds a promise of another host, from its newest update or an older one. A promise that is known already keeps the
+    /// earlier time, since an update that is repeated or late names a later one, unless the caller may have returned
+    /// and been refused again.
+    pub fn insert_heard(
+        &mut self,
+        now: TimePoint,
+        key: RequestKey,
+        promise: Promise,
+        is_newest: bool,
+    ) {
+        let is_kept = self.promises.get(&key).is_some_and(|known| {
+            let may_have_returned = known.at <= now + EARLY_TOLERANCE;
+            let is_repeated = !may_have_returned && known.at <= promise.at;
+            let is_late = !is_newest && now < known.at + LATE_TOLERANCE;
+            is_repeated || is_late
+        });
+        if !is_kept {
+            self.insert(now, key, promise);
+        }
+    }
+
     /// Whether the caller of a request returns as it was told.
     pub fn is_return(&self, now: TimePoint, key: RequestKey) -> bool {
         self.promises.get(&key).is_some_and(|promise| {
--- a/src/return_times/return_calendar.rs
+++ b/src/return_times/return_calendar.rs
@@ -31,7 +31,6 @@
 #[derive(Debug, Default)]
 pub struct ReturnCalendar {
     pub(super) meters: HashMap<(ServiceKey, CallRank), CallMeter>,
-    pub(super) first_arrivals: HashMap<ServiceKey, TimePoint>,
     pub(super) answer_timers: HashMap<ServiceKey, AnswerTimer>,
     pub(super) shortages: HashMap<ServiceKey, Shortage>,
     pub(super) peers: PeerFigures,
@@ -52,7 +51,6 @@
         if self.is_return(now, key) {
             return true;
         }
-        self.first_arrivals.entry(service).or_insert(now);
         self.meters.entry((service, rank)).or_default().record_fresh(now);
         false
     }
@@ -94,8 +92,7 @@
     /// Decides when a refused caller returns, and records its promise. Its refusal is recorded separately.
     pub fn promise(&mut self, now: TimePoint, request: &ReturnRequest) -> ReturnTime {
         let time = self.choose_time(now, request);
-        // A caller returns once only, and no later than it can.
-        if !request.latest().is_zero() && !self.is_return(now, request.key) {
+        if !request.latest().is_zero() {
             let pause = time.pause.min(request.latest());
             let (service, rank, at) = (request.service, request.rank, now + pause);
             let announced = (pause >= MIN_ANNOUNCED_PAUSE).then_some(0);
@@ -107,14 +104,14 @@
 
     /// Applies what another host sent.
     pub fn apply(&mut self, now: TimePoint, update: &ReturnUpdate) {
-        self.peers.apply(now, update);
+        let is_newest = self.peers.apply(now, update);
         for entry in update.figures.iter().filter(|entry| entry.figures.refused > 0) {
             self.record_shortage(now, entry.service);
         }
         for entry in &update.promises {
             let at = now + Duration::from_millis(entry.after_ms.into());
             let promise = Promise { service: entry.service, rank: entry.rank, at, announced: None };
-            self.promises.insert(now, entry.key, promise);
+            self.promises.insert_heard(now, entry.key, promise, is_newest);
         }
     }
 
--- a/src/return_times/return_choice.rs
+++ b/src/return_times/return_choice.rs
@@ -15,8 +15,6 @@
 /// A shortage that began less than this ago is not in the rates of the last second yet. Computed from them, returns
 /// would be promised for the burst that has just begun.
 const MIN_SHORTAGE: Duration = Duration::from_secs(1);
-/// The mean rate is used only once requests have arrived for this long; before, it is that of the present demand.
-const MIN_MEAN_TIME: Duration = Duration::from_secs(5);
 /// Fewest requests in the last second from which rates are computed; the rate of eight is right within a third.
 const MIN_REQUESTS: u32 = 8;
 /// Returns that other hosts promised within this time are not known here yet: half of a round of updates, and the delay
@@ -31,7 +29,7 @@
 
 impl ReturnCalendar {
     /// When a refused caller returns.
-    pub(super) fn choose_time(&self, now: TimePoint, request: &ReturnRequest) -> ReturnTime {
+    pub fn choose_time(&self, now: TimePoint, request: &ReturnRequest) -> ReturnTime {
         let time = |pause, basis| ReturnTime { pause, basis, granted: 0, fresh: 0, promised: 0 };
         if request.latest().is_zero() {
             return time(request.usual, ReturnBasis::OutOfTime);
@@ -79,8 +77,8 @@
         if !self.is_known(now, request, &figures) {
             return time(request.usual, ReturnBasis::Usual);
         }
-        let (capacity, present) = (f64::from(figures.granted), f64::from(figures.fresh));
-        let mut plan = SlotPlan::new(capacity, present, f64::from(figures.mean_fresh));
+        let (capacity, arrivals) = (f64::from(figures.granted), f64::from(figures.fresh));
+        let mut plan = SlotPlan::new(capacity, arrivals, latest);
         for after in &promised {
             plan.add_return(*after);
         }
@@ -134,11 +132,9 @@
     /// Whether enough is known to place a return: the shortage is in the rates, and the figures of most hosts of the
     /// domain are known.
     fn is_known(&self, now: TimePoint, request: &ReturnRequest, figures: &CallFigures) -> bool {
-        let is_old = |at: Option<&TimePoint>, age| at.is_some_and(|at| now.since(*at) >= age);
         let shortage = self.shortages.get(&request.service);
         let requests = figures.granted + figures.refused;
-        is_old(shortage.map(|shortage| &shortage.began_at), MIN_SHORTAGE)
-            && is_old(self.first_arrivals.get(&request.service), MIN_MEAN_TIME)
+        shortage.is_some_and(|shortage| now.since(shortage.began_at) >= MIN_SHORTAGE)
             && requests >= MIN_REQUESTS
             && self.peers.host_count(now) * 2 >= request.neighbours
     }
--- a/src/return_times/return_time.rs
+++ b/src/return_times/return_time.rs
@@ -40,7 +40,7 @@
     pub basis: ReturnBasis,
     /// Requests granted in the last second, over the hosts whose figures are known.
     pub granted: u32,
-    /// Requests that arrived for the first time in the last second, over the same hosts.
+    /// Requests that arrived in the last second besides promised returns, over the same hosts.
     pub fresh: u32,
     /// Promised returns of the same or a more urgent rank that are still to come.
     pub promised: usize,
--- a/src/return_times/slot_plan.rs
+++ b/src/return_times/slot_plan.rs
@@ -2,31 +2,22 @@
 
 /// Width of a slot, and the time between two updates that tell other hosts of promises.
 pub const SLOT_TIME: Duration = Duration::from_millis(250);
-/// Slots of a plan, 8 s: no caller that the platform allows 14 s returns later than after 4.7 s.
-const SLOT_COUNT: usize = 32;
-/// Excess demand is assumed to fade evenly within this time: bursts last 4 to 5 s, and of a burst that is met at a
-/// random time, the chance that it still lasts falls evenly to zero over its length.
-const EXCESS_TIME: Duration = Duration::from_secs(5);
-
 /// The demand expected in each slot from the present time on, in requests per slot.
+///
+/// Nothing tells how long a shortage lasts, so requests are expected to arrive and memory to become free as in the last
+/// second. Promised returns are known.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SlotPlan {
-    demand: [f64; SLOT_COUNT],
+    demand: Vec<f64>,
     capacity: f64,
 }
 
 impl SlotPlan {
-    /// A plan without promises. Rates are per second: `capacity` is granted, `present` arrives now, and `mean` arrived
-    /// over a longer time.
-    pub fn new(capacity: f64, present: f64, mean: f64) -> Self {
-        // An overload is assumed to pass, as its mean does not tell how it goes on; if it does not, all slots are alike.
-        let base = present.min(mean).min(capacity);
+    /// A plan without promises for returns up to `latest`. Rates are per second: `capacity` is granted, and `arrivals`
+    /// come besides the promised returns.
+    pub fn new(capacity: f64, arrivals: f64, latest: Duration) -> Self {
         let slot_seconds = SLOT_TIME.as_secs_f64();
-        let demand = std::array::from_fn(|slot| {
-            let ahead = (slot as f64 + 0.5) * slot_seconds;
-            let lasting = (1.0 - ahead / EXCESS_TIME.as_secs_f64()).max(0.0);
-            (present - base).mul_add(lasting, base) * slot_seconds
-        });
+        let demand = vec![arrivals * slot_seconds; slot_of(latest) + 1];
         Self { demand, capacity: capacity * slot_seconds }
     }
 
@@ -85,7 +76,7 @@
 
     /// The slots between `earliest` and `latest`, each with the part of it that lies between them.
     fn shares(&self, earliest: Duration, latest: Duration) -> impl Iterator<Item = (usize, f64)> {
-        (0..SLOT_COUNT).filter_map(move |slot| {
+        (0..self.demand.len()).filter_map(move |slot| {
             let begin = (SLOT_TIME * slot as u32).max(earliest);
             let end = (SLOT_TIME * (slot as u32 + 1)).min(latest);
             let part = end.saturating_sub(begin);
--- a/tests/return_times.rs
+++ b/tests/return_times.rs
@@ -3,7 +3,7 @@
 
 use rstest::rstest;
 use std::time::Duration;
-use tealcleat::keys::{NameKey, TimePoint};
+use tealcleat::keys::{NameKey, RequestKey, TimePoint};
 use tealcleat::return_times::{
     RefusalCause, ReturnBasis, ReturnCalendar, ReturnRequest, ReturnTime,
 };
@@ -29,15 +29,37 @@
     }
 }
 
-/// Guards against returns during the burst, and against all callers in the last slot.
+/// While more requests arrive than memory becomes free, nothing tells when that ends. Guards against callers that return
+/// together, and against some that burn their tries at once: each fifth of the time in which they can return gets a
+/// fifth of them.
 #[test]
-fn returns_in_a_burst_late_and_spread() {
+fn returns_spread_evenly_while_nothing_is_free() {
     let (now, mut calendar) = short_calendar(66);
     let times = promise_many(&mut calendar, now, less_urgent(), 0..40);
-    assert!(mean_pause(&times) > Duration::from_millis(3000), "{:?}", mean_pause(&times));
-    assert!(times.iter().all(|time| time.pause <= Duration::from_millis(4600)));
-    let last = times.iter().filter(|time| time.pause > Duration::from_millis(4350)).count();
-    assert!(last <= 20, "{last} of 40 return in the last slot");
+    assert!(times.iter().all(|time| time.basis == ReturnBasis::LeastDemand));
+    for part in 0..5 {
+        let (from, to) = (500 + part * 820, 500 + (part + 1) * 820);
+        let count = times.iter().filter(|t| (from..to).contains(&t.pause.as_millis())).count();
+        assert!((6..=10).contains(&count), "{count} of 40 return from {from} to {to} ms");
+    }
+}
+
+/// A caller is told a time within a third of what it has left, however long that is.
+#[rstest]
+#[case::short(3000)]
+#[case::long(120_000)]
+fn returns_use_the_whole_time_that_callers_have(#[case] left_ms: u64) {
+    let (now, mut calendar) = short_calendar(66);
+    let latest = Duration::from_millis(left_ms) / 3;
+    let times = (0..200).map(|key| {
+        let draw = (key as f64 * 0.618).fract();
+        let time_left = Duration::from_millis(left_ms);
+        let request = request(key, RefusalCause::NoMemory);
+        calendar.promise(now, &ReturnRequest { draw, time_left, ..request }).pause
+    });
+    let times: Vec<Duration> = times.collect();
+    assert!(times.iter().all(|pause| *pause <= latest));
+    assert!(times.iter().any(|pause| *pause > latest.mul_f64(0.8)), "{:?}", times.iter().max());
 }
 
 /// Guards against less urgent callers that keep urgent ones from the next free capacity.
@@ -91,9 +113,39 @@
     assert!(calendar.is_return(at, request.key));
     assert!(calendar.is_return(at + Duration::from_millis(900), request.key));
     assert!(!calendar.is_return(at + Duration::from_millis(1100), request.key));
-    // A caller that is refused again returns no more, so that its place stays free for others.
-    calendar.promise(at, &request);
-    assert!(!calendar.is_return(at + Duration::from_secs(4), request.key));
+}
+
+/// Callers may retry a few times: one that is refused again is told a time like one that comes first, and counts as much for
+/// those that are placed after it.
+#[test]
+fn repeat_told_a_time_like_a_first_try() {
+    let (now, mut calendar) = short_calendar(20);
+    let first = request(5, RefusalCause::NoMemory);
+    let at = now + calendar.promise(now, &first).pause;
+    record_second(&mut calendar, 11_000 + at.since(now).as_millis() as u64, 20, 30, 10);
+    let again = ReturnRequest { time_left: first.time_left - at.since(now), ..first };
+    let other = ReturnRequest { key: RequestKey(6), ..again };
+    let expected = calendar.choose_time(at, &other);
+    let time = calendar.promise(at, &again);
+    assert_eq!(time, expected);
+    assert!(calendar.promised(at).any(|key| key == first.key));
+}
+
+/// What the demand was before does not tell how long a shortage lasts: with equal figures of the last second and equal
+/// promises, callers are told the same times after a calm minute and after a crowded one.
+#[test]
+fn time_does_not_depend_on_earlier_demand() {
+    let calm = (0..20).map(|_| 20).collect::<Vec<u64>>();
+    let crowded = (0..20).map(|_| 66).collect::<Vec<u64>>();
+    let times = [calm, crowded].map(|demand| {
+        let mut calendar = ReturnCalendar::default();
+        for (second, fresh) in (0..).zip(demand) {
+            record_second(&mut calendar, second * 1000, fresh, 20, 1);
+        }
+        record_second(&mut calendar, 20_000, 66, 30, 10);
+        promise_many(&mut calendar, TimePoint::from_millis(20_990), less_urgent(), 0..40)
+    });
+    assert_eq!(times[0], times[1]);
 }
 
 /// Guards against callers that return before the queues are served, and against more of them at a time than the servers
