Run opening: the pause of a caller without memory follows the measured time of a run

What callers saw: where return times are off or know little, each caller that found no memory was told 4 s, whether runs last for 1 s or for 10. Change: the mean time of the runs that started here (WorkMeter::run_time, pace times expected length): by then the runs that hold memory now have ended on average. Before the first run it is the 1 s of a host that cannot decide. Tests, failed before (4 s in each): pause_without_memory_follows_the_time_of_a_run (short_answers, long_answers); constant_pause_without_the_setting asked for 3.4 to 4.6 s, and asks for 0.85 to 1.15 s before a run was measured.

--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -7,13 +7,11 @@
 use super::run_send::{send_at_best, send_rejected};
 use super::run_start::{OpenFailure, RunRecord};
 use crate::fleet::{ServerEntry, ServerStage};
+use crate::placement::WorkMeter;
 use crate::quarantine::CRASH_RETENTION;
 use crate::routes::EngineSpec;
 use std::time::Duration;
 
-/// Retry delay for a caller when no server has memory: about as long as a burst lasts, since a caller that returns
-/// earlier finds none either.
-const NO_MEMORY_PAUSE: Duration = Duration::from_secs(4);
 /// Retry delay for a caller whose request crashes servers: as long as crashes are remembered.
 const HELD_BACK_PAUSE: Duration = CRASH_RETENTION;
 /// Jitter of retry delays, as a fraction of them, so that callers do not all return at once.
@@ -148,7 +146,10 @@
     after: Option<u64>,
     runs: &RunRecord,
 ) -> CallEnd {
-    let constant = constant_pause(reason);
+    let constant = match reason {
+        NotRunReason::NoMemory => memory_pause(context),
+        _ => constant_pause(reason),
+    };
     let is_first = after == context.head.last_event && !runs.may_have_run;
     let pause = if is_first { context.return_pause(reason, constant) } else { constant };
     CallEnd::NotRun(reason, pause)
@@ -156,9 +157,9 @@
 
 fn constant_pause(reason: NotRunReason) -> Duration {
     match reason {
-        NotRunReason::NoMemory => jittered(NO_MEMORY_PAUSE),
         NotRunReason::HeldBack => HELD_BACK_PAUSE,
         NotRunReason::NoServer
+        | NotRunReason::NoMemory
         | NotRunReason::NoServerOfVersion
         | NotRunReason::VersionUnknown
         | NotRunReason::NotReady
@@ -176,6 +177,14 @@
     }
 }
 
+/// Retry delay for a caller when no server has memory: the time of a run, after which those that hold it now have ended on
+/// average.
+fn memory_pause(context: &CallContext) -> Duration {
+    let state = context.host.state();
+    let run_time = state.work_meters.get(&context.service).and_then(WorkMeter::run_time);
+    jittered(run_time.unwrap_or(NO_SERVER_PAUSE))
+}
+
 fn jittered(pause: Duration) -> Duration {
     let factor = rand::random::<f64>().mul_add(PAUSE_JITTER, 1.0 - PAUSE_JITTER / 2.0);
     pause.mul_f64(factor)
--- a/src/placement/work_meter.rs
+++ b/src/placement/work_meter.rs
@@ -12,6 +12,8 @@
 /// Weight of one measurement in the time per token. About the last fifty count, so that the result
 /// depends neither on one stalled stream nor on one full batch.
 const TOKEN_PACE_WEIGHT: f64 = 0.02;
+/// Weight of one stream in the mean time of a run. About the last sixteen count.
+const RUN_WEIGHT: f64 = 1.0 / 16.0;
 /// Fraction by which the best read time per token moves towards that of each slower read, so that
 /// it follows servers that become permanently slower.
 const BEST_PACE_RELAXATION: f64 = 0.01;
@@ -60,6 +62,8 @@
     token_pace: Option<f64>,
     /// Number of measurements in `token_pace`; the first ones have equal weights.
     pace_count: u32,
+    /// Mean time for which started streams are expected to run, in seconds.
+    run_seconds: Option<f64>,
 }
 
 impl WorkMeter {
@@ -105,8 +109,16 @@
         let Some(pace) = self.token_pace else { return };
         self.start_or_decay(now);
         let memory = f64::from(prompt) + f64::from(output) / 2.0;
+        let seconds = f64::from(output) * pace;
         self.sums.streams += 1.0;
-        self.sums.memory_seconds += memory * f64::from(output) * pace;
+        self.sums.memory_seconds += memory * seconds;
+        let mean = self.run_seconds.unwrap_or(seconds);
+        self.run_seconds = Some(mean + (seconds - mean) * RUN_WEIGHT);
+    }
+
+    /// Mean time for which a stream runs; `None` until one has started whose pace is known.
+    pub fn run_time(&self) -> Option<Duration> {
+        self.run_seconds.map(Duration::from_secs_f64)
     }
 
     /// The sums, decayed to `now`.
