Memory search: a request waits until a run is expected to end, if its caller has the time

What callers saw: an urgent request gave up after an eighth of its objective, although its caller had 15 s and memory ran free at the servers kept for it 300 ms later; others gave up after 60 ms, however long runs last, and less urgent ones of a small pool at once. Change: memory_wait: the mean time of a run, divided by the runs at the servers that are searched; nothing if the caller has less time, or if nothing is measured. MemoryAdmission::limit is gone, so that requests of all ranks wait by the same rule. A search whose caller has no time left ends at once.

--- a/src/gateway/decode_reservation.rs
+++ b/src/gateway/decode_reservation.rs
@@ -12,10 +12,14 @@
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::in_flight::RequestWait;
-use crate::placement::{MemorySearch, RankingCriterion, SearchStep, ServerEvent, ServerLoad};
+use crate::keys::ServerKey;
+use crate::placement::{
+    MemorySearch, RankingCriterion, SearchStep, ServerEvent, ServerLoad, WorkMeter, memory_wait,
+};
 use crate::platform::TokenCounts;
 use crate::routes::EngineSpec;
 use crate::stream_origins::RunVersion;
+use std::time::Duration;
 
 /// Memory reserved for a request at a decode server, and its entry in the load table.
 #[derive(Debug)]
@@ -65,8 +69,12 @@
     };
     let mut admission = admit()?;
     let local_domain = context.host.domain();
-    let mut search = MemorySearch::new(context.host.now(), local_domain);
+    let searched_from = context.host.now();
+    let mut search = MemorySearch::new(local_domain);
     loop {
+        if context.time_left().is_zero() {
+            return Err(NotRunReason::OutOfTime);
+        }
         let criteria = ServerCriteria {
             stage: Some(ServerStage::Decode),
             criterion: RankingCriterion::DecodeMemory(engine.memory_tokens),
@@ -89,8 +97,8 @@
             return Err(prefer_at_limit(context, reason));
         }
         admission.order(&mut ranked);
-        let keys = ranked.iter().map(ServerEntry::key);
-        match admission.limit(search.next(context.host.now(), keys)) {
+        let keys = || ranked.iter().map(ServerEntry::key);
+        match search.next(context.memory_wait(keys()), keys()) {
             SearchStep::Request(key) => {
                 let Some(server) = ranked.iter().find(|server| server.key() == key) else {
                     continue;
@@ -108,9 +116,9 @@
             }
             SearchStep::Pause(pause) => tokio::time::sleep(pause).await,
             SearchStep::Refuse => {
-                if admission.wait_to_search_again(context).await {
+                if admission.wait_to_search_again(context, searched_from, &ranked).await {
                     admission = admit()?;
-                    search = MemorySearch::new(context.host.now(), local_domain);
+                    search = MemorySearch::new(local_domain);
                     continue;
                 }
                 admission.record_refused(context);
@@ -126,6 +134,17 @@
     }
 }
 
+impl CallContext {
+    /// How long the request waits until one of `servers` has memory for it.
+    pub(super) fn memory_wait(&self, servers: impl Iterator<Item = ServerKey>) -> Duration {
+        let state = self.host.state();
+        let run_time = state.work_meters.get(&self.service).and_then(WorkMeter::run_time);
+        let runs = servers.map(|server| state.server_loads.total(server).requests);
+        let (runs, count) = runs.fold((0_u32, 0), |(sum, count), runs| (sum + runs, count + 1));
+        memory_wait(run_time, runs, count, self.time_left())
+    }
+}
+
 /// Why no server was found. A server at its limit is reported first: it may accept the request before another one
 /// has memory.
 fn prefer_at_limit(context: &CallContext, reason: NotRunReason) -> NotRunReason {
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -7,16 +7,11 @@
     SearchOutcome, SearchParts,
 };
 use crate::fleet::ServerEntry;
-use crate::keys::ServerKey;
-use crate::placement::SearchStep;
+use crate::keys::{ServerKey, TimePoint};
 use std::collections::HashSet;
 use std::time::Duration;
 
-/// An urgent request that found no memory searches again until this part of its objective has passed: callers lose
-/// nothing by a delay of up to an eighth.
-const MAX_SEARCH_PART: u32 = 8;
-/// Pause between these searches. With an objective of 800 ms they last for 100 ms in all; in this time, about one of the
-/// runs on five reserved servers ends.
+/// Pause before an urgent request that found no memory searches again.
 const SEARCH_PAUSE: Duration = Duration::from_millis(20);
 
 /// The admission of one request to the decode servers. Without anything to decide, all servers are searched as usual.
@@ -63,22 +58,21 @@
         ranked.sort_by_key(|server| !contains(&parts.first, server));
     }
 
-    /// The step to carry out: a less urgent request that all servers of its part refused does not wait for a second
-    /// round, since others would take its place in the meantime.
-    pub fn limit(&self, step: SearchStep) -> SearchStep {
-        match step {
-            SearchStep::Pause(_) if self.parts.as_ref().is_some_and(|parts| !parts.is_urgent) => {
-                SearchStep::Refuse
-            }
-            step => step,
-        }
-    }
-
-    /// Waits before a further search of an urgent request; returns whether there is to be one.
-    pub async fn wait_to_search_again(&self, context: &CallContext) -> bool {
-        let is_urgent = self.parts.as_ref().is_some_and(|parts| parts.is_urgent);
-        let limit = context.route.objective / MAX_SEARCH_PART;
-        if !is_urgent || context.age() + SEARCH_PAUSE > limit {
+    /// Waits before a further search of an urgent request that has searched since `searched_from`; returns whether there is
+    /// to be one. Memory that runs free at the servers that are reserved for its rank is not taken by less urgent ones.
+    pub async fn wait_to_search_again(
+        &self,
+        context: &CallContext,
+        searched_from: TimePoint,
+        ranked: &[ServerEntry],
+    ) -> bool {
+        let Some(parts) = self.parts.as_ref().filter(|parts| parts.is_urgent) else {
+            return false;
+        };
+        let is_reserved = |server: &&ServerEntry| parts.first.contains(&server.key());
+        let reserved = ranked.iter().filter(is_reserved).map(ServerEntry::key);
+        let longest_wait = context.memory_wait(reserved);
+        if context.host.now().since(searched_from) + SEARCH_PAUSE > longest_wait {
             return false;
         }
         tokio::time::sleep(SEARCH_PAUSE).await;
--- a/src/placement/memory_search.rs
+++ b/src/placement/memory_search.rs
@@ -1,12 +1,9 @@
 use super::REMOTE_DOMAIN_PENALTY;
-use crate::keys::{NameKey, ServerKey, TimePoint};
+use crate::keys::{NameKey, ServerKey};
 use std::collections::HashSet;
 use std::time::Duration;
 
-/// Time limit of one search, sufficient for a second round over a small number of servers. A longer
-/// wait rarely succeeds and only delays the caller's retry.
-const SEARCH_TIMEOUT: Duration = Duration::from_millis(60);
-/// Pause after all servers have refused, during which about one running answer ends.
+/// Pause after all servers have refused, so that few requests are sent in vain.
 const ROUND_PAUSE: Duration = Duration::from_millis(25);
 /// Maximum number of requests in one search. Each of them may need a new connection.
 const MAX_REQUESTS: usize = 18;
@@ -15,6 +12,21 @@
 /// two in five of the load updates of its own domain and one in fifteen of the others.
 const MAX_LOCAL_REFUSALS: usize = 3;
 
+/// How long a request waits for memory: until one of the runs at the servers that it may search is expected to end, and not
+/// at all if its caller has less time than that, or if nothing is known of how long runs last.
+///
+/// `run_time` is the mean time of a run, `runs` their number as far as known; a full server runs one at least.
+pub fn memory_wait(
+    run_time: Option<Duration>,
+    runs: u32,
+    servers: usize,
+    time_left: Duration,
+) -> Duration {
+    let runs = runs.max(u32::try_from(servers).unwrap_or(u32::MAX)).max(1);
+    let next_end = run_time.map(|time| (time / runs).max(ROUND_PAUSE));
+    next_end.filter(|end| *end < time_left).unwrap_or_default()
+}
+
 /// The next step of a search.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SearchStep {
@@ -33,22 +45,23 @@
 /// memory.
 #[derive(Debug, Clone)]
 pub struct MemorySearch {
-    started_at: TimePoint,
     local_domain: NameKey,
     tried: HashSet<ServerKey>,
     request_count: usize,
     local_refusals: usize,
+    /// Sum of the pauses so far.
+    paused: Duration,
 }
 
 impl MemorySearch {
     /// Starts a search from a host in the failure domain `local_domain`.
-    pub fn new(now: TimePoint, local_domain: NameKey) -> Self {
+    pub fn new(local_domain: NameKey) -> Self {
         Self {
-            started_at: now,
             local_domain,
             tried: HashSet::new(),
             request_count: 0,
             local_refusals: 0,
+            paused: Duration::ZERO,
         }
     }
 
@@ -58,10 +71,14 @@
         if self.local_refusals < MAX_LOCAL_REFUSALS { REMOTE_DOMAIN_PENALTY } else { 0.0 }
     }
 
-    /// Returns the next step; `ranked` lists the available servers from best to worst.
-    pub fn next(&mut self, now: TimePoint, ranked: impl Iterator<Item = ServerKey>) -> SearchStep {
-        let elapsed = now.since(self.started_at);
-        if self.request_count >= MAX_REQUESTS || elapsed > SEARCH_TIMEOUT {
+    /// Returns the next step; `ranked` lists the available servers from best to worst, and the pauses of the search take
+    /// no longer than `longest_wait` in all.
+    pub fn next(
+        &mut self,
+        longest_wait: Duration,
+        ranked: impl Iterator<Item = ServerKey>,
+    ) -> SearchStep {
+        if self.request_count >= MAX_REQUESTS {
             return SearchStep::Refuse;
         }
         let mut ranked = ranked.peekable();
@@ -73,9 +90,10 @@
             self.request_count += 1;
             return SearchStep::Request(key);
         }
-        if elapsed + ROUND_PAUSE > SEARCH_TIMEOUT {
+        if self.paused + ROUND_PAUSE > longest_wait {
             return SearchStep::Refuse;
         }
+        self.paused += ROUND_PAUSE;
         self.tried.clear();
         SearchStep::Pause(ROUND_PAUSE)
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -39,7 +39,7 @@
 pub use length_model::LengthModel;
 pub use link_schedule::LinkSchedule;
 pub use load_table::{LoadTable, ServerLoad};
-pub use memory_search::{MemorySearch, SearchStep};
+pub use memory_search::{MemorySearch, SearchStep, memory_wait};
 pub use pace_timer::PaceTimer;
 pub use pair_choice::{DecodeQuote, PairChoice, PrefillQuote, rank_pairs};
 pub use placement_policy::PlacementPolicy;
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -7,7 +7,7 @@
     PressureLevel, PressureScope, PressureUpdate, RankPressure, ServicePressure, reserve_order,
 };
 use tealcleat::bench::site::{EngineFault, SitePlan, SiteRun, TestSite, config};
-use tealcleat::keys::{IncarnationId, NameKey, ServerKey};
+use tealcleat::keys::{IncarnationId, NameKey, ServerKey, TimePoint};
 use tealcleat::settings::LoadFeatures;
 
 mod site_common;
@@ -151,6 +151,36 @@
     });
 }
 
+/// An urgent request waits until a run at the servers that are reserved for its rank is expected to end, as measured, if its
+/// caller has the time; otherwise it is refused at once. Its objective does not matter.
+#[rstest]
+#[case::caller_has_time(15_000, 200)]
+#[case::caller_has_no_time(500, 503)]
+fn urgent_request_waits_for_the_end_of_a_run(#[case] deadline_ms: u64, #[case] expected: u16) {
+    runtime().block_on(async {
+        let site = site(ADMISSION, 0).await;
+        for engine in &site.decodes {
+            engine.set_fault(EngineFault::Full);
+        }
+        {
+            let mut state = site.hosts[0].host.state();
+            let meter = state.work_meters.entry(NameKey::of("engines")).or_default();
+            meter.record_pace(100, Duration::from_secs(1));
+            meter.record_stream(TimePoint::default(), 100, 1000);
+        }
+        report_shortage(&site, 1);
+        let mut call = call("POST", "resume", "urgent");
+        call.headers[0].1 = deadline_ms.to_string();
+        let freed = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            site.decodes.iter().for_each(|engine| engine.set_fault(EngineFault::None));
+        };
+        let (reply, ()) = tokio::join!(call_first_host(&site, &call), freed);
+        assert_eq!(reply.status.as_u16(), expected);
+        wait_released(&site).await;
+    });
+}
+
 /// All engines refuse holds. Only an urgent request is sent without one, and only if that is switched on.
 #[rstest]
 #[case::off(ADMISSION, 503)]
--- a/tests/memory_search.rs
+++ b/tests/memory_search.rs
@@ -10,12 +10,14 @@
 use tealcleat::keys::{NameKey, ServerKey, TimePoint};
 use tealcleat::placement::{
     DomainBreakers, LoadTable, MemorySearch, RankingContext, RankingCriterion, SearchStep,
-    rank_servers,
+    memory_wait, rank_servers,
 };
 
 const DOMAINS: [&str; 5] = ["a", "b", "c", "d", "e"];
 const MEMORY_TOKENS: u32 = 28_650;
 const ANSWER_TOKENS: u32 = 4000;
+/// How long a search waits until a run ends.
+const LONGEST_WAIT: Duration = Duration::from_millis(60);
 /// Round trip of a hold request.
 const ROUND_TRIP: Duration = Duration::from_millis(2);
 
@@ -37,10 +39,10 @@
     fn search(&self, host: u64) -> (usize, bool) {
         let local_domain = NameKey::of(DOMAINS[0]);
         let mut now = TimePoint::from_millis(1000);
-        let mut search = MemorySearch::new(now, local_domain);
+        let mut search = MemorySearch::new(local_domain);
         loop {
             let ranked = self.ranked(now, local_domain, search.remote_penalty(), host);
-            match search.next(now, ranked.iter().map(|server| server.key())) {
+            match search.next(LONGEST_WAIT, ranked.iter().map(|server| server.key())) {
                 SearchStep::Request(key) if self.free[&key] >= ANSWER_TOKENS => {
                     return (search.request_count(), true);
                 }
@@ -139,26 +141,41 @@
 #[test]
 fn search_tries_few_servers_again() {
     let keys = [NameKey(1), NameKey(2)];
-    let start = TimePoint::from_millis(0);
-    let mut search = MemorySearch::new(start, NameKey::of("a"));
-    let mut steps = Vec::new();
-    let mut now = start;
-    for _ in 0..7 {
-        let step = search.next(now, keys.iter().copied());
-        if let SearchStep::Pause(pause) = step {
-            now = now + pause;
-        }
-        steps.push(step);
-    }
+    let mut search = MemorySearch::new(NameKey::of("a"));
+    let steps: Vec<SearchStep> =
+        (0..9).map(|_| search.next(LONGEST_WAIT, keys.iter().copied())).collect();
     let pause = SearchStep::Pause(Duration::from_millis(25));
     let (first, second) = (SearchStep::Request(keys[0]), SearchStep::Request(keys[1]));
-    assert_eq!(steps, [first, second, pause, first, second, pause, first]);
+    let refuse = SearchStep::Refuse;
+    assert_eq!(steps, [first, second, pause, first, second, pause, first, second, refuse]);
+}
+
+/// A caller waits until a run is expected to end if it has the time, however long that is, and is refused at once otherwise.
+#[rstest]
+#[case::many_runs(Some(3000), 20, 4, 14_000, 150)]
+#[case::few_runs(Some(3000), 2, 2, 14_000, 1500)]
+#[case::long_runs(Some(30_000), 20, 4, 14_000, 1500)]
+#[case::many_runs_end_within_a_pause(Some(3000), 600, 100, 14_000, 25)]
+#[case::no_known_runs_at_full_servers(Some(3000), 0, 10, 14_000, 300)]
+#[case::time_left_just_suffices(Some(3000), 20, 4, 151, 150)]
+#[case::no_time_for_it(Some(3000), 20, 4, 150, 0)]
+#[case::nothing_measured(None, 20, 4, 14_000, 0)]
+fn memory_wait_lasts_until_a_run_ends(
+    #[case] run_ms: Option<u64>,
+    #[case] runs: u32,
+    #[case] servers: usize,
+    #[case] left_ms: u64,
+    #[case] expected_ms: u64,
+) {
+    let (run_time, left) = (run_ms.map(Duration::from_millis), Duration::from_millis(left_ms));
+    let wait = memory_wait(run_time, runs, servers, left);
+    assert_eq!(wait, Duration::from_millis(expected_ms));
 }
 
 #[test]
 fn search_without_servers_refuses_at_once() {
-    let mut search = MemorySearch::new(TimePoint::from_millis(0), NameKey::of("a"));
-    assert_eq!(search.next(TimePoint::from_millis(0), std::iter::empty()), SearchStep::Refuse);
+    let mut search = MemorySearch::new(NameKey::of("a"));
+    assert_eq!(search.next(LONGEST_WAIT, std::iter::empty()), SearchStep::Refuse);
 }
 
 /// Requests spread evenly over equal servers of the local domain, whichever host receives them.
