Prompt read: a read that failed is left to the decode server while the caller has time

What callers saw: a request was refused as prompt_not_read because 0.54 s of an objective of 0.9 s had passed when its read failed, while its caller waited for 15 s and its decode server held memory for it. A target that has passed is no reason to refuse what can be answered. Change: the decode server reads the prompt until the caller's deadline; the reason prompt_not_read has no case left. Test: read_failed_after_the_objective_left_to_the_decode_server failed before (503, no event; now 200, 8 events).

--- a/src/gateway/call_end.rs
+++ b/src/gateway/call_end.rs
@@ -13,8 +13,6 @@
     NoMemory,
     /// No server of the service accepts requests.
     NoServer,
-    /// Reading its prompt failed.
-    PromptNotRead,
     /// The server that was chosen to run it rejected it.
     Rejected,
     /// It continues a stream, and the software version that began the stream is not known.
@@ -53,7 +51,6 @@
             Self::VersionUnknown => "version_unknown",
             Self::NoServerOfVersion => "no_server_of_version",
             Self::NoServer => "no_server",
-            Self::PromptNotRead => "prompt_not_read",
             Self::Rejected => "turned_away",
             Self::OutOfTime => "out_of_time",
             Self::RetryBudget => "retry_budget",
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -6,7 +6,6 @@
 use super::server_ranking::ServerCriteria;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::in_flight::RequestWait;
-use crate::keys::TimePoint;
 use crate::placement::{
     PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
 };
@@ -23,29 +22,19 @@
 const FULL_QUEUE_TOKENS: u32 = 12_000;
 /// Most prefill servers tried for one request.
 const MAX_READS: usize = 2;
-/// A decode server still reads a prompt in time while no more than this fraction of the objective has passed.
-const OWN_READ_FRACTION: f64 = 0.6;
 
 /// How reading a prompt ended.
 #[derive(Debug)]
 pub(super) enum PromptEnd {
     /// A prefill server holds the result in its memory.
     Read(EngineResource),
-    /// No prefill server can read it in time; its decode server reads it itself.
+    /// No prefill server reads it; its decode server, which holds memory for it, reads it itself.
     LeftToDecode,
-    /// No prefill server read it, and too much of its objective has passed for its decode server to read it.
-    Failed,
 }
 
 /// Has the prompt read by a prefill server, preferably in the failure domain of its decode server. Only one of the same
 /// software version can write what the decode server fetches.
-///
-/// `began_at` is when the request began to wait for this reading: on its arrival, or when a further run was opened.
-pub(super) async fn read_prompt(
-    context: &CallContext,
-    decode: &ServerEntry,
-    began_at: TimePoint,
-) -> PromptEnd {
+pub(super) async fn read_prompt(context: &CallContext, decode: &ServerEntry) -> PromptEnd {
     if context.is_trial {
         // A request on trial is sent to its decode server only, since one server suffices for the trial.
         return PromptEnd::LeftToDecode;
@@ -108,7 +97,7 @@
                 context.host.record_server_event(server, ServerEvent::Errored);
                 break;
             }
-            Ok(ReadEnd::Left) => return leave_to_decode(context),
+            Ok(ReadEnd::Left) => break,
             Err(error) => {
                 context.record_failure(server, &error);
                 // Only the time of the request is over: no server is silent after less than the usual time.
@@ -125,7 +114,7 @@
             }
         }
     }
-    fall_back(context, began_at)
+    leave_to_decode(context)
 }
 
 impl CallContext {
@@ -143,19 +132,9 @@
     }
 }
 
-/// Decides how to go on with a prompt that no prefill server read. Its decode server already holds memory for it and
-/// reads it in time, unless too much of the objective has passed. No second prefill server is tried, since its
-/// answer may get lost as often as the first one's, and its work would be wasted.
-fn fall_back(context: &CallContext, began_at: TimePoint) -> PromptEnd {
-    let waited = context.host.now().since(began_at);
-    if waited > context.route.objective.mul_f64(OWN_READ_FRACTION) {
-        return PromptEnd::Failed;
-    }
-    leave_to_decode(context)
-}
-
-/// Leaves a prompt to its decode server. After a silent read this holds however late it is: the caller still waits, and
-/// silence proves nothing for which its request could be refused.
+/// Leaves a prompt to its decode server, which holds memory for it already, however late it is: the caller still waits. No
+/// second prefill server is tried after one that failed, since its answer may get lost as often as the first one's, and
+/// its work would be wasted.
 fn leave_to_decode(context: &CallContext) -> PromptEnd {
     let (id, age) = (context.id(), context.age().as_millis());
     log::info!("event=prompt_left_to_decode request={id} age_ms={age}");
--- a/src/gateway/return_updates.rs
+++ b/src/gateway/return_updates.rs
@@ -103,7 +103,6 @@
         let mut state = self.host.state();
         let cause = match reason {
             NotRunReason::NoMemory => RefusalCause::NoMemory,
-            NotRunReason::PromptNotRead => RefusalCause::EngineFailed,
             NotRunReason::Rejected if is_engine => RefusalCause::EngineFailed,
             NotRunReason::Rejected => RefusalCause::NoPlace(state.domain_places(self.service)),
             NotRunReason::NoServer => RefusalCause::NoServer(None),
--- a/src/gateway/run_open.rs
+++ b/src/gateway/run_open.rs
@@ -168,8 +168,7 @@
         | NotRunReason::LimitUnknown => jittered(NO_SERVER_PAUSE),
         NotRunReason::NoBodyRoom | NotRunReason::NoRoom => jittered(NO_BODY_ROOM_PAUSE),
         NotRunReason::HostStopping => jittered(STOPPING_PAUSE),
-        NotRunReason::PromptNotRead
-        | NotRunReason::Rejected
+        NotRunReason::Rejected
         | NotRunReason::OutOfTime
         | NotRunReason::RetryBudget
         | NotRunReason::ServersAtLimit
--- a/src/gateway/run_send.rs
+++ b/src/gateway/run_send.rs
@@ -38,11 +38,9 @@
         return Err(OpenFailure::NotRun(NotRunReason::RetryBudget));
     }
     let held_at = context.host.now();
-    let began_at = if runs.sent == 0 { context.received_at } else { held_at };
-    let mut prompt = match read_prompt(context, &reservation.hold.server, began_at).await {
+    let mut prompt = match read_prompt(context, &reservation.hold.server).await {
         PromptEnd::Read(resource) => Some(resource),
         PromptEnd::LeftToDecode => None,
-        PromptEnd::Failed => return Err(OpenFailure::NotRun(NotRunReason::PromptNotRead)),
     };
     if context.time_left().is_zero() {
         return Err(OpenFailure::NotRun(NotRunReason::OutOfTime));
--- a/src/return_times/return_request.rs
+++ b/src/return_times/return_request.rs
@@ -8,7 +8,7 @@
 pub enum RefusalCause {
     /// No decode server has memory.
     NoMemory,
-    /// An engine rejected it, or its prompt was not read; there may be memory.
+    /// An engine rejected it; there may be memory.
     EngineFailed,
     /// All servers of a plain service that were tried are full. Its ready servers run so many requests of this failure
     /// domain at a time, if all domains have the same share.
--- a/tests/silent_reads.rs
+++ b/tests/silent_reads.rs
@@ -4,7 +4,7 @@
 //! lost.
 
 use std::sync::Arc;
-use tealcleat::bench::site::{SitePlan, SiteRun, TestSite};
+use tealcleat::bench::site::{EngineFault, SitePlan, SiteRun, TestSite};
 use tealcleat::keys::ServerKey;
 use tealcleat::settings::GatewaySettings;
 
@@ -64,6 +64,26 @@
     });
 }
 
+/// Guards against a refusal while the caller has time: the read of its prompt failed after its objective had passed, and the
+/// decode server that holds its memory can read it.
+#[test]
+fn read_failed_after_the_objective_left_to_the_decode_server() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), |_| {}).await;
+        for engine in &site.prefills {
+            engine.set_fault(EngineFault::LoseReads);
+        }
+        stall_prefills(&site);
+        let caller = start_call(&site, call("POST", "stream", "r1"));
+        wait_until(|| reads(&site, "r1") == 1).await;
+        tokio::time::sleep(OBJECTIVE).await;
+        release_prefills(&site);
+        let reply = reply_of(caller).await;
+        assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8));
+        assert_eq!(decode_runs(&site, "r1").len(), 1);
+    });
+}
+
 /// Guards against the same where the retry budget does not allow the decode server to read the prompt: the read that is in
 /// flight is waited for.
 #[test]
