Run send: a run that was rejected is sent again while the caller has time

What callers saw: a request whose run its decode server had rejected was refused because 0.72 s of an objective of 0.9 s had passed, while its caller waited for 15 s and the server ran it when it was sent again. Change: it asks for the caller's time. Attempts, budget and crashes bound it as before.

--- a/src/gateway/run_send.rs
+++ b/src/gateway/run_send.rs
@@ -16,9 +16,6 @@
 /// A draining server still receives a request whose memory it has held for no longer than this:
 /// it keeps serving for 2 s after it announced that it drains.
 const DRAINING_SLACK: Duration = Duration::from_millis(1000);
-/// A request that its decode server rejected is tried there once more while no more than this fraction of its
-/// objective has passed.
-const SECOND_TRY_FRACTION: f64 = 0.8;
 
 /// Reserves memory, has the prompt read and sends the request to run after the event `after`.
 pub(super) async fn send_at_best<'a>(
@@ -73,7 +70,7 @@
 }
 
 /// Sends a request that was rejected with its prompt's result to the same server again, which then
-/// reads the prompt itself.
+/// reads the prompt itself, if the caller still has time.
 pub(super) async fn send_rejected<'a>(
     context: &'a CallContext,
     engine: &EngineSpec,
@@ -82,9 +79,8 @@
     runs: &mut RunRecord,
 ) -> Result<PendingRun<'a>, OpenFailure> {
     let rejected = || OpenFailure::Rejected(Box::new(server.clone()));
-    let late = context.age() > context.route.objective.mul_f64(SECOND_TRY_FRACTION);
     let restarted = context.host.has_restarted(server);
-    if late || restarted || context.is_known_held_back(runs.sent) {
+    if context.time_left().is_zero() || restarted || context.is_known_held_back(runs.sent) {
         return Err(rejected());
     }
     if !context.cover_sends(1).await {
--- a/tests/silent_reads.rs
+++ b/tests/silent_reads.rs
@@ -84,6 +84,30 @@
     });
 }
 
+/// Guards against refusals while callers have time: a decode server rejected the run after the objective had passed, and
+/// runs it when it is sent again.
+#[test]
+fn runs_rejected_after_the_objective_sent_again() {
+    runtime().block_on(async {
+        let site = site_with(SitePlan::default(), |_| {}).await;
+        for engine in &site.decodes {
+            engine.set_fault(EngineFault::Shed { tenths: 2 });
+        }
+        for number in 0..12 {
+            let id = format!("r{number}");
+            stall_prefills(&site);
+            let caller = start_call(&site, call("POST", "stream", &id));
+            wait_until(|| reads(&site, &id) == 1).await;
+            tokio::time::sleep(OBJECTIVE).await;
+            release_prefills(&site);
+            let reply = reply_of(caller).await;
+            assert_eq!((reply.status.as_u16(), reply.events().len()), (200, 8), "{id}");
+        }
+        let rejected: u64 = site.decodes.iter().map(|engine| engine.rejected_count()).sum();
+        assert!(rejected > 0);
+    });
+}
+
 /// Guards against the same where the retry budget does not allow the decode server to read the prompt: the read that is in
 /// flight is waited for.
 #[test]
