Prompt reader: chosen by the work that is left and measured, not by fractions of the objective

What callers saw: prompts were left to decode servers, which read them at half the speed between the tokens of others, because a queue took 0.55 of the objective, though their first event would have been in time; and after rejections below 0.1 they were sent apart although no budget was left to run them if rejected, so that they were refused. Change: the queue, the prompt's own read and the start of a run, as measured (ReadTimes), are compared with the time until the target that the route names; where that is missed anyway, the faster server reads it. While reads were rejected lately (ErrorRate::is_clear: the last one has not worn off), a prompt is sent apart only if it survives a rejection. The first uses the route's slo_ms as the target it is, for a choice between servers; nobody is refused by it.

--- a/src/gateway/pending_run.rs
+++ b/src/gateway/pending_run.rs
@@ -109,6 +109,8 @@
         // A result that was fetched no longer exists at its server; one that was not fetched expires soon.
         if let Some(resource) = self.prompt.as_mut().filter(|_| started.is_ok()) {
             resource.mark_used();
+            let mut state = context.host.state();
+            state.work_meters.entry(context.service).or_default().record_start(waited);
         }
         let (head, reader, first) = started?;
         let Self { server, marks, load, memory, hearing, .. } = self;
--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -7,7 +7,8 @@
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::in_flight::RequestWait;
 use crate::placement::{
-    PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ServerEvent, ServerLoad, choose_reader,
+    PromptReader, REMOTE_DOMAIN_PENALTY, RankingCriterion, ReadTimes, RejectionRisk, ServerEvent,
+    ServerLoad, choose_reader,
 };
 use crate::platform::{AnswerKind, CallPart, PrefillResult, decode_body, read_answer};
 use crate::stream_origins::RunVersion;
@@ -50,11 +51,13 @@
         version: RunVersion::Only(decode.version_key()),
     };
     let ranked = context.host.rank_ready_servers(context.service, &criteria);
-    let wait = ranked.first().map(|best| context.host.prompt_wait(context.service, best));
-    let (objective, rejections) = (context.route.objective, context.read_rejections());
-    let survives_rejection = || context.may_survive_rejection();
-    if choose_reader(wait, objective, rejections, survives_rejection) == PromptReader::Decode {
-        let wait = wait.map_or(-1, |wait| i64::try_from(wait.as_millis()).unwrap_or(i64::MAX));
+    let (service, tokens) = (context.service, context.head.tokens.prompt);
+    let times = ranked.first().map(|best| context.host.read_times(service, best, tokens));
+    let target_left = context.route.objective.saturating_sub(context.age());
+    let (risk, survives) = (context.rejection_risk(), || context.may_survive_rejection());
+    if choose_reader(times, target_left, risk, survives) == PromptReader::Decode {
+        let millis = |times: ReadTimes| i64::try_from(times.wait.as_millis()).unwrap_or(i64::MAX);
+        let wait = times.map_or(-1, millis);
         log::info!("event=prompt_left_to_decode request={} wait_ms={wait}", context.id());
         return PromptEnd::LeftToDecode;
     }
@@ -118,11 +121,13 @@
 }
 
 impl CallContext {
-    /// Fraction of the reads of this host that prefill servers rejected lately, or did not answer.
-    fn read_rejections(&self) -> f64 {
+    /// Whether prefill servers lately rejected reads of this host, or did not answer.
+    fn rejection_risk(&self) -> RejectionRisk {
         let now = self.host.now();
         let state = self.host.state();
-        state.read_rejections.get(&self.service).map_or(0.0, |rate| rate.at(now))
+        let is_clear =
+            state.read_rejections.get(&self.service).is_none_or(|rate| rate.is_clear(now));
+        if is_clear { RejectionRisk::Low } else { RejectionRisk::High }
     }
 
     fn record_read_outcome(&self, is_rejected: bool) {
--- a/src/gateway/server_ranking.rs
+++ b/src/gateway/server_ranking.rs
@@ -4,12 +4,11 @@
 use super::gateway_host::GatewayHost;
 use crate::fleet::{ServerEntry, ServerStage};
 use crate::keys::NameKey;
-use crate::placement::{RankingContext, RankingCriterion, rank_servers};
+use crate::placement::{RankingContext, RankingCriterion, ReadTimes, rank_servers};
 use crate::routes::ServiceKey;
 use crate::server_limits::CallRank;
 use crate::stream_origins::{RunVersion, keep_established};
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 /// Criteria by which servers are filtered and ranked.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -95,12 +94,18 @@
         ranked
     }
 
-    /// How long a prompt waits at a prefill server until the prompts queued before it are processed; zero
-    /// while the prefill speed is not known.
-    pub(super) fn prompt_wait(&self, service: ServiceKey, server: &ServerEntry) -> Duration {
+    /// The expected times of a prompt of `tokens` at a prefill server.
+    pub(super) fn read_times(
+        &self,
+        service: ServiceKey,
+        server: &ServerEntry,
+        tokens: u32,
+    ) -> ReadTimes {
         let state = self.state();
         let queue = state.server_loads.total(server.key()).prompt_tokens;
-        state.work_meters.get(&service).map(|meter| meter.read_time(queue)).unwrap_or_default()
+        let Some(meter) = state.work_meters.get(&service) else { return ReadTimes::default() };
+        let (wait, read) = (meter.read_time(queue), meter.read_time(tokens));
+        ReadTimes { wait, read, start: meter.start_time() }
     }
 
     /// Counts why the ready servers of a pool are not used for a request.
--- a/src/placement/error_rate.rs
+++ b/src/placement/error_rate.rs
@@ -22,6 +22,12 @@
         self.updated_at = now;
     }
 
+    /// Whether the effect of the last error has worn off: as many answers without one followed, or as much time passed, as
+    /// leave less than half of what one error adds.
+    pub fn is_clear(&self, now: TimePoint) -> bool {
+        self.at(now) < ANSWER_WEIGHT / 2.0
+    }
+
     /// The rate at `now`.
     pub fn at(&self, now: TimePoint) -> f64 {
         let half_lives = now.since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -46,7 +46,7 @@
 pub use prefill_entry::{PrefillEntry, PrefillRequest};
 pub use prefill_queue::PrefillQueue;
 pub use prefix_index::{BLOCK_TOKENS, PrefixIndex, prefix_blocks};
-pub use prompt_reader::{PromptReader, choose_reader};
+pub use prompt_reader::{PromptReader, ReadTimes, RejectionRisk, choose_reader};
 pub use refusal_reason::RefusalReason;
 pub use rendezvous::{rendezvous_owner, rendezvous_rank};
 pub use report_table::{LoadReport, ReportTable};
--- a/src/placement/work_meter.rs
+++ b/src/placement/work_meter.rs
@@ -12,7 +12,7 @@
 /// Weight of one measurement in the time per token. About the last fifty count, so that the result
 /// depends neither on one stalled stream nor on one full batch.
 const TOKEN_PACE_WEIGHT: f64 = 0.02;
-/// Weight of one stream in the mean time of a run. About the last sixteen count.
+/// Weight of one stream in the mean times of runs and of their starts. About the last sixteen count.
 const RUN_WEIGHT: f64 = 1.0 / 16.0;
 /// Fraction by which the best read time per token moves towards that of each slower read, so that
 /// it follows servers that become permanently slower.
@@ -64,6 +64,8 @@
     pace_count: u32,
     /// Mean time for which started streams are expected to run, in seconds.
     run_seconds: Option<f64>,
+    /// Mean time from when a run is sent with its prompt read until its first event, in seconds.
+    start_seconds: Option<f64>,
 }
 
 impl WorkMeter {
@@ -86,6 +88,18 @@
         Duration::from_secs_f64(self.best_pace.unwrap_or_default() * f64::from(tokens))
     }
 
+    /// Records that the first event of a run whose prompt had been read arrived in `took`.
+    pub fn record_start(&mut self, took: Duration) {
+        let seconds = took.as_secs_f64();
+        let mean = self.start_seconds.unwrap_or(seconds);
+        self.start_seconds = Some(mean + (seconds - mean) * RUN_WEIGHT);
+    }
+
+    /// Mean time from when a run is sent with its prompt read until its first event; zero until one was recorded.
+    pub fn start_time(&self) -> Duration {
+        Duration::from_secs_f64(self.start_seconds.unwrap_or_default())
+    }
+
     /// Records that a running stream produced `tokens` in `took`.
     pub fn record_pace(&mut self, tokens: u32, took: Duration) {
         let pace = took.as_secs_f64() / f64::from(tokens.max(1));
--- a/tests/gateway_engines.rs
+++ b/tests/gateway_engines.rs
@@ -114,7 +114,7 @@
     });
 }
 
-/// The queue of every prefill server is longer than half of the objective.
+/// The queue of every prefill server is longer than the objective.
 #[test]
 fn late_prompt_read_by_its_decode_server() {
     runtime().block_on(async {
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -9,7 +9,9 @@
     ChangeOrders, LeaderRole, LeaderTenure, PoolSizes, StagePlanner, change_batch_size,
     has_spare_capacity, may_issue_orders, target_prefills,
 };
-use tealcleat::placement::{PromptReader, RequestWork, choose_reader};
+use tealcleat::placement::{
+    ErrorRate, PromptReader, ReadTimes, RejectionRisk, RequestWork, choose_reader,
+};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
@@ -120,18 +122,29 @@
     assert_eq!(change_batch_size(sizes, work(0.104, 0.339)), expected);
 }
 
+/// The expected times of a prompt that takes 100 ms to read and 50 ms to start.
+fn read_times(wait_ms: u64) -> ReadTimes {
+    let [wait, read, start] = [wait_ms, 100, 50].map(Duration::from_millis);
+    ReadTimes { wait, read, start }
+}
+
+/// The work that is left decides, as measured, and not a fraction of the target: a prompt goes to a prefill server while its
+/// first event is in time from there, or while its decode server would take longer.
 #[rstest]
-#[case::no_wait(Some(0), PromptReader::Prefill)]
-#[case::in_time(Some(490), PromptReader::Prefill)]
-#[case::late(Some(500), PromptReader::Decode)]
-#[case::no_prefill_server(None, PromptReader::Decode)]
+#[case::no_wait(Some(0), 900, PromptReader::Prefill)]
+#[case::just_in_time(Some(750), 900, PromptReader::Prefill)]
+#[case::late(Some(751), 900, PromptReader::Decode)]
+#[case::target_passed_and_prefill_faster(Some(100), 0, PromptReader::Prefill)]
+#[case::target_passed_and_decode_faster(Some(101), 0, PromptReader::Decode)]
+#[case::no_prefill_server(None, 900, PromptReader::Decode)]
 fn reader_is_decode_server_for_late_prompt(
     #[case] wait_ms: Option<u64>,
+    #[case] target_ms: u64,
     #[case] expected: PromptReader,
 ) {
-    let wait = wait_ms.map(Duration::from_millis);
+    let (times, target_left) = (wait_ms.map(read_times), Duration::from_millis(target_ms));
     for survives_rejection in [false, true] {
-        let reader = choose_reader(wait, Duration::from_millis(900), 0.0, || survives_rejection);
+        let reader = choose_reader(times, target_left, RejectionRisk::Low, || survives_rejection);
         assert_eq!(reader, expected);
     }
 }
@@ -139,20 +152,30 @@
 /// Guards against requests that are refused although a decode server holds memory for them: their read is rejected, and
 /// the retry budget does not pay for the run after it.
 #[rstest]
-#[case::nothing_rejected(0.0, false, PromptReader::Prefill)]
-#[case::rarely_rejected(0.05, false, PromptReader::Prefill)]
-#[case::often_rejected(0.2, false, PromptReader::Decode)]
-#[case::often_rejected_with_budget(0.2, true, PromptReader::Prefill)]
+#[case::nothing_rejected(RejectionRisk::Low, false, PromptReader::Prefill)]
+#[case::rejected_lately(RejectionRisk::High, false, PromptReader::Decode)]
+#[case::rejected_lately_with_budget(RejectionRisk::High, true, PromptReader::Prefill)]
 fn reader_is_decode_server_for_unpaid_rejection(
-    #[case] rejections: f64,
+    #[case] risk: RejectionRisk,
     #[case] survives_rejection: bool,
     #[case] expected: PromptReader,
 ) {
-    let objective = Duration::from_millis(900);
-    let reader = choose_reader(Some(Duration::ZERO), objective, rejections, || survives_rejection);
+    let target_left = Duration::from_millis(900);
+    let reader = choose_reader(Some(read_times(0)), target_left, risk, || survives_rejection);
     assert_eq!(reader, expected);
 }
 
+/// One rejection counts until it has worn off.
+#[test]
+fn error_rate_clear_until_an_error_and_some_time_after() {
+    let mut rate = ErrorRate::default();
+    rate.record(at(0), false);
+    assert!(rate.is_clear(at(0)));
+    rate.record(at(0), true);
+    assert!(!rate.is_clear(at(2900)));
+    assert!(rate.is_clear(at(3100)));
+}
+
 #[test]
 fn planner_corrects_deficit_of_a_whole_server() {
     let mut planner = StagePlanner::default();
