Stop admission: the first event of a stream is expected as measured, not after half of the objective

What callers saw: on a host that shuts down, a stream that takes 50 ms was refused since its route's objective is 10 s. Cause: half of the objective was taken for the time until the first event; a target is no measurement. Change: the measured times of reading a prompt of its size and of starting a run. Test: stopping_host_begins_stream_with_a_long_objective failed before (run on: 503).

--- a/src/gateway/stop_admission.rs
+++ b/src/gateway/stop_admission.rs
@@ -9,11 +9,10 @@
 /// Probability with which a stream that is begun must end before the exit of the process. A caller that is refused comes
 /// back to another host, but has one attempt less, so what is more likely to end than not is begun.
 const END_PROBABILITY: f64 = 0.5;
-/// Fraction of the objective that is assumed to pass until the first event.
-const FIRST_EVENT_FRACTION: f64 = 0.5;
 
 impl GatewayHost {
-    /// Whether the answer to a request is expected to end before this process exits. Streams last for seconds; answers of
+    /// Whether the answer to a request is expected to end before this process exits, by the measured times of reading its
+    /// prompt, of starting and of writing. Streams last for seconds; answers of
     /// plain services, and streams whose pace is not known yet, are expected to. Where no other host serves, there is
     /// nobody to leave a stream to.
     pub(super) fn can_end_before_exit(
@@ -35,10 +34,10 @@
         let length = state.output_forecast.length(key, size, reached, END_PROBABILITY);
         let service = route.service_for(head.stream_id());
         let meter = state.work_meters.get(&service);
-        let answer_time = meter.and_then(|meter| meter.answer_time(length - reached));
-        answer_time.is_none_or(|time| {
-            let expected = time + route.objective.mul_f64(FIRST_EVENT_FRACTION);
-            plan.has_time_for(now.since(*began_at), expected)
-        })
+        let expected = meter.and_then(|meter| {
+            let first_event = meter.read_time(head.tokens.prompt) + meter.start_time();
+            Some(first_event + meter.answer_time(length - reached)?)
+        });
+        expected.is_none_or(|time| plan.has_time_for(now.since(*began_at), time))
     }
 }
--- a/tests/stop_admission.rs
+++ b/tests/stop_admission.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use tealcleat::bench::site::{SitePlan, TestSite, call_site};
+use tealcleat::bench::site::{SitePlan, TestSite, call_site, config};
 use tealcleat::gateway::{GatewayHost, StopPhase, StopPlan};
 
 mod site_common;
@@ -33,6 +33,10 @@
 
 /// A site with `hosts` hosts that know each other and, after one stream, how fast answers come.
 async fn site_with_known_pace(hosts: usize) -> TestSite {
+    site_with_pace(hosts, LONG_INTERVAL).await
+}
+
+async fn site_with_pace(hosts: usize, interval: Duration) -> TestSite {
     let plan = SitePlan { hosts: 0, services: 1, ..SitePlan::default() };
     let mut site = TestSite::start(plan).await.expect("a site");
     for _ in 0..hosts {
@@ -45,7 +49,7 @@
         tokio::time::sleep(POLL_PERIOD).await;
     }
     for engine in &site.decodes {
-        engine.set_event_interval(LONG_INTERVAL);
+        engine.set_event_interval(interval);
     }
     let first = call_site(site.hosts[0].callers, &call("POST", "stream", "first")).await;
     assert!(first.expect("an answer").complete);
@@ -79,6 +83,28 @@
     });
 }
 
+/// What is measured tells when a stream ends, and not its objective: one that ends in time is begun.
+#[test]
+fn stopping_host_begins_stream_with_a_long_objective() {
+    runtime().block_on(async {
+        let site = site_with_pace(2, Duration::from_millis(5)).await;
+        let mut config = config(2);
+        for route in config["routes"].as_array_mut().expect("routes") {
+            route["slo_ms"] = 10_000.into();
+        }
+        site.set_config(2, &config);
+        let gateway = &site.hosts[0];
+        while gateway.host.routes().version() < 2 {
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+        let stopping = begin_stop(&gateway.host).await;
+        let reply = call_site(gateway.callers, &call("POST", "stream", "short")).await;
+        let reply = reply.expect("an answer");
+        assert_eq!((reply.status.as_u16(), reply.complete), (200, true));
+        assert_eq!(stopping.await.expect("it ends"), 0);
+    });
+}
+
 /// Without another host there is nobody to leave a stream to: it is begun.
 #[test]
 fn only_host_begins_stream_that_cannot_end() {
