Places of plain servers: a request waits as long as its caller has time and the owner decides

What callers saw: a request that could have had a place after 30 ms was refused after 18, an eighth of its objective, though its caller waited for a second; and it got no place in a server's queue because its objective was near. Cause: WAIT_PART, since "a delay of up to an eighth costs the caller nothing", and left_ms counted to the objective. Change: both follow the caller's deadline. The 40 ms in which an owner decides stay: after 65 ms it counts as silent.

--- a/src/gateway/place_guard.rs
+++ b/src/gateway/place_guard.rs
@@ -13,7 +13,7 @@
 pub(super) enum WaitMode {
     /// The owner decides at once, so that other servers can be tried.
     Immediate,
-    /// It waits for an eighth of its objective at most.
+    /// It waits as long as its caller has time and the owner decides.
     MayWait,
 }
 
@@ -105,8 +105,7 @@
         }
         let need = PlaceNeed {
             order: PlaceOrder { rank: self.rank, is_repeatable: self.route.is_retryable() },
-            objective: self.route.objective,
-            age: self.age(),
+            time_left: self.time_left(),
         };
         let request = {
             let mut state = host.state();
--- a/src/server_slots/slot_account.rs
+++ b/src/server_slots/slot_account.rs
@@ -51,7 +51,7 @@
     order: PlaceOrder,
     arrived_at: TimePoint,
     until: TimePoint,
-    objective_at: TimePoint,
+    deadline_at: TimePoint,
 }
 
 /// Requests at the server that no host reported to this owner. They leave the server at the rate of its services.
@@ -120,7 +120,7 @@
             order,
             arrived_at: now,
             until: now + Duration::from_millis(request.wait_ms.into()),
-            objective_at: now + Duration::from_millis(request.left_ms.into()),
+            deadline_at: now + Duration::from_millis(request.left_ms.into()),
         };
         if self.ended.contains_key(&id) {
             return Some(self.busy(now, &waiter));
@@ -242,9 +242,9 @@
     }
 
     /// Most requests that may be at the server when one more of this urgency is added: its slots, and a queue in which
-    /// the request waits no longer than its objective allows.
+    /// the request waits no longer than its caller's time allows.
     fn limit(&self, now: TimePoint, waiter: &PlaceWaiter) -> f64 {
-        let left = waiter.objective_at.since(now).as_secs_f64();
+        let left = waiter.deadline_at.since(now).as_secs_f64();
         let queue = (left / self.service_time - RESERVED_SERVICES).clamp(0.0, QUEUE_RATIO);
         (self.slots * (1.0 + queue)).floor()
     }
--- a/src/server_slots/slot_control.rs
+++ b/src/server_slots/slot_control.rs
@@ -8,9 +8,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// Part of the objective for which a request may wait at the owner: a delay of up to an eighth costs the caller
-/// nothing.
-const WAIT_PART: u32 = 8;
 /// Longest wait at the owner. With the round trip it stays below the 65 ms after which the owner counts as silent.
 const MAX_WAIT: Duration = Duration::from_millis(40);
 /// A server is contended when its known load exceeds its slots by this ratio: the queue is then at least as long as the
@@ -37,10 +34,8 @@
 pub struct PlaceNeed {
     /// The order in which requests get places.
     pub order: PlaceOrder,
-    /// Target time to the answer.
-    pub objective: Duration,
-    /// Time since the request was received.
-    pub age: Duration,
+    /// Time until the caller's deadline.
+    pub time_left: Duration,
 }
 
 /// The places at plain servers that this host uses and grants.
@@ -120,8 +115,7 @@
         may_wait: bool,
     ) -> PlaceRequest {
         self.sequence = self.sequence.wrapping_add(1).max(1);
-        let longest = (need.objective / WAIT_PART).min(MAX_WAIT);
-        let wait = if may_wait { longest } else { Duration::ZERO };
+        let wait = if may_wait { need.time_left.min(MAX_WAIT) } else { Duration::ZERO };
         let released = self.released.get(&server).into_iter().flatten();
         let recent = released.filter(|(at, _)| now.since(*at) < REPEAT_TIME);
         PlaceRequest {
@@ -130,7 +124,7 @@
             server,
             order: need.order,
             wait_ms: millis(wait),
-            left_ms: millis(need.objective.saturating_sub(need.age)),
+            left_ms: millis(need.time_left),
             unplaced: self.unplaced.get(&server).copied().unwrap_or_default(),
             released: recent.map(|(_, sequence)| *sequence).collect(),
         }
--- a/src/server_slots/slot_messages.rs
+++ b/src/server_slots/slot_messages.rs
@@ -42,7 +42,7 @@
     pub order: PlaceOrder,
     /// How long the request may wait at the owner, in milliseconds.
     pub wait_ms: u16,
-    /// Time until the request's objective, in milliseconds.
+    /// Time until the deadline of the request's caller, in milliseconds.
     pub left_ms: u16,
     /// Requests of the sender that run at the server without a place.
     pub unplaced: u16,
--- a/tests/server_slots.rs
+++ b/tests/server_slots.rs
@@ -11,8 +11,8 @@
     DomainBreakers, LoadTable, RankingContext, RankingCriterion, rank_servers,
 };
 use tealcleat::server_slots::{
-    PlaceDecision, PlaceEnd, PlaceOrder, PlaceRelease, PlaceReply, PlaceRequest, ServiceTimes,
-    SlotAccount, SlotControl, SlotMessage,
+    PlaceDecision, PlaceEnd, PlaceNeed, PlaceOrder, PlaceRelease, PlaceReply, PlaceRequest,
+    ServiceTimes, SlotAccount, SlotControl, SlotMessage,
 };
 
 mod place_common;
@@ -89,9 +89,21 @@
     assert_eq!(granted, [51, 52, 50]);
 }
 
-/// Queueing at the server is useless for a request whose objective is near: it gets a slot or nothing.
+/// A request waits at the owner as long as its caller has time and the owner decides; its objective does not matter.
+#[rstest]
+#[case::much_time(1000, 40)]
+#[case::little_time(25, 25)]
+fn request_waits_as_long_as_its_caller_has_time(#[case] left_ms: u64, #[case] wait_ms: u16) {
+    let order = PlaceOrder { rank: rank(1), is_repeatable: false };
+    let need = PlaceNeed { order, time_left: Duration::from_millis(left_ms) };
+    let mut control = SlotControl::default();
+    assert_eq!(control.place_request(at(0), HOST, SERVER, &need, true).wait_ms, wait_ms);
+    assert_eq!(control.place_request(at(0), HOST, SERVER, &need, false).wait_ms, 0);
+}
+
+/// Queueing at the server is useless for a request whose deadline is near: it gets a slot or nothing.
 #[test]
-fn near_objective_gets_no_queue() {
+fn near_deadline_gets_no_queue() {
     let mut account = SlotAccount::new(at(0), SLOTS, Some(SERVICE_TIME));
     let near = |sequence| PlaceRequest { left_ms: 60, ..request(HOST, sequence) };
     for sequence in 0..SLOTS {
--- a/tests/slot_common/mod.rs
+++ b/tests/slot_common/mod.rs
@@ -36,6 +36,8 @@
     pub servers: usize,
     pub service_time: Duration,
     pub objective: Duration,
+    /// Time from a request's arrival until its caller's deadline.
+    pub deadline: Duration,
     /// Arrivals relative to the capacity of all servers.
     pub load: f64,
     /// Fraction of the messages between hosts that are lost.
@@ -354,8 +356,7 @@
         let request = &self.requests[index];
         let need = PlaceNeed {
             order: PlaceOrder { rank: CallRank::default(), is_repeatable: request.is_repeatable },
-            objective: self.plan.objective,
-            age: now.since(TimePoint(request.arrived_at)),
+            time_left: self.plan.deadline.saturating_sub(now.since(TimePoint(request.arrived_at))),
         };
         let host = request.host;
         let control = &mut self.hosts[host].control;
--- a/tests/slot_load.rs
+++ b/tests/slot_load.rs
@@ -19,6 +19,7 @@
         servers: 3,
         service_time: Duration::from_millis(30),
         objective: Duration::from_millis(150),
+        deadline: Duration::from_millis(1000),
         load,
         loss: 0.01,
         silent_owners: false,
@@ -33,6 +34,7 @@
         servers: 6,
         service_time: Duration::from_millis(60),
         objective: Duration::from_millis(300),
+        deadline: Duration::from_millis(3000),
         ..small_service(load, has_slots)
     }
 }
--- a/tests/slot_losses.rs
+++ b/tests/slot_losses.rs
@@ -96,8 +96,7 @@
     control.release(at(110), HOST, SERVER, 3, (PlaceEnd::Served, SERVICE_TIME));
     let need = PlaceNeed {
         order: PlaceOrder { rank: rank(1), is_repeatable: false },
-        objective: Duration::from_millis(150),
-        age: Duration::ZERO,
+        time_left: Duration::from_millis(1000),
     };
     let mut next = control.place_request(at(110), HOST, SERVER, &need, false);
     assert_eq!(next.released, [3]);
