Admission: the duration of a run is what is measured, bounded by the time that routes allow

What callers saw: where answers last for 10 s, what an organisation's refused requests would need was counted for 6 s; where they last for half a second, for a whole one. Shares of organisations with other demand were wrong by that. Cause: MIN_RUN_SECONDS and MAX_RUN_SECONDS, "at most 170 events of about 40 ms", the answers of one sheet. Change: running over granted as before; the longest time limit of the service's routes is the bound.

--- a/src/admission/admission_request.rs
+++ b/src/admission/admission_request.rs
@@ -2,6 +2,7 @@
 use crate::keys::{NameKey, OrgKey, ServerKey};
 use crate::routes::ServiceKey;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// The decode servers of a service, and whose requests compete for them.
 #[derive(Debug, Clone, PartialEq)]
@@ -18,6 +19,8 @@
     pub org_weights: HashMap<u32, f64>,
     /// Number of hosts in this host's failure domain, itself included.
     pub host_count: usize,
+    /// The longest time that a route to the service allows for a request.
+    pub longest_run: Duration,
 }
 
 impl DecodePool {
--- a/src/admission/rank_pressure.rs
+++ b/src/admission/rank_pressure.rs
@@ -1,12 +1,7 @@
 use super::OrgPressure;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-
-/// Least estimated duration of a run: responses rarely take less. The estimate needs bounds, since it is far off when
-/// almost nothing was granted in the last second.
-const MIN_RUN_SECONDS: f64 = 1.0;
-/// Largest estimated duration of a run: responses have at most 170 events of about 40 ms each.
-const MAX_RUN_SECONDS: f64 = 6.0;
+use std::time::Duration;
 
 /// The demand of one rank for decode memory.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -77,14 +72,16 @@
         f64::from(self.refused) / f64::from((self.granted + self.refused).max(1))
     }
 
-    /// How long a request runs, in seconds, by Little's law.
-    pub fn run_seconds(&self) -> f64 {
+    /// How long a request runs, in seconds, by Little's law; at most `longest`, for it is far off when almost nothing was
+    /// granted in the last second.
+    pub fn run_seconds(&self, longest: Duration) -> f64 {
         let seconds = f64::from(self.running) / f64::from(self.granted.max(1));
-        seconds.clamp(MIN_RUN_SECONDS, MAX_RUN_SECONDS)
+        seconds.min(longest.as_secs_f64())
     }
 
-    /// Tokens that all requests of an organisation or rank would need at the same time if none were refused.
-    pub fn demand_tokens(&self, tokens: u32, unmet_tokens: u32) -> f64 {
-        f64::from(unmet_tokens).mul_add(self.run_seconds(), f64::from(tokens))
+    /// Tokens that all requests of an organisation or rank would need at the same time if none were refused and each ran
+    /// for `run_seconds`.
+    pub fn demand_tokens(tokens: u32, unmet_tokens: u32, run_seconds: f64) -> f64 {
+        f64::from(unmet_tokens).mul_add(run_seconds, f64::from(tokens))
     }
 }
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -1,7 +1,7 @@
 use super::reserved_part::MAX_RESERVED;
 use super::{
-    AdmissionRefusal, AdmissionRequest, DecodePool, OrgPressure, PressureLevel, SearchParts,
-    ServicePressure, WeightedDemand, fair_share, reserve_order, reserve_tokens,
+    AdmissionRefusal, AdmissionRequest, DecodePool, OrgPressure, PressureLevel, RankPressure,
+    SearchParts, ServicePressure, WeightedDemand, fair_share, reserve_order, reserve_tokens,
 };
 use crate::keys::TimePoint;
 use std::collections::HashMap;
@@ -177,8 +177,9 @@
             return None;
         }
         let key = OrgPressure::short_key(request.org?);
+        let run_seconds = rank.run_seconds(pool.longest_run);
         let weighted = |org: &OrgPressure| WeightedDemand {
-            demand: rank.demand_tokens(org.tokens, org.unmet_tokens),
+            demand: RankPressure::demand_tokens(org.tokens, org.unmet_tokens, run_seconds),
             weight: pool.org_weight(org),
         };
         let mut demands: Vec<WeightedDemand> = rank.orgs.iter().map(weighted).collect();
--- a/src/gateway/pressure_updates.rs
+++ b/src/gateway/pressure_updates.rs
@@ -66,6 +66,7 @@
             ranks: self.routes.priorities(service).to_vec(),
             org_weights: self.org_weights(),
             host_count: self.members.living_in(self.members.own().domain).count(),
+            longest_run: self.routes.longest_limit(service),
         })
     }
 
--- a/src/routes/route_table.rs
+++ b/src/routes/route_table.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 /// Tables with fewer routes are sent whole, since a digest would save little.
 const MIN_DIGEST_ROUTES: usize = 64;
@@ -31,6 +32,8 @@
     by_key: HashMap<ServiceKey, Arc<ServiceSpec>>,
     /// The different priorities of the routes to each service, most urgent first.
     priorities: HashMap<ServiceKey, Vec<u8>>,
+    /// The longest time limit among the routes to each service.
+    longest_limits: HashMap<ServiceKey, Duration>,
     organisations: OrgDirectory,
     /// Hashes of the routes in their order, computed on first use.
     hashes: OnceLock<Vec<RouteHash>>,
@@ -52,8 +55,10 @@
             |service: &Arc<ServiceSpec>| (ServiceKey::of(&service.name), Arc::clone(service));
         let by_key = parts.services.iter().map(keyed).collect();
         let priorities = route_priorities(&parts.routes);
+        let longest_limits = longest_limits(&parts.routes);
         let organisations = OrgDirectory::try_from(&parts.organisations[..])?;
-        Ok(Self { parts, by_host, by_key, priorities, organisations, hashes: OnceLock::new() })
+        let hashes = OnceLock::new();
+        Ok(Self { parts, by_host, by_key, priorities, longest_limits, organisations, hashes })
     }
 }
 
@@ -71,6 +76,17 @@
     priorities
 }
 
+fn longest_limits(routes: &[Arc<Route>]) -> HashMap<ServiceKey, Duration> {
+    let mut limits: HashMap<ServiceKey, Duration> = HashMap::new();
+    for route in routes {
+        for target in &route.targets {
+            let longest = limits.entry(target.service).or_default();
+            *longest = route.time_limit.max(*longest);
+        }
+    }
+    limits
+}
+
 impl RouteTable {
     /// Version of the configuration; zero before the first one.
     pub fn version(&self) -> u64 {
@@ -122,6 +138,11 @@
         self.priorities.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// The longest time limit among the routes to a service; zero if there is none.
+    pub fn longest_limit(&self, service: ServiceKey) -> Duration {
+        self.longest_limits.get(&service).copied().unwrap_or_default()
+    }
+
     /// Directory of the organisations.
     pub fn organisations(&self) -> &OrgDirectory {
         &self.organisations
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use std::collections::{HashMap, HashSet};
+use std::time::Duration;
 use tealcleat::admission::{
     AdmissionControl, AdmissionDecision, AdmissionRequest, DecodePool, OrgPressure, PressureScope,
     PressureUpdate, RankPressure, SearchOutcome, ServicePressure, WeightedDemand, fair_share,
@@ -158,6 +159,21 @@
     control
 }
 
+/// Answers of other deployments are longer or shorter; only the time that the routes allow bounds the estimate.
+#[rstest]
+#[case::short_runs(30, 60, 14, 0.5)]
+#[case::long_runs(600, 60, 60, 10.0)]
+#[case::nothing_granted(600, 0, 14, 14.0)]
+fn run_seconds_follow_what_runs_and_is_granted(
+    #[case] running: u32,
+    #[case] granted: u32,
+    #[case] longest: u64,
+    #[case] expected: f64,
+) {
+    let rank = RankPressure { running, granted, ..RankPressure::default() };
+    assert_eq!(rank.run_seconds(Duration::from_secs(longest)), expected);
+}
+
 /// Only the organisation's demand decides, whether the caller asks for the first time or returns; a stream that continues
 /// (a draw of 0) is never refused.
 #[rstest]
--- a/tests/admission_common/admission_cluster.rs
+++ b/tests/admission_common/admission_cluster.rs
@@ -48,6 +48,7 @@
         ranks: vec![URGENT, LESS_URGENT],
         org_weights: HashMap::from([(0, 1.0)]),
         host_count: HOSTS / 3,
+        longest_run: Duration::from_secs(14),
     }
 }
 
