Prompt read: prefill servers of other domains are compared by the request's own work, not by half an objective

Cause: a queue of 12,000 tokens, "about half an objective", was the scale on which a server of another domain is put behind: by 3,600 tokens, whatever the prompt. A target is no measurement. What callers saw: a short prompt waited behind 3,600 tokens in its own domain although another domain's server was idle. Change: by the prompt's own tokens, the size of the result that takes twice as long from there.

--- a/src/gateway/prompt_read.rs
+++ b/src/gateway/prompt_read.rs
@@ -19,8 +19,6 @@
 /// After this time without an answer a read is silent: a prompt takes about 0.1 s to read, and one that waits behind
 /// several others starts sooner at its decode server.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Queued prompt tokens from which a prefill server counts as full: reading them takes about half an objective.
-const FULL_QUEUE_TOKENS: u32 = 12_000;
 /// Most prefill servers tried for one request.
 const MAX_READS: usize = 2;
 
@@ -40,7 +38,7 @@
         // A request on trial is sent to its decode server only, since one server suffices for the trial.
         return PromptEnd::LeftToDecode;
     }
-    let (criterion, rank) = (RankingCriterion::PromptQueue(FULL_QUEUE_TOKENS), context.rank);
+    let (criterion, rank) = (queue_criterion(context.head.tokens.prompt), context.rank);
     let criteria = ServerCriteria {
         stage: Some(ServerStage::Prefill),
         criterion,
@@ -120,6 +118,12 @@
     leave_to_decode(context)
 }
 
+/// Compares prefill servers by their queues. One in another failure domain is chosen if the queue there is shorter by the
+/// request's own prompt, since the result, of the size of the prompt, takes twice as long from there.
+fn queue_criterion(prompt_tokens: u32) -> RankingCriterion {
+    RankingCriterion::PromptQueue((f64::from(prompt_tokens) / REMOTE_DOMAIN_PENALTY) as u32)
+}
+
 impl CallContext {
     /// Whether prefill servers lately rejected reads of this host, or did not answer.
     fn rejection_risk(&self) -> RejectionRisk {
