Admission: servers stay reserved as long as hosts decide by the figures of a nearly full pool

Cause: TIGHT_HOLD was 2 s, "so that servers stay reserved between two bursts", the pauses of a sheet's bursts. What callers saw: less urgent ones were kept from reserved servers half a second after the last figures that say so ended. Change: FIGURES_LIFETIME, 1.5 s, after which no host knows of it any more. 34 tests of admission pass.

--- a/src/admission/pressure_table.rs
+++ b/src/admission/pressure_table.rs
@@ -7,7 +7,7 @@
 /// Lifetime of another host's figures. Unless the pool is calm, a host in a domain of 24 receives those of each other
 /// one every 0.6 s on average, so one lost update leaves no gap. While it is calm, figures are extrapolated to the
 /// hosts whose own have expired. A dead host's runs end within about 3 s.
-const FIGURES_LIFETIME: Duration = Duration::from_millis(1500);
+pub(super) const FIGURES_LIFETIME: Duration = Duration::from_millis(1500);
 /// With figures of fewer hosts, they are not extrapolated to the others: a host that is cut off decides by its own.
 const MIN_SAMPLE: usize = 4;
 /// Largest factor of the extrapolation. Of 1,000 hosts in three domains, a host receives the figures of about 60 of 333
--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -1,3 +1,4 @@
+use super::pressure_table::FIGURES_LIFETIME;
 use super::reserved_part::MAX_RESERVED;
 use super::{
     AdmissionRefusal, AdmissionRequest, DecodePool, OrgPressure, PressureLevel, RankPressure,
@@ -17,8 +18,8 @@
 /// The pool is nearly full at this fraction of the use at which searches find no memory. Runs in a part that is newly
 /// reserved take about 3 s to end, so it is reserved before the shortage begins.
 const TIGHT_FRACTION: f64 = 0.85;
-/// The pool counts as nearly full for this long after the last sign, so that servers stay reserved between two bursts.
-const TIGHT_HOLD: Duration = Duration::from_secs(2);
+/// The pool counts as nearly full for this long after the last sign: as long as hosts decide by figures of that time.
+const TIGHT_HOLD: Duration = FIGURES_LIFETIME;
 /// Use at which searches find no memory, as a fraction of the memory, until it is measured.
 const DEFAULT_FULL: f64 = 0.9;
 /// Bounds of that use. Servers that refuse for another reason would make it seem small, and requests count with what
