Comments: why few messages and requests cross domains, for callers

"Traffic between domains is charged" is a price. No figure changes here. The two seconds after which callers give up a silent stream are a promise of PROTOCOL.md, and said so.

--- a/src/admission/own_demand.rs
+++ b/src/admission/own_demand.rs
@@ -4,8 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// How long a search counts: long enough for about a hundred searches over all hosts, short enough to follow bursts of
-/// 5 s.
+/// How long a search counts: long enough for about a hundred searches over all hosts, short enough to be the present demand.
 const SEARCH_WINDOW: Duration = Duration::from_secs(1);
 
 /// Whose demand a figure counts: rank and organisation within a service.
--- a/src/gateway/crash_updates.rs
+++ b/src/gateway/crash_updates.rs
@@ -13,7 +13,7 @@
 const SEND_PERIOD: Duration = Duration::from_millis(100);
 /// Hosts of the same failure domain in each round.
 const LOCAL_TARGETS: usize = 4;
-/// Hosts of other failure domains in each round; traffic between domains is charged.
+/// Hosts of other failure domains in each round: few, since links between domains are shared with callers and may be cut.
 const REMOTE_TARGETS: usize = 2;
 
 /// Sends crashes as long as there are some that other hosts may not know.
--- a/src/gateway/event_relay.rs
+++ b/src/gateway/event_relay.rs
@@ -24,7 +24,7 @@
 use tokio::sync::mpsc::Sender;
 
 /// After a silence of this long, another run of a resumable stream is opened beside the silent one: early enough for it to
-/// write before callers leave, after two seconds and more.
+/// write before callers leave, who are promised to wait for two seconds at least.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Pause between retries of opening a new run for a lost stream.
--- a/src/gateway/limit_gossip.rs
+++ b/src/gateway/limit_gossip.rs
@@ -14,7 +14,7 @@
 const GOSSIP_PERIOD: Duration = Duration::from_millis(100);
 /// Hosts of the same failure domain in each round.
 const LOCAL_TARGETS: usize = 4;
-/// Hosts of other failure domains in each round; traffic between domains is charged by the byte.
+/// Hosts of other failure domains in each round: few, since links between domains are shared with callers and may be cut.
 const REMOTE_TARGETS: usize = 2;
 /// Reports to owners are sent every this many periods, while this host sent something recently.
 const REPORT_PERIODS: u64 = 2;
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -20,7 +20,7 @@
 /// Hosts of the same failure domain in each round, besides the other watcher candidates; in a domain of 30, each host
 /// receives the load of every other one about every 1.5 s.
 const LOCAL_TARGETS: usize = 4;
-/// Hosts of other failure domains in each round; traffic between domains is charged.
+/// Hosts of other failure domains in each round: few, since links between domains are shared with callers and may be cut.
 const REMOTE_TARGETS: usize = 2;
 /// Periods after which an unchanged load is sent again.
 const UNCHANGED_PERIODS: u64 = 4;
--- a/src/gateway/pace_updates.rs
+++ b/src/gateway/pace_updates.rs
@@ -14,7 +14,7 @@
 const LOG_PERIODS: u32 = 10;
 /// Hosts of the same failure domain in each round.
 const LOCAL_TARGETS: usize = 2;
-/// Hosts of other failure domains in each round; traffic between domains is charged.
+/// Hosts of other failure domains in each round: few, since links between domains are shared with callers and may be cut.
 const REMOTE_TARGETS: usize = 1;
 
 /// Sends the paces that this host knows periodically, if the feature is on.
--- a/src/gateway/pressure_updates.rs
+++ b/src/gateway/pressure_updates.rs
@@ -18,7 +18,7 @@
 /// the figures of each other one every 0.6 s, and those that it decides by are 0.3 s old on average.
 const LOCAL_TARGETS: usize = 8;
 /// Receivers in other failure domains in each round, which get the sum of the sender's domain: each host then receives
-/// the sum of another domain of about equal size every 0.4 s. Traffic between domains is charged.
+/// the sum of another domain of about equal size every 0.4 s, and links between domains stay free for callers.
 const REMOTE_TARGETS: usize = 1;
 /// Receivers in other failure domains when a shortage begins.
 const ANNOUNCE_REMOTE_TARGETS: usize = 4;
--- a/src/gateway/silent_run.rs
+++ b/src/gateway/silent_run.rs
@@ -23,7 +23,7 @@
 /// Pause after the first opening that was refused; it doubles with each further one, since each asks servers or the owner
 /// of the retry pool.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// The longest of these pauses. Callers leave after a gap of two seconds or more.
+/// The longest of these pauses. Callers are promised to wait for a gap of two seconds at least.
 const MAX_PAUSE: Duration = Duration::from_millis(480);
 
 /// A run whose server is silent.
--- a/src/gateway/view_spread.rs
+++ b/src/gateway/view_spread.rs
@@ -28,7 +28,7 @@
 const LOCAL_TARGETS: usize = 3;
 /// Hosts of each other failure domain that a watcher of the store notifies at once: two, since a
 /// datagram may be lost. Hosts that received a view from another host do not notify other domains: each
-/// domain has its own watcher, and traffic between domains is charged.
+/// domain has its own watcher, which may be reached when links between domains are cut.
 const REMOTE_TARGETS: usize = 2;
 
 impl GatewayHost {
--- a/src/memory_forecast/output_forecast.rs
+++ b/src/memory_forecast/output_forecast.rs
@@ -6,7 +6,7 @@
 /// Most routes whose answers are remembered, at 0.6 KB each. The one that was used longest ago is dropped.
 const MAX_ROUTES: usize = 256;
 /// Probability that an answer needs no more than its hold names. An answer that outgrows its hold is preempted if no
-/// memory is left: it exceeds its pause limit, so that its caller loses most of its value, and its prompt is read again.
+/// memory is left: its caller waits while its prompt is read again.
 /// But the engine reserves what the hold named for the whole run, so a higher quantile, or memory for the growth of
 /// other runs, refuses more callers than it saves from preemption.
 const HOLD_QUANTILE: f64 = 0.65;
--- a/src/placement/server_choice.rs
+++ b/src/placement/server_choice.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 /// Penalty for a server in another failure domain, as a fraction of a full server. Requests that
-/// run there are lost when a network partition separates the domains, traffic to it is charged, and
-/// memory transfers take twice as long.
+/// run there are lost when a network partition separates the domains, and memory transfers take
+/// twice as long.
 pub const REMOTE_DOMAIN_PENALTY: f64 = 0.3;
 /// Random spread that keeps several hosts from choosing the same of equal servers, as a fraction of
 /// a full server.
@@ -18,8 +18,8 @@
 const ERROR_PENALTY: f64 = 3.0;
 /// Weight of the logarithm of the pace, in full servers. The time for which a request holds memory is inverse to the
 /// pace, so that equal factors between two paces count alike. A server that is 2.3 times as fast as another one goes
-/// first unless it is fuller by 0.22, or one to two requests. Traffic to another failure domain is charged: even with the
-/// random part of the score, a fast server there does not make up for [`REMOTE_DOMAIN_PENALTY`].
+/// first unless it is fuller by 0.22, or one to two requests. Even with the random part of the score, a fast server in another
+/// failure domain does not make up for [`REMOTE_DOMAIN_PENALTY`]: a request there may be lost with the link.
 const PACE_WEIGHT: f64 = 0.26;
 /// Largest factor from the median that is considered, so that a wrong measurement moves a server by a quarter at most.
 const MAX_PACE_FACTOR: f64 = 2.5;
--- a/src/return_times/promise_table.rs
+++ b/src/return_times/promise_table.rs
@@ -10,7 +10,7 @@
 /// A caller is recognised until this long after the promised time: its request takes a round trip and may be
 /// retransmitted once.
 const LATE_TOLERANCE: Duration = Duration::from_secs(1);
-/// Most promises that are kept, about 60 bytes each: a burst of 100 refusals a second for 5 s needs 500.
+/// Most promises that are kept, about 60 bytes each.
 const MAX_PROMISES: usize = 8192;
 
 /// A return that a caller was told.
--- a/src/server_paths/helper_table.rs
+++ b/src/server_paths/helper_table.rs
@@ -53,8 +53,8 @@
 impl HelperTable {
     /// Selects the hosts to ask for one connection, in order.
     ///
-    /// Those that helped lately come first, those of this host's failure domain before others, since traffic between
-    /// domains is charged. Among hosts of which nothing is known, the domains take turns: a domain may have lost all of its
+    /// Those that helped lately come first, those of this host's failure domain before others, since a connection that
+    /// crosses domains is longer and is lost with the link. Among hosts of which nothing is known, the domains take turns: a domain may have lost all of its
     /// paths. `draw` is a random number that spreads the load of several hosts over all that can help.
     pub fn select(
         &self,
