--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -150,7 +150,6 @@
                 tokens: 1_000_000,
                 unmet_tokens: 1_000_000,
                 orgs: vec![org(1, 900_000), org(2, 100_000)],
-                ..RankPressure::default()
             }],
         }],
         ..shortage(1, 1)
