Memory search: an urgent request does not wait for a run where no server is reserved for it

Found by reading the diff: with an empty reserved part memory_wait got no server, took one run for the whole pool, and the request would have searched again each 20 ms for the time of a run. Now the wait is that of all servers it may search, and nothing without a server.

--- a/src/admission/pressure_update.rs
+++ b/src/admission/pressure_update.rs
@@ -7,8 +7,8 @@
 pub enum PressureScope {
     /// The demand that the sender itself sees; for hosts of its failure domain.
     Host,
-    /// The demand of the sender's whole failure domain; for hosts of other ones. One sum is sent
-    /// there instead of the figures of each host, since links between domains are shared with callers.
+    /// The demand of the sender's whole failure domain; for hosts of other ones. One sum is sent there instead of the
+    /// figures of each host, since links between domains are shared with callers.
     Domain(NameKey),
 }
 
--- a/src/gateway/memory_admission.rs
+++ b/src/gateway/memory_admission.rs
@@ -46,7 +46,8 @@
     }
 
     /// Removes servers that are reserved for more urgent requests, and puts those that are reserved for this one's rank
-    /// first. Where no other server is usable (failures, limits), it removes none: it would refuse requests although memory is free.
+    /// first. Where no other server is usable (failures, limits), it removes none: it would refuse requests although memory
+    /// is free.
     pub fn order(&self, ranked: &mut Vec<ServerEntry>) {
         let Some(parts) = &self.parts else {
             return;
@@ -59,7 +60,8 @@
     }
 
     /// Waits before a further search of an urgent request that has searched since `searched_from`; returns whether there is
-    /// to be one. Memory that runs free at the servers that are reserved for its rank is not taken by less urgent ones.
+    /// to be one. It waits for a run at the servers that are reserved for its rank, if there are any: less urgent requests do
+    /// not take the memory there.
     pub async fn wait_to_search_again(
         &self,
         context: &CallContext,
@@ -70,8 +72,9 @@
             return false;
         };
         let is_reserved = |server: &&ServerEntry| parts.first.contains(&server.key());
-        let reserved = ranked.iter().filter(is_reserved).map(ServerEntry::key);
-        let longest_wait = context.memory_wait(reserved);
+        let has_reserved = ranked.iter().any(|server| is_reserved(&server));
+        let searched = ranked.iter().filter(|server| !has_reserved || is_reserved(server));
+        let longest_wait = context.memory_wait(searched.map(ServerEntry::key));
         if context.host.now().since(searched_from) + SEARCH_PAUSE > longest_wait {
             return false;
         }
--- a/src/placement/memory_search.rs
+++ b/src/placement/memory_search.rs
@@ -13,7 +13,7 @@
 const MAX_LOCAL_REFUSALS: usize = 3;
 
 /// How long a request waits for memory: until one of the runs at the servers that it may search is expected to end, and not
-/// at all if its caller has less time than that, or if nothing is known of how long runs last.
+/// at all if its caller has less time than that, if there is no server, or if nothing is known of how long runs last.
 ///
 /// `run_time` is the mean time of a run, `runs` their number as far as known; a full server runs one at least.
 pub fn memory_wait(
@@ -22,8 +22,8 @@
     servers: usize,
     time_left: Duration,
 ) -> Duration {
-    let runs = runs.max(u32::try_from(servers).unwrap_or(u32::MAX)).max(1);
-    let next_end = run_time.map(|time| (time / runs).max(ROUND_PAUSE));
+    let runs = runs.max(u32::try_from(servers).unwrap_or(u32::MAX));
+    let next_end = run_time.filter(|_| runs > 0).map(|time| (time / runs).max(ROUND_PAUSE));
     next_end.filter(|end| *end < time_left).unwrap_or_default()
 }
 
--- a/tests/memory_search.rs
+++ b/tests/memory_search.rs
@@ -160,6 +160,7 @@
 #[case::time_left_just_suffices(Some(3000), 20, 4, 151, 150)]
 #[case::no_time_for_it(Some(3000), 20, 4, 150, 0)]
 #[case::nothing_measured(None, 20, 4, 14_000, 0)]
+#[case::no_server(Some(3000), 0, 0, 14_000, 0)]
 fn memory_wait_lasts_until_a_run_ends(
     #[case] run_ms: Option<u64>,
     #[case] runs: u32,
