--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -77,7 +77,7 @@
     control.apply(at(0), shortage(1, 1));
     assert!(reserved(control.decide(at(700), &pool, &request(LESS_URGENT, 0.0))) > 0);
     control.decide(at(1400), &pool, &request(LESS_URGENT, 0.0));
-    // Its figures end after 1.5 s, and what they caused 2 s later.
+    // Its figures end after 1.5 s, and what they caused 1.5 s later.
     for millis in [2300, 3200] {
         control.decide(at(millis), &pool, &request(LESS_URGENT, 0.0));
     }
--- a/tests/silent_reads.rs
+++ b/tests/silent_reads.rs
@@ -51,7 +51,7 @@
     assert_eq!((reads(site, "r1"), fetched), (1, vec![true]));
 }
 
-/// Guards against a stream that is refused as `prompt_not_read`, with time left, because the server that reads its prompt is
+/// Guards against a stream that is refused, with time left, because the server that reads its prompt is
 /// silent, while the decode server that holds its memory could read it.
 #[test]
 fn silent_read_left_to_the_decode_server() {
