--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -107,7 +107,7 @@
                 status, answer = await self.answer(method, target, body)
                 if self.doors[door]["mode"] == "silent":
                     await asyncio.sleep(3600)
-                data = json.dumps(answer).encode()
+                data = self.encode(answer)
                 writer.write(b"HTTP/1.1 %d x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(data)) + data)
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
@@ -115,6 +115,19 @@
         finally:
             writer.close()
 
+    def encode(self, answer):
+        """An answer as JSON. A spec that is bytes, as another writer left it, stands there as it is."""
+        raw = []
+
+        def place(value):
+            raw.append(value)
+            return "@raw%d@" % (len(raw) - 1)
+
+        data = json.dumps(answer, default=place).encode()
+        for number, value in enumerate(raw):
+            data = data.replace(b'"@raw%d@"' % number, value)
+        return data
+
     async def answer(self, method, target, body):
         path, _, query = target.partition("?")
         query = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
