Review case 6: after an outage of the store a large fleet's changes are too long for a small host

Cause: watch_for takes an answer about servers that is too long for news of the configuration, reads that, and holds the view for complete; it then asks for the same changes again until the store has forgotten them, some 20 s.

--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -69,7 +69,8 @@
     def __init__(self):
         self.revision, self.objects, self.events = 100, {}, []
         self.changed = asyncio.Condition()
-        self.doors = {}
+        self.doors, self.forgotten = {}, 0
+        self.page, self.history_s = 500, 20.0
 
     async def open_door(self, name, ip):
         self.doors[name] = {"mode": "ok", "held": set()}
@@ -92,7 +93,7 @@
         made = known[name]["metadata"]["made"] if name in known else self.revision
         metadata = {"name": name, "revision": self.revision, "made": made, "finalizers": [], "deleting": False}
         known[name] = {"metadata": metadata, "spec": spec, "status": None}
-        self.events.append((self.revision, kind, known[name], gone))
+        self.events.append((self.revision, kind, known[name], gone, time.monotonic()))
         if gone:
             return known.pop(name)
         return known[name]
@@ -137,6 +138,10 @@
             return (200, known[name]) if name in known else (404, {})
         if method == "GET" and "watch" in query:
             since, until = int(query["watch"]), time.monotonic() + int(query.get("wait_ms", "0")) / 1000
+            while self.events and self.events[0][4] < time.monotonic() - self.history_s:
+                self.forgotten = self.events.pop(0)[0]
+            if since < self.forgotten:
+                return 410, {}
             news = lambda: [e for e in self.events if e[0] > since and e[1] == kind]
             async with self.changed:
                 while not news() and time.monotonic() < until:
@@ -146,8 +151,9 @@
                         break
             return 200, {"events": [{"object": e[2], "gone": e[3]} for e in news()], "at": self.revision}
         if method == "GET":
-            items = [known[n] for n in sorted(known) if n > query.get("after", "")]
-            return 200, {"items": items, "more": False, "at": self.revision}
+            names = [n for n in sorted(known) if n > query.get("after", "")]
+            items = [known[n] for n in names[:self.page]]
+            return 200, {"items": items, "more": len(names) > self.page, "at": self.revision}
         wanted = json.loads(body)
         metadata = wanted.get("metadata", {})
         async with self.changed:
@@ -482,4 +488,5 @@
     finally:
         if case:
             case.end()
-    sys.exit(code)
+    sys.stdout.flush()
+    os._exit(code)  # connections that still wait are of no interest
