--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -70,7 +70,7 @@
         self.revision, self.objects, self.events = 100, {}, []
         self.changed = asyncio.Condition()
         self.doors, self.forgotten = {}, 0
-        self.page, self.history_s = 500, 20.0
+        self.page, self.history_s = 200, 20.0
 
     async def open_door(self, name, ip):
         self.doors[name] = {"mode": "ok", "held": set()}
