Log: when callers' keys come into force and expire, with the stated age and the age kept

The logs did not tell on whose statement a host trusted its configuration. Each such change is one line now: keys_accepted (from the store or from a peer, what the peer stated, what this host keeps) and keys_expired.

No decision changes.

--- a/src/gateway/age_loop.rs
+++ b/src/gateway/age_loop.rs
@@ -23,12 +23,21 @@
 
 /// Requests the age of the configuration as long as caller keys depend on it.
 pub(super) async fn poll_config_age(host: Arc<GatewayHost>) {
+    let mut was_too_old = true;
     loop {
-        let (bounded, too_old) = {
+        let (bounded, too_old, age) = {
             let now = host.now();
             let state = host.state();
-            (state.max_config_age().is_some(), state.is_config_too_old(now))
+            (
+                state.max_config_age().is_some(),
+                state.is_config_too_old(now),
+                state.config_age.age(now),
+            )
         };
+        if too_old && !was_too_old {
+            log::warn!("event=keys_expired age_ms={}", age.as_millis());
+        }
+        was_too_old = too_old;
         if bounded {
             host.request_config_age();
         }
@@ -81,10 +90,19 @@
 
     /// Applies a reply. If the replying host has a newer configuration, fetches it from there.
     pub(super) fn apply_age_reply(self: &Arc<Self>, from: SocketAddr, reply: AgeReply) {
+        let now = self.now();
         let version = {
             let mut state = self.state();
             let version = state.routes.version();
+            let was_too_old = state.is_config_too_old(now);
             state.config_age.apply_reply(reply, version);
+            if was_too_old && !state.is_config_too_old(now) {
+                let age_ms = state.config_age.age(now).as_millis();
+                log::info!(
+                    "event=keys_accepted source=peer peer={from} stated_age_ms={} age_ms={age_ms} version={version}",
+                    reply.age_ms
+                );
+            }
             version
         };
         if reply.version > version {
@@ -98,7 +116,15 @@
     /// Records that the store answered a request sent at `asked_at`: the configuration held by this host
     /// includes every change made before that time.
     pub(super) fn record_config_complete(&self, asked_at: TimePoint) {
-        self.state().config_age.record_complete(asked_at);
+        let now = self.now();
+        let mut state = self.state();
+        let was_too_old = state.is_config_too_old(now);
+        state.config_age.record_complete(asked_at);
+        if was_too_old && !state.is_config_too_old(now) {
+            let (age_ms, version) = (state.config_age.age(now).as_millis(), state.routes.version());
+            log::info!("event=keys_accepted source=store age_ms={age_ms} version={version}");
+        }
+        drop(state);
         self.config_age_updated.notify_waiters();
     }
 }
