Time points: reach back before the start of the clock

Cause: a host's clock counts from its start, and subtraction stopped there. The age that another host states was subtracted from the time of the request, so that a host that had run for less took the configuration to be as new as itself, and stated that to others.

Change: TimePoint is signed. Where the start of the clock stood for never and is compared with what others state (last failure of a server, last trial of parts), it is no time at all. Explicit starts are named CLOCK_START. Why it holds: no age that fits 32 bits of milliseconds is cut any more, wherever it is subtracted: configurations, crashes and clearances, parts of prompts, failures, paces, loads.

--- a/src/admission/service_state.rs
+++ b/src/admission/service_state.rs
@@ -68,9 +68,9 @@
 impl Default for ServiceState {
     fn default() -> Self {
         Self {
-            updated_at: TimePoint::default(),
-            short_until: TimePoint::default(),
-            tight_until: TimePoint::default(),
+            updated_at: TimePoint::CLOCK_START,
+            short_until: TimePoint::CLOCK_START,
+            tight_until: TimePoint::CLOCK_START,
             full: DEFAULT_FULL,
             is_quiet: true,
             reserved: HashMap::new(),
--- a/src/bench/worlds/claim_parts.rs
+++ b/src/bench/worlds/claim_parts.rs
@@ -27,7 +27,7 @@
             serial: 0,
             bucket: ClaimBucket::default(),
             outcomes: OutcomeTable::default(),
-            paused_until: TimePoint::default(),
+            paused_until: TimePoint::CLOCK_START,
             has_pending_call: false,
             waiting: BTreeMap::new(),
             running: Vec::new(),
--- a/src/bench/worlds/claim_world.rs
+++ b/src/bench/worlds/claim_world.rs
@@ -41,7 +41,7 @@
         calls: Vec::new(),
         version: 0,
         value: BucketValue::default(),
-        outage_until: TimePoint::default(),
+        outage_until: TimePoint::CLOCK_START,
         next_incarnation: HOSTS as u64 + 1,
         runs: BTreeMap::new(),
         answers: BTreeMap::new(),
@@ -196,7 +196,7 @@
         let host = &mut self.hosts[call.host];
         let is_current = host.incarnation == call.incarnation;
         let is_first =
-            std::mem::replace(&mut call.answers_at, TimePoint(u64::MAX)) != TimePoint(u64::MAX);
+            std::mem::replace(&mut call.answers_at, TimePoint(i64::MAX)) != TimePoint(i64::MAX);
         if !is_current || !is_first {
             return;
         }
--- a/src/bench/worlds/member_world.rs
+++ b/src/bench/worlds/member_world.rs
@@ -92,7 +92,7 @@
             config: ActiveConfig::default(),
             address,
             is_alive: true,
-            paused_until: TimePoint::default(),
+            paused_until: TimePoint::CLOCK_START,
         }
     }
 
@@ -239,7 +239,7 @@
         // Lost datagrams are faults, too: they would keep raising suspicions.
         self.is_lossy = false;
         for index in 0..self.hosts.len() {
-            self.hosts[index].paused_until = TimePoint::default();
+            self.hosts[index].paused_until = TimePoint::CLOCK_START;
         }
         let until = self.now + QUIET_TIME;
         while self.now < until {
--- a/src/bench/worlds/send_world.rs
+++ b/src/bench/worlds/send_world.rs
@@ -90,7 +90,7 @@
             .collect(),
         network: WorldNetwork::new(host_count, plan.domain_hosts),
         servers: (0..SERVERS).map(|index| LimitedServer::new(index, index % DOMAINS)).collect(),
-        exempt_until: vec![TimePoint::default(); host_count],
+        exempt_until: vec![TimePoint::CLOCK_START; host_count],
         pending: Vec::new(),
         calls: Vec::new(),
         bug,
--- a/src/bench/worlds/world_host.rs
+++ b/src/bench/worlds/world_host.rs
@@ -35,11 +35,11 @@
         Self {
             update: MemberUpdate::started(IncarnationId(index as u64), address, domain),
             host_count: host_count as u64,
-            changed_at: TimePoint::default(),
+            changed_at: TimePoint::CLOCK_START,
             state: T::default(),
             silent_owners: SilentOwners::default(),
-            suspended_until: TimePoint::default(),
-            started_at: TimePoint::default(),
+            suspended_until: TimePoint::CLOCK_START,
+            started_at: TimePoint::CLOCK_START,
             contacts: BTreeMap::new(),
         }
     }
@@ -51,7 +51,7 @@
         self.update = MemberUpdate::started(incarnation, self.update.address, self.update.domain);
         self.state = T::default();
         self.silent_owners = SilentOwners::default();
-        self.suspended_until = TimePoint::default();
+        self.suspended_until = TimePoint::CLOCK_START;
         self.started_at = at;
         self.contacts.clear();
     }
@@ -63,7 +63,7 @@
 
     /// Time on the host's own clock, which starts at zero with each incarnation.
     pub fn local_time(&self, now: TimePoint) -> TimePoint {
-        TimePoint::default() + now.since(self.started_at)
+        TimePoint::CLOCK_START + now.since(self.started_at)
     }
 
     /// Records that the host reached `other`. A host that has just started discovers others only gradually.
--- a/src/fleet/store_gap.rs
+++ b/src/fleet/store_gap.rs
@@ -68,7 +68,7 @@
 impl Default for StoreGap {
     fn default() -> Self {
         Self {
-            answered_at: TimePoint::default(),
+            answered_at: TimePoint::CLOCK_START,
             recovered_at: None,
             domain_recovered_at: None,
             domain: PeerContact::new(CONTACT_GAP),
--- a/src/gateway/age_loop.rs
+++ b/src/gateway/age_loop.rs
@@ -65,7 +65,7 @@
         let mut targets: Vec<MemberUpdate> =
             watcher.map(|record| record.update).into_iter().collect();
         if in_doubt {
-            let salt = mix_hash(self.incarnation.0, now.0);
+            let salt = mix_hash(self.incarnation.0, now.0.cast_unsigned());
             targets.extend(state.same_domain_member(salt));
             let remote = state.members.reachable(now).filter(|host| host.domain != self.domain());
             targets.extend(remote.min_by_key(|host| mix_hash(salt, host.incarnation.0)));
--- a/src/gateway/call_context.rs
+++ b/src/gateway/call_context.rs
@@ -7,7 +7,7 @@
 use crate::retries::SendCredit;
 use crate::routes::{Route, ServiceKey, ServiceSpec};
 use crate::server_limits::CallRank;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -33,7 +33,7 @@
     /// How often it may still be sent to servers.
     pub credit: Mutex<SendCredit>,
     /// When it was last sent to a server, in microseconds on the host's clock.
-    pub sent_at: AtomicU64,
+    pub sent_at: AtomicI64,
     /// When its head was read.
     pub received_at: TimePoint,
     /// When its final answer is due: the caller's deadline or the route's time limit.
--- a/src/gateway/call_route.rs
+++ b/src/gateway/call_route.rs
@@ -20,7 +20,7 @@
 use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicI64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -157,7 +157,7 @@
         call,
         charge,
         credit: Mutex::default(),
-        sent_at: AtomicU64::default(),
+        sent_at: AtomicI64::default(),
         received_at,
         deadline: received_at + time_limit,
         in_flight,
--- a/src/gateway/gateway_host.rs
+++ b/src/gateway/gateway_host.rs
@@ -124,7 +124,7 @@
             part_crashes: PartTracker::default(),
             crashes_revision: None,
             send_control: SendControl::default(),
-            store_answered_at: TimePoint::default(),
+            store_answered_at: TimePoint::CLOCK_START,
             refused_hosts: RefusedHosts::default(),
             members: MemberTable::new(own, seeds, rand::random()),
             unreadable_objects: UnreadableObjects::default(),
--- a/src/gateway/limit_charge.rs
+++ b/src/gateway/limit_charge.rs
@@ -100,7 +100,7 @@
 
     /// Whether this host has just started: hosts that start together find each other within a few hundred milliseconds.
     fn is_young(&self) -> bool {
-        self.now().since(TimePoint::default()) < YOUNG_AGE
+        self.now().since(TimePoint::CLOCK_START) < YOUNG_AGE
     }
 
     async fn query_owner(&self, request: &LimitRequest) -> Option<LimitReply> {
--- a/src/gateway/retry_grants.rs
+++ b/src/gateway/retry_grants.rs
@@ -103,7 +103,7 @@
         let bounds = &self.bounds.retries;
         let (_, known_here) = self.count_domain_hosts(self.members.own().domain);
         let hosts = assumed_hosts(bounds, self.known_host_count(), known_here);
-        let age = now.since(TimePoint::default());
+        let age = now.since(TimePoint::CLOCK_START);
         OwnShare::new(bounds, age, (!self.members.is_alone()).then_some(hosts))
     }
 
--- a/src/gateway/slot_messages.rs
+++ b/src/gateway/slot_messages.rs
@@ -28,7 +28,7 @@
 
 /// Decides on waiting requests and drops expired entries.
 pub(super) async fn run_slots(host: Arc<GatewayHost>) {
-    let mut expired_at = TimePoint::default();
+    let mut expired_at = TimePoint::CLOCK_START;
     loop {
         let is_waiting = host.poll_places();
         let now = host.now();
@@ -231,7 +231,7 @@
         let remaining_ms = u16::try_from(remaining.as_millis()).unwrap_or(u16::MAX);
         let message = SlotMessage::Contended { from: self.incarnation, server, remaining_ms };
         let datagram = GatewayDatagram::Slots(message);
-        for target in self.gossip_targets(now.0, usize::MAX, usize::MAX) {
+        for target in self.gossip_targets(now.0.cast_unsigned(), usize::MAX, usize::MAX) {
             self.send(target, &datagram);
         }
         self.metrics().add("contention_announced", 1);
--- a/src/gateway/stage_loop.rs
+++ b/src/gateway/stage_loop.rs
@@ -72,7 +72,7 @@
                 continue;
             }
         }
-        if !may_issue_orders(host.now().since(TimePoint::default())) {
+        if !may_issue_orders(host.now().since(TimePoint::CLOCK_START)) {
             continue;
         }
         if !controller.is_leader {
--- a/src/gateway/tunnel_relay.rs
+++ b/src/gateway/tunnel_relay.rs
@@ -9,7 +9,7 @@
 use crate::{Error, Result};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -152,12 +152,12 @@
 #[derive(Debug)]
 struct ActivityClock {
     clock: HostClock,
-    active_at: AtomicU64,
+    active_at: AtomicI64,
 }
 
 impl ActivityClock {
     fn start() -> Self {
-        Self { clock: HostClock::start(), active_at: AtomicU64::new(0) }
+        Self { clock: HostClock::start(), active_at: AtomicI64::new(0) }
     }
 
     fn record(&self) {
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -177,7 +177,7 @@
             received_at.is_none_or(|at| at < since) && state.has_newest_answer(kind)
         });
         RoleInput {
-            without_view_for: (!known).then(|| now.since(TimePoint::default())),
+            without_view_for: (!known).then(|| now.since(TimePoint::CLOCK_START)),
             is_alone: state.members.is_alone(),
             handover_idle: lock(&self.view_fetches).last_progress_at().map(|at| now.since(at)),
             elected: watcher == Some(self.incarnation),
--- a/src/host/ownership_loop.rs
+++ b/src/host/ownership_loop.rs
@@ -24,7 +24,7 @@
     loop {
         // Read before the members and the configuration, so that the update below includes both.
         let has_joined = host.has_joined.load(Ordering::Acquire)
-            || host.now().since(TimePoint::default()) >= JOIN_TIMEOUT;
+            || host.now().since(TimePoint::CLOCK_START) >= JOIN_TIMEOUT;
         let is_configured = host.config().version > 0;
         let hash = ownership_hash(&host);
         if hash != last_hash {
--- a/src/keys/host_clock.rs
+++ b/src/keys/host_clock.rs
@@ -25,7 +25,7 @@
 
     /// The present time on this clock.
     pub fn now(&self) -> TimePoint {
-        TimePoint::default() + since_boot().saturating_sub(self.start)
+        TimePoint::CLOCK_START + since_boot().saturating_sub(self.start)
     }
 }
 
--- a/src/limits/owner_term.rs
+++ b/src/limits/owner_term.rs
@@ -38,7 +38,7 @@
 
     /// Whether there was no gap within the last `time`, or none since the start.
     pub fn lasts_for(&self, now: TimePoint, time: Duration) -> bool {
-        let is_first = self.started_at == TimePoint::default();
+        let is_first = self.started_at == TimePoint::CLOCK_START;
         !self.is_broken(now) && (is_first || now.since(self.started_at) >= time)
     }
 }
--- a/src/membership/table_spread.rs
+++ b/src/membership/table_spread.rs
@@ -27,7 +27,7 @@
             return false;
         }
         let since = *self.differs_since.get_or_insert(now);
-        let is_joining = now.since(TimePoint::default()) < JOIN_TIME;
+        let is_joining = now.since(TimePoint::CLOCK_START) < JOIN_TIME;
         let is_settled = now.since(self.changed_at) >= UPDATE_SPREAD;
         let is_overdue = now.since(since) >= MAX_DIFFERENCE;
         let due = (is_joining || is_settled || is_overdue) && now >= self.next_compare_at;
@@ -42,7 +42,7 @@
         let is_alive = |update: &MemberUpdate| update.state == MemberState::Alive;
         now.since(self.changed_at) >= time
             && !self.was_declared_dead(now - time)
-            && now.since(TimePoint::default()) >= time
+            && now.since(TimePoint::CLOCK_START) >= time
             && self.members.values().all(|record| is_alive(&record.update))
     }
 
--- a/src/memory_forecast/route_lengths.rs
+++ b/src/memory_forecast/route_lengths.rs
@@ -25,7 +25,7 @@
         Self {
             by_estimate: LengthModel::centred(ESTIMATE_WEIGHT),
             by_max: LengthModel::default(),
-            used_at: TimePoint::default(),
+            used_at: TimePoint::CLOCK_START,
         }
     }
 }
--- a/src/orders/leader_tenure.rs
+++ b/src/orders/leader_tenure.rs
@@ -34,7 +34,7 @@
     /// Creates the tenure of a host that has never been elected. With a dwell time of zero it leads whenever it is
     /// elected.
     pub fn new(dwell: Duration) -> Self {
-        Self { dwell, elected_since: None, updated_at: TimePoint::default(), led_at: None }
+        Self { dwell, elected_since: None, updated_at: TimePoint::CLOCK_START, led_at: None }
     }
 
     /// Records whether this host is elected now, and returns its role. Must be called several times within the dwell
--- a/src/peers/peer_link.rs
+++ b/src/peers/peer_link.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 
 /// A connection that was idle for longer is not used any more, since the other side closes it soon.
@@ -15,13 +15,13 @@
     pub sender: SendRequest<Bytes>,
     pub opened_at: TimePoint,
     pub doubt: LinkDoubt,
-    received_at: Arc<AtomicU64>,
+    received_at: Arc<AtomicI64>,
 }
 
 impl PeerConnection {
     /// Wraps a connection that was opened now; the other side has authenticated itself on it.
     pub fn opened(sender: SendRequest<Bytes>, doubt: LinkDoubt, now: TimePoint) -> Self {
-        Self { sender, opened_at: now, doubt, received_at: Arc::new(AtomicU64::new(now.0)) }
+        Self { sender, opened_at: now, doubt, received_at: Arc::new(AtomicI64::new(now.0)) }
     }
 
     /// Records that data was received.
--- a/src/placement/prefill_queue.rs
+++ b/src/placement/prefill_queue.rs
@@ -41,7 +41,7 @@
             micros_per_token: 1e6 / tokens_per_second.max(1.0),
             waiting: Vec::new(),
             started: Vec::new(),
-            busy_until: TimePoint::default(),
+            busy_until: TimePoint::CLOCK_START,
         }
     }
 
@@ -57,7 +57,7 @@
 
     /// When the work submitted to the engine is expected to end.
     fn engine_free_at(&self, now: TimePoint) -> TimePoint {
-        let mut free_at = TimePoint::default();
+        let mut free_at = TimePoint::CLOCK_START;
         for started in &self.started {
             free_at = free_at.max(started.started_at) + started.work;
         }
--- a/src/placement/slot_table.rs
+++ b/src/placement/slot_table.rs
@@ -106,7 +106,7 @@
     /// Marks the attempts of a crashed host as unconfirmed.
     pub fn mark_unconfirmed(&mut self, incarnation: IncarnationId) {
         for entry in self.entries.iter_mut().filter(|e| e.attempt.owner == incarnation) {
-            entry.confirmed_at = TimePoint::default();
+            entry.confirmed_at = TimePoint::CLOCK_START;
         }
     }
 
--- a/src/quarantine/part_tracker.rs
+++ b/src/quarantine/part_tracker.rs
@@ -133,7 +133,7 @@
         let span = parts.last_crash_at.since(parts.first_crash_at);
         let delay = PART_TRIAL_DELAY.max(span * 2);
         let tried_at = self.trials.get(&parts.parts).copied();
-        let last = tried_at.unwrap_or_default().max(parts.last_crash_at);
+        let last = tried_at.map_or(parts.last_crash_at, |at| at.max(parts.last_crash_at));
         let is_due = is_only && now.since(last) >= delay;
         if is_due {
             self.trials.insert(parts.parts.clone(), now);
--- a/src/quarantine/recent_keys.rs
+++ b/src/quarantine/recent_keys.rs
@@ -22,7 +22,7 @@
             lifetime,
             recent: HashSet::new(),
             previous: HashSet::new(),
-            rotated_at: TimePoint::default(),
+            rotated_at: TimePoint::CLOCK_START,
         }
     }
 
--- a/src/retries/retry_pools.rs
+++ b/src/retries/retry_pools.rs
@@ -51,7 +51,7 @@
             self.check_ownership(now, |_| false);
         }
         // Of hosts that start together and know few others, many would choose themselves.
-        if !is_settled && now.since(TimePoint::default()) < JOIN_TIME {
+        if !is_settled && now.since(TimePoint::CLOCK_START) < JOIN_TIME {
             return false;
         }
         let initial = if is_settled { share.burst } else { 0.0 };
--- a/src/return_times/call_meter.rs
+++ b/src/return_times/call_meter.rs
@@ -2,7 +2,7 @@
 use crate::keys::TimePoint;
 
 /// Width of a bin in microseconds.
-const BIN_MICROS: u64 = 250_000;
+const BIN_MICROS: i64 = 250_000;
 /// Positions of the counts in a bin.
 const FRESH: usize = 0;
 const GRANTED: usize = 1;
@@ -15,7 +15,7 @@
     /// Fresh, granted and refused requests by bin; a bin is used again after a second.
     bins: [[u32; 3]; BIN_COUNT],
     /// Number of the newest bin since the start of the clock.
-    newest_bin: u64,
+    newest_bin: i64,
 }
 
 impl CallMeter {
@@ -48,8 +48,8 @@
     }
 
     fn advance(&mut self, now: TimePoint) {
-        let bin = now.0 / BIN_MICROS;
-        let passed = bin.saturating_sub(self.newest_bin).min(BIN_COUNT as u64);
+        let bin = now.0.div_euclid(BIN_MICROS);
+        let passed = bin.saturating_sub(self.newest_bin).clamp(0, BIN_COUNT as i64);
         self.newest_bin = self.newest_bin.max(bin);
         for back in 0..passed {
             self.bins[bin_index(self.newest_bin - back)] = [0; 3];
@@ -57,6 +57,6 @@
     }
 }
 
-fn bin_index(bin: u64) -> usize {
-    (bin % BIN_COUNT as u64) as usize
+fn bin_index(bin: i64) -> usize {
+    bin.rem_euclid(BIN_COUNT as i64) as usize
 }
--- a/src/server_limits/send_log.rs
+++ b/src/server_limits/send_log.rs
@@ -88,6 +88,6 @@
 }
 
 fn bin_start(at: TimePoint) -> TimePoint {
-    let width = BIN_WIDTH.as_micros() as u64;
-    TimePoint(at.0 / width * width)
+    let width = BIN_WIDTH.as_micros() as i64;
+    TimePoint(at.0.div_euclid(width) * width)
 }
--- a/src/shared_health/shared_health_table.rs
+++ b/src/shared_health/shared_health_table.rs
@@ -54,8 +54,8 @@
             versions: HashMap::new(),
             observations: OwnObservations::default(),
             ticked_at: None,
-            stalled_until: TimePoint::default(),
-            suspended_until: TimePoint::default(),
+            stalled_until: TimePoint::CLOCK_START,
+            suspended_until: TimePoint::CLOCK_START,
         }
     }
 
--- a/src/shared_health/suspect_server.rs
+++ b/src/shared_health/suspect_server.rs
@@ -66,7 +66,7 @@
     /// Latest failure that each host reported, this one included.
     failures: HashMap<IncarnationId, HostFailure>,
     /// Latest failure that any host reported.
-    last_failure_at: TimePoint,
+    last_failure_at: Option<TimePoint>,
     exclusion: Option<ExclusionState>,
     pause: Duration,
     /// When the last exclusion ended.
@@ -82,7 +82,7 @@
         Self {
             domain,
             failures: HashMap::new(),
-            last_failure_at: TimePoint::default(),
+            last_failure_at: None,
             exclusion: None,
             pause: INITIAL_PAUSE,
             returned_at: None,
@@ -133,7 +133,7 @@
         }
         let known = self.failures.entry(reporter).or_insert(failure);
         known.at = known.at.max(failure.at);
-        self.last_failure_at = self.last_failure_at.max(failure.at);
+        self.last_failure_at = self.last_failure_at.max(Some(failure.at));
         let reporters = self.reporters(now);
         let is_own_domain_only = self.is_own_domain_only(now);
         let Some(exclusion) = &mut self.exclusion else {
@@ -199,7 +199,8 @@
     /// Whether an answer received at `now` shows that the server serves again.
     pub fn is_proved_by_answer(&self, now: TimePoint) -> bool {
         let is_suspect = self.exclusion.is_some() || !self.failures.is_empty();
-        is_suspect && now >= self.last_failure_at + ANSWER_DELAY
+        let is_late = |at| now >= at + ANSWER_DELAY;
+        is_suspect && self.last_failure_at.is_none_or(is_late)
     }
 
     /// Records that a host was served at `at`. A host in another failure domain than this one (`is_remote`) proves
@@ -215,7 +216,7 @@
         }
         self.served_at = self.served_at.max(Some(at));
         self.failures.retain(|_, failure| failure.at > at);
-        if at <= self.last_failure_at {
+        if self.last_failure_at >= Some(at) {
             return None;
         }
         self.trial_at = None;
--- a/src/stream_origins/target_history.rs
+++ b/src/stream_origins/target_history.rs
@@ -30,16 +30,16 @@
 
     /// Applies what the store keeps: routes with this digest had led to the same services for `age`.
     pub fn apply_saved(&mut self, now: TimePoint, digest: u64, age: Duration) {
-        let has_changed = self.changed_at > TimePoint::default();
+        let has_changed = self.changed_at > TimePoint::CLOCK_START;
         if !has_changed && digest == self.digest() {
-            let before = age.saturating_sub(now.since(TimePoint::default()));
+            let before = age.saturating_sub(now.since(TimePoint::CLOCK_START));
             self.known_before_start = self.known_before_start.max(before);
         }
     }
 
     /// Records that the system starts for the first time.
     pub fn begin(&mut self) {
-        if self.changed_at == TimePoint::default() {
+        if self.changed_at == TimePoint::CLOCK_START {
             self.known_before_start = VERSION_RETENTION;
         }
     }
--- a/src/stream_origins/version_history.rs
+++ b/src/stream_origins/version_history.rs
@@ -73,7 +73,7 @@
             let sighting = self.versions.entry(key).or_insert(fresh);
             sighting.until = sighting.until.max(until);
         }
-        let before = known_for.saturating_sub(now.since(TimePoint::default()));
+        let before = known_for.saturating_sub(now.since(TimePoint::CLOCK_START));
         self.known_before_start = self.known_before_start.max(before);
     }
 
@@ -84,7 +84,7 @@
 
     /// For how long all versions are known, `VERSION_RETENTION` at most.
     pub fn known_for(&self, now: TimePoint) -> Duration {
-        (now.since(TimePoint::default()) + self.known_before_start).min(VERSION_RETENTION)
+        (now.since(TimePoint::CLOCK_START) + self.known_before_start).min(VERSION_RETENTION)
     }
 
     /// Whether no version can have served within the retention without this host knowing of it.
--- a/tests/health_common/mod.rs
+++ b/tests/health_common/mod.rs
@@ -18,6 +18,11 @@
     TimePoint::from_millis(millis)
 }
 
+/// Milliseconds from the start of the clock to `at`.
+pub fn millis(at: TimePoint) -> u64 {
+    u64::try_from(at.since(TimePoint::CLOCK_START).as_millis()).expect("a short time")
+}
+
 pub fn server(index: usize, stage: Option<ServerStage>) -> ServerEntry {
     ServerEntry {
         id: format!("i-{index}"),
@@ -129,7 +134,7 @@
             self.deliver(now, sent.to, &sent.report);
         }
         for host in 0..self.hosts.len() {
-            if (now.0 / 1000 + host as u64).is_multiple_of(50) && !self.dead.contains(&host) {
+            if (millis(now) + host as u64).is_multiple_of(50) && !self.dead.contains(&host) {
                 self.hosts[host].tick(now, &self.fleet);
                 self.send(now, host);
             }
--- a/tests/health_trials.rs
+++ b/tests/health_trials.rs
@@ -7,7 +7,7 @@
 
 mod health_common;
 
-use health_common::{HOSTS, at, group_excluding_first, key};
+use health_common::{HOSTS, at, group_excluding_first, key, millis};
 
 /// Each failure of the trial doubles the pause; only one host of the server's domain makes it.
 #[test]
@@ -18,24 +18,24 @@
         let due = at(since) + pause;
         let early = group.trying(due - Duration::from_millis(31), 0);
         assert!(early.is_empty(), "{early:?} before {pause:?} after {since}");
-        group.run(since, due.0 / 1000);
+        group.run(since, millis(due));
         let trying = group.trying(due, 0);
         assert_eq!(trying.len(), 1, "{trying:?} after {pause:?}");
         assert_eq!(trying[0] % 3, 0, "a host of the server's domain");
         group.observe(due, trying[0], 0, ServerEvent::Sent);
         assert!(group.trying(due, 0).is_empty(), "one trial at a time");
         group.observe(due, trying[0], 0, ServerEvent::BrokeOff);
-        since = due.0 / 1000 + 30;
-        group.run(due.0 / 1000, since);
+        since = millis(due) + 30;
+        group.run(millis(due), since);
         pause = (pause * 2).min(MAX_TRIAL_PAUSE);
     }
     assert_eq!(pause, MAX_TRIAL_PAUSE);
     let due = at(since) + pause;
-    group.run(since, due.0 / 1000);
+    group.run(since, millis(due));
     let trying = group.trying(due, 0)[0];
     group.observe(due, trying, 0, ServerEvent::Sent);
     group.observe(due, trying, 0, ServerEvent::Served);
-    group.run(due.0 / 1000, due.0 / 1000 + 30);
+    group.run(millis(due), millis(due) + 30);
     assert!(group.excluding(0).is_empty(), "one success readmits it for all hosts");
 }
 
@@ -68,12 +68,12 @@
     for _ in 0..7 {
         let due = at(now_ms) + pause;
         assert!(group.trying(due - Duration::from_millis(31), 0).is_empty(), "{pause:?}");
-        group.run(now_ms, due.0 / 1000);
+        group.run(now_ms, millis(due));
         let trying = group.trying(due, 0);
         assert_eq!(trying.len(), 1, "{pause:?}");
         group.observe(due, trying[0], 0, ServerEvent::Served);
-        let failed_at = due.0 / 1000 + 200;
-        group.run(due.0 / 1000, failed_at);
+        let failed_at = millis(due) + 200;
+        group.run(millis(due), failed_at);
         for host in [0, 3] {
             group.observe(at(failed_at), host, 0, ServerEvent::BrokeOff);
         }
--- a/tests/retry_lives.rs
+++ b/tests/retry_lives.rs
@@ -158,7 +158,7 @@
         let request = RetryRequest { sequence: 0, service: SERVICE, count: 1 };
         let life = &mut self.lives[owner];
         let now = life.now(millis);
-        let is_settled = self.fault == SiteFault::None && now.0 >= WINDOW.as_micros() as u64;
+        let is_settled = self.fault == SiteFault::None && now.0 >= WINDOW.as_micros() as i64;
         life.pools.receive(now, &request, &share, is_settled)
     }
 
--- a/tests/slot_common/mod.rs
+++ b/tests/slot_common/mod.rs
@@ -195,7 +195,7 @@
     }
 
     fn time(&self) -> TimePoint {
-        TimePoint(self.now)
+        TimePoint(self.now.cast_signed())
     }
 
     fn are_owners_silent(&self) -> bool {
@@ -321,7 +321,7 @@
             weights: weights.as_ref(),
             salt,
         };
-        let now = TimePoint(self.now);
+        let now = TimePoint(self.now.cast_signed());
         let ranked = rank_servers(now, &context, RankingCriterion::Requests, self.entries.iter());
         let index = |entry: &ServerEntry| self.entries.iter().position(|other| other == entry);
         ranked.into_iter().filter_map(index).collect()
@@ -356,7 +356,10 @@
         let request = &self.requests[index];
         let need = PlaceNeed {
             order: PlaceOrder { rank: CallRank::default(), is_repeatable: request.is_repeatable },
-            time_left: self.plan.deadline.saturating_sub(now.since(TimePoint(request.arrived_at))),
+            time_left: self
+                .plan
+                .deadline
+                .saturating_sub(now.since(TimePoint(request.arrived_at.cast_signed()))),
         };
         let host = request.host;
         let control = &mut self.hosts[host].control;
@@ -416,10 +419,14 @@
         host.loads.remove(key, ONE_REQUEST);
         let end = if is_served { PlaceEnd::Served } else { PlaceEnd::Rejected };
         if is_served {
-            host.control.service_times.record(now, key, now.since(TimePoint(request.sent_at)));
+            host.control.service_times.record(
+                now,
+                key,
+                now.since(TimePoint(request.sent_at.cast_signed())),
+            );
             self.tally.served += 1;
             self.tally.once_served += u32::from(!request.is_repeatable);
-            let age = now.since(TimePoint(request.arrived_at));
+            let age = now.since(TimePoint(request.arrived_at.cast_signed()));
             self.tally.in_time += u32::from(age <= self.plan.objective);
         } else {
             host.control.record_rejection(now, key);
@@ -427,7 +434,7 @@
         let (from, sends, order_left) = (request.host, request.sends, !request.order.is_empty());
         match request.place.take() {
             Some(sequence) => {
-                let held = now.since(TimePoint(request.sent_at));
+                let held = now.since(TimePoint(request.sent_at.cast_signed()));
                 let end = (end, held);
                 let release = host.control.release(now, id_of(from), key, sequence, end);
                 self.message(Event::Released(server, release));
