View freshness: an age before the host's start is kept, and none is known at first

A host that started within an outage of the store took the view that it was handed for as new as its own start, although it was told how old it is, and stated that to others. What rests on it: whether a stream that nobody knows may be continued (ORDER).

Cause: the time at which the view was complete was the start of the clock until something newer was known; what others state of earlier times was dropped. Change: it is None until something is known, and the age is then the longest. When a host asks the store itself goes by its own running time as before, so that hosts that restart within an outage make no more calls.

--- a/src/fleet/view_freshness.rs
+++ b/src/fleet/view_freshness.rs
@@ -12,12 +12,12 @@
 /// of which host the store answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ViewFreshness {
-    /// The view contains all changes made before this time.
-    complete_at: TimePoint,
+    /// The view contains all changes made before this time; `None` if nothing is known of it.
+    complete_at: Option<TimePoint>,
     /// When the store last answered this host.
-    own_answer_at: TimePoint,
+    own_answer_at: Option<TimePoint>,
     /// When the store last answered another host, as far as this host knows.
-    peer_answer_at: TimePoint,
+    peer_answer_at: Option<TimePoint>,
     /// A newer revision that other hosts have, and since when this host has known it.
     behind: Option<(u64, TimePoint)>,
     /// A newer revision that was complete at the given time: this view becomes complete as of that time once it reaches the
@@ -32,8 +32,8 @@
     ///
     /// Clears the lag; it is set again when another host next announces a newer revision.
     pub fn record_complete(&mut self, at: TimePoint, revision: u64) {
-        self.complete_at = self.complete_at.max(at);
-        self.own_answer_at = self.own_answer_at.max(at);
+        self.complete_at = self.complete_at.max(Some(at));
+        self.own_answer_at = self.own_answer_at.max(Some(at));
         self.reached = self.reached.max(revision);
         self.behind = None;
     }
@@ -49,19 +49,20 @@
     /// as well if it has reached that revision.
     pub fn apply_age(&mut self, now: TimePoint, own: u64, received: u64, age: Duration) {
         let own = own.max(self.reached);
-        self.peer_answer_at = self.peer_answer_at.max(now - age);
+        let at = now - age;
+        self.peer_answer_at = self.peer_answer_at.max(Some(at));
         self.complete_at = self.complete_since(own);
         self.ahead = self.ahead.filter(|(revision, _)| own < *revision);
         if own >= received {
-            self.complete_at = self.complete_at.max(now - age);
+            self.complete_at = self.complete_at.max(Some(at));
         } else if self.ahead.is_none() {
-            self.ahead = Some((received, now - age));
+            self.ahead = Some((received, at));
         }
     }
 
     /// Whether no other host reported an answer of the store newer than the last one to this host.
     pub fn has_newest_answer(&self) -> bool {
-        self.peer_answer_at <= self.own_answer_at + ECHO_TOLERANCE
+        self.peer_answer_at <= self.own_answer_at.map(|at| at + ECHO_TOLERANCE)
     }
 
     /// For how long this host, at revision `own`, has known that other hosts have a newer one.
@@ -70,13 +71,14 @@
         Some(now.since(since))
     }
 
-    /// Time since the view, at revision `own`, was last known to be complete.
+    /// Time since the view, at revision `own`, was last known to be complete; the longest time if it never was.
     pub fn age(&self, now: TimePoint, own: u64) -> Duration {
-        now.since(self.complete_since(own.max(self.reached)))
+        let complete_at = self.complete_since(own.max(self.reached));
+        complete_at.map_or(Duration::MAX, |at| now.since(at))
     }
 
-    fn complete_since(&self, own: u64) -> TimePoint {
+    fn complete_since(&self, own: u64) -> Option<TimePoint> {
         let reached = self.ahead.filter(|(revision, _)| own >= *revision);
-        reached.map_or(self.complete_at, |(_, at)| self.complete_at.max(at))
+        self.complete_at.max(reached.map(|(_, at)| at))
     }
 }
--- a/src/fleet/watcher_role.rs
+++ b/src/fleet/watcher_role.rs
@@ -98,7 +98,7 @@
     /// began to poll it has received nothing from the watcher and no other host has reported a newer answer.
     pub store_answered_for: Option<Duration>,
     /// Time since the view was last known to be complete, by an answer of the store to this host or to a host without a
-    /// newer view.
+    /// newer view, or since this host started if that is less.
     pub view_age: Duration,
     /// For how long this host has known that other hosts have a newer view.
     pub behind_for: Option<Duration>,
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -170,6 +170,8 @@
         let now = self.now();
         let state = self.state();
         let domain = self.domain();
+        // A host that has just started gives its neighbours as long to send it news as any other.
+        let uptime = now.since(TimePoint::CLOCK_START);
         let watcher = state.watcher(now, domain);
         let is_vacant = watcher.is_none_or(|host| state.refused_hosts.is_refused(now, host));
         let received_at = watcher.and_then(|host| state.members.record(host)?.received_at);
@@ -177,7 +179,7 @@
             received_at.is_none_or(|at| at < since) && state.has_newest_answer(kind)
         });
         RoleInput {
-            without_view_for: (!known).then(|| now.since(TimePoint::CLOCK_START)),
+            without_view_for: (!known).then_some(uptime),
             is_alone: state.members.is_alone(),
             handover_idle: lock(&self.view_fetches).last_progress_at().map(|at| now.since(at)),
             elected: watcher == Some(self.incarnation),
@@ -185,7 +187,7 @@
                 .answered_at
                 .filter(|_| is_vacant || is_substitute)
                 .map(|at| now.since(at)),
-            view_age: state.view_age(now, kind),
+            view_age: state.view_age(now, kind).min(uptime),
             behind_for: state.behind_for(now, kind),
             silent_for: state.silent_for(now),
             config_age: match kind {
--- a/tests/view_freshness.rs
+++ b/tests/view_freshness.rs
@@ -79,3 +79,23 @@
     freshness.record_complete(at(2000), 5);
     assert!(freshness.has_newest_answer());
 }
+
+/// A host that had just started took a view of long ago for one as new as its own start, and told others so.
+#[test]
+fn stated_age_of_view_kept_by_young_host() {
+    let mut freshness = ViewFreshness::default();
+    assert_eq!(freshness.age(at(100), 5), Duration::MAX, "nothing is known yet");
+    freshness.apply_age(at(100), 5, 5, Duration::from_secs(8));
+    assert_eq!(freshness.age(at(300), 5), Duration::from_millis(8200));
+    freshness.apply_age(at(400), 5, 6, Duration::from_secs(3));
+    assert_eq!(freshness.age(at(400), 6), Duration::from_secs(3), "once the revision is reached");
+}
+
+/// The store has answered others, but never this host.
+#[test]
+fn answer_before_the_start_is_newer_than_none() {
+    let mut freshness = ViewFreshness::default();
+    assert!(freshness.has_newest_answer());
+    freshness.apply_age(at(100), 5, 5, Duration::from_secs(8));
+    assert!(!freshness.has_newest_answer());
+}
