Store gap: an answer before the host's start is kept, and none is known at first

A host that starts within an outage took the store to have answered at its own start. Where the store came back within two seconds of that, it saw no outage and dropped servers at once whose entries had lapsed and come back a moment later: callers were refused although their servers lived. It stated its own, too low figure to others.

The contact with other hosts counts from the host's start: what was before it, others state.

--- a/src/fleet/fleet_view.rs
+++ b/src/fleet/fleet_view.rs
@@ -36,16 +36,23 @@
     /// the store last answered some host `age` ago.
     pub fn record_store_answer(&mut self, now: TimePoint, age: Duration) {
         let source = if age.is_zero() { AnswerSource::Own } else { AnswerSource::OtherDomain };
-        self.gap.record_answer(now, age, source);
+        self.gap.record_answer(now, Some(age), source);
     }
 
-    /// Records that another host of the same failure domain states that the store last answered some host `age` ago.
-    pub fn record_domain_statement(&mut self, now: TimePoint, age: Duration) {
-        self.gap.record_answer(now, age, AnswerSource::SameDomain);
+    /// Records what another host states, one of the same failure domain if `is_local`: that the store last answered some
+    /// host `age` ago, or that it knows of no answer.
+    pub fn record_store_statement(
+        &mut self,
+        now: TimePoint,
+        age: Option<Duration>,
+        is_local: bool,
+    ) {
+        let source = if is_local { AnswerSource::SameDomain } else { AnswerSource::OtherDomain };
+        self.gap.record_answer(now, age, source);
     }
 
-    /// Time since the store last answered any host, as far as this host knows.
-    pub fn store_age(&self, now: TimePoint) -> Duration {
+    /// Time since the store last answered any host, as far as this host knows; `None` if it knows of no answer.
+    pub fn store_age(&self, now: TimePoint) -> Option<Duration> {
         self.gap.age(now)
     }
 
--- a/src/fleet/store_gap.rs
+++ b/src/fleet/store_gap.rs
@@ -53,8 +53,8 @@
 /// Tells outages of the store from gaps in this host's own contact.
 #[derive(Debug, Clone)]
 pub(super) struct StoreGap {
-    /// When the store last answered any host, as far as this host knows.
-    answered_at: TimePoint,
+    /// When the store last answered any host, as far as this host knows; `None` if it knows of no answer.
+    answered_at: Option<TimePoint>,
     /// Time of the store's first answer after an outage.
     recovered_at: Option<TimePoint>,
     /// Time of the store's first answer after a gap of this host's failure domain, which other domains may not have had.
@@ -68,7 +68,7 @@
 impl Default for StoreGap {
     fn default() -> Self {
         Self {
-            answered_at: TimePoint::CLOCK_START,
+            answered_at: None,
             recovered_at: None,
             domain_recovered_at: None,
             domain: PeerContact::new(CONTACT_GAP),
@@ -89,35 +89,40 @@
 }
 
 impl StoreGap {
-    /// Records that the store answered some host `age` ago, as `source` states.
+    /// Records that the store answered some host `age` ago, as `source` states; `None` if it knows of no answer.
     ///
     /// Only a gap without answers to any host is an outage: while the store refuses some hosts, servers still reach it and
     /// their entries do not expire. A host that was cut off from the other hosts cannot tell, and counts its gap as its own.
     /// If its whole domain was cut off, the entries of the servers there expired with it, and those of others did not.
-    pub fn record_answer(&mut self, now: TimePoint, age: Duration, source: AnswerSource) {
+    pub fn record_answer(&mut self, now: TimePoint, age: Option<Duration>, source: AnswerSource) {
         let scope = self.scope(now);
         match source {
             AnswerSource::Own => {}
             AnswerSource::SameDomain => self.domain.record(now),
             AnswerSource::OtherDomain => self.outside.record(now),
         }
-        let answered_at = now - age;
-        if answered_at <= self.answered_at {
+        let Some(answered_at) = age.map(|age| now - age) else { return };
+        if self.answered_at >= Some(answered_at) {
             return;
         }
-        if answered_at.since(self.answered_at) >= OUTAGE_GAP {
+        if answered_at.since(self.gap_start()) >= OUTAGE_GAP {
             match scope {
                 GapScope::All => self.recovered_at = Some(answered_at),
                 GapScope::Domain => self.domain_recovered_at = Some(answered_at),
                 GapScope::Own => {}
             }
         }
-        self.answered_at = answered_at;
+        self.answered_at = Some(answered_at);
     }
 
-    /// Time since the store last answered any host, as far as this host knows.
-    pub fn age(&self, now: TimePoint) -> Duration {
-        now.since(self.answered_at)
+    /// Time since the store last answered any host, as far as this host knows; `None` if it knows of no answer.
+    pub fn age(&self, now: TimePoint) -> Option<Duration> {
+        self.answered_at.map(|at| now.since(at))
+    }
+
+    /// Begin of the time without an answer: a host that knows of none counts from its start.
+    fn gap_start(&self) -> TimePoint {
+        self.answered_at.unwrap_or(TimePoint::CLOCK_START)
     }
 
     /// End of the time during which a missing entry may come back, of a server of this host's failure domain if `is_local`;
@@ -131,8 +136,10 @@
     /// Whose gap it is that lasts since the store's last answer. A host that has never heard another domain, or no other host
     /// at all, goes by what it has.
     fn scope(&self, now: TimePoint) -> GapScope {
-        let outside = self.outside.is_unbroken(self.answered_at, now);
-        let domain = self.domain.is_unbroken(self.answered_at, now);
+        // What others state covers the time before this host started.
+        let from = self.gap_start().max(TimePoint::CLOCK_START);
+        let outside = self.outside.is_unbroken(from, now);
+        let domain = self.domain.is_unbroken(from, now);
         match (outside, domain) {
             (Some(true), _) | (None, Some(true) | None) => GapScope::All,
             (Some(false), Some(true)) => GapScope::Domain,
--- a/src/gateway/load_updates.rs
+++ b/src/gateway/load_updates.rs
@@ -2,6 +2,7 @@
 
 use super::gateway_host::GatewayHost;
 use super::peer_messages::{GatewayDatagram, HostNotice, LoadUpdate};
+use super::stated_age::StatedAge;
 use crate::fleet::ServerStage;
 use crate::keys::{ServerKey, mix_hash};
 use crate::membership::{MemberState, MemberUpdate};
@@ -48,7 +49,6 @@
         let now = self.now();
         self.apply_view_mark(update.view);
         self.apply_view_ages(update.view, update.ages);
-        let store_age = Duration::from_millis(update.store_age_ms.into());
         let sender = update.notice.incarnation;
         {
             let mut state = self.state();
@@ -59,11 +59,8 @@
                 update.loads.into_iter().collect(),
             );
             let domain = state.members.record(sender).map(|record| record.update.domain);
-            if domain.is_none_or(|domain| domain == self.domain()) {
-                state.fleet.record_domain_statement(now, store_age);
-            } else {
-                state.fleet.record_store_answer(now, store_age);
-            }
+            let is_local = domain.is_none_or(|domain| domain == self.domain());
+            state.fleet.record_store_statement(now, update.store_age.known(), is_local);
             for (service, sums) in update.work {
                 state.peer_work.insert((sender, service), (now, sums));
             }
@@ -136,7 +133,7 @@
         LoadUpdate {
             notice,
             version,
-            store_age_ms: u32::try_from(state.fleet.store_age(now).as_millis()).unwrap_or(u32::MAX),
+            store_age: StatedAge::from(state.fleet.store_age(now)),
             view: state.view_mark(),
             ages: state.view_ages(now),
             work: state.work_meters.iter().map(|(key, meter)| (*key, meter.sums(now))).collect(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -74,6 +74,7 @@
 mod slot_messages;
 mod stage_loop;
 mod stage_orders;
+mod stated_age;
 mod stop_admission;
 mod stop_phase;
 mod stop_plan;
--- a/src/gateway/origin_calls.rs
+++ b/src/gateway/origin_calls.rs
@@ -134,8 +134,8 @@
         None => members.records().next().is_none() && !members.is_alone(),
     };
     let view_age = state.view_age(now, FollowedKind::Servers);
-    let store_age = state.fleet.store_age(now);
-    hears_domains && hears_hosts && store_age + NEWS_DELAY >= view_age
+    let knows_no_answer = |age: Duration| age.saturating_add(NEWS_DELAY) >= view_age;
+    hears_domains && hears_hosts && state.fleet.store_age(now).is_some_and(knows_no_answer)
 }
 
 impl GatewayHost {
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -1,3 +1,4 @@
+use super::stated_age::StatedAge;
 use crate::admission::PressureUpdate;
 use crate::fleet::{FleetUpdate, ServerStage};
 use crate::keys::{IncarnationId, ServerKey};
@@ -116,13 +117,13 @@
     pub changing: Vec<(ServerKey, ServerStage)>,
 }
 
-/// For how long each part of a view may have missed changes, in milliseconds.
+/// For how long each part of a view may have missed changes.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct ViewAges {
     /// Age of the configuration.
-    pub routes_ms: u32,
+    pub routes: StatedAge,
     /// Age of the servers.
-    pub servers_ms: u32,
+    pub servers: StatedAge,
 }
 
 /// The load of one host, and how fresh its view is.
@@ -132,8 +133,8 @@
     pub notice: HostNotice,
     /// Increases with each update that the host sends.
     pub version: u64,
-    /// Milliseconds since the store last answered the sender, or another host as far as the sender knows.
-    pub store_age_ms: u32,
+    /// Time since the store last answered the sender, or another host as far as the sender knows.
+    pub store_age: StatedAge,
     /// How new the sender's view is.
     pub view: ViewMark,
     /// For how long the view may have missed changes.
--- a/src/gateway/view_lag.rs
+++ b/src/gateway/view_lag.rs
@@ -3,6 +3,7 @@
 use super::gateway_host::GatewayHost;
 use super::gateway_state::GatewayState;
 use super::peer_messages::ViewAges;
+use super::stated_age::StatedAge;
 use super::store_contact::FollowedKind;
 use crate::fleet::ViewFreshness;
 use crate::keys::TimePoint;
@@ -27,11 +28,11 @@
     pub(super) fn apply_view_ages(&self, mark: ViewMark, ages: ViewAges) {
         let now = self.now();
         let mut state = self.state();
-        for (kind, age_ms) in
-            [(FollowedKind::Routes, ages.routes_ms), (FollowedKind::Servers, ages.servers_ms)]
+        for (kind, age) in
+            [(FollowedKind::Routes, ages.routes), (FollowedKind::Servers, ages.servers)]
         {
+            let Some(age) = age.known() else { continue };
             let own = kind.part_of(state.view_mark());
-            let age = Duration::from_millis(age_ms.into());
             state.freshness_mut(kind).apply_age(now, own, kind.part_of(mark), age);
         }
     }
@@ -98,11 +99,8 @@
 
     /// The view ages of all kinds, as sent to other hosts.
     pub(super) fn view_ages(&self, now: TimePoint) -> ViewAges {
-        let age_ms = |kind| u32::try_from(self.view_age(now, kind).as_millis()).unwrap_or(u32::MAX);
-        ViewAges {
-            routes_ms: age_ms(FollowedKind::Routes),
-            servers_ms: age_ms(FollowedKind::Servers),
-        }
+        let age = |kind| StatedAge::from(self.view_age(now, kind));
+        ViewAges { routes: age(FollowedKind::Routes), servers: age(FollowedKind::Servers) }
     }
 }
 
@@ -124,7 +122,8 @@
         match host.behind_for(now, self.kind).filter(|behind| *behind >= MIN_LOGGED_LAG) {
             Some(behind) => {
                 if self.last_lag.is_none() {
-                    let store_age_ms = host.state().fleet.store_age(now).as_millis();
+                    let store_age = host.state().fleet.store_age(now);
+                    let store_age_ms = store_age.map_or(-1, |age| age.as_millis() as i64);
                     let own = host.known_revision(self.kind).unwrap_or_default();
                     log::warn!(
                         "event=view_behind kind={kind} revision={own} behind_ms={} store_age_ms={store_age_ms}",
--- a/src/gateway/view_loop.rs
+++ b/src/gateway/view_loop.rs
@@ -210,7 +210,8 @@
         tokio::time::sleep(pause.min(MIN_RETRY_PAUSE)).await;
         while self.now().since(began) < pause {
             let now = self.now();
-            let is_back = self.state().fleet.store_age(now) < now.since(began);
+            let store_age = self.state().fleet.store_age(now);
+            let is_back = store_age.is_some_and(|age| age < now.since(began));
             if is_back && self.is_watcher() {
                 return;
             }
--- a/tests/returning_hosts.rs
+++ b/tests/returning_hosts.rs
@@ -133,7 +133,7 @@
         view.record_store_answer(at(millis), Duration::from_millis(100));
     }
     for millis in (1500..=6500).step_by(500) {
-        view.record_domain_statement(at(millis), Duration::from_millis(millis - 900));
+        view.record_store_statement(at(millis), Some(Duration::from_millis(millis - 900)), true);
     }
     view.record_store_answer(at(6510), Duration::ZERO);
     view.replace_all(at(6520), 14, vec![ready_server("b")]);
@@ -146,7 +146,7 @@
     let mut view = FleetView::in_domain(NameKey::of("a"));
     view.replace_all(at(0), 10, vec![ready_server("a"), ready_server("b")]);
     for millis in (500..=6000).step_by(500) {
-        view.record_domain_statement(at(millis), Duration::from_millis(millis));
+        view.record_store_statement(at(millis), Some(Duration::from_millis(millis)), true);
     }
     view.record_store_answer(at(6100), Duration::ZERO);
     view.replace_all(at(6110), 14, vec![ready_server("b")]);
--- a/tests/view_model.rs
+++ b/tests/view_model.rs
@@ -126,9 +126,10 @@
 
     fn state_age(&mut self, from: usize, to: usize) {
         // A statement takes a millisecond.
-        let age = self.views[from].store_age(self.now()) + Duration::from_millis(1);
+        let age = self.views[from].store_age(self.now());
         let now = self.now();
-        self.views[to].record_store_answer(now, age);
+        let age = age.map(|age| age + Duration::from_millis(1));
+        self.views[to].record_store_statement(now, age, false);
     }
 
     /// A server that a host has removed returns there only if it was in the store after the removal.
