Own interface: answers of plain servers are bounded by their length and the budget, not by 128 KiB read

A caller of the project's own interface got 502 for each answer of a plain service with more than 128 KiB, although the service had run: a call that runs once only was lost that way.

Cause: what a connection delivers is counted until its reader receives something (ReadMeter, for interim heads and chunk sizes without end). Calls on a connection of their own never told the meter, so that a sound body counted as well. By the same reading, the body itself was collected without any bound; only the meter ended it. Found by the tests for bytes without end on the own interface.

An answer that is stored for the first retry counts as long as it is stored.

--- a/src/bench/worlds/claim_world.rs
+++ b/src/bench/worlds/claim_world.rs
@@ -291,7 +291,7 @@
                 } else if self.rng.random_bool(0.1) {
                     host.outcomes.record_unknown(key, attempt);
                 } else {
-                    let answer = StoredAnswer { status: 200, body: Vec::new() };
+                    let answer = StoredAnswer { status: 200, body: bytes::Bytes::new() };
                     host.outcomes.record_answer(key, attempt, answer);
                 }
             }
--- a/src/callers/service_route.rs
+++ b/src/callers/service_route.rs
@@ -72,7 +72,7 @@
 
 fn service_response(answer: StoredAnswer) -> CallerResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    whole_response(status, "application/json", Bytes::from(answer.body))
+    whole_response(status, "application/json", answer.body)
 }
 
 fn once_error(once_outcome: &OnceOutcome) -> CallerError {
--- a/src/claims/outcome_table.rs
+++ b/src/claims/outcome_table.rs
@@ -1,6 +1,7 @@
 use super::ClaimKey;
 use crate::keys::{AttemptId, TimePoint};
-use serde::{Deserialize, Serialize};
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -14,8 +15,17 @@
 pub struct StoredAnswer {
     /// HTTP status of the service's answer.
     pub status: u16,
-    /// The body of the answer.
-    pub body: Vec<u8>,
+    /// The body of the answer. It counts against the budget of all answers as long as it is stored.
+    #[serde(serialize_with = "write_body", deserialize_with = "read_body")]
+    pub body: Bytes,
+}
+
+fn write_body<S: Serializer>(body: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+    body.as_ref().serialize(serializer)
+}
+
+fn read_body<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
+    Vec::deserialize(deserializer).map(Bytes::from)
 }
 
 #[derive(Debug, Clone)]
--- a/src/engines/engine_client.rs
+++ b/src/engines/engine_client.rs
@@ -2,6 +2,7 @@
     AnswerProof, CALL_ID, CancelCall, CancelReply, DecodeCall, EngineLoad, HttpPool, LineStream,
     PooledBody, PrefillCall, PrefillReply, ResumeCall, SendLimits,
 };
+use crate::held_bytes::ByteBudget;
 use crate::orders::ServerOrder;
 use crate::{Error, Result};
 use bytes::Bytes;
@@ -26,6 +27,16 @@
 }
 
 impl EngineClient {
+    /// A client whose answers occupy at most `answer_bytes` together.
+    pub fn bounded(answer_bytes: usize) -> Self {
+        Self { pool: HttpPool::bounded(answer_bytes), ..Self::default() }
+    }
+
+    /// The budget of the answers that are held.
+    pub fn answers(&self) -> &ByteBudget {
+        self.pool.answers()
+    }
+
     /// Runs a prefill. There is no timeout; the caller sets one.
     ///
     /// # Errors
--- a/src/host/host_state.rs
+++ b/src/host/host_state.rs
@@ -99,7 +99,7 @@
             metrics: Mutex::default(),
             traces: Mutex::default(),
             peers: PeerClient::new(&settings.shared_key),
-            engines: EngineClient::default(),
+            engines: EngineClient::bounded(plan.answer_bytes),
             store: StoreClient::bounded(settings.platform, plan.store_bytes),
             has_joined: AtomicBool::new(false),
             has_ledgers: AtomicBool::new(false),
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The budget of the answers of engines and plain servers that this host holds.
+    pub fn answer_bytes(&self) -> &ByteBudget {
+        self.engines.answers()
+    }
+
     /// Current time on this host's monotonic clock.
     pub fn now(&self) -> TimePoint {
         self.clock.now()
--- a/src/host/once_call.rs
+++ b/src/host/once_call.rs
@@ -123,7 +123,7 @@
         let address = request.service.addresses[(start + offset) % count];
         // A new connection: if it cannot be opened, nothing was sent and the next server may be
         // tried.
-        let Ok(call) = SingleCall::connect(address).await else {
+        let Ok(call) = SingleCall::connect(address, host.answer_bytes()).await else {
             continue;
         };
         let sent = tokio::time::timeout(RUN_TIMEOUT, send(call, address, request, attempt)).await;
--- a/src/host/plain_call.rs
+++ b/src/host/plain_call.rs
@@ -41,7 +41,10 @@
             .header("traceparent", trace.to_string())
             .body(Full::new(body.clone()))
             .map_err(|error| Error::Protocol(error.to_string()))?;
-        let call = async { call_service(SingleCall::connect(address).await?, request).await };
+        let call = async {
+            let connected = SingleCall::connect(address, host.answer_bytes()).await?;
+            call_service(connected, request).await
+        };
         match tokio::time::timeout(CALL_TIMEOUT, call).await {
             Ok(Ok(answer)) => {
                 host.record_span(trace, "service", started_at, format!("server={address}"));
--- a/tests/abandoned_ends.rs
+++ b/tests/abandoned_ends.rs
@@ -12,6 +12,7 @@
 use tealcleat::bench::site::{SiteCall, SitePlan, TestSite, call_site};
 use tealcleat::bench::{DEFAULT_GRACE, GatewayProcess, ProcessPlan};
 use tealcleat::engines::{AnswerProof, HttpPool, SendLimits, SingleCall};
+use tealcleat::held_bytes::ByteBudget;
 use tealcleat::settings::LoadFeatures;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -153,7 +154,8 @@
 fn single_call_given_up_delivers_nothing_later() {
     runtime().block_on(async {
         let (listener, server) = listen();
-        let mut call = SingleCall::connect(server).await.expect("a connection");
+        let mut call =
+            SingleCall::connect(server, &ByteBudget::new(1 << 20)).await.expect("a connection");
         let mut request = Request::new(Full::new(Bytes::from(vec![b'x'; BODY_BYTES])));
         *request.method_mut() = hyper::Method::POST;
         let calling = tokio::spawn(async move { call.send(request).await });
--- a/tests/endless_common/mod.rs
+++ b/tests/endless_common/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tealcleat::bench::site::{SitePlan, TestSite};
+use tealcleat::engines::CALL_ID;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -43,6 +44,14 @@
     WholeBody(usize),
     /// A stream of this many events of 100 KB each, which then stands still.
     LargeEvents(usize),
+    /// A stream of an engine of the own interface, one of whose lines has no end.
+    Line,
+    /// The same, with tokens of 100 KB without end.
+    LargeTokens,
+    /// The same, with tokens of a few bytes without end.
+    Tokens,
+    /// The same, with its first line again and again.
+    RepeatedLine,
 }
 
 /// A server that answers every request in the same way.
@@ -51,6 +60,8 @@
     pub address: SocketAddr,
     part: EndlessPart,
     grants_holds: bool,
+    /// The only path whose answers have no end, and the server that answers all others.
+    behind: Option<(&'static str, SocketAddr)>,
     asked: AtomicUsize,
     closed: AtomicUsize,
     most_written: AtomicUsize,
@@ -59,11 +70,29 @@
 impl EndlessServer {
     /// Starts a server; one that grants holds answers these calls soundly.
     pub async fn start(part: EndlessPart, grants_holds: bool) -> Arc<Self> {
+        Self::start_with(part, grants_holds, None).await
+    }
+
+    /// Starts a server before the one at `behind`, whose answers have no end at one path only.
+    pub async fn start_before(
+        part: EndlessPart,
+        path: &'static str,
+        behind: SocketAddr,
+    ) -> Arc<Self> {
+        Self::start_with(part, false, Some((path, behind))).await
+    }
+
+    async fn start_with(
+        part: EndlessPart,
+        grants_holds: bool,
+        behind: Option<(&'static str, SocketAddr)>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let server = Arc::new(Self {
             address: listener.local_addr().expect("an address"),
             part,
             grants_holds,
+            behind,
             asked: AtomicUsize::new(0),
             closed: AtomicUsize::new(0),
             most_written: AtomicUsize::new(0),
@@ -102,7 +131,12 @@
     }
 
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
-        while let Some((path, id)) = read_request(&mut stream).await {
+        while let Some(request) = read_request(&mut stream).await {
+            let path = request.path.as_str();
+            if let Some((_, address)) = self.behind.filter(|(endless, _)| *endless != path) {
+                forward(&request, &mut stream, address).await;
+                return;
+            }
             if self.grants_holds && path.starts_with("/tealcleat/hold-") {
                 let hold = format!("{{\"hold\":\"h-{}\"}}", rand::random::<u64>());
                 let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", hold.len());
@@ -112,15 +146,18 @@
                 continue;
             }
             self.asked.fetch_add(1, Ordering::Relaxed);
-            let (start, repeated) = answer_bytes(self.part, &id);
+            let (start, repeated) = answer_bytes(self.part, &request.id);
             let mut written = 0;
             if stream.write_all(&start).await.is_ok() {
                 written += start.len();
+                let mut number = 1;
                 while !repeated.is_empty() && written < MAX_WRITTEN {
-                    if stream.write_all(&repeated).await.is_err() {
+                    let piece = self.part.piece(&repeated, number);
+                    if stream.write_all(&piece).await.is_err() {
                         break;
                     }
-                    written += repeated.len();
+                    number += 1;
+                    written += piece.len();
                     self.most_written.fetch_max(written, Ordering::Relaxed);
                 }
             }
@@ -136,8 +173,29 @@
     }
 }
 
-/// Reads a request and returns its path and its id.
-async fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
+/// A request as it was read.
+struct RawRequest {
+    path: String,
+    id: String,
+    bytes: Vec<u8>,
+    head_length: usize,
+}
+
+/// Sends a request to the server at `address` on a connection of its own, and its answer back.
+async fn forward(request: &RawRequest, stream: &mut TcpStream, address: SocketAddr) {
+    let Ok(mut server) = TcpStream::connect(address).await else { return };
+    let (head, rest) = request.bytes.split_at(request.head_length);
+    for part in [head, b"connection: close\r\n", rest] {
+        if server.write_all(part).await.is_err() {
+            return;
+        }
+    }
+    // The answer ends with its connection, which ends with this one.
+    drop(tokio::io::copy(&mut server, stream).await);
+}
+
+/// Reads a request.
+async fn read_request(stream: &mut TcpStream) -> Option<RawRequest> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     loop {
@@ -153,7 +211,8 @@
             let length = field("content-length").map_or(0, |value| value.parse().unwrap_or(0));
             if bytes.len() >= end + 4 + length {
                 let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
-                return Some((path, field("x-request-id").unwrap_or_default()));
+                let id = field("x-request-id").or_else(|| field(CALL_ID)).unwrap_or_default();
+                return Some(RawRequest { path, id, bytes, head_length: end + 2 });
             }
         }
         match stream.read(&mut buffer).await {
@@ -165,7 +224,7 @@
 
 /// The first bytes of an answer, and the bytes that are repeated without end.
 fn answer_bytes(part: EndlessPart, id: &str) -> (Vec<u8>, Vec<u8>) {
-    let ids = format!("x-request-id: {id}\r\nx-server-stamp: s\r\n");
+    let ids = format!("x-request-id: {id}\r\n{CALL_ID}: {id}\r\nx-server-stamp: s\r\n");
     let head = |fields: &str| format!("HTTP/1.1 200 OK\r\n{ids}{fields}\r\n");
     let (start, repeated) = match part {
         EndlessPart::StatusLine => ("HTTP/1.1 200 ".to_owned(), "O".to_owned()),
@@ -210,6 +269,13 @@
             let events: String = (0..count).map(event).collect();
             (head("content-type: text/event-stream\r\n") + &events, String::new())
         }
+        EndlessPart::Line => {
+            (head("connection: close\r\n") + "{\"token\":{\"index\":0,\"text\":\"", "a".to_owned())
+        }
+        EndlessPart::LargeTokens | EndlessPart::Tokens => {
+            (head("connection: close\r\n") + "\"imported\"\n", " ".to_owned())
+        }
+        EndlessPart::RepeatedLine => (head("connection: close\r\n"), "\"imported\"\n".to_owned()),
         EndlessPart::WholeBody(length) => {
             (head(&format!("content-length: {length}\r\n")) + &"a".repeat(length), String::new())
         }
@@ -217,6 +283,21 @@
     (start.into_bytes(), if repeated.is_empty() { Vec::new() } else { fill(&repeated) })
 }
 
+impl EndlessPart {
+    /// The next piece of an answer, number `number`.
+    fn piece(self, repeated: &[u8], number: usize) -> Vec<u8> {
+        let token = |length: usize, index: usize| {
+            let text = "a".repeat(length);
+            format!("{{\"token\":{{\"index\":{index},\"text\":\"{text}\"}}}}\n").into_bytes()
+        };
+        match self {
+            Self::LargeTokens => token(100_000, number - 1),
+            Self::Tokens => (0..1000).flat_map(|at| token(1, (number - 1) * 1000 + at)).collect(),
+            _ => repeated.to_vec(),
+        }
+    }
+}
+
 /// Repeats `piece` up to some 64 KiB, so that few writes are needed.
 fn fill(piece: &str) -> Vec<u8> {
     piece.repeat((64 << 10) / piece.len()).into_bytes()
