Own interface: the tokens of a stream are bounded, together and in time

An engine that sends tokens without end took the memory of the host that had called it, and with it the requests of all other callers; one that repeats its first line kept its caller waiting without end.

Cause: a line had a bound, lines together had none. Change: a line that is being read and the tokens of an answer count against the budget of all answers (AnswerBytes, the dynamic threshold of bodies); a token beyond the number asked for ends the attempt; the stall time runs from the last progress. Ruled out: a bounded channel to the caller, since an engine would then hold its memory for a caller that reads slowly.

--- a/src/callers/answer_body.rs
+++ b/src/callers/answer_body.rs
@@ -33,7 +33,7 @@
         let text = match part {
             AnswerPart::Token(text) => {
                 let chunk = json!({"id": self.request_id, "object": "text_completion",
-                    "choices": [{"index": 0, "text": text, "finish_reason": null}]});
+                    "choices": [{"index": 0, "text": text.as_str(), "finish_reason": null}]});
                 format!("data: {chunk}\n\n")
             }
             AnswerPart::Done(finish) => {
--- a/src/callers/completion_route.rs
+++ b/src/callers/completion_route.rs
@@ -1,7 +1,7 @@
 use super::answer_body::AnswerBody;
 use super::caller_headers::CallerHeaders;
 use super::{CallerError, CallerResponse, CompletionBody, whole_response};
-use crate::host::{AnswerPart, CompletionRequest, HostState, run_completion};
+use crate::host::{AnswerPart, AnswerText, CompletionRequest, HostState, run_completion};
 use crate::intents::ClusterConfig;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -96,20 +96,17 @@
     first: AnswerPart,
     mut parts: UnboundedReceiver<AnswerPart>,
 ) -> CallerResponse {
-    let mut text = String::new();
-    let mut tokens = 0;
+    let mut tokens = Vec::new();
     let mut next = Some(first);
     while let Some(part) = next {
         match part {
-            AnswerPart::Token(token) => {
-                text.push_str(&token);
-                tokens += 1;
-            }
+            AnswerPart::Token(token) => tokens.push(token),
             AnswerPart::Done(finish) => {
+                let text: String = tokens.iter().map(AnswerText::as_str).collect();
                 let answer = json!({"id": request_id, "object": "text_completion",
                     "model": body.model,
                     "choices": [{"index": 0, "text": text, "finish_reason": finish}],
-                    "usage": {"completion_tokens": tokens}});
+                    "usage": {"completion_tokens": tokens.len()}});
                 let bytes = Bytes::from(answer.to_string());
                 return whole_response(StatusCode::OK, "application/json", bytes);
             }
--- a/src/engines/mod.rs
+++ b/src/engines/mod.rs
@@ -25,5 +25,5 @@
 pub use http_pool::{ALL_ANSWERS_BYTES, DialedConnection, HttpPool, SendLimits};
 pub use line_stream::LineStream;
 pub use path_record::PathRecord;
-pub use pooled_body::{MAX_ANSWER_BYTES, PooledBody, has_explicit_end};
+pub use pooled_body::{MAX_ANSWER_BYTES, PooledBody};
 pub use single_call::SingleCall;
--- a/src/engines/pooled_body.rs
+++ b/src/engines/pooled_body.rs
@@ -136,7 +136,7 @@
 }
 
 /// Whether an answer has an explicit end: a length or chunked encoding. Only then is a truncated answer detected.
-pub fn has_explicit_end(response: &Response<Incoming>) -> bool {
+fn has_explicit_end(response: &Response<Incoming>) -> bool {
     let is_chunked = response.headers().contains_key(TRANSFER_ENCODING);
     is_chunked || response.body().size_hint().exact().is_some()
 }
--- a/src/host/completion_request.rs
+++ b/src/host/completion_request.rs
@@ -1,3 +1,4 @@
+use super::AnswerText;
 use crate::intents::{ClassSpec, ModelSpec};
 use crate::telemetry::TraceParent;
 use std::time::Duration;
@@ -26,10 +27,10 @@
 }
 
 /// One part of an answer to the caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum AnswerPart {
     /// Text of the next token.
-    Token(String),
+    Token(AnswerText),
     /// The answer is complete; the reason why generation finished.
     Done(String),
     /// The answer cannot be completed; tokens may already have been sent.
--- a/src/host/completion_run.rs
+++ b/src/host/completion_run.rs
@@ -4,7 +4,7 @@
 use super::in_flight_guard::InFlightGuard;
 use super::quotes_attempt::attempt_by_quotes;
 use super::reports_attempt::attempt_by_reports;
-use super::{AnswerFailure, AnswerPart, CompletionRequest};
+use super::{AnswerBytes, AnswerFailure, AnswerPart, AnswerText, CompletionRequest};
 use crate::keys::{AttemptId, TimePoint};
 use crate::streams::TokenLedger;
 use crate::telemetry::RequestOutcome;
@@ -46,7 +46,9 @@
 #[derive(Debug)]
 pub(super) struct AnswerState {
     pub ledger: TokenLedger,
-    pub generated: Vec<String>,
+    pub generated: Vec<AnswerText>,
+    /// What the tokens occupy.
+    pub bytes: AnswerBytes,
     pub arrived_at: TimePoint,
     /// Deadline of the first token, or of the next one of a stream that fails over.
     pub deadline: TimePoint,
@@ -68,6 +70,7 @@
     let mut answer = AnswerState {
         ledger: TokenLedger::new(),
         generated: Vec::new(),
+        bytes: AnswerBytes::new(host.answer_bytes()),
         arrived_at,
         deadline: arrived_at + request.first_token,
         last_token: None,
--- a/src/host/decode_phase.rs
+++ b/src/host/decode_phase.rs
@@ -9,6 +9,7 @@
 use crate::keys::{AttemptId, TimePoint};
 use crate::placement::WasteCause;
 use crate::streams::TokenVerdict;
+use crate::{Error, Result};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,30 +63,46 @@
     };
     let mut stall = result.move_after.unwrap_or(IMPORT_TIMEOUT);
     let mut importing = result.move_after.is_some();
+    let mut has_begun = false;
     let mut resumes = 0;
+    let mut progress_at = host.now();
     loop {
         let event = tokio::select! {
-            event = tokio::time::timeout(stall, lines.next()) => event,
+            event = next_event(host, &mut lines, progress_at + stall) => event,
             () = answer.sink.closed() => return caller_left(host, answer, result),
         };
         match event {
-            Ok(Ok(Some(StreamEvent::Imported))) => {
-                importing = false;
+            Ok(Some(StreamEvent::Imported)) if has_begun => {}
+            Ok(Some(StreamEvent::Imported)) => {
+                (has_begun, importing, progress_at) = (true, false, host.now());
                 guard.record_decoding(request.max_tokens);
                 host.record_span(request.trace, "import", started_at, format!("attempt={attempt}"));
                 stall = MIN_STALL_TIMEOUT
                     .max(Duration::from_millis(request.class.between_tokens_ms) * STALL_STEPS);
             }
-            Ok(Ok(Some(StreamEvent::Token { index, text }))) => {
+            // An engine that goes on after the last token that was asked for may never end.
+            Ok(Some(StreamEvent::Token { index, .. })) if index >= request.max_tokens => {
+                return fail(host, guard, answer, result, WasteCause::DecodeFailed);
+            }
+            Ok(Some(StreamEvent::Token { index, text })) => {
                 match answer.ledger.admit(attempt, index) {
-                    TokenVerdict::Write => answer.write_token(host, request, text),
+                    TokenVerdict::Write => {
+                        if let Err(error) = answer.write_token(host, request, text) {
+                            log::warn!(
+                                "event=answer_too_long request={} cause=\"{error}\"",
+                                request.id
+                            );
+                            return fail(host, guard, answer, result, WasteCause::DecodeFailed);
+                        }
+                        progress_at = host.now();
+                    }
                     TokenVerdict::Duplicate | TokenVerdict::Stale => {}
                     TokenVerdict::Gap => {
                         return fail(host, guard, answer, result, WasteCause::DecodeFailed);
                     }
                 }
             }
-            Ok(Ok(Some(StreamEvent::Done { total, finish }))) => {
+            Ok(Some(StreamEvent::Done { total, finish })) => {
                 if !answer.ledger.finish(attempt, total) {
                     return fail(host, guard, answer, result, WasteCause::DecodeFailed);
                 }
@@ -99,7 +116,7 @@
                 answer.send(AnswerPart::Done(finish));
                 return AttemptEnd::Whole;
             }
-            Ok(Ok(Some(StreamEvent::Failed { reason }))) => {
+            Ok(Some(StreamEvent::Failed { reason })) => {
                 guard.end_decode(answer.ledger.next_index());
                 let cause = if reason == "expired" {
                     WasteCause::Expired
@@ -108,27 +125,45 @@
                 };
                 return fail(host, guard, answer, result, cause);
             }
-            Err(_) if importing => {
-                importing = false;
+            Err(Error::Timeout) if importing => {
+                (importing, progress_at) = (false, host.now());
                 stall = IMPORT_TIMEOUT;
                 if let Some(moved) = move_handoff(host, request, server, result.kv_bytes).await {
                     guard.fail_decode();
                     return AttemptEnd::Moved(moved);
                 }
             }
+            Err(Error::Timeout | Error::TooLong { .. }) => {
+                return fail(host, guard, answer, result, WasteCause::DecodeFailed);
+            }
             // The connection broke, but the engine may still run the attempt: resume the stream.
-            Ok(Ok(None) | Err(_)) if resumes < MAX_RESUMES => {
+            Ok(None) | Err(_) if resumes < MAX_RESUMES => {
                 resumes += 1;
                 match resume(host, attempt, server, answer).await {
-                    Some(resumed) => lines = resumed,
+                    Some(resumed) => (lines, progress_at) = (resumed, host.now()),
                     None => return fail(host, guard, answer, result, WasteCause::DecodeFailed),
                 }
             }
-            Ok(_) | Err(_) => return fail(host, guard, answer, result, WasteCause::DecodeFailed),
+            Ok(None) | Err(_) => {
+                return fail(host, guard, answer, result, WasteCause::DecodeFailed);
+            }
         }
     }
 }
 
+/// The next event of a stream that is given up at `until` unless it makes progress, whatever else arrives.
+async fn next_event(
+    host: &HostState,
+    lines: &mut LineStream,
+    until: TimePoint,
+) -> Result<Option<StreamEvent>> {
+    let left = until.since(host.now());
+    if left.is_zero() {
+        return Err(Error::Timeout);
+    }
+    tokio::time::timeout(left, lines.next()).await.map_err(|_elapsed| Error::Timeout)?
+}
+
 /// Asks the engine to resume the attempt's stream from the next token.
 async fn resume(
     host: &Arc<HostState>,
@@ -169,7 +204,16 @@
 
 impl AnswerState {
     /// Sends the next token to the caller and records its latency.
-    fn write_token(&mut self, host: &HostState, request: &CompletionRequest, text: String) {
+    ///
+    /// # Errors
+    /// If the host cannot hold the answer.
+    fn write_token(
+        &mut self,
+        host: &HostState,
+        request: &CompletionRequest,
+        text: String,
+    ) -> Result<()> {
+        let text = self.bytes.admit(text)?;
         let now = host.now();
         let (metric, since): (_, TimePoint) = match self.last_token {
             None => ("first_token_seconds", self.arrived_at),
@@ -191,6 +235,7 @@
         self.last_token = Some(now);
         self.generated.push(text.clone());
         self.send(AnswerPart::Token(text));
+        Ok(())
     }
 
     /// Sends a part to the caller. A closed channel is ignored here; the next wait detects it.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! The daemon that runs on every entry host: it connects the decision logic to the network.
 
+mod answer_text;
 mod attempt_guard;
 mod attempt_state;
 mod claim_batcher;
@@ -31,6 +32,7 @@
 mod status_report;
 mod ticket_call;
 
+pub use answer_text::{AnswerBytes, AnswerText};
 pub use attempt_state::AttemptState;
 pub use claim_batcher::ClaimBatcher;
 pub use completion_request::{AnswerFailure, AnswerPart, CompletionRequest};
--- a/src/host/prefill_phase.rs
+++ b/src/host/prefill_phase.rs
@@ -28,7 +28,7 @@
         model: request.model.name.clone(),
         adapter: request.adapter.clone(),
         prompt: request.prompt.clone(),
-        generated: answer.generated.clone(),
+        generated: answer.generated.iter().map(|text| text.as_str().to_owned()).collect(),
     };
     guard.begin_prefill(server);
     answer.reached_engine = true;
--- a/tests/answer_ends.rs
+++ b/tests/answer_ends.rs
@@ -16,7 +16,8 @@
 use tealcleat::bench::{FaultCommand, FaultKind, StandinSet, http_call};
 use tealcleat::callers::AnswerBody;
 use tealcleat::engines::{EngineClient, ResumeCall, StreamEvent};
-use tealcleat::host::AnswerPart;
+use tealcleat::held_bytes::ByteBudget;
+use tealcleat::host::{AnswerBytes, AnswerPart};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -90,6 +91,11 @@
     });
 }
 
+fn token(text: &str) -> AnswerPart {
+    let bytes = AnswerBytes::new(&ByteBudget::new(1 << 20));
+    AnswerPart::Token(bytes.admit(text.to_owned()).expect("room"))
+}
+
 /// Returns the body of an answer that consists of a first token and `parts`, after which its task ends; `None` if the
 /// body ends with an error.
 async fn body_of(parts: Vec<AnswerPart>) -> Option<Bytes> {
@@ -98,7 +104,7 @@
         sink.send(part).expect("the receiver is open");
     }
     drop(sink);
-    let first = AnswerPart::Token("first".to_owned());
+    let first = token("first");
     let body = AnswerBody::new("r-1".to_owned(), first, receiver);
     body.collect().await.ok().map(|collected| collected.to_bytes())
 }
@@ -106,7 +112,7 @@
 #[test]
 fn answer_whose_task_ended_early_is_an_error() {
     runtime().block_on(async {
-        let truncated = body_of(vec![AnswerPart::Token("second".to_owned())]).await;
+        let truncated = body_of(vec![token("second")]).await;
         assert_eq!(truncated, None, "an answer without its end looks complete");
         let complete = body_of(vec![AnswerPart::Done("stop".to_owned())]).await.expect("an end");
         assert!(complete.ends_with(b"data: [DONE]\n\n"));
--- a/tests/endless_own.rs
+++ b/tests/endless_own.rs
@@ -112,6 +112,26 @@
     fleet.complete(0, "a recap of chapters 1 to 40")
 }
 
+/// Guards against a stream of an engine whose line has no end, or whose tokens have none: each is held until the caller has
+/// it, and all of them for an engine that goes on.
+#[rstest]
+#[case::line(EndlessPart::Line)]
+#[case::large_tokens(EndlessPart::LargeTokens)]
+#[case::tokens(EndlessPart::Tokens)]
+#[case::repeated_line(EndlessPart::RepeatedLine)]
+#[case::body(EndlessPart::BodyWithoutLength)]
+#[case::header_value(EndlessPart::HeaderValue)]
+#[case::informational(EndlessPart::Informational)]
+fn endless_stream_of_engine_ended(#[case] part: EndlessPart) {
+    let (fleet, servers) = fleet_before_engines("decode", "/v1/decode", part);
+    let completion = complete(&fleet);
+    assert_ne!(completion.result, CallResult::Complete);
+    assert!(most_written(&servers) < MAX_TAKEN, "{} bytes were taken", most_written(&servers));
+    for server in servers {
+        fleet.runtime.block_on(server.wait_closed(server.asked()));
+    }
+}
+
 /// Guards against a result of a read that has no end.
 #[rstest]
 #[case::body(EndlessPart::BodyWithoutLength)]
