Tests: a daemon with the memory of its machine before servers, a store and strangers that send without end

Now the real daemon, with 110 MB that the test enforces (what arrived from servers and was not read included): 14 kinds at once at plain, prefill and decode servers, streams without end, at first without any sound server of that role, then beside them; a store that begins to answer so; strangers at seeds. Ordinary callers beside them, also of requests that may run once only.

Calls of ordinary callers take their kinds by their own count now: with a count shared by two plays, one of them could ask for plain requests only.

--- a/src/bench/memory_watch.rs
+++ b/src/bench/memory_watch.rs
@@ -33,9 +33,20 @@
 impl MemoryWatch {
     /// Watches the process `id`, which listens at `addresses` and may occupy `bound` bytes.
     pub fn start(id: u32, addresses: &[SocketAddr], bound: u64) -> Self {
+        Self::start_with_servers(id, addresses, &[], bound)
+    }
+
+    /// Does the same for a process that alone connects to `servers`.
+    pub fn start_with_servers(
+        id: u32,
+        addresses: &[SocketAddr],
+        servers: &[SocketAddr],
+        bound: u64,
+    ) -> Self {
         let peak: Arc<Mutex<MemoryPeak>> = Arc::default();
         let is_stopped = Arc::new(AtomicBool::new(false));
-        let ports = addresses.iter().map(SocketAddr::port).collect();
+        let ports_of = |of: &[SocketAddr]| of.iter().map(SocketAddr::port).collect();
+        let ports = WatchedPorts { own: ports_of(addresses), servers: ports_of(servers) };
         let (shared, stop) = (Arc::clone(&peak), Arc::clone(&is_stopped));
         let thread = std::thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) && !watch_once(id, &ports, bound, &shared) {
@@ -61,8 +72,17 @@
     }
 }
 
+/// The ports of a process's connections.
+#[derive(Debug)]
+struct WatchedPorts {
+    /// Those at which it listens.
+    own: HashSet<u16>,
+    /// Those of the servers that it connects to.
+    servers: HashSet<u16>,
+}
+
 /// Takes one sample; returns whether the watch has ended.
-fn watch_once(id: u32, ports: &HashSet<u16>, bound: u64, peak: &Mutex<MemoryPeak>) -> bool {
+fn watch_once(id: u32, ports: &WatchedPorts, bound: u64, peak: &Mutex<MemoryPeak>) -> bool {
     let Some(own) = resident_bytes(id) else { return true };
     let unread = unread_bytes(ports);
     let bytes = own + unread;
@@ -88,16 +108,20 @@
 }
 
 /// What arrived on open connections at `ports` of this machine and was not read.
-fn unread_bytes(ports: &HashSet<u16>) -> u64 {
+fn unread_bytes(ports: &WatchedPorts) -> u64 {
     let list = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     list.lines().skip(1).filter_map(|line| unread_of(line, ports)).sum()
 }
 
-fn unread_of(line: &str, ports: &HashSet<u16>) -> Option<u64> {
+fn unread_of(line: &str, ports: &WatchedPorts) -> Option<u64> {
     let mut fields = line.split_whitespace().skip(1);
-    let (_, port) = fields.next()?.split_once(':')?;
-    let is_open = fields.nth(1)? == ESTABLISHED;
+    let mut next_port = || {
+        let (_, port) = fields.next()?.split_once(':')?;
+        u16::from_str_radix(port, 16).ok()
+    };
+    let (local, remote) = (next_port()?, next_port()?);
+    let is_open = fields.next()? == ESTABLISHED;
     let (_, unread) = fields.next()?.split_once(':')?;
-    let is_own = ports.contains(&u16::from_str_radix(port, 16).ok()?);
-    (is_open && is_own).then(|| u64::from_str_radix(unread, 16).ok())?
+    let is_watched = ports.own.contains(&local) || ports.servers.contains(&remote);
+    (is_open && is_watched).then(|| u64::from_str_radix(unread, 16).ok())?
 }
--- a/tests/endless_common/mod.rs
+++ b/tests/endless_common/mod.rs
@@ -2,9 +2,10 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tealcleat::bench::site::{SitePlan, TestSite};
 use tealcleat::engines::CALL_ID;
@@ -18,6 +19,8 @@
 /// sides buffer (4 MiB to send, 6 MiB to receive).
 pub const MAX_TAKEN: usize = 24 << 20;
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Pause between two bytes of a slow body.
+const SLOW_PAUSE: Duration = Duration::from_secs(1);
 
 /// Where an answer has no end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +41,14 @@
     FirstEvent,
     /// A stream whose second event has no end.
     SecondEvent,
+    /// A body of single bytes with a pause between them.
+    SlowBody,
+    /// Bytes that are no answer.
+    Noise,
+    /// A whole answer, and then another one again and again.
+    FurtherAnswers,
+    /// A stream of sound events without end.
+    Events,
     /// A body of this many bytes that then stands still; its stated length is twice that.
     HalfBody(usize),
     /// A whole answer with a body of this many bytes.
@@ -60,9 +71,12 @@
     pub address: SocketAddr,
     part: EndlessPart,
     grants_holds: bool,
-    /// The only path whose answers have no end, and the server that answers all others.
+    /// The begin of the paths whose answers have no end, and the server that answers all others.
     behind: Option<(&'static str, SocketAddr)>,
+    /// Whether answers are sound although none of the other fields says so.
+    is_sound: AtomicBool,
     asked: AtomicUsize,
+    asked_ids: Mutex<HashSet<String>>,
     closed: AtomicUsize,
     most_written: AtomicUsize,
 }
@@ -73,7 +87,7 @@
         Self::start_with(part, grants_holds, None).await
     }
 
-    /// Starts a server before the one at `behind`, whose answers have no end at one path only.
+    /// Starts a server before the one at `behind`, whose answers have no end only at paths that begin with `path`.
     pub async fn start_before(
         part: EndlessPart,
         path: &'static str,
@@ -93,7 +107,9 @@
             part,
             grants_holds,
             behind,
+            is_sound: AtomicBool::new(false),
             asked: AtomicUsize::new(0),
+            asked_ids: Mutex::default(),
             closed: AtomicUsize::new(0),
             most_written: AtomicUsize::new(0),
         });
@@ -111,6 +127,16 @@
         self.asked.load(Ordering::Relaxed)
     }
 
+    /// Whether a request got the endless answer.
+    pub fn was_asked(&self, id: &str) -> bool {
+        self.asked_ids.lock().expect("no panic").contains(id)
+    }
+
+    /// Lets the server behind answer everything, or no longer.
+    pub fn set_sound(&self, is_sound: bool) {
+        self.is_sound.store(is_sound, Ordering::Relaxed);
+    }
+
     /// Most bytes of one answer that left the server.
     pub fn most_written(&self) -> usize {
         self.most_written.load(Ordering::Relaxed)
@@ -133,7 +159,10 @@
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream).await {
             let path = request.path.as_str();
-            if let Some((_, address)) = self.behind.filter(|(endless, _)| *endless != path) {
+            let is_forwarded = |(endless, _): &(&str, SocketAddr)| {
+                self.is_sound.load(Ordering::Relaxed) || !path.starts_with(endless)
+            };
+            if let Some((_, address)) = self.behind.filter(is_forwarded) {
                 forward(&request, &mut stream, address).await;
                 return;
             }
@@ -146,12 +175,16 @@
                 continue;
             }
             self.asked.fetch_add(1, Ordering::Relaxed);
+            self.asked_ids.lock().expect("no panic").insert(request.id.clone());
             let (start, repeated) = answer_bytes(self.part, &request.id);
             let mut written = 0;
             if stream.write_all(&start).await.is_ok() {
                 written += start.len();
                 let mut number = 1;
                 while !repeated.is_empty() && written < MAX_WRITTEN {
+                    if self.part == EndlessPart::SlowBody {
+                        tokio::time::sleep(SLOW_PAUSE).await;
+                    }
                     let piece = self.part.piece(&repeated, number);
                     if stream.write_all(&piece).await.is_err() {
                         break;
@@ -234,6 +267,15 @@
             (String::new(), "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n".to_owned())
         }
         EndlessPart::BodyWithoutLength => (head("connection: close\r\n"), "a".to_owned()),
+        EndlessPart::SlowBody => {
+            return (head("connection: close\r\n").into_bytes(), b"a".to_vec());
+        }
+        EndlessPart::Noise => (String::new(), "\u{1}\u{2}noise\n".to_owned()),
+        EndlessPart::FurtherAnswers => {
+            let answer = head("content-length: 1\r\n") + "a";
+            (answer.clone(), answer)
+        }
+        EndlessPart::Events => (head("content-type: text/event-stream\r\n"), " ".to_owned()),
         EndlessPart::BodyWithLength => (head("content-length: 1000000000000\r\n"), "a".to_owned()),
         EndlessPart::Chunks => {
             (head("transfer-encoding: chunked\r\n"), format!("400\r\n{}\r\n", "a".repeat(1024)))
@@ -292,6 +334,11 @@
         };
         match self {
             Self::LargeTokens => token(100_000, number - 1),
+            Self::Events => (0..1000)
+                .flat_map(|at| {
+                    format!("id: {}\ndata: a\n\n", (number - 1) * 1000 + at).into_bytes()
+                })
+                .collect(),
             Self::Tokens => (0..1000).flat_map(|at| token(1, (number - 1) * 1000 + at)).collect(),
             _ => repeated.to_vec(),
         }
--- a/tests/rogue_common/mod.rs
+++ b/tests/rogue_common/mod.rs
@@ -1,11 +1,11 @@
 //! Daemons as processes with the memory and descriptors of a small machine, before stand-ins, with ordinary callers.
 
-#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part of it")]
 
 mod ordinary_callers;
 mod ready_probe;
 
-pub use ordinary_callers::OrdinaryCallers;
+pub use ordinary_callers::{CallTally, OrdinaryCallers};
 pub use ready_probe::{READY_MISSES, ReadyProbe};
 
 use crate::machine_common::{daemon, test_folder};
@@ -27,6 +27,8 @@
 /// Time in which a server answers a plain request.
 const SERVICE_TIME: Duration = Duration::from_millis(30);
 const HOSTS: usize = 3;
+/// Servers for ordinary callers, without hosts.
+pub const SERVERS: SitePlan = SitePlan { prefills: 4, decodes: 8, services: 9, hosts: 0 };
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 /// Ends a test that hangs; no guarantee depends on it.
 const HANG_LIMIT: Duration = Duration::from_secs(30);
@@ -60,7 +62,13 @@
 
     /// Does the same with plain servers that take `service_time` for a request.
     pub async fn start_with(name: &str, service_time: Duration) -> Self {
-        let plan = SitePlan { prefills: 4, decodes: 8, services: 9, hosts: 0 };
+        let mut world = Self::without_hosts(service_time, SERVERS).await;
+        world.start_hosts(name, HOSTS, world.site.store_address).await;
+        world
+    }
+
+    /// Starts the stand-ins alone.
+    pub async fn without_hosts(service_time: Duration, plan: SitePlan) -> Self {
         let site = TestSite::start(plan).await.expect("a site");
         let mut larger = config(2);
         larger["limits"]["max_body_bytes"] = (4 << 20).into();
@@ -68,17 +76,33 @@
         for service in &site.services {
             service.set_fault(ServiceFault::Slow(service_time));
         }
-        let mut world = Self { site, hosts: Vec::new() };
+        Self { site, hosts: Vec::new() }
+    }
+
+    /// Starts `count` daemons that follow the store at `store`, and waits until all are ready.
+    pub async fn start_hosts(&mut self, name: &str, count: usize, store: SocketAddr) {
+        self.start_hosts_with(name, count, store, &[]).await;
+    }
+
+    /// Does the same for daemons that are told of further seeds.
+    pub async fn start_hosts_with(
+        &mut self,
+        name: &str,
+        count: usize,
+        store: SocketAddr,
+        further_seeds: &[SocketAddr],
+    ) {
         let folder = test_folder(name);
-        for index in 0..HOSTS {
-            let seeds: Vec<SocketAddr> = world.hosts.iter().map(|host| host.peers).collect();
+        for index in 0..count {
+            let known = self.hosts.iter().map(|host| host.peers);
+            let seeds: Vec<SocketAddr> = further_seeds.iter().copied().chain(known).collect();
             let host = GatewayProcess::start(&ProcessPlan {
                 program: daemon(),
                 folder: &folder,
                 name: &format!("host-{index}"),
                 domain: "a",
                 machine: Ipv4Addr::LOCALHOST.into(),
-                store: world.site.store_address,
+                store,
                 seeds: &seeds,
                 advertised: None,
                 revocation: None,
@@ -88,20 +112,25 @@
                 limits: Some(machine()),
                 environment: &[],
             });
-            world.hosts.push(host.expect("a host"));
+            self.hosts.push(host.expect("a host"));
         }
-        for host in &world.hosts {
+        for host in &self.hosts {
             wait_ready(host.ready).await;
         }
-        world
     }
 
     /// Watches the memory of the attacked daemon.
     pub fn watch(&self) -> MemoryWatch {
+        self.watch_with_servers(&[])
+    }
+
+    /// Does the same for a daemon that alone connects to `servers`.
+    pub fn watch_with_servers(&self, servers: &[SocketAddr]) -> MemoryWatch {
         let host = &self.hosts[0];
         let id = host.id().expect("it was started");
         let addresses = [host.callers, host.ready, host.metrics, host.peers_listen];
-        MemoryWatch::start(id, &addresses, machine().memory_mb * 1_000_000)
+        let bound = machine().memory_mb * 1_000_000;
+        MemoryWatch::start_with_servers(id, &addresses, servers, bound)
     }
 
     /// Where a crowd goes that attacks the first daemon at `door`.
--- a/tests/rogue_common/ordinary_callers.rs
+++ b/tests/rogue_common/ordinary_callers.rs
@@ -33,8 +33,18 @@
     }
 }
 
+/// What callers ask for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallMix {
+    /// Requests that may be repeated, and streams.
+    Repeatable,
+    /// Also requests that may run once only, as many as streams.
+    WithUnsafe,
+}
+
 /// Callers that ask one daemon, a request after the other begun at even times, each on a connection of its own.
 pub struct OrdinaryCallers {
+    lost: Arc<Mutex<Vec<String>>>,
     tally: Arc<Mutex<CallTally>>,
     is_stopped: Arc<AtomicBool>,
     task: JoinHandle<()>,
@@ -43,12 +53,28 @@
 static NEXT_ID: AtomicU64 = AtomicU64::new(0);
 
 impl OrdinaryCallers {
-    /// Starts to ask the daemon at `address`.
+    /// Starts to ask the daemon at `address` for what may be repeated and for streams.
     pub fn start(address: SocketAddr) -> Self {
+        Self::start_mix(address, CallMix::Repeatable)
+    }
+
+    /// Starts to ask it also for what may run once only.
+    pub fn start_with_unsafe(address: SocketAddr) -> Self {
+        Self::start_mix(address, CallMix::WithUnsafe)
+    }
+
+    fn start_mix(address: SocketAddr, mix: CallMix) -> Self {
         let tally: Arc<Mutex<CallTally>> = Arc::default();
+        let lost: Arc<Mutex<Vec<String>>> = Arc::default();
         let is_stopped = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(ask(address, Arc::clone(&tally), Arc::clone(&is_stopped)));
-        Self { tally, is_stopped, task }
+        let records = (Arc::clone(&tally), Arc::clone(&lost));
+        let task = tokio::spawn(ask(address, mix, records, Arc::clone(&is_stopped)));
+        Self { lost, tally, is_stopped, task }
+    }
+
+    /// Ids of the requests that got no whole answer, or another one than was asked for.
+    pub fn lost_ids(&self) -> Vec<String> {
+        self.lost.lock().expect("no panic").clone()
     }
 
     /// Waits until `count` more requests have ended, and returns how they did.
@@ -87,19 +113,36 @@
     }
 }
 
-async fn ask(address: SocketAddr, tally: Arc<Mutex<CallTally>>, is_stopped: Arc<AtomicBool>) {
+/// How requests ended, and the ids of those that were lost.
+type CallRecords = (Arc<Mutex<CallTally>>, Arc<Mutex<Vec<String>>>);
+
+async fn ask(
+    address: SocketAddr,
+    mix: CallMix,
+    (tally, lost): CallRecords,
+    is_stopped: Arc<AtomicBool>,
+) {
     let mut period = tokio::time::interval(CALL_PERIOD);
-    while !is_stopped.load(Ordering::Relaxed) {
+    // Callers of several daemons share the ids, and each has all kinds of requests.
+    for place in 0_u64.. {
         period.tick().await;
+        if is_stopped.load(Ordering::Relaxed) {
+            return;
+        }
         let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-        let is_stream = number.is_multiple_of(STREAM_EVERY);
-        let (method, route) = if is_stream { ("POST", "stream") } else { ("GET", "safe") };
+        let is_stream = place.is_multiple_of(STREAM_EVERY);
+        let is_unsafe = mix == CallMix::WithUnsafe && place % STREAM_EVERY == 2;
+        let (method, route) = match (is_stream, is_unsafe) {
+            (true, _) => ("POST", "stream"),
+            (false, true) => ("POST", "once"),
+            (false, false) => ("GET", "safe"),
+        };
         let mut request = call(method, route, &format!("ordinary-{number}"));
-        if !is_stream {
+        if method == "GET" {
             request.body = "";
         }
         tally.lock().expect("no panic").begun += 1;
-        let tally = Arc::clone(&tally);
+        let (tally, lost) = (Arc::clone(&tally), Arc::clone(&lost));
         tokio::spawn(async move {
             let status = call_within(address, &request).await;
             let mut tally = tally.lock().expect("no panic");
@@ -109,6 +152,7 @@
                 Ok(503) => tally.refused += 1,
                 other => {
                     println!("lost: {} ended with {other:?}", request.id);
+                    lost.lock().expect("no panic").push(request.id.clone());
                     tally.lost += 1;
                 }
             }
