Store client: a listing has a bound over all its pages

A store whose pages always name something new was read on for ever, and every object was kept: the host's memory would end with it.

Cause: pages are bounded one by one (4 MiB), their number was not. Change: all pages of a listing together may be as long as what the store's answers may occupy (10% of the memory: 8.8 to 12 MB; 10,000 servers are some 3.5 MB). Beyond it the listing fails as too long, and is tried again like any failed one.

tests/foreign_lists, endless_listing_is_given_up: still reads after 400 pages on the code before, given up now; the other 13 pass on both.

--- a/src/platform/list_pager.rs
+++ b/src/platform/list_pager.rs
@@ -13,6 +13,8 @@
     /// All names that were used as the start of a page.
     start_names: HashSet<String>,
     is_first: bool,
+    /// Length of all pages.
+    bytes: usize,
 }
 
 impl ListPager {
@@ -25,7 +27,7 @@
             revision: u64::MAX,
             newest_revision: 0,
         };
-        Self { list, after: String::new(), start_names: HashSet::new(), is_first: true }
+        Self { list, after: String::new(), start_names: HashSet::new(), is_first: true, bytes: 0 }
     }
 
     /// Whether the next page is the first one.
@@ -33,6 +35,11 @@
         self.is_first
     }
 
+    /// Length of the pages that were added.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the name after which the next page begins, encoded for a query.
     pub fn after(&self) -> String {
         percent_encode(&self.after)
@@ -51,6 +58,7 @@
     /// listing, because it would be returned over and over.
     pub fn add(&mut self, page: ListPage) -> bool {
         self.is_first = false;
+        self.bytes += page.bytes;
         self.list.revision = self.list.revision.min(page.revision);
         self.list.newest_revision = self.list.newest_revision.max(page.revision);
         self.list.items.extend(page.items);
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -58,7 +58,8 @@
     /// Lists all objects of a kind, page by page. Each page must begin within `limit`.
     ///
     /// # Errors
-    /// If the store sent no valid answer in time.
+    /// [`Error::TooLong`] if all pages together are longer than what the store's answers may occupy; any other error if the
+    /// store sent no valid answer in time.
     pub async fn list(&self, kind: &str, age: ListAge, limit: Duration) -> Result<ObjectList> {
         let mut pager = ListPager::new();
         // Pages share connections only within one listing: a late page of an earlier one would go undetected.
@@ -77,7 +78,11 @@
             } else {
                 self.further_page(&pool, &target, &pager, limit).await?
             };
-            if !pager.add(page) {
+            let has_more = pager.add(page);
+            if pager.bytes() > self.pool.answers().capacity() {
+                return Err(Error::TooLong { received: pager.bytes() });
+            }
+            if !has_more {
                 return Ok(pager.into_list());
             }
         }
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -36,6 +36,8 @@
     pub more: bool,
     /// Revision of the store at which the page was read.
     pub revision: u64,
+    /// Length of the page as it was received.
+    pub bytes: usize,
 }
 
 /// Decodes a page of a listing.
@@ -50,6 +52,7 @@
         last_name: None,
         more: optional(&members, "more")?.unwrap_or_default(),
         revision: required(&members, "at")?,
+        bytes: body.len(),
     };
     for item in elements(&members, "items")? {
         match decode_item(item) {
--- a/tests/foreign_lists.rs
+++ b/tests/foreign_lists.rs
@@ -1,9 +1,15 @@
 //! Listings of the store whose pages contain unreadable entries.
 
 use rstest::rstest;
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tealcleat::Error;
 use tealcleat::bench::site::{SitePlan, TestSite};
 use tealcleat::platform::{ListAge, ObjectList, SERVERS_KIND, StoreClient};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 mod entry_common;
 mod site_common;
@@ -178,3 +184,51 @@
         listed.expect_err("the page is truncated");
     });
 }
+
+/// Pages after which a listing without end counts as read for ever; 64 of them fill the budget.
+const MAX_PAGES: usize = 400;
+
+/// Guards against a listing that goes on for ever, each page with new names: all of its objects were kept.
+#[test]
+fn endless_listing_is_given_up() {
+    runtime().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let pages = Arc::new(AtomicUsize::new(0));
+        let served = Arc::clone(&pages);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut request = [0; 4096];
+                while stream.read(&mut request).await.is_ok_and(|count| count > 0) {
+                    let number = served.fetch_add(1, Ordering::Relaxed);
+                    if stream.write_all(&endless_page(number)).await.is_err() {
+                        break;
+                    }
+                }
+            }
+        });
+        let client = StoreClient::bounded(address, 1 << 20);
+        let listing = client.list("servers", ListAge::Newest, Duration::from_secs(5));
+        let given_up = tokio::select! {
+            listed = listing => listed,
+            () = async {
+                while pages.load(Ordering::Relaxed) < MAX_PAGES {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            } => panic!("it is read on after {MAX_PAGES} pages"),
+        };
+        assert!(matches!(given_up, Err(Error::TooLong { .. })), "{given_up:?}");
+    });
+}
+
+/// A page of 16 KiB whose only object has a name of its own.
+fn endless_page(number: usize) -> Vec<u8> {
+    let item = json!({"metadata": {"name": format!("i-{number:08}"), "revision": 5, "made": 1},
+        "spec": {"filler": "a".repeat(16 << 10)}});
+    let body = json!({"items": [item], "more": true, "at": 5}).to_string();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    (head + &body).into_bytes()
+}
